--- /dev/null
+++ b/schema/glenhollow.capnp
@@ -0,0 +1,135 @@
+# The messages between Glenhollow's own processes.
+# The generated C++ is committed in src/glenhollow/wire; see scripts/generate.sh.
+@0xd2c1a8b04f6e7391;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("glenhollow::wire");
+
+enum Verdict {
+  notRun @0;
+  mayHaveRun @1;
+  ran @2;
+}
+
+struct TaskKey {
+  # One task of one submission; the entry incarnation is known from the session.
+  sequence @0 :UInt64;
+  task @1 :UInt32;
+}
+
+struct Start {
+  key @0 :TaskKey;
+  beginBy @1 :Int64;         # agent's own clock, ns; later the start is refused
+  team @2 :Text;
+  traceparent @3 :Text;
+  payload @4 :Data;          # JSON text
+  bodyHash @5 :UInt64;       # of the job's body, for an adopter
+  jobTasks @6 :UInt32;       # tasks of the job, for an adopter
+}
+
+struct Load {
+  slots @0 :UInt32;
+  running @1 :UInt32;
+  queued @2 :UInt32;         # accepted, waiting for a slot
+  clock @3 :Int64;           # agent's own clock, ns
+  draining @4 :Bool;
+  configVersion @5 :UInt64;
+  links @6 :UInt32;          # entry sessions open at this agent
+  shunned @7 :Bool;          # the runner itself fails or cannot be reached
+  received @8 :UInt64;       # starts that came over this session so far
+}
+
+struct TaskResult {
+  key @0 :TaskKey;
+  verdict @1 :Verdict;
+  reason @2 :UInt16;
+  body @3 :Data;             # JSON text, only when verdict is ran
+  waitMicros @4 :UInt32;     # time in the agent's queue
+  runMicros @5 :UInt32;      # time at the runner
+  bodyHash @6 :UInt64;       # only in answer to a fence
+  jobTasks @7 :UInt32;       # only in answer to a fence
+}
+
+struct StartBatch {
+  starts @0 :List(Start);
+  acknowledged @1 :List(TaskKey);  # results that arrived and can be dropped
+}
+
+struct StartReply {
+  results @0 :List(TaskResult);
+  load @1 :Load;
+}
+
+struct ConfigurationRow {
+  key @0 :Text;
+  value @1 :Text;            # empty: the row is gone
+  version @2 :UInt64;        # of the configuration that set it
+  by @3 :Text;
+  when @4 :Int64;            # wall time, s since 1970
+}
+
+struct Configuration {
+  version @0 :UInt64;
+  rows @1 :List(ConfigurationRow);  # those newer than the receiver has
+}
+
+struct Member {
+  name @0 :Text;
+  role @1 :Text;
+  hall @2 :Text;
+  rpc @3 :Text;
+  state @4 :Text;
+}
+
+interface Agent {
+  # The bootstrap interface of glenhollow-agent.
+  hello @0 (entry :Text, hall :Text, incarnation :UInt64, shard :UInt32,
+            generation :UInt64)
+        -> (session :AgentSession, incarnation :UInt64, load :Load);
+  fence @1 (incarnation :UInt64, heardWithinMs :UInt32)
+        -> (declined :Bool, records :List(TaskResult), unfinished :UInt32);
+  drain @2 (on :Bool, by :Text) -> (load :Load);
+  configure @3 (configuration :Configuration) -> (version :UInt64);
+  status @4 () -> (load :Load, started :UInt64, refused :UInt64,
+                   records :UInt64, bytes :UInt64);
+  configuration @5 (since :UInt64) -> (configuration :Configuration);
+}
+
+interface AgentSession {
+  start @0 StartBatch -> StartReply;
+  ping @1 (acknowledged :List(TaskKey)) -> (load :Load);
+}
+
+struct TeamDemand {
+  team @0 :Text;
+  rate @1 :Float64;          # task starts a second asked for at the sender
+}
+
+struct Answer {
+  status @0 :UInt16;         # HTTP status
+  reason @1 :UInt16;
+  retryAfterMs @2 :UInt32;
+  body @3 :Data;             # JSON text
+}
+
+struct KeptAnswer {
+  sequence @0 :UInt64;
+  bodyHash @1 :UInt64;
+  answer @2 :Answer;
+}
+
+interface Peer {
+  # The bootstrap interface of glenhollow-entry, for other entries.
+  exchange @0 (entry :Text, incarnation :UInt64, configVersion :UInt64,
+               demand :List(TeamDemand), stopping :Bool, heir :Text)
+           -> (incarnation :UInt64, configVersion :UInt64,
+               demand :List(TeamDemand), stopping :Bool, heir :Text);
+  submit @1 (id :Text, body :Data, traceparent :Text, adopt :Bool)
+         -> (answer :Answer);
+  lookup @2 (id :Text, adopt :Bool) -> (answer :Answer);
+  configuration @3 (since :UInt64) -> (configuration :Configuration);
+  operate @4 (statement :Text, by :Text) -> (answer :Answer);
+  keep @5 (entry :Text, incarnation :UInt64, answers :List(KeptAnswer)) -> ();
+  holds @6 (incarnation :UInt64) -> (held :Bool);
+  members @7 () -> (members :List(Member));
+}
--- /dev/null
+++ b/src/glenhollow/agent/agent_node.cpp
@@ -0,0 +1,253 @@
+#include "glenhollow/agent/agent_node.hpp"
+
+#include "glenhollow/agent/agent_service.hpp"
+#include "glenhollow/agent/runner_caller.hpp"
+#include "glenhollow/core/port_file.hpp"
+#include "glenhollow/core/random.hpp"
+#include "glenhollow/http/server.hpp"
+#include "glenhollow/rpc/rpc_listener.hpp"
+#include "glenhollow/rpc/rpc_loop.hpp"
+#include "glenhollow/supervision/supervisor.hpp"
+#include "glenhollow/telemetry/log.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+
+namespace glenhollow
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr duration tick_interval = milliseconds{500};
+constexpr duration stop_check_interval = milliseconds{20};
+
+/// How long a stopping agent goes on answering `draining`, so that entries
+/// learn of it from its own mouth rather than from a broken link.
+constexpr duration stop_linger = seconds{1};
+
+} // namespace
+
+/// Everything of the process.
+struct agent_node::state
+{
+    explicit state(const agent_settings& s)
+        : settings(s), signals(control), root("root", control)
+    {
+    }
+
+    agent_settings settings;                  ///< Checked.
+    asio::io_context control{1};              ///< The control thread.
+    rpc_loop traffic;                         ///< The traffic thread.
+    asio::signal_set signals;                 ///< SIGTERM and SIGINT.
+    supervisor root;                          ///< Of the supervisor tree.
+    std::unique_ptr<span_exporter> spans;     ///< May be null.
+    std::unique_ptr<rpc_listener> listener;   ///< Links from entries.
+    std::unique_ptr<http_server> admin;       ///< Metrics and health.
+    std::unique_ptr<http_runner_caller> runner; ///< On the traffic thread.
+    std::unique_ptr<task_executor> executor;    ///< On the traffic thread.
+    std::unique_ptr<agent_service> service;     ///< On the traffic thread.
+    std::atomic<bool> stopping{false};        ///< A planned stop is under way.
+    int exit_status = 0;                      ///< Of the process.
+
+    result<void> listen()
+    {
+        if (!settings.trace_file.empty())
+        {
+            BOOST_OUTCOME_TRY(auto exporter,
+                              span_exporter::create(settings.trace_file, 0,
+                                                    "glenhollow-agent"));
+            spans = std::move(exporter);
+        }
+        BOOST_OUTCOME_TRY(auto links,
+                          rpc_listener::create(traffic.io(), settings.address,
+                                               settings.port));
+        listener = std::move(links);
+        http_server_settings limits;
+        limits.address = settings.address;
+        limits.port = settings.admin_port;
+        BOOST_OUTCOME_TRY(
+            auto pages,
+            http_server::create(control, limits,
+                                [this](http_request request,
+                                       http_responder done)
+                                { serve_admin(request, std::move(done)); }));
+        admin = std::move(pages);
+        return write_port_file(settings.port_file,
+                               {listener->port(), admin->port()});
+    }
+
+    void build_tree()
+    {
+        auto tree = std::make_unique<supervisor>("traffic", control);
+        tree->add(std::make_unique<thread_task>(
+                      "links", control, [this] { run_traffic(); },
+                      [this] { traffic.stop(); }),
+                  restart_policy::escalate);
+        root.add(std::move(tree), restart_policy::escalate);
+        root.add(std::make_unique<periodic_task>(
+                     "upkeep", control, tick_interval,
+                     [this]
+                     {
+                         asio::post(traffic.io(),
+                                    [this]
+                                    {
+                                        executor->tick();
+                                        service->tick(
+                                            settings.executor.table.keep_for);
+                                    });
+                     }),
+                 restart_policy::restart);
+    }
+
+    void run_traffic()
+    {
+        traffic.run(
+            [this]
+            {
+                http_client_settings calls;
+                calls.server = settings.runner;
+                calls.max_connections = settings.connections;
+                calls.call_timeout = settings.task_timeout;
+                runner = http_runner_caller::create(traffic.io(), calls);
+                executor = std::make_unique<task_executor>(
+                    process_clock(), *runner, settings.executor);
+                service = std::make_unique<agent_service>(
+                    process_clock(), *executor, random_incarnation(),
+                    spans.get(),
+                    [this](const configuration& newer) { configure(newer); });
+                listener->serve(service->bootstrap());
+            },
+            [this] { listener->close(); });
+    }
+
+    void configure(const configuration& newer)
+    {
+        const auto wanted =
+            static_cast<std::size_t>(newer.settings().runner_slots);
+        executor->set_slots(wanted == 0 ? settings.executor.slots : wanted);
+        // An agent reads its own drain from the configuration, so a drain
+        // needs no message of its own and holds whatever entries believe.
+        executor->drain(
+            drain_cause::operators,
+            newer.find(row_key(row_kind::drain, settings.name)) != nullptr);
+    }
+
+    void serve_admin(const http_request& request, http_responder done)
+    {
+        if (request.target == "/metrics")
+        {
+            asio::post(traffic.io(),
+                       [this, done = std::move(done)]
+                       {
+                           metric_page page;
+                           service->collect(page);
+                           listener->collect(page);
+                           done({200, "text/plain; version=0.0.4", {},
+                                 page.render()});
+                       });
+            return;
+        }
+        if (request.target == "/healthz")
+            return done({200, "text/plain", {}, "ok\n"});
+        if (request.target == "/readyz")
+            return done(stopping ? http_response{503, "text/plain", {},
+                                                 "stopping\n"}
+                                 : http_response{200, "text/plain", {},
+                                                 "ready\n"});
+        done({404, "text/plain", {}, "not found\n"});
+    }
+
+    void await_signal()
+    {
+        signals.add(SIGTERM);
+        signals.add(SIGINT);
+        signals.async_wait(
+            [this](boost::system::error_code ec, int)
+            {
+                if (!ec)
+                    stop_planned();
+            });
+    }
+
+    void stop_planned()
+    {
+        stopping = true;
+        log_change(log_level::info, "stop_begun", {{"agent", settings.name}});
+        asio::post(traffic.io(),
+                   [this]
+                   {
+                       executor->drain(drain_cause::stopping, true);
+                       wait_for_idle(process_clock().now() + stop_linger);
+                   });
+    }
+
+    /// Runs on the traffic thread until nothing is in flight.
+    void wait_for_idle(instant not_before)
+    {
+        if (executor->idle() && process_clock().now() >= not_before)
+        {
+            asio::post(control, [this] { end(0); });
+            return;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(traffic.io(),
+                                                          stop_check_interval);
+        timer->async_wait([this, timer, not_before](auto)
+                          { wait_for_idle(not_before); });
+    }
+
+    void end(int status)
+    {
+        exit_status = status;
+        root.stop();
+        control.stop();
+    }
+
+    int run()
+    {
+        build_tree();
+        await_signal();
+        root.start(
+            [this](const std::string& why)
+            {
+                log_change(log_level::error, "process_stops", {{"cause", why}});
+                exit_status = 1;
+                control.stop();
+            });
+        log_change(log_level::info, "agent_started",
+                   {{"agent", settings.name},
+                    {"hall", settings.hall},
+                    {"rpc_port", listener->port()},
+                    {"admin_port", admin->port()},
+                    {"runner", settings.runner.to_string()}});
+        control.run();
+        log_change(log_level::info, "agent_stopped",
+                   {{"agent", settings.name}, {"status", exit_status}});
+        return exit_status;
+    }
+};
+
+agent_node::agent_node(std::unique_ptr<state> state) : state_(std::move(state))
+{
+}
+
+agent_node::~agent_node() = default;
+
+result<std::unique_ptr<agent_node>>
+agent_node::create(const agent_settings& settings)
+{
+    auto made = std::make_unique<state>(settings);
+    BOOST_OUTCOME_TRYV(made->listen());
+    return std::unique_ptr<agent_node>(new agent_node(std::move(made)));
+}
+
+int agent_node::run() { return state_->run(); }
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/agent/agent_service.cpp
@@ -0,0 +1,441 @@
+#include "glenhollow/agent/agent_service.hpp"
+
+#include "glenhollow/configuration/configuration_wire.hpp"
+#include "glenhollow/telemetry/log.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+constexpr double micro = 1e-6;
+
+/// A living entry opens a lost session again within this time.
+constexpr duration reconnect_time = seconds{1};
+
+task_key to_key(wire::TaskKey::Reader key)
+{
+    return {key.getSequence(), key.getTask()};
+}
+
+wire::Verdict to_wire(verdict what)
+{
+    return static_cast<wire::Verdict>(what);
+}
+
+void fill_result(wire::TaskResult::Builder out, const task_key& key,
+                 const start_record& record)
+{
+    out.initKey().setSequence(key.sequence);
+    out.getKey().setTask(key.task);
+    out.setVerdict(to_wire(record.end.what));
+    out.setReason(static_cast<std::uint16_t>(record.end.why));
+    out.setBody(kj::ArrayPtr<const char>(record.body.data(),
+                                         record.body.size())
+                    .asBytes());
+    out.setWaitMicros(record.wait_micros);
+    out.setRunMicros(record.run_micros);
+    out.setBodyHash(record.job.body_hash);
+    out.setJobTasks(record.job.tasks);
+}
+
+} // namespace
+
+/// One start call: the ends of its tasks, answered together.
+struct agent_service::batch
+{
+    std::vector<task_key> keys;          ///< In the order of the call.
+    std::vector<start_record> ends;      ///< By place in keys.
+    std::shared_ptr<std::uint64_t> received; ///< Starts of the session.
+    std::size_t open = 0;                ///< Tasks that have not ended.
+    kj::Own<kj::PromiseFulfiller<void>> done; ///< All have ended.
+};
+
+/// One link of one entry shard.
+class agent_service::session_server final : public wire::AgentSession::Server
+{
+public:
+    session_server(agent_service& service, session_key key,
+                   std::uint64_t generation, std::string prefix)
+        : service_(service), key_(key), generation_(generation),
+          prefix_(std::move(prefix))
+    {
+    }
+
+    ~session_server() noexcept(false)
+    {
+        if (service_.is_current(key_, generation_))
+            service_.sessions_.erase(key_);
+    }
+
+    kj::Promise<void> start(StartContext context) override
+    {
+        auto& service = service_;
+        service.heard_[key_.incarnation] = service.clock_.now();
+        const auto params = context.getParams();
+        acknowledge(params.getAcknowledged());
+
+        const auto starts = params.getStarts();
+        ++service.stats_.start_calls;
+        service.stats_.starts += starts.size();
+        auto shared = std::make_shared<batch>();
+        shared->open = starts.size();
+        shared->received = received_;
+        *received_ += starts.size();
+        shared->ends.resize(starts.size());
+        auto paf = kj::newPromiseAndFulfiller<void>();
+        shared->done = kj::mv(paf.fulfiller);
+        for (std::size_t i = 0; i < starts.size(); ++i)
+            shared->keys.push_back(to_key(starts[i].getKey()));
+        for (std::size_t i = 0; i < starts.size(); ++i)
+            begin(shared, i, starts[i]);
+        context.releaseParams();
+        return paf.promise.then(
+            [&service, shared, context]() mutable
+            { service.answer(*shared, context.getResults()); });
+    }
+
+    kj::Promise<void> ping(PingContext context) override
+    {
+        service_.heard_[key_.incarnation] = service_.clock_.now();
+        ++service_.stats_.pings;
+        acknowledge(context.getParams().getAcknowledged());
+        auto load = context.getResults().initLoad();
+        service_.fill_load(load);
+        load.setReceived(*received_);
+        return kj::READY_NOW;
+    }
+
+private:
+    void acknowledge(capnp::List<wire::TaskKey>::Reader keys)
+    {
+        for (const auto key : keys)
+            service_.executor_.table().acknowledge(key_.incarnation,
+                                                   to_key(key));
+    }
+
+    void begin(const std::shared_ptr<batch>& shared, std::size_t place,
+               wire::Start::Reader start)
+    {
+        auto settle = [&service = service_, shared,
+                       place](const start_record& record)
+        { service.settle(*shared, place, record); };
+        // A copy that comes over a replaced link must not run: the newer link
+        // may have been told not_run for it.
+        if (!service_.is_current(key_, generation_))
+        {
+            ++service_.stats_.stale;
+            start_record refused;
+            refused.end = {verdict::not_run, reason::stale_link};
+            return settle(refused);
+        }
+        task_start task;
+        task.incarnation = key_.incarnation;
+        task.key = shared->keys[place];
+        task.name = prefix_ + std::to_string(task.key.sequence) + "/" +
+                    std::to_string(task.key.task);
+        task.begin_by = instant{start.getBeginBy()};
+        task.team = start.getTeam().cStr();
+        task.job = {start.getBodyHash(), start.getJobTasks()};
+        const auto payload = start.getPayload().asChars();
+        task.payload.assign(payload.begin(), payload.size());
+        service_.start_traced(std::move(task), start.getTraceparent(),
+                              std::move(settle));
+    }
+
+    agent_service& service_;   ///< The agent.
+    session_key key_;          ///< Whose link it is.
+    std::uint64_t generation_; ///< Counts the links of the shard.
+    std::string prefix_;       ///< Submission id up to the sequence.
+    std::shared_ptr<std::uint64_t> received_ =
+        std::make_shared<std::uint64_t>(0); ///< Starts that came over it.
+};
+
+/// The agent's bootstrap interface.
+class agent_service::agent_server final : public wire::Agent::Server
+{
+public:
+    explicit agent_server(agent_service& service) : service_(service) {}
+
+    kj::Promise<void> hello(HelloContext context) override
+    {
+        const auto params = context.getParams();
+        const session_key key{params.getIncarnation(), params.getShard()};
+        const std::uint64_t generation = params.getGeneration();
+        ++service_.stats_.hellos;
+        service_.heard_[key.incarnation] = service_.clock_.now();
+        auto& newest = service_.sessions_[key];
+        newest = std::max(newest, generation);
+        submission_id id{params.getHall().cStr(), params.getEntry().cStr(),
+                         key.incarnation, 0};
+        std::string prefix = id.to_string();
+        prefix.pop_back();
+        auto results = context.getResults();
+        results.setSession(kj::heap<session_server>(service_, key, generation,
+                                                    std::move(prefix)));
+        results.setIncarnation(service_.incarnation_);
+        service_.fill_load(results.initLoad());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> fence(FenceContext context) override
+    {
+        const auto params = context.getParams();
+        service_.fence(params.getIncarnation(),
+                       milliseconds{params.getHeardWithinMs()},
+                       context.getResults());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> drain(DrainContext context) override
+    {
+        const auto params = context.getParams();
+        const bool on = params.getOn();
+        if (service_.executor_.table().draining() != on)
+            log_change(log_level::info, on ? "draining" : "drain_ended",
+                       {{"by", std::string(params.getBy().cStr())}});
+        service_.executor_.drain(drain_cause::leaving, on);
+        service_.fill_load(context.getResults().initLoad());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> configure(ConfigureContext context) override
+    {
+        auto& known = service_.configuration_;
+        if (merge(known, context.getParams().getConfiguration()))
+            service_.configured_(known);
+        context.getResults().setVersion(known.version());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> configuration(ConfigurationContext context) override
+    {
+        fill(context.getResults().initConfiguration(), service_.configuration_,
+             context.getParams().getSince());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> status(StatusContext context) override
+    {
+        auto results = context.getResults();
+        auto& executor = service_.executor_;
+        service_.fill_load(results.initLoad());
+        results.setStarted(executor.stats().started);
+        results.setRefused(executor.stats().not_run);
+        results.setRecords(executor.table().size());
+        results.setBytes(executor.table().bytes());
+        return kj::READY_NOW;
+    }
+
+private:
+    agent_service& service_; ///< The agent.
+};
+
+agent_service::agent_service(const clock_source& clock,
+                             task_executor& executor,
+                             std::uint64_t incarnation, span_exporter* spans,
+                             configured_handler configured)
+    : clock_(clock), executor_(executor), incarnation_(incarnation),
+      spans_(spans), configured_(std::move(configured))
+{
+}
+
+wire::Agent::Client agent_service::bootstrap()
+{
+    return kj::heap<agent_server>(*this);
+}
+
+bool agent_service::is_current(const session_key& key,
+                               std::uint64_t generation) const
+{
+    const auto found = sessions_.find(key);
+    return found != sessions_.end() && found->second == generation;
+}
+
+void agent_service::fill_load(wire::Load::Builder out) const
+{
+    const auto load = executor_.load();
+    out.setSlots(static_cast<std::uint32_t>(load.slots));
+    out.setRunning(static_cast<std::uint32_t>(load.running));
+    out.setQueued(static_cast<std::uint32_t>(load.queued));
+    out.setClock(clock_.now().count());
+    out.setDraining(load.draining);
+    out.setShunned(load.shunned);
+    out.setConfigVersion(configuration_.version());
+    out.setLinks(static_cast<std::uint32_t>(sessions_.size()));
+}
+
+void agent_service::start_traced(task_start task,
+                                 capnp::Text::Reader traceparent,
+                                 task_executor::handler done)
+{
+    const auto parent = trace_context::parse(
+        std::string_view(traceparent.cStr(), traceparent.size()));
+    if (!parent)
+        return executor_.start(std::move(task), std::move(done));
+    const auto own = parent->child();
+    task.traceparent = own.to_header();
+    if (!spans_ || !own.sampled)
+        return executor_.start(std::move(task), std::move(done));
+    auto open = std::make_shared<span>();
+    open->name = "agent";
+    open->context = own;
+    open->parent_id = parent->span_id;
+    open->begin = wall_nanoseconds();
+    open->attributes.push_back({"task", task.name});
+    executor_.start(std::move(task),
+                    [this, open, done = std::move(done)](
+                        const start_record& record)
+                    {
+                        write_spans(*open, record);
+                        done(record);
+                    });
+}
+
+void agent_service::write_spans(span& agent, const start_record& record)
+{
+    agent.end = wall_nanoseconds();
+    agent.attributes.push_back(
+        {"verdict", std::string(to_name(record.end.what))});
+    agent.attributes.push_back(
+        {"reason", std::string(to_name(record.end.why))});
+    spans_->write(agent);
+    // The runner itself writes no spans, so its hop is told from outside.
+    span runner;
+    runner.name = "runner";
+    runner.context = agent.context.child();
+    runner.parent_id = agent.context.span_id;
+    runner.end = agent.end;
+    runner.begin = agent.end - std::int64_t{record.run_micros} * 1000;
+    spans_->write(runner);
+}
+
+void agent_service::settle(batch& batch, std::size_t place,
+                           const start_record& record)
+{
+    batch.ends[place] = record;
+    wait_seconds_.add(record.wait_micros * micro);
+    if (record.end.what == verdict::ran)
+        run_seconds_.add(record.run_micros * micro);
+    if (--batch.open == 0)
+        batch.done->fulfill();
+}
+
+void agent_service::answer(const batch& batch,
+                           wire::StartReply::Builder reply) const
+{
+    auto out = reply.initResults(static_cast<unsigned>(batch.ends.size()));
+    for (std::size_t i = 0; i < batch.ends.size(); ++i)
+        fill_result(out[static_cast<unsigned>(i)], batch.keys[i],
+                    batch.ends[i]);
+    fill_load(reply.initLoad());
+    reply.getLoad().setReceived(*batch.received);
+}
+
+bool agent_service::seems_alive(std::uint64_t incarnation,
+                                duration heard_within) const
+{
+    const auto heard = heard_.find(incarnation);
+    if (heard == heard_.end())
+        return false;
+    // A dead process leaves no session open; only a VM that vanished without
+    // a word does, and then its silence has to last.
+    const bool has_session = std::any_of(
+        sessions_.begin(), sessions_.end(),
+        [&](const auto& one) { return one.first.incarnation == incarnation; });
+    const auto limit = has_session ? heard_within : reconnect_time;
+    return clock_.now() - heard->second < limit;
+}
+
+void agent_service::fence(std::uint64_t incarnation, duration heard_within,
+                          wire::Agent::FenceResults::Builder results)
+{
+    if (!executor_.table().is_fenced(incarnation) &&
+        seems_alive(incarnation, heard_within))
+    {
+        ++stats_.fences_declined;
+        results.setDeclined(true);
+        return;
+    }
+    if (!executor_.table().is_fenced(incarnation))
+    {
+        ++stats_.fences;
+        log_change(log_level::warning, "entry_fenced",
+                   {{"incarnation", incarnation}});
+    }
+    executor_.fence(incarnation);
+    const auto& table = executor_.table();
+    const auto keys = table.keys_of(incarnation);
+    auto out = results.initRecords(static_cast<unsigned>(keys.size()));
+    std::uint32_t unfinished = 0;
+    for (std::size_t i = 0; i < keys.size(); ++i)
+    {
+        const auto* record = table.find(incarnation, keys[i]);
+        const bool done = record->at == start_record::stage::done;
+        unfinished += done ? 0 : 1;
+        start_record shown;
+        if (done)
+            shown = *record;
+        else
+            shown.end = {verdict::may_have_run, reason::entry_lost};
+        shown.job = record->job;
+        fill_result(out[static_cast<unsigned>(i)], keys[i], shown);
+    }
+    results.setUnfinished(unfinished);
+}
+
+void agent_service::tick(duration keep_for)
+{
+    const instant oldest = clock_.now() - keep_for;
+    std::erase_if(heard_,
+                  [&](const auto& one) { return one.second < oldest; });
+}
+
+void agent_service::collect(metric_page& page) const
+{
+    const auto load = executor_.load();
+    const auto& done = executor_.stats();
+    const auto& table = executor_.table();
+    page.gauge("agent_slots", "Tasks the runner may have at once",
+               static_cast<double>(load.slots));
+    page.gauge("agent_running", "Tasks at the runner",
+               static_cast<double>(load.running));
+    page.gauge("agent_queued", "Tasks that wait for a slot",
+               static_cast<double>(load.queued));
+    page.gauge("agent_draining", "1 while new starts are refused",
+               load.draining ? 1 : 0);
+    page.gauge("agent_records", "Starts remembered",
+               static_cast<double>(table.size()));
+    page.gauge("agent_record_bytes", "Bytes of remembered starts",
+               static_cast<double>(table.bytes()));
+    page.counter("agent_started_total", "Calls to the runner",
+                 static_cast<double>(done.started));
+    page.counter("agent_ends_total", "Ends of tasks by verdict",
+                 static_cast<double>(done.ran), R"(verdict="ran")");
+    page.counter("agent_ends_total", "Ends of tasks by verdict",
+                 static_cast<double>(done.not_run), R"(verdict="not_run")");
+    page.counter("agent_ends_total", "Ends of tasks by verdict",
+                 static_cast<double>(done.unknown),
+                 R"(verdict="may_have_run")");
+    page.counter("agent_messages_total", "Calls received by kind",
+                 static_cast<double>(stats_.start_calls), R"(kind="start")");
+    page.counter("agent_messages_total", "Calls received by kind",
+                 static_cast<double>(stats_.pings), R"(kind="ping")");
+    page.counter("agent_messages_total", "Calls received by kind",
+                 static_cast<double>(stats_.hellos), R"(kind="hello")");
+    page.gauge("configuration_version", "Highest version in force here",
+               static_cast<double>(configuration_.version()));
+    page.summary("agent_wait_seconds", "Time of tasks in the queue",
+                 wait_seconds_);
+    page.summary("agent_run_seconds", "Time of tasks at the runner",
+                 run_seconds_);
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/agent/start_table.cpp
@@ -0,0 +1,190 @@
+#include "glenhollow/agent/start_table.hpp"
+
+#include <cassert>
+#include <utility>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+/// Bytes of a record besides its result: the map node, the age entry and the
+/// allocator's overhead.
+constexpr std::size_t record_overhead = 192;
+
+} // namespace
+
+start_decision start_table::refuse(reason why)
+{
+    ++stats_.refused;
+    return {start_decision::action::refuse, why};
+}
+
+start_decision start_table::begin(std::uint64_t incarnation,
+                                  const task_key& key, instant begin_by,
+                                  instant now, const job_facts& job)
+{
+    // A start that is known is answered from memory, fenced or not drained.
+    if (const auto* known = find(incarnation, key))
+    {
+        const bool done = known->at == start_record::stage::done;
+        ++(done ? stats_.repeated : stats_.joined);
+        return {done ? start_decision::action::repeat
+                     : start_decision::action::join,
+                reason::none};
+    }
+    if (is_fenced(incarnation))
+        return refuse(reason::fenced);
+    if (bytes_ + record_overhead > settings_.max_bytes)
+        return refuse(reason::memory_full);
+
+    // A refusal is recorded too: a copy of this start that is still on its
+    // way must not run after the coordinator was told not_run.
+    reason why = reason::none;
+    if (draining_)
+        why = reason::draining;
+    else if (now > begin_by)
+        why = reason::start_expired;
+
+    start_record record;
+    record.seen = now;
+    record.job = job;
+    if (why != reason::none)
+    {
+        record.at = start_record::stage::done;
+        record.end = {verdict::not_run, why};
+    }
+    records_[incarnation].emplace(key, std::move(record));
+    by_age_.push_back({now, incarnation, key});
+    bytes_ += record_overhead;
+    ++count_;
+    if (why != reason::none)
+        return refuse(why);
+    ++stats_.accepted;
+    return {start_decision::action::accept, reason::none};
+}
+
+reason start_table::check_before_run(std::uint64_t incarnation,
+                                     const task_key& key, instant begin_by,
+                                     instant now)
+{
+    auto* record = find_mutable(incarnation, key);
+    assert(record && record->at == start_record::stage::queued);
+    if (is_fenced(incarnation))
+        return reason::fenced;
+    if (draining_)
+        return reason::draining;
+    if (now > begin_by)
+        return reason::start_expired;
+    record->at = start_record::stage::running;
+    return reason::none;
+}
+
+void start_table::finish(std::uint64_t incarnation, const task_key& key,
+                         start_record record)
+{
+    auto* known = find_mutable(incarnation, key);
+    if (!known)
+        return;
+    record.seen = known->seen;
+    record.job = known->job;
+    record.at = start_record::stage::done;
+    bytes_ += record.body.size();
+    if (record.end.what == verdict::not_run)
+        ++stats_.refused;
+    *known = std::move(record);
+}
+
+const start_record* start_table::find(std::uint64_t incarnation,
+                                      const task_key& key) const
+{
+    const auto owner = records_.find(incarnation);
+    if (owner == records_.end())
+        return nullptr;
+    const auto found = owner->second.find(key);
+    return found == owner->second.end() ? nullptr : &found->second;
+}
+
+start_record* start_table::find_mutable(std::uint64_t incarnation,
+                                        const task_key& key)
+{
+    return const_cast<start_record*>(std::as_const(*this).find(incarnation,
+                                                               key));
+}
+
+void start_table::acknowledge(std::uint64_t incarnation, const task_key& key)
+{
+    const auto* known = find(incarnation, key);
+    if (!known || known->at != start_record::stage::done)
+        return;
+    erase(incarnation, key);
+    // Results are acknowledged nearly in order, so this keeps the list short.
+    while (!by_age_.empty() &&
+           !find(by_age_.front().incarnation, by_age_.front().key))
+        by_age_.pop_front();
+}
+
+void start_table::erase(std::uint64_t incarnation, const task_key& key)
+{
+    const auto owner = records_.find(incarnation);
+    if (owner == records_.end())
+        return;
+    const auto found = owner->second.find(key);
+    if (found == owner->second.end())
+        return;
+    bytes_ -= record_overhead + found->second.body.size();
+    --count_;
+    owner->second.erase(found);
+    if (owner->second.empty())
+        records_.erase(owner);
+}
+
+void start_table::fence(std::uint64_t incarnation, instant now)
+{
+    fenced_.emplace(incarnation, now);
+}
+
+bool start_table::is_fenced(std::uint64_t incarnation) const
+{
+    return fenced_.contains(incarnation);
+}
+
+std::vector<task_key> start_table::keys_of(std::uint64_t incarnation) const
+{
+    std::vector<task_key> keys;
+    const auto owner = records_.find(incarnation);
+    if (owner == records_.end())
+        return keys;
+    keys.reserve(owner->second.size());
+    for (const auto& [key, record] : owner->second)
+        keys.push_back(key);
+    return keys;
+}
+
+void start_table::expire(instant now)
+{
+    const instant oldest = now - settings_.keep_for;
+    while (!by_age_.empty() && by_age_.front().seen < oldest)
+    {
+        const auto entry = by_age_.front();
+        by_age_.pop_front();
+        const auto* known = find(entry.incarnation, entry.key);
+        // The age entry of an acknowledged record points at nothing.
+        if (!known || known->seen != entry.seen)
+            continue;
+        if (known->at != start_record::stage::done)
+        {
+            // A task this old still runs: look again much later.
+            by_age_.push_back({now, entry.incarnation, entry.key});
+            find_mutable(entry.incarnation, entry.key)->seen = now;
+            continue;
+        }
+        ++stats_.expired;
+        erase(entry.incarnation, entry.key);
+    }
+    std::erase_if(fenced_,
+                  [&](const auto& fence) { return fence.second < oldest; });
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/configuration/configuration_store.cpp
@@ -0,0 +1,362 @@
+#include "glenhollow/configuration/configuration_store.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <ctime>
+
+namespace glenhollow
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr const char* head_key = "config/head";
+constexpr const char* values_key = "config/values";
+constexpr const char* change_prefix = "config/change/";
+
+std::string time_text(std::int64_t when)
+{
+    const std::time_t time = when;
+    std::tm parts{};
+    ::gmtime_r(&time, &parts);
+    std::array<char, 32> text{};
+    std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
+    return text.data();
+}
+
+} // namespace
+
+std::string change_answer::text() const
+{
+    switch (state)
+    {
+    case change_state::accepted:
+        return "accepted version " + std::to_string(version);
+    case change_state::refused:
+        return "refused: " + why;
+    case change_state::unknown:
+        break;
+    }
+    return "unknown yet, change " + id;
+}
+
+configuration_store::configuration_store(
+    table_service& table, const clock_source& clock,
+    const configuration_store_settings& settings, std::uint64_t seed)
+    : table_(table), clock_(clock), settings_(settings), random_(seed)
+{
+}
+
+void configuration_store::take(const configuration& newer)
+{
+    if (newer.version() <= current_.version())
+        return;
+    current_ = newer;
+    if (changed_)
+        changed_(current_);
+}
+
+bool configuration_store::offer(const configuration& offered)
+{
+    const bool newer = offered.version() > current_.version();
+    take(offered);
+    return newer;
+}
+
+configuration_store::head configuration_store::to_head(const table_row& row)
+{
+    boost::system::error_code ec;
+    const auto parsed = json::parse(row.value, ec);
+    head at;
+    at.row_version = row.version;
+    if (!ec && parsed.is_object() && parsed.get_object().contains("version"))
+        at.version = parsed.at("version").to_number<std::uint64_t>();
+    return at;
+}
+
+void configuration_store::poll()
+{
+    if (polling_)
+        return;
+    polling_ = true;
+    table_.read_row(head_key,
+                    [this](platform_outcome outcome, const table_row& row)
+                    {
+                        polling_ = false;
+                        if (outcome == platform_outcome::done &&
+                            to_head(row).version > current_.version())
+                            read_values([](platform_outcome) {});
+                    });
+}
+
+void configuration_store::read_values(
+    std::function<void(platform_outcome)> done)
+{
+    table_.read_row(
+        values_key,
+        [this, done = std::move(done)](platform_outcome outcome,
+                                       const table_row& row)
+        {
+            if (outcome == platform_outcome::done)
+            {
+                const auto read = configuration::from_json(row.value);
+                if (read)
+                    take(read.value());
+                else
+                    outcome = platform_outcome::unknown;
+            }
+            done(outcome);
+        });
+}
+
+void configuration_store::change(std::map<std::string, std::string> rows,
+                                 std::string by, std::string statement,
+                                 answer_handler done)
+{
+    auto open = std::make_shared<open_change>();
+    std::array<char, 20> hex{};
+    std::snprintf(hex.data(), hex.size(), "%016llx",
+                  static_cast<unsigned long long>(random_()));
+    open->change.id = settings_.entry + "." + hex.data();
+    open->change.rows = std::move(rows);
+    open->change.by = std::move(by);
+    open->change.when = wall_nanoseconds() / 1'000'000'000;
+    open->change.statement = std::move(statement);
+    open->base = current_.version();
+    open->done = std::move(done);
+    open->since = clock_.now();
+    open->backoff = settings_.first_backoff;
+    queue_.push_back(open);
+    step();
+}
+
+void configuration_store::step()
+{
+    if (queue_.empty() || queue_.front()->busy)
+        return;
+    const auto open = queue_.front();
+    if (open->retry_at > clock_.now())
+        return;
+    open->busy = true;
+    // A transaction in doubt is sent again unchanged: its condition lets it
+    // take effect once at most.
+    if (open->in_doubt)
+        send(open);
+    else
+        read_head(open);
+}
+
+void configuration_store::read_head(const std::shared_ptr<open_change>& open)
+{
+    table_.read_row(
+        head_key,
+        [this, open](platform_outcome outcome, const table_row& row)
+        {
+            const bool known = outcome == platform_outcome::done ||
+                               outcome == platform_outcome::missing;
+            // Nothing was written yet, so this is no doubt but a refusal.
+            if (!known)
+                return answer(open, {change_state::refused, open->change.id, 0,
+                                     "the platform's table is away; nothing "
+                                     "was changed"});
+            const auto at = outcome == platform_outcome::missing
+                                ? head{}
+                                : to_head(row);
+            if (at.version <= current_.version())
+                return prepare(open, at);
+            read_values(
+                [this, open, at](platform_outcome values)
+                {
+                    if (values == platform_outcome::done &&
+                        current_.version() >= at.version)
+                        return prepare(open, at);
+                    later(open);
+                });
+        });
+}
+
+std::optional<std::string>
+configuration_store::conflict_of(const open_change& open) const
+{
+    for (const auto& [key, value] : open.change.rows)
+    {
+        const auto& rows = current_.rows();
+        const auto known = rows.find(key);
+        if (known == rows.end() || known->second.version <= open.base)
+            continue;
+        const auto& row = known->second;
+        return "conflict with version " + std::to_string(row.version) +
+               " by " + row.by + " at " + time_text(row.when) + ": " + key +
+               " is now " + (row.value.empty() ? "unset" : row.value);
+    }
+    return std::nullopt;
+}
+
+void configuration_store::prepare(const std::shared_ptr<open_change>& open,
+                                  const head& at)
+{
+    if (const auto conflict = conflict_of(*open))
+        return answer(open, {change_state::refused, open->change.id, 0,
+                             *conflict});
+    // The head read before the values may be older than they are.
+    if (at.version < current_.version())
+        return later(open);
+    const auto next = current_.with(open->change);
+    open->sent_version = next.version();
+    const std::string facts = json::serialize(
+        json::object{{"version", next.version()},
+                     {"change", open->change.id},
+                     {"by", open->change.by},
+                     {"when", open->change.when},
+                     {"statement", open->change.statement}});
+    open->sent.conditions = {{head_key, at.row_version}};
+    open->sent.writes = {{head_key, facts},
+                         {values_key, next.to_json()},
+                         {change_prefix + open->change.id, facts}};
+    send(open);
+}
+
+void configuration_store::send(const std::shared_ptr<open_change>& open)
+{
+    table_.transact(
+        open->sent,
+        [this, open](platform_outcome outcome)
+        {
+            switch (outcome)
+            {
+            case platform_outcome::done:
+                return read_back(open);
+            case platform_outcome::conflict:
+                // Either someone else came first, or an earlier copy of this
+                // very transaction did.
+                if (open->in_doubt)
+                    return read_back(open);
+                ++open->attempts;
+                return later(open);
+            case platform_outcome::not_sent:
+                if (!open->in_doubt)
+                    return answer(open,
+                                  {change_state::refused, open->change.id, 0,
+                                   "the platform's table is away; nothing was "
+                                   "changed"});
+                return later(open);
+            case platform_outcome::missing:
+            case platform_outcome::unknown:
+                open->in_doubt = true;
+                return later(open);
+            }
+        });
+}
+
+void configuration_store::read_back(const std::shared_ptr<open_change>& open)
+{
+    table_.read_row(
+        change_prefix + open->change.id,
+        [this, open](platform_outcome outcome, const table_row& row)
+        {
+            if (outcome == platform_outcome::done)
+            {
+                const auto version = to_head(row).version;
+                // Other changes may have come on top since.
+                if (current_.version() + 1 == version)
+                    take(current_.with(open->change));
+                else
+                    poll();
+                return answer(open, {change_state::accepted, open->change.id,
+                                     version, ""});
+            }
+            if (outcome == platform_outcome::missing)
+            {
+                // The head has moved on without it, so that transaction can
+                // never take effect: a fresh attempt is safe.
+                open->in_doubt = false;
+                ++open->attempts;
+                return later(open);
+            }
+            open->in_doubt = true;
+            later(open);
+        });
+}
+
+void configuration_store::later(const std::shared_ptr<open_change>& open)
+{
+    open->busy = false;
+    if (!open->in_doubt && open->attempts >= settings_.most_attempts)
+        return answer(open, {change_state::refused, open->change.id, 0,
+                             "conflict with other changes, " +
+                                 std::to_string(open->attempts) + " times"});
+    // Lost races are tried again soon, doubt with a growing pause.
+    const auto bound = open->in_doubt ? open->backoff
+                                      : settings_.first_backoff / 4;
+    open->retry_at =
+        clock_.now() +
+        std::chrono::duration_cast<duration>(bound * uniform(random_));
+    if (open->in_doubt)
+        open->backoff =
+            std::min(open->backoff * 2, settings_.longest_backoff);
+}
+
+void configuration_store::answer(const std::shared_ptr<open_change>& open,
+                                 change_answer answer)
+{
+    settled_[answer.id] = answer;
+    settled_order_.push_back(answer.id);
+    if (settled_order_.size() > settings_.most_settled)
+    {
+        settled_.erase(settled_order_.front());
+        settled_order_.pop_front();
+    }
+    std::erase(queue_, open);
+    if (open->done)
+        open->done(answer);
+    step();
+}
+
+void configuration_store::tick()
+{
+    const instant now = clock_.now();
+    for (const auto& open : queue_)
+    {
+        if (!open->done || now - open->since < settings_.unknown_after)
+            continue;
+        // The operator gets an honest answer; settling goes on.
+        const auto done = std::move(open->done);
+        open->done = nullptr;
+        done({change_state::unknown, open->change.id, 0, ""});
+    }
+    step();
+}
+
+void configuration_store::ask(const std::string& id, answer_handler done)
+{
+    const auto known = settled_.find(id);
+    if (known != settled_.end())
+        return done(known->second);
+    const bool open = std::any_of(
+        queue_.begin(), queue_.end(),
+        [&](const auto& one) { return one->change.id == id; });
+    if (open)
+        return done({change_state::unknown, id, 0, ""});
+    table_.read_row(
+        change_prefix + id,
+        [id, done = std::move(done)](platform_outcome outcome,
+                                     const table_row& row)
+        {
+            if (outcome == platform_outcome::done)
+                return done({change_state::accepted, id, to_head(row).version,
+                             ""});
+            if (outcome == platform_outcome::missing)
+                return done({change_state::refused, id, 0,
+                             "no such change took effect"});
+            done({change_state::unknown, id, 0, ""});
+        });
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/core/boost_source.cpp
@@ -0,0 +1,3 @@
+// Compiles Asio and Beast once for all programs.
+#include <boost/asio/impl/src.hpp>
+#include <boost/beast/src.hpp>
--- /dev/null
+++ b/src/glenhollow/decision/placement.cpp
@@ -0,0 +1,241 @@
+#include "glenhollow/decision/placement.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+bool is_avoided(std::span<const runner_index> avoid, runner_index index)
+{
+    return std::find(avoid.begin(), avoid.end(), index) != avoid.end();
+}
+
+/// Collects the runners that may get the task.
+void collect_usable(const placement_request& request,
+                    std::vector<runner_index>& usable)
+{
+    usable.clear();
+    for (runner_index i = 0; i < request.runners.size(); ++i)
+    {
+        if (request.runners[i].usable() && !is_avoided(request.avoid, i))
+            usable.push_back(i);
+    }
+}
+
+runner_index draw(const std::vector<runner_index>& from, random_engine& random)
+{
+    return from[std::uniform_int_distribution<std::size_t>(
+        0, from.size() - 1)(random)];
+}
+
+/// Uniform over the usable runners.
+class random_placement final : public placement
+{
+private:
+    placement_choice pick(const placement_request& request,
+                          random_engine& random) override
+    {
+        collect_usable(request, usable_);
+        if (usable_.empty())
+            return {std::nullopt, reason::no_runner};
+        return {draw(usable_, random), reason::random_choice};
+    }
+
+    std::vector<runner_index> usable_; ///< Reused between calls.
+};
+
+/// The less busy, by share of its slots, of two random runners.
+class two_choices_placement final : public placement
+{
+private:
+    placement_choice pick(const placement_request& request,
+                          random_engine& random) override
+    {
+        collect_usable(request, usable_);
+        if (usable_.empty())
+            return {std::nullopt, reason::no_runner};
+        const auto first = draw(usable_, random);
+        const auto second = draw(usable_, random);
+        const bool take_second = fill(request.runners[second]) <
+                                 fill(request.runners[first]);
+        return {take_second ? second : first, reason::two_choices};
+    }
+
+    static double fill(const runner_view& view)
+    {
+        return static_cast<double>(view.occupancy()) / view.effective_slots();
+    }
+
+    std::vector<runner_index> usable_; ///< Reused between calls.
+};
+
+/// The runner with the fewest tasks of our own.
+class least_outstanding_placement final : public placement
+{
+private:
+    placement_choice pick(const placement_request& request,
+                          random_engine& random) override
+    {
+        collect_usable(request, usable_);
+        if (usable_.empty())
+            return {std::nullopt, reason::no_runner};
+        // A random first candidate, so that equal ones share the work.
+        auto best = draw(usable_, random);
+        for (const auto index : usable_)
+        {
+            if (request.runners[index].outstanding <
+                request.runners[best].outstanding)
+                best = index;
+        }
+        return {best, reason::least_outstanding};
+    }
+
+    std::vector<runner_index> usable_; ///< Reused between calls.
+};
+
+/// A runner with a free slot, in the own hall first; otherwise the task waits
+/// at the entry, where a slot that becomes free anywhere can still take it.
+class late_binding_placement final : public placement
+{
+public:
+    explicit late_binding_placement(const placement_settings& settings)
+        : settings_(settings)
+    {
+    }
+
+private:
+    placement_choice pick(const placement_request& request,
+                          random_engine& random) override
+    {
+        const auto sum = survey(request);
+        if (sum.usable == 0)
+            return {std::nullopt, reason::no_runner};
+        // Long tasks leave a share of all slots to the short ones.
+        const double reserve = settings_.short_reserve * sum.slots;
+        if (request.long_task && sum.free <= reserve && sum.outstanding > 0)
+            return {std::nullopt, reason::none};
+        if (const auto own = most_free(request, true, random))
+            return {own, reason::free_slot};
+        if (const auto other = most_free(request, false, random))
+            return {other, reason::free_slot};
+        // With nothing of ours out there, no answer would tell of a slot that
+        // becomes free, so the least loaded runner gets the task to queue.
+        if (sum.outstanding > 0)
+            return {std::nullopt, reason::none};
+        return {least_loaded(request), reason::least_outstanding};
+    }
+
+    /// Totals over the usable runners.
+    struct survey_result
+    {
+        std::int32_t usable = 0;      ///< Runners that may get a task.
+        std::int32_t slots = 0;       ///< Of those.
+        std::int32_t free = 0;        ///< Of those.
+        std::int32_t outstanding = 0; ///< Our tasks there.
+    };
+
+    static survey_result survey(const placement_request& request)
+    {
+        survey_result sum;
+        for (runner_index i = 0; i < request.runners.size(); ++i)
+        {
+            const auto& view = request.runners[i];
+            if (!view.usable() || is_avoided(request.avoid, i))
+                continue;
+            ++sum.usable;
+            sum.slots += view.effective_slots();
+            sum.free += std::max(view.free_slots(), 0);
+            sum.outstanding += view.outstanding;
+        }
+        return sum;
+    }
+
+    /// The runner with the largest free share in or outside the own hall.
+    static std::optional<runner_index>
+    most_free(const placement_request& request, bool own_hall,
+              random_engine& random)
+    {
+        std::optional<runner_index> best;
+        double best_score = 0;
+        std::size_t ties = 0;
+        for (runner_index i = 0; i < request.runners.size(); ++i)
+        {
+            const auto& view = request.runners[i];
+            if (view.own_hall != own_hall || !view.usable() ||
+                view.free_slots() <= 0 || is_avoided(request.avoid, i))
+                continue;
+            // Another hall is worth its delay only to a task that has waited
+            // as long.
+            if (!own_hall && request.waited < view.delay)
+                continue;
+            const double score =
+                static_cast<double>(view.free_slots()) / view.slots;
+            ties = score == best_score ? ties + 1 : 1;
+            const bool wins_tie =
+                ties > 1 && random() % ties == 0 && score == best_score;
+            if (score > best_score || wins_tie)
+            {
+                best = i;
+                best_score = score;
+            }
+        }
+        return best;
+    }
+
+    std::optional<runner_index>
+    least_loaded(const placement_request& request) const
+    {
+        std::optional<runner_index> best;
+        std::int32_t best_free = std::numeric_limits<std::int32_t>::min();
+        for (runner_index i = 0; i < request.runners.size(); ++i)
+        {
+            const auto& view = request.runners[i];
+            if (!view.usable() || is_avoided(request.avoid, i) ||
+                view.free_slots() <= -settings_.overcommit ||
+                view.free_slots() <= best_free)
+                continue;
+            best = i;
+            best_free = view.free_slots();
+        }
+        return best;
+    }
+
+    placement_settings settings_; ///< Limits.
+};
+
+} // namespace
+
+placement_choice placement::choose(const placement_request& request,
+                                   random_engine& random)
+{
+    const auto choice = pick(request, random);
+    if (choice.runner || choice.why != reason::no_runner ||
+        request.avoid.empty())
+        return choice;
+    auto again = request;
+    again.avoid = {};
+    return pick(again, random);
+}
+
+std::unique_ptr<placement>
+placement::create(placement_kind kind, const placement_settings& settings)
+{
+    switch (kind)
+    {
+    case placement_kind::random:
+        return std::make_unique<random_placement>();
+    case placement_kind::two_choices:
+        return std::make_unique<two_choices_placement>();
+    case placement_kind::least_outstanding:
+        return std::make_unique<least_outstanding_placement>();
+    case placement_kind::late_binding:
+        break;
+    }
+    return std::make_unique<late_binding_placement>(settings);
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/entry/control_plane.cpp
@@ -0,0 +1,537 @@
+#include "glenhollow/entry/control_plane.hpp"
+
+#include "glenhollow/core/random.hpp"
+#include "glenhollow/language/parser.hpp"
+#include "glenhollow/telemetry/log.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <sstream>
+#include <utility>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+constexpr duration quota_interval = milliseconds{250};
+constexpr duration link_interval = milliseconds{100};
+constexpr duration notable_interval = seconds{2};
+constexpr duration waste_interval = seconds{10};
+constexpr std::string_view platform_list = "platform list";
+
+/// Bytes of kept answers in one message.
+constexpr std::size_t handover_bytes = 512UL << 10;
+
+/// Demand of the teams with a quota at one shard.
+using shard_demand = std::vector<std::pair<std::string, double>>;
+
+tuning read_defaults(const std::string& statements)
+{
+    tuning values;
+    std::istringstream lines(statements);
+    std::string line;
+    while (std::getline(lines, line))
+    {
+        const auto parsed = parse_statement(line, dialect::operators);
+        if (!parsed)
+            continue;
+        if (const auto* set = std::get_if<set_statement>(&parsed.value()))
+        {
+            if (const auto* setting = find_setting(set->key))
+                static_cast<void>(set_value(*setting, set->value, values));
+        }
+    }
+    return values;
+}
+
+duration to_duration(double length)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(length));
+}
+
+/// Puts the settings in force into a shard.
+void apply_tuning(shard& to, const tuning& values)
+{
+    auto limits = to.jobs().settings();
+    limits.placing = values.placement;
+    limits.queue.order = values.queue_order;
+    limits.placement.short_reserve = values.short_reserve;
+    limits.long_task_seconds = values.long_task_ms / 1000;
+    limits.start_window = to_duration(values.start_window_s);
+    limits.id_lifetime = to_duration(values.id_lifetime_s);
+    limits.ack_delay = to_duration(values.ack_delay_s);
+    limits.admission.deadline_share = values.deadline_share;
+    limits.admission.max_queued_tasks =
+        static_cast<std::size_t>(values.max_queued_tasks);
+    limits.admission.max_jobs = static_cast<std::size_t>(values.max_jobs);
+    limits.retry.share = values.retry_share;
+    limits.health.most_ejected = values.most_ejected;
+    limits.health.slow_at = values.slow_at;
+    limits.quota.burst_seconds = values.quota_burst_s;
+    to.jobs().apply(limits);
+    agent_links_settings links;
+    links.starts_per_call = static_cast<std::size_t>(values.starts_per_call);
+    links.heartbeat = to_duration(values.heartbeat_s);
+    links.resend_window = to_duration(values.resend_window_s);
+    to.links().apply(links);
+}
+
+/// Puts the teams' rows into a shard.
+void apply_teams(shard& to, const configuration& config,
+                 const tuning& values)
+{
+    auto& quota = to.jobs().quota();
+    quota.clear_quotas();
+    quota.set_default(values.default_team_quota < 0
+                          ? std::nullopt
+                          : std::optional(values.default_team_quota));
+    for (const auto& [team, row] : config.rows_of(row_kind::quota))
+        quota.set_quota(team, std::strtod(row.value.c_str(), nullptr));
+    for (const auto& [team, row] : config.rows_of(row_kind::weight))
+        to.jobs().set_weight(team, std::strtod(row.value.c_str(), nullptr));
+}
+
+} // namespace
+
+control_plane::control_plane(boost::asio::io_context& io, shard_group& shards,
+                             const control_plane_settings& settings)
+    : io_(io), shards_(shards), settings_(settings),
+      defaults_(read_defaults(settings.defaults)),
+      platform_(io, process_clock(), settings.platform),
+      store_(platform_, process_clock(), {settings.entry},
+             settings.incarnation),
+      peers_(io, process_clock(), {settings.entry}), agents_(io, {}),
+      foreign_(io, process_clock(), peers_, agents_, members_,
+               {settings.entry}),
+      report_(settings.night_report)
+{
+    members_.on_changed([this] { take_members(); });
+    store_.on_changed([this](const configuration& newer)
+                      { take_configuration(newer); });
+    peers_.on_report([this](const std::string& entry,
+                            const peer_report& report)
+                     { take_report(entry, report); });
+    foreign_.on_adopted(
+        [this](const adoption_report& done)
+        {
+            note(decision_kind::adopted, reason::entry_lost, "", "",
+                 "entry " + done.entry + ": " + std::to_string(done.whole) +
+                     " of " + std::to_string(done.jobs) + " jobs whole, " +
+                     std::to_string(done.unreached) +
+                     " agents gave no answer");
+        });
+}
+
+control_plane::~control_plane() = default;
+
+void control_plane::add_children(supervisor& parent)
+{
+    const auto add = [&](std::string name, duration interval,
+                         std::function<void()> work)
+    {
+        parent.add(std::make_unique<periodic_task>(std::move(name), io_,
+                                                   interval, std::move(work)),
+                   restart_policy::restart);
+    };
+    add("membership_and_configuration", settings_.poll, [this] { poll(); });
+    add("peer_links", link_interval,
+        [this]
+        {
+            peers_.tick();
+            foreign_.tick();
+            store_.tick();
+        });
+    add("quota_shares", quota_interval, [this] { spread_quotas(); });
+    add("decision_log", notable_interval, [this] { collect_notables(); });
+    add("night_report", settings_.report, [this] { write_report([] {}); });
+    add("waste_history", waste_interval,
+        [this]
+        {
+            shards_.gather<agent_links_stats>(
+                [](shard& one) { return one.links().stats(); },
+                [this](const std::vector<agent_links_stats>& all)
+                {
+                    waste_counts counts;
+                    for (const auto& links : all)
+                    {
+                        counts[waste_kind::ping] += links.pings;
+                        counts[waste_kind::hello] += links.hellos;
+                        counts[waste_kind::refused_start] +=
+                            links.refused_starts;
+                        counts[waste_kind::repeated_start] +=
+                            links.repeated_starts;
+                        counts[waste_kind::configuration] +=
+                            links.configurations;
+                        counts.tasks += links.starts;
+                    }
+                    const auto& peers = peers_.stats();
+                    counts[waste_kind::exchange] = peers.exchanges;
+                    counts[waste_kind::configuration] += peers.pulls;
+                    counts[waste_kind::handover] = peers.handovers;
+                    waste_.add(process_clock().now(), counts);
+                });
+        });
+}
+
+void control_plane::start()
+{
+    take_configuration(store_.current());
+    poll();
+    if (!settings_.seeds.empty())
+        learn_from_seeds();
+}
+
+void control_plane::close()
+{
+    agents_.close();
+    peers_.close();
+}
+
+void control_plane::poll()
+{
+    platform_.list_vms(vm_revision_,
+                       [this](platform_outcome outcome,
+                              const vm_changes& changes)
+                       {
+                           if (outcome != platform_outcome::done)
+                           {
+                               if (members_.members().empty())
+                                   learn_from_seeds();
+                               return;
+                           }
+                           vm_revision_ = changes.revision;
+                           members_.apply(changes.changed);
+                       });
+    store_.poll();
+    pull_from_agents();
+}
+
+void control_plane::learn_from_seeds()
+{
+    for (const auto& seed : settings_.seeds)
+    {
+        peers_.ask_members(seed, [this](const std::vector<member>& known)
+                           { members_.learn(known); });
+    }
+}
+
+void control_plane::take_members()
+{
+    const auto runners = members_.of_role(member_role::runner);
+    const auto chosen = link_subset(settings_.entry, settings_.hall, runners,
+                                    settings_.subset);
+    shards_.for_all([chosen](shard& one) { one.links().set_agents(chosen); });
+    peers_.set_entries(members_.of_role(member_role::entry));
+    apply_drains();
+    tell_leaving();
+}
+
+void control_plane::apply_drains()
+{
+    std::map<std::string, reason> drains;
+    for (const auto& [runner, row] : store_.current().rows_of(row_kind::drain))
+        drains.emplace(runner, reason::operator_command);
+    for (const auto& [name, one] : members_.members())
+    {
+        if (one.role == member_role::runner &&
+            one.state == member_state::leaving)
+            drains.emplace(name, reason::leaving);
+    }
+    shards_.for_all(
+        [drains](shard& one)
+        {
+            one.links().set_drains(drains);
+            one.schedule_dispatch();
+        });
+}
+
+void control_plane::tell_leaving()
+{
+    auto entries = peers_.reachable();
+    entries.push_back(settings_.entry);
+    for (const auto& [name, one] : members_.members())
+    {
+        const bool leaving = one.role == member_role::runner &&
+                             one.state == member_state::leaving;
+        // One entry, the same for all, tells it.
+        if (!leaving || told_leaving_.contains(name) ||
+            rendezvous_order(name, entries).front() != settings_.entry)
+            continue;
+        told_leaving_.insert(name);
+        agents_.drain(one, true, std::string(platform_list),
+                      [this, name = name](bool told)
+                      {
+                          if (!told)
+                              told_leaving_.erase(name);
+                      });
+    }
+    std::erase_if(told_leaving_, [this](const std::string& name)
+                  { return !members_.find(name); });
+}
+
+tuning control_plane::settings_in_force() const
+{
+    return store_.current().settings(defaults_);
+}
+
+void control_plane::take_configuration(const configuration& newer)
+{
+    if (newer.version() > 0)
+        log_change(log_level::info, "configuration_in_force",
+                   {{"version", newer.version()}});
+    const auto values = newer.settings(defaults_);
+    shards_.for_all(
+        [newer, values](shard& one)
+        {
+            apply_tuning(one, values);
+            apply_teams(one, newer, values);
+            one.links().set_configuration(newer);
+        });
+    apply_drains();
+    if (configured_)
+        configured_(newer);
+}
+
+void control_plane::take_report(const std::string& entry,
+                                const peer_report& report)
+{
+    foreign_.note_report(entry, report);
+    if (report.config_version > store_.current().version())
+        peers_.pull(entry, store_.current(),
+                    [this](const configuration& newer)
+                    { store_.offer(newer); });
+}
+
+void control_plane::pull_from_agents()
+{
+    if (pulling_)
+        return;
+    pulling_ = true;
+    // An agent that an earlier start of ours had told more than we know now
+    // has the configuration that a store that is away cannot give.
+    using newest = std::pair<std::uint64_t, std::string>;
+    shards_.gather<newest>(
+        [](shard& one) { return one.links().newest_agent(); },
+        [this](const std::vector<newest>& all)
+        {
+            pulling_ = false;
+            const auto best = *std::max_element(all.begin(), all.end());
+            const auto* agent = members_.find(best.second);
+            if (!agent || best.first <= store_.current().version())
+                return;
+            agents_.pull(*agent, store_.current(),
+                         [this](const configuration& newer)
+                         { store_.offer(newer); });
+        });
+}
+
+void control_plane::spread_quotas()
+{
+    shards_.gather<shard_demand>(
+        [](shard& one)
+        { return one.jobs().quota().demand(process_clock().now()); },
+        [this](const std::vector<shard_demand>& all)
+        {
+            std::map<std::string, double> own;
+            for (const auto& one : all)
+            {
+                for (const auto& [team, rate] : one)
+                    own[team] += rate;
+            }
+            peer_report report;
+            report.incarnation = settings_.incarnation;
+            report.config_version = store_.current().version();
+            report.stopping = stopping_;
+            report.heir = heir_;
+            for (const auto& [team, rate] : own)
+                report.demand.push_back({team, rate});
+            peers_.set_own(report);
+
+            const auto others = peers_.demand();
+            const std::size_t entries = peers_.reachable().size() + 1;
+            std::vector<std::map<std::string, double>> shares(all.size());
+            for (std::size_t i = 0; i < all.size(); ++i)
+            {
+                for (const auto& [team, rate] : all[i])
+                {
+                    const auto known = others.find(team);
+                    const double share = quota_share(
+                        own[team],
+                        known == others.end() ? std::vector<double>{}
+                                              : known->second,
+                        entries);
+                    const double part =
+                        quota_share(rate, {own[team] - rate}, all.size());
+                    shares[i][team] = share * part;
+                }
+            }
+            const double fallback =
+                1.0 / static_cast<double>(entries * all.size());
+            for (std::size_t i = 0; i < all.size(); ++i)
+            {
+                shards_.at(i).post(
+                    [mine = std::move(shares[i]), fallback](shard& one)
+                    {
+                        auto& quota = one.jobs().quota();
+                        quota.set_default_share(fallback);
+                        for (const auto& [team, share] : mine)
+                            quota.set_share(team, share);
+                    });
+            }
+        });
+}
+
+void control_plane::note(decision_kind kind, reason why, std::string runner,
+                         std::string by, std::string detail)
+{
+    report_line line;
+    line.wall = wall_nanoseconds();
+    line.entry = settings_.entry;
+    line.kind = kind;
+    line.why = why;
+    line.runner = std::move(runner);
+    line.by = std::move(by);
+    line.detail = std::move(detail);
+    report_.add(std::move(line));
+}
+
+void control_plane::collect_notables()
+{
+    shards_.gather<night_report>(
+        [](shard& one) { return one.take_notables(); },
+        [this](const std::vector<night_report>& all)
+        {
+            for (const auto& one : all)
+                report_.take_over(one);
+        });
+}
+
+std::string control_plane::report_prefix(const std::string& entry,
+                                         std::uint64_t incarnation)
+{
+    std::array<char, 20> hex{};
+    std::snprintf(hex.data(), hex.size(), "%016llx",
+                  static_cast<unsigned long long>(incarnation));
+    return "night/" + entry + "." + hex.data() + ".";
+}
+
+void control_plane::write_report(std::function<void()> done)
+{
+    if (writing_report_ || report_.empty())
+        return done();
+    writing_report_ = true;
+    const auto name =
+        report_prefix(settings_.entry, settings_.incarnation) +
+        std::to_string(++report_number_);
+    platform_.put_object(name, report_.take_batch(),
+                         [this, done = std::move(done)](
+                             platform_outcome outcome)
+                         {
+                             writing_report_ = false;
+                             // A repeat of a batch whose answer was lost goes
+                             // under a new name; a line twice does no harm.
+                             if (outcome == platform_outcome::done)
+                                 report_.written();
+                             else
+                                 report_.failed();
+                             done();
+                         });
+}
+
+void control_plane::announce_stop()
+{
+    stopping_ = true;
+    peer_report report;
+    report.incarnation = settings_.incarnation;
+    report.config_version = store_.current().version();
+    report.stopping = true;
+    report.heir = heir_;
+    peers_.set_own(report);
+    peers_.announce();
+}
+
+void control_plane::hand_over(std::function<void()> done)
+{
+    const auto finish = [this, done = std::move(done)]
+    {
+        collect_notables();
+        // The lines collected above come through the shards' threads first.
+        shards_.gather<bool>([](shard&) { return true; },
+                             [this, done](const std::vector<bool>&)
+                             { write_report(done); });
+    };
+    const auto others = peers_.reachable();
+    if (others.empty())
+        return finish();
+    const auto heir =
+        rendezvous_order(std::to_string(settings_.incarnation), others)
+            .front();
+    using answers = std::vector<coordinator::kept_answer>;
+    shards_.gather<answers>(
+        [](shard& one) { return one.jobs().kept_answers(); },
+        [this, heir, finish](std::vector<answers> all)
+        {
+            answers joined;
+            for (auto& one : all)
+                joined.insert(joined.end(),
+                              std::make_move_iterator(one.begin()),
+                              std::make_move_iterator(one.end()));
+            const auto count = joined.size();
+            send_answers(heir, std::move(joined),
+                         [this, heir, count, finish]
+                         {
+                             heir_ = heir;
+                             log_change(log_level::info, "answers_handed_over",
+                                        {{"heir", heir}, {"answers", count}});
+                             announce_stop();
+                             finish();
+                         });
+        });
+}
+
+void control_plane::send_answers(const std::string& heir,
+                                 std::vector<coordinator::kept_answer> answers,
+                                 std::function<void()> done)
+{
+    std::vector<coordinator::kept_answer> part;
+    std::size_t bytes = 0;
+    while (!answers.empty() && bytes < handover_bytes)
+    {
+        bytes += answers.back().answer.body.size();
+        part.push_back(std::move(answers.back()));
+        answers.pop_back();
+    }
+    peers_.keep(heir, settings_.incarnation, part,
+                [this, heir, rest = std::move(answers),
+                 done = std::move(done)](bool arrived) mutable
+                {
+                    if (!arrived)
+                        log_change(log_level::warning, "handover_failed",
+                                   {{"heir", heir}});
+                    if (!arrived || rest.empty())
+                        return done();
+                    send_answers(heir, std::move(rest), std::move(done));
+                });
+}
+
+void control_plane::collect(metric_page& page) const
+{
+    platform_.collect(page);
+    peers_.collect(page);
+    foreign_.collect(page);
+    page.gauge("configuration_version", "Version in force here",
+               static_cast<double>(store_.current().version()));
+    page.gauge("members", "VMs on the list, not gone",
+               static_cast<double>(members_.members().size()));
+    page.gauge("report_lines", "Decisions that wait for the object store",
+               static_cast<double>(report_.size()));
+    page.counter("report_lines_summed_total",
+                 "Decisions summed up while the object store was away",
+                 static_cast<double>(report_.summed_up()));
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/entry/coordinator.cpp
@@ -0,0 +1,861 @@
+#include "glenhollow/entry/coordinator.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+constexpr unsigned status_conflict = 409;
+constexpr unsigned status_gone = 410;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_too_many = 429;
+constexpr unsigned status_unavailable = 503;
+
+/// Weight of a new length in a team's mean task length.
+constexpr double length_weight = 0.05;
+
+/// How often old answers are looked for.
+constexpr duration expiry_interval = seconds{1};
+
+/// Teams whose lengths are remembered at most; names come from callers.
+constexpr std::size_t most_team_lengths = 4096;
+
+/// Bytes of a kept job besides its answer.
+constexpr std::size_t kept_overhead = 256;
+
+double to_seconds(duration length)
+{
+    return std::chrono::duration<double>(length).count();
+}
+
+std::uint32_t to_micros(duration length)
+{
+    const auto count =
+        std::chrono::duration_cast<microseconds>(length).count();
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(count, 0, UINT32_MAX));
+}
+
+} // namespace
+
+/// One task of a job in flight.
+struct coordinator::task
+{
+    /// Where a task stands.
+    enum class stage : std::uint8_t
+    {
+        waiting,   ///< In the queue.
+        delayed,   ///< Waits out a backoff.
+        in_flight, ///< Sent.
+        done       ///< Ended.
+    };
+
+    stage at = stage::waiting;       ///< Where it stands.
+    bool may_have_run = false;       ///< An attempt may have run.
+    std::uint8_t attempts = 0;       ///< Sent so often.
+    std::vector<runner_index> avoid; ///< Refused it before.
+    std::string payload;             ///< JSON text.
+    instant sent{};                  ///< Time of the last send.
+    std::int64_t sent_wall = 0;      ///< The same for spans.
+    trace_context link;              ///< Span of the link hop.
+};
+
+/// A job, in flight or ended.
+struct coordinator::job
+{
+    std::uint64_t sequence = 0;      ///< Names it.
+    std::uint64_t body_hash = 0;     ///< Of its body.
+    bool ended = false;              ///< It has its answer.
+    job_answer answer;               ///< Valid when ended.
+
+    std::string team;                ///< Whose it is.
+    instant arrived{};               ///< When it was taken.
+    instant deadline{};              ///< When it fails.
+    bool repeatable = false;         ///< Its task may run twice.
+    bool long_tasks = false;         ///< In the queue of long ones.
+    double expected = 0;             ///< Of one task, s.
+    std::vector<task> tasks;         ///< Empty once it has ended.
+    std::vector<std::string> results; ///< Empty once it has ended.
+    std::vector<std::uint32_t> waiting; ///< Task numbers, next at the back.
+    std::size_t left = 0;            ///< Tasks that have not ended.
+    std::size_t task_count = 0;      ///< All tasks.
+    std::vector<answer_handler> callers; ///< Wait for the answer.
+    std::optional<trace_context> trace;  ///< The caller hop.
+    std::string trace_parent;        ///< Span id above the caller hop.
+    std::int64_t arrived_wall = 0;   ///< For spans.
+
+    /// @return Whether any attempt of any task may have run.
+    bool any_may_have_run() const
+    {
+        return std::any_of(tasks.begin(), tasks.end(),
+                           [](const task& one)
+                           {
+                               return one.may_have_run ||
+                                      one.at == task::stage::in_flight;
+                           });
+    }
+};
+
+coordinator::coordinator(const clock_source& clock, start_sender& sender,
+                         std::uint64_t incarnation,
+                         const coordinator_settings& settings,
+                         std::uint64_t seed)
+    : clock_(clock), sender_(sender), incarnation_(incarnation),
+      settings_(settings), random_(seed),
+      mint_(settings.shard, settings.shards, settings.id_lifetime),
+      placement_(placement::create(settings.placing, settings.placement)),
+      short_queue_(settings.queue), long_queue_(settings.queue),
+      retries_(settings.retry), health_(settings.health),
+      quota_(settings.quota), ring_(settings.ring_records)
+{
+}
+
+coordinator::~coordinator() = default;
+
+std::string coordinator::id_text(std::uint64_t sequence) const
+{
+    return submission_id{settings_.hall, settings_.entry, incarnation_,
+                         sequence}
+        .to_string();
+}
+
+submission_id coordinator::mint_id()
+{
+    return {settings_.hall, settings_.entry, incarnation_,
+            mint_.next(clock_.now())};
+}
+
+void coordinator::log(decision_kind kind, std::uint64_t sequence,
+                      std::uint32_t task, runner_index runner, reason why,
+                      verdict what, duration length)
+{
+    decision_record record;
+    record.kind = kind;
+    record.sequence = sequence;
+    record.task = task;
+    record.runner = runner;
+    record.why = why;
+    record.what = what;
+    record.micros = to_micros(length);
+    ring_.add(record);
+}
+
+void coordinator::refuse(std::uint64_t sequence, const api_problem& problem,
+                         const answer_handler& done)
+{
+    ++stats_.refused;
+    log(decision_kind::refused, sequence, 0, 0, problem.why, problem.what,
+        problem.retry_after);
+    done(problem.to_answer());
+}
+
+void coordinator::submit(std::uint64_t sequence, job_request request,
+                         std::optional<trace_context> trace,
+                         answer_handler done)
+{
+    const instant now = clock_.now();
+    const auto known = jobs_.find(sequence);
+    if (known != jobs_.end())
+        return join(*known->second, request, std::move(done));
+
+    switch (mint_.state_of(sequence, now))
+    {
+    case mint_state::never_minted:
+        return refuse(sequence,
+                      {status_not_found, reason::forged_submission,
+                       "this entry never gave out that submission id"},
+                      done);
+    case mint_state::expired:
+        return refuse(sequence,
+                      {status_gone, reason::id_expired,
+                       "the submission id is too old to be run or answered",
+                       verdict::may_have_run},
+                      done);
+    case mint_state::valid:
+        break;
+    }
+    if (const auto problem = judge(request, now))
+        return refuse(sequence, *problem, done);
+    admit_job(sequence, std::move(request), std::move(trace), std::move(done));
+}
+
+void coordinator::join(job& known, const job_request& request,
+                       answer_handler done)
+{
+    if (known.body_hash != request.body_hash)
+        return refuse(known.sequence,
+                      {status_conflict, reason::body_conflict,
+                       "the submission was sent before with another body"},
+                      done);
+    ++stats_.joined;
+    log(decision_kind::joined, known.sequence, 0, 0, reason::duplicate,
+        verdict::not_run);
+    if (known.ended)
+        return done(known.answer);
+    known.callers.push_back(std::move(done));
+}
+
+double coordinator::expected_seconds(const std::string& team,
+                                     double said) const
+{
+    if (said > 0)
+        return said;
+    const auto known = task_seconds_.find(team);
+    return known == task_seconds_.end() ? 0 : known->second;
+}
+
+std::optional<api_problem> coordinator::judge(const job_request& request,
+                                              instant now)
+{
+    if (stopping_ || fenced_)
+        return api_problem{status_unavailable,
+                           fenced_ ? reason::fenced : reason::stopping,
+                           "this entry is stopping; ask another one",
+                           verdict::not_run, seconds{1}};
+
+    admission_request state;
+    state.tasks = request.payloads.size();
+    state.deadline = request.deadline;
+    state.seconds_per_task =
+        expected_seconds(request.team, request.expected_seconds);
+    state.queued_tasks = queued_tasks();
+    state.queued_seconds =
+        short_queue_.seconds_of_work() + long_queue_.seconds_of_work();
+    state.jobs = open_jobs_;
+    state.kept_bytes = kept_bytes_;
+    for (const auto& view : views_)
+    {
+        if (!view.usable())
+            continue;
+        ++state.usable_runners;
+        // Slots that others fill are not ours to count on.
+        const auto others =
+            std::max(view.occupancy() - view.outstanding, 0);
+        state.slots_for_us += std::max(view.effective_slots() - others, 0);
+    }
+    const auto decision = admit(state, settings_.admission, random_);
+    if (!decision.admitted())
+        return api_problem{status_unavailable, decision.why,
+                           "the job was refused before any of it ran",
+                           verdict::not_run, decision.retry_after};
+
+    const auto wait = quota_.ask(
+        request.team, static_cast<double>(request.payloads.size()), now);
+    if (wait)
+        return api_problem{status_too_many, reason::team_quota,
+                           "team " + request.team +
+                               " has used up its quota of task starts",
+                           verdict::not_run,
+                           jittered_retry_after(*wait, settings_.admission,
+                                                random_)};
+    return std::nullopt;
+}
+
+void coordinator::admit_job(std::uint64_t sequence, job_request request,
+                            std::optional<trace_context> trace,
+                            answer_handler done)
+{
+    const instant now = clock_.now();
+    auto fresh = std::make_unique<job>();
+    auto& owner = *fresh;
+    owner.sequence = sequence;
+    owner.body_hash = request.body_hash;
+    owner.team = std::move(request.team);
+    owner.arrived = now;
+    owner.deadline = now + request.deadline;
+    owner.repeatable = request.repeatable;
+    owner.expected = expected_seconds(owner.team, request.expected_seconds);
+    owner.long_tasks = owner.expected > settings_.long_task_seconds;
+    owner.task_count = owner.left = request.payloads.size();
+    owner.results.resize(owner.left);
+    owner.tasks.resize(owner.left);
+    for (std::size_t i = 0; i < owner.left; ++i)
+    {
+        owner.tasks[i].payload = std::move(request.payloads[i]);
+        owner.waiting.push_back(
+            static_cast<std::uint32_t>(owner.left - 1 - i));
+    }
+    owner.callers.push_back(std::move(done));
+    if (trace)
+    {
+        owner.trace_parent = trace->span_id;
+        owner.trace = trace->child();
+        owner.arrived_wall = wall_nanoseconds();
+    }
+
+    ++stats_.admitted;
+    stats_.tasks_admitted += owner.left;
+    ++open_jobs_;
+    retries_.earn(owner.team, owner.left);
+    deadlines_.insert({owner.deadline, sequence});
+    log(decision_kind::admitted, sequence,
+        static_cast<std::uint32_t>(owner.left), 0, reason::none,
+        verdict::not_run);
+    queue_of(owner).push(queue_entry(owner, owner.left));
+    jobs_.emplace(sequence, std::move(fresh));
+}
+
+queued_job coordinator::queue_entry(const job& owner, std::size_t tasks) const
+{
+    return {owner.sequence, owner.team,     owner.arrived,
+            owner.deadline, tasks,          owner.expected};
+}
+
+job_queue& coordinator::queue_of(const job& owner)
+{
+    return owner.long_tasks ? long_queue_ : short_queue_;
+}
+
+void coordinator::dispatch()
+{
+    bool only_short = false;
+    while (auto* owner = next_job(only_short))
+    {
+        bool blocked_long = false;
+        if (place_next(*owner, blocked_long))
+            continue;
+        if (!blocked_long)
+            break;
+        // Long tasks have to leave slots free; short ones may go on.
+        only_short = true;
+    }
+    flush();
+}
+
+coordinator::job* coordinator::next_job(bool& only_short)
+{
+    const auto of = [this](std::optional<std::uint64_t> sequence) -> job*
+    { return sequence ? jobs_.at(*sequence).get() : nullptr; };
+    auto* first_short = of(short_queue_.front());
+    auto* first_long = only_short ? nullptr : of(long_queue_.front());
+    if (!first_short || !first_long)
+        return first_short ? first_short : first_long;
+    // Between the two kinds the one that came first goes first, so neither
+    // starves.
+    return first_long->arrived < first_short->arrived ? first_long
+                                                      : first_short;
+}
+
+bool coordinator::place_next(job& owner, bool& blocked_long)
+{
+    const instant now = clock_.now();
+    const auto number = owner.waiting.back();
+    const auto& next = owner.tasks[number];
+    placement_request request;
+    request.runners = views_;
+    request.avoid = next.avoid;
+    request.waited = now - owner.arrived;
+    request.long_task = owner.long_tasks;
+    const auto choice = placement_->choose(request, random_);
+    if (!choice.runner)
+    {
+        blocked_long = owner.long_tasks && !short_queue_.empty();
+        return false;
+    }
+    send_task(owner, number, *choice.runner, choice.why, now);
+    return true;
+}
+
+void coordinator::send_task(job& owner, std::uint32_t number,
+                            runner_index runner, reason why, instant now)
+{
+    auto& next = owner.tasks[number];
+    owner.waiting.pop_back();
+    queue_of(owner).take_task(owner.sequence);
+    next.at = task::stage::in_flight;
+    next.sent = now;
+    ++next.attempts;
+    ++stats_.sent;
+    const duration waited = now - owner.arrived;
+    queue_seconds_.add(to_seconds(waited));
+    log(decision_kind::placed, owner.sequence, number, runner + 1, why,
+        verdict::not_run, waited);
+
+    outgoing_start start;
+    start.key = {owner.sequence, number};
+    start.begin_within =
+        std::min(settings_.start_window, owner.deadline - now);
+    start.team = owner.team;
+    start.body_hash = owner.body_hash;
+    start.job_tasks = static_cast<std::uint32_t>(owner.task_count);
+    // The payload is needed again only if the task can be sent again; a copy
+    // is the price of a retry.
+    start.payload = next.payload;
+    if (owner.trace)
+    {
+        const auto queue = owner.trace->child();
+        next.link = queue.child();
+        next.sent_wall = wall_nanoseconds();
+        start.traceparent = next.link.to_header();
+        trace_hop(owner, "queue", start.key, owner.arrived_wall, queue,
+                  owner.trace->span_id);
+    }
+    auto& view = views_[runner];
+    ++view.unreported;
+    ++view.outstanding;
+    outbox_[runner].push_back(std::move(start));
+}
+
+void coordinator::flush()
+{
+    auto outbox = std::exchange(outbox_, {});
+    for (auto& [runner, starts] : outbox)
+        sender_.send(runner, std::move(starts));
+}
+
+void coordinator::trace_hop(const job& owner, std::string_view name,
+                            const task_key& key, std::int64_t begin,
+                            const trace_context& context,
+                            const std::string& parent)
+{
+    if (!spans_ || !owner.trace || !owner.trace->sampled)
+        return;
+    span hop;
+    hop.name = name;
+    hop.context = context;
+    hop.parent_id = parent;
+    hop.begin = begin;
+    hop.end = wall_nanoseconds();
+    hop.attributes.push_back({"task", id_text(key.sequence) + "/" +
+                                          std::to_string(key.task)});
+    spans_->write(hop);
+}
+
+void coordinator::link_up(runner_index runner, bool own_hall,
+                          const load_report& report)
+{
+    if (runner >= views_.size())
+    {
+        views_.resize(runner + 1);
+        drained_.resize(runner + 1, false);
+        health_.resize(runner + 1);
+    }
+    auto& view = views_[runner];
+    view.connected = true;
+    view.own_hall = own_hall;
+    report_load(runner, report);
+}
+
+void coordinator::link_down(runner_index runner)
+{
+    views_[runner].connected = false;
+}
+
+void coordinator::report_load(runner_index runner, const load_report& report)
+{
+    auto& view = views_[runner];
+    view.slots = report.slots;
+    view.busy = report.busy;
+    view.unreported = report.unreported;
+    view.draining = report.draining || drained_[runner];
+    view.shunned = report.shunned;
+    view.delay = report.delay;
+    health_.apply(runner, view);
+}
+
+void coordinator::set_drained(runner_index runner, bool on, reason why)
+{
+    if (runner >= views_.size() || drained_[runner] == on)
+        return;
+    drained_[runner] = on;
+    views_[runner].draining = on;
+    log(on ? decision_kind::drained : decision_kind::undrained, 0, 0,
+        runner + 1, why, verdict::not_run);
+}
+
+void coordinator::task_ended(runner_index runner, task_end end)
+{
+    auto& view = views_[runner];
+    --view.outstanding;
+    acknowledge_later(runner, end.key);
+    const auto known = jobs_.find(end.key.sequence);
+    const bool is_open = known != jobs_.end() && !known->second->ended;
+    note_health(runner, end, is_open ? known->second->expected : 0);
+    if (end.end.why == reason::draining)
+        view.draining = true;
+    if (end.end.why == reason::fenced)
+        fence_self();
+    if (!is_open || known->second->ended)
+    {
+        ++stats_.late_ends;
+        return;
+    }
+    end_in_job(*known->second, runner, std::move(end));
+}
+
+void coordinator::note_health(runner_index runner, const task_end& end,
+                              double expected)
+{
+    const auto change =
+        health_.note(runner, end.end, end.run_micros * 1e-6, expected,
+                     clock_.now());
+    health_.apply(runner, views_[runner]);
+    if (change == health_change::none)
+        return;
+    log(change == health_change::ejected ? decision_kind::ejected
+                                         : decision_kind::returned,
+        0, 0, runner + 1,
+        change == health_change::ejected ? end.end.why : reason::recovered,
+        end.end.what);
+}
+
+void coordinator::note_length(job& owner, const task_end& end)
+{
+    const double length = end.run_micros * 1e-6;
+    if (task_seconds_.size() >= most_team_lengths &&
+        !task_seconds_.contains(owner.team))
+        task_seconds_.clear();
+    auto [known, fresh] = task_seconds_.try_emplace(owner.team, length);
+    if (!fresh)
+        known->second += length_weight * (length - known->second);
+}
+
+void coordinator::end_in_job(job& owner, runner_index runner, task_end end)
+{
+    auto& done = owner.tasks[end.key.task];
+    assert(done.at == task::stage::in_flight);
+    const instant now = clock_.now();
+    const duration took = now - done.sent;
+    log(decision_kind::ended, owner.sequence, end.key.task, runner + 1,
+        end.end.why, end.end.what, took);
+    if (owner.trace)
+        trace_hop(owner, "link", end.key, done.sent_wall, done.link,
+                  owner.trace->span_id);
+    if (end.end.what != verdict::ran)
+        return retry_or_fail(owner, runner, end);
+
+    const auto there = microseconds{end.wait_micros} +
+                       microseconds{end.run_micros};
+    link_seconds_.add(to_seconds(std::max<duration>(took - there, {})));
+    note_length(owner, end);
+    done.at = task::stage::done;
+    done.may_have_run = true;
+    owner.results[end.key.task] = std::move(end.body);
+    if (--owner.left == 0)
+        complete(owner);
+}
+
+void coordinator::retry_or_fail(job& owner, runner_index runner,
+                                const task_end& end)
+{
+    auto& tried = owner.tasks[end.key.task];
+    tried.at = task::stage::waiting;
+    if (end.end.what == verdict::may_have_run)
+    {
+        tried.may_have_run = true;
+        // The one rule: what may have run is never started again, unless its
+        // caller marked it repeatable.
+        if (!owner.repeatable)
+            return fail(owner, end.end.why);
+    }
+    if (fenced_)
+        return fail(owner, reason::fenced);
+    if (!retries_.spend(owner.team, tried.attempts))
+        return fail(owner, end.end.why == reason::none ? reason::retry_budget
+                                                       : end.end.why);
+    ++stats_.retried;
+    tried.avoid.push_back(runner);
+    tried.at = task::stage::delayed;
+    const auto wait = retries_.backoff(tried.attempts, random_);
+    log(decision_kind::retried, owner.sequence, end.key.task, runner + 1,
+        end.end.why, end.end.what, wait);
+    delayed_.insert({clock_.now() + wait, end.key});
+}
+
+void coordinator::complete(job& owner)
+{
+    auto answer = complete_answer(id_text(owner.sequence), owner.results);
+    ++stats_.completed;
+    job_seconds_.add(to_seconds(clock_.now() - owner.arrived));
+    settle(owner, std::move(answer), decision_kind::completed, verdict::ran);
+}
+
+void coordinator::fail(job& owner, reason why)
+{
+    const auto what = owner.any_may_have_run() ? verdict::may_have_run
+                                               : verdict::not_run;
+    ++stats_.failed;
+    queue_of(owner).remove(owner.sequence);
+    settle(owner, failed_answer(id_text(owner.sequence), what, why),
+           decision_kind::failed, what);
+}
+
+void coordinator::settle(job& owner, job_answer answer, decision_kind kind,
+                         verdict what)
+{
+    log(kind, owner.sequence, static_cast<std::uint32_t>(owner.task_count), 0,
+        answer.why, what, clock_.now() - owner.arrived);
+    if (owner.trace)
+        trace_hop(owner, "caller", {owner.sequence, 0}, owner.arrived_wall,
+                  *owner.trace, owner.trace_parent);
+    deadlines_.erase({owner.deadline, owner.sequence});
+    owner.ended = true;
+    owner.answer = std::move(answer);
+    owner.tasks = {};
+    owner.results = {};
+    owner.waiting = {};
+    --open_jobs_;
+    kept_bytes_ += kept_overhead + owner.answer.body.size();
+    ended_order_.emplace(owner.sequence, owner.sequence);
+    const auto callers = std::exchange(owner.callers, {});
+    for (const auto& caller : callers)
+        caller(owner.answer);
+}
+
+void coordinator::acknowledge_later(runner_index runner, const task_key& key)
+{
+    acks_.push_back({clock_.now() + settings_.ack_delay, runner, key});
+}
+
+void coordinator::send_due_acks(instant now)
+{
+    std::map<runner_index, std::vector<task_key>> due;
+    while (!acks_.empty() && acks_.front().due <= now)
+    {
+        const auto& first = acks_.front();
+        const auto known = jobs_.find(first.key.sequence);
+        // Results of a job in flight stay with the agents: they are what an
+        // adopter would answer it with.
+        if (known != jobs_.end() && !known->second->ended)
+            acks_.push_back({now + settings_.ack_delay, first.runner,
+                             first.key});
+        else
+            due[first.runner].push_back(first.key);
+        acks_.pop_front();
+    }
+    for (const auto& [runner, keys] : due)
+        sender_.acknowledge(runner, keys);
+}
+
+void coordinator::drop_expired(instant now)
+{
+    const auto low_water = mint_.low_water(now);
+    while (!ended_order_.empty() && ended_order_.begin()->first < low_water)
+    {
+        const auto sequence = ended_order_.begin()->first;
+        ended_order_.erase(ended_order_.begin());
+        const auto known = jobs_.find(sequence);
+        kept_bytes_ -= kept_overhead + known->second->answer.body.size();
+        jobs_.erase(known);
+    }
+}
+
+void coordinator::tick()
+{
+    const instant now = clock_.now();
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now)
+        fail(*jobs_.at(deadlines_.begin()->second), reason::deadline_passed);
+    while (!delayed_.empty() && delayed_.begin()->due <= now)
+    {
+        const auto key = delayed_.begin()->key;
+        delayed_.erase(delayed_.begin());
+        const auto known = jobs_.find(key.sequence);
+        if (known == jobs_.end() || known->second->ended)
+            continue;
+        auto& owner = *known->second;
+        owner.tasks[key.task].at = task::stage::waiting;
+        owner.waiting.push_back(key.task);
+        queue_of(owner).put_back(queue_entry(owner, 1));
+    }
+    for (runner_index i = 0; i < views_.size(); ++i)
+    {
+        if (health_.revisit(i, now) == health_change::none)
+            continue;
+        health_.apply(i, views_[i]);
+        log(decision_kind::returned, 0, 0, i + 1, reason::outlier,
+            verdict::not_run);
+    }
+    send_due_acks(now);
+    drop_expired(now);
+    quota_.forget_idle(now);
+    dispatch();
+}
+
+std::optional<instant> coordinator::next_wake() const
+{
+    std::optional<instant> next;
+    const auto consider = [&next](instant when)
+    { next = next ? std::min(*next, when) : when; };
+    if (!deadlines_.empty())
+        consider(deadlines_.begin()->first);
+    if (!delayed_.empty())
+        consider(delayed_.begin()->due);
+    if (!acks_.empty())
+        consider(acks_.front().due);
+    if (!jobs_.empty())
+        consider(clock_.now() + expiry_interval);
+    return next;
+}
+
+job_answer coordinator::lookup(std::uint64_t sequence)
+{
+    const auto known = jobs_.find(sequence);
+    if (known != jobs_.end())
+        return known->second->ended ? known->second->answer
+                                    : running_answer(id_text(sequence));
+    const auto state = mint_.state_of(sequence, clock_.now());
+    if (state == mint_state::expired)
+        return api_problem{status_gone, reason::id_expired,
+                           "the submission id is too old to be answered",
+                           verdict::may_have_run}
+            .to_answer();
+    return api_problem{status_not_found, reason::unknown_submission,
+                       "no job was sent under that submission id"}
+        .to_answer();
+}
+
+api_result<std::size_t> coordinator::cancel(std::uint64_t sequence)
+{
+    const auto known = jobs_.find(sequence);
+    if (known == jobs_.end())
+        return api_problem{status_not_found, reason::unknown_submission,
+                           "no job was sent under that submission id"};
+    if (known->second->ended)
+        return api_problem{status_conflict, reason::duplicate,
+                           "the job has ended already"};
+    auto& owner = *known->second;
+    const auto unstarted = static_cast<std::size_t>(std::count_if(
+        owner.tasks.begin(), owner.tasks.end(),
+        [](const task& one)
+        {
+            return one.at == task::stage::waiting ||
+                   one.at == task::stage::delayed;
+        }));
+    if (unstarted == 0)
+        return api_problem{status_conflict, reason::duplicate,
+                           "all tasks of the job have started"};
+    log(decision_kind::cancelled, sequence,
+        static_cast<std::uint32_t>(unstarted), 0, reason::operator_command,
+        verdict::not_run);
+    fail(owner, reason::cancelled);
+    return unstarted;
+}
+
+void coordinator::fence_self()
+{
+    if (fenced_)
+        return;
+    fenced_ = true;
+    // Whoever adopted us has failed these jobs; nothing more may start.
+    std::vector<std::uint64_t> open;
+    for (const auto& [sequence, owner] : jobs_)
+    {
+        if (!owner->ended)
+            open.push_back(sequence);
+    }
+    for (const auto sequence : open)
+        fail(*jobs_.at(sequence), reason::fenced);
+}
+
+void coordinator::apply(const coordinator_settings& settings)
+{
+    const bool placing_changed = settings.placing != settings_.placing ||
+                                 settings.placement.short_reserve !=
+                                     settings_.placement.short_reserve;
+    const auto place = std::tuple(settings_.hall, settings_.entry,
+                                  settings_.shard, settings_.shards);
+    settings_ = settings;
+    std::tie(settings_.hall, settings_.entry, settings_.shard,
+             settings_.shards) = place;
+    mint_.set_lifetime(settings_.id_lifetime);
+    short_queue_.apply(settings_.queue);
+    long_queue_.apply(settings_.queue);
+    retries_.apply(settings_.retry);
+    health_.apply(settings_.health);
+    quota_.apply(settings_.quota);
+    if (placing_changed)
+        placement_ = placement::create(settings_.placing, settings_.placement);
+}
+
+void coordinator::set_weight(const std::string& team, double weight)
+{
+    short_queue_.set_weight(team, weight);
+    long_queue_.set_weight(team, weight);
+}
+
+std::vector<job_row> coordinator::job_rows(std::size_t most) const
+{
+    std::vector<job_row> rows;
+    const instant now = clock_.now();
+    const auto add = [&](bool ended)
+    {
+        for (const auto& [sequence, owner] : jobs_)
+        {
+            if (rows.size() >= most)
+                return;
+            if (owner->ended != ended)
+                continue;
+            job_row row;
+            row.id = id_text(sequence);
+            row.team = owner->team;
+            row.state = !ended                             ? "running"
+                        : owner->answer.why == reason::none ? "complete"
+                                                            : "failed";
+            row.tasks = owner->task_count;
+            row.done = owner->task_count - owner->left;
+            row.waiting = owner->waiting.size();
+            row.age = now - owner->arrived;
+            rows.push_back(std::move(row));
+        }
+    };
+    add(false);
+    add(true);
+    return rows;
+}
+
+std::vector<coordinator::kept_answer> coordinator::kept_answers() const
+{
+    std::vector<kept_answer> answers;
+    for (const auto& [sequence, owner] : jobs_)
+    {
+        if (owner->ended)
+            answers.push_back({sequence, owner->body_hash, owner->answer});
+    }
+    return answers;
+}
+
+void coordinator::collect(metric_page& page) const
+{
+    const auto count = [](std::uint64_t value)
+    { return static_cast<double>(value); };
+    constexpr std::string_view jobs_help = "Jobs by what became of them";
+    page.counter("jobs_total", jobs_help, count(stats_.admitted),
+                 R"(event="admitted")");
+    page.counter("jobs_total", jobs_help, count(stats_.completed),
+                 R"(event="complete")");
+    page.counter("jobs_total", jobs_help, count(stats_.failed),
+                 R"(event="failed")");
+    page.counter("jobs_total", jobs_help, count(stats_.refused),
+                 R"(event="refused")");
+    page.counter("jobs_total", jobs_help, count(stats_.joined),
+                 R"(event="joined")");
+    page.counter("tasks_admitted_total", "Tasks of jobs taken",
+                 count(stats_.tasks_admitted));
+    page.counter("starts_sent_total", "Starts sent to agents",
+                 count(stats_.sent));
+    page.counter("retries_total", "Starts that were not a task's first",
+                 count(stats_.retried));
+    page.counter("late_ends_total", "Ends nobody waited for any more",
+                 count(stats_.late_ends));
+    page.counter("decisions_total", "Decisions made", count(ring_.total()));
+    page.gauge("queued_tasks", "Tasks that wait at the entry",
+               static_cast<double>(queued_tasks()));
+    page.gauge("jobs_kept", "Jobs in flight or with a kept answer",
+               static_cast<double>(jobs_.size()));
+    page.gauge("jobs_open", "Jobs in flight", static_cast<double>(open_jobs_));
+    page.gauge("kept_answer_bytes", "Bytes of kept answers",
+               static_cast<double>(kept_bytes_));
+    page.summary("job_seconds", "From admission to a whole answer",
+                 job_seconds_);
+    page.summary("queue_seconds", "From admission to the send of a task",
+                 queue_seconds_);
+    page.summary("link_seconds", "Time between entry and runner, per task",
+                 link_seconds_);
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/entry/entry_node.cpp
@@ -0,0 +1,457 @@
+#include "glenhollow/entry/entry_node.hpp"
+
+#include "glenhollow/core/port_file.hpp"
+#include "glenhollow/core/random.hpp"
+#include "glenhollow/entry/control_plane.hpp"
+#include "glenhollow/entry/operator_desk.hpp"
+#include "glenhollow/entry/peer_service.hpp"
+#include "glenhollow/entry/shard_group.hpp"
+#include "glenhollow/rpc/rpc_listener.hpp"
+#include "glenhollow/rpc/rpc_loop.hpp"
+#include "glenhollow/security/token.hpp"
+#include "glenhollow/supervision/supervisor.hpp"
+#include "glenhollow/telemetry/log.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <cassert>
+#include <csignal>
+
+namespace glenhollow
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// How long readyz says 503 before an idle entry stops listening, so that the
+/// balancer has seen it.
+constexpr duration stop_linger = seconds{1};
+constexpr duration stop_check_interval = milliseconds{20};
+constexpr duration fence_check_interval = milliseconds{200};
+
+/// Exit status of an entry whose jobs another entry has adopted.
+constexpr int exit_fenced = 3;
+
+/// What traffic threads read of the configuration; replaced as a whole.
+struct caller_rules
+{
+    job_limits limits;                         ///< Of jobs.
+    std::map<std::string, std::string> tokens; ///< Hashes by team.
+};
+
+job_limits limits_of(const tuning& values)
+{
+    const auto length = [](double s)
+    {
+        return std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(s));
+    };
+    job_limits limits;
+    limits.max_tasks = static_cast<std::size_t>(values.max_tasks);
+    limits.longest_deadline = length(values.longest_deadline_s);
+    limits.usual_deadline = length(values.usual_deadline_s);
+    return limits;
+}
+
+} // namespace
+
+/// Everything of the process.
+struct entry_node::state final : entry_backend
+{
+    explicit state(const entry_settings& s, operator_tokens t)
+        : settings(s), tokens(std::move(t)), signals(control.io()),
+          root("root", control.io())
+    {
+    }
+
+    entry_settings settings;                 ///< Checked.
+    operator_tokens tokens;                  ///< Of operators.
+    std::uint64_t incarnation = random_incarnation(); ///< Of this start.
+    rpc_loop control;                        ///< The control thread.
+    asio::signal_set signals;                ///< SIGTERM and SIGINT.
+    supervisor root;                         ///< Of the supervisor tree.
+    std::unique_ptr<span_exporter> spans;    ///< May be null.
+    std::unique_ptr<rpc_listener> listener;  ///< Links from other entries.
+    std::unique_ptr<shard_group> shards;     ///< The traffic threads.
+    std::unique_ptr<control_plane> plane;    ///< On the control thread.
+    std::unique_ptr<operator_desk> desk;     ///< On the control thread.
+    std::atomic<bool> is_stopping{false};    ///< A planned stop has begun.
+    std::atomic<std::shared_ptr<const caller_rules>> rules{
+        std::make_shared<const caller_rules>()}; ///< For traffic threads.
+    int exit_status = 0;                     ///< Of the process.
+
+    result<void> listen()
+    {
+        if (!settings.trace_file.empty())
+        {
+            BOOST_OUTCOME_TRY(
+                auto exporter,
+                span_exporter::create(settings.trace_file,
+                                      settings.trace_share,
+                                      "glenhollow-entry"));
+            spans = std::move(exporter);
+        }
+        BOOST_OUTCOME_TRY(auto links,
+                          rpc_listener::create(control.io(), settings.address,
+                                               settings.rpc_port));
+        listener = std::move(links);
+        std::vector<std::unique_ptr<shard>> made;
+        std::uint16_t port = settings.http_port;
+        for (std::uint32_t i = 0; i < settings.threads; ++i)
+        {
+            BOOST_OUTCOME_TRY(auto one, make_shard(i, port));
+            port = one->port();
+            made.push_back(std::move(one));
+        }
+        shards = std::make_unique<shard_group>(std::move(made), control.io());
+        control_plane_settings limits;
+        limits.entry = settings.name;
+        limits.hall = settings.hall;
+        limits.incarnation = incarnation;
+        limits.platform.server = settings.platform;
+        limits.platform.reads_per_second = settings.platform_reads;
+        limits.platform.writes_per_second = settings.platform_writes;
+        limits.seeds = settings.seeds;
+        limits.subset = {settings.own_hall_links, settings.other_hall_links};
+        limits.defaults = settings.defaults;
+        limits.report = settings.report;
+        plane = std::make_unique<control_plane>(control.io(), *shards, limits);
+        plane->on_configured([this](const configuration& newer)
+                             { take_rules(newer); });
+        desk = std::make_unique<operator_desk>(*plane, *this);
+        return write_port_file(settings.port_file, {port, listener->port()});
+    }
+
+    result<std::unique_ptr<shard>> make_shard(std::uint32_t index,
+                                              std::uint16_t port)
+    {
+        shard_settings limits;
+        limits.coordinator.hall = settings.hall;
+        limits.coordinator.entry = settings.name;
+        limits.coordinator.shard = index;
+        limits.coordinator.shards = settings.threads;
+        limits.coordinator.ring_records = settings.ring_records;
+        limits.links.hall = settings.hall;
+        limits.links.entry = settings.name;
+        limits.links.incarnation = incarnation;
+        limits.links.shard = index;
+        limits.http.address = settings.address;
+        limits.http.port = port;
+        limits.http.share_port = settings.threads > 1;
+        limits.http.max_body_bytes = settings.max_body_bytes;
+        limits.incarnation = incarnation;
+        limits.seed = incarnation + index;
+        return shard::create(limits, *this, spans.get());
+    }
+
+    void take_rules(const configuration& newer)
+    {
+        auto fresh = std::make_shared<caller_rules>();
+        fresh->limits = limits_of(newer.settings(plane->defaults()));
+        for (const auto& [team, row] : newer.rows_of(row_kind::token))
+            fresh->tokens.emplace(team, row.value);
+        rules = std::move(fresh);
+    }
+
+    void build_tree()
+    {
+        auto traffic = std::make_unique<supervisor>("traffic", control.io());
+        for (std::size_t i = 0; i < shards->size(); ++i)
+        {
+            auto& one = shards->at(i);
+            traffic->add(std::make_unique<thread_task>(
+                             "shard_" + std::to_string(i), control.io(),
+                             [&one] { one.run(); }, [&one] { one.stop(); }),
+                         restart_policy::escalate);
+        }
+        root.add(std::move(traffic), restart_policy::escalate);
+        auto parts = std::make_unique<supervisor>("control", control.io());
+        plane->add_children(*parts);
+        parts->add(std::make_unique<periodic_task>(
+                       "fence_watch", control.io(), fence_check_interval,
+                       [this] { watch_fence(); }),
+                   restart_policy::restart);
+        root.add(std::move(parts), restart_policy::escalate);
+    }
+
+    // entry_backend
+
+    std::vector<submission_id> mint_ids(std::size_t count) override
+    {
+        // A traffic thread mints for itself: no lock, and the job stays on
+        // the thread that has its caller.
+        auto* here = shard::current();
+        assert(here);
+        std::vector<submission_id> ids;
+        for (std::size_t i = 0; i < count; ++i)
+            ids.push_back(here->jobs().mint_id());
+        return ids;
+    }
+
+    void submit(routed_job job, answer_sink done) override
+    {
+        if (job.id.incarnation != incarnation)
+        {
+            auto shared = std::make_shared<routed_job>(std::move(job));
+            asio::post(control.io(),
+                       [this, shared, done = std::move(done)]
+                       {
+                           plane->foreign().resolve(
+                               {shared->id, std::move(shared->body),
+                                shared->trace ? shared->trace->to_header()
+                                              : "",
+                                false},
+                               done);
+                       });
+            return;
+        }
+        auto shared = std::make_shared<routed_job>(std::move(job));
+        shards->owner_of(shared->id.sequence)
+            .run_here(
+                [shared, done = std::move(done)](shard& owner)
+                {
+                    owner.jobs().submit(
+                        shared->id.sequence, std::move(shared->request),
+                        std::move(shared->trace),
+                        [done](const job_answer& answer) { done(answer); });
+                    owner.schedule_dispatch();
+                });
+    }
+
+    void lookup(const submission_id& id, answer_sink done) override
+    {
+        if (id.incarnation != incarnation)
+        {
+            asio::post(control.io(),
+                       [this, id, done = std::move(done)] {
+                           plane->foreign().resolve(
+                               {id, std::nullopt, "", false}, done);
+                       });
+            return;
+        }
+        shards->owner_of(id.sequence)
+            .run_here([id, done = std::move(done)](shard& owner)
+                      { done(owner.jobs().lookup(id.sequence)); });
+    }
+
+    void operate(std::string statement, std::string by,
+                 answer_sink done) override
+    {
+        asio::post(control.io(),
+                   [this, statement = std::move(statement),
+                    by = std::move(by), done = std::move(done)]
+                   {
+                       desk->run(statement, by, statement_scope::everyone,
+                                 done);
+                   });
+    }
+
+    void metrics(std::function<void(std::string)> done) override
+    {
+        asio::post(
+            control.io(),
+            [this, done = std::move(done)]
+            {
+                shards->gather<metric_page>(
+                    [](shard& one)
+                    {
+                        metric_page page;
+                        one.collect(page);
+                        return page;
+                    },
+                    [this, done](const std::vector<metric_page>& pages)
+                    {
+                        metric_page all;
+                        for (const auto& page : pages)
+                            all.merge(page);
+                        plane->collect(all);
+                        listener->collect(all);
+                        all.gauge("stopping", "1 during a planned stop",
+                                  is_stopping ? 1 : 0);
+                        all.counter("restarts_total",
+                                    "Restarts of parts by the supervisor",
+                                    static_cast<double>(root.restarts()));
+                        done(all.render());
+                    });
+            });
+    }
+
+    bool stopping() const override { return is_stopping; }
+
+    job_limits limits() const override { return rules.load()->limits; }
+
+    std::optional<std::string>
+    operator_of(std::string_view authorization) const override
+    {
+        return tokens.owner_of(authorization);
+    }
+
+    bool may_use_team(const std::string& team,
+                      std::string_view authorization) const override
+    {
+        const auto current = rules.load();
+        const auto known = current->tokens.find(team);
+        return known == current->tokens.end() ||
+               token_matches(bearer_token(authorization), known->second);
+    }
+
+    // Stopping.
+
+    void await_signal()
+    {
+        signals.add(SIGTERM);
+        signals.add(SIGINT);
+        signals.async_wait(
+            [this](boost::system::error_code ec, int)
+            {
+                if (!ec)
+                    stop_planned(0);
+            });
+    }
+
+    void stop_planned(int status)
+    {
+        if (is_stopping.exchange(true))
+            return;
+        exit_status = status;
+        log_change(log_level::info, "stop_begun", {{"entry", settings.name}});
+        plane->announce_stop();
+        shards->for_all([](shard& one) { one.jobs().stop_accepting(); });
+        wait_for_idle(process_clock().now() + stop_linger);
+    }
+
+    void wait_for_idle(instant not_before)
+    {
+        shards->gather<bool>(
+            [](shard& one)
+            {
+                one.close_after_answers();
+                return one.idle();
+            },
+            [this, not_before](const std::vector<bool>& idle)
+            {
+                const bool all_idle =
+                    std::all_of(idle.begin(), idle.end(),
+                                [](bool one) { return one; });
+                if (all_idle && process_clock().now() >= not_before)
+                    return plane->hand_over([this] { last_callers(); });
+                after(stop_check_interval,
+                      [this, not_before] { wait_for_idle(not_before); });
+            });
+    }
+
+    /// Answers who came during the handover, then ends.
+    void last_callers()
+    {
+        shards->gather<bool>(
+            [](shard& one)
+            {
+                one.stop_accepting();
+                return one.idle();
+            },
+            [this](const std::vector<bool>& idle)
+            {
+                const bool all_idle =
+                    std::all_of(idle.begin(), idle.end(),
+                                [](bool one) { return one; });
+                if (all_idle)
+                    return end();
+                after(stop_check_interval, [this] { last_callers(); });
+            });
+    }
+
+    void watch_fence()
+    {
+        shards->gather<bool>(
+            [](shard& one) { return one.jobs().fenced(); },
+            [this](const std::vector<bool>& fenced)
+            {
+                const bool any = std::any_of(fenced.begin(), fenced.end(),
+                                             [](bool one) { return one; });
+                if (!any || is_stopping)
+                    return;
+                log_change(log_level::error, "fenced_by_adoption",
+                           {{"entry", settings.name}});
+                stop_planned(exit_fenced);
+            });
+    }
+
+    void after(duration wait, std::function<void()> work)
+    {
+        auto timer = std::make_shared<asio::steady_timer>(control.io(), wait);
+        timer->async_wait(
+            [timer, work = std::move(work)](boost::system::error_code ec)
+            {
+                if (!ec)
+                    work();
+            });
+    }
+
+    void end()
+    {
+        root.stop();
+        control.stop();
+    }
+
+    int run()
+    {
+        build_tree();
+        await_signal();
+        control.run(
+            [this]
+            {
+                listener->serve(
+                    kj::heap<peer_service>(*plane, *this, *desk));
+                root.start(
+                    [this](const std::string& why)
+                    {
+                        log_change(log_level::error, "process_stops",
+                                   {{"cause", why}});
+                        exit_status = 1;
+                        control.stop();
+                    });
+                plane->start();
+                log_change(log_level::info, "entry_started",
+                           {{"entry", settings.name},
+                            {"hall", settings.hall},
+                            {"incarnation", incarnation},
+                            {"http_port", shards->at(0).port()},
+                            {"rpc_port", listener->port()},
+                            {"threads", settings.threads}});
+            },
+            [this]
+            {
+                plane->close();
+                listener->close();
+            });
+        log_change(log_level::info, "entry_stopped",
+                   {{"entry", settings.name}, {"status", exit_status}});
+        return exit_status;
+    }
+};
+
+entry_node::entry_node(std::unique_ptr<state> state) : state_(std::move(state))
+{
+}
+
+entry_node::~entry_node() = default;
+
+result<std::unique_ptr<entry_node>>
+entry_node::create(const entry_settings& settings)
+{
+    BOOST_OUTCOME_TRY(auto tokens,
+                      operator_tokens::parse(settings.operator_tokens));
+    auto made = std::make_unique<state>(settings, std::move(tokens));
+    BOOST_OUTCOME_TRYV(made->listen());
+    return std::unique_ptr<entry_node>(new entry_node(std::move(made)));
+}
+
+int entry_node::run() { return state_->run(); }
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/entry/operator_desk.cpp
@@ -0,0 +1,864 @@
+#include "glenhollow/entry/operator_desk.hpp"
+
+#include "glenhollow/language/parser.hpp"
+#include "glenhollow/security/token.hpp"
+#include "glenhollow/telemetry/log.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <ctime>
+#include <sstream>
+#include <utility>
+#include <variant>
+
+namespace glenhollow
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr std::size_t most_job_rows = 1000;
+
+/// Objects read for one question, newest last.
+constexpr std::size_t most_report_objects = 200;
+
+constexpr double least_quota = 0;
+constexpr double most_quota = 1e6;
+constexpr double least_weight = 0.01;
+constexpr double most_weight = 1000;
+constexpr std::size_t most_created_tasks = 1000;
+
+std::string wall_text(std::int64_t nanoseconds)
+{
+    constexpr std::int64_t per_second = 1'000'000'000;
+    const std::time_t whole = nanoseconds / per_second;
+    std::tm parts{};
+    ::gmtime_r(&whole, &parts);
+    std::array<char, 32> text{};
+    std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::array<char, 8> fraction{};
+    std::snprintf(fraction.data(), fraction.size(), ".%03dZ",
+                  static_cast<int>(nanoseconds % per_second / 1'000'000));
+    return std::string(text.data()) + fraction.data();
+}
+
+std::string hex_text(std::uint64_t number)
+{
+    std::array<char, 20> hex{};
+    std::snprintf(hex.data(), hex.size(), "%016llx",
+                  static_cast<unsigned long long>(number));
+    return hex.data();
+}
+
+double in_ms(duration length)
+{
+    return std::chrono::duration<double, std::milli>(length).count();
+}
+
+api_problem bad_range(const std::string& field, const std::string& range)
+{
+    return {400, reason::malformed, field + " must be " + range};
+}
+
+json::object to_row(const report_line& line)
+{
+    json::object row{{"at", wall_text(line.wall)},
+                     {"entry", line.entry},
+                     {"decision", to_name(line.kind)},
+                     {"reason", to_name(line.why)},
+                     {"verdict", to_name(line.what)}};
+    row["submission"] = line.submission;
+    row["runner"] = line.runner;
+    row["by"] = line.by;
+    row["detail"] = line.detail;
+    return row;
+}
+
+/// One decision of a ring in words.
+std::string sentence(const decision_record& record, const std::string& runner)
+{
+    const std::string why(to_name(record.why));
+    const std::string ms = std::to_string(record.micros / 1000) + "." +
+                           std::to_string(record.micros % 1000 / 100) + " ms";
+    switch (record.kind)
+    {
+    case decision_kind::admitted:
+        return "admitted with " + std::to_string(record.task) + " tasks";
+    case decision_kind::refused:
+        return "refused because " + why + "; come back in " + ms;
+    case decision_kind::joined:
+        return "a resubmission joined the job";
+    case decision_kind::placed:
+        return "waited " + ms + ", then placed on " + runner + " because " +
+               why;
+    case decision_kind::ended:
+        return std::string(to_name(record.what)) + " on " + runner +
+               " after " + ms + (record.why == reason::none ? "" : ": " + why);
+    case decision_kind::retried:
+        return "to be sent again in " + ms + " because " + runner +
+               " said " + why;
+    case decision_kind::completed:
+        return "answered complete after " + ms;
+    case decision_kind::failed:
+        return "marked failed, " + std::string(to_name(record.what)) +
+               ", because " + why + " after " + ms;
+    default:
+        break;
+    }
+    return std::string(to_name(record.kind)) + " " + runner + " because " +
+           why;
+}
+
+/// Records of one shard with the names of their runners.
+struct named_record
+{
+    decision_record record; ///< The decision.
+    std::string runner;     ///< May be empty.
+};
+
+using named_records = std::vector<named_record>;
+
+/// @return Decisions about a submission, or about runners for sequence 0.
+named_records records_of(shard& one, std::uint64_t sequence)
+{
+    named_records found;
+    one.jobs().ring().for_each(
+        [&](const decision_record& record)
+        {
+            if (record.sequence == sequence)
+                found.push_back({record, record.runner == 0
+                                             ? ""
+                                             : one.links().name_of(
+                                                   record.runner - 1)});
+        });
+    return found;
+}
+
+/// Whether a decision belongs to a question.
+bool belongs(const decision_record& record, const why_statement& why)
+{
+    const bool of_task = record.kind == decision_kind::placed ||
+                         record.kind == decision_kind::ended ||
+                         record.kind == decision_kind::retried;
+    switch (why.target)
+    {
+    case why_target::task:
+        return !of_task || record.task == why.task;
+    case why_target::refused:
+        return record.kind == decision_kind::refused;
+    case why_target::failed:
+    case why_target::drained:
+        break;
+    }
+    // A failure is explained by all that ended badly.
+    return !of_task || record.what != verdict::ran ||
+           record.kind == decision_kind::retried;
+}
+
+json::object to_row(const named_record& one)
+{
+    return {{"at", wall_text(one.record.wall)},
+            {"decision", to_name(one.record.kind)},
+            {"reason", to_name(one.record.why)},
+            {"verdict", to_name(one.record.what)},
+            {"runner", one.runner},
+            {"text", sentence(one.record, one.runner)}};
+}
+
+} // namespace
+
+/// One statement on its way.
+struct operator_desk::context
+{
+    std::string text;      ///< As written.
+    std::string by;        ///< Which operator.
+    statement_scope scope; ///< Whom it asks.
+    answer_sink done;      ///< Told the answer.
+
+    void refuse(const api_problem& problem) const
+    {
+        done(problem.to_answer());
+    }
+};
+
+void operator_desk::run(const std::string& text, const std::string& by,
+                        statement_scope scope, answer_sink done)
+{
+    auto on = std::make_shared<context>(
+        context{text, by, scope, std::move(done)});
+    const auto parsed = parse_statement(text, dialect::operators);
+    if (!parsed)
+        return on->refuse(
+            {400, reason::malformed, parsed.error().text()});
+    std::visit(
+        [this, &on](const auto& one)
+        {
+            // The operators' dialect has no other statements.
+            if constexpr (requires { this->execute(one, on); })
+                execute(one, on);
+        },
+        parsed.value());
+}
+
+void operator_desk::execute(const help_statement&, const context_ptr& on)
+{
+    row_table rows;
+    std::istringstream lines{std::string(statement_help())};
+    std::string line;
+    while (std::getline(lines, line))
+        rows.add({{"statement", line}});
+    on->done(rows.to_answer());
+}
+
+void operator_desk::execute(const show_statement& show, const context_ptr& on)
+{
+    static const std::map<show_target, row_merge> merges{
+        {show_target::runners, {"name", {"in_flight", "started", "refused"}}},
+        {show_target::entries, {"", {}}},
+        {show_target::teams, {"name", {"in_use"}}},
+        {show_target::jobs, {"", {}}}};
+    const auto finish = [on, show](row_table rows)
+    {
+        const auto kept = rows.filter(show.where);
+        if (!kept)
+            return on->refuse(kept.error());
+        on->done(rows.to_answer());
+    };
+    local_rows(show.target,
+               [this, on, show, finish](row_table own)
+               {
+                   const auto how = merges.find(show.target);
+                   if (how == merges.end())
+                       return finish(std::move(own));
+                   join_peers(on, std::move(own), how->second, finish);
+               });
+}
+
+void operator_desk::join_peers(const context_ptr& on, row_table own,
+                               const row_merge& how,
+                               std::function<void(row_table)> done)
+{
+    const auto peers = plane_.peers().reachable();
+    if (on->scope == statement_scope::this_entry || peers.empty())
+        return done(std::move(own));
+    struct collection
+    {
+        row_table rows;
+        std::size_t open;
+    };
+    auto all =
+        std::make_shared<collection>(collection{std::move(own), peers.size()});
+    // Conditions are applied to the joined rows, so peers are asked for all.
+    const auto where = on->text.find(" where ");
+    const std::string text = on->text.substr(0, where);
+    for (const auto& peer : peers)
+    {
+        plane_.peers().operate(peer, text, on->by,
+                               [all, how, done](
+                                   std::optional<job_answer> answer)
+                               {
+                                   if (answer)
+                                       all->rows.merge(*answer, how);
+                                   if (--all->open > 0)
+                                       return;
+                                   all->rows.sort_by("name");
+                                   done(std::move(all->rows));
+                               });
+    }
+}
+
+void operator_desk::local_rows(show_target target,
+                               std::function<void(row_table)> done)
+{
+    switch (target)
+    {
+    case show_target::runners:
+        return show_runners(std::move(done));
+    case show_target::entries:
+        return show_entries(std::move(done));
+    case show_target::teams:
+        return show_teams(std::move(done));
+    case show_target::jobs:
+        return show_jobs(std::move(done));
+    case show_target::configuration:
+    case show_target::settings:
+        break;
+    }
+    row_table rows;
+    if (target == show_target::settings)
+    {
+        const auto values = plane_.settings_in_force();
+        for (const auto& setting : setting_table())
+            rows.add({{"name", setting.name},
+                      {"value", value_text(setting, values)},
+                      {"allowed", range_text(setting)},
+                      {"about", setting.about}});
+        return done(std::move(rows));
+    }
+    for (const auto& [key, row] : plane_.store().current().rows())
+    {
+        if (row.value.empty())
+            continue;
+        const bool secret =
+            key.starts_with(row_key(row_kind::token, ""));
+        rows.add({{"key", key},
+                  {"value", secret ? "(hidden)" : row.value},
+                  {"version", row.version},
+                  {"by", row.by},
+                  {"when", wall_text(row.when * 1'000'000'000)}});
+    }
+    done(std::move(rows));
+}
+
+void operator_desk::show_runners(std::function<void(row_table)> done)
+{
+    using runner_rows = std::vector<runner_row>;
+    plane_.shards().gather<runner_rows>(
+        [](shard& one) { return one.links().rows(); },
+        [done](const std::vector<runner_rows>& all)
+        {
+            std::map<std::string, runner_row> joined;
+            for (const auto& rows : all)
+            {
+                for (const auto& row : rows)
+                {
+                    auto [known, fresh] = joined.try_emplace(row.name, row);
+                    if (fresh)
+                        continue;
+                    known->second.in_flight += row.in_flight;
+                    known->second.started += row.started;
+                    known->second.refused += row.refused;
+                }
+            }
+            row_table rows;
+            for (const auto& [name, row] : joined)
+                rows.add({{"name", name},
+                          {"hall", row.hall},
+                          {"state", row.state},
+                          {"slots", row.slots},
+                          {"in_flight", row.in_flight},
+                          {"started", row.started},
+                          {"refused", row.refused},
+                          {"config_version", row.config_version}});
+            done(std::move(rows));
+        });
+}
+
+void operator_desk::show_entries(std::function<void(row_table)> done)
+{
+    struct entry_counts
+    {
+        std::size_t jobs = 0;
+        std::size_t queued = 0;
+        std::size_t links = 0;
+    };
+    plane_.shards().gather<entry_counts>(
+        [](shard& one)
+        {
+            entry_counts counts;
+            counts.jobs = one.jobs().jobs();
+            counts.queued = one.jobs().queued_tasks();
+            for (const auto& view : one.jobs().runners())
+                counts.links += view.connected ? 1 : 0;
+            return counts;
+        },
+        [this, done](const std::vector<entry_counts>& all)
+        {
+            entry_counts sum;
+            for (const auto& one : all)
+            {
+                sum.jobs += one.jobs;
+                sum.queued += one.queued;
+                sum.links += one.links;
+            }
+            row_table rows;
+            rows.add({{"name", plane_.entry()},
+                      {"hall", plane_.hall()},
+                      {"state", backend_.stopping() ? "stopping" : "up"},
+                      {"incarnation", hex_text(plane_.incarnation())},
+                      {"jobs", sum.jobs},
+                      {"queued_tasks", sum.queued},
+                      {"links_up", sum.links},
+                      {"config_version",
+                       plane_.store().current().version()}});
+            done(std::move(rows));
+        });
+}
+
+void operator_desk::show_teams(std::function<void(row_table)> done)
+{
+    std::vector<std::string> names;
+    const auto& config = plane_.store().current();
+    for (const auto kind :
+         {row_kind::quota, row_kind::weight, row_kind::token})
+    {
+        for (const auto& [team, row] : config.rows_of(kind))
+        {
+            if (std::find(names.begin(), names.end(), team) == names.end())
+                names.push_back(team);
+        }
+    }
+    using rates = std::vector<double>;
+    plane_.shards().gather<rates>(
+        [names](shard& one)
+        {
+            rates in_use;
+            for (const auto& team : names)
+                in_use.push_back(one.jobs().quota().in_use(
+                    team, process_clock().now()));
+            return in_use;
+        },
+        [this, names, done](const std::vector<rates>& all)
+        {
+            const auto& config = plane_.store().current();
+            const double fallback =
+                plane_.settings_in_force().default_team_quota;
+            row_table rows;
+            for (std::size_t i = 0; i < names.size(); ++i)
+            {
+                double in_use = 0;
+                for (const auto& one : all)
+                    in_use += one[i];
+                const auto* quota =
+                    config.find(row_key(row_kind::quota, names[i]));
+                const auto* weight =
+                    config.find(row_key(row_kind::weight, names[i]));
+                json::object row{{"name", names[i]}};
+                if (quota || fallback >= 0)
+                    row["quota"] = quota ? std::strtod(quota->value.c_str(),
+                                                       nullptr)
+                                         : fallback;
+                else
+                    row["quota"] = nullptr;
+                row["in_use"] = std::round(in_use * 10) / 10;
+                row["weight"] =
+                    weight ? std::strtod(weight->value.c_str(), nullptr) : 1.0;
+                row["token"] =
+                    config.find(row_key(row_kind::token, names[i])) != nullptr;
+                rows.add(std::move(row));
+            }
+            done(std::move(rows));
+        });
+}
+
+void operator_desk::show_jobs(std::function<void(row_table)> done)
+{
+    using job_rows = std::vector<job_row>;
+    plane_.shards().gather<job_rows>(
+        [](shard& one) { return one.jobs().job_rows(most_job_rows); },
+        [done](const std::vector<job_rows>& all)
+        {
+            row_table rows;
+            for (const auto& some : all)
+            {
+                for (const auto& row : some)
+                    rows.add({{"name", row.id},
+                              {"team", row.team},
+                              {"state", row.state},
+                              {"tasks", row.tasks},
+                              {"done", row.done},
+                              {"waiting", row.waiting},
+                              {"age_ms", std::round(in_ms(row.age))}});
+            }
+            done(std::move(rows));
+        });
+}
+
+void operator_desk::change(std::map<std::string, std::string> rows,
+                           const context_ptr& on)
+{
+    std::string told = on->text;
+    // A secret is neither logged nor kept.
+    if (const auto at = told.find(" token "); at != std::string::npos)
+        told = told.substr(0, at) + " token (hidden)";
+    plane_.store().change(
+        std::move(rows), on->by, told,
+        [this, on, told](const change_answer& answer)
+        {
+            log_change(log_level::info, "configuration_change",
+                       {{"by", on->by},
+                        {"statement", told},
+                        {"answer", answer.text()}});
+            plane_.note(decision_kind::changed, reason::operator_command, "",
+                        on->by, told + ": " + answer.text());
+            json::object row{{"answer", answer.text()},
+                             {"state", to_name(answer.state)},
+                             {"change", answer.id}};
+            if (answer.state == change_state::accepted)
+                row["version"] = answer.version;
+            row_table table;
+            table.add(std::move(row));
+            auto told_answer = table.to_answer();
+            if (answer.state == change_state::refused)
+                told_answer = api_problem{409, reason::body_conflict,
+                                          answer.text()}
+                                  .to_answer();
+            on->done(std::move(told_answer));
+        });
+}
+
+void operator_desk::execute(const show_change_statement& show,
+                            const context_ptr& on)
+{
+    // The entry that took the change knows most about it.
+    const auto owner = show.id.substr(0, show.id.find('.'));
+    if (owner != plane_.entry() && on->scope == statement_scope::everyone &&
+        plane_.peers().report_of(owner))
+        return plane_.peers().operate(
+            owner, on->text, on->by,
+            [on](std::optional<job_answer> answer)
+            {
+                if (answer)
+                    return on->done(std::move(*answer));
+                on->refuse({503, reason::entry_unreachable,
+                            "the entry that took the change does not answer"});
+            });
+    plane_.store().ask(show.id,
+                       [on](const change_answer& answer)
+                       {
+                           json::object row{{"change", answer.id},
+                                            {"state", to_name(answer.state)},
+                                            {"answer", answer.text()}};
+                           if (answer.state == change_state::accepted)
+                               row["version"] = answer.version;
+                           row_table rows;
+                           rows.add(std::move(row));
+                           on->done(rows.to_answer());
+                       });
+}
+
+void operator_desk::execute(const set_quota_statement& set,
+                            const context_ptr& on)
+{
+    if (set.quota < least_quota || set.quota > most_quota)
+        return on->refuse(
+            bad_range("quota", "a number in 0..1000000 tasks/s"));
+    std::ostringstream text;
+    text << set.quota;
+    change({{row_key(row_kind::quota, set.team), text.str()}}, on);
+}
+
+void operator_desk::execute(const set_weight_statement& set,
+                            const context_ptr& on)
+{
+    if (set.weight < least_weight || set.weight > most_weight)
+        return on->refuse(bad_range("weight", "a number in 0.01..1000"));
+    std::ostringstream text;
+    text << set.weight;
+    change({{row_key(row_kind::weight, set.team), text.str()}}, on);
+}
+
+void operator_desk::execute(const set_token_statement& set,
+                            const context_ptr& on)
+{
+    constexpr std::size_t least_length = 8;
+    if (set.token.size() < least_length)
+        return on->refuse(bad_range("token", "8 characters or more"));
+    change({{row_key(row_kind::token, set.team), hash_token(set.token)}}, on);
+}
+
+void operator_desk::execute(const unset_team_statement& unset,
+                            const context_ptr& on)
+{
+    std::map<std::string, std::string> rows;
+    for (const auto kind :
+         {row_kind::quota, row_kind::weight, row_kind::token})
+    {
+        const auto key = row_key(kind, unset.team);
+        if (plane_.store().current().find(key))
+            rows[key] = "";
+    }
+    if (rows.empty())
+        return on->refuse({404, reason::malformed,
+                           "team " + unset.team + " has no row"});
+    change(std::move(rows), on);
+}
+
+void operator_desk::execute(const set_statement& set, const context_ptr& on)
+{
+    const auto* setting = find_setting(set.key);
+    if (!setting)
+    {
+        std::string names;
+        for (const auto& one : setting_table())
+            names.append(names.empty() ? "" : ", ").append(one.name);
+        return on->refuse({400, reason::malformed,
+                           "there is no setting '" + set.key +
+                               "'; there are " + names});
+    }
+    tuning scratch;
+    const auto fits = set_value(*setting, set.value, scratch);
+    if (!fits)
+        return on->refuse({400, reason::malformed, fits.error().text});
+    change({{row_key(row_kind::setting, set.key), set.value}}, on);
+}
+
+void operator_desk::execute(const drain_statement& drain,
+                            const context_ptr& on)
+{
+    const auto* runner = plane_.members().find(drain.runner);
+    const auto key = row_key(row_kind::drain, drain.runner);
+    const bool drained = plane_.store().current().find(key) != nullptr;
+    const bool known = runner && runner->role == member_role::runner;
+    if (!known && !(drained && !drain.on))
+        return on->refuse({404, reason::malformed,
+                           "there is no runner " + drain.runner});
+    change({{key, drain.on ? on->by : ""}}, on);
+}
+
+void operator_desk::execute(const create_job_statement& create,
+                            const context_ptr& on)
+{
+    if (create.tasks < 1 || create.tasks > most_created_tasks)
+        return on->refuse(bad_range("tasks", "a whole number in 1..1000"));
+    json::array tasks;
+    boost::system::error_code ec;
+    const auto payload = json::parse(create.payload, ec);
+    for (std::size_t i = 0; i < create.tasks; ++i)
+        tasks.push_back(json::object{{"payload", payload}});
+    const auto body = json::serialize(
+        json::object{{"team", create.team}, {"tasks", std::move(tasks)}});
+    auto request = parse_job(body, backend_.limits());
+    if (!request)
+        return on->refuse(request.error());
+    if (backend_.stopping())
+        return on->refuse({503, reason::stopping, "this entry is stopping",
+                           verdict::not_run, seconds{1}});
+    auto job = std::make_shared<routed_job>();
+    job->body = body;
+    job->request = std::move(request.value());
+    plane_.shards().at(0).post([this, on, job](shard&)
+                               { run_created(job, on); });
+}
+
+void operator_desk::run_created(const std::shared_ptr<routed_job>& job,
+                                const context_ptr& on)
+{
+    job->id = backend_.mint_ids(1).front();
+    const auto id = job->id;
+    // The operator is told the id at once, or that it was refused at once.
+    auto told = std::make_shared<bool>(false);
+    backend_.submit(std::move(*job),
+                    [on, told](job_answer answer)
+                    {
+                        if (!answer.is_problem() || std::exchange(*told, true))
+                            return;
+                        on->done(std::move(answer));
+                    });
+    backend_.lookup(id,
+                    [on, told, id](const job_answer& answer)
+                    {
+                        if (answer.is_problem() || std::exchange(*told, true))
+                            return;
+                        row_table rows;
+                        rows.add({{"submission", id.to_string()},
+                                  {"state", "running"}});
+                        on->done(rows.to_answer());
+                    });
+}
+
+bool operator_desk::to_minter(const submission_id& id, const context_ptr& on)
+{
+    const auto* report = plane_.peers().report_of(id.entry);
+    const bool elsewhere = id.incarnation != plane_.incarnation() && report &&
+                           report->incarnation == id.incarnation &&
+                           on->scope == statement_scope::everyone;
+    if (!elsewhere)
+        return false;
+    plane_.peers().operate(
+        id.entry, on->text, on->by,
+        [on](std::optional<job_answer> answer)
+        {
+            if (answer)
+                return on->done(std::move(*answer));
+            on->refuse({503, reason::entry_unreachable,
+                        "the entry of that submission does not answer"});
+        });
+    return true;
+}
+
+void operator_desk::execute(const cancel_statement& cancel,
+                            const context_ptr& on)
+{
+    const auto id = submission_id::parse(cancel.id);
+    if (!id)
+        return on->refuse({400, reason::malformed,
+                           "'" + cancel.id + "' is not a submission id"});
+    if (to_minter(*id, on))
+        return;
+    if (id->incarnation != plane_.incarnation())
+        return on->refuse({404, reason::unknown_submission,
+                           "no entry that is up has that submission"});
+    plane_.shards().owner_of(id->sequence).post(
+        [id = *id, on](shard& one)
+        {
+            const auto cancelled = one.jobs().cancel(id.sequence);
+            one.schedule_dispatch();
+            if (!cancelled)
+                return on->refuse(cancelled.error());
+            row_table rows;
+            rows.add({{"submission", id.to_string()},
+                      {"cancelled_tasks", cancelled.value()}});
+            on->done(rows.to_answer());
+        });
+}
+
+void operator_desk::execute(const why_statement& why, const context_ptr& on)
+{
+    if (why.target == why_target::drained)
+        return explain_drain(why.subject, on);
+    const auto id = submission_id::parse(why.subject);
+    if (!id)
+        return on->refuse({400, reason::malformed,
+                           "'" + why.subject + "' is not a submission id"});
+    if (to_minter(*id, on))
+        return;
+    if (id->incarnation == plane_.incarnation())
+        return explain_here(why, *id, on);
+    // The entry is no more; what it decided against callers is kept.
+    const auto subject = why.subject;
+    explain_from_reports(
+        control_plane::report_prefix(id->entry, id->incarnation), on, {},
+        [subject](const report_line& line)
+        { return line.submission == subject; });
+}
+
+void operator_desk::explain_here(const why_statement& why,
+                                 const submission_id& id,
+                                 const context_ptr& on)
+{
+    plane_.shards().owner_of(id.sequence).post(
+        [why, id, on](shard& one)
+        {
+            row_table rows;
+            for (const auto& record : records_of(one, id.sequence))
+            {
+                if (belongs(record.record, why))
+                    rows.add(to_row(record));
+            }
+            if (rows.size() == 0)
+                return on->refuse(
+                    {404, reason::unknown_submission,
+                     "nothing is kept about that submission"});
+            on->done(rows.to_answer());
+        });
+}
+
+void operator_desk::explain_drain(const std::string& runner,
+                                  const context_ptr& on)
+{
+    row_table rows;
+    const auto* row = plane_.store().current().find(
+        row_key(row_kind::drain, runner));
+    if (row)
+        rows.add({{"at", wall_text(row->when * 1'000'000'000)},
+                  {"decision", "drained"},
+                  {"reason", to_name(reason::operator_command)},
+                  {"runner", runner},
+                  {"by", row->by},
+                  {"detail", "configuration version " +
+                                 std::to_string(row->version)}});
+    const auto* member = plane_.members().find(runner);
+    if (member && member->state == member_state::leaving)
+        rows.add({{"at", wall_text(wall_nanoseconds())},
+                  {"decision", "drained"},
+                  {"reason", to_name(reason::leaving)},
+                  {"runner", runner},
+                  {"by", "platform list"},
+                  {"detail", "the VM is leaving"}});
+    plane_.report().for_each(
+        [&](const report_line& line)
+        {
+            if (line.runner == runner)
+                rows.add(to_row(line));
+        });
+    explain_from_reports("night/", on, std::move(rows),
+                         [runner](const report_line& line)
+                         {
+                             return line.runner == runner &&
+                                    line.kind != decision_kind::refused;
+                         });
+}
+
+void operator_desk::explain_from_reports(
+    const std::string& prefix, const context_ptr& on, row_table found,
+    std::function<bool(const report_line&)> wanted)
+{
+    auto rows = std::make_shared<row_table>(std::move(found));
+    plane_.platform().list_objects(
+        prefix,
+        [this, on, rows, wanted = std::move(wanted)](
+            platform_outcome outcome, std::vector<std::string> names)
+        {
+            if (outcome != platform_outcome::done && rows->size() == 0)
+                return on->refuse({503, reason::entry_unreachable,
+                                   "the object store with the kept decisions "
+                                   "is away",
+                                   verdict::not_run, seconds{5}});
+            if (names.size() > most_report_objects)
+                names.erase(names.begin(),
+                            names.end() - most_report_objects);
+            read_reports(std::move(names), on, rows, wanted);
+        });
+}
+
+void operator_desk::read_reports(
+    std::vector<std::string> names, const context_ptr& on,
+    std::shared_ptr<row_table> found,
+    std::function<bool(const report_line&)> wanted)
+{
+    if (names.empty())
+    {
+        if (found->size() == 0)
+            return on->refuse({404, reason::unknown_submission,
+                               "nothing is kept about that"});
+        found->sort_by("at");
+        return on->done(found->to_answer());
+    }
+    const auto name = names.back();
+    names.pop_back();
+    plane_.platform().read_object(
+        name,
+        [this, names = std::move(names), on, found,
+         wanted = std::move(wanted)](platform_outcome, std::string content)
+        {
+            std::istringstream lines(content);
+            std::string text;
+            while (std::getline(lines, text))
+            {
+                const auto line = report_line::from_json(text);
+                if (line && wanted(*line))
+                    found->add(to_row(*line));
+            }
+            read_reports(names, on, found, wanted);
+        });
+}
+
+void operator_desk::execute(const why_waste_statement& why,
+                            const context_ptr& on)
+{
+    const auto counts =
+        plane_.waste().within(process_clock().now(), why.since);
+    row_table rows;
+    for (std::size_t i = 0; i < counts.by_kind.size(); ++i)
+    {
+        const double messages = static_cast<double>(counts.by_kind[i]);
+        const double tasks = static_cast<double>(counts.tasks);
+        const double share = counts.tasks == 0 ? 0 : messages * 1000 / tasks;
+        rows.add({{"name", to_name(static_cast<waste_kind>(i))},
+                  {"messages", counts.by_kind[i]},
+                  {"per_1000_tasks", std::round(share * 100) / 100},
+                  {"cause", waste_causes[i]}});
+    }
+    join_peers(on, std::move(rows), {"name", {"messages", "per_1000_tasks"}},
+               [on](const row_table& all) { on->done(all.to_answer()); });
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/entry/peer_service.hpp
@@ -0,0 +1,43 @@
+#ifndef GLENHOLLOW_ENTRY_PEER_SERVICE_HPP
+#define GLENHOLLOW_ENTRY_PEER_SERVICE_HPP
+
+#include "glenhollow/entry/caller_api.hpp"
+#include "glenhollow/entry/control_plane.hpp"
+#include "glenhollow/entry/operator_desk.hpp"
+#include "glenhollow/wire/glenhollow.capnp.h"
+
+namespace glenhollow
+{
+
+/// What an entry offers to other entries. On the control thread, inside an
+/// rpc_loop.
+class peer_service final : public wire::Peer::Server
+{
+public:
+    /// @param plane The entry's control thread; outlives the service.
+    /// @param backend Runs jobs; outlives the service.
+    /// @param desk Answers statements; outlives the service.
+    peer_service(control_plane& plane, entry_backend& backend,
+                 operator_desk& desk)
+        : plane_(plane), backend_(backend), desk_(desk)
+    {
+    }
+
+    kj::Promise<void> exchange(ExchangeContext context) override;
+    kj::Promise<void> submit(SubmitContext context) override;
+    kj::Promise<void> lookup(LookupContext context) override;
+    kj::Promise<void> configuration(ConfigurationContext context) override;
+    kj::Promise<void> operate(OperateContext context) override;
+    kj::Promise<void> keep(KeepContext context) override;
+    kj::Promise<void> holds(HoldsContext context) override;
+    kj::Promise<void> members(MembersContext context) override;
+
+private:
+    control_plane& plane_;   ///< The entry's control thread.
+    entry_backend& backend_; ///< Runs jobs.
+    operator_desk& desk_;    ///< Answers statements.
+};
+
+} // namespace glenhollow
+
+#endif
--- /dev/null
+++ b/src/glenhollow/http/message.hpp
@@ -0,0 +1,59 @@
+#ifndef GLENHOLLOW_HTTP_MESSAGE_HPP
+#define GLENHOLLOW_HTTP_MESSAGE_HPP
+
+#include "glenhollow/core/verdict.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace glenhollow
+{
+
+/// One header line.
+struct http_header
+{
+    std::string name;  ///< As on the wire; compared without case.
+    std::string value; ///< Without surrounding blanks.
+};
+
+/// The headers of one message.
+using http_headers = std::vector<http_header>;
+
+/// @param headers Where to look.
+/// @param name The header's name, in any case.
+/// @return Its value, empty where there is none.
+std::string_view header_value(const http_headers& headers,
+                              std::string_view name);
+
+/// A request, received or to be sent.
+struct http_request
+{
+    std::string method = "GET"; ///< In capitals.
+    std::string target = "/";   ///< Path and query.
+    http_headers headers;       ///< Those that matter to the receiver.
+    std::string body;           ///< Whole.
+};
+
+/// A response, received or to be sent.
+struct http_response
+{
+    unsigned status = 200;                          ///< HTTP status.
+    std::string content_type = "application/json";  ///< Of the body.
+    http_headers headers;                           ///< Besides the type.
+    std::string body;                               ///< Whole.
+};
+
+/// How a call to a server ended.
+struct http_result
+{
+    send_progress progress = send_progress::nothing_sent; ///< Bytes sent.
+    bool answered = false;                                ///< Whole answer.
+    bool timed_out = false;                               ///< Gave up waiting.
+    std::string error;                                    ///< Why no answer.
+    http_response response;                               ///< If answered.
+};
+
+} // namespace glenhollow
+
+#endif
--- /dev/null
+++ b/src/glenhollow/http/server.cpp
@@ -0,0 +1,278 @@
+#include "glenhollow/http/server.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <sys/socket.h>
+
+namespace glenhollow
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr auto token = asio::use_awaitable;
+
+http_request to_request(http::request<http::string_body>& message)
+{
+    http_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto& field : message)
+        request.headers.push_back({std::string(field.name_string()),
+                                   std::string(field.value())});
+    request.body = std::move(message.body());
+    return request;
+}
+
+http::response<http::string_body> to_message(http_response answer,
+                                             bool keep_alive)
+{
+    http::response<http::string_body> message;
+    message.version(11);
+    message.result(answer.status);
+    message.set(http::field::content_type, answer.content_type);
+    for (const auto& header : answer.headers)
+        message.set(header.name, header.value);
+    message.body() = std::move(answer.body);
+    message.keep_alive(keep_alive);
+    message.prepare_payload();
+    return message;
+}
+
+http_response refusal_of(error_code ec)
+{
+    http_response answer;
+    answer.content_type = "application/problem+json";
+    std::string title = "malformed request";
+    std::string why = "malformed";
+    answer.status = 400;
+    if (ec == http::error::body_limit)
+    {
+        answer.status = 413;
+        title = "the body is too large";
+        why = "too_large";
+    }
+    else if (ec == http::error::header_limit)
+    {
+        answer.status = 431;
+        title = "the headers are too large";
+        why = "too_large";
+    }
+    answer.body = R"({"type":"about:blank","title":")" + title +
+                  R"(","status":)" + std::to_string(answer.status) +
+                  R"(,"detail":")" + ec.message() +
+                  R"(","verdict":"not_run","reason":")" + why + R"("})";
+    return answer;
+}
+
+/// Waits until the handler has called its responder.
+asio::awaitable<http_response> respond(const http_handler& handler,
+                                       http_request request)
+{
+    auto start = [&handler, &request](auto completion)
+    {
+        using completion_type = decltype(completion);
+        auto shared = std::make_shared<completion_type>(std::move(completion));
+        auto executor = asio::get_associated_executor(*shared);
+        handler(std::move(request),
+                [shared, executor](http_response answer)
+                {
+                    asio::post(executor,
+                               [shared, answer = std::move(answer)]() mutable
+                               { (*shared)(std::move(answer)); });
+                });
+    };
+    co_return co_await asio::async_initiate<const asio::use_awaitable_t<>&,
+                                            void(http_response)>(start, token);
+}
+
+} // namespace
+
+/// What the listener and its connections share.
+struct http_server::state : std::enable_shared_from_this<state>
+{
+    state(asio::io_context& context, const http_server_settings& limits,
+          http_handler to)
+        : io(context), settings(limits), handler(std::move(to)), acceptor(io)
+    {
+    }
+
+    asio::io_context& io;            ///< Runs the connections.
+    http_server_settings settings;   ///< Limits.
+    http_handler handler;            ///< Takes the requests.
+    tcp::acceptor acceptor;          ///< Listens.
+    std::size_t connections = 0;     ///< Open now.
+    std::size_t in_flight = 0;       ///< Requests taken, not answered.
+    bool stopping = false;           ///< No new connections.
+    bool closing = false;            ///< Connections close when answered.
+
+    result<void> listen()
+    {
+        error_code ec;
+        const auto address = asio::ip::make_address(settings.address, ec);
+        if (ec)
+            return failure{"address " + settings.address +
+                           " is not an IP number"};
+        acceptor.open(address.is_v4() ? tcp::v4() : tcp::v6(), ec);
+        acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+        if (settings.share_port)
+        {
+            const int on = 1;
+            ::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_REUSEPORT,
+                         &on, sizeof on);
+        }
+        acceptor.bind(tcp::endpoint(address, settings.port), ec);
+        if (!ec)
+            acceptor.listen(asio::socket_base::max_listen_connections, ec);
+        if (ec)
+            return failure{"cannot listen on " + settings.address + ":" +
+                           std::to_string(settings.port) + ": " +
+                           ec.message()};
+        asio::co_spawn(io, accept_all(shared_from_this()), asio::detached);
+        return outcome::success();
+    }
+
+    static asio::awaitable<void> accept_all(std::shared_ptr<state> self)
+    {
+        while (!self->stopping)
+        {
+            error_code ec;
+            auto socket = co_await self->acceptor.async_accept(
+                asio::redirect_error(token, ec));
+            if (ec == asio::error::operation_aborted)
+                co_return;
+            if (ec || self->connections >= self->settings.max_connections)
+                continue;
+            asio::co_spawn(self->io, serve(self, std::move(socket)),
+                           asio::detached);
+        }
+    }
+
+    static asio::awaitable<void> serve(std::shared_ptr<state> self,
+                                       tcp::socket socket)
+    {
+        error_code ec;
+        socket.set_option(tcp::no_delay(true), ec);
+        beast::tcp_stream stream(std::move(socket));
+        beast::flat_buffer buffer;
+        ++self->connections;
+        bool keep = true;
+        while (keep)
+            keep = co_await serve_one(*self, stream, buffer);
+        --self->connections;
+        stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    }
+
+    /// Answers one request.
+    /// @return Whether the connection can take another.
+    static asio::awaitable<bool> serve_one(state& self,
+                                           beast::tcp_stream& stream,
+                                           beast::flat_buffer& buffer)
+    {
+        error_code ec;
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(self.settings.max_body_bytes);
+        parser.header_limit(self.settings.max_header_bytes);
+        if (buffer.size() == 0)
+        {
+            // Only the wait for the first byte may take the idle time.
+            stream.expires_after(self.settings.idle_timeout);
+            const std::size_t n = co_await stream.async_read_some(
+                buffer.prepare(4096), asio::redirect_error(token, ec));
+            buffer.commit(n);
+            if (ec)
+                co_return false;
+        }
+        stream.expires_after(self.settings.read_timeout);
+        co_await http::async_read(stream, buffer, parser,
+                                  asio::redirect_error(token, ec));
+        if (ec == http::error::end_of_stream ||
+            ec == http::error::partial_message || ec == beast::error::timeout ||
+            ec == asio::error::connection_reset)
+            co_return false;
+        if (ec)
+        {
+            auto refusal = to_message(refusal_of(ec), false);
+            co_await http::async_write(stream, refusal,
+                                       asio::redirect_error(token, ec));
+            // What the caller still sends is read, so that it sees the answer.
+            stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+            co_await discard_rest(stream);
+            co_return false;
+        }
+        stream.expires_never();
+        ++self.in_flight;
+        const bool keep_alive = parser.get().keep_alive();
+        auto answer =
+            co_await respond(self.handler, to_request(parser.get()));
+        auto message =
+            to_message(std::move(answer), keep_alive && !self.closing);
+        stream.expires_after(self.settings.read_timeout);
+        co_await http::async_write(stream, message,
+                                   asio::redirect_error(token, ec));
+        --self.in_flight;
+        co_return !ec && message.keep_alive();
+    }
+
+    /// Reads and drops what is left of a refused request, up to a bound.
+    static asio::awaitable<void> discard_rest(beast::tcp_stream& stream)
+    {
+        constexpr std::size_t most = 16UL << 20;
+        std::string scrap(64UL << 10, '\0');
+        std::size_t dropped = 0;
+        error_code ec;
+        stream.expires_after(seconds{2});
+        while (!ec && dropped < most)
+            dropped += co_await stream.async_read_some(
+                asio::buffer(scrap), asio::redirect_error(token, ec));
+    }
+};
+
+http_server::http_server(std::shared_ptr<state> state)
+    : state_(std::move(state))
+{
+}
+
+http_server::~http_server() { stop_accepting(); }
+
+result<std::unique_ptr<http_server>>
+http_server::create(asio::io_context& io, const http_server_settings& settings,
+                    http_handler handler)
+{
+    auto shared = std::make_shared<state>(io, settings, std::move(handler));
+    BOOST_OUTCOME_TRYV(shared->listen());
+    return std::unique_ptr<http_server>(new http_server(std::move(shared)));
+}
+
+std::uint16_t http_server::port() const
+{
+    return state_->acceptor.local_endpoint().port();
+}
+
+void http_server::close_after_answers() { state_->closing = true; }
+
+void http_server::stop_accepting()
+{
+    state_->stopping = true;
+    state_->closing = true;
+    error_code ignored;
+    state_->acceptor.close(ignored);
+}
+
+std::size_t http_server::in_flight() const { return state_->in_flight; }
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/http/server.hpp
@@ -0,0 +1,72 @@
+#ifndef GLENHOLLOW_HTTP_SERVER_HPP
+#define GLENHOLLOW_HTTP_SERVER_HPP
+
+#include "glenhollow/core/clock.hpp"
+#include "glenhollow/core/result.hpp"
+#include "glenhollow/http/message.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace glenhollow
+{
+
+/// Limits of an HTTP server.
+struct http_server_settings
+{
+    std::string address = "127.0.0.1";      ///< Where to listen.
+    std::uint16_t port = 0;                 ///< 0: the kernel picks one.
+    bool share_port = false;                ///< Several listeners, one port.
+    std::size_t max_body_bytes = 8UL << 20; ///< Larger bodies get 413.
+    std::uint32_t max_header_bytes = 16U << 10; ///< Larger headers get 431.
+    duration read_timeout = seconds{30};    ///< For one whole request.
+    duration idle_timeout = seconds{120};   ///< Between requests.
+    std::size_t max_connections = 4096;     ///< More are closed at once.
+};
+
+/// Called once with the answer, on any thread.
+using http_responder = std::function<void(http_response)>;
+
+/// Takes a request and later calls the responder.
+using http_handler = std::function<void(http_request, http_responder)>;
+
+/// An HTTP/1.1 server with keep-alive connections on one io_context.
+class http_server final
+{
+public:
+    /// @param io Runs the connections.
+    /// @param settings Limits.
+    /// @param handler Takes each request, on io's thread.
+    /// @return A listening server, or why it cannot listen.
+    static result<std::unique_ptr<http_server>>
+    create(boost::asio::io_context& io, const http_server_settings& settings,
+           http_handler handler);
+    ~http_server();
+
+    /// @return The port it listens on.
+    std::uint16_t port() const;
+
+    /// Makes each connection close after its next answer.
+    void close_after_answers();
+
+    /// Stops taking connections; requests in flight are answered, and their
+    /// connections close after the answer.
+    void stop_accepting();
+
+    /// @return Requests taken and not yet answered in full.
+    std::size_t in_flight() const;
+
+private:
+    struct state;
+    explicit http_server(std::shared_ptr<state> state);
+    std::shared_ptr<state> state_; ///< Shared with the connections.
+};
+
+} // namespace glenhollow
+
+#endif
--- /dev/null
+++ b/src/glenhollow/rpc/asio_stream.hpp
@@ -0,0 +1,50 @@
+#ifndef GLENHOLLOW_RPC_ASIO_STREAM_HPP
+#define GLENHOLLOW_RPC_ASIO_STREAM_HPP
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <kj/async-io.h>
+
+#include <cstdint>
+#include <memory>
+
+namespace glenhollow
+{
+
+/// What passed through one stream.
+struct stream_stats
+{
+    std::uint64_t bytes_in = 0;  ///< Bytes read from the socket.
+    std::uint64_t bytes_out = 0; ///< Bytes handed to the socket.
+    std::uint64_t reads = 0;     ///< Reads that returned bytes.
+    std::uint64_t writes = 0;    ///< Writes, each with all that was waiting.
+};
+
+/// A KJ stream over an Asio socket. Writes of one turn of the loop leave in
+/// one system call; reads fill a buffer that serves the small reads of the RPC
+/// layer. A destroyed stream cancels its operations.
+class asio_stream final : public kj::AsyncIoStream
+{
+public:
+    /// @param socket A connected socket.
+    /// @param totals Counters to add to; may be shared, outlives the stream.
+    asio_stream(boost::asio::ip::tcp::socket socket, stream_stats& totals);
+    ~asio_stream() noexcept(false);
+
+    kj::Promise<std::size_t> tryRead(void* buffer, std::size_t min_bytes,
+                                     std::size_t max_bytes) override;
+    kj::Promise<void> write(const void* buffer, std::size_t size) override;
+    kj::Promise<void>
+    write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override;
+    kj::Promise<void> whenWriteDisconnected() override;
+    void shutdownWrite() override;
+    void abortRead() override;
+
+private:
+    struct state;
+    std::shared_ptr<state> state_; ///< Kept alive by operations in flight.
+};
+
+} // namespace glenhollow
+
+#endif
--- /dev/null
+++ b/src/glenhollow/rpc/rpc_connection.hpp
@@ -0,0 +1,49 @@
+#ifndef GLENHOLLOW_RPC_RPC_CONNECTION_HPP
+#define GLENHOLLOW_RPC_RPC_CONNECTION_HPP
+
+#include "glenhollow/http/client.hpp"
+#include "glenhollow/rpc/asio_stream.hpp"
+#include "glenhollow/rpc/rpc_loop.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <capnp/rpc-twoparty.h>
+
+#include <functional>
+#include <optional>
+
+namespace glenhollow
+{
+
+/// The client's end of one RPC connection. Calls end when it is destroyed.
+class rpc_connection final
+{
+public:
+    /// @param socket A connected socket.
+    /// @param bytes Counters to add to; outlives the connection.
+    rpc_connection(boost::asio::ip::tcp::socket socket, stream_stats& bytes)
+        : stream_(kj::heap<asio_stream>(std::move(socket), bytes)),
+          client_(kj::heap<capnp::TwoPartyClient>(*stream_))
+    {
+    }
+
+    /// @return The interface that the server offers.
+    capnp::Capability::Client bootstrap() { return client_->bootstrap(); }
+
+private:
+    kj::Own<asio_stream> stream_;           ///< The socket.
+    kj::Own<capnp::TwoPartyClient> client_; ///< The RPC system.
+};
+
+/// Opens a TCP connection.
+/// @param io Runs it.
+/// @param where The address.
+/// @param done Told the socket, or nothing where there is none.
+void connect_rpc(
+    boost::asio::io_context& io, const host_port& where,
+    std::function<void(std::optional<boost::asio::ip::tcp::socket>)> done);
+
+} // namespace glenhollow
+
+#endif
--- /dev/null
+++ b/src/glenhollow/rpc/rpc_loop.cpp
@@ -0,0 +1,38 @@
+#include "glenhollow/rpc/rpc_loop.hpp"
+
+#include "glenhollow/rpc/asio_event_port.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+
+namespace glenhollow
+{
+
+void rpc_loop::run(const std::function<void()>& set_up,
+                   const std::function<void()>& tear_down)
+{
+    asio_event_port port(io_);
+    kj::EventLoop loop(port);
+    kj::WaitScope scope(loop);
+    const auto guard = boost::asio::make_work_guard(io_);
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    stopped_ = kj::mv(paf.fulfiller);
+    set_up();
+    paf.promise.wait(scope);
+    stopped_ = nullptr;
+    tear_down();
+}
+
+void rpc_loop::stop()
+{
+    boost::asio::post(io_,
+                      [this]
+                      {
+                          KJ_IF_MAYBE (stopped, stopped_)
+                              (*stopped)->fulfill();
+                      });
+}
+
+void background_tasks::taskFailed(kj::Exception&&) {}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/telemetry/log.hpp
@@ -0,0 +1,76 @@
+#ifndef GLENHOLLOW_TELEMETRY_LOG_HPP
+#define GLENHOLLOW_TELEMETRY_LOG_HPP
+
+#include "glenhollow/core/names.hpp"
+
+#include <concepts>
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace glenhollow
+{
+
+/// How urgent a line is.
+enum class log_level : std::uint8_t
+{
+    info,    ///< A change of state that was asked for.
+    warning, ///< A change that costs something.
+    error    ///< A change that needs a person.
+};
+
+template <>
+struct name_table<log_level>
+{
+    static constexpr std::array<std::string_view, 3> names{"info", "warning",
+                                                           "error"};
+};
+
+/// How lines are written.
+enum class log_format : std::uint8_t
+{
+    text, ///< key=value pairs.
+    json  ///< One JSON object a line.
+};
+
+template <>
+struct name_table<log_format>
+{
+    static constexpr std::array<std::string_view, 2> names{"text", "json"};
+};
+
+/// One named value of a line.
+struct log_field
+{
+    /// @param k The name.
+    /// @param v A text.
+    log_field(std::string_view k, std::string_view v) : key(k), value(v) {}
+
+    /// @param k The name.
+    /// @param v A whole number.
+    log_field(std::string_view k, std::integral auto v)
+        : key(k), value(std::to_string(v))
+    {
+    }
+
+    std::string_view key; ///< Its name.
+    std::string value;    ///< Its value as text.
+};
+
+/// Sets up logging to standard error.
+/// @param format How lines are written.
+/// @param program Named in each line.
+void start_log(log_format format, std::string_view program);
+
+/// Writes one line. Lines are for changes of state; what happens often is
+/// counted instead.
+/// @param level How urgent it is.
+/// @param event What changed, in snake_case.
+/// @param fields What a reader needs to know of it.
+void log_change(log_level level, std::string_view event,
+                std::initializer_list<log_field> fields = {});
+
+} // namespace glenhollow
+
+#endif
