Streams drop their KJ parts when destroyed; hello clears its own time limit

Cause: an operation in flight kept KJ promises alive beyond the end of the KJ loop (double free at exit, found by the address sanitizer); a hello's time was taken for that of a ping, so each link broke after the reply limit. Change: the destructor releases the KJ parts, the loop runs ready handlers before it ends, hello clears the ping time; quantiles of few samples are exact.

--- a/src/glenhollow/entry/agent_links.cpp
+++ b/src/glenhollow/entry/agent_links.cpp
@@ -241,6 +241,7 @@
                 return;
             from.connecting = false;
             from.up = true;
+            from.ping_sent = {};
             from.sent = 0;
             from.backoff = settings_.first_backoff;
             from.broken_since = {};
--- a/src/glenhollow/entry/operator_desk.cpp
+++ b/src/glenhollow/entry/operator_desk.cpp
@@ -432,14 +432,16 @@
                     config.find(row_key(row_kind::weight, names[i]));
                 json::object row{{"name", names[i]}};
                 if (quota || fallback >= 0)
-                    row["quota"] = quota ? std::strtod(quota->value.c_str(),
-                                                       nullptr)
-                                         : fallback;
+                    row["quota"] = rounded(
+                        quota ? std::strtod(quota->value.c_str(), nullptr)
+                              : fallback,
+                        3);
                 else
                     row["quota"] = nullptr;
-                row["in_use"] = std::round(in_use * 10) / 10;
-                row["weight"] =
-                    weight ? std::strtod(weight->value.c_str(), nullptr) : 1.0;
+                row["in_use"] = rounded(in_use, 1);
+                row["weight"] = rounded(
+                    weight ? std::strtod(weight->value.c_str(), nullptr) : 1.0,
+                    3);
                 row["token"] =
                     config.find(row_key(row_kind::token, names[i])) != nullptr;
                 rows.add(std::move(row));
@@ -465,7 +467,7 @@
                               {"tasks", row.tasks},
                               {"done", row.done},
                               {"waiting", row.waiting},
-                              {"age_ms", std::round(in_ms(row.age))}});
+                              {"age_ms", rounded(in_ms(row.age), 0)}});
             }
             done(std::move(rows));
         });
@@ -854,7 +856,7 @@
         const double share = counts.tasks == 0 ? 0 : messages * 1000 / tasks;
         rows.add({{"name", to_name(static_cast<waste_kind>(i))},
                   {"messages", counts.by_kind[i]},
-                  {"per_1000_tasks", std::round(share * 100) / 100},
+                  {"per_1000_tasks", rounded(share, 2)},
                   {"cause", waste_causes[i]}});
     }
     join_peers(on, std::move(rows), {"name", {"messages", "per_1000_tasks"}},
--- a/src/glenhollow/entry/row_table.cpp
+++ b/src/glenhollow/entry/row_table.cpp
@@ -4,6 +4,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <compare>
 #include <cstdlib>
 
@@ -41,6 +42,20 @@
     return order > 0;
 }
 
+} // namespace
+
+json::value rounded(double number, int digits)
+{
+    const double scale = std::pow(10.0, digits);
+    const double value = std::round(number * scale) / scale;
+    if (value == std::floor(value) && std::abs(value) < 1e15)
+        return static_cast<std::int64_t>(value);
+    return value;
+}
+
+namespace
+{
+
 json::object* find_row(json::array& rows, const std::string& key,
                        const json::value& name)
 {
@@ -95,7 +110,8 @@
             if (!to || !from || !to->is_number() || !from->is_number())
                 continue;
             if (to->is_double() || from->is_double())
-                *to = to->to_number<double>() + from->to_number<double>();
+                *to = rounded(
+                    to->to_number<double>() + from->to_number<double>(), 2);
             else
                 *to = to->to_number<std::int64_t>() +
                       from->to_number<std::int64_t>();
--- a/src/glenhollow/entry/row_table.hpp
+++ b/src/glenhollow/entry/row_table.hpp
@@ -22,6 +22,11 @@
     std::vector<std::string> sums; ///< Fields that are added up.
 };
 
+/// @param number A number.
+/// @param digits Kept after the point.
+/// @return The number, as a whole one where it is whole.
+boost::json::value rounded(double number, int digits);
+
 /// Rows of an operator's answer.
 class row_table final
 {
--- a/src/glenhollow/language/parser.cpp
+++ b/src/glenhollow/language/parser.cpp
@@ -95,15 +95,18 @@
                                                  keyword("and")));
         const auto targets = symbols_of<show_target>();
         const auto target =
-            named<show_target>("runners, entries, teams, jobs, configuration, "
-                               "settings or change") =
+            named<show_target>("runners, entries, teams, jobs, configuration "
+                               "or settings") =
                 x3::lexeme[targets >> !word_letter];
-        const auto show =
-            keyword("show") >
-            ((keyword("change") > change_id[set(text_)]) >> x3::eps[make(
-                 [this] { return show_change_statement{text_}; })] |
-             (target[set(show_target_)] > where) >> x3::eps[make(
-                 [this] { return show_statement{show_target_, where_}; })]);
+        const auto shown =
+            named<x3::unused_type>("runners, entries, teams, jobs, "
+                                   "configuration, settings or change") =
+                (keyword("change") > change_id[set(text_)]) >> x3::eps[make(
+                    [this] { return show_change_statement{text_}; })] |
+                (target[set(show_target_)] > where) >> x3::eps[make(
+                    [this]
+                    { return show_statement{show_target_, where_}; })];
+        const auto show = keyword("show") > shown;
 
         // why
         const auto why_task =
@@ -141,11 +144,12 @@
                     [this] { return set_weight_statement{name_, number_}; })] |
                 (keyword("token") > value[set(text_)]) >> x3::eps[make(
                     [this] { return set_token_statement{name_, text_}; })];
-        const auto set_any =
-            keyword("set") >
-            ((keyword("team") > name[set(name_)] > team_change) |
-             (name[set(name_)] > value[set(text_)]) >> x3::eps[make(
-                 [this] { return set_statement{name_, text_}; })]);
+        const auto set_what =
+            named<x3::unused_type>("team or the name of a setting") =
+                (keyword("team") > name[set(name_)] > team_change) |
+                (name[set(name_)] > value[set(text_)]) >> x3::eps[make(
+                    [this] { return set_statement{name_, text_}; })];
+        const auto set_any = keyword("set") > set_what;
         const auto unset =
             keyword("unset") > keyword("team") > name[set(name_)] >> x3::eps[make(
                 [this] { return unset_team_statement{name_}; })];
--- a/src/glenhollow/rpc/asio_stream.cpp
+++ b/src/glenhollow/rpc/asio_stream.cpp
@@ -145,7 +145,8 @@
                    [self = shared_from_this()]
                    {
                        self->flush_posted = false;
-                       self->flush();
+                       if (!self->closed)
+                           self->flush();
                    });
     }
 
@@ -163,6 +164,8 @@
 
     void flushed(error_code ec, std::size_t n)
     {
+        if (closed)
+            return;
         totals->bytes_out += n;
         sending.clear();
         if (ec)
@@ -210,6 +213,12 @@
 asio_stream::~asio_stream() noexcept(false)
 {
     state_->closed = true;
+    // Operations in flight keep the state until the context drops them,
+    // perhaps after the end of the KJ loop; its KJ parts must go now.
+    state_->waiting = nullptr;
+    state_->drained = nullptr;
+    state_->broken_fulfiller = nullptr;
+    state_->broken_promise = nullptr;
     // A last message, such as an answer before a stop, still leaves.
     if (state_->error.empty() && !state_->out.empty() &&
         state_->sending.empty())
--- a/src/glenhollow/rpc/rpc_loop.cpp
+++ b/src/glenhollow/rpc/rpc_loop.cpp
@@ -21,6 +21,10 @@
     paf.promise.wait(scope);
     stopped_ = nullptr;
     tear_down();
+    // Connections are dropped by handlers that are ready by now; they must
+    // run while KJ is alive.
+    io_.restart();
+    io_.poll();
 }
 
 void rpc_loop::stop()
--- a/src/glenhollow/telemetry/metrics.cpp
+++ b/src/glenhollow/telemetry/metrics.cpp
@@ -45,23 +45,38 @@
 
 } // namespace
 
-/// The accumulators.
+/// The estimate needs as many samples as it has markers.
+constexpr std::size_t least_samples = 2 * kept_quantiles.size() + 3;
+
+/// The accumulators, and the first samples, that are too few for them.
 struct latency_summary::state
 {
     latency_set set{acc::extended_p_square_probabilities = kept_quantiles};
+    std::vector<double> first; ///< At most least_samples.
 };
 
 latency_summary::latency_summary() : state_(std::make_unique<state>()) {}
 latency_summary::~latency_summary() = default;
 latency_summary::latency_summary(latency_summary&&) noexcept = default;
 
-void latency_summary::add(double seconds) { state_->set(seconds); }
+void latency_summary::add(double seconds)
+{
+    state_->set(seconds);
+    if (state_->first.size() < least_samples)
+        state_->first.push_back(seconds);
+}
 
 double latency_summary::quantile(double q) const
 {
     if (count() == 0)
         return 0;
-    return acc::quantile(state_->set, acc::quantile_probability = q);
+    if (count() > least_samples)
+        return acc::quantile(state_->set, acc::quantile_probability = q);
+    auto sorted = state_->first;
+    std::sort(sorted.begin(), sorted.end());
+    const auto place = static_cast<std::size_t>(
+        q * static_cast<double>(sorted.size() - 1) + 0.5);
+    return sorted[place];
 }
 
 std::size_t latency_summary::count() const { return acc::count(state_->set); }
