--- a/src/glenhollow/entry/coordinator.cpp
+++ b/src/glenhollow/entry/coordinator.cpp
@@ -850,6 +850,12 @@
     page.gauge("jobs_open", "Jobs in flight", static_cast<double>(open_jobs_));
     page.gauge("kept_answer_bytes", "Bytes of kept answers",
                static_cast<double>(kept_bytes_));
+    double slots = 0;
+    for (const auto& view : views_)
+        slots += view.connected ? view.slots : 0;
+    // Each shard sees the same runners.
+    page.gauge("runner_slots", "Slots of the runners this entry links to",
+               slots / settings_.shards);
     page.summary("job_seconds", "From admission to a whole answer",
                  job_seconds_);
     page.summary("queue_seconds", "From admission to the send of a task",
