--- a/programs/agent.cpp
+++ b/programs/agent.cpp
@@ -27,8 +27,8 @@
     line.text("port-file", settings.port_file,
               "file that gets both ports once they are open");
     line.text("runner", runner, "IP:PORT of the runner");
-    line.number<std::size_t>("slots", settings.executor.slots, 1, 4096,
-                             "tasks", "tasks at the runner at once");
+    line.number<std::size_t>("slots", settings.executor.slots, 1, 4096, "tasks",
+                             "tasks at the runner at once");
     line.number<std::size_t>("queue", settings.executor.queue, 0, 65536,
                              "tasks", "accepted tasks that wait for a slot");
     line.number<std::size_t>("connections", settings.connections, 1, 65536,
--- a/programs/client.cpp
+++ b/programs/client.cpp
@@ -16,15 +16,18 @@
 namespace
 {
 
-int to_status(client_exit exit) { return static_cast<int>(exit); }
+int to_status(client_exit exit)
+{
+    return static_cast<int>(exit);
+}
 
 /// Runs one statement and prints its answer.
-client_exit run_one(const operator_client& client,
-                    const std::string& statement, bool as_json)
+client_exit run_one(const operator_client& client, const std::string& statement,
+                    bool as_json)
 {
     const auto answer = client.run(statement);
-    const bool good = answer.exit == client_exit::ok ||
-                      answer.exit == client_exit::unknown;
+    const bool good =
+        answer.exit == client_exit::ok || answer.exit == client_exit::unknown;
     const std::string text =
         as_json ? answer.body + "\n" : to_table(answer.body);
     (good ? std::cout : std::cerr) << text << std::flush;
--- a/src/glenhollow/agent/agent_node.cpp
+++ b/src/glenhollow/agent/agent_node.cpp
@@ -43,19 +43,19 @@
     {
     }
 
-    agent_settings settings;                  ///< Checked.
-    asio::io_context control{1};              ///< The control thread.
-    rpc_loop traffic;                         ///< The traffic thread.
-    asio::signal_set signals;                 ///< SIGTERM and SIGINT.
-    supervisor root;                          ///< Of the supervisor tree.
-    std::unique_ptr<span_exporter> spans;     ///< May be null.
-    std::unique_ptr<rpc_listener> listener;   ///< Links from entries.
-    std::unique_ptr<http_server> admin;       ///< Metrics and health.
+    agent_settings settings;                    ///< Checked.
+    asio::io_context control{1};                ///< The control thread.
+    rpc_loop traffic;                           ///< The traffic thread.
+    asio::signal_set signals;                   ///< SIGTERM and SIGINT.
+    supervisor root;                            ///< Of the supervisor tree.
+    std::unique_ptr<span_exporter> spans;       ///< May be null.
+    std::unique_ptr<rpc_listener> listener;     ///< Links from entries.
+    std::unique_ptr<http_server> admin;         ///< Metrics and health.
     std::unique_ptr<http_runner_caller> runner; ///< On the traffic thread.
     std::unique_ptr<task_executor> executor;    ///< On the traffic thread.
     std::unique_ptr<agent_service> service;     ///< On the traffic thread.
-    std::atomic<bool> stopping{false};        ///< A planned stop is under way.
-    int exit_status = 0;                      ///< Of the process.
+    std::atomic<bool> stopping{false}; ///< A planned stop is under way.
+    int exit_status = 0;               ///< Of the process.
 
     result<void> listen()
     {
@@ -73,12 +73,11 @@
         http_server_settings limits;
         limits.address = settings.address;
         limits.port = settings.admin_port;
-        BOOST_OUTCOME_TRY(
-            auto pages,
-            http_server::create(control, limits,
-                                [this](http_request request,
-                                       http_responder done)
-                                { serve_admin(request, std::move(done)); }));
+        BOOST_OUTCOME_TRY(auto pages,
+                          http_server::create(
+                              control, limits,
+                              [this](http_request request, http_responder done)
+                              { serve_admin(request, std::move(done)); }));
         admin = std::move(pages);
         return write_port_file(settings.port_file,
                                {listener->port(), admin->port()});
@@ -135,33 +134,32 @@
         executor->set_slots(wanted == 0 ? settings.executor.slots : wanted);
         // An agent reads its own drain from the configuration, so a drain
         // needs no message of its own and holds whatever entries believe.
-        executor->drain(
-            drain_cause::operators,
-            newer.find(row_key(row_kind::drain, settings.name)) != nullptr);
+        executor->drain(drain_cause::operators,
+                        newer.find(row_key(row_kind::drain, settings.name)) !=
+                            nullptr);
     }
 
     void serve_admin(const http_request& request, http_responder done)
     {
         if (request.target == "/metrics")
         {
-            asio::post(traffic.io(),
-                       [this, done = std::move(done)]
-                       {
-                           metric_page page;
-                           service->collect(page);
-                           listener->collect(page);
-                           done({200, "text/plain; version=0.0.4", {},
-                                 page.render()});
-                       });
+            asio::post(
+                traffic.io(),
+                [this, done = std::move(done)]
+                {
+                    metric_page page;
+                    service->collect(page);
+                    listener->collect(page);
+                    done({200, "text/plain; version=0.0.4", {}, page.render()});
+                });
             return;
         }
         if (request.target == "/healthz")
             return done({200, "text/plain", {}, "ok\n"});
         if (request.target == "/readyz")
-            return done(stopping ? http_response{503, "text/plain", {},
-                                                 "stopping\n"}
-                                 : http_response{200, "text/plain", {},
-                                                 "ready\n"});
+            return done(stopping
+                            ? http_response{503, "text/plain", {}, "stopping\n"}
+                            : http_response{200, "text/plain", {}, "ready\n"});
         done({404, "text/plain", {}, "not found\n"});
     }
 
@@ -248,6 +246,9 @@
     return std::unique_ptr<agent_node>(new agent_node(std::move(made)));
 }
 
-int agent_node::run() { return state_->run(); }
+int agent_node::run()
+{
+    return state_->run();
+}
 
 } // namespace glenhollow
--- a/src/glenhollow/agent/agent_service.cpp
+++ b/src/glenhollow/agent/agent_service.cpp
@@ -37,8 +37,7 @@
     out.getKey().setTask(key.task);
     out.setVerdict(to_wire(record.end.what));
     out.setReason(static_cast<std::uint16_t>(record.end.why));
-    out.setBody(kj::ArrayPtr<const char>(record.body.data(),
-                                         record.body.size())
+    out.setBody(kj::ArrayPtr<const char>(record.body.data(), record.body.size())
                     .asBytes());
     out.setWaitMicros(record.wait_micros);
     out.setRunMicros(record.run_micros);
@@ -51,10 +50,10 @@
 /// One start call: the ends of its tasks, answered together.
 struct agent_service::batch
 {
-    std::vector<task_key> keys;          ///< In the order of the call.
-    std::vector<start_record> ends;      ///< By place in keys.
-    std::shared_ptr<std::uint64_t> received; ///< Starts of the session.
-    std::size_t open = 0;                ///< Tasks that have not ended.
+    std::vector<task_key> keys;               ///< In the order of the call.
+    std::vector<start_record> ends;           ///< By place in keys.
+    std::shared_ptr<std::uint64_t> received;  ///< Starts of the session.
+    std::size_t open = 0;                     ///< Tasks that have not ended.
     kj::Own<kj::PromiseFulfiller<void>> done; ///< All have ended.
 };
 
@@ -124,8 +123,8 @@
     void begin(const std::shared_ptr<batch>& shared, std::size_t place,
                wire::Start::Reader start)
     {
-        auto settle = [&service = service_, shared,
-                       place](const start_record& record)
+        auto settle =
+            [&service = service_, shared, place](const start_record& record)
         { service.settle(*shared, place, record); };
         // A copy that comes over a replaced link must not run: the newer link
         // may have been told not_run for it.
@@ -238,8 +237,7 @@
     agent_service& service_; ///< The agent.
 };
 
-agent_service::agent_service(const clock_source& clock,
-                             task_executor& executor,
+agent_service::agent_service(const clock_source& clock, task_executor& executor,
                              std::uint64_t incarnation, span_exporter* spans,
                              configured_handler configured)
     : clock_(clock), executor_(executor), incarnation_(incarnation),
@@ -290,13 +288,13 @@
     open->parent_id = parent->span_id;
     open->begin = wall_nanoseconds();
     open->attributes.push_back({"task", task.name});
-    executor_.start(std::move(task),
-                    [this, open, done = std::move(done)](
-                        const start_record& record)
-                    {
-                        write_spans(*open, record);
-                        done(record);
-                    });
+    executor_.start(
+        std::move(task),
+        [this, open, done = std::move(done)](const start_record& record)
+        {
+            write_spans(*open, record);
+            done(record);
+        });
 }
 
 void agent_service::write_spans(span& agent, const start_record& record)
@@ -394,8 +392,7 @@
 void agent_service::tick(duration keep_for)
 {
     const instant oldest = clock_.now() - keep_for;
-    std::erase_if(heard_,
-                  [&](const auto& one) { return one.second < oldest; });
+    std::erase_if(heard_, [&](const auto& one) { return one.second < oldest; });
 }
 
 void agent_service::collect(metric_page& page) const
--- a/src/glenhollow/agent/agent_service.hpp
+++ b/src/glenhollow/agent/agent_service.hpp
@@ -90,11 +90,11 @@
     span_exporter* spans_;          ///< May be null.
     configured_handler configured_; ///< Told of newer configurations.
     configuration configuration_;   ///< Newest seen.
-    std::map<session_key, std::uint64_t> sessions_; ///< Newest generations.
+    std::map<session_key, std::uint64_t> sessions_;    ///< Newest generations.
     std::unordered_map<std::uint64_t, instant> heard_; ///< By incarnation.
-    agent_service_stats stats_;     ///< Counters.
-    latency_summary wait_seconds_;  ///< Time of tasks in the queue.
-    latency_summary run_seconds_;   ///< Time of tasks at the runner.
+    agent_service_stats stats_;                        ///< Counters.
+    latency_summary wait_seconds_; ///< Time of tasks in the queue.
+    latency_summary run_seconds_;  ///< Time of tasks at the runner.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/agent/runner_caller.cpp
+++ b/src/glenhollow/agent/runner_caller.cpp
@@ -46,8 +46,8 @@
     {
         // A result that is not JSON travels as a JSON string.
         if (!is_json(response.body))
-            response.body = boost::json::serialize(
-                boost::json::value(response.body));
+            response.body =
+                boost::json::serialize(boost::json::value(response.body));
         return {{verdict::ran, reason::none}, std::move(response.body)};
     }
     const auto said = header_value(response.headers, verdict_header);
@@ -81,11 +81,9 @@
                        {"Glenhollow-Team", std::move(call.team)},
                        {"Content-Type", "application/json"}};
     if (!call.traceparent.empty())
-        request.headers.push_back(
-            {"traceparent", std::move(call.traceparent)});
+        request.headers.push_back({"traceparent", std::move(call.traceparent)});
     request.body = std::move(call.payload);
-    client_->send(std::move(request),
-                  [done = std::move(done)](http_result end)
+    client_->send(std::move(request), [done = std::move(done)](http_result end)
                   { done(judge_runner(std::move(end))); });
 }
 
@@ -95,9 +93,8 @@
     auto socket = std::make_shared<tcp::socket>(io_);
     const tcp::endpoint to(boost::asio::ip::make_address(runner_.host),
                            runner_.port);
-    socket->async_connect(to,
-                          [socket, done = std::move(done)](
-                              boost::system::error_code ec) { done(!ec); });
+    socket->async_connect(to, [socket, done = std::move(done)](
+                                  boost::system::error_code ec) { done(!ec); });
 }
 
 } // namespace glenhollow
--- a/src/glenhollow/agent/start_table.cpp
+++ b/src/glenhollow/agent/start_table.cpp
@@ -109,8 +109,8 @@
 start_record* start_table::find_mutable(std::uint64_t incarnation,
                                         const task_key& key)
 {
-    return const_cast<start_record*>(std::as_const(*this).find(incarnation,
-                                                               key));
+    return const_cast<start_record*>(
+        std::as_const(*this).find(incarnation, key));
 }
 
 void start_table::acknowledge(std::uint64_t incarnation, const task_key& key)
--- a/src/glenhollow/agent/start_table.hpp
+++ b/src/glenhollow/agent/start_table.hpp
@@ -61,18 +61,18 @@
         refuse  ///< It will not run here.
     };
 
-    action act = action::refuse;   ///< What to do.
-    reason why = reason::none;     ///< Why it is refused.
+    action act = action::refuse; ///< What to do.
+    reason why = reason::none;   ///< Why it is refused.
 };
 
 /// Counters of a start table.
 struct start_table_stats
 {
-    std::uint64_t accepted = 0;  ///< New starts.
-    std::uint64_t joined = 0;    ///< Repeats of a start in flight.
-    std::uint64_t repeated = 0;  ///< Repeats of an ended start.
-    std::uint64_t refused = 0;   ///< Refused starts.
-    std::uint64_t expired = 0;   ///< Records dropped by age.
+    std::uint64_t accepted = 0; ///< New starts.
+    std::uint64_t joined = 0;   ///< Repeats of a start in flight.
+    std::uint64_t repeated = 0; ///< Repeats of an ended start.
+    std::uint64_t refused = 0;  ///< Refused starts.
+    std::uint64_t expired = 0;  ///< Records dropped by age.
 };
 
 /// The authority on whether a task has started at this agent. It remembers
@@ -160,8 +160,7 @@
     const start_table_stats& stats() const { return stats_; }
 
 private:
-    using records =
-        std::unordered_map<task_key, start_record, task_key_hash>;
+    using records = std::unordered_map<task_key, start_record, task_key_hash>;
 
     /// When a record was made, to drop it by age.
     struct age_entry
--- a/src/glenhollow/agent/task_executor.cpp
+++ b/src/glenhollow/agent/task_executor.cpp
@@ -36,9 +36,8 @@
     using action = start_decision::action;
     const instant now = clock_.now();
     const global_key key{start.incarnation, start.key};
-    const auto decision =
-        table_.begin(start.incarnation, start.key, start.begin_by, now,
-                     start.job);
+    const auto decision = table_.begin(start.incarnation, start.key,
+                                       start.begin_by, now, start.job);
     switch (decision.act)
     {
     case action::refuse:
--- a/src/glenhollow/agent/task_executor.hpp
+++ b/src/glenhollow/agent/task_executor.hpp
@@ -21,10 +21,10 @@
 /// Limits of the work an agent takes.
 struct task_executor_settings
 {
-    std::size_t slots = 8;         ///< Tasks at the runner at once.
-    std::size_t queue = 8;         ///< Accepted tasks that wait for a slot.
-    std::size_t shun_after = 2;    ///< Refused connections in a row.
-    start_table_settings table;    ///< Limits of the memory of starts.
+    std::size_t slots = 8;      ///< Tasks at the runner at once.
+    std::size_t queue = 8;      ///< Accepted tasks that wait for a slot.
+    std::size_t shun_after = 2; ///< Refused connections in a row.
+    start_table_settings table; ///< Limits of the memory of starts.
 };
 
 /// A start as it came over a link.
@@ -53,19 +53,19 @@
 /// Who can want an agent to drain.
 enum class drain_cause : std::uint8_t
 {
-    stopping,  ///< The process was told to stop.
-    leaving,   ///< The platform's list says the VM is leaving.
-    operators  ///< An operator drained the runner.
+    stopping, ///< The process was told to stop.
+    leaving,  ///< The platform's list says the VM is leaving.
+    operators ///< An operator drained the runner.
 };
 
 /// Counters of an executor.
 struct task_executor_stats
 {
-    std::uint64_t started = 0;   ///< Calls to the runner.
-    std::uint64_t ran = 0;       ///< Tasks that ran to their end.
-    std::uint64_t not_run = 0;   ///< Refusals after acceptance or before.
-    std::uint64_t unknown = 0;   ///< Ends of which nobody can say.
-    double busy_seconds = 0;     ///< Sum of the time at the runner.
+    std::uint64_t started = 0; ///< Calls to the runner.
+    std::uint64_t ran = 0;     ///< Tasks that ran to their end.
+    std::uint64_t not_run = 0; ///< Refusals after acceptance or before.
+    std::uint64_t unknown = 0; ///< Ends of which nobody can say.
+    double busy_seconds = 0;   ///< Sum of the time at the runner.
 };
 
 /// Runs accepted tasks on the slots of one runner. Checks fence, drain and
@@ -156,12 +156,12 @@
     start_table table_;               ///< The memory of starts.
     std::deque<queued_start> queue_;  ///< Oldest first.
     std::unordered_map<global_key, std::vector<handler>, global_key_hash>
-        waiters_;                     ///< Whom to tell of each end.
-    std::set<drain_cause> draining_;  ///< Who wants it to drain.
-    std::size_t running_ = 0;         ///< Tasks at the runner.
-    std::size_t unreachable_ = 0;     ///< Refused connections in a row.
-    bool probing_ = false;            ///< A probe is under way.
-    task_executor_stats stats_;       ///< Counters.
+        waiters_;                    ///< Whom to tell of each end.
+    std::set<drain_cause> draining_; ///< Who wants it to drain.
+    std::size_t running_ = 0;        ///< Tasks at the runner.
+    std::size_t unreachable_ = 0;    ///< Refused connections in a row.
+    bool probing_ = false;           ///< A probe is under way.
+    task_executor_stats stats_;      ///< Counters.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/client/interactive.cpp
+++ b/src/glenhollow/client/interactive.cpp
@@ -25,12 +25,12 @@
     static const std::vector<std::string> all = []
     {
         std::vector<std::string> list{
-            "show",    "why",     "set",     "unset",   "drain",
-            "undrain", "create",  "cancel",  "help",    "runners",
+            "show",    "why",     "set",     "unset",    "drain",
+            "undrain", "create",  "cancel",  "help",     "runners",
             "entries", "teams",   "jobs",    "settings", "configuration",
-            "change",  "where",   "and",     "task",    "refused",
-            "failed",  "drained", "waste",   "since",   "team",
-            "quota",   "weight",  "token",   "tasks/s", "runner",
+            "change",  "where",   "and",     "task",     "refused",
+            "failed",  "drained", "waste",   "since",    "team",
+            "quota",   "weight",  "token",   "tasks/s",  "runner",
             "job",     "tasks",   "payload", "quit"};
         for (const auto& setting : setting_table())
             list.emplace_back(setting.name);
--- a/src/glenhollow/client/operator_client.cpp
+++ b/src/glenhollow/client/operator_client.cpp
@@ -75,9 +75,9 @@
         io.run();
         if (end.answered)
             return {exit_of(end.response), end.response.body};
-        answer.body = json::serialize(json::object{
-            {"title", "no answer"},
-            {"detail", entry.to_string() + ": " + end.error}});
+        answer.body = json::serialize(
+            json::object{{"title", "no answer"},
+                         {"detail", entry.to_string() + ": " + end.error}});
         if (verdict_of_silence(end.progress) != verdict::not_run)
             return answer;
     }
@@ -107,8 +107,8 @@
             const std::string name(field.key());
             if (!widths.contains(name))
                 columns.push_back(name);
-            widths[name] = std::max({widths[name], name.size(),
-                                     cell_text(field.value()).size()});
+            widths[name] = std::max(
+                {widths[name], name.size(), cell_text(field.value()).size()});
         }
     }
     std::string text;
--- a/src/glenhollow/client/operator_client.hpp
+++ b/src/glenhollow/client/operator_client.hpp
@@ -24,9 +24,9 @@
 /// Settings of the operators' client.
 struct operator_client_settings
 {
-    std::vector<host_port> entries;   ///< Tried in order.
-    std::string token;                ///< Bearer token.
-    duration timeout = seconds{10};   ///< Of one statement.
+    std::vector<host_port> entries; ///< Tried in order.
+    std::string token;              ///< Bearer token.
+    duration timeout = seconds{10}; ///< Of one statement.
 };
 
 /// The answer to one statement.
--- a/src/glenhollow/command_line/command_line.cpp
+++ b/src/glenhollow/command_line/command_line.cpp
@@ -33,8 +33,8 @@
     std::string name = "GLENHOLLOW_";
     for (const char c : flag)
         name += c == '-' ? '_'
-                         : static_cast<char>(std::toupper(
-                               static_cast<unsigned char>(c)));
+                         : static_cast<char>(
+                               std::toupper(static_cast<unsigned char>(c)));
     return name;
 }
 
@@ -89,9 +89,8 @@
                               std::string_view about, bool whole,
                               std::function<void(double)> store)
 {
-    const std::string range =
-        number_text(least) + ".." + number_text(most) +
-        (unit.empty() ? "" : " " + std::string(unit));
+    const std::string range = number_text(least) + ".." + number_text(most) +
+                              (unit.empty() ? "" : " " + std::string(unit));
     add_checked(
         name, number_text(fallback), std::string(about) + " (" + range + ")",
         [=, store = std::move(store)](const std::string& given) -> std::string
--- a/src/glenhollow/command_line/command_line.hpp
+++ b/src/glenhollow/command_line/command_line.hpp
@@ -19,8 +19,8 @@
 /// What the command line asks for.
 enum class command_line_request : std::uint8_t
 {
-    run,    ///< Go on.
-    finish  ///< Help or the version was printed.
+    run,   ///< Go on.
+    finish ///< Help or the version was printed.
 };
 
 /// The flags of one program: each with unit, range, default and text. A flag
@@ -58,11 +58,10 @@
     void number(std::string_view name, Number& target, Number least,
                 Number most, std::string_view unit, std::string_view about)
     {
-        add_number(name, static_cast<double>(target),
-                   static_cast<double>(least), static_cast<double>(most), unit,
-                   about, std::is_integral_v<Number>,
-                   [&target](double value)
-                   { target = static_cast<Number>(value); });
+        add_number(
+            name, static_cast<double>(target), static_cast<double>(least),
+            static_cast<double>(most), unit, about, std::is_integral_v<Number>,
+            [&target](double value) { target = static_cast<Number>(value); });
     }
 
     /// Adds a flag for one name of an enumeration.
@@ -111,12 +110,12 @@
     /// One flag.
     struct option
     {
-        std::string name;         ///< Without the dashes.
-        char letter = 0;          ///< Short form, or 0.
-        std::string fallback;     ///< The default as text.
-        std::string about;        ///< For --help.
-        bool takes_value = true;  ///< Whether a value follows.
-        taker take;               ///< Checks and stores.
+        std::string name;        ///< Without the dashes.
+        char letter = 0;         ///< Short form, or 0.
+        std::string fallback;    ///< The default as text.
+        std::string about;       ///< For --help.
+        bool takes_value = true; ///< Whether a value follows.
+        taker take;              ///< Checks and stores.
     };
 
     void add_checked(std::string_view name, std::string fallback,
--- a/src/glenhollow/configuration/configuration.cpp
+++ b/src/glenhollow/configuration/configuration.cpp
@@ -26,9 +26,8 @@
 const configuration_row* configuration::find(const std::string& key) const
 {
     const auto found = rows_.find(key);
-    return found == rows_.end() || found->second.value.empty()
-               ? nullptr
-               : &found->second;
+    return found == rows_.end() || found->second.value.empty() ? nullptr
+                                                               : &found->second;
 }
 
 std::vector<std::pair<std::string, configuration_row>>
--- a/src/glenhollow/configuration/configuration_store.cpp
+++ b/src/glenhollow/configuration/configuration_store.cpp
@@ -99,21 +99,21 @@
 void configuration_store::read_values(
     std::function<void(platform_outcome)> done)
 {
-    table_.read_row(
-        values_key,
-        [this, done = std::move(done)](platform_outcome outcome,
-                                       const table_row& row)
-        {
-            if (outcome == platform_outcome::done)
-            {
-                const auto read = configuration::from_json(row.value);
-                if (read)
-                    take(read.value());
-                else
-                    outcome = platform_outcome::unknown;
-            }
-            done(outcome);
-        });
+    table_.read_row(values_key,
+                    [this, done = std::move(done)](platform_outcome outcome,
+                                                   const table_row& row)
+                    {
+                        if (outcome == platform_outcome::done)
+                        {
+                            const auto read =
+                                configuration::from_json(row.value);
+                            if (read)
+                                take(read.value());
+                            else
+                                outcome = platform_outcome::unknown;
+                        }
+                        done(outcome);
+                    });
 }
 
 void configuration_store::change(std::map<std::string, std::string> rows,
@@ -166,9 +166,8 @@
                 return answer(open, {change_state::refused, open->change.id, 0,
                                      "the platform's table is away; nothing "
                                      "was changed"});
-            const auto at = outcome == platform_outcome::missing
-                                ? head{}
-                                : to_head(row);
+            const auto at =
+                outcome == platform_outcome::missing ? head{} : to_head(row);
             if (at.version <= current_.version())
                 return prepare(open, at);
             read_values(
@@ -192,9 +191,9 @@
         if (known == rows.end() || known->second.version <= open.base)
             continue;
         const auto& row = known->second;
-        return "conflict with version " + std::to_string(row.version) +
-               " by " + row.by + " at " + time_text(row.when) + ": " + key +
-               " is now " + (row.value.empty() ? "unset" : row.value);
+        return "conflict with version " + std::to_string(row.version) + " by " +
+               row.by + " at " + time_text(row.when) + ": " + key + " is now " +
+               (row.value.empty() ? "unset" : row.value);
     }
     return std::nullopt;
 }
@@ -203,19 +202,19 @@
                                   const head& at)
 {
     if (const auto conflict = conflict_of(*open))
-        return answer(open, {change_state::refused, open->change.id, 0,
-                             *conflict});
+        return answer(open,
+                      {change_state::refused, open->change.id, 0, *conflict});
     // The head read before the values may be older than they are.
     if (at.version < current_.version())
         return later(open);
     const auto next = current_.with(open->change);
     open->sent_version = next.version();
-    const std::string facts = json::serialize(
-        json::object{{"version", next.version()},
-                     {"change", open->change.id},
-                     {"by", open->change.by},
-                     {"when", open->change.when},
-                     {"statement", open->change.statement}});
+    const std::string facts =
+        json::serialize(json::object{{"version", next.version()},
+                                     {"change", open->change.id},
+                                     {"by", open->change.by},
+                                     {"when", open->change.when},
+                                     {"statement", open->change.statement}});
     open->sent.conditions = {{head_key, at.row_version}};
     open->sent.writes = {{head_key, facts},
                          {values_key, next.to_json()},
@@ -257,32 +256,32 @@
 
 void configuration_store::read_back(const std::shared_ptr<open_change>& open)
 {
-    table_.read_row(
-        change_prefix + open->change.id,
-        [this, open](platform_outcome outcome, const table_row& row)
-        {
-            if (outcome == platform_outcome::done)
-            {
-                const auto version = to_head(row).version;
-                // Other changes may have come on top since.
-                if (current_.version() + 1 == version)
-                    take(current_.with(open->change));
-                else
-                    poll();
-                return answer(open, {change_state::accepted, open->change.id,
-                                     version, ""});
-            }
-            if (outcome == platform_outcome::missing)
-            {
-                // The head has moved on without it, so that transaction can
-                // never take effect: a fresh attempt is safe.
-                open->in_doubt = false;
-                ++open->attempts;
-                return later(open);
-            }
-            open->in_doubt = true;
-            later(open);
-        });
+    table_.read_row(change_prefix + open->change.id,
+                    [this, open](platform_outcome outcome, const table_row& row)
+                    {
+                        if (outcome == platform_outcome::done)
+                        {
+                            const auto version = to_head(row).version;
+                            // Other changes may have come on top since.
+                            if (current_.version() + 1 == version)
+                                take(current_.with(open->change));
+                            else
+                                poll();
+                            return answer(open, {change_state::accepted,
+                                                 open->change.id, version, ""});
+                        }
+                        if (outcome == platform_outcome::missing)
+                        {
+                            // The head has moved on without it, so that
+                            // transaction can never take effect: a fresh
+                            // attempt is safe.
+                            open->in_doubt = false;
+                            ++open->attempts;
+                            return later(open);
+                        }
+                        open->in_doubt = true;
+                        later(open);
+                    });
 }
 
 void configuration_store::later(const std::shared_ptr<open_change>& open)
@@ -293,14 +292,12 @@
                              "conflict with other changes, " +
                                  std::to_string(open->attempts) + " times"});
     // Lost races are tried again soon, doubt with a growing pause.
-    const auto bound = open->in_doubt ? open->backoff
-                                      : settings_.first_backoff / 4;
-    open->retry_at =
-        clock_.now() +
-        std::chrono::duration_cast<duration>(bound * uniform(random_));
+    const auto bound =
+        open->in_doubt ? open->backoff : settings_.first_backoff / 4;
+    open->retry_at = clock_.now() + std::chrono::duration_cast<duration>(
+                                        bound * uniform(random_));
     if (open->in_doubt)
-        open->backoff =
-            std::min(open->backoff * 2, settings_.longest_backoff);
+        open->backoff = std::min(open->backoff * 2, settings_.longest_backoff);
 }
 
 void configuration_store::answer(const std::shared_ptr<open_change>& open,
@@ -339,24 +336,23 @@
     const auto known = settled_.find(id);
     if (known != settled_.end())
         return done(known->second);
-    const bool open = std::any_of(
-        queue_.begin(), queue_.end(),
-        [&](const auto& one) { return one->change.id == id; });
+    const bool open =
+        std::any_of(queue_.begin(), queue_.end(),
+                    [&](const auto& one) { return one->change.id == id; });
     if (open)
         return done({change_state::unknown, id, 0, ""});
-    table_.read_row(
-        change_prefix + id,
-        [id, done = std::move(done)](platform_outcome outcome,
-                                     const table_row& row)
-        {
-            if (outcome == platform_outcome::done)
-                return done({change_state::accepted, id, to_head(row).version,
-                             ""});
-            if (outcome == platform_outcome::missing)
-                return done({change_state::refused, id, 0,
-                             "no such change took effect"});
-            done({change_state::unknown, id, 0, ""});
-        });
+    table_.read_row(change_prefix + id,
+                    [id, done = std::move(done)](platform_outcome outcome,
+                                                 const table_row& row)
+                    {
+                        if (outcome == platform_outcome::done)
+                            return done({change_state::accepted, id,
+                                         to_head(row).version, ""});
+                        if (outcome == platform_outcome::missing)
+                            return done({change_state::refused, id, 0,
+                                         "no such change took effect"});
+                        done({change_state::unknown, id, 0, ""});
+                    });
 }
 
 } // namespace glenhollow
--- a/src/glenhollow/configuration/configuration_store.hpp
+++ b/src/glenhollow/configuration/configuration_store.hpp
@@ -36,9 +36,9 @@
 struct change_answer
 {
     change_state state = change_state::unknown; ///< What became of it.
-    std::string id;            ///< Names the change.
-    std::uint64_t version = 0; ///< When accepted.
-    std::string why;           ///< When refused: by whom, what and when.
+    std::string id;                             ///< Names the change.
+    std::uint64_t version = 0;                  ///< When accepted.
+    std::string why; ///< When refused: by whom, what and when.
 
     /// @return One line for the operator.
     std::string text() const;
@@ -47,12 +47,12 @@
 /// Limits of the store of the configuration.
 struct configuration_store_settings
 {
-    std::string entry = "entry";           ///< Names changes.
-    duration unknown_after = seconds{4};   ///< The operator waits so long.
+    std::string entry = "entry";                ///< Names changes.
+    duration unknown_after = seconds{4};        ///< The operator waits so long.
     duration first_backoff = milliseconds{100}; ///< Between attempts.
-    duration longest_backoff = seconds{5}; ///< The doubling ends here.
-    std::size_t most_attempts = 30;        ///< Lost races of one change.
-    std::size_t most_settled = 1000;       ///< Answers remembered.
+    duration longest_backoff = seconds{5};      ///< The doubling ends here.
+    std::size_t most_attempts = 30;             ///< Lost races of one change.
+    std::size_t most_settled = 1000;            ///< Answers remembered.
 };
 
 /// The configuration in force at one entry, changed by compare-and-set in the
@@ -141,20 +141,19 @@
     void send(const std::shared_ptr<open_change>& open);
     void read_back(const std::shared_ptr<open_change>& open);
     void later(const std::shared_ptr<open_change>& open);
-    void answer(const std::shared_ptr<open_change>& open,
-                change_answer answer);
+    void answer(const std::shared_ptr<open_change>& open, change_answer answer);
     std::optional<std::string> conflict_of(const open_change& open) const;
 
-    table_service& table_;                   ///< The platform's.
-    const clock_source& clock_;              ///< Of this process.
-    configuration_store_settings settings_;  ///< Limits.
-    random_engine random_;                   ///< Ids and backoffs.
-    configuration current_;                  ///< In force here.
-    changed_handler changed_;                ///< May be empty.
-    bool polling_ = false;                   ///< A read is under way.
+    table_service& table_;                           ///< The platform's.
+    const clock_source& clock_;                      ///< Of this process.
+    configuration_store_settings settings_;          ///< Limits.
+    random_engine random_;                           ///< Ids and backoffs.
+    configuration current_;                          ///< In force here.
+    changed_handler changed_;                        ///< May be empty.
+    bool polling_ = false;                           ///< A read is under way.
     std::deque<std::shared_ptr<open_change>> queue_; ///< One at a time.
-    std::map<std::string, change_answer> settled_; ///< By id.
-    std::deque<std::string> settled_order_;  ///< Oldest first.
+    std::map<std::string, change_answer> settled_;   ///< By id.
+    std::deque<std::string> settled_order_;          ///< Oldest first.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/configuration/tuning.cpp
+++ b/src/glenhollow/configuration/tuning.cpp
@@ -81,8 +81,7 @@
     const auto known = from_name<Enum>(value);
     if (!known)
         return failure{std::string(setting.name) + " must be one of " +
-                       names_of<Enum>() + ", not '" + std::string(value) +
-                       "'"};
+                       names_of<Enum>() + ", not '" + std::string(value) + "'"};
     target = *known;
     return outcome::success();
 }
@@ -105,7 +104,10 @@
 
 } // namespace
 
-std::span<const setting_description> setting_table() { return table; }
+std::span<const setting_description> setting_table()
+{
+    return table;
+}
 
 const setting_description* find_setting(std::string_view name)
 {
@@ -126,8 +128,8 @@
             std::get_if<placement_kind tuning::*>(&setting.member))
         return set_name(setting, value, target.**placing);
     return set_name(setting, value,
-                    target.*std::get<queue_order_kind tuning::*>(
-                                setting.member));
+                    target.*
+                        std::get<queue_order_kind tuning::*>(setting.member));
 }
 
 std::string value_text(const setting_description& setting, const tuning& from)
@@ -137,8 +139,8 @@
     if (const auto* placing =
             std::get_if<placement_kind tuning::*>(&setting.member))
         return std::string(to_name(from.**placing));
-    return std::string(to_name(
-        from.*std::get<queue_order_kind tuning::*>(setting.member)));
+    return std::string(
+        to_name(from.*std::get<queue_order_kind tuning::*>(setting.member)));
 }
 
 std::string range_text(const setting_description& setting)
@@ -147,8 +149,7 @@
         return "one of " + names_of<placement_kind>();
     if (std::holds_alternative<queue_order_kind tuning::*>(setting.member))
         return "one of " + names_of<queue_order_kind>();
-    return std::string(setting.whole ? "a whole number in "
-                                     : "a number in ") +
+    return std::string(setting.whole ? "a whole number in " : "a number in ") +
            number_text(setting.least) + ".." + number_text(setting.most) +
            (setting.unit.empty() ? "" : " " + std::string(setting.unit));
 }
--- a/src/glenhollow/configuration/tuning.hpp
+++ b/src/glenhollow/configuration/tuning.hpp
@@ -19,28 +19,28 @@
 /// setting_table() describes each member.
 struct tuning
 {
-    placement_kind placement = placement_kind::late_binding; ///< Strategy.
+    placement_kind placement = placement_kind::late_binding;     ///< Strategy.
     queue_order_kind queue_order = queue_order_kind::least_work; ///< Order.
-    double default_team_quota = -1; ///< Tasks a second; below 0: no limit.
-    double quota_burst_s = 0.5;     ///< Saved up, in seconds of the quota.
-    double short_reserve = 0.1;     ///< Share that long tasks leave free.
-    double long_task_ms = 1000;     ///< Longer tasks are long ones.
-    double start_window_s = 10;     ///< A sent start must begin within.
+    double default_team_quota = -1;  ///< Tasks a second; below 0: no limit.
+    double quota_burst_s = 0.5;      ///< Saved up, in seconds of the quota.
+    double short_reserve = 0.1;      ///< Share that long tasks leave free.
+    double long_task_ms = 1000;      ///< Longer tasks are long ones.
+    double start_window_s = 10;      ///< A sent start must begin within.
     double longest_deadline_s = 120; ///< A caller may ask for.
-    double usual_deadline_s = 30;   ///< When a caller names none.
-    double id_lifetime_s = 120;     ///< Of a submission id.
-    double ack_delay_s = 20;        ///< Results stay at agents so long.
-    double heartbeat_s = 10;        ///< Of idle links.
-    double resend_window_s = 3;     ///< A broken link may come back.
-    double deadline_share = 0.9;    ///< Of a deadline, for queueing.
-    double retry_share = 0.1;       ///< Retries per fresh task.
-    double most_ejected = 0.3;      ///< Share of the runners.
-    double slow_at = 2;             ///< Times the expected length.
-    double starts_per_call = 4;     ///< Of one job, in one message.
-    double max_tasks = 1000;        ///< In one job.
+    double usual_deadline_s = 30;    ///< When a caller names none.
+    double id_lifetime_s = 120;      ///< Of a submission id.
+    double ack_delay_s = 20;         ///< Results stay at agents so long.
+    double heartbeat_s = 10;         ///< Of idle links.
+    double resend_window_s = 3;      ///< A broken link may come back.
+    double deadline_share = 0.9;     ///< Of a deadline, for queueing.
+    double retry_share = 0.1;        ///< Retries per fresh task.
+    double most_ejected = 0.3;       ///< Share of the runners.
+    double slow_at = 2;              ///< Times the expected length.
+    double starts_per_call = 4;      ///< Of one job, in one message.
+    double max_tasks = 1000;         ///< In one job.
     double max_queued_tasks = 50000; ///< Waiting at one shard.
-    double max_jobs = 20000;        ///< In flight at one shard.
-    double runner_slots = 0;        ///< Of every runner; 0: as its flag says.
+    double max_jobs = 20000;         ///< In flight at one shard.
+    double runner_slots = 0;         ///< Of every runner; 0: as its flag says.
 };
 
 /// Which member of the tuning a setting is.
--- a/src/glenhollow/core/once_handler.hpp
+++ b/src/glenhollow/core/once_handler.hpp
@@ -18,8 +18,7 @@
     /// @param done Called once.
     /// @param fallback What it is told when nobody else tells it.
     once_handler(std::function<void(Result)> done, Result fallback)
-        : state_(std::make_shared<state>(std::move(done),
-                                         std::move(fallback)))
+        : state_(std::make_shared<state>(std::move(done), std::move(fallback)))
     {
     }
 
--- a/src/glenhollow/core/verdict.hpp
+++ b/src/glenhollow/core/verdict.hpp
@@ -26,8 +26,8 @@
 /// How far a request got before its connection fell silent.
 enum class send_progress : std::uint8_t
 {
-    nothing_sent,  ///< Not one byte was handed to the socket.
-    partly_sent    ///< At least one byte may have left.
+    nothing_sent, ///< Not one byte was handed to the socket.
+    partly_sent   ///< At least one byte may have left.
 };
 
 /// The one place that judges silence: a request of which a byte may have left
--- a/src/glenhollow/decision/admission.cpp
+++ b/src/glenhollow/decision/admission.cpp
@@ -28,8 +28,9 @@
                          const admission_settings& settings,
                          random_engine& random)
 {
-    const auto refuse = [&](reason why, duration wait) -> admission_decision
-    { return {why, jittered_retry_after(wait, settings, random)}; };
+    const auto refuse = [&](reason why, duration wait) -> admission_decision {
+        return {why, jittered_retry_after(wait, settings, random)};
+    };
 
     const double rate = std::max(request.slots_for_us, 1.0);
     const double queue_seconds = request.queued_seconds / rate;
@@ -43,8 +44,8 @@
 
     // The last of the job's tasks starts when the queue before it and its own
     // siblings have passed through the slots, then it runs for its length.
-    const double own = static_cast<double>(request.tasks) *
-                       request.seconds_per_task / rate;
+    const double own =
+        static_cast<double>(request.tasks) * request.seconds_per_task / rate;
     const double expected =
         queue_seconds + std::max(own, request.seconds_per_task);
     const double limit =
--- a/src/glenhollow/decision/admission.hpp
+++ b/src/glenhollow/decision/admission.hpp
@@ -13,28 +13,28 @@
 /// Limits of admission.
 struct admission_settings
 {
-    std::size_t max_queued_tasks = 50'000; ///< Waiting at one shard.
-    std::size_t max_jobs = 20'000;         ///< Unfinished at one shard.
+    std::size_t max_queued_tasks = 50'000;   ///< Waiting at one shard.
+    std::size_t max_jobs = 20'000;           ///< Unfinished at one shard.
     std::size_t max_kept_bytes = 48UL << 20; ///< Of kept answers, one shard.
 
     /// Part of the deadline that queueing may be expected to take up.
     double deadline_share = 0.9;
 
-    duration least_retry_after = seconds{1};   ///< Before jitter.
+    duration least_retry_after = seconds{1};    ///< Before jitter.
     duration longest_retry_after = seconds{30}; ///< Before jitter.
 };
 
 /// What admission looks at.
 struct admission_request
 {
-    std::size_t tasks = 0;        ///< Of the new job.
-    duration deadline{};          ///< Left to the caller.
-    double seconds_per_task = 0;  ///< Expected, 0 where unknown.
-    std::size_t queued_tasks = 0; ///< Waiting at this shard.
-    double queued_seconds = 0;    ///< Expected work that waits.
-    std::size_t jobs = 0;         ///< Unfinished at this shard.
-    std::size_t kept_bytes = 0;   ///< Of kept answers.
-    double slots_for_us = 0;      ///< Slots this shard can count on.
+    std::size_t tasks = 0;          ///< Of the new job.
+    duration deadline{};            ///< Left to the caller.
+    double seconds_per_task = 0;    ///< Expected, 0 where unknown.
+    std::size_t queued_tasks = 0;   ///< Waiting at this shard.
+    double queued_seconds = 0;      ///< Expected work that waits.
+    std::size_t jobs = 0;           ///< Unfinished at this shard.
+    std::size_t kept_bytes = 0;     ///< Of kept answers.
+    double slots_for_us = 0;        ///< Slots this shard can count on.
     std::size_t usable_runners = 0; ///< That may get a task.
 };
 
--- a/src/glenhollow/decision/health.cpp
+++ b/src/glenhollow/decision/health.cpp
@@ -47,8 +47,8 @@
     {
         if (expected > 0)
         {
-            state.stretch += stretch_weight *
-                             (seconds / expected - state.stretch);
+            state.stretch +=
+                stretch_weight * (seconds / expected - state.stretch);
             ++state.samples;
         }
         state.failures = 0;
--- a/src/glenhollow/decision/health.hpp
+++ b/src/glenhollow/decision/health.hpp
@@ -15,8 +15,8 @@
 /// Limits of the judgement on runners.
 struct health_settings
 {
-    std::size_t failures_in_a_row = 3; ///< Ejects a runner.
-    double most_ejected = 0.3;         ///< Share of the runners.
+    std::size_t failures_in_a_row = 3;       ///< Ejects a runner.
+    double most_ejected = 0.3;               ///< Share of the runners.
     duration first_ejection = seconds{2};    ///< Doubles each time.
     duration longest_ejection = seconds{60}; ///< The doubling ends here.
     double slow_at = 2.0;      ///< Times its siblings' length: less work.
@@ -27,10 +27,10 @@
 /// A change in the state of a runner.
 enum class health_change : std::uint8_t
 {
-    none,      ///< As before.
-    ejected,   ///< It gets no work for a while.
-    on_trial,  ///< It gets one task at a time.
-    recovered  ///< It gets work as before.
+    none,     ///< As before.
+    ejected,  ///< It gets no work for a while.
+    on_trial, ///< It gets one task at a time.
+    recovered ///< It gets work as before.
 };
 
 template <>
@@ -84,13 +84,13 @@
     /// What is known of a runner.
     struct runner_state
     {
-        std::size_t failures = 0;  ///< In a row.
-        bool ejected = false;      ///< It gets no work.
-        bool on_trial = false;     ///< One task at a time.
-        instant until{};           ///< End of the ejection.
-        duration next_ejection{};  ///< Its length if it comes again.
-        double stretch = 1;        ///< Smoothed actual / expected length.
-        std::size_t samples = 0;   ///< Behind stretch.
+        std::size_t failures = 0; ///< In a row.
+        bool ejected = false;     ///< It gets no work.
+        bool on_trial = false;    ///< One task at a time.
+        instant until{};          ///< End of the ejection.
+        duration next_ejection{}; ///< Its length if it comes again.
+        double stretch = 1;       ///< Smoothed actual / expected length.
+        std::size_t samples = 0;  ///< Behind stretch.
     };
 
     static bool is_runners_fault(const outcome_of_task& end);
--- a/src/glenhollow/decision/placement.cpp
+++ b/src/glenhollow/decision/placement.cpp
@@ -28,8 +28,8 @@
 
 runner_index draw(const std::vector<runner_index>& from, random_engine& random)
 {
-    return from[std::uniform_int_distribution<std::size_t>(
-        0, from.size() - 1)(random)];
+    return from[std::uniform_int_distribution<std::size_t>(0, from.size() -
+                                                                  1)(random)];
 }
 
 /// Uniform over the usable runners.
@@ -60,8 +60,8 @@
             return {std::nullopt, reason::no_runner};
         const auto first = draw(usable_, random);
         const auto second = draw(usable_, random);
-        const bool take_second = fill(request.runners[second]) <
-                                 fill(request.runners[first]);
+        const bool take_second =
+            fill(request.runners[second]) < fill(request.runners[first]);
         return {take_second ? second : first, reason::two_choices};
     }
 
@@ -221,8 +221,8 @@
     return pick(again, random);
 }
 
-std::unique_ptr<placement>
-placement::create(placement_kind kind, const placement_settings& settings)
+std::unique_ptr<placement> placement::create(placement_kind kind,
+                                             const placement_settings& settings)
 {
     switch (kind)
     {
--- a/src/glenhollow/decision/placement.hpp
+++ b/src/glenhollow/decision/placement.hpp
@@ -33,10 +33,10 @@
 /// What a task asks of its placement.
 struct placement_request
 {
-    std::span<const runner_view> runners;  ///< All that the shard links to.
-    std::span<const runner_index> avoid;   ///< Those that refused it before.
-    duration waited{};                     ///< Time it has been queued.
-    bool long_task = false;                ///< Keep a share of slots free.
+    std::span<const runner_view> runners; ///< All that the shard links to.
+    std::span<const runner_index> avoid;  ///< Those that refused it before.
+    duration waited{};                    ///< Time it has been queued.
+    bool long_task = false;               ///< Keep a share of slots free.
 };
 
 /// A chosen runner, or none: the task waits.
@@ -73,8 +73,8 @@
     /// @param kind Which way.
     /// @param settings Limits.
     /// @return The strategy.
-    static std::unique_ptr<placement> create(placement_kind kind,
-                                             const placement_settings& settings);
+    static std::unique_ptr<placement>
+    create(placement_kind kind, const placement_settings& settings);
 
 private:
     /// Chooses among the runners that are not to be avoided.
--- a/src/glenhollow/decision/queue_order.cpp
+++ b/src/glenhollow/decision/queue_order.cpp
@@ -29,8 +29,8 @@
     case queue_order_kind::least_work:
         break;
     }
-    const double task = job.seconds_per_task > 0 ? job.seconds_per_task
-                                                 : assumed_task_seconds;
+    const double task =
+        job.seconds_per_task > 0 ? job.seconds_per_task : assumed_task_seconds;
     return static_cast<double>(job.tasks_left) * task +
            settings_.aging * in_seconds(job.arrived);
 }
--- a/src/glenhollow/decision/queue_order.hpp
+++ b/src/glenhollow/decision/queue_order.hpp
@@ -57,8 +57,7 @@
 {
 public:
     /// @param settings Limits.
-    explicit job_queue(const job_queue_settings& settings)
-        : settings_(settings)
+    explicit job_queue(const job_queue_settings& settings) : settings_(settings)
     {
     }
 
@@ -109,9 +108,9 @@
     /// The jobs of one team.
     struct team_queue
     {
-        double weight = 1;       ///< Share against other teams.
-        double finish = 0;       ///< Virtual time when its last task ends.
-        std::set<place> order;   ///< Its jobs.
+        double weight = 1;     ///< Share against other teams.
+        double finish = 0;     ///< Virtual time when its last task ends.
+        std::set<place> order; ///< Its jobs.
     };
 
     double key_of(const queued_job& job) const;
--- a/src/glenhollow/decision/retry_budget.cpp
+++ b/src/glenhollow/decision/retry_budget.cpp
@@ -8,9 +8,9 @@
 void retry_budget::earn(const std::string& team, std::size_t tasks)
 {
     auto [entry, fresh] = budget_.try_emplace(team, settings_.at_first);
-    entry->second = std::min(settings_.most_saved,
-                             entry->second + settings_.share *
-                                                 static_cast<double>(tasks));
+    entry->second =
+        std::min(settings_.most_saved,
+                 entry->second + settings_.share * static_cast<double>(tasks));
 }
 
 bool retry_budget::spend(const std::string& team, std::size_t attempts)
--- a/src/glenhollow/decision/retry_budget.hpp
+++ b/src/glenhollow/decision/retry_budget.hpp
@@ -18,7 +18,7 @@
     double most_saved = 100;  ///< Budget saved up, retries.
     double at_first = 10;     ///< Budget of a team that is new, retries.
     std::size_t attempts = 5; ///< Of one task, the first included.
-    duration first_backoff = milliseconds{5};    ///< Doubles each time.
+    duration first_backoff = milliseconds{5};     ///< Doubles each time.
     duration longest_backoff = milliseconds{200}; ///< The doubling ends here.
 };
 
@@ -28,8 +28,7 @@
 {
 public:
     /// @param settings Limits.
-    explicit retry_budget(const retry_settings& settings)
-        : settings_(settings)
+    explicit retry_budget(const retry_settings& settings) : settings_(settings)
     {
     }
 
--- a/src/glenhollow/decision/runner_view.hpp
+++ b/src/glenhollow/decision/runner_view.hpp
@@ -14,18 +14,18 @@
 /// What an entry shard knows of one runner when it places a task.
 struct runner_view
 {
-    bool connected = false;     ///< The link to its agent is up.
-    bool draining = false;      ///< Its agent refuses new starts.
-    bool shunned = false;       ///< Its agent cannot reach the runner.
-    bool ejected = false;       ///< Health took it out.
-    bool on_trial = false;      ///< Health lets one task through at a time.
-    bool own_hall = true;       ///< It stands in the entry's hall.
-    std::int32_t slots = 0;     ///< Tasks it can run at once.
-    std::int32_t busy = 0;      ///< Running and queued there, last reported.
-    std::int32_t unreported = 0; ///< Starts sent that no report covers.
+    bool connected = false;       ///< The link to its agent is up.
+    bool draining = false;        ///< Its agent refuses new starts.
+    bool shunned = false;         ///< Its agent cannot reach the runner.
+    bool ejected = false;         ///< Health took it out.
+    bool on_trial = false;        ///< Health lets one task through at a time.
+    bool own_hall = true;         ///< It stands in the entry's hall.
+    std::int32_t slots = 0;       ///< Tasks it can run at once.
+    std::int32_t busy = 0;        ///< Running and queued there, last reported.
+    std::int32_t unreported = 0;  ///< Starts sent that no report covers.
     std::int32_t outstanding = 0; ///< Our own starts without an end.
-    double speed = 1.0;         ///< Below 1: slower than its siblings.
-    duration delay{};           ///< Measured time of a message there and back.
+    double speed = 1.0;           ///< Below 1: slower than its siblings.
+    duration delay{}; ///< Measured time of a message there and back.
 
     /// @return Whether it may get a task at all.
     bool usable() const
--- a/src/glenhollow/decision/team_quota.cpp
+++ b/src/glenhollow/decision/team_quota.cpp
@@ -40,13 +40,12 @@
     for (const double demand : others)
         total += std::max(demand, 0.0);
     // Entries that have not reported count with the least demand.
-    total += least_demand * static_cast<double>(std::max<std::size_t>(
-                                entries, 1) - 1);
+    total += least_demand *
+             static_cast<double>(std::max<std::size_t>(entries, 1) - 1);
     return (std::max(own, 0.0) + least_demand) / total;
 }
 
-void team_quota::set_quota(const std::string& team,
-                           std::optional<double> quota)
+void team_quota::set_quota(const std::string& team, std::optional<double> quota)
 {
     if (quota)
         quotas_[team] = *quota;
--- a/src/glenhollow/decision/team_quota.hpp
+++ b/src/glenhollow/decision/team_quota.hpp
@@ -107,19 +107,19 @@
     /// What is known of a team.
     struct team_state
     {
-        token_bucket bucket;   ///< Of starts granted here.
-        demand_meter demand;   ///< Of starts asked for here.
-        demand_meter granted;  ///< Of starts granted here.
-        double in_force = -1;  ///< Rate that the bucket was set to.
+        token_bucket bucket;  ///< Of starts granted here.
+        demand_meter demand;  ///< Of starts asked for here.
+        demand_meter granted; ///< Of starts granted here.
+        double in_force = -1; ///< Rate that the bucket was set to.
     };
 
     double share_of(const std::string& team) const;
 
-    team_quota_settings settings_;           ///< Limits.
-    std::optional<double> default_;          ///< Quota without a row.
-    double default_share_ = 1;               ///< Share without a row.
-    std::map<std::string, double> quotas_;   ///< By team, tasks a second.
-    std::map<std::string, double> shares_;   ///< By team.
+    team_quota_settings settings_;            ///< Limits.
+    std::optional<double> default_;           ///< Quota without a row.
+    double default_share_ = 1;                ///< Share without a row.
+    std::map<std::string, double> quotas_;    ///< By team, tasks a second.
+    std::map<std::string, double> shares_;    ///< By team.
     std::map<std::string, team_state> teams_; ///< By team.
 };
 
--- a/src/glenhollow/decision/token_bucket.hpp
+++ b/src/glenhollow/decision/token_bucket.hpp
@@ -66,10 +66,10 @@
             tokens_ = std::min(burst_, tokens_ + passed * rate_);
     }
 
-    double rate_ = 0;    ///< Tokens a second.
-    double burst_ = -1;  ///< Most tokens; negative until configured.
-    double tokens_ = 0;  ///< There now.
-    instant last_{};     ///< Time of the last refill.
+    double rate_ = 0;   ///< Tokens a second.
+    double burst_ = -1; ///< Most tokens; negative until configured.
+    double tokens_ = 0; ///< There now.
+    instant last_{};    ///< Time of the last refill.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/entry/adopted_answers.cpp
+++ b/src/glenhollow/entry/adopted_answers.cpp
@@ -21,8 +21,7 @@
     return submission_id{hall_, entry_, incarnation_, sequence}.to_string();
 }
 
-void adopted_answers::keep(
-    const std::vector<coordinator::kept_answer>& answers)
+void adopted_answers::keep(const std::vector<coordinator::kept_answer>& answers)
 {
     for (const auto& one : answers)
         kept_.insert_or_assign(one.sequence, one);
@@ -40,9 +39,8 @@
     }
 }
 
-job_answer
-adopted_answers::answer(std::uint64_t sequence,
-                        std::optional<std::uint64_t> body_hash) const
+job_answer adopted_answers::answer(std::uint64_t sequence,
+                                   std::optional<std::uint64_t> body_hash) const
 {
     const auto kept = kept_.find(sequence);
     if (kept != kept_.end())
--- a/src/glenhollow/entry/adopted_answers.hpp
+++ b/src/glenhollow/entry/adopted_answers.hpp
@@ -79,7 +79,7 @@
     std::string entry_;         ///< Its name.
     std::uint64_t incarnation_; ///< Its start.
     std::unordered_map<std::uint64_t, coordinator::kept_answer>
-        kept_;                  ///< Handed over, by sequence.
+        kept_; ///< Handed over, by sequence.
     std::unordered_map<std::uint64_t, found_job> jobs_; ///< By sequence.
 };
 
--- a/src/glenhollow/entry/agent_control.cpp
+++ b/src/glenhollow/entry/agent_control.cpp
@@ -37,10 +37,10 @@
 {
     explicit call(boost::asio::io_context& io) : timer(io) {}
 
-    member agent;                              ///< Whom it goes to.
-    boost::asio::steady_timer timer;           ///< Its limit.
-    bool ended = false;                        ///< It has its answer.
-    kj::Maybe<kj::Own<rpc_connection>> rpc;    ///< Once connected.
+    member agent;                               ///< Whom it goes to.
+    boost::asio::steady_timer timer;            ///< Its limit.
+    bool ended = false;                         ///< It has its answer.
+    kj::Maybe<kj::Own<rpc_connection>> rpc;     ///< Once connected.
     kj::Maybe<kj::Own<background_tasks>> tasks; ///< Once connected.
 
     /// Sends the request over a connection.
@@ -83,13 +83,14 @@
                         return;
                     if (!socket)
                         return end(fresh);
-                    auto rpc = kj::heap<rpc_connection>(std::move(*socket),
-                                                        bytes_);
+                    auto rpc =
+                        kj::heap<rpc_connection>(std::move(*socket), bytes_);
                     auto agent = rpc->bootstrap().castAs<wire::Agent>();
                     auto tasks = kj::heap<background_tasks>();
-                    tasks->add(fresh->send(kj::mv(agent)).then(
-                        [this, fresh] { end(fresh); },
-                        [this, fresh](kj::Exception&&) { end(fresh); }));
+                    tasks->add(fresh->send(kj::mv(agent))
+                                   .then([this, fresh] { end(fresh); },
+                                         [this, fresh](kj::Exception&&)
+                                         { end(fresh); }));
                     fresh->rpc = kj::mv(rpc);
                     fresh->tasks = kj::mv(tasks);
                 });
@@ -123,8 +124,8 @@
     const once_handler<fence_answer> done(std::move(handler), fence_answer{});
     auto fresh = std::make_shared<call>(io_);
     fresh->agent = agent;
-    fresh->send = [done, incarnation, within = settings_.heard_within](
-                      wire::Agent::Client to)
+    fresh->send = [done, incarnation,
+                   within = settings_.heard_within](wire::Agent::Client to)
     {
         auto request = to.fenceRequest();
         request.setIncarnation(incarnation);
--- a/src/glenhollow/entry/agent_control.hpp
+++ b/src/glenhollow/entry/agent_control.hpp
@@ -23,18 +23,18 @@
 /// What one agent said to a fence.
 struct fence_answer
 {
-    bool reached = false;          ///< It answered.
-    bool declined = false;         ///< It heard from that incarnation lately.
-    std::uint32_t unfinished = 0;  ///< Tasks that still run there.
+    bool reached = false;         ///< It answered.
+    bool declined = false;        ///< It heard from that incarnation lately.
+    std::uint32_t unfinished = 0; ///< Tasks that still run there.
     std::vector<fenced_record> records; ///< What it remembers.
 };
 
 /// Settings of control calls to agents.
 struct agent_control_settings
 {
-    duration limit = seconds{2};     ///< Of one call, connecting included.
+    duration limit = seconds{2};         ///< Of one call, connecting included.
     duration heard_within = seconds{12}; ///< Above the links' heartbeat.
-    std::size_t at_once = 64;        ///< Calls at once.
+    std::size_t at_once = 64;            ///< Calls at once.
 };
 
 /// Calls to agents that are too rare for a link: fences, drains and reads of
@@ -82,12 +82,12 @@
     void connect(const std::shared_ptr<call>& fresh);
     void end(const std::shared_ptr<call>& done);
 
-    boost::asio::io_context& io_;              ///< The loop's context.
-    agent_control_settings settings_;          ///< Limits.
-    std::vector<std::shared_ptr<call>> open_;  ///< Under way.
+    boost::asio::io_context& io_;               ///< The loop's context.
+    agent_control_settings settings_;           ///< Limits.
+    std::vector<std::shared_ptr<call>> open_;   ///< Under way.
     std::deque<std::shared_ptr<call>> waiting_; ///< Until one has ended.
-    stream_stats bytes_;                       ///< Over all calls.
-    std::uint64_t calls_made_ = 0;             ///< So far.
+    stream_stats bytes_;                        ///< Over all calls.
+    std::uint64_t calls_made_ = 0;              ///< So far.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/entry/agent_links.cpp
+++ b/src/glenhollow/entry/agent_links.cpp
@@ -72,9 +72,9 @@
     /// A start that was sent.
     struct sent_start
     {
-        outgoing_start start;  ///< What was sent, to repeat it.
-        instant begin_by{};    ///< On the agent's clock.
-        instant sent{};        ///< On ours.
+        outgoing_start start; ///< What was sent, to repeat it.
+        instant begin_by{};   ///< On the agent's clock.
+        instant sent{};       ///< On ours.
     };
 
     /// Everything that dies with the connection.
@@ -92,32 +92,32 @@
         background_tasks calls;                        ///< In flight.
     };
 
-    runner_index index = 0;          ///< Its place.
-    member agent;                    ///< Whom it links to.
-    bool wanted = true;              ///< Still on the list.
-    instant unwanted_since{};        ///< When it left the list.
-    std::uint64_t generation = 0;    ///< Of the connection.
-    kj::Own<connection> current;     ///< Null while there is none.
-    bool connecting = false;         ///< A connection is being made.
-    bool up = false;                 ///< Hello was answered.
-    std::uint64_t incarnation = 0;   ///< Of the agent, 0 before hello.
-    std::int64_t agent_clock = 0;    ///< Its last reading, ns.
-    instant agent_clock_at{};        ///< When that came.
+    runner_index index = 0;        ///< Its place.
+    member agent;                  ///< Whom it links to.
+    bool wanted = true;            ///< Still on the list.
+    instant unwanted_since{};      ///< When it left the list.
+    std::uint64_t generation = 0;  ///< Of the connection.
+    kj::Own<connection> current;   ///< Null while there is none.
+    bool connecting = false;       ///< A connection is being made.
+    bool up = false;               ///< Hello was answered.
+    std::uint64_t incarnation = 0; ///< Of the agent, 0 before hello.
+    std::int64_t agent_clock = 0;  ///< Its last reading, ns.
+    instant agent_clock_at{};      ///< When that came.
     std::unordered_map<task_key, sent_start, task_key_hash>
-        outstanding;                 ///< Starts without an end.
-    std::vector<task_key> acks;      ///< For the next message.
-    std::uint64_t sent = 0;          ///< Starts sent over the connection.
-    duration delay{};                ///< Smoothed time there and back.
-    instant heard{};                 ///< When the last message came.
-    instant said{};                  ///< When the last message left.
-    instant ping_sent{};             ///< Of the ping in flight, or 0.
-    instant broken_since{};          ///< Of the break, or 0.
-    instant retry_at{};              ///< When to connect again.
-    duration backoff{};              ///< Before the next attempt.
-    bool configuring = false;        ///< A configuration is on its way.
+        outstanding;                  ///< Starts without an end.
+    std::vector<task_key> acks;       ///< For the next message.
+    std::uint64_t sent = 0;           ///< Starts sent over the connection.
+    duration delay{};                 ///< Smoothed time there and back.
+    instant heard{};                  ///< When the last message came.
+    instant said{};                   ///< When the last message left.
+    instant ping_sent{};              ///< Of the ping in flight, or 0.
+    instant broken_since{};           ///< Of the break, or 0.
+    instant retry_at{};               ///< When to connect again.
+    duration backoff{};               ///< Before the next attempt.
+    bool configuring = false;         ///< A configuration is on its way.
     std::uint64_t config_version = 0; ///< In force at the agent.
-    std::uint64_t started = 0;       ///< Starts sent ever.
-    std::uint64_t refused = 0;       ///< Of them, answered not_run.
+    std::uint64_t started = 0;        ///< Starts sent ever.
+    std::uint64_t refused = 0;        ///< Of them, answered not_run.
 
     /// @return A time on the agent's clock that is not after `within` from
     /// now, because its reading is older than its arrival here.
@@ -127,8 +127,7 @@
     }
 };
 
-agent_links::agent_links(boost::asio::io_context& io,
-                         const clock_source& clock,
+agent_links::agent_links(boost::asio::io_context& io, const clock_source& clock,
                          const agent_links_settings& settings)
     : io_(io), clock_(clock), settings_(settings)
 {
@@ -201,17 +200,17 @@
     to.connecting = true;
     const std::uint64_t generation = ++generations_;
     to.generation = generation;
-    connect_rpc(io_, to.agent.rpc,
-                [this, index = to.index, generation](
-                    std::optional<tcp::socket> socket)
-                {
-                    auto& to = *links_[index];
-                    if (to.generation != generation)
-                        return;
-                    if (!socket)
-                        return broken(to, generation);
-                    connected(to, std::move(*socket));
-                });
+    connect_rpc(
+        io_, to.agent.rpc,
+        [this, index = to.index, generation](std::optional<tcp::socket> socket)
+        {
+            auto& to = *links_[index];
+            if (to.generation != generation)
+                return;
+            if (!socket)
+                return broken(to, generation);
+            connected(to, std::move(*socket));
+        });
 }
 
 void agent_links::connected(link& to, tcp::socket socket)
@@ -246,9 +245,8 @@
             from.backoff = settings_.first_backoff;
             from.broken_since = {};
             from.current->session = reply.getSession();
-            const bool restarted =
-                from.incarnation != 0 &&
-                from.incarnation != reply.getIncarnation();
+            const bool restarted = from.incarnation != 0 &&
+                                   from.incarnation != reply.getIncarnation();
             // Another incarnation knows nothing of what was sent before.
             if (restarted)
                 give_up(from, reason::agent_restarted);
@@ -260,9 +258,9 @@
             owner_->set_drained(index, drained != drains_.end(),
                                 drained != drains_.end() ? drained->second
                                                          : reason::none);
-            log_change(log_level::info, "link_up",
-                       {{"runner", from.agent.name},
-                        {"shard", settings_.shard}});
+            log_change(
+                log_level::info, "link_up",
+                {{"runner", from.agent.name}, {"shard", settings_.shard}});
             std::vector<outgoing_start> again;
             for (auto& [key, sent] : from.outstanding)
                 again.push_back(sent.start);
@@ -286,8 +284,8 @@
     // Calls in flight are dropped by the loop's next turn, not by themselves.
     if (at.current)
     {
-        auto old = std::make_shared<kj::Own<link::connection>>(
-            kj::mv(at.current));
+        auto old =
+            std::make_shared<kj::Own<link::connection>>(kj::mv(at.current));
         boost::asio::post(io_, [old] { *old = nullptr; });
     }
     const instant now = clock_.now();
@@ -349,8 +347,8 @@
     for (auto& start : starts)
     {
         const bool full = group.size() >= settings_.starts_per_call;
-        const bool other = !group.empty() && group.back().key.sequence !=
-                                                 start.key.sequence;
+        const bool other =
+            !group.empty() && group.back().key.sequence != start.key.sequence;
         if (full || other)
             call(to, std::exchange(group, {}));
         group.push_back(std::move(start));
@@ -375,8 +373,7 @@
         out.setTeam(start.team);
         out.setTraceparent(start.traceparent);
         out.setPayload(
-            kj::ArrayPtr<const char>(start.payload.data(),
-                                     start.payload.size())
+            kj::ArrayPtr<const char>(start.payload.data(), start.payload.size())
                 .asBytes());
         out.setBodyHash(start.body_hash);
         out.setJobTasks(start.job_tasks);
@@ -413,8 +410,7 @@
 }
 
 void agent_links::replied(link& from, std::uint64_t generation,
-                          std::vector<task_end> ends,
-                          const load_report& report)
+                          std::vector<task_end> ends, const load_report& report)
 {
     ++stats_.replies;
     from.ping_sent = {};
@@ -431,11 +427,11 @@
             ++from.refused;
             ++stats_.refused_starts;
         }
-        const auto there = microseconds{end.wait_micros} +
-                           microseconds{end.run_micros};
+        const auto there =
+            microseconds{end.wait_micros} + microseconds{end.run_micros};
         const duration took = now - sent->second.sent - there;
-        from.delay += (std::max<duration>(took, {}) - from.delay) /
-                      delay_weight;
+        from.delay +=
+            (std::max<duration>(took, {}) - from.delay) / delay_weight;
         from.outstanding.erase(sent);
         owner_->task_ended(from.index, std::move(end));
         if (from.generation != generation)
@@ -514,8 +510,7 @@
             if (silent || idle)
                 ping(at);
         }
-        if (!at.up && !at.outstanding.empty() &&
-            at.broken_since != instant{} &&
+        if (!at.up && !at.outstanding.empty() && at.broken_since != instant{} &&
             now - at.broken_since > settings_.resend_window)
             give_up(at, reason::link_broken);
         if (!at.up && !at.connecting && !at.current && at.wanted &&
@@ -584,8 +579,7 @@
     return newest;
 }
 
-std::optional<runner_index>
-agent_links::index_of(const std::string& name) const
+std::optional<runner_index> agent_links::index_of(const std::string& name) const
 {
     const auto known = by_name_.find(name);
     if (known == by_name_.end())
@@ -619,12 +613,12 @@
         {
             const auto& view = views[index];
             row.slots = view.slots;
-            row.state = !known.up        ? "down"
-                        : view.draining  ? "draining"
-                        : view.shunned   ? "unreachable"
-                        : view.ejected   ? "ejected"
-                        : view.on_trial  ? "on_trial"
-                                         : "up";
+            row.state = !known.up       ? "down"
+                        : view.draining ? "draining"
+                        : view.shunned  ? "unreachable"
+                        : view.ejected  ? "ejected"
+                        : view.on_trial ? "on_trial"
+                                        : "up";
         }
         rows.push_back(std::move(row));
     }
--- a/src/glenhollow/entry/agent_links.hpp
+++ b/src/glenhollow/entry/agent_links.hpp
@@ -25,44 +25,44 @@
 /// Settings of the links of one entry shard.
 struct agent_links_settings
 {
-    std::string hall = "hall";     ///< Of the entry.
-    std::string entry = "entry";   ///< Its name.
-    std::uint64_t incarnation = 0; ///< Its start.
-    std::uint32_t shard = 0;       ///< Which traffic thread.
-    std::size_t starts_per_call = 4; ///< Of one job, at most.
-    duration heartbeat = seconds{10};   ///< Idle links say so this often.
-    duration probe_after = seconds{1};  ///< Silence with tasks out there.
-    duration reply_limit = seconds{2};  ///< For hello and ping.
+    std::string hall = "hall";           ///< Of the entry.
+    std::string entry = "entry";         ///< Its name.
+    std::uint64_t incarnation = 0;       ///< Its start.
+    std::uint32_t shard = 0;             ///< Which traffic thread.
+    std::size_t starts_per_call = 4;     ///< Of one job, at most.
+    duration heartbeat = seconds{10};    ///< Idle links say so this often.
+    duration probe_after = seconds{1};   ///< Silence with tasks out there.
+    duration reply_limit = seconds{2};   ///< For hello and ping.
     duration resend_window = seconds{3}; ///< A broken link may come back.
     duration first_backoff = milliseconds{50}; ///< Of reconnects.
     duration longest_backoff = seconds{2};     ///< The doubling ends here.
-    duration forget_after = seconds{900}; ///< Places of VMs that are gone.
+    duration forget_after = seconds{900};      ///< Places of VMs that are gone.
 };
 
 /// Messages over the links, by kind.
 struct agent_links_stats
 {
-    std::uint64_t start_calls = 0;   ///< Calls with starts.
-    std::uint64_t starts = 0;        ///< Starts in them.
-    std::uint64_t replies = 0;       ///< Answers with results.
-    std::uint64_t pings = 0;         ///< Heartbeats and probes, both ways.
-    std::uint64_t hellos = 0;        ///< Sessions opened, both ways.
-    std::uint64_t refused_starts = 0; ///< Starts answered not_run.
+    std::uint64_t start_calls = 0;     ///< Calls with starts.
+    std::uint64_t starts = 0;          ///< Starts in them.
+    std::uint64_t replies = 0;         ///< Answers with results.
+    std::uint64_t pings = 0;           ///< Heartbeats and probes, both ways.
+    std::uint64_t hellos = 0;          ///< Sessions opened, both ways.
+    std::uint64_t refused_starts = 0;  ///< Starts answered not_run.
     std::uint64_t repeated_starts = 0; ///< Sent again after a broken link.
-    std::uint64_t configurations = 0; ///< Pushed to agents, both ways.
-    std::uint64_t breaks = 0;        ///< Links that broke.
+    std::uint64_t configurations = 0;  ///< Pushed to agents, both ways.
+    std::uint64_t breaks = 0;          ///< Links that broke.
 };
 
 /// One row of `show runners` as a shard sees it.
 struct runner_row
 {
-    std::string name;              ///< The runner's VM.
-    std::string hall;              ///< Where it stands.
-    std::string state;             ///< up, down, draining, ejected, ...
-    std::int32_t slots = 0;        ///< Tasks it can run at once.
-    std::int32_t in_flight = 0;    ///< Our tasks there.
-    std::uint64_t started = 0;     ///< Starts we sent.
-    std::uint64_t refused = 0;     ///< Of them, answered not_run.
+    std::string name;                 ///< The runner's VM.
+    std::string hall;                 ///< Where it stands.
+    std::string state;                ///< up, down, draining, ejected, ...
+    std::int32_t slots = 0;           ///< Tasks it can run at once.
+    std::int32_t in_flight = 0;       ///< Our tasks there.
+    std::uint64_t started = 0;        ///< Starts we sent.
+    std::uint64_t refused = 0;        ///< Of them, answered not_run.
     std::uint64_t config_version = 0; ///< In force at the agent.
 };
 
@@ -149,18 +149,18 @@
     load_report take_load(link& from, const agent_load& load);
     runner_index free_place();
 
-    boost::asio::io_context& io_;       ///< The loop's context.
-    const clock_source& clock_;         ///< The entry's clock.
-    agent_links_settings settings_;     ///< Limits.
-    coordinator* owner_ = nullptr;      ///< Told of ends.
-    std::function<void()> events_;      ///< Called after that.
-    std::vector<std::unique_ptr<link>> links_; ///< By runner index.
+    boost::asio::io_context& io_;                 ///< The loop's context.
+    const clock_source& clock_;                   ///< The entry's clock.
+    agent_links_settings settings_;               ///< Limits.
+    coordinator* owner_ = nullptr;                ///< Told of ends.
+    std::function<void()> events_;                ///< Called after that.
+    std::vector<std::unique_ptr<link>> links_;    ///< By runner index.
     std::map<std::string, runner_index> by_name_; ///< Of links in use.
-    std::uint64_t generations_ = 0;     ///< Counts connections.
-    configuration configuration_;       ///< In force here.
-    std::map<std::string, reason> drains_; ///< Runners without new work.
-    stream_stats bytes_;                ///< Over all links.
-    agent_links_stats stats_;           ///< Counters.
+    std::uint64_t generations_ = 0;               ///< Counts connections.
+    configuration configuration_;                 ///< In force here.
+    std::map<std::string, reason> drains_;        ///< Runners without new work.
+    stream_stats bytes_;                          ///< Over all links.
+    agent_links_stats stats_;                     ///< Counters.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/entry/caller_api.cpp
+++ b/src/glenhollow/entry/caller_api.cpp
@@ -53,8 +53,8 @@
             return api_problem{400, reason::malformed,
                                "the parameter '" + key +
                                    "' is not known; allowed is count"};
-        auto [stop, ec] = std::from_chars(
-            value.data(), value.data() + value.size(), count);
+        auto [stop, ec] =
+            std::from_chars(value.data(), value.data() + value.size(), count);
         if (ec != std::errc{} || stop != value.data() + value.size() ||
             count < 1 || count > most_ids)
             return wrong;
@@ -122,10 +122,11 @@
                                         : plain(200, "ready\n"));
     if (path == "/metrics" && is_get)
         return backend_.metrics(
-            [done](std::string page)
-            { done({200, "text/plain; version=0.0.4", {}, std::move(page)}); });
-    done(to_response(api_problem{404, reason::malformed,
-                                 "there is no such path"}));
+            [done](std::string page) {
+                done({200, "text/plain; version=0.0.4", {}, std::move(page)});
+            });
+    done(to_response(
+        api_problem{404, reason::malformed, "there is no such path"}));
 }
 
 void caller_api::mint(const std::string& target, const http_responder& done)
@@ -146,8 +147,8 @@
 
 std::optional<trace_context> caller_api::trace_of(const http_request& request)
 {
-    const auto given = trace_context::parse(
-        header_value(request.headers, "traceparent"));
+    const auto given =
+        trace_context::parse(header_value(request.headers, "traceparent"));
     if (given)
         return given;
     if (!spans_ || !spans_->sample())
@@ -176,16 +177,15 @@
         return done(to_response(job.error()));
     const auto token = header_value(request.headers, "Authorization");
     if (!backend_.may_use_team(job.value().team, token))
-        return done(to_response(api_problem{
-            401, reason::unauthorized,
-            "team " + job.value().team + " needs its bearer token"}));
+        return done(to_response(api_problem{401, reason::unauthorized,
+                                            "team " + job.value().team +
+                                                " needs its bearer token"}));
     routed_job routed;
     routed.id = *parsed;
     routed.trace = trace_of(request);
     routed.body = std::move(request.body);
     routed.request = std::move(job.value());
-    backend_.submit(std::move(routed),
-                    [done](job_answer answer)
+    backend_.submit(std::move(routed), [done](job_answer answer)
                     { done(glenhollow::to_response(std::move(answer))); });
 }
 
@@ -194,15 +194,14 @@
     const auto parsed = submission_id::parse(id);
     if (!parsed)
         return done(to_response(bad_id()));
-    backend_.lookup(*parsed,
-                    [done](job_answer answer)
+    backend_.lookup(*parsed, [done](job_answer answer)
                     { done(glenhollow::to_response(std::move(answer))); });
 }
 
 void caller_api::operate(http_request request, const http_responder& done)
 {
-    const auto by = backend_.operator_of(
-        header_value(request.headers, "Authorization"));
+    const auto by =
+        backend_.operator_of(header_value(request.headers, "Authorization"));
     if (!by)
         return done(to_response(api_problem{
             401, reason::unauthorized, "a valid operator token is needed"}));
--- a/src/glenhollow/entry/control_plane.cpp
+++ b/src/glenhollow/entry/control_plane.cpp
@@ -81,8 +81,7 @@
 }
 
 /// Puts the teams' rows into a shard.
-void apply_teams(shard& to, const configuration& config,
-                 const tuning& values)
+void apply_teams(shard& to, const configuration& config, const tuning& values)
 {
     auto& quota = to.jobs().quota();
     quota.clear_quotas();
@@ -112,8 +111,7 @@
     members_.on_changed([this] { take_members(); });
     store_.on_changed([this](const configuration& newer)
                       { take_configuration(newer); });
-    peers_.on_report([this](const std::string& entry,
-                            const peer_report& report)
+    peers_.on_report([this](const std::string& entry, const peer_report& report)
                      { take_report(entry, report); });
     foreign_.on_adopted(
         [this](const adoption_report& done)
@@ -121,8 +119,7 @@
             note(decision_kind::adopted, reason::entry_lost, "", "",
                  "entry " + done.entry + ": " + std::to_string(done.whole) +
                      " of " + std::to_string(done.jobs) + " jobs whole, " +
-                     std::to_string(done.unreached) +
-                     " agents gave no answer");
+                     std::to_string(done.unreached) + " agents gave no answer");
         });
 }
 
@@ -130,8 +127,8 @@
 
 void control_plane::add_children(supervisor& parent)
 {
-    const auto add = [&](std::string name, duration interval,
-                         std::function<void()> work)
+    const auto add =
+        [&](std::string name, duration interval, std::function<void()> work)
     {
         parent.add(std::make_unique<periodic_task>(std::move(name), io_,
                                                    interval, std::move(work)),
@@ -193,19 +190,19 @@
 
 void control_plane::poll()
 {
-    platform_.list_vms(vm_revision_,
-                       [this](platform_outcome outcome,
-                              const vm_changes& changes)
-                       {
-                           if (outcome != platform_outcome::done)
-                           {
-                               if (members_.members().empty())
-                                   learn_from_seeds();
-                               return;
-                           }
-                           vm_revision_ = changes.revision;
-                           members_.apply(changes.changed);
-                       });
+    platform_.list_vms(
+        vm_revision_,
+        [this](platform_outcome outcome, const vm_changes& changes)
+        {
+            if (outcome != platform_outcome::done)
+            {
+                if (members_.members().empty())
+                    learn_from_seeds();
+                return;
+            }
+            vm_revision_ = changes.revision;
+            members_.apply(changes.changed);
+        });
     store_.poll();
     pull_from_agents();
 }
@@ -222,8 +219,8 @@
 void control_plane::take_members()
 {
     const auto runners = members_.of_role(member_role::runner);
-    const auto chosen = link_subset(settings_.entry, settings_.hall, runners,
-                                    settings_.subset);
+    const auto chosen =
+        link_subset(settings_.entry, settings_.hall, runners, settings_.subset);
     shards_.for_all([chosen](shard& one) { one.links().set_agents(chosen); });
     peers_.set_entries(members_.of_role(member_role::entry));
     apply_drains();
@@ -359,11 +356,11 @@
                 for (const auto& [team, rate] : all[i])
                 {
                     const auto known = others.find(team);
-                    const double share = quota_share(
-                        own[team],
-                        known == others.end() ? std::vector<double>{}
-                                              : known->second,
-                        entries);
+                    const double share = quota_share(own[team],
+                                                     known == others.end()
+                                                         ? std::vector<double>{}
+                                                         : known->second,
+                                                     entries);
                     const double part =
                         quota_share(rate, {own[team] - rate}, all.size());
                     shares[i][team] = share * part;
@@ -401,13 +398,12 @@
 
 void control_plane::collect_notables()
 {
-    shards_.gather<night_report>(
-        [](shard& one) { return one.take_notables(); },
-        [this](const std::vector<night_report>& all)
-        {
-            for (const auto& one : all)
-                report_.take_over(one);
-        });
+    shards_.gather<night_report>([](shard& one) { return one.take_notables(); },
+                                 [this](const std::vector<night_report>& all)
+                                 {
+                                     for (const auto& one : all)
+                                         report_.take_over(one);
+                                 });
 }
 
 std::string control_plane::report_prefix(const std::string& entry,
@@ -424,22 +420,21 @@
     if (writing_report_ || report_.empty())
         return done();
     writing_report_ = true;
-    const auto name =
-        report_prefix(settings_.entry, settings_.incarnation) +
-        std::to_string(++report_number_);
-    platform_.put_object(name, report_.take_batch(),
-                         [this, done = std::move(done)](
-                             platform_outcome outcome)
-                         {
-                             writing_report_ = false;
-                             // A repeat of a batch whose answer was lost goes
-                             // under a new name; a line twice does no harm.
-                             if (outcome == platform_outcome::done)
-                                 report_.written();
-                             else
-                                 report_.failed();
-                             done();
-                         });
+    const auto name = report_prefix(settings_.entry, settings_.incarnation) +
+                      std::to_string(++report_number_);
+    platform_.put_object(
+        name, report_.take_batch(),
+        [this, done = std::move(done)](platform_outcome outcome)
+        {
+            writing_report_ = false;
+            // A repeat of a batch whose answer was lost goes
+            // under a new name; a line twice does no harm.
+            if (outcome == platform_outcome::done)
+                report_.written();
+            else
+                report_.failed();
+            done();
+        });
 }
 
 void control_plane::announce_stop()
@@ -468,8 +463,7 @@
     if (others.empty())
         return finish();
     const auto heir =
-        rendezvous_order(std::to_string(settings_.incarnation), others)
-            .front();
+        rendezvous_order(std::to_string(settings_.incarnation), others).front();
     using answers = std::vector<coordinator::kept_answer>;
     shards_.gather<answers>(
         [](shard& one) { return one.jobs().kept_answers(); },
--- a/src/glenhollow/entry/control_plane.hpp
+++ b/src/glenhollow/entry/control_plane.hpp
@@ -158,27 +158,27 @@
     void learn_from_seeds();
     void pull_from_agents();
 
-    boost::asio::io_context& io_;      ///< The control thread's context.
-    shard_group& shards_;              ///< The traffic threads.
-    control_plane_settings settings_;  ///< Limits.
-    tuning defaults_;                  ///< Before rows.
-    platform_client platform_;         ///< The platform.
-    membership members_;               ///< The VMs.
-    configuration_store store_;        ///< The configuration.
-    peer_links peers_;                 ///< Other entries.
-    agent_control agents_;             ///< Rare calls to agents.
-    foreign_jobs foreign_;             ///< Others' submissions.
-    night_report report_;              ///< For the object store.
-    waste_history waste_;              ///< Over time.
+    boost::asio::io_context& io_;     ///< The control thread's context.
+    shard_group& shards_;             ///< The traffic threads.
+    control_plane_settings settings_; ///< Limits.
+    tuning defaults_;                 ///< Before rows.
+    platform_client platform_;        ///< The platform.
+    membership members_;              ///< The VMs.
+    configuration_store store_;       ///< The configuration.
+    peer_links peers_;                ///< Other entries.
+    agent_control agents_;            ///< Rare calls to agents.
+    foreign_jobs foreign_;            ///< Others' submissions.
+    night_report report_;             ///< For the object store.
+    waste_history waste_;             ///< Over time.
     std::function<void(const configuration&)> configured_; ///< May be empty.
-    std::uint64_t vm_revision_ = 0;    ///< Of the VM list.
-    std::uint64_t report_number_ = 0;  ///< Of the next object.
-    bool writing_report_ = false;      ///< A write is under way.
-    bool stopping_ = false;            ///< A planned stop has begun.
-    bool pulling_ = false;             ///< A pull from an agent is under way.
-    std::string heir_;                 ///< Who has our answers.
+    std::uint64_t vm_revision_ = 0;                        ///< Of the VM list.
+    std::uint64_t report_number_ = 0;    ///< Of the next object.
+    bool writing_report_ = false;        ///< A write is under way.
+    bool stopping_ = false;              ///< A planned stop has begun.
+    bool pulling_ = false;               ///< A pull from an agent is under way.
+    std::string heir_;                   ///< Who has our answers.
     std::set<std::string> told_leaving_; ///< Agents told that they leave.
-    std::uint64_t quota_messages_ = 0; ///< Spreads of quotas.
+    std::uint64_t quota_messages_ = 0;   ///< Spreads of quotas.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/entry/coordinator.cpp
+++ b/src/glenhollow/entry/coordinator.cpp
@@ -35,8 +35,7 @@
 
 std::uint32_t to_micros(duration length)
 {
-    const auto count =
-        std::chrono::duration_cast<microseconds>(length).count();
+    const auto count = std::chrono::duration_cast<microseconds>(length).count();
     return static_cast<std::uint32_t>(
         std::clamp<std::int64_t>(count, 0, UINT32_MAX));
 }
@@ -68,33 +67,32 @@
 /// A job, in flight or ended.
 struct coordinator::job
 {
-    std::uint64_t sequence = 0;      ///< Names it.
-    std::uint64_t body_hash = 0;     ///< Of its body.
-    bool ended = false;              ///< It has its answer.
-    job_answer answer;               ///< Valid when ended.
-
-    std::string team;                ///< Whose it is.
-    instant arrived{};               ///< When it was taken.
-    instant deadline{};              ///< When it fails.
-    bool repeatable = false;         ///< Its task may run twice.
-    bool long_tasks = false;         ///< In the queue of long ones.
-    double expected = 0;             ///< Of one task, s.
-    std::vector<task> tasks;         ///< Empty once it has ended.
-    std::vector<std::string> results; ///< Empty once it has ended.
-    std::vector<std::uint32_t> waiting; ///< Task numbers, next at the back.
-    std::size_t left = 0;            ///< Tasks that have not ended.
-    std::size_t task_count = 0;      ///< All tasks.
+    std::uint64_t sequence = 0;  ///< Names it.
+    std::uint64_t body_hash = 0; ///< Of its body.
+    bool ended = false;          ///< It has its answer.
+    job_answer answer;           ///< Valid when ended.
+
+    std::string team;                    ///< Whose it is.
+    instant arrived{};                   ///< When it was taken.
+    instant deadline{};                  ///< When it fails.
+    bool repeatable = false;             ///< Its task may run twice.
+    bool long_tasks = false;             ///< In the queue of long ones.
+    double expected = 0;                 ///< Of one task, s.
+    std::vector<task> tasks;             ///< Empty once it has ended.
+    std::vector<std::string> results;    ///< Empty once it has ended.
+    std::vector<std::uint32_t> waiting;  ///< Task numbers, next at the back.
+    std::size_t left = 0;                ///< Tasks that have not ended.
+    std::size_t task_count = 0;          ///< All tasks.
     std::vector<answer_handler> callers; ///< Wait for the answer.
     std::optional<trace_context> trace;  ///< The caller hop.
-    std::string trace_parent;        ///< Span id above the caller hop.
-    std::int64_t arrived_wall = 0;   ///< For spans.
+    std::string trace_parent;            ///< Span id above the caller hop.
+    std::int64_t arrived_wall = 0;       ///< For spans.
 
     /// @return Whether any attempt of any task may have run.
     bool any_may_have_run() const
     {
         return std::any_of(tasks.begin(), tasks.end(),
-                           [](const task& one)
-                           {
+                           [](const task& one) {
                                return one.may_have_run ||
                                       one.at == task::stage::in_flight;
                            });
@@ -200,8 +198,7 @@
     known.callers.push_back(std::move(done));
 }
 
-double coordinator::expected_seconds(const std::string& team,
-                                     double said) const
+double coordinator::expected_seconds(const std::string& team, double said) const
 {
     if (said > 0)
         return said;
@@ -234,8 +231,7 @@
             continue;
         ++state.usable_runners;
         // Slots that others fill are not ours to count on.
-        const auto others =
-            std::max(view.occupancy() - view.outstanding, 0);
+        const auto others = std::max(view.occupancy() - view.outstanding, 0);
         state.slots_for_us += std::max(view.effective_slots() - others, 0);
     }
     const auto decision = admit(state, settings_.admission, random_);
@@ -247,12 +243,11 @@
     const auto wait = quota_.ask(
         request.team, static_cast<double>(request.payloads.size()), now);
     if (wait)
-        return api_problem{status_too_many, reason::team_quota,
-                           "team " + request.team +
-                               " has used up its quota of task starts",
-                           verdict::not_run,
-                           jittered_retry_after(*wait, settings_.admission,
-                                                random_)};
+        return api_problem{
+            status_too_many, reason::team_quota,
+            "team " + request.team + " has used up its quota of task starts",
+            verdict::not_run,
+            jittered_retry_after(*wait, settings_.admission, random_)};
     return std::nullopt;
 }
 
@@ -277,8 +272,7 @@
     for (std::size_t i = 0; i < owner.left; ++i)
     {
         owner.tasks[i].payload = std::move(request.payloads[i]);
-        owner.waiting.push_back(
-            static_cast<std::uint32_t>(owner.left - 1 - i));
+        owner.waiting.push_back(static_cast<std::uint32_t>(owner.left - 1 - i));
     }
     owner.callers.push_back(std::move(done));
     if (trace)
@@ -302,8 +296,8 @@
 
 queued_job coordinator::queue_entry(const job& owner, std::size_t tasks) const
 {
-    return {owner.sequence, owner.team,     owner.arrived,
-            owner.deadline, tasks,          owner.expected};
+    return {owner.sequence, owner.team, owner.arrived,
+            owner.deadline, tasks,      owner.expected};
 }
 
 job_queue& coordinator::queue_of(const job& owner)
@@ -378,8 +372,7 @@
 
     outgoing_start start;
     start.key = {owner.sequence, number};
-    start.begin_within =
-        std::min(settings_.start_window, owner.deadline - now);
+    start.begin_within = std::min(settings_.start_window, owner.deadline - now);
     start.team = owner.team;
     start.body_hash = owner.body_hash;
     start.job_tasks = static_cast<std::uint32_t>(owner.task_count);
@@ -421,8 +414,8 @@
     hop.parent_id = parent;
     hop.begin = begin;
     hop.end = wall_nanoseconds();
-    hop.attributes.push_back({"task", id_text(key.sequence) + "/" +
-                                          std::to_string(key.task)});
+    hop.attributes.push_back(
+        {"task", id_text(key.sequence) + "/" + std::to_string(key.task)});
     spans_->write(hop);
 }
 
@@ -491,9 +484,8 @@
 void coordinator::note_health(runner_index runner, const task_end& end,
                               double expected)
 {
-    const auto change =
-        health_.note(runner, end.end, end.run_micros * 1e-6, expected,
-                     clock_.now());
+    const auto change = health_.note(runner, end.end, end.run_micros * 1e-6,
+                                     expected, clock_.now());
     health_.apply(runner, views_[runner]);
     if (change == health_change::none)
         return;
@@ -529,8 +521,8 @@
     if (end.end.what != verdict::ran)
         return retry_or_fail(owner, runner, end);
 
-    const auto there = microseconds{end.wait_micros} +
-                       microseconds{end.run_micros};
+    const auto there =
+        microseconds{end.wait_micros} + microseconds{end.run_micros};
     link_seconds_.add(to_seconds(std::max<duration>(took - there, {})));
     note_length(owner, end);
     done.at = task::stage::done;
@@ -577,8 +569,8 @@
 
 void coordinator::fail(job& owner, reason why)
 {
-    const auto what = owner.any_may_have_run() ? verdict::may_have_run
-                                               : verdict::not_run;
+    const auto what =
+        owner.any_may_have_run() ? verdict::may_have_run : verdict::not_run;
     ++stats_.failed;
     queue_of(owner).remove(owner.sequence);
     settle(owner, failed_answer(id_text(owner.sequence), what, why),
@@ -622,8 +614,8 @@
         // Results of a job in flight stay with the agents: they are what an
         // adopter would answer it with.
         if (known != jobs_.end() && !known->second->ended)
-            acks_.push_back({now + settings_.ack_delay, first.runner,
-                             first.key});
+            acks_.push_back(
+                {now + settings_.ack_delay, first.runner, first.key});
         else
             due[first.runner].push_back(first.key);
         acks_.pop_front();
@@ -719,13 +711,12 @@
         return api_problem{status_conflict, reason::duplicate,
                            "the job has ended already"};
     auto& owner = *known->second;
-    const auto unstarted = static_cast<std::size_t>(std::count_if(
-        owner.tasks.begin(), owner.tasks.end(),
-        [](const task& one)
-        {
-            return one.at == task::stage::waiting ||
-                   one.at == task::stage::delayed;
-        }));
+    const auto unstarted = static_cast<std::size_t>(
+        std::count_if(owner.tasks.begin(), owner.tasks.end(),
+                      [](const task& one) {
+                          return one.at == task::stage::waiting ||
+                                 one.at == task::stage::delayed;
+                      }));
     if (unstarted == 0)
         return api_problem{status_conflict, reason::duplicate,
                            "all tasks of the job have started"};
@@ -754,9 +745,9 @@
 
 void coordinator::apply(const coordinator_settings& settings)
 {
-    const bool placing_changed = settings.placing != settings_.placing ||
-                                 settings.placement.short_reserve !=
-                                     settings_.placement.short_reserve;
+    const bool placing_changed =
+        settings.placing != settings_.placing ||
+        settings.placement.short_reserve != settings_.placement.short_reserve;
     const auto place = std::tuple(settings_.hall, settings_.entry,
                                   settings_.shard, settings_.shards);
     settings_ = settings;
@@ -793,7 +784,7 @@
             job_row row;
             row.id = id_text(sequence);
             row.team = owner->team;
-            row.state = !ended                             ? "running"
+            row.state = !ended                              ? "running"
                         : owner->answer.why == reason::none ? "complete"
                                                             : "failed";
             row.tasks = owner->task_count;
--- a/src/glenhollow/entry/coordinator.hpp
+++ b/src/glenhollow/entry/coordinator.hpp
@@ -35,11 +35,11 @@
 /// A task on its way to an agent.
 struct outgoing_start
 {
-    task_key key;             ///< Which task.
-    duration begin_within{};  ///< From now; later the agent refuses it.
-    std::string team;         ///< Whose it is.
-    std::string traceparent;  ///< W3C trace context, may be empty.
-    std::string payload;      ///< JSON text.
+    task_key key;                ///< Which task.
+    duration begin_within{};     ///< From now; later the agent refuses it.
+    std::string team;            ///< Whose it is.
+    std::string traceparent;     ///< W3C trace context, may be empty.
+    std::string payload;         ///< JSON text.
     std::uint64_t body_hash = 0; ///< Of the job's body.
     std::uint32_t job_tasks = 0; ///< Tasks of the job.
 };
@@ -67,12 +67,12 @@
 /// What an agent reports of itself on every answer.
 struct load_report
 {
-    std::int32_t slots = 0;  ///< Tasks it can run at once.
-    std::int32_t busy = 0;   ///< Running and queued there.
+    std::int32_t slots = 0;      ///< Tasks it can run at once.
+    std::int32_t busy = 0;       ///< Running and queued there.
     std::int32_t unreported = 0; ///< Starts sent that it had not seen yet.
-    bool draining = false;   ///< It refuses new starts.
-    bool shunned = false;    ///< Its runner takes no connections.
-    duration delay{};        ///< Measured time there and back.
+    bool draining = false;       ///< It refuses new starts.
+    bool shunned = false;        ///< Its runner takes no connections.
+    duration delay{};            ///< Measured time there and back.
 };
 
 /// The end of a task as its link reports it.
@@ -89,36 +89,36 @@
 /// shard's place.
 struct coordinator_settings
 {
-    std::string hall = "hall";    ///< Of the entry.
-    std::string entry = "entry";  ///< Name of the entry.
-    std::uint32_t shard = 0;      ///< This shard, from 0.
-    std::uint32_t shards = 1;     ///< All shards of the entry.
+    std::string hall = "hall";           ///< Of the entry.
+    std::string entry = "entry";         ///< Name of the entry.
+    std::uint32_t shard = 0;             ///< This shard, from 0.
+    std::uint32_t shards = 1;            ///< All shards of the entry.
     duration id_lifetime = seconds{120}; ///< Of a submission id.
-    duration ack_delay = seconds{20}; ///< Results stay at agents so long.
+    duration ack_delay = seconds{20};    ///< Results stay at agents so long.
     duration start_window = seconds{10}; ///< A start must begin within.
-    double long_task_seconds = 1.0; ///< Longer tasks keep slots free.
+    double long_task_seconds = 1.0;      ///< Longer tasks keep slots free.
     placement_kind placing = placement_kind::late_binding; ///< Strategy.
-    placement_settings placement;   ///< Limits of placements.
-    job_queue_settings queue;       ///< Order of jobs.
-    admission_settings admission;   ///< Limits of admission.
-    retry_settings retry;           ///< Limits of retries.
-    health_settings health;         ///< Judgement on runners.
-    team_quota_settings quota;      ///< Limits of quotas.
+    placement_settings placement;       ///< Limits of placements.
+    job_queue_settings queue;           ///< Order of jobs.
+    admission_settings admission;       ///< Limits of admission.
+    retry_settings retry;               ///< Limits of retries.
+    health_settings health;             ///< Judgement on runners.
+    team_quota_settings quota;          ///< Limits of quotas.
     std::size_t ring_records = 262'144; ///< Decisions kept for `why`.
 };
 
 /// Counters of a coordinator.
 struct coordinator_stats
 {
-    std::uint64_t admitted = 0;      ///< Jobs taken.
-    std::uint64_t joined = 0;        ///< Resubmissions of a known job.
-    std::uint64_t completed = 0;     ///< Jobs answered whole.
-    std::uint64_t failed = 0;        ///< Jobs marked failed.
-    std::uint64_t refused = 0;       ///< Jobs refused.
+    std::uint64_t admitted = 0;       ///< Jobs taken.
+    std::uint64_t joined = 0;         ///< Resubmissions of a known job.
+    std::uint64_t completed = 0;      ///< Jobs answered whole.
+    std::uint64_t failed = 0;         ///< Jobs marked failed.
+    std::uint64_t refused = 0;        ///< Jobs refused.
     std::uint64_t tasks_admitted = 0; ///< Tasks of jobs taken.
-    std::uint64_t sent = 0;          ///< Starts sent.
-    std::uint64_t retried = 0;       ///< Of them, not the first of a task.
-    std::uint64_t late_ends = 0;     ///< Ends nobody waited for any more.
+    std::uint64_t sent = 0;           ///< Starts sent.
+    std::uint64_t retried = 0;        ///< Of them, not the first of a task.
+    std::uint64_t late_ends = 0;      ///< Ends nobody waited for any more.
 };
 
 /// One row of `show jobs`.
@@ -149,8 +149,8 @@
     /// @param settings Limits.
     /// @param seed Of all random choices.
     coordinator(const clock_source& clock, start_sender& sender,
-                std::uint64_t incarnation,
-                const coordinator_settings& settings, std::uint64_t seed);
+                std::uint64_t incarnation, const coordinator_settings& settings,
+                std::uint64_t seed);
     ~coordinator();
 
     /// @return A fresh submission id of this shard.
@@ -280,8 +280,8 @@
     /// A task that waits out a backoff.
     struct delayed_task
     {
-        instant due{};  ///< When it goes back to the queue.
-        task_key key;   ///< Which it is.
+        instant due{}; ///< When it goes back to the queue.
+        task_key key;  ///< Which it is.
 
         auto operator<=>(const delayed_task&) const = default;
     };
@@ -323,42 +323,42 @@
     void log(decision_kind kind, std::uint64_t sequence, std::uint32_t task,
              runner_index runner, reason why, verdict what,
              duration length = {});
-    void trace_hop(const job& owner, std::string_view name,
-                   const task_key& key, std::int64_t begin,
-                   const trace_context& context, const std::string& parent);
-
-    const clock_source& clock_;        ///< The entry's clock.
-    start_sender& sender_;             ///< Sends starts.
-    std::uint64_t incarnation_;        ///< This start of the entry.
-    coordinator_settings settings_;    ///< Limits in force.
-    random_engine random_;             ///< Of all choices.
-    mint mint_;                        ///< Sequence numbers.
+    void trace_hop(const job& owner, std::string_view name, const task_key& key,
+                   std::int64_t begin, const trace_context& context,
+                   const std::string& parent);
+
+    const clock_source& clock_;            ///< The entry's clock.
+    start_sender& sender_;                 ///< Sends starts.
+    std::uint64_t incarnation_;            ///< This start of the entry.
+    coordinator_settings settings_;        ///< Limits in force.
+    random_engine random_;                 ///< Of all choices.
+    mint mint_;                            ///< Sequence numbers.
     std::unique_ptr<placement> placement_; ///< Chooses runners.
-    job_queue short_queue_;            ///< Jobs of short tasks.
-    job_queue long_queue_;             ///< Jobs of long tasks.
-    retry_budget retries_;             ///< Budget of each team.
-    health_monitor health_;            ///< Judges runners.
-    team_quota quota_;                 ///< Limits of each team.
-    decision_ring ring_;               ///< For `why`.
-    span_exporter* spans_ = nullptr;   ///< May be null.
+    job_queue short_queue_;                ///< Jobs of short tasks.
+    job_queue long_queue_;                 ///< Jobs of long tasks.
+    retry_budget retries_;                 ///< Budget of each team.
+    health_monitor health_;                ///< Judges runners.
+    team_quota quota_;                     ///< Limits of each team.
+    decision_ring ring_;                   ///< For `why`.
+    span_exporter* spans_ = nullptr;       ///< May be null.
 
     std::unordered_map<std::uint64_t, std::unique_ptr<job>> jobs_; ///< All.
-    std::map<std::uint64_t, std::uint64_t> ended_order_; ///< For expiry.
-    std::size_t open_jobs_ = 0;        ///< In flight.
-    std::size_t kept_bytes_ = 0;       ///< Of answers.
+    std::map<std::uint64_t, std::uint64_t> ended_order_;    ///< For expiry.
+    std::size_t open_jobs_ = 0;                             ///< In flight.
+    std::size_t kept_bytes_ = 0;                            ///< Of answers.
     std::set<std::pair<instant, std::uint64_t>> deadlines_; ///< Of open jobs.
-    std::set<delayed_task> delayed_;   ///< Waiting out a backoff.
-    std::deque<pending_ack> acks_;     ///< Oldest first.
+    std::set<delayed_task> delayed_;             ///< Waiting out a backoff.
+    std::deque<pending_ack> acks_;               ///< Oldest first.
     std::map<std::string, double> task_seconds_; ///< Mean length by team.
-    std::vector<runner_view> views_;   ///< By index.
-    std::vector<bool> drained_;        ///< By index, by order or list.
+    std::vector<runner_view> views_;             ///< By index.
+    std::vector<bool> drained_; ///< By index, by order or list.
     std::map<runner_index, std::vector<outgoing_start>> outbox_; ///< To send.
-    bool stopping_ = false;            ///< No new jobs.
-    bool fenced_ = false;              ///< Another entry adopted us.
-    coordinator_stats stats_;          ///< Counters.
-    latency_summary job_seconds_;      ///< From admission to answer.
-    latency_summary queue_seconds_;    ///< From admission to send, per task.
-    latency_summary link_seconds_;     ///< Message time there and back.
+    bool stopping_ = false;         ///< No new jobs.
+    bool fenced_ = false;           ///< Another entry adopted us.
+    coordinator_stats stats_;       ///< Counters.
+    latency_summary job_seconds_;   ///< From admission to answer.
+    latency_summary queue_seconds_; ///< From admission to send, per task.
+    latency_summary link_seconds_;  ///< Message time there and back.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/entry/entry_node.cpp
+++ b/src/glenhollow/entry/entry_node.cpp
@@ -70,31 +70,30 @@
     {
     }
 
-    entry_settings settings;                 ///< Checked.
-    operator_tokens tokens;                  ///< Of operators.
+    entry_settings settings;                          ///< Checked.
+    operator_tokens tokens;                           ///< Of operators.
     std::uint64_t incarnation = random_incarnation(); ///< Of this start.
-    rpc_loop control;                        ///< The control thread.
-    asio::signal_set signals;                ///< SIGTERM and SIGINT.
-    supervisor root;                         ///< Of the supervisor tree.
-    std::unique_ptr<span_exporter> spans;    ///< May be null.
-    std::unique_ptr<rpc_listener> listener;  ///< Links from other entries.
-    std::unique_ptr<shard_group> shards;     ///< The traffic threads.
-    std::unique_ptr<control_plane> plane;    ///< On the control thread.
-    std::unique_ptr<operator_desk> desk;     ///< On the control thread.
-    std::atomic<bool> is_stopping{false};    ///< A planned stop has begun.
+    rpc_loop control;                                 ///< The control thread.
+    asio::signal_set signals;                         ///< SIGTERM and SIGINT.
+    supervisor root;                        ///< Of the supervisor tree.
+    std::unique_ptr<span_exporter> spans;   ///< May be null.
+    std::unique_ptr<rpc_listener> listener; ///< Links from other entries.
+    std::unique_ptr<shard_group> shards;    ///< The traffic threads.
+    std::unique_ptr<control_plane> plane;   ///< On the control thread.
+    std::unique_ptr<operator_desk> desk;    ///< On the control thread.
+    std::atomic<bool> is_stopping{false};   ///< A planned stop has begun.
     std::atomic<std::shared_ptr<const caller_rules>> rules{
         std::make_shared<const caller_rules>()}; ///< For traffic threads.
-    int exit_status = 0;                     ///< Of the process.
+    int exit_status = 0;                         ///< Of the process.
 
     result<void> listen()
     {
         if (!settings.trace_file.empty())
         {
-            BOOST_OUTCOME_TRY(
-                auto exporter,
-                span_exporter::create(settings.trace_file,
-                                      settings.trace_share,
-                                      "glenhollow-entry"));
+            BOOST_OUTCOME_TRY(auto exporter,
+                              span_exporter::create(settings.trace_file,
+                                                    settings.trace_share,
+                                                    "glenhollow-entry"));
             spans = std::move(exporter);
         }
         BOOST_OUTCOME_TRY(auto links,
@@ -173,9 +172,9 @@
         root.add(std::move(traffic), restart_policy::escalate);
         auto parts = std::make_unique<supervisor>("control", control.io());
         plane->add_children(*parts);
-        parts->add(std::make_unique<periodic_task>(
-                       "fence_watch", control.io(), fence_check_interval,
-                       [this] { watch_fence(); }),
+        parts->add(std::make_unique<periodic_task>("fence_watch", control.io(),
+                                                   fence_check_interval,
+                                                   [this] { watch_fence(); }),
                    restart_policy::restart);
         root.add(std::move(parts), restart_policy::escalate);
     }
@@ -204,8 +203,7 @@
                        {
                            plane->foreign().resolve(
                                {shared->id, std::move(shared->body),
-                                shared->trace ? shared->trace->to_header()
-                                              : "",
+                                shared->trace ? shared->trace->to_header() : "",
                                 false},
                                done);
                        });
@@ -243,43 +241,40 @@
     void operate(std::string statement, std::string by,
                  answer_sink done) override
     {
-        asio::post(control.io(),
-                   [this, statement = std::move(statement),
-                    by = std::move(by), done = std::move(done)]
-                   {
-                       desk->run(statement, by, statement_scope::everyone,
-                                 done);
-                   });
+        asio::post(
+            control.io(), [this, statement = std::move(statement),
+                           by = std::move(by), done = std::move(done)]
+            { desk->run(statement, by, statement_scope::everyone, done); });
     }
 
     void metrics(std::function<void(std::string)> done) override
     {
-        asio::post(
-            control.io(),
-            [this, done = std::move(done)]
-            {
-                shards->gather<metric_page>(
-                    [](shard& one)
-                    {
-                        metric_page page;
-                        one.collect(page);
-                        return page;
-                    },
-                    [this, done](const std::vector<metric_page>& pages)
-                    {
-                        metric_page all;
-                        for (const auto& page : pages)
-                            all.merge(page);
-                        plane->collect(all);
-                        listener->collect(all);
-                        all.gauge("stopping", "1 during a planned stop",
-                                  is_stopping ? 1 : 0);
-                        all.counter("restarts_total",
-                                    "Restarts of parts by the supervisor",
-                                    static_cast<double>(root.restarts()));
-                        done(all.render());
-                    });
-            });
+        asio::post(control.io(),
+                   [this, done = std::move(done)]
+                   {
+                       shards->gather<metric_page>(
+                           [](shard& one)
+                           {
+                               metric_page page;
+                               one.collect(page);
+                               return page;
+                           },
+                           [this, done](const std::vector<metric_page>& pages)
+                           {
+                               metric_page all;
+                               for (const auto& page : pages)
+                                   all.merge(page);
+                               plane->collect(all);
+                               listener->collect(all);
+                               all.gauge("stopping", "1 during a planned stop",
+                                         is_stopping ? 1 : 0);
+                               all.counter(
+                                   "restarts_total",
+                                   "Restarts of parts by the supervisor",
+                                   static_cast<double>(root.restarts()));
+                               done(all.render());
+                           });
+                   });
     }
 
     bool stopping() const override { return is_stopping; }
@@ -336,9 +331,8 @@
             },
             [this, not_before](const std::vector<bool>& idle)
             {
-                const bool all_idle =
-                    std::all_of(idle.begin(), idle.end(),
-                                [](bool one) { return one; });
+                const bool all_idle = std::all_of(idle.begin(), idle.end(),
+                                                  [](bool one) { return one; });
                 if (all_idle && process_clock().now() >= not_before)
                     return plane->hand_over([this] { last_callers(); });
                 after(stop_check_interval,
@@ -357,9 +351,8 @@
             },
             [this](const std::vector<bool>& idle)
             {
-                const bool all_idle =
-                    std::all_of(idle.begin(), idle.end(),
-                                [](bool one) { return one; });
+                const bool all_idle = std::all_of(idle.begin(), idle.end(),
+                                                  [](bool one) { return one; });
                 if (all_idle)
                     return end();
                 after(stop_check_interval, [this] { last_callers(); });
@@ -406,8 +399,7 @@
         control.run(
             [this]
             {
-                listener->serve(
-                    kj::heap<peer_service>(*plane, *this, *desk));
+                listener->serve(kj::heap<peer_service>(*plane, *this, *desk));
                 root.start(
                     [this](const std::string& why)
                     {
@@ -452,6 +444,9 @@
     return std::unique_ptr<entry_node>(new entry_node(std::move(made)));
 }
 
-int entry_node::run() { return state_->run(); }
+int entry_node::run()
+{
+    return state_->run();
+}
 
 } // namespace glenhollow
--- a/src/glenhollow/entry/foreign_jobs.cpp
+++ b/src/glenhollow/entry/foreign_jobs.cpp
@@ -57,8 +57,8 @@
                            const clock_source& clock, peer_links& peers,
                            agent_control& agents, const membership& members,
                            const foreign_jobs_settings& settings)
-    : io_(io), clock_(clock), peers_(peers), agents_(agents),
-      members_(members), settings_(settings)
+    : io_(io), clock_(clock), peers_(peers), agents_(agents), members_(members),
+      settings_(settings)
 {
 }
 
@@ -108,8 +108,8 @@
     auto told = [id, done = std::move(done)](std::optional<job_answer> answer)
     { done(answer ? std::move(*answer) : unreachable(id).to_answer()); };
     if (asked.body)
-        peers_.submit(to, id.to_string(), *asked.body, asked.traceparent,
-                      adopt, std::move(told));
+        peers_.submit(to, id.to_string(), *asked.body, asked.traceparent, adopt,
+                      std::move(told));
     else
         peers_.lookup(to, id.to_string(), adopt, std::move(told));
 }
@@ -147,8 +147,8 @@
                          {
                              state->found = true;
                              heirs_[state->asked.id.incarnation] = name;
-                             return forward(name, std::move(state->asked),
-                                            true, std::move(state->done));
+                             return forward(name, std::move(state->asked), true,
+                                            std::move(state->done));
                          }
                          if (state->open == 0)
                              choose_adopter(std::move(state->asked),
@@ -163,8 +163,8 @@
     // answers.
     auto candidates = peers_.reachable();
     candidates.push_back(settings_.entry);
-    const auto ranked = rendezvous_order(
-        std::to_string(asked.id.incarnation), std::move(candidates));
+    const auto ranked = rendezvous_order(std::to_string(asked.id.incarnation),
+                                         std::move(candidates));
     if (ranked.front() == settings_.entry)
         return adopt(std::move(asked), std::move(done));
     forward(ranked.front(), std::move(asked), true, std::move(done));
@@ -224,8 +224,8 @@
     if (ask_again)
     {
         state->to_ask = state->ask_again;
-        const auto pause = state->declined ? settings_.retry_decline
-                                           : settings_.ask_again;
+        const auto pause =
+            state->declined ? settings_.retry_decline : settings_.ask_again;
         return after(pause, [this, state] { fence_all(state); });
     }
     state->ready = true;
@@ -233,8 +233,7 @@
     ++adoptions_;
     const adoption_report report{state->entry, state->incarnation,
                                  state->answers.jobs(),
-                                 state->answers.whole_jobs(),
-                                 state->unreached};
+                                 state->answers.whole_jobs(), state->unreached};
     log_change(log_level::warning, "entry_adopted",
                {{"entry", report.entry},
                 {"jobs", report.jobs},
@@ -263,10 +262,9 @@
         one.done(unreachable(one.asked.id).to_answer());
 }
 
-void foreign_jobs::keep(
-    const std::string& entry, const std::string& hall,
-    std::uint64_t incarnation,
-    const std::vector<coordinator::kept_answer>& answers)
+void foreign_jobs::keep(const std::string& entry, const std::string& hall,
+                        std::uint64_t incarnation,
+                        const std::vector<coordinator::kept_answer>& answers)
 {
     auto& known = incarnations_[incarnation];
     if (!known)
@@ -291,10 +289,8 @@
 void foreign_jobs::tick()
 {
     const instant oldest = clock_.now() - settings_.keep_for;
-    std::erase_if(incarnations_,
-                  [&](const auto& one) {
-                      return one.second->ready && one.second->since < oldest;
-                  });
+    std::erase_if(incarnations_, [&](const auto& one)
+                  { return one.second->ready && one.second->since < oldest; });
     // Heirs are few; they are dropped in bulk once they are many.
     constexpr std::size_t most_heirs = 10'000;
     if (heirs_.size() > most_heirs)
--- a/src/glenhollow/entry/foreign_jobs.hpp
+++ b/src/glenhollow/entry/foreign_jobs.hpp
@@ -25,12 +25,12 @@
 /// Settings of the treatment of other entries' submissions.
 struct foreign_jobs_settings
 {
-    std::string entry = "entry";   ///< Our name.
+    std::string entry = "entry";      ///< Our name.
     duration keep_for = seconds{300}; ///< Answers of an adopted incarnation.
-    duration ask_again = milliseconds{200}; ///< While tasks still run.
-    duration longest_wait = seconds{60};    ///< For tasks that still run.
+    duration ask_again = milliseconds{200};     ///< While tasks still run.
+    duration longest_wait = seconds{60};        ///< For tasks that still run.
     duration retry_decline = milliseconds{300}; ///< After a declined fence.
-    duration longest_decline = seconds{3};  ///< Then the caller is told.
+    duration longest_decline = seconds{3};      ///< Then the caller is told.
 };
 
 /// Told of an adoption that has ended.
@@ -52,10 +52,10 @@
     /// A request about a submission of another entry.
     struct request
     {
-        submission_id id;                   ///< The submission.
-        std::optional<std::string> body;    ///< Of a job; none: a question.
-        std::string traceparent;            ///< W3C trace context.
-        bool adopt = false;                 ///< Not to be forwarded again.
+        submission_id id;                ///< The submission.
+        std::optional<std::string> body; ///< Of a job; none: a question.
+        std::string traceparent;         ///< W3C trace context.
+        bool adopt = false;              ///< Not to be forwarded again.
     };
 
     /// @param io Runs the timers.
@@ -120,19 +120,19 @@
                            const request& asked) const;
     void after(duration wait, std::function<void()> work);
 
-    boost::asio::io_context& io_;     ///< Runs the timers.
-    const clock_source& clock_;       ///< The entry's clock.
-    peer_links& peers_;               ///< Links to other entries.
-    agent_control& agents_;           ///< Calls to agents.
-    const membership& members_;       ///< The VMs.
-    foreign_jobs_settings settings_;  ///< Limits.
+    boost::asio::io_context& io_;    ///< Runs the timers.
+    const clock_source& clock_;      ///< The entry's clock.
+    peer_links& peers_;              ///< Links to other entries.
+    agent_control& agents_;          ///< Calls to agents.
+    const membership& members_;      ///< The VMs.
+    foreign_jobs_settings settings_; ///< Limits.
     std::function<void(const adoption_report&)> adopted_; ///< May be empty.
     std::map<std::uint64_t, std::shared_ptr<incarnation_state>>
-        incarnations_;                ///< Whose answers are here, or will be.
+        incarnations_; ///< Whose answers are here, or will be.
     std::map<std::uint64_t, std::string> heirs_; ///< By incarnation.
-    std::uint64_t adoptions_ = 0;     ///< Ended.
-    std::uint64_t declined_ = 0;      ///< Given up, the entry being alive.
-    std::uint64_t forwarded_ = 0;     ///< Requests sent on.
+    std::uint64_t adoptions_ = 0;                ///< Ended.
+    std::uint64_t declined_ = 0;  ///< Given up, the entry being alive.
+    std::uint64_t forwarded_ = 0; ///< Requests sent on.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/entry/job.cpp
+++ b/src/glenhollow/entry/job.cpp
@@ -60,9 +60,9 @@
     const auto* given = job.if_contains("deadline_ms");
     if (!given)
         return limits.usual_deadline;
-    const auto most = std::chrono::duration_cast<milliseconds>(
-                          limits.longest_deadline)
-                          .count();
+    const auto most =
+        std::chrono::duration_cast<milliseconds>(limits.longest_deadline)
+            .count();
     const bool fits = given->is_int64() && given->get_int64() >= 1 &&
                       given->get_int64() <= most;
     if (!fits)
@@ -132,12 +132,9 @@
 
 job_answer api_problem::to_answer() const
 {
-    json::object body{{"type", "about:blank"},
-                      {"title", title_of(status)},
-                      {"status", status},
-                      {"detail", detail},
-                      {"verdict", to_name(what)},
-                      {"reason", to_name(why)}};
+    json::object body{{"type", "about:blank"},    {"title", title_of(status)},
+                      {"status", status},         {"detail", detail},
+                      {"verdict", to_name(what)}, {"reason", to_name(why)}};
     return {status, why, retry_after, json::serialize(body)};
 }
 
--- a/src/glenhollow/entry/job.hpp
+++ b/src/glenhollow/entry/job.hpp
@@ -17,9 +17,9 @@
 /// Limits of one job.
 struct job_limits
 {
-    std::size_t max_tasks = 1000;          ///< In one job.
+    std::size_t max_tasks = 1000;             ///< In one job.
     duration longest_deadline = seconds{120}; ///< A caller may ask for.
-    duration usual_deadline = seconds{30}; ///< When a caller names none.
+    duration usual_deadline = seconds{30};    ///< When a caller names none.
 };
 
 /// A job as a caller sent it, checked.
@@ -48,11 +48,11 @@
 /// A refused request.
 struct api_problem
 {
-    unsigned status = 400;              ///< HTTP status.
-    reason why = reason::malformed;     ///< Its name goes into the answer.
-    std::string detail;                 ///< Names the field and the range.
-    verdict what = verdict::not_run;    ///< Whether the job may have run.
-    duration retry_after{};             ///< 0: not said.
+    unsigned status = 400;           ///< HTTP status.
+    reason why = reason::malformed;  ///< Its name goes into the answer.
+    std::string detail;              ///< Names the field and the range.
+    verdict what = verdict::not_run; ///< Whether the job may have run.
+    duration retry_after{};          ///< 0: not said.
 
     /// @return The problem as an answer.
     job_answer to_answer() const;
@@ -60,8 +60,7 @@
 
 /// A value or the problem that a caller is told.
 template <class T>
-using api_result =
-    outcome::result<T, api_problem, outcome::policy::all_narrow>;
+using api_result = outcome::result<T, api_problem, outcome::policy::all_narrow>;
 
 /// Checks the body of a job.
 /// @param body JSON text.
--- a/src/glenhollow/entry/mint.hpp
+++ b/src/glenhollow/entry/mint.hpp
@@ -59,12 +59,12 @@
         return count * shards_ + shard_;
     }
 
-    std::uint32_t shard_;         ///< This shard.
-    std::uint32_t shards_;        ///< All shards.
-    duration lifetime_;           ///< Of a number.
-    std::uint64_t count_ = 0;     ///< Numbers minted.
-    std::uint64_t expired_ = 0;   ///< Counts up to this are expired.
-    std::deque<batch> batches_;   ///< Oldest first.
+    std::uint32_t shard_;       ///< This shard.
+    std::uint32_t shards_;      ///< All shards.
+    duration lifetime_;         ///< Of a number.
+    std::uint64_t count_ = 0;   ///< Numbers minted.
+    std::uint64_t expired_ = 0; ///< Counts up to this are expired.
+    std::deque<batch> batches_; ///< Oldest first.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/entry/operator_desk.cpp
+++ b/src/glenhollow/entry/operator_desk.cpp
@@ -99,11 +99,11 @@
         return "waited " + ms + ", then placed on " + runner + " because " +
                why;
     case decision_kind::ended:
-        return std::string(to_name(record.what)) + " on " + runner +
-               " after " + ms + (record.why == reason::none ? "" : ": " + why);
+        return std::string(to_name(record.what)) + " on " + runner + " after " +
+               ms + (record.why == reason::none ? "" : ": " + why);
     case decision_kind::retried:
-        return "to be sent again in " + ms + " because " + runner +
-               " said " + why;
+        return "to be sent again in " + ms + " because " + runner + " said " +
+               why;
     case decision_kind::completed:
         return "answered complete after " + ms;
     case decision_kind::failed:
@@ -112,8 +112,7 @@
     default:
         break;
     }
-    return std::string(to_name(record.kind)) + " " + runner + " because " +
-           why;
+    return std::string(to_name(record.kind)) + " " + runner + " because " + why;
 }
 
 /// Records of one shard with the names of their runners.
@@ -133,10 +132,10 @@
         [&](const decision_record& record)
         {
             if (record.sequence == sequence)
-                found.push_back({record, record.runner == 0
-                                             ? ""
-                                             : one.links().name_of(
-                                                   record.runner - 1)});
+                found.push_back(
+                    {record, record.runner == 0
+                                 ? ""
+                                 : one.links().name_of(record.runner - 1)});
         });
     return found;
 }
@@ -182,21 +181,17 @@
     statement_scope scope; ///< Whom it asks.
     answer_sink done;      ///< Told the answer.
 
-    void refuse(const api_problem& problem) const
-    {
-        done(problem.to_answer());
-    }
+    void refuse(const api_problem& problem) const { done(problem.to_answer()); }
 };
 
 void operator_desk::run(const std::string& text, const std::string& by,
                         statement_scope scope, answer_sink done)
 {
-    auto on = std::make_shared<context>(
-        context{text, by, scope, std::move(done)});
+    auto on =
+        std::make_shared<context>(context{text, by, scope, std::move(done)});
     const auto parsed = parse_statement(text, dialect::operators);
     if (!parsed)
-        return on->refuse(
-            {400, reason::malformed, parsed.error().text()});
+        return on->refuse({400, reason::malformed, parsed.error().text()});
     std::visit(
         [this, &on](const auto& one)
         {
@@ -260,17 +255,17 @@
     const std::string text = on->text.substr(0, where);
     for (const auto& peer : peers)
     {
-        plane_.peers().operate(peer, text, on->by,
-                               [all, how, done](
-                                   std::optional<job_answer> answer)
-                               {
-                                   if (answer)
-                                       all->rows.merge(*answer, how);
-                                   if (--all->open > 0)
-                                       return;
-                                   all->rows.sort_by("name");
-                                   done(std::move(all->rows));
-                               });
+        plane_.peers().operate(
+            peer, text, on->by,
+            [all, how, done](std::optional<job_answer> answer)
+            {
+                if (answer)
+                    all->rows.merge(*answer, how);
+                if (--all->open > 0)
+                    return;
+                all->rows.sort_by("name");
+                done(std::move(all->rows));
+            });
     }
 }
 
@@ -306,8 +301,7 @@
     {
         if (row.value.empty())
             continue;
-        const bool secret =
-            key.starts_with(row_key(row_kind::token, ""));
+        const bool secret = key.starts_with(row_key(row_kind::token, ""));
         rows.add({{"key", key},
                   {"value", secret ? "(hidden)" : row.value},
                   {"version", row.version},
@@ -386,8 +380,7 @@
                       {"jobs", sum.jobs},
                       {"queued_tasks", sum.queued},
                       {"links_up", sum.links},
-                      {"config_version",
-                       plane_.store().current().version()}});
+                      {"config_version", plane_.store().current().version()}});
             done(std::move(rows));
         });
 }
@@ -396,8 +389,7 @@
 {
     std::vector<std::string> names;
     const auto& config = plane_.store().current();
-    for (const auto kind :
-         {row_kind::quota, row_kind::weight, row_kind::token})
+    for (const auto kind : {row_kind::quota, row_kind::weight, row_kind::token})
     {
         for (const auto& [team, row] : config.rows_of(kind))
         {
@@ -411,8 +403,8 @@
         {
             rates in_use;
             for (const auto& team : names)
-                in_use.push_back(one.jobs().quota().in_use(
-                    team, process_clock().now()));
+                in_use.push_back(
+                    one.jobs().quota().in_use(team, process_clock().now()));
             return in_use;
         },
         [this, names, done](const std::vector<rates>& all)
@@ -499,9 +491,9 @@
             table.add(std::move(row));
             auto told_answer = table.to_answer();
             if (answer.state == change_state::refused)
-                told_answer = api_problem{409, reason::body_conflict,
-                                          answer.text()}
-                                  .to_answer();
+                told_answer =
+                    api_problem{409, reason::body_conflict, answer.text()}
+                        .to_answer();
             on->done(std::move(told_answer));
         });
 }
@@ -540,8 +532,7 @@
                             const context_ptr& on)
 {
     if (set.quota < least_quota || set.quota > most_quota)
-        return on->refuse(
-            bad_range("quota", "a number in 0..1000000 tasks/s"));
+        return on->refuse(bad_range("quota", "a number in 0..1000000 tasks/s"));
     std::ostringstream text;
     text << set.quota;
     change({{row_key(row_kind::quota, set.team), text.str()}}, on);
@@ -570,16 +561,15 @@
                             const context_ptr& on)
 {
     std::map<std::string, std::string> rows;
-    for (const auto kind :
-         {row_kind::quota, row_kind::weight, row_kind::token})
+    for (const auto kind : {row_kind::quota, row_kind::weight, row_kind::token})
     {
         const auto key = row_key(kind, unset.team);
         if (plane_.store().current().find(key))
             rows[key] = "";
     }
     if (rows.empty())
-        return on->refuse({404, reason::malformed,
-                           "team " + unset.team + " has no row"});
+        return on->refuse(
+            {404, reason::malformed, "team " + unset.team + " has no row"});
     change(std::move(rows), on);
 }
 
@@ -591,9 +581,9 @@
         std::string names;
         for (const auto& one : setting_table())
             names.append(names.empty() ? "" : ", ").append(one.name);
-        return on->refuse({400, reason::malformed,
-                           "there is no setting '" + set.key +
-                               "'; there are " + names});
+        return on->refuse(
+            {400, reason::malformed,
+             "there is no setting '" + set.key + "'; there are " + names});
     }
     tuning scratch;
     const auto fits = set_value(*setting, set.value, scratch);
@@ -602,16 +592,15 @@
     change({{row_key(row_kind::setting, set.key), set.value}}, on);
 }
 
-void operator_desk::execute(const drain_statement& drain,
-                            const context_ptr& on)
+void operator_desk::execute(const drain_statement& drain, const context_ptr& on)
 {
     const auto* runner = plane_.members().find(drain.runner);
     const auto key = row_key(row_kind::drain, drain.runner);
     const bool drained = plane_.store().current().find(key) != nullptr;
     const bool known = runner && runner->role == member_role::runner;
     if (!known && !(drained && !drain.on))
-        return on->refuse({404, reason::malformed,
-                           "there is no runner " + drain.runner});
+        return on->refuse(
+            {404, reason::malformed, "there is no runner " + drain.runner});
     change({{key, drain.on ? on->by : ""}}, on);
 }
 
@@ -654,16 +643,16 @@
                             return;
                         on->done(std::move(answer));
                     });
-    backend_.lookup(id,
-                    [on, told, id](const job_answer& answer)
-                    {
-                        if (answer.is_problem() || std::exchange(*told, true))
-                            return;
-                        row_table rows;
-                        rows.add({{"submission", id.to_string()},
-                                  {"state", "running"}});
-                        on->done(rows.to_answer());
-                    });
+    backend_.lookup(
+        id,
+        [on, told, id](const job_answer& answer)
+        {
+            if (answer.is_problem() || std::exchange(*told, true))
+                return;
+            row_table rows;
+            rows.add({{"submission", id.to_string()}, {"state", "running"}});
+            on->done(rows.to_answer());
+        });
 }
 
 bool operator_desk::to_minter(const submission_id& id, const context_ptr& on)
@@ -698,18 +687,20 @@
     if (id->incarnation != plane_.incarnation())
         return on->refuse({404, reason::unknown_submission,
                            "no entry that is up has that submission"});
-    plane_.shards().owner_of(id->sequence).post(
-        [id = *id, on](shard& one)
-        {
-            const auto cancelled = one.jobs().cancel(id.sequence);
-            one.schedule_dispatch();
-            if (!cancelled)
-                return on->refuse(cancelled.error());
-            row_table rows;
-            rows.add({{"submission", id.to_string()},
-                      {"cancelled_tasks", cancelled.value()}});
-            on->done(rows.to_answer());
-        });
+    plane_.shards()
+        .owner_of(id->sequence)
+        .post(
+            [id = *id, on](shard& one)
+            {
+                const auto cancelled = one.jobs().cancel(id.sequence);
+                one.schedule_dispatch();
+                if (!cancelled)
+                    return on->refuse(cancelled.error());
+                row_table rows;
+                rows.add({{"submission", id.to_string()},
+                          {"cancelled_tasks", cancelled.value()}});
+                on->done(rows.to_answer());
+            });
 }
 
 void operator_desk::execute(const why_statement& why, const context_ptr& on)
@@ -733,40 +724,41 @@
 }
 
 void operator_desk::explain_here(const why_statement& why,
-                                 const submission_id& id,
-                                 const context_ptr& on)
+                                 const submission_id& id, const context_ptr& on)
 {
-    plane_.shards().owner_of(id.sequence).post(
-        [why, id, on](shard& one)
-        {
-            row_table rows;
-            for (const auto& record : records_of(one, id.sequence))
+    plane_.shards()
+        .owner_of(id.sequence)
+        .post(
+            [why, id, on](shard& one)
             {
-                if (belongs(record.record, why))
-                    rows.add(to_row(record));
-            }
-            if (rows.size() == 0)
-                return on->refuse(
-                    {404, reason::unknown_submission,
-                     "nothing is kept about that submission"});
-            on->done(rows.to_answer());
-        });
+                row_table rows;
+                for (const auto& record : records_of(one, id.sequence))
+                {
+                    if (belongs(record.record, why))
+                        rows.add(to_row(record));
+                }
+                if (rows.size() == 0)
+                    return on->refuse(
+                        {404, reason::unknown_submission,
+                         "nothing is kept about that submission"});
+                on->done(rows.to_answer());
+            });
 }
 
 void operator_desk::explain_drain(const std::string& runner,
                                   const context_ptr& on)
 {
     row_table rows;
-    const auto* row = plane_.store().current().find(
-        row_key(row_kind::drain, runner));
+    const auto* row =
+        plane_.store().current().find(row_key(row_kind::drain, runner));
     if (row)
         rows.add({{"at", wall_text(row->when * 1'000'000'000)},
                   {"decision", "drained"},
                   {"reason", to_name(reason::operator_command)},
                   {"runner", runner},
                   {"by", row->by},
-                  {"detail", "configuration version " +
-                                 std::to_string(row->version)}});
+                  {"detail",
+                   "configuration version " + std::to_string(row->version)}});
     const auto* member = plane_.members().find(runner);
     if (member && member->state == member_state::leaving)
         rows.add({{"at", wall_text(wall_nanoseconds())},
@@ -782,8 +774,7 @@
                 rows.add(to_row(line));
         });
     explain_from_reports("night/", on, std::move(rows),
-                         [runner](const report_line& line)
-                         {
+                         [runner](const report_line& line) {
                              return line.runner == runner &&
                                     line.kind != decision_kind::refused;
                          });
@@ -805,16 +796,15 @@
                                    "is away",
                                    verdict::not_run, seconds{5}});
             if (names.size() > most_report_objects)
-                names.erase(names.begin(),
-                            names.end() - most_report_objects);
+                names.erase(names.begin(), names.end() - most_report_objects);
             read_reports(std::move(names), on, rows, wanted);
         });
 }
 
-void operator_desk::read_reports(
-    std::vector<std::string> names, const context_ptr& on,
-    std::shared_ptr<row_table> found,
-    std::function<bool(const report_line&)> wanted)
+void operator_desk::read_reports(std::vector<std::string> names,
+                                 const context_ptr& on,
+                                 std::shared_ptr<row_table> found,
+                                 std::function<bool(const report_line&)> wanted)
 {
     if (names.empty())
     {
@@ -846,8 +836,7 @@
 void operator_desk::execute(const why_waste_statement& why,
                             const context_ptr& on)
 {
-    const auto counts =
-        plane_.waste().within(process_clock().now(), why.since);
+    const auto counts = plane_.waste().within(process_clock().now(), why.since);
     row_table rows;
     for (std::size_t i = 0; i < counts.by_kind.size(); ++i)
     {
--- a/src/glenhollow/entry/peer_links.cpp
+++ b/src/glenhollow/entry/peer_links.cpp
@@ -33,16 +33,16 @@
         background_tasks calls;  ///< In flight.
     };
 
-    member entry;                  ///< Whom it links to.
-    std::uint64_t generation = 0;  ///< Of the connection.
-    kj::Own<connection> current;   ///< Null while there is none.
-    bool connecting = false;       ///< A connection is being made.
-    bool up = false;               ///< An exchange was answered.
-    bool exchanging = false;       ///< One is under way.
-    instant exchanged{};           ///< When the last one left.
-    instant retry_at{};            ///< When to connect again.
-    duration backoff{};            ///< Before the next attempt.
-    peer_report report;            ///< The last one.
+    member entry;                 ///< Whom it links to.
+    std::uint64_t generation = 0; ///< Of the connection.
+    kj::Own<connection> current;  ///< Null while there is none.
+    bool connecting = false;      ///< A connection is being made.
+    bool up = false;              ///< An exchange was answered.
+    bool exchanging = false;      ///< One is under way.
+    instant exchanged{};          ///< When the last one left.
+    instant retry_at{};           ///< When to connect again.
+    duration backoff{};           ///< Before the next attempt.
+    peer_report report;           ///< The last one.
 };
 
 peer_links::peer_links(boost::asio::io_context& io, const clock_source& clock,
@@ -97,8 +97,8 @@
                     to.connecting = false;
                     if (!socket)
                         return broken(to, generation);
-                    to.current = kj::heap<link::connection>(
-                        std::move(*socket), bytes_);
+                    to.current =
+                        kj::heap<link::connection>(std::move(*socket), bytes_);
                     exchange(to);
                 });
 }
@@ -113,8 +113,8 @@
     at.generation = ++generations_;
     if (at.current)
     {
-        auto old = std::make_shared<kj::Own<link::connection>>(
-            kj::mv(at.current));
+        auto old =
+            std::make_shared<kj::Own<link::connection>>(kj::mv(at.current));
         boost::asio::post(io_, [old] { *old = nullptr; });
     }
     at.retry_at = clock_.now() + at.backoff;
@@ -227,14 +227,16 @@
     news_ = news_left;
 }
 
-void peer_links::close() { links_.clear(); }
+void peer_links::close()
+{
+    links_.clear();
+}
 
 const peer_report* peer_links::report_of(const std::string& entry) const
 {
     const auto known = links_.find(entry);
-    return known == links_.end() || !known->second->up
-               ? nullptr
-               : &known->second->report;
+    return known == links_.end() || !known->second->up ? nullptr
+                                                       : &known->second->report;
 }
 
 std::vector<std::string> peer_links::reachable() const
@@ -278,17 +280,16 @@
 {
     const once_handler<std::optional<job_answer>> done(std::move(handler),
                                                        std::nullopt);
-    return request.send().then(
-        [done](auto&& reply) { done(to_answer(reply.getAnswer())); },
-        [done](kj::Exception&&) { done(std::nullopt); });
+    return request.send().then([done](auto&& reply)
+                               { done(to_answer(reply.getAnswer())); },
+                               [done](kj::Exception&&) { done(std::nullopt); });
 }
 
 } // namespace
 
 void peer_links::submit(const std::string& entry, const std::string& id,
-                        const std::string& body,
-                        const std::string& traceparent, bool adopt,
-                        answer_handler done)
+                        const std::string& body, const std::string& traceparent,
+                        bool adopt, answer_handler done)
 {
     auto* to = usable(entry);
     if (!to)
@@ -299,8 +300,7 @@
     request.setBody(as_bytes(body));
     request.setTraceparent(traceparent);
     request.setAdopt(adopt);
-    to->current->calls.add(
-        send_for_answer(kj::mv(request), std::move(done)));
+    to->current->calls.add(send_for_answer(kj::mv(request), std::move(done)));
 }
 
 void peer_links::lookup(const std::string& entry, const std::string& id,
@@ -313,13 +313,11 @@
     auto request = to->current->peer.lookupRequest();
     request.setId(id);
     request.setAdopt(adopt);
-    to->current->calls.add(
-        send_for_answer(kj::mv(request), std::move(done)));
+    to->current->calls.add(send_for_answer(kj::mv(request), std::move(done)));
 }
 
-void peer_links::operate(const std::string& entry,
-                         const std::string& statement, const std::string& by,
-                         answer_handler done)
+void peer_links::operate(const std::string& entry, const std::string& statement,
+                         const std::string& by, answer_handler done)
 {
     auto* to = usable(entry);
     if (!to)
@@ -327,8 +325,7 @@
     auto request = to->current->peer.operateRequest();
     request.setStatement(statement);
     request.setBy(by);
-    to->current->calls.add(
-        send_for_answer(kj::mv(request), std::move(done)));
+    to->current->calls.add(send_for_answer(kj::mv(request), std::move(done)));
 }
 
 void peer_links::holds(const std::string& entry, std::uint64_t incarnation,
@@ -340,9 +337,9 @@
         return done(false);
     auto request = to->current->peer.holdsRequest();
     request.setIncarnation(incarnation);
-    to->current->calls.add(request.send().then(
-        [done](auto&& reply) { done(reply.getHeld()); },
-        [done](kj::Exception&&) { done(false); }));
+    to->current->calls.add(
+        request.send().then([done](auto&& reply) { done(reply.getHeld()); },
+                            [done](kj::Exception&&) { done(false); }));
 }
 
 void peer_links::keep(const std::string& entry, std::uint64_t incarnation,
@@ -364,9 +361,9 @@
         list[i].setBodyHash(answers[i].body_hash);
         fill(list[i].initAnswer(), answers[i].answer);
     }
-    to->current->calls.add(request.send().then(
-        [done](auto&&) { done(true); },
-        [done](kj::Exception&&) { done(false); }));
+    to->current->calls.add(request.send().then([done](auto&&) { done(true); },
+                                               [done](kj::Exception&&)
+                                               { done(false); }));
 }
 
 void peer_links::pull(const std::string& entry, const configuration& known,
@@ -404,11 +401,9 @@
                 boost::asio::post(io_, [once] { *once = nullptr; });
                 done(std::move(members));
             };
-            (*once)->calls.add(
-                (*once)->peer.membersRequest().send().then(
-                    [end](auto&& reply)
-                    { end(to_members(reply.getMembers())); },
-                    [end](kj::Exception&&) { end({}); }));
+            (*once)->calls.add((*once)->peer.membersRequest().send().then(
+                [end](auto&& reply) { end(to_members(reply.getMembers())); },
+                [end](kj::Exception&&) { end({}); }));
         });
 }
 
@@ -429,9 +424,9 @@
     page.counter("peer_bytes_total", "Bytes over links between entries",
                  static_cast<double>(bytes_.bytes_out), R"(direction="out")");
     page.gauge("peers_up", "Links to other entries that are up",
-               static_cast<double>(std::count_if(
-                   links_.begin(), links_.end(),
-                   [](const auto& one) { return one.second->up; })));
+               static_cast<double>(std::count_if(links_.begin(), links_.end(),
+                                                 [](const auto& one)
+                                                 { return one.second->up; })));
 }
 
 } // namespace glenhollow
--- a/src/glenhollow/entry/peer_links.hpp
+++ b/src/glenhollow/entry/peer_links.hpp
@@ -43,10 +43,10 @@
 /// Settings of the links between entries.
 struct peer_links_settings
 {
-    std::string entry = "entry";        ///< Our name.
-    duration quick = milliseconds{500}; ///< Between exchanges with news.
-    duration heartbeat = seconds{10};   ///< Between exchanges without.
-    duration reply_limit = seconds{2};  ///< For an exchange.
+    std::string entry = "entry";               ///< Our name.
+    duration quick = milliseconds{500};        ///< Between exchanges with news.
+    duration heartbeat = seconds{10};          ///< Between exchanges without.
+    duration reply_limit = seconds{2};         ///< For an exchange.
     duration first_backoff = milliseconds{50}; ///< Of reconnects.
     duration longest_backoff = seconds{2};     ///< The doubling ends here.
 };
@@ -54,10 +54,10 @@
 /// Counters of the links between entries.
 struct peer_links_stats
 {
-    std::uint64_t exchanges = 0;  ///< Both ways.
+    std::uint64_t exchanges = 0;   ///< Both ways.
     std::uint64_t submissions = 0; ///< Forwarded, both ways.
-    std::uint64_t pulls = 0;      ///< Configurations asked for, both ways.
-    std::uint64_t handovers = 0;  ///< Messages with kept answers.
+    std::uint64_t pulls = 0;       ///< Configurations asked for, both ways.
+    std::uint64_t handovers = 0;   ///< Messages with kept answers.
 };
 
 /// Links from one entry to the others, on the control thread, inside an
@@ -192,8 +192,8 @@
     bool news_ = true;             ///< own_ changed since the last exchange.
     std::map<std::string, std::unique_ptr<link>> links_; ///< By entry.
     std::uint64_t generations_ = 0; ///< Counts connections.
-    stream_stats bytes_;           ///< Over all links.
-    peer_links_stats stats_;       ///< Counters.
+    stream_stats bytes_;            ///< Over all links.
+    peer_links_stats stats_;        ///< Counters.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/entry/peer_service.cpp
+++ b/src/glenhollow/entry/peer_service.cpp
@@ -22,9 +22,9 @@
     {
         auto paf = kj::newPromiseAndFulfiller<job_answer>();
         promise_ = kj::mv(paf.promise);
-        fulfiller_ = std::make_shared<
-            kj::Own<kj::PromiseFulfiller<job_answer>>>(
-            kj::mv(paf.fulfiller));
+        fulfiller_ =
+            std::make_shared<kj::Own<kj::PromiseFulfiller<job_answer>>>(
+                kj::mv(paf.fulfiller));
     }
 
     /// @return A sink for the answer.
@@ -42,10 +42,10 @@
     kj::Promise<job_answer> take() { return kj::mv(promise_); }
 
 private:
-    boost::asio::io_context& io_;              ///< This thread's context.
+    boost::asio::io_context& io_;               ///< This thread's context.
     kj::Promise<job_answer> promise_ = nullptr; ///< Of the answer.
     std::shared_ptr<kj::Own<kj::PromiseFulfiller<job_answer>>>
-        fulfiller_;                            ///< Shared with the sink.
+        fulfiller_; ///< Shared with the sink.
 };
 
 } // namespace
@@ -54,8 +54,7 @@
 {
     const auto params = context.getParams();
     const std::string entry = params.getEntry().cStr();
-    const peer_report report{params.getIncarnation(),
-                             params.getConfigVersion(),
+    const peer_report report{params.getIncarnation(), params.getConfigVersion(),
                              to_demand(params.getDemand()),
                              params.getStopping(), params.getHeir().cStr()};
     plane_.take_report(entry, report);
@@ -102,9 +101,9 @@
     }
     else
     {
-        plane_.foreign().resolve({*id, std::move(body), traceparent,
-                                  params.getAdopt()},
-                                 answer.sink());
+        plane_.foreign().resolve(
+            {*id, std::move(body), traceparent, params.getAdopt()},
+            answer.sink());
     }
     context.releaseParams();
     return answer.take().then(kj::mv(tell));
@@ -154,8 +153,8 @@
     const auto params = context.getParams();
     std::vector<coordinator::kept_answer> answers;
     for (const auto one : params.getAnswers())
-        answers.push_back({one.getSequence(), one.getBodyHash(),
-                           to_answer(one.getAnswer())});
+        answers.push_back(
+            {one.getSequence(), one.getBodyHash(), to_answer(one.getAnswer())});
     const std::string entry = params.getEntry().cStr();
     const auto* member = plane_.members().find(entry);
     plane_.foreign().keep(entry, member ? member->hall : plane_.hall(),
@@ -173,8 +172,7 @@
 kj::Promise<void> peer_service::members(MembersContext context)
 {
     const auto& known = plane_.members().members();
-    fill(context.getResults().initMembers(
-             static_cast<unsigned>(known.size())),
+    fill(context.getResults().initMembers(static_cast<unsigned>(known.size())),
          known);
     return kj::READY_NOW;
 }
--- a/src/glenhollow/entry/peer_wire.cpp
+++ b/src/glenhollow/entry/peer_wire.cpp
@@ -43,8 +43,7 @@
     }
 }
 
-std::vector<team_demand>
-to_demand(capnp::List<wire::TeamDemand>::Reader from)
+std::vector<team_demand> to_demand(capnp::List<wire::TeamDemand>::Reader from)
 {
     std::vector<team_demand> demand;
     for (const auto one : from)
--- a/src/glenhollow/entry/peer_wire.hpp
+++ b/src/glenhollow/entry/peer_wire.hpp
@@ -25,8 +25,7 @@
 
 /// @param from A message's list.
 /// @return The demand in it.
-std::vector<team_demand>
-to_demand(capnp::List<wire::TeamDemand>::Reader from);
+std::vector<team_demand> to_demand(capnp::List<wire::TeamDemand>::Reader from);
 
 /// Writes members into a message.
 /// @param out The message's list, of the right size.
--- a/src/glenhollow/entry/row_table.cpp
+++ b/src/glenhollow/entry/row_table.cpp
@@ -125,7 +125,8 @@
     {
         const bool known =
             rows_.empty() ||
-            std::any_of(rows_.begin(), rows_.end(), [&](const auto& row)
+            std::any_of(rows_.begin(), rows_.end(),
+                        [&](const auto& row)
                         { return row.get_object().contains(one.field); });
         if (!known)
         {
@@ -162,8 +163,8 @@
 
 job_answer row_table::to_answer() const
 {
-    return {200, reason::none, {},
-            json::serialize(json::object{{"rows", rows_}})};
+    return {
+        200, reason::none, {}, json::serialize(json::object{{"rows", rows_}})};
 }
 
 } // namespace glenhollow
--- a/src/glenhollow/entry/shard.cpp
+++ b/src/glenhollow/entry/shard.cpp
@@ -33,8 +33,7 @@
     BOOST_OUTCOME_TRY(
         auto server,
         http_server::create(made->loop_.io(), settings.http,
-                            [self](http_request request, http_responder done)
-                            {
+                            [self](http_request request, http_responder done) {
                                 self->api_.handle(std::move(request),
                                                   std::move(done));
                             }));
@@ -47,9 +46,7 @@
     made->coordinator_->trace_to(spans);
     made->coordinator_->ring().on_notable(
         [self](const decision_record& record)
-        {
-            self->notables_.add(self->to_line(record));
-        });
+        { self->notables_.add(self->to_line(record)); });
     made->links_->attach(*made->coordinator_,
                          [self] { self->schedule_dispatch(); });
     return made;
@@ -62,7 +59,10 @@
     shard_of_thread = nullptr;
 }
 
-void shard::set_up() { tick_links(); }
+void shard::set_up()
+{
+    tick_links();
+}
 
 void shard::tear_down()
 {
@@ -71,7 +71,10 @@
     links_->close();
 }
 
-shard* shard::current() { return shard_of_thread; }
+shard* shard::current()
+{
+    return shard_of_thread;
+}
 
 void shard::run_here(std::function<void(shard&)> work)
 {
--- a/src/glenhollow/entry/shard.hpp
+++ b/src/glenhollow/entry/shard.hpp
@@ -24,11 +24,11 @@
 /// Settings of one traffic thread of an entry.
 struct shard_settings
 {
-    coordinator_settings coordinator;  ///< Its decisions.
-    agent_links_settings links;        ///< Its links.
-    http_server_settings http;         ///< Its callers.
-    std::uint64_t incarnation = 0;     ///< Start of the entry.
-    std::uint64_t seed = 0;            ///< Of its random choices.
+    coordinator_settings coordinator; ///< Its decisions.
+    agent_links_settings links;       ///< Its links.
+    http_server_settings http;        ///< Its callers.
+    std::uint64_t incarnation = 0;    ///< Start of the entry.
+    std::uint64_t seed = 0;           ///< Of its random choices.
 };
 
 /// One traffic thread of an entry: callers on one side, links to agents on
@@ -41,9 +41,9 @@
     /// @param backend The entry, for requests that are not this shard's.
     /// @param spans Where spans go, or null.
     /// @return A shard that listens, or why it cannot.
-    static result<std::unique_ptr<shard>>
-    create(const shard_settings& settings, entry_backend& backend,
-           span_exporter* spans);
+    static result<std::unique_ptr<shard>> create(const shard_settings& settings,
+                                                 entry_backend& backend,
+                                                 span_exporter* spans);
     ~shard();
 
     /// Runs on the calling thread until stop().
--- a/src/glenhollow/entry/shard_group.hpp
+++ b/src/glenhollow/entry/shard_group.hpp
@@ -61,22 +61,21 @@
             std::size_t open;
             std::function<void(std::vector<T>)> done;
         };
-        auto all = std::make_shared<collection>(
-            collection{std::vector<T>(shards_.size()), shards_.size(),
-                       std::move(done)});
+        auto all = std::make_shared<collection>(collection{
+            std::vector<T>(shards_.size()), shards_.size(), std::move(done)});
         for (std::size_t i = 0; i < shards_.size(); ++i)
         {
             shards_[i]->post(
                 [this, i, ask, all](shard& one)
                 {
-                    boost::asio::post(
-                        control_,
-                        [i, all, answer = ask(one)]() mutable
-                        {
-                            all->answers[i] = std::move(answer);
-                            if (--all->open == 0)
-                                all->done(std::move(all->answers));
-                        });
+                    boost::asio::post(control_,
+                                      [i, all, answer = ask(one)]() mutable
+                                      {
+                                          all->answers[i] = std::move(answer);
+                                          if (--all->open == 0)
+                                              all->done(
+                                                  std::move(all->answers));
+                                      });
                 });
         }
     }
--- a/src/glenhollow/entry/waste_history.hpp
+++ b/src/glenhollow/entry/waste_history.hpp
@@ -47,8 +47,8 @@
 struct waste_counts
 {
     std::array<std::uint64_t, name_table<waste_kind>::names.size()>
-        by_kind{};               ///< Messages of each kind.
-    std::uint64_t tasks = 0;     ///< Results that came back.
+        by_kind{};           ///< Messages of each kind.
+    std::uint64_t tasks = 0; ///< Results that came back.
 
     /// @param kind Which.
     /// @return Its count.
--- a/src/glenhollow/explain/decision_ring.hpp
+++ b/src/glenhollow/explain/decision_ring.hpp
@@ -37,20 +37,20 @@
 struct name_table<decision_kind>
 {
     static constexpr std::array<std::string_view, 15> names{
-        "admitted",  "refused",   "joined",   "placed",  "ended",
+        "admitted",  "refused",   "joined",   "placed",    "ended",
         "retried",   "completed", "failed",   "cancelled", "drained",
-        "undrained", "ejected",   "returned", "adopted", "changed"};
+        "undrained", "ejected",   "returned", "adopted",   "changed"};
 };
 
 /// One decision, in a fixed size.
 struct decision_record
 {
-    std::int64_t wall = 0;         ///< When, ns since 1970.
-    std::uint64_t sequence = 0;    ///< Submission, 0 where there is none.
-    std::uint32_t task = 0;        ///< Task in it.
-    std::uint32_t runner = 0;      ///< Runner by number, from 1; 0: none.
-    std::uint32_t micros = 0;      ///< A length of time that belongs to it.
-    reason why = reason::none;     ///< Why it fell so.
+    std::int64_t wall = 0;      ///< When, ns since 1970.
+    std::uint64_t sequence = 0; ///< Submission, 0 where there is none.
+    std::uint32_t task = 0;     ///< Task in it.
+    std::uint32_t runner = 0;   ///< Runner by number, from 1; 0: none.
+    std::uint32_t micros = 0;   ///< A length of time that belongs to it.
+    reason why = reason::none;  ///< Why it fell so.
     decision_kind kind = decision_kind::admitted; ///< What was decided.
     verdict what = verdict::not_run;              ///< For ends and failures.
 };
@@ -68,17 +68,14 @@
     explicit decision_ring(std::size_t capacity) : capacity_(capacity) {}
 
     /// @param handler Told of refusals, failures, drains and ejections.
-    void on_notable(notable_handler handler)
-    {
-        notable_ = std::move(handler);
-    }
+    void on_notable(notable_handler handler) { notable_ = std::move(handler); }
 
     /// @param record A decision just made; its time is filled in.
     void add(decision_record record);
 
     /// @param visit Called with each kept record, oldest first.
-    void for_each(const std::function<void(const decision_record&)>& visit)
-        const;
+    void
+    for_each(const std::function<void(const decision_record&)>& visit) const;
 
     /// @return Decisions made since the start.
     std::uint64_t total() const { return total_; }
--- a/src/glenhollow/explain/night_report.hpp
+++ b/src/glenhollow/explain/night_report.hpp
@@ -20,15 +20,15 @@
 /// A decision as it is kept in the object store: names in place of numbers.
 struct report_line
 {
-    std::int64_t wall = 0;     ///< When, ns since 1970.
-    std::string entry;         ///< Who decided.
+    std::int64_t wall = 0;                       ///< When, ns since 1970.
+    std::string entry;                           ///< Who decided.
     decision_kind kind = decision_kind::refused; ///< What.
-    reason why = reason::none; ///< Why.
-    verdict what = verdict::not_run; ///< For failures.
-    std::string submission;    ///< May be empty.
-    std::string runner;        ///< May be empty.
-    std::string by;            ///< Which operator, may be empty.
-    std::string detail;        ///< Such as a statement, may be empty.
+    reason why = reason::none;                   ///< Why.
+    verdict what = verdict::not_run;             ///< For failures.
+    std::string submission;                      ///< May be empty.
+    std::string runner;                          ///< May be empty.
+    std::string by;     ///< Which operator, may be empty.
+    std::string detail; ///< Such as a statement, may be empty.
 
     /// @return One JSON object.
     std::string to_json() const;
@@ -41,7 +41,7 @@
 /// Limits of the report.
 struct night_report_settings
 {
-    std::size_t most_lines = 20'000; ///< Waiting; older ones are summed up.
+    std::size_t most_lines = 20'000;     ///< Waiting; older ones are summed up.
     std::size_t most_per_object = 5'000; ///< In one object.
 };
 
@@ -98,12 +98,12 @@
 
     void bound();
 
-    night_report_settings settings_;          ///< Limits.
-    std::deque<report_line> lines_;           ///< Oldest first.
-    std::deque<report_line> batch_;           ///< Being written.
-    std::map<sum_key, std::uint64_t> summed_; ///< Counts of the oldest.
+    night_report_settings settings_;                ///< Limits.
+    std::deque<report_line> lines_;                 ///< Oldest first.
+    std::deque<report_line> batch_;                 ///< Being written.
+    std::map<sum_key, std::uint64_t> summed_;       ///< Counts of the oldest.
     std::map<sum_key, std::uint64_t> batch_summed_; ///< Being written.
-    std::uint64_t summed_up_ = 0;             ///< Lines in all sums.
+    std::uint64_t summed_up_ = 0;                   ///< Lines in all sums.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/http/client.cpp
+++ b/src/glenhollow/http/client.cpp
@@ -67,8 +67,8 @@
     http_response response;
     response.status = message.result_int();
     for (const auto& field : message)
-        response.headers.push_back({std::string(field.name_string()),
-                                    std::string(field.value())});
+        response.headers.push_back(
+            {std::string(field.name_string()), std::string(field.value())});
     response.content_type = std::string(message[http::field::content_type]);
     response.body = std::move(message.body());
     return response;
@@ -113,11 +113,11 @@
     {
     }
 
-    asio::io_context& io;                           ///< Runs the calls.
-    http_client_settings settings;                  ///< Limits.
-    std::vector<std::unique_ptr<connection>> idle;  ///< Ready for a call.
-    std::deque<waiting_call> waiting;               ///< No connection yet.
-    std::size_t open = 0;                           ///< Busy connections.
+    asio::io_context& io;                          ///< Runs the calls.
+    http_client_settings settings;                 ///< Limits.
+    std::vector<std::unique_ptr<connection>> idle; ///< Ready for a call.
+    std::deque<waiting_call> waiting;              ///< No connection yet.
+    std::size_t open = 0;                          ///< Busy connections.
 
     void start_next()
     {
--- a/src/glenhollow/http/client.hpp
+++ b/src/glenhollow/http/client.hpp
@@ -34,11 +34,11 @@
 /// Limits of a client.
 struct http_client_settings
 {
-    host_port server;                         ///< Whom to call.
-    std::size_t max_connections = 64;         ///< Open at once; more calls wait.
-    duration connect_timeout = seconds{2};    ///< To get a connection.
-    duration call_timeout = seconds{60};      ///< From first byte to answer.
-    std::size_t max_body_bytes = 64UL << 20;  ///< Larger answers fail.
+    host_port server;                        ///< Whom to call.
+    std::size_t max_connections = 64;        ///< Open at once; more calls wait.
+    duration connect_timeout = seconds{2};   ///< To get a connection.
+    duration call_timeout = seconds{60};     ///< From first byte to answer.
+    std::size_t max_body_bytes = 64UL << 20; ///< Larger answers fail.
 };
 
 /// Calls one HTTP/1.1 server over keep-alive connections, on one io_context.
--- a/src/glenhollow/http/message.hpp
+++ b/src/glenhollow/http/message.hpp
@@ -38,10 +38,10 @@
 /// A response, received or to be sent.
 struct http_response
 {
-    unsigned status = 200;                          ///< HTTP status.
-    std::string content_type = "application/json";  ///< Of the body.
-    http_headers headers;                           ///< Besides the type.
-    std::string body;                               ///< Whole.
+    unsigned status = 200;                         ///< HTTP status.
+    std::string content_type = "application/json"; ///< Of the body.
+    http_headers headers;                          ///< Besides the type.
+    std::string body;                              ///< Whole.
 };
 
 /// How a call to a server ended.
--- a/src/glenhollow/http/server.cpp
+++ b/src/glenhollow/http/server.cpp
@@ -32,8 +32,8 @@
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     for (const auto& field : message)
-        request.headers.push_back({std::string(field.name_string()),
-                                   std::string(field.value())});
+        request.headers.push_back(
+            {std::string(field.name_string()), std::string(field.value())});
     request.body = std::move(message.body());
     return request;
 }
@@ -111,14 +111,14 @@
     {
     }
 
-    asio::io_context& io;            ///< Runs the connections.
-    http_server_settings settings;   ///< Limits.
-    http_handler handler;            ///< Takes the requests.
-    tcp::acceptor acceptor;          ///< Listens.
-    std::size_t connections = 0;     ///< Open now.
-    std::size_t in_flight = 0;       ///< Requests taken, not answered.
-    bool stopping = false;           ///< No new connections.
-    bool closing = false;            ///< Connections close when answered.
+    asio::io_context& io;          ///< Runs the connections.
+    http_server_settings settings; ///< Limits.
+    http_handler handler;          ///< Takes the requests.
+    tcp::acceptor acceptor;        ///< Listens.
+    std::size_t connections = 0;   ///< Open now.
+    std::size_t in_flight = 0;     ///< Requests taken, not answered.
+    bool stopping = false;         ///< No new connections.
+    bool closing = false;          ///< Connections close when answered.
 
     result<void> listen()
     {
@@ -140,8 +140,7 @@
             acceptor.listen(asio::socket_base::max_listen_connections, ec);
         if (ec)
             return failure{"cannot listen on " + settings.address + ":" +
-                           std::to_string(settings.port) + ": " +
-                           ec.message()};
+                           std::to_string(settings.port) + ": " + ec.message()};
         asio::co_spawn(io, accept_all(shared_from_this()), asio::detached);
         return outcome::success();
     }
@@ -217,8 +216,7 @@
         stream.expires_never();
         ++self.in_flight;
         const bool keep_alive = parser.get().keep_alive();
-        auto answer =
-            co_await respond(self.handler, to_request(parser.get()));
+        auto answer = co_await respond(self.handler, to_request(parser.get()));
         auto message =
             to_message(std::move(answer), keep_alive && !self.closing);
         stream.expires_after(self.settings.read_timeout);
@@ -247,7 +245,10 @@
 {
 }
 
-http_server::~http_server() { stop_accepting(); }
+http_server::~http_server()
+{
+    stop_accepting();
+}
 
 result<std::unique_ptr<http_server>>
 http_server::create(asio::io_context& io, const http_server_settings& settings,
@@ -263,7 +264,10 @@
     return state_->acceptor.local_endpoint().port();
 }
 
-void http_server::close_after_answers() { state_->closing = true; }
+void http_server::close_after_answers()
+{
+    state_->closing = true;
+}
 
 void http_server::stop_accepting()
 {
@@ -273,6 +277,9 @@
     state_->acceptor.close(ignored);
 }
 
-std::size_t http_server::in_flight() const { return state_->in_flight; }
+std::size_t http_server::in_flight() const
+{
+    return state_->in_flight;
+}
 
 } // namespace glenhollow
--- a/src/glenhollow/http/server.hpp
+++ b/src/glenhollow/http/server.hpp
@@ -24,9 +24,9 @@
     bool share_port = false;                ///< Several listeners, one port.
     std::size_t max_body_bytes = 8UL << 20; ///< Larger bodies get 413.
     std::uint32_t max_header_bytes = 16U << 10; ///< Larger headers get 431.
-    duration read_timeout = seconds{30};    ///< For one whole request.
-    duration idle_timeout = seconds{120};   ///< Between requests.
-    std::size_t max_connections = 4096;     ///< More are closed at once.
+    duration read_timeout = seconds{30};        ///< For one whole request.
+    duration idle_timeout = seconds{120};       ///< Between requests.
+    std::size_t max_connections = 4096;         ///< More are closed at once.
 };
 
 /// Called once with the answer, on any thread.
--- a/src/glenhollow/language/parser.cpp
+++ b/src/glenhollow/language/parser.cpp
@@ -57,6 +57,11 @@
         const auto set = [](auto& target)
         { return [&target](auto& ctx) { target = x3::_attr(ctx); }; };
 
+        // Keeps what a rule matched. The action is inside the named rule, so
+        // that errors tell the name.
+        const auto leaf = [&set](const auto& rule, auto& target)
+        { return named<x3::unused_type>(rule.name) = rule[set(target)]; };
+
         // Words and numbers.
         const auto name = named<std::string>("a name") =
             x3::lexeme[+x3::char_("a-zA-Z0-9_-")];
@@ -88,45 +93,53 @@
         const auto op = named<comparison>("one of = != <= >= < >") = operators;
         const auto add = [this](auto&) { where_.push_back(condition_); };
         const auto one_condition =
-            (name[set(condition_.field)] > op[set(condition_.op)] >
-             value[set(condition_.value)]) >>
-            x3::eps[add];
-        const auto where = -(keyword("where") > (one_condition %
-                                                 keyword("and")));
+            (leaf(name, condition_.field) > leaf(op, condition_.op) >
+             leaf(value, condition_.value)) > x3::eps[add];
+        const auto where =
+            -(keyword("where") > (one_condition % keyword("and")));
         const auto targets = symbols_of<show_target>();
         const auto target =
             named<show_target>("runners, entries, teams, jobs, configuration "
                                "or settings") =
                 x3::lexeme[targets >> !word_letter];
-        const auto shown =
-            named<x3::unused_type>("runners, entries, teams, jobs, "
-                                   "configuration, settings or change") =
-                (keyword("change") > change_id[set(text_)]) >> x3::eps[make(
-                    [this] { return show_change_statement{text_}; })] |
-                (target[set(show_target_)] > where) >> x3::eps[make(
-                    [this]
-                    { return show_statement{show_target_, where_}; })];
+        const auto shown = named<x3::unused_type>(
+            "runners, entries, teams, jobs, "
+            "configuration, settings or change") =
+            (keyword("change") > leaf(change_id, text_)) >
+                x3::eps[make([this] { return show_change_statement{text_}; })] |
+            (leaf(target, show_target_) > where) >
+                x3::eps[make(
+                    [this] {
+                        return show_statement{show_target_, where_};
+                    })];
         const auto show = keyword("show") > shown;
 
         // why
         const auto why_task =
-            keyword("task") > task_of_id >> x3::eps[make(
+            keyword("task") > task_of_id >
+            x3::eps[make(
                 [this] {
                     return why_statement{why_target::task, text_, task_};
                 })];
         const auto why_job_of = [&](const char* word, why_target kind)
         {
-            return keyword(word) > id[set(text_)] >> x3::eps[make(
-                [this, kind] { return why_statement{kind, text_, 0}; })];
+            return keyword(word) > leaf(id, text_) >
+                   x3::eps[make(
+                       [this, kind] {
+                           return why_statement{kind, text_, 0};
+                       })];
         };
         const auto why_drained =
-            keyword("drained") > name[set(text_)] >> x3::eps[make(
-                [this]
-                { return why_statement{why_target::drained, text_, 0}; })];
+            keyword("drained") > leaf(name, text_) >
+            x3::eps[make(
+                [this] {
+                    return why_statement{why_target::drained, text_, 0};
+                })];
         const auto why_waste =
-            keyword("waste") >> x3::eps[make([] { return why_waste_statement{}; })] >>
-            -(keyword("since") > duration_text >> x3::eps[make(
-                [this] { return why_waste_statement{length()}; })]);
+            keyword("waste") >
+            x3::eps[make([] { return why_waste_statement{}; })] >
+            -(keyword("since") > duration_text >
+              x3::eps[make([this] { return why_waste_statement{length()}; })]);
         const auto why_refused = why_job_of("refused", why_target::refused);
         const auto why_failed = why_job_of("failed", why_target::failed);
         const auto why_any =
@@ -135,43 +148,63 @@
         const auto why = keyword("why") > why_any;
 
         // set, unset
-        const auto team_change =
-            named<x3::unused_type>("quota, weight or token") =
-                (keyword("quota") > number[set(number_)] >
-                 x3::lit("tasks/s")) >> x3::eps[make(
-                    [this] { return set_quota_statement{name_, number_}; })] |
-                (keyword("weight") > number[set(number_)]) >> x3::eps[make(
-                    [this] { return set_weight_statement{name_, number_}; })] |
-                (keyword("token") > value[set(text_)]) >> x3::eps[make(
-                    [this] { return set_token_statement{name_, text_}; })];
+        const auto team_change = named<x3::unused_type>(
+            "quota, weight or token") =
+            (keyword("quota") > leaf(number, number_) > x3::lit("tasks/s")) >
+                x3::eps[make(
+                    [this] {
+                        return set_quota_statement{name_, number_};
+                    })] |
+            (keyword("weight") > leaf(number, number_)) >
+                x3::eps[make(
+                    [this] {
+                        return set_weight_statement{name_, number_};
+                    })] |
+            (keyword("token") > leaf(value, text_)) >
+                x3::eps[make(
+                    [this] {
+                        return set_token_statement{name_, text_};
+                    })];
         const auto set_what =
             named<x3::unused_type>("team or the name of a setting") =
-                (keyword("team") > name[set(name_)] > team_change) |
-                (name[set(name_)] > value[set(text_)]) >> x3::eps[make(
-                    [this] { return set_statement{name_, text_}; })];
+                (keyword("team") > leaf(name, name_) > team_change) |
+                (leaf(name, name_) > leaf(value, text_)) >
+                    x3::eps[make(
+                        [this] {
+                            return set_statement{name_, text_};
+                        })];
         const auto set_any = keyword("set") > set_what;
         const auto unset =
-            keyword("unset") > keyword("team") > name[set(name_)] >> x3::eps[make(
-                [this] { return unset_team_statement{name_}; })];
+            keyword("unset") > keyword("team") > leaf(name, name_) >
+            x3::eps[make([this] { return unset_team_statement{name_}; })];
 
         // act
-        const auto drain =
-            keyword("drain") > keyword("runner") > name[set(name_)] >> x3::eps[make(
-                [this] { return drain_statement{name_, true}; })];
-        const auto undrain =
-            keyword("undrain") > keyword("runner") > name[set(name_)] >> x3::eps[make(
-                [this] { return drain_statement{name_, false}; })];
-        const auto job_body = keyword("team") > name[set(name_)] >
-                              keyword("tasks") > count[set(count_)] >
-                              keyword("payload") > json_text[set(text_)];
+        const auto drain = keyword("drain") > keyword("runner") >
+                           leaf(name, name_) >
+                           x3::eps[make(
+                               [this] {
+                                   return drain_statement{name_, true};
+                               })];
+        const auto undrain = keyword("undrain") > keyword("runner") >
+                             leaf(name, name_) >
+                             x3::eps[make(
+                                 [this] {
+                                     return drain_statement{name_, false};
+                                 })];
+        const auto job_body = keyword("team") > leaf(name, name_) >
+                              keyword("tasks") > leaf(count, count_) >
+                              keyword("payload") > leaf(json_text, text_);
         const auto create =
-            (keyword("create") > keyword("job") > job_body) >> x3::eps[make(
-                [this] { return create_job_statement{name_, count_, text_}; })];
+            (keyword("create") > keyword("job") > job_body) >
+            x3::eps[make(
+                [this] {
+                    return create_job_statement{name_, count_, text_};
+                })];
         const auto cancel =
-            keyword("cancel") > keyword("job") > id[set(text_)] >> x3::eps[make(
-                [this] { return cancel_statement{text_}; })];
+            keyword("cancel") > keyword("job") > leaf(id, text_) >
+            x3::eps[make([this] { return cancel_statement{text_}; })];
         const auto help =
-            keyword("help") >> x3::eps[make([] { return help_statement{}; })];
+            keyword("help") > x3::eps[make([] { return help_statement{}; })];
         const auto operators_part = show | why | set_any | unset | drain |
                                     undrain | create | cancel | help;
 
@@ -179,56 +212,67 @@
         const auto actions = symbols_of<process_action>();
         const auto process =
             (x3::lexeme[actions >> !word_letter][set(action_)] >
-             name[set(name_)]) >> x3::eps[make(
-                [this] { return process_statement{action_, name_}; })];
+             leaf(name, name_)) >
+            x3::eps[make(
+                [this] {
+                    return process_statement{action_, name_};
+                })];
         const auto deploy =
-            (keyword("deploy") > keyword("entries") > count[set(count_)] >
-             keyword("runners") > count[set(second_)]) >> x3::eps[make(
-                [this] { return deploy_statement{count_, second_}; })];
-        const auto fault = (keyword("fault") > name[set(name_)] >
-                            json_text[set(text_)]) >> x3::eps[make(
-            [this] { return fault_statement{name_, text_}; })];
-        const auto use = (keyword("use") > name[set(name_)]) >> x3::eps[make(
-            [this] { return use_statement{name_}; })];
+            (keyword("deploy") > keyword("entries") > leaf(count, count_) >
+             keyword("runners") > leaf(count, second_)) >
+            x3::eps[make(
+                [this] {
+                    return deploy_statement{count_, second_};
+                })];
+        const auto fault =
+            (keyword("fault") > leaf(name, name_) > leaf(json_text, text_)) >
+            x3::eps[make(
+                [this] {
+                    return fault_statement{name_, text_};
+                })];
+        const auto use = (keyword("use") > leaf(name, name_)) >
+                         x3::eps[make([this] { return use_statement{name_}; })];
         const auto submit =
-            (keyword("submit") > name[set(job_)] > job_body) >> x3::eps[make(
-                [this]
-                { return submit_statement{job_, name_, count_, text_}; })];
-        const auto resubmit = (keyword("resubmit") > name[set(job_)]) >> x3::eps[make(
-            [this] { return resubmit_statement{job_}; })];
+            (keyword("submit") > leaf(name, job_) > job_body) >
+            x3::eps[make(
+                [this] {
+                    return submit_statement{job_, name_, count_, text_};
+                })];
+        const auto resubmit =
+            (keyword("resubmit") > leaf(name, job_)) >
+            x3::eps[make([this] { return resubmit_statement{job_}; })];
         const auto within = keyword("within") > duration_text;
         const auto expect_job =
-            (keyword("job") > name[set(job_)] > name[set(text_)] >
-             within) >> x3::eps[make(
-                [this]
-                { return expect_job_statement{job_, text_, length()}; })];
+            (keyword("job") > leaf(name, job_) > leaf(name, text_) > within) >
+            x3::eps[make(
+                [this] {
+                    return expect_job_statement{job_, text_, length()};
+                })];
         const auto expect_rows =
-            (count[set(count_)] > target[set(show_target_)] > where >
-             within) >> x3::eps[make(
-                [this]
-                {
+            (leaf(count, count_) > leaf(target, show_target_) > where >
+             within) >
+            x3::eps[make(
+                [this] {
                     return expect_rows_statement{
                         count_, {show_target_, where_}, length()};
                 })];
         const auto expect_once =
-            (keyword("no") > keyword("double") > keyword("start")) >> x3::eps[make(
-                [] { return expect_once_statement{}; })];
+            (keyword("no") > keyword("double") > keyword("start")) >
+            x3::eps[make([] { return expect_once_statement{}; })];
         const auto expected =
             named<x3::unused_type>("job, no or a number of rows") =
                 expect_job | expect_once | expect_rows;
         const auto expect = keyword("expect") > expected;
-        const auto scenario_part = process | deploy | fault | use | submit |
-                                   resubmit | expect;
+        const auto scenario_part =
+            process | deploy | fault | use | submit | resubmit | expect;
 
-        const auto first_word =
-            named<x3::unused_type>(
-                "show, why, set, unset, drain, undrain, create, cancel or "
-                "help") = operators_part;
-        const auto first_word_of_scenario =
-            named<x3::unused_type>(
-                "a statement or start, stop, kill, pause, resume, deploy, "
-                "fault, use, submit, resubmit or expect") =
-                operators_part | scenario_part;
+        const auto first_word = named<x3::unused_type>(
+            "show, why, set, unset, drain, undrain, create, cancel or "
+            "help") = operators_part;
+        const auto first_word_of_scenario = named<x3::unused_type>(
+            "a statement or start, stop, kill, pause, resume, deploy, "
+            "fault, use, submit, resubmit or expect") =
+            operators_part | scenario_part;
         const auto end_of_statement =
             named<x3::unused_type>("the end of the statement") =
                 x3::omit[-x3::lit(';')] >> x3::eoi;
