--- a/src/glenhollow/language/statement.hpp
+++ b/src/glenhollow/language/statement.hpp
@@ -27,16 +27,16 @@
 template <>
 struct name_table<comparison>
 {
-    static constexpr std::array<std::string_view, 6> names{"=",  "!=", "<=",
-                                                           ">=", "<",  ">"};
+    static constexpr std::array<std::string_view, 6> names{
+        "=", "!=", "<=", ">=", "<", ">"};
 };
 
 /// One condition on a row: `<field> <op> <value>`.
 struct condition
 {
-    std::string field;                  ///< Of the row.
-    comparison op = comparison::equal;  ///< How it compares.
-    std::string value;                  ///< With what.
+    std::string field;                 ///< Of the row.
+    comparison op = comparison::equal; ///< How it compares.
+    std::string value;                 ///< With what.
 };
 
 /// What `show` lists.
@@ -163,11 +163,11 @@
 /// What a scenario does to a process.
 enum class process_action : std::uint8_t
 {
-    start,  ///< Runs it again.
-    stop,   ///< SIGTERM.
-    kill,   ///< SIGKILL.
-    pause,  ///< SIGSTOP.
-    resume  ///< SIGCONT.
+    start, ///< Runs it again.
+    stop,  ///< SIGTERM.
+    kill,  ///< SIGKILL.
+    pause, ///< SIGSTOP.
+    resume ///< SIGCONT.
 };
 
 template <>
@@ -222,9 +222,9 @@
 /// Scenarios: `expect job <job> <state> [<verdict>] within <duration>`
 struct expect_job_statement
 {
-    std::string job;        ///< The scenario's own name for it.
-    std::string state;      ///< complete, failed, running or a reason.
-    duration within{};      ///< Bound of the wait for that state.
+    std::string job;   ///< The scenario's own name for it.
+    std::string state; ///< complete, failed, running or a reason.
+    duration within{}; ///< Bound of the wait for that state.
 };
 
 /// Scenarios: `expect <n> <what> [where ...] within <duration>`
@@ -244,11 +244,10 @@
 using statement = std::variant<
     show_statement, show_change_statement, why_statement, why_waste_statement,
     set_quota_statement, set_weight_statement, set_token_statement,
-    unset_team_statement, set_statement, drain_statement,
-    create_job_statement, cancel_statement, help_statement, process_statement,
-    deploy_statement, fault_statement, use_statement, submit_statement,
-    resubmit_statement, expect_job_statement, expect_rows_statement,
-    expect_once_statement>;
+    unset_team_statement, set_statement, drain_statement, create_job_statement,
+    cancel_statement, help_statement, process_statement, deploy_statement,
+    fault_statement, use_statement, submit_statement, resubmit_statement,
+    expect_job_statement, expect_rows_statement, expect_once_statement>;
 
 } // namespace glenhollow
 
--- a/src/glenhollow/load/load_plan.hpp
+++ b/src/glenhollow/load/load_plan.hpp
@@ -16,14 +16,14 @@
 /// What load to make.
 struct load_plan_settings
 {
-    std::size_t jobs = 100;        ///< How many.
-    double rate = 10;              ///< Jobs a second.
-    double burst = 1;              ///< Jobs that arrive together, on average.
-    std::string team = "load";     ///< Whose.
+    std::size_t jobs = 100;          ///< How many.
+    double rate = 10;                ///< Jobs a second.
+    double burst = 1;                ///< Jobs that arrive together, on average.
+    std::string team = "load";       ///< Whose.
     duration deadline = seconds{30}; ///< Of each job.
-    double resubmit = 0;           ///< Share sent again by another entry.
-    double straggle = 0;           ///< Share of tasks ten times as long.
-    std::uint64_t seed = 1;        ///< Of everything random.
+    double resubmit = 0;             ///< Share sent again by another entry.
+    double straggle = 0;             ///< Share of tasks ten times as long.
+    std::uint64_t seed = 1;          ///< Of everything random.
 };
 
 /// One job to come.
--- a/src/glenhollow/load/load_run.cpp
+++ b/src/glenhollow/load/load_run.cpp
@@ -59,17 +59,17 @@
 /// One job on its way.
 struct load_run::job_state
 {
-    std::size_t place = 0;      ///< In the plan.
-    std::size_t entry = 0;      ///< Whose id it has.
-    std::string id;             ///< Submission.
-    std::string body;           ///< As sent.
-    std::size_t attempts = 0;   ///< Requests sent.
-    std::size_t open = 0;       ///< Requests without an end.
-    std::string first_answer;   ///< To compare others with.
-    bool complete = false;      ///< The first answer was whole.
-    bool refused = false;       ///< The first answer was a refusal.
-    bool answered = false;      ///< There is a first answer.
-    bool lost = false;          ///< No answer after all attempts.
+    std::size_t place = 0;    ///< In the plan.
+    std::size_t entry = 0;    ///< Whose id it has.
+    std::string id;           ///< Submission.
+    std::string body;         ///< As sent.
+    std::size_t attempts = 0; ///< Requests sent.
+    std::size_t open = 0;     ///< Requests without an end.
+    std::string first_answer; ///< To compare others with.
+    bool complete = false;    ///< The first answer was whole.
+    bool refused = false;     ///< The first answer was a refusal.
+    bool answered = false;    ///< There is a first answer.
+    bool lost = false;        ///< No answer after all attempts.
 };
 
 load_run::load_run(asio::io_context& io, const load_run_settings& settings,
@@ -108,8 +108,7 @@
                 while (end.answered && std::getline(lines, line))
                 {
                     const auto space = line.rfind(' ');
-                    if (!line.starts_with(prefix) ||
-                        space == std::string::npos)
+                    if (!line.starts_with(prefix) || space == std::string::npos)
                         continue;
                     into[line.substr(prefix.size(), space - prefix.size())] +=
                         std::strtod(line.c_str() + space, nullptr);
@@ -126,11 +125,11 @@
     scrape(before);
     totals_.jobs = plan_.size();
     // All entries see the same runners in a small deployment.
-    totals_.slots = settings_.slots != 0
-                        ? settings_.slots
-                        : static_cast<std::size_t>(
-                              before["runner_slots"] /
-                              static_cast<double>(clients_.size()));
+    totals_.slots =
+        settings_.slots != 0
+            ? settings_.slots
+            : static_cast<std::size_t>(before["runner_slots"] /
+                                       static_cast<double>(clients_.size()));
     totals_.slots = std::max<std::size_t>(totals_.slots, 1);
     open_ = plan_.size();
     start_ = process_clock().now() + lead_time;
@@ -145,9 +144,8 @@
     schedule();
     while (open_ > 0)
         io_.run_one();
-    totals_.elapsed_s = std::chrono::duration<double>(
-                            process_clock().now() - start_)
-                            .count();
+    totals_.elapsed_s =
+        std::chrono::duration<double>(process_clock().now() - start_).count();
     std::map<std::string, double> later;
     scrape(later);
     for (const auto& [series, value] : later)
@@ -192,8 +190,7 @@
                 // An entry that gives no ids is left for the next one.
                 if (ids_[entry].empty())
                     job.entry = (entry + 1) % clients_.size();
-                if (ids_[entry].empty() && ++job.attempts >
-                                               settings_.attempts)
+                if (ids_[entry].empty() && ++job.attempts > settings_.attempts)
                 {
                     job.lost = true;
                     settle(job);
@@ -234,8 +231,8 @@
     json::array tasks;
     for (std::size_t i = 0; i < planned.work_ms.size(); ++i)
     {
-        json::object payload{{"echo", std::to_string(job.place) + "/" +
-                                          std::to_string(i)}};
+        json::object payload{
+            {"echo", std::to_string(job.place) + "/" + std::to_string(i)}};
         if (planned.work_ms[i] > 0)
             payload["work_ms"] = planned.work_ms[i];
         tasks.push_back(json::object{{"payload", std::move(payload)}});
@@ -307,8 +304,8 @@
         return again(job, entry, settings_.retry_wait);
     const auto& response = end.response;
     const auto answer = parse_or_null(response.body);
-    const bool unknown = response.status == 503 &&
-                         field(answer, "verdict") == "may_have_run";
+    const bool unknown =
+        response.status == 503 && field(answer, "verdict") == "may_have_run";
     if (unknown)
         return again(job, entry, settings_.retry_wait * 3);
     judge(job, response);
@@ -324,8 +321,8 @@
     {
         // A refusal of one copy says nothing of the other; two answers of the
         // job itself have to be the same.
-        const bool differs = !refused && !job.refused &&
-                             response.body != job.first_answer;
+        const bool differs =
+            !refused && !job.refused && response.body != job.first_answer;
         totals_.differing += differs ? 1 : 0;
         if (refused || !job.refused)
             return;
@@ -343,9 +340,9 @@
     check_whole(job, response.body);
     const auto& planned = plan_[job.place];
     const auto now = process_clock().now();
-    const double took = std::chrono::duration<double, std::milli>(
-                            now - (start_ + planned.at))
-                            .count();
+    const double took =
+        std::chrono::duration<double, std::milli>(now - (start_ + planned.at))
+            .count();
     totals_.latencies_ms.push_back(took);
     const double ideal = ideal_ms(planned.work_ms, totals_.slots);
     if (ideal > 0)
--- a/src/glenhollow/load/load_run.hpp
+++ b/src/glenhollow/load/load_run.hpp
@@ -19,12 +19,12 @@
 /// Where the load goes and how long callers are patient.
 struct load_run_settings
 {
-    std::vector<host_port> entries;  ///< Callers spread over them.
-    std::vector<host_port> runners;  ///< Stand-ins that count starts.
-    std::string token;               ///< Bearer token of the team, or empty.
-    std::size_t slots = 0;           ///< Of the whole system; 0: asked for.
-    std::size_t ids_ahead = 200;     ///< Ids minted in one request.
-    std::size_t attempts = 60;       ///< Of one job before it counts as lost.
+    std::vector<host_port> entries; ///< Callers spread over them.
+    std::vector<host_port> runners; ///< Stand-ins that count starts.
+    std::string token;              ///< Bearer token of the team, or empty.
+    std::size_t slots = 0;          ///< Of the whole system; 0: asked for.
+    std::size_t ids_ahead = 200;    ///< Ids minted in one request.
+    std::size_t attempts = 60;      ///< Of one job before it counts as lost.
     duration retry_wait = milliseconds{100}; ///< After a broken connection.
     duration timeline = duration::zero();    ///< Width of a bin; 0: none.
 };
@@ -32,28 +32,28 @@
 /// What the load met.
 struct load_totals
 {
-    std::size_t jobs = 0;          ///< Planned.
-    std::size_t complete = 0;      ///< Answered whole.
-    std::size_t failed = 0;        ///< Marked failed.
-    std::size_t refused = 0;       ///< Refused, not run.
-    std::size_t lost = 0;          ///< No answer after all attempts.
-    std::size_t partial = 0;       ///< Complete, but with results missing.
-    std::size_t crossed = 0;       ///< With another job's results.
-    std::size_t differing = 0;     ///< Two answers that do not agree.
+    std::size_t jobs = 0;            ///< Planned.
+    std::size_t complete = 0;        ///< Answered whole.
+    std::size_t failed = 0;          ///< Marked failed.
+    std::size_t refused = 0;         ///< Refused, not run.
+    std::size_t lost = 0;            ///< No answer after all attempts.
+    std::size_t partial = 0;         ///< Complete, but with results missing.
+    std::size_t crossed = 0;         ///< With another job's results.
+    std::size_t differing = 0;       ///< Two answers that do not agree.
     std::size_t refused_but_ran = 0; ///< Refused, yet a runner started it.
     std::size_t resubmitted = 0;   ///< Sent again, on purpose or after a break.
     std::size_t started_twice = 0; ///< Tasks, as the runners count.
     bool starts_counted = false;   ///< Runners were asked.
-    std::size_t tasks_complete = 0; ///< Tasks of complete jobs.
-    std::vector<double> slowdowns; ///< Of complete jobs.
-    std::vector<double> latencies_ms; ///< Of complete jobs.
+    std::size_t tasks_complete = 0;             ///< Tasks of complete jobs.
+    std::vector<double> slowdowns;              ///< Of complete jobs.
+    std::vector<double> latencies_ms;           ///< Of complete jobs.
     std::map<std::string, std::size_t> reasons; ///< Of refusals and failures.
-    std::map<std::string, double> wasted; ///< Messages by kind.
-    double tasks_started = 0;      ///< As the entries count.
+    std::map<std::string, double> wasted;       ///< Messages by kind.
+    double tasks_started = 0;                   ///< As the entries count.
     std::vector<std::size_t> timeline; ///< Tasks completed in each bin.
     std::vector<double> lengths_ms;    ///< Busy time asked for, all jobs.
-    double elapsed_s = 0;          ///< From the first arrival to the end.
-    std::size_t slots = 0;         ///< Of the whole system.
+    double elapsed_s = 0;              ///< From the first arrival to the end.
+    std::size_t slots = 0;             ///< Of the whole system.
 };
 
 /// Plays a plan against entries, open loop: a job leaves at its planned time
@@ -89,19 +89,19 @@
     void count_starts();
     std::size_t other_than(std::size_t entry, job_state& job);
 
-    boost::asio::io_context& io_;       ///< Runs everything.
-    load_run_settings settings_;        ///< Where the load goes.
-    std::vector<planned_job> plan_;     ///< The jobs.
-    load_plan_settings what_;           ///< Team and deadline.
+    boost::asio::io_context& io_;   ///< Runs everything.
+    load_run_settings settings_;    ///< Where the load goes.
+    std::vector<planned_job> plan_; ///< The jobs.
+    load_plan_settings what_;       ///< Team and deadline.
     std::vector<std::unique_ptr<http_client>> clients_; ///< By entry.
-    std::vector<std::vector<std::string>> ids_; ///< Minted, by entry.
-    std::vector<bool> minting_;         ///< A request for ids is under way.
-    std::vector<std::unique_ptr<job_state>> jobs_; ///< By place in the plan.
+    std::vector<std::vector<std::string>> ids_;         ///< Minted, by entry.
+    std::vector<bool> minting_; ///< A request for ids is under way.
+    std::vector<std::unique_ptr<job_state>> jobs_;  ///< By place in the plan.
     std::vector<std::vector<std::size_t>> waiting_; ///< For ids, by entry.
-    std::size_t next_ = 0;              ///< Place of the next arrival.
-    std::size_t open_ = 0;              ///< Jobs not settled.
-    instant start_{};                   ///< Of the first arrival.
-    load_totals totals_;                ///< What was met.
+    std::size_t next_ = 0; ///< Place of the next arrival.
+    std::size_t open_ = 0; ///< Jobs not settled.
+    instant start_{};      ///< Of the first arrival.
+    load_totals totals_;   ///< What was met.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/membership/member.hpp
+++ b/src/glenhollow/membership/member.hpp
@@ -50,9 +50,9 @@
 
     bool operator==(const member& other) const
     {
-        return name == other.name && role == other.role &&
-               hall == other.hall && rpc.host == other.rpc.host &&
-               rpc.port == other.rpc.port && state == other.state;
+        return name == other.name && role == other.role && hall == other.hall &&
+               rpc.host == other.rpc.host && rpc.port == other.rpc.port &&
+               state == other.state;
     }
 };
 
--- a/src/glenhollow/membership/membership.hpp
+++ b/src/glenhollow/membership/membership.hpp
@@ -58,8 +58,8 @@
 /// Limits on the links of an entry.
 struct link_subset_settings
 {
-    std::size_t own_hall = 128;    ///< Agents of the own hall.
-    std::size_t other_halls = 64;  ///< Agents of all other halls together.
+    std::size_t own_hall = 128;   ///< Agents of the own hall.
+    std::size_t other_halls = 64; ///< Agents of all other halls together.
 };
 
 /// @param entry The entry that links.
--- a/src/glenhollow/platform/circuit_breaker.hpp
+++ b/src/glenhollow/platform/circuit_breaker.hpp
@@ -12,9 +12,9 @@
 /// Limits of a circuit breaker.
 struct circuit_breaker_settings
 {
-    std::size_t failures = 3;                ///< In a row, to open.
+    std::size_t failures = 3;                 ///< In a row, to open.
     duration first_pause = milliseconds{500}; ///< Doubles each time.
-    duration longest_pause = seconds{5};     ///< The doubling ends here.
+    duration longest_pause = seconds{5};      ///< The doubling ends here.
 };
 
 /// Keeps calls back from a service that fails; lets one through after each
--- a/src/glenhollow/platform/platform_client.cpp
+++ b/src/glenhollow/platform/platform_client.cpp
@@ -80,8 +80,7 @@
     reads_.configure(settings.reads_per_second,
                      settings.reads_per_second * settings.burst_seconds, now);
     writes_.configure(settings.writes_per_second,
-                      settings.writes_per_second * settings.burst_seconds,
-                      now);
+                      settings.writes_per_second * settings.burst_seconds, now);
 }
 
 platform_outcome platform_client::judge(const http_result& end)
@@ -155,8 +154,8 @@
                                        const http_response& answer)
          {
              const auto body = object_of(answer.body);
-             done(outcome, {key, text_at(body, "value"),
-                            number_at(body, "version")});
+             done(outcome,
+                  {key, text_at(body, "value"), number_at(body, "version")});
          });
 }
 
@@ -172,9 +171,8 @@
     http_request request;
     request.method = "POST";
     request.target = "/table/transact";
-    request.body = json::serialize(
-        json::object{{"conditions", std::move(conditions)},
-                     {"writes", std::move(writes)}});
+    request.body = json::serialize(json::object{
+        {"conditions", std::move(conditions)}, {"writes", std::move(writes)}});
     call(std::move(request), true,
          [done = std::move(done)](platform_outcome outcome,
                                   const http_response&) { done(outcome); });
@@ -197,10 +195,10 @@
 {
     http_request request;
     request.target = "/objects/" + name;
-    call(std::move(request), false,
-         [done = std::move(done)](platform_outcome outcome,
-                                  http_response answer)
-         { done(outcome, std::move(answer.body)); });
+    call(
+        std::move(request), false,
+        [done = std::move(done)](platform_outcome outcome, http_response answer)
+        { done(outcome, std::move(answer.body)); });
 }
 
 void platform_client::list_objects(const std::string& prefix,
@@ -233,8 +231,7 @@
     page.counter("platform_calls_total", help,
                  static_cast<double>(stats_.failed), R"(kind="failed")");
     page.counter("platform_calls_total", help,
-                 static_cast<double>(stats_.held_back),
-                 R"(kind="held_back")");
+                 static_cast<double>(stats_.held_back), R"(kind="held_back")");
     page.gauge("platform_away", "1 while the breaker keeps calls back",
                is_away() ? 1 : 0);
 }
--- a/src/glenhollow/platform/platform_client.hpp
+++ b/src/glenhollow/platform/platform_client.hpp
@@ -24,12 +24,12 @@
 /// Limits of the use of the platform's services by one process.
 struct platform_client_settings
 {
-    host_port server;                     ///< The platform.
-    duration call_timeout = seconds{2};   ///< Of one call.
-    double reads_per_second = 6;          ///< Cap of this process.
-    double writes_per_second = 2;         ///< Cap of this process.
-    double burst_seconds = 10;            ///< Of both, saved up.
-    circuit_breaker_settings breaker;     ///< When to leave it alone.
+    host_port server;                   ///< The platform.
+    duration call_timeout = seconds{2}; ///< Of one call.
+    double reads_per_second = 6;        ///< Cap of this process.
+    double writes_per_second = 2;       ///< Cap of this process.
+    double burst_seconds = 10;          ///< Of both, saved up.
+    circuit_breaker_settings breaker;   ///< When to leave it alone.
 };
 
 /// Changes of the VM list.
@@ -42,9 +42,9 @@
 /// Counters of the use of the platform.
 struct platform_client_stats
 {
-    std::uint64_t reads = 0;   ///< Sent.
-    std::uint64_t writes = 0;  ///< Sent.
-    std::uint64_t failed = 0;  ///< Ended unknown.
+    std::uint64_t reads = 0;     ///< Sent.
+    std::uint64_t writes = 0;    ///< Sent.
+    std::uint64_t failed = 0;    ///< Ended unknown.
     std::uint64_t held_back = 0; ///< Not sent: over the cap or breaker open.
 };
 
@@ -96,13 +96,13 @@
     void call(http_request request, bool is_write, raw_handler done);
     platform_outcome judge(const http_result& end);
 
-    const clock_source& clock_;              ///< Of this process.
-    platform_client_settings settings_;      ///< Limits.
-    std::unique_ptr<http_client> http_;      ///< Its connections.
-    circuit_breaker breaker_;                ///< Leaves it alone.
-    token_bucket reads_;                     ///< Cap.
-    token_bucket writes_;                    ///< Cap.
-    platform_client_stats stats_;            ///< Counters.
+    const clock_source& clock_;         ///< Of this process.
+    platform_client_settings settings_; ///< Limits.
+    std::unique_ptr<http_client> http_; ///< Its connections.
+    circuit_breaker breaker_;           ///< Leaves it alone.
+    token_bucket reads_;                ///< Cap.
+    token_bucket writes_;               ///< Cap.
+    platform_client_stats stats_;       ///< Counters.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/rpc/asio_event_port.hpp
+++ b/src/glenhollow/rpc/asio_event_port.hpp
@@ -30,8 +30,8 @@
     void wake() const override;
 
 private:
-    boost::asio::io_context& io_;             ///< Runs all handlers.
-    mutable std::atomic<bool> woken_{false};  ///< wake() was called.
+    boost::asio::io_context& io_;            ///< Runs all handlers.
+    mutable std::atomic<bool> woken_{false}; ///< wake() was called.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/rpc/asio_stream.cpp
+++ b/src/glenhollow/rpc/asio_stream.cpp
@@ -50,22 +50,22 @@
         broken_fulfiller = kj::mv(paf.fulfiller);
     }
 
-    asio::ip::tcp::socket socket;                     ///< The connection.
-    stream_stats* totals;                             ///< Counters.
-    std::array<kj::byte, read_buffer_bytes> in{};     ///< Read, not taken.
-    std::size_t in_begin = 0;                         ///< First byte of in.
-    std::size_t in_end = 0;                           ///< End of in.
-    bool reading = false;                             ///< A read is in flight.
-    bool at_end = false;                              ///< The peer closed.
-    std::string error;                                ///< Why it broke.
-    kj::Maybe<pending_read> waiting;                  ///< The reader, if any.
-    std::string out;                                  ///< Not yet sent.
-    std::string sending;                              ///< Being sent.
-    bool flush_posted = false;                        ///< A flush will run.
-    bool closed = false;                              ///< The owner is gone.
-    bool end_after_flush = false;                     ///< Shut down when sent.
+    asio::ip::tcp::socket socket;                 ///< The connection.
+    stream_stats* totals;                         ///< Counters.
+    std::array<kj::byte, read_buffer_bytes> in{}; ///< Read, not taken.
+    std::size_t in_begin = 0;                     ///< First byte of in.
+    std::size_t in_end = 0;                       ///< End of in.
+    bool reading = false;                         ///< A read is in flight.
+    bool at_end = false;                          ///< The peer closed.
+    std::string error;                            ///< Why it broke.
+    kj::Maybe<pending_read> waiting;              ///< The reader, if any.
+    std::string out;                              ///< Not yet sent.
+    std::string sending;                          ///< Being sent.
+    bool flush_posted = false;                    ///< A flush will run.
+    bool closed = false;                          ///< The owner is gone.
+    bool end_after_flush = false;                 ///< Shut down when sent.
     kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> drained; ///< Slow writer.
-    kj::ForkedPromise<void> broken_promise = nullptr; ///< Write side broke.
+    kj::ForkedPromise<void> broken_promise = nullptr;     ///< Write side broke.
     kj::Own<kj::PromiseFulfiller<void>> broken_fulfiller; ///< Its fulfiller.
 
     /// Moves buffered bytes to the reader.
@@ -156,10 +156,10 @@
             return;
         sending.swap(out);
         ++totals->writes;
-        asio::async_write(socket, asio::buffer(sending),
-                          [self = shared_from_this()](error_code ec,
-                                                      std::size_t n)
-                          { self->flushed(ec, n); });
+        asio::async_write(
+            socket, asio::buffer(sending),
+            [self = shared_from_this()](error_code ec, std::size_t n)
+            { self->flushed(ec, n); });
     }
 
     void flushed(error_code ec, std::size_t n)
@@ -231,9 +231,8 @@
     state_->socket.close(ignored);
 }
 
-kj::Promise<std::size_t> asio_stream::tryRead(void* buffer,
-                                              std::size_t min_bytes,
-                                              std::size_t max_bytes)
+kj::Promise<std::size_t>
+asio_stream::tryRead(void* buffer, std::size_t min_bytes, std::size_t max_bytes)
 {
     auto* to = static_cast<kj::byte*>(buffer);
     if (state_->in_end - state_->in_begin >= min_bytes)
--- a/src/glenhollow/rpc/rpc_listener.hpp
+++ b/src/glenhollow/rpc/rpc_listener.hpp
@@ -46,10 +46,10 @@
     explicit rpc_listener(boost::asio::io_context& io) : acceptor_(io) {}
     void accept();
 
-    boost::asio::ip::tcp::acceptor acceptor_;         ///< Listens.
-    std::uint16_t port_ = 0;                          ///< Its port.
-    stream_stats stats_;                              ///< Of all connections.
-    std::unique_ptr<capnp::TwoPartyServer> server_;   ///< The connections.
+    boost::asio::ip::tcp::acceptor acceptor_;       ///< Listens.
+    std::uint16_t port_ = 0;                        ///< Its port.
+    stream_stats stats_;                            ///< Of all connections.
+    std::unique_ptr<capnp::TwoPartyServer> server_; ///< The connections.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/rpc/rpc_loop.hpp
+++ b/src/glenhollow/rpc/rpc_loop.hpp
@@ -30,7 +30,7 @@
     void stop();
 
 private:
-    boost::asio::io_context io_;                       ///< Runs everything.
+    boost::asio::io_context io_; ///< Runs everything.
     kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> stopped_; ///< Ends run().
 };
 
--- a/src/glenhollow/security/token.cpp
+++ b/src/glenhollow/security/token.cpp
@@ -23,8 +23,8 @@
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned length = 0;
-    EVP_Digest(token.data(), token.size(), digest.data(), &length,
-               EVP_sha256(), nullptr);
+    EVP_Digest(token.data(), token.size(), digest.data(), &length, EVP_sha256(),
+               nullptr);
     constexpr std::string_view digits = "0123456789abcdef";
     std::string hex;
     for (unsigned i = 0; i < length; ++i)
--- a/src/glenhollow/supervision/supervisor.cpp
+++ b/src/glenhollow/supervision/supervisor.cpp
@@ -136,7 +136,10 @@
 {
 }
 
-thread_task::~thread_task() { stop(); }
+thread_task::~thread_task()
+{
+    stop();
+}
 
 void thread_task::start(failed_handler failed)
 {
--- a/src/glenhollow/supervision/supervisor.hpp
+++ b/src/glenhollow/supervision/supervisor.hpp
@@ -90,14 +90,14 @@
     void child_failed(std::size_t index, const std::string& why);
     bool too_many_restarts();
 
-    std::string name_;               ///< In logs.
-    boost::asio::io_context& io_;    ///< Runs the timers.
-    supervisor_settings settings_;   ///< Limits.
-    std::vector<entry> children_;    ///< In order of start.
-    failed_handler failed_;          ///< The parent.
-    std::deque<instant> recent_;     ///< Times of restarts in the window.
-    std::uint64_t restarts_ = 0;     ///< Of all children.
-    bool running_ = false;           ///< Between start and stop.
+    std::string name_;             ///< In logs.
+    boost::asio::io_context& io_;  ///< Runs the timers.
+    supervisor_settings settings_; ///< Limits.
+    std::vector<entry> children_;  ///< In order of start.
+    failed_handler failed_;        ///< The parent.
+    std::deque<instant> recent_;   ///< Times of restarts in the window.
+    std::uint64_t restarts_ = 0;   ///< Of all children.
+    bool running_ = false;         ///< Between start and stop.
 };
 
 /// A function that runs again and again on an io_context. An exception out of
--- a/src/glenhollow/telemetry/log.cpp
+++ b/src/glenhollow/telemetry/log.cpp
@@ -1,5 +1,6 @@
 #include "glenhollow/telemetry/log.hpp"
 
+#include <boost/core/null_deleter.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <boost/log/attributes/constant.hpp>
@@ -10,7 +11,6 @@
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/smart_ptr/make_shared_object.hpp>
-#include <boost/core/null_deleter.hpp>
 
 #include <array>
 #include <ctime>
@@ -39,8 +39,8 @@
 
 std::string quoted(std::string_view text)
 {
-    return boost::json::serialize(boost::json::value(
-        boost::json::string(text.data(), text.size())));
+    return boost::json::serialize(
+        boost::json::value(boost::json::string(text.data(), text.size())));
 }
 
 bool needs_quotes(std::string_view text)
--- a/src/glenhollow/telemetry/metrics.cpp
+++ b/src/glenhollow/telemetry/metrics.cpp
@@ -20,14 +20,15 @@
 namespace
 {
 
-constexpr std::array<double, 7> kept_quantiles{0.25, 0.5,   0.75, 0.9,
+constexpr std::array<double, 7> kept_quantiles{0.25, 0.5,  0.75, 0.9,
                                                0.95, 0.99, 0.999};
 constexpr std::array<double, 3> shown_quantiles{0.5, 0.9, 0.99};
 constexpr std::string_view prefix = "glenhollow_";
 
-using latency_set = acc::accumulator_set<
-    double, acc::stats<acc::tag::count, acc::tag::sum,
-                       acc::tag::extended_p_square_quantile>>;
+using latency_set =
+    acc::accumulator_set<double,
+                         acc::stats<acc::tag::count, acc::tag::sum,
+                                    acc::tag::extended_p_square_quantile>>;
 
 std::string number_text(double value)
 {
@@ -79,9 +80,15 @@
     return sorted[place];
 }
 
-std::size_t latency_summary::count() const { return acc::count(state_->set); }
+std::size_t latency_summary::count() const
+{
+    return acc::count(state_->set);
+}
 
-double latency_summary::sum() const { return acc::sum(state_->set); }
+double latency_summary::sum() const
+{
+    return acc::sum(state_->set);
+}
 
 void metric_page::add(std::string_view name, std::string_view type,
                       std::string_view help, double value,
--- a/src/glenhollow/telemetry/trace.cpp
+++ b/src/glenhollow/telemetry/trace.cpp
@@ -65,8 +65,8 @@
     if (!is_lower_hex(trace) || !is_lower_hex(parent) || !is_lower_hex(flags) ||
         is_all_zero(trace) || is_all_zero(parent))
         return std::nullopt;
-    const bool odd = std::string_view("13579bdf").find(flags[1]) !=
-                     std::string_view::npos;
+    const bool odd =
+        std::string_view("13579bdf").find(flags[1]) != std::string_view::npos;
     return trace_context{std::string(trace), std::string(parent), odd};
 }
 
@@ -97,13 +97,15 @@
         new span_exporter(file, share, std::move(program)));
 }
 
-span_exporter::span_exporter(std::FILE* file, double share,
-                             std::string program)
+span_exporter::span_exporter(std::FILE* file, double share, std::string program)
     : file_(file), share_(share), program_(std::move(program))
 {
 }
 
-span_exporter::~span_exporter() { std::fclose(file_); }
+span_exporter::~span_exporter()
+{
+    std::fclose(file_);
+}
 
 bool span_exporter::sample()
 {
--- a/src/glenhollow/telemetry/trace.hpp
+++ b/src/glenhollow/telemetry/trace.hpp
@@ -48,11 +48,11 @@
 /// One hop of a request.
 struct span
 {
-    std::string name;               ///< The hop: caller, queue, link, ...
-    trace_context context;          ///< Its own place.
-    std::string parent_id;          ///< Span id of its parent, may be empty.
-    std::int64_t begin = 0;         ///< Wall time, ns since 1970.
-    std::int64_t end = 0;           ///< Wall time, ns since 1970.
+    std::string name;       ///< The hop: caller, queue, link, ...
+    trace_context context;  ///< Its own place.
+    std::string parent_id;  ///< Span id of its parent, may be empty.
+    std::int64_t begin = 0; ///< Wall time, ns since 1970.
+    std::int64_t end = 0;   ///< Wall time, ns since 1970.
     std::vector<span_attribute> attributes; ///< What a reader needs.
 };
 
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -107,8 +107,8 @@
             return {};
         };
         if (path == "/vms")
-            return list_vms(std::strtoull(parameter("since").c_str(), nullptr,
-                                          10));
+            return list_vms(
+                std::strtoull(parameter("since").c_str(), nullptr, 10));
         if (path == "/table/transact")
             return transact(request.body);
         if (path == "/table")
@@ -194,12 +194,10 @@
             const std::string key = one.at("key").as_string().c_str();
             const auto wanted = one.at("version").to_number<std::uint64_t>();
             const auto found = table_.find(key);
-            const auto is =
-                found == table_.end() ? 0 : found->second.version;
+            const auto is = found == table_.end() ? 0 : found->second.version;
             if (is != wanted)
                 return as_json(
-                    json::object{{"committed", false}, {"conflict", key}},
-                    409);
+                    json::object{{"committed", false}, {"conflict", key}}, 409);
         }
         for (const auto& one : given.at("writes").as_array())
         {
@@ -284,20 +282,20 @@
         return {status, "application/json", {}, json::serialize(body)};
     }
 
-    asio::io_context& io_;                      ///< Runs the timers.
-    random_engine random_;                      ///< For lost answers.
-    std::map<std::string, listed_vm> vms_;      ///< The VM list.
-    std::uint64_t revision_ = 0;                ///< Of the VM list.
-    std::map<std::string, table_row> table_;    ///< The table service.
+    asio::io_context& io_;                       ///< Runs the timers.
+    random_engine random_;                       ///< For lost answers.
+    std::map<std::string, listed_vm> vms_;       ///< The VM list.
+    std::uint64_t revision_ = 0;                 ///< Of the VM list.
+    std::map<std::string, table_row> table_;     ///< The table service.
     std::map<std::string, std::string> objects_; ///< The object store.
-    double delay_ms_ = 0;                       ///< Before each answer.
-    double lose_answers_ = 0;                   ///< Share of writes.
-    double vm_lag_ms_ = 0;                      ///< Of the VM list.
-    bool outage_ = false;                       ///< All services are down.
-    std::uint64_t reads_ = 0;                   ///< Served.
-    std::uint64_t writes_ = 0;                  ///< Served.
-    std::uint64_t failed_ = 0;                  ///< During outages.
-    std::uint64_t lost_ = 0;                    ///< Answers.
+    double delay_ms_ = 0;                        ///< Before each answer.
+    double lose_answers_ = 0;                    ///< Share of writes.
+    double vm_lag_ms_ = 0;                       ///< Of the VM list.
+    bool outage_ = false;                        ///< All services are down.
+    std::uint64_t reads_ = 0;                    ///< Served.
+    std::uint64_t writes_ = 0;                   ///< Served.
+    std::uint64_t failed_ = 0;                   ///< During outages.
+    std::uint64_t lost_ = 0;                     ///< Answers.
 };
 
 } // namespace
--- a/standins/runner.cpp
+++ b/standins/runner.cpp
@@ -84,8 +84,8 @@
             return hung_.push_back(done);
         if (drawn(settings_.slow_share))
             work_ms *= settings_.slow_factor;
-        http_response response{200, "application/json", {},
-                               json::serialize(answer)};
+        http_response response{
+            200, "application/json", {}, json::serialize(answer)};
         if (drawn(settings_.fail_share))
             response = {500, "text/plain", {}, "failed\n"};
         if (work_ms <= 0)
@@ -125,11 +125,11 @@
 
     bool drawn(double share) { return share > 0 && uniform(random_) < share; }
 
-    asio::io_context& io_;                       ///< Runs the timers.
-    standin_runner_settings settings_;           ///< Faults among them.
-    random_engine random_;                       ///< For the shares.
+    asio::io_context& io_;                        ///< Runs the timers.
+    standin_runner_settings settings_;            ///< Faults among them.
+    random_engine random_;                        ///< For the shares.
     std::map<std::string, std::uint64_t> starts_; ///< By task.
-    std::vector<http_responder> hung_;           ///< Never answered.
+    std::vector<http_responder> hung_;            ///< Never answered.
 };
 
 } // namespace
--- /dev/null
+++ b/tests/unit/agent/start_table_tests.cpp
@@ -0,0 +1,156 @@
+#include "glenhollow/agent/start_table.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace glenhollow;
+using action = start_decision::action;
+
+namespace
+{
+
+constexpr std::uint64_t entry_a = 11;
+constexpr std::uint64_t entry_b = 22;
+const task_key first{1, 0};
+
+start_record ran(const std::string& body)
+{
+    start_record record;
+    record.end = {verdict::ran, reason::none};
+    record.body = body;
+    return record;
+}
+
+/// A table with a clock that the test moves.
+struct fixture
+{
+    manual_clock clock;
+    start_table table;
+
+    explicit fixture(const start_table_settings& settings = {})
+        : table(settings)
+    {
+    }
+
+    start_decision begin(std::uint64_t incarnation, const task_key& key,
+                         duration within = seconds{1})
+    {
+        return table.begin(incarnation, key, clock.now() + within, clock.now());
+    }
+
+    reason run(std::uint64_t incarnation, const task_key& key,
+               duration within = seconds{1})
+    {
+        return table.check_before_run(incarnation, key, clock.now() + within,
+                                      clock.now());
+    }
+};
+
+} // namespace
+
+TEST_CASE("a start is accepted once; repeats join it or get its end")
+{
+    fixture f;
+    REQUIRE(f.begin(entry_a, first).act == action::accept);
+    REQUIRE(f.begin(entry_a, first).act == action::join);
+    REQUIRE(f.run(entry_a, first) == reason::none);
+    REQUIRE(f.begin(entry_a, first).act == action::join);
+    f.table.finish(entry_a, first, ran("7"));
+    REQUIRE(f.begin(entry_a, first).act == action::repeat);
+    REQUIRE(f.table.find(entry_a, first)->body == "7");
+}
+
+TEST_CASE("the same key of two incarnations is two tasks")
+{
+    fixture f;
+    REQUIRE(f.begin(entry_a, first).act == action::accept);
+    REQUIRE(f.begin(entry_b, first).act == action::accept);
+}
+
+TEST_CASE("a refused start stays refused for copies that come later")
+{
+    fixture f;
+    f.table.set_draining(true);
+    REQUIRE(f.begin(entry_a, first).why == reason::draining);
+    f.table.set_draining(false);
+    const auto copy = f.begin(entry_a, first);
+    REQUIRE(copy.act == action::repeat);
+    REQUIRE(f.table.find(entry_a, first)->end.what == verdict::not_run);
+}
+
+TEST_CASE("a start past its time is refused on arrival and before the run")
+{
+    fixture f;
+    const auto late = f.table.begin(entry_a, first, f.clock.now(),
+                                    f.clock.now() + milliseconds{1});
+    REQUIRE(late.why == reason::start_expired);
+    const task_key second{2, 0};
+    const instant begin_by = f.clock.now() + seconds{1};
+    REQUIRE(f.table.begin(entry_a, second, begin_by, f.clock.now()).act ==
+            action::accept);
+    // The process was paused between acceptance and the call.
+    f.clock.advance(seconds{2});
+    REQUIRE(f.table.check_before_run(entry_a, second, begin_by,
+                                     f.clock.now()) == reason::start_expired);
+}
+
+TEST_CASE("a fenced incarnation starts nothing, its records stay")
+{
+    fixture f;
+    REQUIRE(f.begin(entry_a, first).act == action::accept);
+    const task_key done{2, 0};
+    f.begin(entry_a, done);
+    f.run(entry_a, done);
+    f.table.finish(entry_a, done, ran("1"));
+    f.table.fence(entry_a, f.clock.now());
+    REQUIRE(f.begin(entry_a, {3, 0}).why == reason::fenced);
+    REQUIRE(f.run(entry_a, first) == reason::fenced);
+    REQUIRE(f.begin(entry_b, {3, 0}).act == action::accept);
+    REQUIRE(f.table.keys_of(entry_a).size() == 2);
+    REQUIRE(f.begin(entry_a, done).act == action::repeat);
+}
+
+TEST_CASE("a full table refuses and forgets nothing")
+{
+    start_table_settings small;
+    small.max_bytes = 1000;
+    fixture f(small);
+    std::uint32_t accepted = 0;
+    while (f.begin(entry_a, {1, accepted}).act == action::accept)
+        ++accepted;
+    REQUIRE(accepted > 0);
+    REQUIRE(f.begin(entry_a, {1, accepted}).why == reason::memory_full);
+    REQUIRE(f.begin(entry_a, {1, 0}).act == action::join);
+    // An acknowledged result makes room.
+    f.run(entry_a, {1, 0});
+    f.table.finish(entry_a, {1, 0}, ran(""));
+    f.table.acknowledge(entry_a, {1, 0});
+    REQUIRE(f.begin(entry_a, {1, accepted}).act == action::accept);
+}
+
+TEST_CASE("only ended tasks are acknowledged away")
+{
+    fixture f;
+    f.begin(entry_a, first);
+    f.table.acknowledge(entry_a, first);
+    REQUIRE(f.begin(entry_a, first).act == action::join);
+    REQUIRE(f.table.bytes() > 0);
+    f.run(entry_a, first);
+    f.table.finish(entry_a, first, ran("abc"));
+    f.table.acknowledge(entry_a, first);
+    REQUIRE(f.table.size() == 0);
+    REQUIRE(f.table.bytes() == 0);
+}
+
+TEST_CASE("records expire by age, running ones never")
+{
+    fixture f;
+    f.begin(entry_a, first);
+    f.run(entry_a, first);
+    f.begin(entry_a, {2, 0});
+    f.run(entry_a, {2, 0});
+    f.table.finish(entry_a, {2, 0}, ran("x"));
+    f.clock.advance(seconds{301});
+    f.table.expire(f.clock.now());
+    REQUIRE(f.table.find(entry_a, first));
+    REQUIRE_FALSE(f.table.find(entry_a, {2, 0}));
+}
--- /dev/null
+++ b/tests/unit/agent/task_executor_tests.cpp
@@ -0,0 +1,147 @@
+#include "glenhollow/agent/task_executor.hpp"
+
+#include "fake_runner.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace glenhollow;
+
+namespace
+{
+
+constexpr std::uint64_t entry_a = 11;
+
+/// An executor over a fake runner.
+struct fixture
+{
+    manual_clock clock;
+    fake_runner runner;
+    task_executor executor;
+    std::map<std::string, std::vector<start_record>> ends;
+
+    explicit fixture(std::size_t slots = 2, std::size_t queue = 2)
+        : executor(clock, runner, settings(slots, queue))
+    {
+    }
+
+    static task_executor_settings settings(std::size_t slots, std::size_t queue)
+    {
+        task_executor_settings limits;
+        limits.slots = slots;
+        limits.queue = queue;
+        return limits;
+    }
+
+    void start(std::uint32_t number, std::uint64_t incarnation = entry_a,
+               duration within = seconds{5})
+    {
+        task_start start;
+        start.incarnation = incarnation;
+        start.key = {1, number};
+        start.name = name(number);
+        start.begin_by = clock.now() + within;
+        executor.start(std::move(start), [this, number](const auto& record)
+                       { ends[name(number)].push_back(record); });
+    }
+
+    static std::string name(std::uint32_t number)
+    {
+        return "s/" + std::to_string(number);
+    }
+};
+
+} // namespace
+
+TEST_CASE("tasks beyond the slots wait, beyond the queue are refused")
+{
+    fixture f;
+    for (std::uint32_t i = 0; i < 5; ++i)
+        f.start(i);
+    REQUIRE(f.runner.running.size() == 2);
+    REQUIRE(f.executor.load().queued == 2);
+    REQUIRE(f.ends["s/4"].front().end.why == reason::agent_queue_full);
+    REQUIRE(f.ends["s/4"].front().end.what == verdict::not_run);
+    f.runner.end("s/0", verdict::ran);
+    REQUIRE(f.ends["s/0"].front().end.what == verdict::ran);
+    REQUIRE(f.runner.running.contains("s/2"));
+}
+
+TEST_CASE("a repeated start runs once and both callers are told")
+{
+    fixture f;
+    f.start(0);
+    f.start(0);
+    f.runner.end("s/0", verdict::ran, reason::none, "42");
+    f.start(0);
+    REQUIRE(f.runner.starts["s/0"] == 1);
+    REQUIRE(f.ends["s/0"].size() == 3);
+    REQUIRE(f.ends["s/0"].back().body == "42");
+}
+
+TEST_CASE("a drain refuses what waits and what comes, lets the rest end")
+{
+    fixture f;
+    for (std::uint32_t i = 0; i < 3; ++i)
+        f.start(i);
+    f.executor.drain(drain_cause::operators, true);
+    REQUIRE(f.ends["s/2"].front().end.why == reason::draining);
+    f.start(3);
+    REQUIRE(f.ends["s/3"].front().end.why == reason::draining);
+    f.runner.end("s/0", verdict::ran);
+    f.runner.end("s/1", verdict::ran);
+    REQUIRE(f.executor.idle());
+    REQUIRE(f.runner.starts.size() == 2);
+}
+
+TEST_CASE("a drain lasts as long as anyone wants it")
+{
+    fixture f;
+    f.executor.drain(drain_cause::operators, true);
+    f.executor.drain(drain_cause::leaving, true);
+    f.executor.drain(drain_cause::operators, false);
+    REQUIRE(f.executor.load().draining);
+    f.executor.drain(drain_cause::leaving, false);
+    REQUIRE_FALSE(f.executor.load().draining);
+}
+
+TEST_CASE("a start that waited past its time is not run")
+{
+    fixture f(1);
+    f.start(0);
+    f.start(1, entry_a, seconds{1});
+    f.clock.advance(seconds{2});
+    f.runner.end("s/0", verdict::ran);
+    REQUIRE(f.ends["s/1"].front().end.why == reason::start_expired);
+    REQUIRE_FALSE(f.runner.starts.contains("s/1"));
+}
+
+TEST_CASE("a fence refuses what waits of one incarnation only")
+{
+    fixture f(1, 4);
+    f.start(0);
+    f.start(1);
+    f.start(2, 22);
+    f.executor.fence(entry_a);
+    REQUIRE(f.ends["s/1"].front().end.why == reason::fenced);
+    f.runner.end("s/0", verdict::ran);
+    REQUIRE(f.runner.running.contains("s/2"));
+}
+
+TEST_CASE("a runner that takes no connections is shunned and probed")
+{
+    fixture f;
+    f.runner.reachable = false;
+    for (std::uint32_t i = 0; i < 2; ++i)
+    {
+        f.start(i);
+        f.runner.end(fixture::name(i), verdict::not_run,
+                     reason::runner_unreachable);
+    }
+    REQUIRE(f.executor.load().shunned);
+    f.executor.tick();
+    REQUIRE(f.executor.load().shunned);
+    f.runner.reachable = true;
+    f.executor.tick();
+    REQUIRE_FALSE(f.executor.load().shunned);
+    REQUIRE(f.runner.probes == 2);
+}
--- /dev/null
+++ b/tests/unit/decision/limits_tests.cpp
@@ -0,0 +1,192 @@
+#include "glenhollow/decision/admission.hpp"
+#include "glenhollow/decision/retry_budget.hpp"
+#include "glenhollow/decision/team_quota.hpp"
+#include "glenhollow/decision/token_bucket.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace glenhollow;
+
+namespace
+{
+
+admission_request ordinary()
+{
+    admission_request request;
+    request.tasks = 10;
+    request.deadline = seconds{5};
+    request.seconds_per_task = 0.1;
+    request.slots_for_us = 10;
+    request.usable_runners = 2;
+    return request;
+}
+
+reason judged(const admission_request& request)
+{
+    random_engine random(1);
+    return admit(request, {}, random).why;
+}
+
+} // namespace
+
+TEST_CASE("admission refuses what cannot meet its deadline, at once")
+{
+    auto request = ordinary();
+    REQUIRE(judged(request) == reason::none);
+    request.queued_seconds = 50;
+    REQUIRE(judged(request) == reason::deadline_unreachable);
+    request.deadline = seconds{6};
+    REQUIRE(judged(request) == reason::none);
+    request.seconds_per_task = 6;
+    REQUIRE(judged(request) == reason::deadline_unreachable);
+}
+
+TEST_CASE("admission refuses beyond each bound")
+{
+    auto request = ordinary();
+    request.queued_tasks = 50'000;
+    REQUIRE(judged(request) == reason::queue_full);
+    request = ordinary();
+    request.jobs = 20'000;
+    REQUIRE(judged(request) == reason::queue_full);
+    request = ordinary();
+    request.kept_bytes = 48UL << 20;
+    REQUIRE(judged(request) == reason::kept_answers_full);
+    request = ordinary();
+    request.usable_runners = 0;
+    REQUIRE(judged(request) == reason::no_runner);
+}
+
+TEST_CASE("Retry-After is jittered between the wait and twice that")
+{
+    random_engine random(3);
+    duration least = seconds{100};
+    duration most{};
+    for (int i = 0; i < 500; ++i)
+    {
+        const auto wait = jittered_retry_after(seconds{4}, {}, random);
+        least = std::min(least, wait);
+        most = std::max(most, wait);
+    }
+    REQUIRE(least >= seconds{4});
+    REQUIRE(most <= seconds{8});
+    REQUIRE(most - least > seconds{3});
+}
+
+TEST_CASE("a bucket gives its rate over time and its burst at once")
+{
+    token_bucket bucket;
+    instant now = seconds{100};
+    bucket.configure(10, 5, now);
+    int given = 0;
+    while (bucket.take(1, now))
+        ++given;
+    REQUIRE(given == 5);
+    REQUIRE(bucket.wait_for(1) == milliseconds{100});
+    for (int i = 0; i < 1000; ++i)
+    {
+        now += milliseconds{10};
+        given += bucket.take(1, now) ? 1 : 0;
+    }
+    REQUIRE(given >= 104);
+    REQUIRE(given <= 105);
+}
+
+TEST_CASE("a job larger than the burst is granted and paid for later")
+{
+    token_bucket bucket;
+    bucket.configure(10, 5, seconds{1});
+    REQUIRE(bucket.take(50, seconds{1}));
+    REQUIRE_FALSE(bucket.take(1, seconds{5}));
+    REQUIRE(bucket.take(1, seconds{7}));
+}
+
+TEST_CASE("no number of refusals makes more retries than the share")
+{
+    retry_settings settings;
+    retry_budget budget(settings);
+    std::size_t retries = 0;
+    constexpr std::size_t fresh = 10'000;
+    // Every single attempt is refused: the worst storm there can be.
+    for (std::size_t i = 0; i < fresh; ++i)
+    {
+        budget.earn("t", 1);
+        for (std::size_t attempt = 1; budget.spend("t", attempt); ++attempt)
+            ++retries;
+    }
+    REQUIRE(static_cast<double>(retries) <=
+            settings.share * fresh + settings.at_first);
+    REQUIRE(retries > 900);
+}
+
+TEST_CASE("backoff is full jitter below a doubling bound")
+{
+    const retry_budget budget{retry_settings{}};
+    random_engine random(5);
+    for (std::size_t attempt = 1; attempt < 12; ++attempt)
+    {
+        const auto bound = std::min<duration>(
+            milliseconds{5} * (1 << (attempt - 1)), milliseconds{200});
+        for (int i = 0; i < 50; ++i)
+            REQUIRE(budget.backoff(attempt, random) <= bound);
+    }
+}
+
+TEST_CASE("shares of a quota sum to one and follow demand")
+{
+    const std::vector<double> demand{100, 0, 20, 3};
+    double sum = 0;
+    for (std::size_t i = 0; i < demand.size(); ++i)
+    {
+        std::vector<double> others = demand;
+        others.erase(others.begin() + static_cast<long>(i));
+        sum += quota_share(demand[i], others, demand.size());
+    }
+    REQUIRE(sum == Approx(1.0));
+    REQUIRE(quota_share(100, {0, 20, 3}, 4) > 0.78);
+    // An entry that nobody has heard of yet still has a share.
+    REQUIRE(quota_share(0, {100}, 2) > 0);
+}
+
+TEST_CASE("grants over all entries stay within 5% of the quota as demand "
+          "moves")
+{
+    constexpr double quota = 1000;
+    constexpr std::size_t entries = 3;
+    std::vector<team_quota> quotas(entries, team_quota{{}});
+    instant now = seconds{1000};
+    for (auto& one : quotas)
+        one.set_quota("t", quota);
+    double granted = 0;
+    constexpr int seconds_long = 40;
+    constexpr int steps_per_second = 100;
+    for (int step = 0; step < seconds_long * steps_per_second; ++step)
+    {
+        now += milliseconds{10};
+        // Twice the quota is asked for; every 10 s most of it moves on.
+        const std::size_t hot =
+            static_cast<std::size_t>(step / (10 * steps_per_second)) % entries;
+        for (std::size_t i = 0; i < entries; ++i)
+        {
+            const int asks = i == hot ? 18 : 1;
+            for (int ask = 0; ask < asks; ++ask)
+                granted += quotas[i].ask("t", 1, now) ? 0 : 1;
+        }
+        // Entries tell each other their demand every 500 ms.
+        if (step % 50 != 0)
+            continue;
+        std::vector<double> demand;
+        for (const auto& one : quotas)
+            demand.push_back(one.demand(now).front().second);
+        for (std::size_t i = 0; i < entries; ++i)
+        {
+            std::vector<double> others = demand;
+            others.erase(others.begin() + static_cast<long>(i));
+            quotas[i].set_share("t", quota_share(demand[i], others, entries));
+        }
+    }
+    const double per_second = granted / seconds_long;
+    INFO(per_second);
+    REQUIRE(per_second < quota * 1.05);
+    REQUIRE(per_second > quota * 0.9);
+}
--- /dev/null
+++ b/tests/unit/decision/placement_tests.cpp
@@ -0,0 +1,143 @@
+#include "glenhollow/decision/placement.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace glenhollow;
+
+namespace
+{
+
+runner_view view(std::int32_t slots, std::int32_t busy, bool own_hall = true)
+{
+    runner_view made;
+    made.connected = true;
+    made.slots = slots;
+    made.busy = busy;
+    made.own_hall = own_hall;
+    made.outstanding = 1;
+    return made;
+}
+
+placement_choice choose(placement_kind kind, std::vector<runner_view> views,
+                        placement_request request = {})
+{
+    random_engine random(1);
+    request.runners = views;
+    return placement::create(kind, {})->choose(request, random);
+}
+
+} // namespace
+
+TEST_CASE("no strategy chooses a runner that may get nothing")
+{
+    for (std::size_t i = 0; i < name_table<placement_kind>::names.size(); ++i)
+    {
+        const auto kind = static_cast<placement_kind>(i);
+        std::vector<runner_view> views(6, view(8, 0));
+        views[0].connected = false;
+        views[1].draining = true;
+        views[2].shunned = true;
+        views[3].ejected = true;
+        views[4].on_trial = true;
+        for (int seed = 0; seed < 20; ++seed)
+        {
+            random_engine random(seed);
+            placement_request request;
+            request.runners = views;
+            REQUIRE(
+                placement::create(kind, {})->choose(request, random).runner ==
+                runner_index{5});
+        }
+        views[5].connected = false;
+        REQUIRE(choose(kind, views).why == reason::no_runner);
+    }
+}
+
+TEST_CASE("late binding takes a free slot of the own hall first")
+{
+    REQUIRE(choose(placement_kind::late_binding,
+                   {view(8, 8), view(8, 6), view(8, 0, false)})
+                .runner == runner_index{1});
+}
+
+TEST_CASE("late binding goes to another hall when its delay is waited out")
+{
+    auto far = view(8, 0, false);
+    far.delay = milliseconds{3};
+    placement_request request;
+    request.waited = milliseconds{1};
+    REQUIRE_FALSE(
+        choose(placement_kind::late_binding, {view(8, 8), far}, request)
+            .runner);
+    request.waited = milliseconds{4};
+    REQUIRE(choose(placement_kind::late_binding, {view(8, 8), far}, request)
+                .runner == runner_index{1});
+}
+
+TEST_CASE("late binding waits when all are full, unless nothing is out")
+{
+    REQUIRE_FALSE(
+        choose(placement_kind::late_binding, {view(8, 8), view(8, 9)}).runner);
+    auto idle = view(8, 8);
+    idle.outstanding = 0;
+    REQUIRE(choose(placement_kind::late_binding, {idle}).runner ==
+            runner_index{0});
+}
+
+TEST_CASE("starts that no report covers count as busy")
+{
+    auto sent = view(2, 0);
+    sent.unreported = 2;
+    REQUIRE_FALSE(choose(placement_kind::late_binding, {sent}).runner);
+}
+
+TEST_CASE("long tasks leave a share of the slots free")
+{
+    placement_request request;
+    request.long_task = true;
+    REQUIRE_FALSE(
+        choose(placement_kind::late_binding, {view(10, 9)}, request).runner);
+    REQUIRE(
+        choose(placement_kind::late_binding, {view(10, 8)}, request).runner);
+    REQUIRE(choose(placement_kind::late_binding, {view(10, 9)}).runner);
+}
+
+TEST_CASE("a slow runner offers fewer slots")
+{
+    auto slow = view(8, 2);
+    slow.speed = 0.25;
+    REQUIRE(slow.effective_slots() == 2);
+    REQUIRE(choose(placement_kind::late_binding, {slow, view(8, 7)}).runner ==
+            runner_index{1});
+}
+
+TEST_CASE("a runner to avoid comes back when no other is left")
+{
+    const runner_index refused = 0;
+    placement_request request;
+    request.avoid = {&refused, 1};
+    REQUIRE(
+        choose(placement_kind::late_binding, {view(8, 0), view(8, 7)}, request)
+            .runner == runner_index{1});
+    REQUIRE(
+        choose(placement_kind::late_binding, {view(8, 0)}, request).runner ==
+        runner_index{0});
+}
+
+TEST_CASE("two choices takes the less busy of two, never the worst alone")
+{
+    std::vector<runner_view> views{view(8, 8), view(8, 0)};
+    int worse = 0;
+    for (int seed = 0; seed < 200; ++seed)
+    {
+        random_engine random(seed);
+        placement_request request;
+        request.runners = views;
+        const auto choice = placement::create(placement_kind::two_choices, {})
+                                ->choose(request, random);
+        worse += *choice.runner == 0 ? 1 : 0;
+    }
+    // The busy one is taken only when both draws hit it: a quarter.
+    REQUIRE(worse > 20);
+    REQUIRE(worse < 90);
+}
--- /dev/null
+++ b/tests/unit/decision/queue_order_tests.cpp
@@ -0,0 +1,127 @@
+#include "glenhollow/decision/queue_order.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace glenhollow;
+
+namespace
+{
+
+queued_job job(std::uint64_t sequence, std::size_t tasks,
+               const std::string& team = "a", duration arrived = {},
+               duration deadline = seconds{100})
+{
+    queued_job made;
+    made.sequence = sequence;
+    made.team = team;
+    made.arrived = arrived;
+    made.deadline = deadline;
+    made.tasks_left = tasks;
+    made.seconds_per_task = 0.1;
+    return made;
+}
+
+job_queue queue_of(queue_order_kind order)
+{
+    job_queue_settings settings;
+    settings.order = order;
+    return job_queue(settings);
+}
+
+std::uint64_t take(job_queue& queue)
+{
+    const auto sequence = queue.front().value();
+    queue.take_task(sequence);
+    return sequence;
+}
+
+} // namespace
+
+TEST_CASE("each order takes the job it is named for")
+{
+    const auto first_with = [](queue_order_kind order)
+    {
+        auto queue = queue_of(order);
+        queue.push(job(1, 50, "a", seconds{1}, seconds{9}));
+        queue.push(job(2, 2, "a", seconds{2}, seconds{30}));
+        queue.push(job(3, 20, "a", seconds{3}, seconds{5}));
+        return queue.front().value();
+    };
+    REQUIRE(first_with(queue_order_kind::first_come) == 1);
+    REQUIRE(first_with(queue_order_kind::least_work) == 2);
+    REQUIRE(first_with(queue_order_kind::earliest_deadline) == 3);
+}
+
+TEST_CASE("a change of order sorts what is queued anew")
+{
+    auto queue = queue_of(queue_order_kind::first_come);
+    queue.push(job(1, 50, "a", seconds{1}));
+    queue.push(job(2, 1, "a", seconds{2}));
+    job_queue_settings settings;
+    settings.order = queue_order_kind::least_work;
+    queue.apply(settings);
+    REQUIRE(queue.front() == 2U);
+}
+
+TEST_CASE("a large job is not starved by small ones that keep coming")
+{
+    auto queue = queue_of(queue_order_kind::least_work);
+    queue.push(job(1, 100));
+    std::size_t steps = 0;
+    // One small job arrives for each task taken, 0.1 s apart.
+    for (std::uint64_t next = 2; steps < 2000; ++steps, ++next)
+    {
+        queue.push(job(next, 1, "a", milliseconds{100 * steps}));
+        if (take(queue) == 1)
+            break;
+    }
+    // Ten seconds of work are overtaken for 10 / 0.25 = 40 s at most.
+    REQUIRE(steps <= 400);
+}
+
+TEST_CASE("teams share by weight however much they queue")
+{
+    auto queue = queue_of(queue_order_kind::first_come);
+    queue.set_weight("b", 3);
+    queue.push(job(1, 1000, "a"));
+    queue.push(job(2, 1000, "b"));
+    queue.push(job(3, 1000, "b"));
+    std::map<bool, int> taken;
+    for (int i = 0; i < 400; ++i)
+        ++taken[take(queue) == 1];
+    REQUIRE(taken[true] == 100);
+    REQUIRE(taken[false] == 300);
+}
+
+TEST_CASE("a team that was idle has saved up no turns")
+{
+    auto queue = queue_of(queue_order_kind::first_come);
+    queue.push(job(1, 1000, "a"));
+    for (int i = 0; i < 500; ++i)
+        take(queue);
+    queue.push(job(2, 100, "b"));
+    int others = 0;
+    for (int i = 0; i < 100; ++i)
+        others += take(queue) == 2 ? 1 : 0;
+    REQUIRE(others <= 51);
+}
+
+TEST_CASE("sums stay right through take, put back and remove")
+{
+    auto queue = queue_of(queue_order_kind::least_work);
+    queue.push(job(1, 3));
+    queue.push(job(2, 2));
+    take(queue);
+    queue.put_back(job(2, 1));
+    REQUIRE(queue.tasks() == 5);
+    REQUIRE(queue.seconds_of_work() == Approx(0.5));
+    queue.remove(1);
+    REQUIRE(queue.tasks() == 2);
+    take(queue);
+    take(queue);
+    REQUIRE(queue.empty());
+    queue.put_back(job(2, 1));
+    REQUIRE(queue.front() == 2U);
+}
--- /dev/null
+++ b/tests/unit/explain/night_report_tests.cpp
@@ -0,0 +1,89 @@
+#include "glenhollow/explain/decision_ring.hpp"
+#include "glenhollow/explain/night_report.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+using namespace glenhollow;
+
+namespace
+{
+
+report_line refusal(int number)
+{
+    report_line line;
+    line.wall = number;
+    line.entry = "e1";
+    line.kind = decision_kind::refused;
+    line.why = reason::queue_full;
+    line.submission = "s" + std::to_string(number);
+    return line;
+}
+
+std::size_t lines_in(const std::string& batch)
+{
+    return static_cast<std::size_t>(
+        std::count(batch.begin(), batch.end(), '\n'));
+}
+
+} // namespace
+
+TEST_CASE("a full ring keeps the newest decisions in order")
+{
+    decision_ring ring(4);
+    for (std::uint64_t i = 1; i <= 10; ++i)
+    {
+        decision_record record;
+        record.sequence = i;
+        ring.add(record);
+    }
+    std::vector<std::uint64_t> kept;
+    ring.for_each([&](const auto& record) { kept.push_back(record.sequence); });
+    REQUIRE(kept == std::vector<std::uint64_t>{7, 8, 9, 10});
+    REQUIRE(ring.total() == 10);
+}
+
+TEST_CASE("a line survives being written and read")
+{
+    auto line = refusal(5);
+    line.by = "anna";
+    line.detail = "a \"quoted\" text";
+    const auto read = report_line::from_json(line.to_json());
+    REQUIRE(read);
+    REQUIRE(read->to_json() == line.to_json());
+    REQUIRE_FALSE(report_line::from_json("{}"));
+}
+
+TEST_CASE("lines that could not be written wait, in order")
+{
+    night_report report;
+    report.add(refusal(1));
+    report.add(refusal(2));
+    const auto first = report.take_batch();
+    report.failed();
+    report.add(refusal(3));
+    REQUIRE(report.take_batch().starts_with(first));
+    report.written();
+    REQUIRE(report.empty());
+}
+
+TEST_CASE("beyond the limit the oldest are summed up, none dropped silently")
+{
+    night_report_settings small;
+    small.most_lines = 10;
+    night_report report(small);
+    for (int i = 0; i < 25; ++i)
+        report.add(refusal(i));
+    REQUIRE(report.size() == 10);
+    REQUIRE(report.summed_up() == 15);
+    const auto batch = report.take_batch();
+    REQUIRE(lines_in(batch) == 11);
+    REQUIRE(batch.find("15 older lines") != std::string::npos);
+    report.failed();
+    REQUIRE(report.take_batch().find("15 older lines") != std::string::npos);
+    // A shard's report is taken over with its sums.
+    night_report whole;
+    whole.take_over(report);
+    REQUIRE(whole.summed_up() == 15);
+}
--- /dev/null
+++ b/tests/unit/supervision/supervisor_tests.cpp
@@ -0,0 +1,121 @@
+#include "glenhollow/supervision/supervisor.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <stdexcept>
+
+using namespace glenhollow;
+
+namespace
+{
+
+/// A part that fails when the test says so.
+class fake_part final : public supervised
+{
+public:
+    explicit fake_part(std::string name) : name_(std::move(name)) {}
+
+    const std::string& name() const override { return name_; }
+    void start(failed_handler failed) override
+    {
+        ++starts;
+        fail = std::move(failed);
+    }
+    void stop() override { ++stops; }
+
+    int starts = 0;      ///< So far.
+    int stops = 0;       ///< So far.
+    failed_handler fail; ///< Of the last start.
+
+private:
+    std::string name_; ///< In logs.
+};
+
+/// A supervisor with two parts.
+struct fixture
+{
+    boost::asio::io_context io{1};
+    supervisor root;
+    fake_part* one = nullptr;
+    fake_part* two = nullptr;
+    std::string failed;
+
+    explicit fixture(restart_policy policy,
+                     supervisor_settings settings = quick())
+        : root("root", io, settings)
+    {
+        auto first = std::make_unique<fake_part>("one");
+        auto second = std::make_unique<fake_part>("two");
+        one = first.get();
+        two = second.get();
+        root.add(std::move(first), policy);
+        root.add(std::move(second), policy);
+        root.start([this](const std::string& why) { failed = why; });
+    }
+
+    static supervisor_settings quick()
+    {
+        supervisor_settings settings;
+        settings.first_backoff = milliseconds{1};
+        settings.most_restarts = 3;
+        return settings;
+    }
+
+    void run_ready()
+    {
+        io.restart();
+        io.run();
+    }
+};
+
+} // namespace
+
+TEST_CASE("a failed part is started again, its sibling left alone")
+{
+    fixture f(restart_policy::restart);
+    f.one->fail("broken");
+    f.run_ready();
+    REQUIRE(f.one->starts == 2);
+    REQUIRE(f.two->starts == 1);
+    REQUIRE(f.root.restarts() == 1);
+    REQUIRE(f.failed.empty());
+}
+
+TEST_CASE("too many restarts stop all parts and tell the parent")
+{
+    fixture f(restart_policy::restart);
+    for (int i = 0; i < 4; ++i)
+    {
+        f.one->fail("broken");
+        f.run_ready();
+    }
+    REQUIRE(f.failed == "one: broken");
+    REQUIRE(f.two->stops == 1);
+    REQUIRE(f.one->starts == 4);
+}
+
+TEST_CASE("a part whose state cannot be rebuilt takes its parent along")
+{
+    fixture f(restart_policy::escalate);
+    f.two->fail("lost");
+    REQUIRE(f.failed == "two: lost");
+    REQUIRE(f.one->stops == 1);
+    REQUIRE(f.two->starts == 1);
+}
+
+TEST_CASE("an exception out of a periodic task is its failure")
+{
+    boost::asio::io_context io{1};
+    int runs = 0;
+    std::string why;
+    periodic_task task("upkeep", io, milliseconds{1},
+                       [&]
+                       {
+                           if (++runs == 3)
+                               throw std::runtime_error("third time");
+                       });
+    task.start([&](const std::string& cause) { why = cause; });
+    io.run();
+    REQUIRE(runs == 3);
+    REQUIRE(why == "third time");
+}
