Placement knows what it does not know: estimates of others' tasks that age, ranked waiting at agents

Ruled out: the reserve for long tasks (no task counted as long), the order of jobs. Change: tasks of other entries are estimated from reports that lose weight with the age in mean task lengths and drift to the mean of fresh ones, then to idle; agents order what waits by the work left in the job, with age; one start a call, since a batch answers when its last task ends.

--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -25,6 +25,7 @@
   payload @4 :Data;          # JSON text
   bodyHash @5 :UInt64;       # of the job's body, for an adopter
   jobTasks @6 :UInt32;       # tasks of the job, for an adopter
+  rank @7 :Float32;          # smaller goes first among those that wait
 }
 
 struct Load {
--- a/src/glenhollow/agent/agent_service.cpp
+++ b/src/glenhollow/agent/agent_service.cpp
@@ -143,6 +143,7 @@
         task.begin_by = instant{start.getBeginBy()};
         task.team = start.getTeam().cStr();
         task.job = {start.getBodyHash(), start.getJobTasks()};
+        task.rank = start.getRank();
         const auto payload = start.getPayload().asChars();
         task.payload.assign(payload.begin(), payload.size());
         service_.start_traced(std::move(task), start.getTraceparent(),
--- a/src/glenhollow/agent/task_executor.cpp
+++ b/src/glenhollow/agent/task_executor.cpp
@@ -55,7 +55,12 @@
     const bool slot_free = running_ < settings_.slots;
     if (!slot_free && queue_.size() >= settings_.queue)
         return refuse_queued(key, reason::agent_queue_full);
-    queue_.push_back({std::move(start), now});
+    // A job with little work left goes first; with its age every task comes
+    // to the front in the end.
+    const double order =
+        start.rank +
+        settings_.aging * std::chrono::duration<double>(now).count();
+    queue_.emplace(order, queued_start{std::move(start), now});
     run_queued();
 }
 
@@ -63,9 +68,8 @@
 {
     while (running_ < settings_.slots && !queue_.empty())
     {
-        auto next = std::move(queue_.front());
-        queue_.pop_front();
-        run(std::move(next));
+        auto next = queue_.extract(queue_.begin());
+        run(std::move(next.mapped()));
     }
 }
 
@@ -145,7 +149,7 @@
     if (draining_.empty())
         return;
     const auto queued = std::exchange(queue_, {});
-    for (const auto& entry : queued)
+    for (const auto& [key, entry] : queued)
         refuse_queued({entry.start.incarnation, entry.start.key},
                       reason::draining);
 }
@@ -154,12 +158,12 @@
 {
     table_.fence(incarnation, clock_.now());
     auto queued = std::exchange(queue_, {});
-    for (auto& entry : queued)
+    for (auto& [key, entry] : queued)
     {
         if (entry.start.incarnation == incarnation)
             refuse_queued({incarnation, entry.start.key}, reason::fenced);
         else
-            queue_.push_back(std::move(entry));
+            queue_.emplace(key, std::move(entry));
     }
 }
 
--- a/src/glenhollow/agent/task_executor.hpp
+++ b/src/glenhollow/agent/task_executor.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -22,7 +23,8 @@
 struct task_executor_settings
 {
     std::size_t slots = 8;      ///< Tasks at the runner at once.
-    std::size_t queue = 8;      ///< Accepted tasks that wait for a slot.
+    std::size_t queue = 64;     ///< Accepted tasks that wait for a slot.
+    double aging = 0.25;        ///< Rank that a second of waiting is worth.
     std::size_t shun_after = 2; ///< Refused connections in a row.
     start_table_settings table; ///< Limits of the memory of starts.
 };
@@ -38,6 +40,7 @@
     std::string traceparent;       ///< W3C trace context, may be empty.
     std::string payload;           ///< JSON text.
     job_facts job;                 ///< Of the job it belongs to.
+    double rank = 0;               ///< Smaller goes first, s of work left.
 };
 
 /// How busy an agent is.
@@ -150,11 +153,11 @@
     void settle(const global_key& key, start_record record);
     void note_runner(const outcome_of_task& end);
 
-    const clock_source& clock_;       ///< The agent's clock.
-    runner_caller& runner_;           ///< Calls the runner.
-    task_executor_settings settings_; ///< Limits.
-    start_table table_;               ///< The memory of starts.
-    std::deque<queued_start> queue_;  ///< Oldest first.
+    const clock_source& clock_;                 ///< The agent's clock.
+    runner_caller& runner_;                     ///< Calls the runner.
+    task_executor_settings settings_;           ///< Limits.
+    start_table table_;                         ///< The memory of starts.
+    std::multimap<double, queued_start> queue_; ///< By rank and age.
     std::unordered_map<global_key, std::vector<handler>, global_key_hash>
         waiters_;                    ///< Whom to tell of each end.
     std::set<drain_cause> draining_; ///< Who wants it to drain.
--- a/src/glenhollow/configuration/tuning.cpp
+++ b/src/glenhollow/configuration/tuning.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-const std::array<setting_description, 22> table{{
+const std::array<setting_description, 23> table{{
     {"placement", &tuning::placement, "", 0, 0, false,
      "how a task finds its runner"},
     {"queue_order", &tuning::queue_order, "", 0, 0, false,
@@ -20,6 +20,8 @@
      false, "quota of a team without a row; -1 for no limit, 0 refuses all"},
     {"quota_burst_s", &tuning::quota_burst_s, "s", 0.05, 60, false,
      "burst of a quota, in seconds of its rate"},
+    {"overcommit", &tuning::overcommit, "tasks", 0, 100, false,
+     "tasks that late binding lets wait at a runner"},
     {"short_reserve", &tuning::short_reserve, "share", 0, 0.9, false,
      "share of the slots that long tasks leave to short ones"},
     {"long_task_ms", &tuning::long_task_ms, "ms", 1, 3600000, false,
--- a/src/glenhollow/configuration/tuning.hpp
+++ b/src/glenhollow/configuration/tuning.hpp
@@ -23,6 +23,7 @@
     queue_order_kind queue_order = queue_order_kind::least_work; ///< Order.
     double default_team_quota = -1;  ///< Tasks a second; below 0: no limit.
     double quota_burst_s = 0.5;      ///< Saved up, in seconds of the quota.
+    double overcommit = 0;           ///< Tasks that may wait at a runner.
     double short_reserve = 0.1;      ///< Share that long tasks leave free.
     double long_task_ms = 1000;      ///< Longer tasks are long ones.
     double start_window_s = 10;      ///< A sent start must begin within.
@@ -36,7 +37,7 @@
     double retry_share = 0.1;        ///< Retries per fresh task.
     double most_ejected = 0.3;       ///< Share of the runners.
     double slow_at = 2;              ///< Times the expected length.
-    double starts_per_call = 4;      ///< Of one job, in one message.
+    double starts_per_call = 1;      ///< Of one job, in one message.
     double max_tasks = 1000;         ///< In one job.
     double max_queued_tasks = 50000; ///< Waiting at one shard.
     double max_jobs = 20000;         ///< In flight at one shard.
--- a/src/glenhollow/decision/placement.cpp
+++ b/src/glenhollow/decision/placement.cpp
@@ -67,7 +67,7 @@
 
     static double fill(const runner_view& view)
     {
-        return static_cast<double>(view.occupancy()) / view.effective_slots();
+        return view.occupancy() / view.effective_slots();
     }
 
     std::vector<runner_index> usable_; ///< Reused between calls.
@@ -133,8 +133,8 @@
     struct survey_result
     {
         std::int32_t usable = 0;      ///< Runners that may get a task.
-        std::int32_t slots = 0;       ///< Of those.
-        std::int32_t free = 0;        ///< Of those.
+        double slots = 0;             ///< Of those.
+        double free = 0;              ///< Of those.
         std::int32_t outstanding = 0; ///< Our tasks there.
     };
 
@@ -148,32 +148,32 @@
                 continue;
             ++sum.usable;
             sum.slots += view.effective_slots();
-            sum.free += std::max(view.free_slots(), 0);
+            sum.free += std::max(view.free_slots(), 0.0);
             sum.outstanding += view.outstanding;
         }
         return sum;
     }
 
     /// The runner with the largest free share in or outside the own hall.
-    static std::optional<runner_index>
-    most_free(const placement_request& request, bool own_hall,
-              random_engine& random)
+    std::optional<runner_index> most_free(const placement_request& request,
+                                          bool own_hall,
+                                          random_engine& random) const
     {
         std::optional<runner_index> best;
-        double best_score = 0;
+        double best_score = std::numeric_limits<double>::lowest();
         std::size_t ties = 0;
         for (runner_index i = 0; i < request.runners.size(); ++i)
         {
             const auto& view = request.runners[i];
             if (view.own_hall != own_hall || !view.usable() ||
-                view.free_slots() <= 0 || is_avoided(request.avoid, i))
+                view.free_slots() < least_free - settings_.overcommit ||
+                is_avoided(request.avoid, i))
                 continue;
             // Another hall is worth its delay only to a task that has waited
             // as long.
             if (!own_hall && request.waited < view.delay)
                 continue;
-            const double score =
-                static_cast<double>(view.free_slots()) / view.slots;
+            const double score = view.free_slots() / view.slots;
             ties = score == best_score ? ties + 1 : 1;
             const bool wins_tie =
                 ties > 1 && random() % ties == 0 && score == best_score;
@@ -186,16 +186,15 @@
         return best;
     }
 
-    std::optional<runner_index>
-    least_loaded(const placement_request& request) const
+    static std::optional<runner_index>
+    least_loaded(const placement_request& request)
     {
         std::optional<runner_index> best;
-        std::int32_t best_free = std::numeric_limits<std::int32_t>::min();
+        double best_free = std::numeric_limits<double>::lowest();
         for (runner_index i = 0; i < request.runners.size(); ++i)
         {
             const auto& view = request.runners[i];
             if (!view.usable() || is_avoided(request.avoid, i) ||
-                view.free_slots() <= -settings_.overcommit ||
                 view.free_slots() <= best_free)
                 continue;
             best = i;
@@ -204,6 +203,9 @@
         return best;
     }
 
+    /// A slot counts as free when the estimate says so by half at least.
+    static constexpr double least_free = 0.5;
+
     placement_settings settings_; ///< Limits.
 };
 
--- a/src/glenhollow/decision/placement.hpp
+++ b/src/glenhollow/decision/placement.hpp
@@ -49,9 +49,9 @@
 /// Limits of placements.
 struct placement_settings
 {
-    /// Tasks that late binding lets wait at a runner when no slot is free and
-    /// nothing of ours is out there to bring news.
-    std::int32_t overcommit = 1;
+    /// Tasks that late binding lets wait at a runner, so that a slot that
+    /// becomes free there is not idle for a message there and back.
+    double overcommit = 0;
 
     /// Share of all slots that long tasks leave to short ones.
     double short_reserve = 0.1;
--- a/src/glenhollow/decision/runner_view.hpp
+++ b/src/glenhollow/decision/runner_view.hpp
@@ -21,9 +21,8 @@
     bool on_trial = false;        ///< Health lets one task through at a time.
     bool own_hall = true;         ///< It stands in the entry's hall.
     std::int32_t slots = 0;       ///< Tasks it can run at once.
-    std::int32_t busy = 0;        ///< Running and queued there, last reported.
-    std::int32_t unreported = 0;  ///< Starts sent that no report covers.
     std::int32_t outstanding = 0; ///< Our own starts without an end.
+    double others = 0;            ///< Tasks of other entries, estimated.
     double speed = 1.0;           ///< Below 1: slower than its siblings.
     duration delay{}; ///< Measured time of a message there and back.
 
@@ -42,10 +41,10 @@
     }
 
     /// @return Tasks believed to be there.
-    std::int32_t occupancy() const { return busy + unreported; }
+    double occupancy() const { return outstanding + others; }
 
     /// @return Slots believed to be free; negative when tasks wait there.
-    std::int32_t free_slots() const { return effective_slots() - occupancy(); }
+    double free_slots() const { return effective_slots() - occupancy(); }
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/entry/agent_links.cpp
+++ b/src/glenhollow/entry/agent_links.cpp
@@ -57,6 +57,7 @@
         taken.report.slots = static_cast<std::int32_t>(load.getSlots());
         taken.report.busy =
             static_cast<std::int32_t>(load.getRunning() + load.getQueued());
+        taken.report.links = static_cast<std::int32_t>(load.getLinks());
         taken.report.draining = load.getDraining();
         taken.report.shunned = load.getShunned();
         taken.clock = load.getClock();
@@ -377,6 +378,7 @@
                 .asBytes());
         out.setBodyHash(start.body_hash);
         out.setJobTasks(start.job_tasks);
+        out.setRank(static_cast<float>(start.rank));
     }
     const auto acks = std::exchange(to.acks, {});
     auto acknowledged =
@@ -415,7 +417,6 @@
     ++stats_.replies;
     from.ping_sent = {};
     const instant now = clock_.now();
-    owner_->report_load(from.index, report);
     for (auto& end : ends)
     {
         const auto sent = from.outstanding.find(end.key);
@@ -437,6 +438,7 @@
         if (from.generation != generation)
             break;
     }
+    owner_->report_load(from.index, report);
     events_();
 }
 
--- a/src/glenhollow/entry/agent_links.hpp
+++ b/src/glenhollow/entry/agent_links.hpp
@@ -29,9 +29,9 @@
     std::string entry = "entry";         ///< Its name.
     std::uint64_t incarnation = 0;       ///< Its start.
     std::uint32_t shard = 0;             ///< Which traffic thread.
-    std::size_t starts_per_call = 4;     ///< Of one job, at most.
+    std::size_t starts_per_call = 1;     ///< Of one job, at most.
     duration heartbeat = seconds{10};    ///< Idle links say so this often.
-    duration probe_after = seconds{1};   ///< Silence with tasks out there.
+    duration probe_after = seconds{3};   ///< Silence with tasks out there.
     duration reply_limit = seconds{2};   ///< For hello and ping.
     duration resend_window = seconds{3}; ///< A broken link may come back.
     duration first_backoff = milliseconds{50}; ///< Of reconnects.
--- a/src/glenhollow/entry/control_plane.cpp
+++ b/src/glenhollow/entry/control_plane.cpp
@@ -59,6 +59,7 @@
     auto limits = to.jobs().settings();
     limits.placing = values.placement;
     limits.queue.order = values.queue_order;
+    limits.placement.overcommit = values.overcommit;
     limits.placement.short_reserve = values.short_reserve;
     limits.long_task_seconds = values.long_task_ms / 1000;
     limits.start_window = to_duration(values.start_window_s);
--- a/src/glenhollow/entry/coordinator.cpp
+++ b/src/glenhollow/entry/coordinator.cpp
@@ -19,6 +19,12 @@
 /// Weight of a new length in a team's mean task length.
 constexpr double length_weight = 0.05;
 
+/// Length of a task of which nothing is known, s.
+constexpr double unknown_task_seconds = 0.3;
+
+/// How often waiting tasks are looked at without news.
+constexpr duration dispatch_interval = milliseconds{5};
+
 /// How often old answers are looked for.
 constexpr duration expiry_interval = seconds{1};
 
@@ -225,14 +231,18 @@
         short_queue_.seconds_of_work() + long_queue_.seconds_of_work();
     state.jobs = open_jobs_;
     state.kept_bytes = kept_bytes_;
-    for (const auto& view : views_)
+    occupancy_.apply(views_, now);
+    for (runner_index i = 0; i < views_.size(); ++i)
     {
+        const auto& view = views_[i];
         if (!view.usable())
             continue;
         ++state.usable_runners;
-        // Slots that others fill are not ours to count on.
-        const auto others = std::max(view.occupancy() - view.outstanding, 0);
-        state.slots_for_us += std::max(view.effective_slots() - others, 0);
+        // Slots that others fill are not ours to count on, but for our part
+        // of them.
+        const double slots = view.effective_slots();
+        state.slots_for_us +=
+            std::max(slots - view.others, slots / sharers_[i]);
     }
     const auto decision = admit(state, settings_.admission, random_);
     if (!decision.admitted())
@@ -307,6 +317,9 @@
 
 void coordinator::dispatch()
 {
+    if (queued_tasks() == 0)
+        return;
+    occupancy_.apply(views_, clock_.now());
     bool only_short = false;
     while (auto* owner = next_job(only_short))
     {
@@ -376,6 +389,8 @@
     start.team = owner.team;
     start.body_hash = owner.body_hash;
     start.job_tasks = static_cast<std::uint32_t>(owner.task_count);
+    start.rank = static_cast<double>(owner.waiting.size() + 1) *
+                 (owner.expected > 0 ? owner.expected : unknown_task_seconds);
     // The payload is needed again only if the task can be sent again; a copy
     // is the price of a retry.
     start.payload = next.payload;
@@ -388,9 +403,7 @@
         trace_hop(owner, "queue", start.key, owner.arrived_wall, queue,
                   owner.trace->span_id);
     }
-    auto& view = views_[runner];
-    ++view.unreported;
-    ++view.outstanding;
+    ++views_[runner].outstanding;
     outbox_[runner].push_back(std::move(start));
 }
 
@@ -426,6 +439,8 @@
     {
         views_.resize(runner + 1);
         drained_.resize(runner + 1, false);
+        sharers_.resize(runner + 1, 1);
+        occupancy_.resize(runner + 1);
         health_.resize(runner + 1);
     }
     auto& view = views_[runner];
@@ -443,8 +458,10 @@
 {
     auto& view = views_[runner];
     view.slots = report.slots;
-    view.busy = report.busy;
-    view.unreported = report.unreported;
+    sharers_[runner] = std::max(report.links, 1);
+    // Of our tasks the agent has counted those that had reached it.
+    occupancy_.report(runner, report.busy, view.outstanding - report.unreported,
+                      clock_.now());
     view.draining = report.draining || drained_[runner];
     view.shunned = report.shunned;
     view.delay = report.delay;
@@ -525,6 +542,7 @@
         microseconds{end.wait_micros} + microseconds{end.run_micros};
     link_seconds_.add(to_seconds(std::max<duration>(took - there, {})));
     note_length(owner, end);
+    occupancy_.note_length(end.run_micros * 1e-6);
     done.at = task::stage::done;
     done.may_have_run = true;
     owner.results[end.key.task] = std::move(end.body);
@@ -679,6 +697,9 @@
         consider(delayed_.begin()->due);
     if (!acks_.empty())
         consider(acks_.front().due);
+    // What waits for a slot is looked at again as the estimates move on.
+    if (queued_tasks() > 0)
+        consider(clock_.now() + dispatch_interval);
     if (!jobs_.empty())
         consider(clock_.now() + expiry_interval);
     return next;
@@ -747,7 +768,8 @@
 {
     const bool placing_changed =
         settings.placing != settings_.placing ||
-        settings.placement.short_reserve != settings_.placement.short_reserve;
+        settings.placement.short_reserve != settings_.placement.short_reserve ||
+        settings.placement.overcommit != settings_.placement.overcommit;
     const auto place = std::tuple(settings_.hall, settings_.entry,
                                   settings_.shard, settings_.shards);
     settings_ = settings;
--- a/src/glenhollow/entry/coordinator.hpp
+++ b/src/glenhollow/entry/coordinator.hpp
@@ -7,6 +7,7 @@
 #include "glenhollow/core/verdict.hpp"
 #include "glenhollow/decision/admission.hpp"
 #include "glenhollow/decision/health.hpp"
+#include "glenhollow/decision/occupancy.hpp"
 #include "glenhollow/decision/placement.hpp"
 #include "glenhollow/decision/queue_order.hpp"
 #include "glenhollow/decision/retry_budget.hpp"
@@ -42,6 +43,7 @@
     std::string payload;         ///< JSON text.
     std::uint64_t body_hash = 0; ///< Of the job's body.
     std::uint32_t job_tasks = 0; ///< Tasks of the job.
+    double rank = 0;             ///< Work left in the job, s.
 };
 
 /// Sends starts to agents; the links do, and fakes in tests.
@@ -70,6 +72,7 @@
     std::int32_t slots = 0;      ///< Tasks it can run at once.
     std::int32_t busy = 0;       ///< Running and queued there.
     std::int32_t unreported = 0; ///< Starts sent that it had not seen yet.
+    std::int32_t links = 1;      ///< Entry shards that are linked to it.
     bool draining = false;       ///< It refuses new starts.
     bool shunned = false;        ///< Its runner takes no connections.
     duration delay{};            ///< Measured time there and back.
@@ -338,6 +341,7 @@
     job_queue long_queue_;                 ///< Jobs of long tasks.
     retry_budget retries_;                 ///< Budget of each team.
     health_monitor health_;                ///< Judges runners.
+    occupancy_estimate occupancy_;         ///< Tasks of other entries.
     team_quota quota_;                     ///< Limits of each team.
     decision_ring ring_;                   ///< For `why`.
     span_exporter* spans_ = nullptr;       ///< May be null.
@@ -351,7 +355,8 @@
     std::deque<pending_ack> acks_;               ///< Oldest first.
     std::map<std::string, double> task_seconds_; ///< Mean length by team.
     std::vector<runner_view> views_;             ///< By index.
-    std::vector<bool> drained_; ///< By index, by order or list.
+    std::vector<bool> drained_;         ///< By index, by order or list.
+    std::vector<std::int32_t> sharers_; ///< By index, shards linked to it.
     std::map<runner_index, std::vector<outgoing_start>> outbox_; ///< To send.
     bool stopping_ = false;         ///< No new jobs.
     bool fenced_ = false;           ///< Another entry adopted us.
--- a/src/glenhollow/entry/peer_links.cpp
+++ b/src/glenhollow/entry/peer_links.cpp
@@ -219,7 +219,8 @@
         const auto since = now - at.exchanged;
         // News is told to each peer once, a little later than it came, so
         // that the reply brings the peer's own.
-        if (since > settings_.heartbeat || (news_ && since > settings_.quick))
+        const bool quiet = since > heartbeat_of(name);
+        if (quiet || (news_ && since > settings_.quick))
             exchange(at);
         else
             news_left |= news_;
@@ -227,6 +228,15 @@
     news_ = news_left;
 }
 
+duration peer_links::heartbeat_of(const std::string& entry) const
+{
+    // An exchange tells both ends, so one end of a pair is enough; the other
+    // steps in when it hears nothing.
+    constexpr int patience = 3;
+    return settings_.entry < entry ? settings_.heartbeat
+                                   : settings_.heartbeat * patience;
+}
+
 void peer_links::close()
 {
     links_.clear();
--- a/src/glenhollow/entry/peer_links.hpp
+++ b/src/glenhollow/entry/peer_links.hpp
@@ -45,7 +45,7 @@
 {
     std::string entry = "entry";               ///< Our name.
     duration quick = milliseconds{500};        ///< Between exchanges with news.
-    duration heartbeat = seconds{10};          ///< Between exchanges without.
+    duration heartbeat = seconds{20};          ///< Between exchanges without.
     duration reply_limit = seconds{2};         ///< For an exchange.
     duration first_backoff = milliseconds{50}; ///< Of reconnects.
     duration longest_backoff = seconds{2};     ///< The doubling ends here.
@@ -182,6 +182,7 @@
     void connect(link& to);
     void broken(link& at, std::uint64_t generation);
     void exchange(link& to);
+    duration heartbeat_of(const std::string& entry) const;
     link* usable(const std::string& entry);
 
     boost::asio::io_context& io_;  ///< The loop's context.
--- a/src/glenhollow/entry/row_table.cpp
+++ b/src/glenhollow/entry/row_table.cpp
@@ -27,19 +27,19 @@
     switch (op)
     {
     case comparison::equal:
-        return order == 0;
+        return std::is_eq(order);
     case comparison::not_equal:
-        return order != 0;
+        return std::is_neq(order);
     case comparison::less_equal:
-        return order <= 0;
+        return std::is_lteq(order);
     case comparison::greater_equal:
-        return order >= 0;
+        return std::is_gteq(order);
     case comparison::less:
-        return order < 0;
+        return std::is_lt(order);
     case comparison::greater:
         break;
     }
-    return order > 0;
+    return std::is_gt(order);
 }
 
 } // namespace
--- a/src/glenhollow/load/load_plan.cpp
+++ b/src/glenhollow/load/load_plan.cpp
@@ -42,7 +42,7 @@
             planned_job job;
             job.at = from_seconds(at);
             const auto count = std::clamp<std::size_t>(
-                static_cast<std::size_t>(tasks.draw(random) + 0.5), 1,
+                static_cast<std::size_t>(std::lround(tasks.draw(random))), 1,
                 most_tasks);
             for (std::size_t t = 0; t < count; ++t)
             {
--- a/src/glenhollow/load/load_report.cpp
+++ b/src/glenhollow/load/load_report.cpp
@@ -5,6 +5,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace glenhollow
@@ -21,7 +22,7 @@
         return 0;
     std::sort(values.begin(), values.end());
     const auto place = static_cast<std::size_t>(
-        q * static_cast<double>(values.size() - 1) + 0.5);
+        std::lround(q * static_cast<double>(values.size() - 1)));
     return values[place];
 }
 
--- a/src/glenhollow/telemetry/metrics.cpp
+++ b/src/glenhollow/telemetry/metrics.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 
 namespace glenhollow
@@ -76,7 +77,7 @@
     auto sorted = state_->first;
     std::sort(sorted.begin(), sorted.end());
     const auto place = static_cast<std::size_t>(
-        q * static_cast<double>(sorted.size() - 1) + 0.5);
+        std::lround(q * static_cast<double>(sorted.size() - 1)));
     return sorted[place];
 }
 
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -909,6 +909,8 @@
 
   inline  ::uint32_t getJobTasks() const;
 
+  inline float getRank() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -974,6 +976,9 @@
   inline  ::uint32_t getJobTasks();
   inline void setJobTasks( ::uint32_t value);
 
+  inline float getRank();
+  inline void setRank(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5042,6 +5047,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline float Start::Reader::getRank() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline float Start::Builder::getRank() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Start::Builder::setRank(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Load::Reader::getSlots() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
