Links see a dead peer at once; capacity measurements

Cause: a link learned of its peer's death from a failing call only; an idle one from its next heartbeat. Seen in the adoption measurement: 19.8 s from the kill of an entry to an answer, the peers' heartbeat being 20 s. Change: links wait for the end of the connection as well.

--- a/programs/load.cpp
+++ b/programs/load.cpp
@@ -74,6 +74,8 @@
     line.text("deployment", deployment,
               "deployment.json to take entries and runners from");
     line.identifier("team", what.team, "team of the jobs");
+    line.number<std::size_t>("teams", what.teams, 1, 100'000, "teams",
+                             "above 1: TEAM-1, TEAM-2, ... in turn");
     line.text("token", where.token, "bearer token of the team");
     line.number("rate", what.rate, 0.001, 1e6, "jobs/s", "arrivals");
     line.number<std::size_t>("jobs", what.jobs, 1, 10'000'000, "jobs",
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -3,14 +3,15 @@
 #   deployment.sh start DIR [--entries 3] [--runners 10] [--halls 3]
 #                 [--slots 8] [--threads 1] [--kind release]
 #                 [--queue N] [--defaults FILE] [--trace-file FILE]
-#                 [--trace-share SHARE]
+#                 [--trace-share SHARE] [--agents-per-runner 1]
+#                 [--entry-flags 'FLAGS']
 #   deployment.sh stop DIR
 #   deployment.sh start-agent DIR NAME | start-entry DIR NAME
 # `start` writes DIR/deployment.json; `stop` ends just the processes in it.
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 usage() {
-    sed -n '2,9p' "$0" >&2
+    sed -n '2,11p' "$0" >&2
     exit 2
 }
 [ $# -ge 2 ] || usage
@@ -53,7 +54,7 @@
 
 start_agent() { # NAME HALL
     launch "agent-$1" glenhollow-agent --name "$1" --hall "$2" \
-        --runner "127.0.0.1:$(cat "$dir/runner-$1.port")" \
+        --runner "127.0.0.1:$(cat "$dir/runner-$(runner_of "$1").port")" \
         --slots "$slots" --queue "$queue" \
         ${trace_file:+--trace-file "$trace_file"}
     wait_for "$dir/agent-$1.port" "$pid"
@@ -64,18 +65,25 @@
     GLENHOLLOW_OPERATOR_TOKEN="operator:$token" launch "entry-$1" \
         glenhollow-entry --name "$1" --hall "$2" \
         --platform "127.0.0.1:$(cat "$dir/platform.port")" \
-        --threads "$threads" --report-interval 2 \
+        --threads "$threads" --report-interval 2 $entry_flags \
         ${defaults:+--defaults "$defaults"} \
         ${trace_file:+--trace-file "$trace_file" --trace-share "$trace_share"}
     wait_for "$dir/entry-$1.port" "$pid"
     announce "$1" entry "$2" "127.0.0.1:$(cut -d' ' -f2 "$dir/entry-$1.port")"
 }
 
+# Several agents can share a stand-in runner where only agents matter.
+runner_of() {
+    local i=${1#r}
+    echo "r$(((i - 1) / per_runner * per_runner + 1))"
+}
+
 hall_of() { echo "h$((($1 - 1) % halls + 1))"; }
 
 process_rows() { # PREFIX COUNT WITH_HTTP PID_PREFIX
     local sep="" i
     for i in $(seq 1 "$2"); do
+        [ -e "$dir/$4-$1$i.pid" ] || continue
         printf '%s{"name":"%s%d",' "$sep" "$1" "$i"
         [ -n "$3" ] && printf '"http":"127.0.0.1:%s",' \
             "$(cut -d' ' -f1 "$dir/$4-$1$i.port")"
@@ -111,8 +119,8 @@
 settings_file="$dir/settings.sh"
 case "$verb" in
 start)
-    entries=3 runners=10 halls=3 slots=8 threads=1 kind=release queue=8
-    defaults="" trace_file="" trace_share=0
+    entries=3 runners=10 halls=3 slots=8 threads=1 kind=release queue=64
+    defaults="" trace_file="" trace_share=0 per_runner=1 entry_flags=""
     while [ $# -gt 0 ]; do
         [ $# -ge 2 ] || usage
         case "$1" in
@@ -126,6 +134,8 @@
         --defaults) defaults=$(readlink -f "$2") ;;
         --trace-file) trace_file=$(readlink -m "$2") ;;
         --trace-share) trace_share=$2 ;;
+        --agents-per-runner) per_runner=$2 ;;
+        --entry-flags) entry_flags=$2 ;;
         *) usage ;;
         esac
         shift 2
@@ -134,11 +144,11 @@
     mkdir -p "$dir/logs"
     dir=$(cd "$dir" && pwd)
     declare -p entries runners halls slots threads kind queue defaults \
-        trace_file trace_share bin | sed 's/^declare -[-a-z]* //' >"$dir/settings.sh"
+        trace_file trace_share per_runner entry_flags bin | sed 's/^declare -[-a-z]* //' >"$dir/settings.sh"
     launch platform standin-platform
     wait_for "$dir/platform.port" "$pid"
     for i in $(seq 1 "$runners"); do
-        start_runner "r$i"
+        [ "$(runner_of "r$i")" = "r$i" ] && start_runner "r$i"
         start_agent "r$i" "$(hall_of "$i")"
     done
     for i in $(seq 1 "$entries"); do
--- a/src/glenhollow/configuration/tuning.hpp
+++ b/src/glenhollow/configuration/tuning.hpp
@@ -23,7 +23,7 @@
     queue_order_kind queue_order = queue_order_kind::least_work; ///< Order.
     double default_team_quota = -1;  ///< Tasks a second; below 0: no limit.
     double quota_burst_s = 0.5;      ///< Saved up, in seconds of the quota.
-    double overcommit = 0;           ///< Tasks that may wait at a runner.
+    double overcommit = 2;           ///< Tasks that may wait at a runner.
     double short_reserve = 0.1;      ///< Share that long tasks leave free.
     double long_task_ms = 1000;      ///< Longer tasks are long ones.
     double start_window_s = 10;      ///< A sent start must begin within.
--- a/src/glenhollow/entry/agent_links.cpp
+++ b/src/glenhollow/entry/agent_links.cpp
@@ -219,6 +219,10 @@
     to.current = kj::heap<link::connection>(std::move(socket), bytes_);
     to.heard = to.said = clock_.now();
     to.ping_sent = to.said;
+    // An idle link has no call whose failure would tell.
+    to.current->calls.add(to.current->rpc.on_disconnect().then(
+        [this, index = to.index, generation = to.generation]
+        { broken(*links_[index], generation); }));
     say_hello(to);
 }
 
--- a/src/glenhollow/entry/peer_links.cpp
+++ b/src/glenhollow/entry/peer_links.cpp
@@ -97,12 +97,28 @@
                     to.connecting = false;
                     if (!socket)
                         return broken(to, generation);
-                    to.current =
-                        kj::heap<link::connection>(std::move(*socket), bytes_);
-                    exchange(to);
+                    connected(to, std::move(*socket));
                 });
 }
 
+void peer_links::connected(link& to, tcp::socket socket)
+{
+    to.current = kj::heap<link::connection>(std::move(socket), bytes_);
+    const auto name = to.entry.name;
+    const auto generation = to.generation;
+    // An idle link has no call whose failure would tell.
+    to.current->calls.add(to.current->rpc.on_disconnect().then(
+        [this, name, generation] { lost(name, generation); }));
+    exchange(to);
+}
+
+void peer_links::lost(const std::string& entry, std::uint64_t generation)
+{
+    const auto known = links_.find(entry);
+    if (known != links_.end())
+        broken(*known->second, generation);
+}
+
 void peer_links::broken(link& at, std::uint64_t generation)
 {
     if (at.generation != generation)
@@ -155,12 +171,7 @@
                            reply.getHeir().cStr()};
             reported_(name, from.report);
         },
-        [this, name, generation](kj::Exception&&)
-        {
-            const auto known = links_.find(name);
-            if (known != links_.end())
-                broken(*known->second, generation);
-        }));
+        [this, name, generation](kj::Exception&&) { lost(name, generation); }));
 }
 
 void peer_links::set_own(peer_report own)
--- a/src/glenhollow/entry/peer_links.hpp
+++ b/src/glenhollow/entry/peer_links.hpp
@@ -180,6 +180,8 @@
     struct link;
 
     void connect(link& to);
+    void connected(link& to, boost::asio::ip::tcp::socket socket);
+    void lost(const std::string& entry, std::uint64_t generation);
     void broken(link& at, std::uint64_t generation);
     void exchange(link& to);
     duration heartbeat_of(const std::string& entry) const;
--- a/src/glenhollow/load/load_plan.hpp
+++ b/src/glenhollow/load/load_plan.hpp
@@ -20,6 +20,7 @@
     double rate = 10;                ///< Jobs a second.
     double burst = 1;                ///< Jobs that arrive together, on average.
     std::string team = "load";       ///< Whose.
+    std::size_t teams = 1;           ///< Above 1: load-1, load-2, ... in turn.
     duration deadline = seconds{30}; ///< Of each job.
     double resubmit = 0;             ///< Share sent again by another entry.
     double straggle = 0;             ///< Share of tasks ten times as long.
--- a/src/glenhollow/load/load_run.cpp
+++ b/src/glenhollow/load/load_run.cpp
@@ -239,7 +239,7 @@
     }
     const auto deadline =
         std::chrono::duration_cast<milliseconds>(what_.deadline).count();
-    job.body = json::serialize(json::object{{"team", what_.team},
+    job.body = json::serialize(json::object{{"team", team_of(job.place)},
                                             {"deadline_ms", deadline},
                                             {"tasks", std::move(tasks)}});
     send(job, job.entry);
@@ -255,6 +255,13 @@
           });
 }
 
+std::string load_run::team_of(std::size_t place) const
+{
+    if (what_.teams <= 1)
+        return what_.team;
+    return what_.team + "-" + std::to_string(place % what_.teams + 1);
+}
+
 std::size_t load_run::other_than(std::size_t entry, job_state& job)
 {
     const auto step = 1 + job.attempts % (clients_.size() - 1);
--- a/src/glenhollow/load/load_run.hpp
+++ b/src/glenhollow/load/load_run.hpp
@@ -88,6 +88,7 @@
     void scrape(std::map<std::string, double>& into);
     void count_starts();
     std::size_t other_than(std::size_t entry, job_state& job);
+    std::string team_of(std::size_t place) const;
 
     boost::asio::io_context& io_;   ///< Runs everything.
     load_run_settings settings_;    ///< Where the load goes.
--- a/src/glenhollow/rpc/rpc_connection.hpp
+++ b/src/glenhollow/rpc/rpc_connection.hpp
@@ -28,6 +28,9 @@
     {
     }
 
+    /// @return Fulfilled when the connection is gone.
+    kj::Promise<void> on_disconnect() { return client_->onDisconnect(); }
+
     /// @return The interface that the server offers.
     capnp::Capability::Client bootstrap() { return client_->bootstrap(); }
 
