--- a/programs/entry.cpp
+++ b/programs/entry.cpp
@@ -67,10 +67,14 @@
     line.number<std::size_t>("ring", settings.ring_records, 1024, 100'000'000,
                              "decisions",
                              "kept for why, per traffic thread, 32 bytes each");
-    line.number<std::size_t>("own-hall-links", settings.own_hall_links, 1,
-                             10'000, "agents", "links inside the hall");
+    line.number<std::size_t>("own-hall-links", settings.own_hall_links, 1, 1000,
+                             "entries",
+                             "of its own hall that link to a runner; the "
+                             "same at all entries");
     line.number<std::size_t>("other-hall-links", settings.other_hall_links, 0,
-                             10'000, "agents", "links to all other halls");
+                             1000, "entries",
+                             "of other halls that link to a runner; the same "
+                             "at all entries");
     line.number("report-interval", report_s, 0.5, 3600.0, "s",
                 "between writes of the night report");
     line.number("platform-reads", settings.platform_reads, 0.1, 1000.0, "1/s",
--- a/src/glenhollow/decision/team_quota.cpp
+++ b/src/glenhollow/decision/team_quota.cpp
@@ -33,16 +33,26 @@
     return level_ * std::exp(-passed / smoothing_seconds) / smoothing_seconds;
 }
 
+double quota_floor(double quota, std::size_t entries)
+{
+    constexpr double part = 0.5;
+    return std::max(least_demand,
+                    part * quota /
+                        static_cast<double>(std::max<std::size_t>(entries, 1)));
+}
+
 double quota_share(double own, const std::vector<double>& others,
-                   std::size_t entries)
+                   std::size_t entries, double floor)
 {
-    double total = std::max(own, 0.0) + least_demand;
+    double total = std::max(own, floor);
+    std::size_t silent = std::max<std::size_t>(entries, 1) - 1;
     for (const double demand : others)
-        total += std::max(demand, 0.0);
-    // Entries that have not reported count with the least demand.
-    total += least_demand *
-             static_cast<double>(std::max<std::size_t>(entries, 1) - 1);
-    return (std::max(own, 0.0) + least_demand) / total;
+    {
+        total += std::max(demand, floor);
+        silent -= silent > 0 ? 1 : 0;
+    }
+    total += floor * static_cast<double>(silent);
+    return std::max(own, floor) / total;
 }
 
 void team_quota::set_quota(const std::string& team, std::optional<double> quota)
--- a/src/glenhollow/decision/team_quota.hpp
+++ b/src/glenhollow/decision/team_quota.hpp
@@ -35,10 +35,19 @@
 /// @param own Demand here, tasks a second.
 /// @param others Demand at the other entries, tasks a second.
 /// @param entries Entries in all, this one included.
+/// @param floor Demand that every entry is taken to have at least, tasks a
+/// second; entries that report nothing count with it.
 /// @return A share in 0..1; the shares of entries that see the same demand
 /// sum to 1.
 double quota_share(double own, const std::vector<double>& others,
-                   std::size_t entries);
+                   std::size_t entries, double floor);
+
+/// Demand below which an entry says nothing of a team: half of an equal part
+/// of the quota. Teams that keep within their quota cost no message.
+/// @param quota Of the team, tasks a second.
+/// @param entries Entries in all.
+/// @return The demand, tasks a second.
+double quota_floor(double quota, std::size_t entries);
 
 /// Limits of quotas.
 struct team_quota_settings
--- a/src/glenhollow/entry/control_plane.cpp
+++ b/src/glenhollow/entry/control_plane.cpp
@@ -106,7 +106,7 @@
              settings.incarnation),
       peers_(io, process_clock(), {settings.entry}), agents_(io, {}),
       foreign_(io, process_clock(), peers_, agents_, members_,
-               {settings.entry}),
+               {settings.entry, settings.subset}),
       report_(settings.night_report)
 {
     members_.on_changed([this] { take_members(); });
@@ -191,6 +191,13 @@
 
 void control_plane::poll()
 {
+    // News comes from peers as well, so a quiet list is asked for less often;
+    // the platform's reads are shared by all entries.
+    const instant now = process_clock().now();
+    if (now < next_poll_)
+        return;
+    poll_pause_ = std::min(poll_pause_ * 2, settings_.longest_poll);
+    next_poll_ = now + poll_pause_;
     platform_.list_vms(
         vm_revision_,
         [this](platform_outcome outcome, const vm_changes& changes)
@@ -202,6 +209,8 @@
                 return;
             }
             vm_revision_ = changes.revision;
+            if (!changes.changed.empty())
+                poll_pause_ = settings_.poll;
             members_.apply(changes.changed);
         });
     store_.poll();
@@ -220,10 +229,11 @@
 void control_plane::take_members()
 {
     const auto runners = members_.of_role(member_role::runner);
+    const auto entries = members_.of_role(member_role::entry);
     const auto chosen =
-        link_subset(settings_.entry, settings_.hall, runners, settings_.subset);
+        link_subset(settings_.entry, entries, runners, settings_.subset);
     shards_.for_all([chosen](shard& one) { one.links().set_agents(chosen); });
-    peers_.set_entries(members_.of_role(member_role::entry));
+    peers_.set_entries(entries);
     apply_drains();
     tell_leaving();
 }
@@ -327,6 +337,13 @@
         });
 }
 
+double control_plane::quota_of(const std::string& team) const
+{
+    const auto* row = store_.current().find(row_key(row_kind::quota, team));
+    return row ? std::strtod(row->value.c_str(), nullptr)
+               : std::max(settings_in_force().default_team_quota, 0.0);
+}
+
 void control_plane::spread_quotas()
 {
     shards_.gather<shard_demand>(
@@ -345,25 +362,30 @@
             report.config_version = store_.current().version();
             report.stopping = stopping_;
             report.heir = heir_;
+            const std::size_t entries = peers_.reachable().size() + 1;
             for (const auto& [team, rate] : own)
-                report.demand.push_back({team, rate});
+            {
+                if (rate > quota_floor(quota_of(team), entries))
+                    report.demand.push_back({team, rate});
+            }
             peers_.set_own(report);
 
             const auto others = peers_.demand();
-            const std::size_t entries = peers_.reachable().size() + 1;
             std::vector<std::map<std::string, double>> shares(all.size());
             for (std::size_t i = 0; i < all.size(); ++i)
             {
                 for (const auto& [team, rate] : all[i])
                 {
                     const auto known = others.find(team);
+                    const double floor = quota_floor(quota_of(team), entries);
                     const double share = quota_share(own[team],
                                                      known == others.end()
                                                          ? std::vector<double>{}
                                                          : known->second,
-                                                     entries);
+                                                     entries, floor);
                     const double part =
-                        quota_share(rate, {own[team] - rate}, all.size());
+                        quota_share(rate, {own[team] - rate}, all.size(),
+                                    floor / static_cast<double>(all.size()));
                     shares[i][team] = share * part;
                 }
             }
--- a/src/glenhollow/entry/control_plane.hpp
+++ b/src/glenhollow/entry/control_plane.hpp
@@ -36,7 +36,8 @@
     std::vector<host_port> seeds;       ///< Entries to ask for members.
     link_subset_settings subset;        ///< Limits of links.
     std::string defaults;               ///< Statements in force without rows.
-    duration poll = seconds{1};         ///< Of the head row and the VM list.
+    duration poll = seconds{1};         ///< Of head row and VM list, in change.
+    duration longest_poll = seconds{5}; ///< The same while nothing changes.
     duration report = seconds{60};      ///< Between writes of the report.
     night_report_settings night_report; ///< Its limits.
 };
@@ -151,6 +152,7 @@
     void apply_drains();
     void tell_leaving();
     void spread_quotas();
+    double quota_of(const std::string& team) const;
     void collect_notables();
     void send_answers(const std::string& heir,
                       std::vector<coordinator::kept_answer> answers,
@@ -174,6 +176,8 @@
     std::uint64_t vm_revision_ = 0;                        ///< Of the VM list.
     std::uint64_t report_number_ = 0;    ///< Of the next object.
     bool writing_report_ = false;        ///< A write is under way.
+    instant next_poll_{};                ///< When the platform is asked next.
+    duration poll_pause_ = seconds{1};   ///< Until the poll after that.
     bool stopping_ = false;              ///< A planned stop has begun.
     bool pulling_ = false;               ///< A pull from an agent is under way.
     std::string heir_;                   ///< Who has our answers.
--- a/src/glenhollow/entry/entry_node.hpp
+++ b/src/glenhollow/entry/entry_node.hpp
@@ -32,11 +32,11 @@
     double trace_share = 0;                 ///< Of traces begun here.
     std::size_t max_body_bytes = 8UL << 20; ///< Of one request.
     std::size_t ring_records = 262'144;     ///< Decisions kept, per thread.
-    std::size_t own_hall_links = 128;       ///< Agents of the own hall.
-    std::size_t other_hall_links = 64;      ///< Agents of other halls.
-    duration report = seconds{60};          ///< Between writes of the report.
-    double platform_reads = 6;              ///< A second, at most.
-    double platform_writes = 2;             ///< A second, at most.
+    std::size_t own_hall_links = 4;   ///< Entries a runner has in its hall.
+    std::size_t other_hall_links = 2; ///< Entries it has in other halls.
+    duration report = seconds{60};    ///< Between writes of the report.
+    double platform_reads = 6;        ///< A second, at most.
+    double platform_writes = 2;       ///< A second, at most.
 };
 
 /// One entry process: a control thread and traffic threads.
--- a/src/glenhollow/entry/foreign_jobs.cpp
+++ b/src/glenhollow/entry/foreign_jobs.cpp
@@ -184,10 +184,27 @@
     state->waiting.push_back({std::move(asked), std::move(done)});
     if (!fresh)
         return;
-    state->to_ask = members_.of_role(member_role::runner);
+    state->to_ask = agents_of(state->waiting.front().asked.id);
     fence_all(state);
 }
 
+std::vector<member> foreign_jobs::agents_of(const submission_id& id) const
+{
+    auto runners = members_.of_role(member_role::runner);
+    if (runners.size() <= settings_.ask_all)
+        return runners;
+    // In a large system only the agents are asked that the entry can have had
+    // links to; twice as many as now, since members have come and gone.
+    auto entries = members_.of_role(member_role::entry);
+    if (!members_.find(id.entry))
+        entries.push_back(
+            {id.entry, member_role::entry, id.hall, {}, member_state::leaving});
+    auto wide = settings_.subset;
+    wide.own_hall *= 2;
+    wide.other_halls *= 2;
+    return link_subset(id.entry, entries, runners, wide);
+}
+
 void foreign_jobs::fence_all(const std::shared_ptr<incarnation_state>& state)
 {
     auto agents = std::exchange(state->to_ask, {});
--- a/src/glenhollow/entry/foreign_jobs.hpp
+++ b/src/glenhollow/entry/foreign_jobs.hpp
@@ -26,6 +26,8 @@
 struct foreign_jobs_settings
 {
     std::string entry = "entry";      ///< Our name.
+    link_subset_settings subset;      ///< Of links, the same at all entries.
+    std::size_t ask_all = 512;        ///< Runners that are all asked.
     duration keep_for = seconds{300}; ///< Answers of an adopted incarnation.
     duration ask_again = milliseconds{200};     ///< While tasks still run.
     duration longest_wait = seconds{60};        ///< For tasks that still run.
@@ -112,6 +114,7 @@
     void find_holder(request asked, answer_sink done);
     void choose_adopter(request asked, answer_sink done);
     void adopt(request asked, answer_sink done);
+    std::vector<member> agents_of(const submission_id& id) const;
     void fence_all(const std::shared_ptr<incarnation_state>& state);
     void fenced_all(const std::shared_ptr<incarnation_state>& state);
     void answer_waiting(const std::shared_ptr<incarnation_state>& state);
--- a/src/glenhollow/entry/peer_links.cpp
+++ b/src/glenhollow/entry/peer_links.cpp
@@ -214,6 +214,11 @@
 void peer_links::tick()
 {
     const instant now = clock_.now();
+    // News costs a message to each peer, so with many peers it goes out less
+    // often and the bytes of a node stay flat.
+    const auto quick = std::max<duration>(settings_.quick,
+                                          settings_.quick_per_peer *
+                                              static_cast<int>(links_.size()));
     bool news_left = false;
     for (auto& [name, known] : links_)
     {
@@ -231,7 +236,7 @@
         // News is told to each peer once, a little later than it came, so
         // that the reply brings the peer's own.
         const bool quiet = since > heartbeat_of(name);
-        if (quiet || (news_ && since > settings_.quick))
+        if (quiet || (news_ && since > quick))
             exchange(at);
         else
             news_left |= news_;
--- a/src/glenhollow/entry/peer_links.hpp
+++ b/src/glenhollow/entry/peer_links.hpp
@@ -43,12 +43,13 @@
 /// Settings of the links between entries.
 struct peer_links_settings
 {
-    std::string entry = "entry";               ///< Our name.
-    duration quick = milliseconds{500};        ///< Between exchanges with news.
-    duration heartbeat = seconds{20};          ///< Between exchanges without.
-    duration reply_limit = seconds{2};         ///< For an exchange.
-    duration first_backoff = milliseconds{50}; ///< Of reconnects.
-    duration longest_backoff = seconds{2};     ///< The doubling ends here.
+    std::string entry = "entry";        ///< Our name.
+    duration quick = milliseconds{500}; ///< Between exchanges with news.
+    duration quick_per_peer = milliseconds{50}; ///< The same, for each peer.
+    duration heartbeat = seconds{20};           ///< Between exchanges without.
+    duration reply_limit = seconds{2};          ///< For an exchange.
+    duration first_backoff = milliseconds{50};  ///< Of reconnects.
+    duration longest_backoff = seconds{2};      ///< The doubling ends here.
 };
 
 /// Counters of the links between entries.
--- a/src/glenhollow/membership/membership.cpp
+++ b/src/glenhollow/membership/membership.cpp
@@ -76,29 +76,57 @@
     return ordered;
 }
 
+namespace
+{
+
+/// @return Whether an entry is among the first that a runner's name ranks.
+bool is_chosen(const std::string& entry, const std::string& runner,
+               const std::vector<std::string>& candidates, std::size_t most)
+{
+    if (candidates.size() <= most)
+        return true;
+    const auto seed = XXH3_64bits(runner.data(), runner.size());
+    const auto weight_of = [seed](const std::string& name)
+    { return XXH3_64bits_withSeed(name.data(), name.size(), seed); };
+    const auto own = weight_of(entry);
+    const auto better = std::count_if(candidates.begin(), candidates.end(),
+                                      [&](const std::string& other)
+                                      { return weight_of(other) > own; });
+    return static_cast<std::size_t>(better) < most;
+}
+
+} // namespace
+
 std::vector<member> link_subset(const std::string& entry,
-                                const std::string& hall,
+                                const std::vector<member>& entries,
                                 const std::vector<member>& runners,
                                 const link_subset_settings& settings)
 {
-    std::map<std::string, const member*> by_name;
-    std::vector<std::string> own;
-    std::vector<std::string> other;
-    for (const auto& one : runners)
+    std::map<std::string, std::vector<std::string>> by_hall;
+    std::map<std::string, std::vector<std::string>> outside;
+    std::string hall;
+    for (const auto& one : entries)
     {
-        by_name.emplace(one.name, &one);
-        (one.hall == hall ? own : other).push_back(one.name);
+        by_hall[one.hall].push_back(one.name);
+        hall = one.name == entry ? one.hall : hall;
     }
     std::vector<member> chosen;
-    const auto take = [&](std::vector<std::string> names, std::size_t most)
+    for (const auto& runner : runners)
     {
-        auto ordered = rendezvous_order(entry, std::move(names));
-        ordered.resize(std::min(ordered.size(), most));
-        for (const auto& name : ordered)
-            chosen.push_back(*by_name.at(name));
-    };
-    take(std::move(own), settings.own_hall);
-    take(std::move(other), settings.other_halls);
+        const bool own = runner.hall == hall;
+        auto& candidates = own ? by_hall[hall] : outside[runner.hall];
+        if (candidates.empty())
+        {
+            for (const auto& one : entries)
+            {
+                if (one.hall != runner.hall)
+                    candidates.push_back(one.name);
+            }
+        }
+        if (is_chosen(entry, runner.name, candidates,
+                      own ? settings.own_hall : settings.other_halls))
+            chosen.push_back(runner);
+    }
     return chosen;
 }
 
--- a/src/glenhollow/membership/membership.hpp
+++ b/src/glenhollow/membership/membership.hpp
@@ -55,21 +55,22 @@
 std::vector<std::string> rendezvous_order(const std::string& key,
                                           std::vector<std::string> candidates);
 
-/// Limits on the links of an entry.
+/// Limits on the links between entries and runners.
 struct link_subset_settings
 {
-    std::size_t own_hall = 128;   ///< Agents of the own hall.
-    std::size_t other_halls = 64; ///< Agents of all other halls together.
+    std::size_t own_hall = 4;    ///< Entries of its own hall, for a runner.
+    std::size_t other_halls = 2; ///< Entries of all other halls, likewise.
 };
 
 /// @param entry The entry that links.
-/// @param hall Its hall.
+/// @param entries All entries, that one among them.
 /// @param runners All runners.
 /// @param settings Limits.
-/// @return The runners that the entry links to: a bounded subset, so that
-/// state and heartbeats of a node stay flat as halls grow.
+/// @return The runners that the entry links to. Each runner has the same
+/// small number of entries, so none is left without, and the state and
+/// heartbeats of a node stay flat as halls grow.
 std::vector<member> link_subset(const std::string& entry,
-                                const std::string& hall,
+                                const std::vector<member>& entries,
                                 const std::vector<member>& runners,
                                 const link_subset_settings& settings);
 
