--- a/src/glenhollow/client/operator_client.cpp
+++ b/src/glenhollow/client/operator_client.cpp
@@ -1,8 +1,8 @@
 #include "glenhollow/client/operator_client.hpp"
 
 #include "glenhollow/core/names.hpp"
+#include "glenhollow/http/blocking_call.hpp"
 
-#include <boost/asio/io_context.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -59,20 +59,13 @@
     operator_answer answer;
     for (const auto& entry : settings_.entries)
     {
-        boost::asio::io_context io{1};
-        http_client_settings calls;
-        calls.server = entry;
-        calls.call_timeout = settings_.timeout;
-        const auto client = http_client::create(io, calls);
         http_request request;
         request.method = "POST";
         request.target = "/v1/operator";
         request.headers = {{"Authorization", "Bearer " + settings_.token}};
         request.body = statement;
-        http_result end;
-        client->send(std::move(request),
-                     [&end](http_result got) { end = std::move(got); });
-        io.run();
+        const auto end =
+            call_and_wait(entry, std::move(request), settings_.timeout);
         if (end.answered)
             return {exit_of(end.response), end.response.body};
         answer.body = json::serialize(
--- a/src/glenhollow/configuration/configuration_store.cpp
+++ b/src/glenhollow/configuration/configuration_store.cpp
@@ -129,7 +129,6 @@
     open->change.by = std::move(by);
     open->change.when = wall_nanoseconds() / 1'000'000'000;
     open->change.statement = std::move(statement);
-    open->base = current_.version();
     open->done = std::move(done);
     open->since = clock_.now();
     open->backoff = settings_.first_backoff;
@@ -188,7 +187,7 @@
     {
         const auto& rows = current_.rows();
         const auto known = rows.find(key);
-        if (known == rows.end() || known->second.version <= open.base)
+        if (known == rows.end() || known->second.version <= *open.base)
             continue;
         const auto& row = known->second;
         return "conflict with version " + std::to_string(row.version) + " by " +
@@ -201,6 +200,10 @@
 void configuration_store::prepare(const std::shared_ptr<open_change>& open,
                                   const head& at)
 {
+    // What an operator races with is what changes after the statement came,
+    // not what this entry had not heard of by then.
+    if (!open->base)
+        open->base = current_.version();
     if (const auto conflict = conflict_of(*open))
         return answer(open,
                       {change_state::refused, open->change.id, 0, *conflict});
--- a/src/glenhollow/configuration/configuration_store.hpp
+++ b/src/glenhollow/configuration/configuration_store.hpp
@@ -112,17 +112,17 @@
     /// A change on its way.
     struct open_change
     {
-        configuration_change change;    ///< What to change.
-        std::uint64_t base = 0;         ///< Version the operator saw.
-        answer_handler done;            ///< Null once answered.
-        instant since{};                ///< When it came.
-        table_transaction sent;         ///< The transaction in doubt.
-        std::uint64_t sent_version = 0; ///< That it would make.
-        bool in_doubt = false;          ///< An answer was lost.
-        std::size_t attempts = 0;       ///< Lost races.
-        duration backoff{};             ///< Before the next attempt.
-        instant retry_at{};             ///< When that is, or 0.
-        bool busy = false;              ///< A call is under way.
+        configuration_change change;       ///< What to change.
+        std::optional<std::uint64_t> base; ///< Version when it came.
+        answer_handler done;               ///< Null once answered.
+        instant since{};                   ///< When it came.
+        table_transaction sent;            ///< The transaction in doubt.
+        std::uint64_t sent_version = 0;    ///< That it would make.
+        bool in_doubt = false;             ///< An answer was lost.
+        std::size_t attempts = 0;          ///< Lost races.
+        duration backoff{};                ///< Before the next attempt.
+        instant retry_at{};                ///< When that is, or 0.
+        bool busy = false;                 ///< A call is under way.
     };
 
     /// The head row as read.
--- a/src/glenhollow/entry/foreign_jobs.cpp
+++ b/src/glenhollow/entry/foreign_jobs.cpp
@@ -43,6 +43,7 @@
     std::uint64_t incarnation;            ///< Which.
     std::string entry;                    ///< Whose.
     adopted_answers answers;              ///< What can be answered.
+    bool adopted = false;                 ///< Its agents were fenced.
     bool ready = false;                   ///< Adopted or handed over.
     std::vector<waiting_request> waiting; ///< For the adoption.
     std::vector<member> to_ask;           ///< Agents in the next round.
@@ -245,7 +246,7 @@
             state->declined ? settings_.retry_decline : settings_.ask_again;
         return after(pause, [this, state] { fence_all(state); });
     }
-    state->ready = true;
+    state->ready = state->adopted = true;
     state->since = clock_.now();
     ++adoptions_;
     const adoption_report report{state->entry, state->incarnation,
@@ -286,6 +287,10 @@
     auto& known = incarnations_[incarnation];
     if (!known)
         known = std::make_shared<incarnation_state>(hall, entry, incarnation);
+    // What was answered for an adopted incarnation stays as it was, also when
+    // the entry wakes and hands over what it thinks.
+    if (known->adopted)
+        return;
     known->answers.keep(answers);
     known->ready = true;
     known->since = clock_.now();
--- a/src/glenhollow/entry/operator_desk.cpp
+++ b/src/glenhollow/entry/operator_desk.cpp
@@ -217,7 +217,7 @@
     static const std::map<show_target, row_merge> merges{
         {show_target::runners, {"name", {"in_flight", "started", "refused"}}},
         {show_target::entries, {"", {}}},
-        {show_target::teams, {"name", {"in_use"}}},
+        {show_target::teams, {"name", {"in_use"}, true}},
         {show_target::jobs, {"", {}}}};
     const auto finish = [on, show](row_table rows)
     {
@@ -380,6 +380,7 @@
                       {"jobs", sum.jobs},
                       {"queued_tasks", sum.queued},
                       {"links_up", sum.links},
+                      {"platform", plane_.platform().is_away() ? "away" : "up"},
                       {"config_version", plane_.store().current().version()}});
             done(std::move(rows));
         });
--- a/src/glenhollow/entry/peer_links.cpp
+++ b/src/glenhollow/entry/peer_links.cpp
@@ -39,10 +39,11 @@
     bool connecting = false;      ///< A connection is being made.
     bool up = false;              ///< An exchange was answered.
     bool exchanging = false;      ///< One is under way.
-    instant exchanged{};          ///< When the last one left.
-    instant retry_at{};           ///< When to connect again.
-    duration backoff{};           ///< Before the next attempt.
-    peer_report report;           ///< The last one.
+    std::shared_ptr<int> pending = std::make_shared<int>(0); ///< Calls.
+    instant exchanged{}; ///< When the last one left.
+    instant retry_at{};  ///< When to connect again.
+    duration backoff{};  ///< Before the next attempt.
+    peer_report report;  ///< The last one.
 };
 
 peer_links::peer_links(boost::asio::io_context& io, const clock_source& clock,
@@ -235,7 +236,9 @@
         const auto since = now - at.exchanged;
         // News is told to each peer once, a little later than it came, so
         // that the reply brings the peer's own.
-        const bool quiet = since > heartbeat_of(name);
+        // A call that waits at a peer that hangs must not wait for ever.
+        const bool waits = *at.pending > 0 && since > settings_.probe_after;
+        const bool quiet = waits || since > heartbeat_of(name);
         if (quiet || (news_ && since > quick))
             exchange(at);
         else
@@ -299,13 +302,30 @@
 namespace
 {
 
+/// Counts a call as waiting until its handler is called.
+template <class Result>
+once_handler<Result> counted(const std::shared_ptr<int>& pending,
+                             std::function<void(Result)> handler,
+                             Result fallback)
+{
+    ++*pending;
+    return once_handler<Result>(
+        [pending, handler = std::move(handler)](Result result)
+        {
+            --*pending;
+            handler(std::move(result));
+        },
+        std::move(fallback));
+}
+
 /// Sends a call whose reply has an answer and tells it.
 template <class Request>
 kj::Promise<void> send_for_answer(Request&& request,
+                                  const std::shared_ptr<int>& pending,
                                   peer_links::answer_handler handler)
 {
-    const once_handler<std::optional<job_answer>> done(std::move(handler),
-                                                       std::nullopt);
+    const auto done = counted<std::optional<job_answer>>(
+        pending, std::move(handler), std::nullopt);
     return request.send().then([done](auto&& reply)
                                { done(to_answer(reply.getAnswer())); },
                                [done](kj::Exception&&) { done(std::nullopt); });
@@ -326,7 +346,8 @@
     request.setBody(as_bytes(body));
     request.setTraceparent(traceparent);
     request.setAdopt(adopt);
-    to->current->calls.add(send_for_answer(kj::mv(request), std::move(done)));
+    to->current->calls.add(
+        send_for_answer(kj::mv(request), to->pending, std::move(done)));
 }
 
 void peer_links::lookup(const std::string& entry, const std::string& id,
@@ -339,7 +360,8 @@
     auto request = to->current->peer.lookupRequest();
     request.setId(id);
     request.setAdopt(adopt);
-    to->current->calls.add(send_for_answer(kj::mv(request), std::move(done)));
+    to->current->calls.add(
+        send_for_answer(kj::mv(request), to->pending, std::move(done)));
 }
 
 void peer_links::operate(const std::string& entry, const std::string& statement,
@@ -351,16 +373,18 @@
     auto request = to->current->peer.operateRequest();
     request.setStatement(statement);
     request.setBy(by);
-    to->current->calls.add(send_for_answer(kj::mv(request), std::move(done)));
+    to->current->calls.add(
+        send_for_answer(kj::mv(request), to->pending, std::move(done)));
 }
 
 void peer_links::holds(const std::string& entry, std::uint64_t incarnation,
                        std::function<void(bool)> handler)
 {
-    const once_handler<bool> done(std::move(handler), false);
     auto* to = usable(entry);
     if (!to)
-        return done(false);
+        return handler(false);
+    const once_handler<bool> done =
+        counted<bool>(to->pending, std::move(handler), false);
     auto request = to->current->peer.holdsRequest();
     request.setIncarnation(incarnation);
     to->current->calls.add(
@@ -372,10 +396,11 @@
                       const std::vector<coordinator::kept_answer>& answers,
                       std::function<void(bool)> handler)
 {
-    const once_handler<bool> done(std::move(handler), false);
     auto* to = usable(entry);
     if (!to)
-        return done(false);
+        return handler(false);
+    const once_handler<bool> done =
+        counted<bool>(to->pending, std::move(handler), false);
     ++stats_.handovers;
     auto request = to->current->peer.keepRequest();
     request.setEntry(settings_.entry);
--- a/src/glenhollow/entry/peer_links.hpp
+++ b/src/glenhollow/entry/peer_links.hpp
@@ -48,8 +48,9 @@
     duration quick_per_peer = milliseconds{50}; ///< The same, for each peer.
     duration heartbeat = seconds{20};           ///< Between exchanges without.
     duration reply_limit = seconds{2};          ///< For an exchange.
-    duration first_backoff = milliseconds{50};  ///< Of reconnects.
-    duration longest_backoff = seconds{2};      ///< The doubling ends here.
+    duration probe_after = seconds{1}; ///< While calls wait for answers.
+    duration first_backoff = milliseconds{50}; ///< Of reconnects.
+    duration longest_backoff = seconds{2};     ///< The doubling ends here.
 };
 
 /// Counters of the links between entries.
--- a/src/glenhollow/entry/row_table.cpp
+++ b/src/glenhollow/entry/row_table.cpp
@@ -100,7 +100,8 @@
         auto* own = name ? find_row(rows_, how.key, *name) : nullptr;
         if (!own)
         {
-            rows_.push_back(std::move(row));
+            if (!how.only_known)
+                rows_.push_back(std::move(row));
             continue;
         }
         for (const auto& field : how.sums)
--- a/src/glenhollow/entry/row_table.hpp
+++ b/src/glenhollow/entry/row_table.hpp
@@ -20,6 +20,7 @@
     std::string key;               ///< Field that names the thing; empty:
                                    ///< rows are only joined.
     std::vector<std::string> sums; ///< Fields that are added up.
+    bool only_known = false;       ///< Rows that are new here are left out.
 };
 
 /// @param number A number.
--- a/src/glenhollow/platform/circuit_breaker.hpp
+++ b/src/glenhollow/platform/circuit_breaker.hpp
@@ -65,6 +65,9 @@
         return failures_ >= settings_.failures && now < until_;
     }
 
+    /// @return Whether the last calls failed, open or on trial.
+    bool has_tripped() const { return failures_ >= settings_.failures; }
+
 private:
     circuit_breaker_settings settings_; ///< Limits.
     std::size_t failures_ = 0;          ///< In a row.
--- a/src/glenhollow/platform/platform_client.hpp
+++ b/src/glenhollow/platform/platform_client.hpp
@@ -80,8 +80,8 @@
     void list_objects(const std::string& prefix,
                       reader<std::vector<std::string>> done);
 
-    /// @return Whether the breaker keeps calls back.
-    bool is_away() const { return breaker_.is_open(clock_.now()); }
+    /// @return Whether the last calls failed and none has worked since.
+    bool is_away() const { return breaker_.has_tripped(); }
 
     /// @return Counters.
     const platform_client_stats& stats() const { return stats_; }
