--- a/src/glenhollow/entry/coordinator.cpp
+++ b/src/glenhollow/entry/coordinator.cpp
@@ -389,8 +389,7 @@
     start.team = owner.team;
     start.body_hash = owner.body_hash;
     start.job_tasks = static_cast<std::uint32_t>(owner.task_count);
-    start.rank = static_cast<double>(owner.waiting.size() + 1) *
-                 (owner.expected > 0 ? owner.expected : unknown_task_seconds);
+    start.rank = rank_of(owner, now);
     // The payload is needed again only if the task can be sent again; a copy
     // is the price of a retry.
     start.payload = next.payload;
@@ -407,6 +406,23 @@
     outbox_[runner].push_back(std::move(start));
 }
 
+double coordinator::rank_of(const job& owner, instant now) const
+{
+    // The order among the tasks that wait at an agent is that of the queue.
+    switch (settings_.queue.order)
+    {
+    case queue_order_kind::first_come:
+        return 0;
+    case queue_order_kind::earliest_deadline:
+        return to_seconds(owner.deadline - now);
+    case queue_order_kind::least_work:
+        break;
+    }
+    const double length =
+        owner.expected > 0 ? owner.expected : unknown_task_seconds;
+    return static_cast<double>(owner.waiting.size() + 1) * length;
+}
+
 void coordinator::flush()
 {
     auto outbox = std::exchange(outbox_, {});
--- a/src/glenhollow/entry/coordinator.hpp
+++ b/src/glenhollow/entry/coordinator.hpp
@@ -309,6 +309,7 @@
     bool place_next(job& owner, bool& blocked_long);
     void send_task(job& owner, std::uint32_t number, runner_index runner,
                    reason why, instant now);
+    double rank_of(const job& owner, instant now) const;
     void flush();
     void end_in_job(job& owner, runner_index runner, task_end end);
     void retry_or_fail(job& owner, runner_index runner, const task_end& end);
