--- a/tests/schedule/simulated_world.cpp
+++ b/tests/schedule/simulated_world.cpp
@@ -32,21 +32,13 @@
 class simulated_world::sim_runner final : public runner_caller
 {
 public:
-    explicit sim_runner(simulated_world& world) : world_(world) {}
-
-    void call(runner_call call, handler done) override
+    sim_runner(simulated_world& world, sim_agent& agent)
+        : world_(world), agent_(agent)
     {
-        if (world_.chance(world_.settings_.refuse_share))
-            return finish(std::move(done), verdict::not_run,
-                          reason::runner_refused, "");
-        // A connection that breaks may have carried the task or not.
-        const bool breaks = world_.chance(world_.settings_.broken_share);
-        if (!breaks || world_.chance(0.5))
-            ++world_.starts_[call.task];
-        finish(std::move(done), breaks ? verdict::may_have_run : verdict::ran,
-               breaks ? reason::runner_broken : reason::none, call.payload);
     }
 
+    void call(runner_call call, handler done) override;
+
     void probe(std::function<void(bool)> done) override { done(true); }
 
     bool dead = false; ///< Its agent is gone; nobody is told any more.
@@ -64,6 +56,7 @@
     }
 
     simulated_world& world_; ///< Has the time and the dice.
+    sim_agent& agent_;       ///< Beside it.
 };
 
 /// An agent with a clock of its own.
@@ -78,9 +71,28 @@
     std::vector<std::unique_ptr<task_executor>> old_executors; ///< Gone.
     std::map<std::uint64_t, std::uint64_t> sessions; ///< Newest generation.
     std::map<std::uint64_t, instant> heard;          ///< By incarnation.
-    instant paused_until{};                          ///< On the world's clock.
+    std::set<std::uint64_t> fenced; ///< Incarnations, this start.
+    instant paused_until{};         ///< On the world's clock.
 };
 
+void simulated_world::sim_runner::call(runner_call call, handler done)
+{
+    const auto id = submission_id::parse(
+        std::string_view(call.task).substr(0, call.task.find('/')));
+    if (agent_.fenced.contains(id->incarnation))
+        world_.outcome_.broken.push_back(call.task +
+                                         " started by a fenced entry");
+    if (world_.chance(world_.settings_.refuse_share))
+        return finish(std::move(done), verdict::not_run, reason::runner_refused,
+                      "");
+    // A connection that breaks may have carried the task or not.
+    const bool breaks = world_.chance(world_.settings_.broken_share);
+    if (!breaks || world_.chance(0.5))
+        ++world_.starts_[call.task];
+    finish(std::move(done), breaks ? verdict::may_have_run : verdict::ran,
+           breaks ? reason::runner_broken : reason::none, call.payload);
+}
+
 /// One link with the semantics of agent_links.
 struct simulated_world::sim_link
 {
@@ -215,7 +227,8 @@
     ++agent.incarnation;
     agent.sessions.clear();
     agent.heard.clear();
-    agent.runner = std::make_unique<sim_runner>(*this);
+    agent.fenced.clear();
+    agent.runner = std::make_unique<sim_runner>(*this, agent);
     task_executor_settings limits;
     limits.slots = 2;
     limits.queue = 2;
@@ -571,6 +584,7 @@
         if (agent->paused_until > clock_.now())
             continue;
         agent->executor->fence(dead.incarnation);
+        agent->fenced.insert(dead.incarnation);
         const auto& table = agent->executor->table();
         std::vector<fenced_record> records;
         for (const auto& key : table.keys_of(dead.incarnation))
