--- a/src/glenhollow/load/load_run.cpp
+++ b/src/glenhollow/load/load_run.cpp
@@ -306,6 +306,16 @@
 void load_run::answered(job_state& job, std::size_t entry,
                         const http_result& end)
 {
+    // A job that never left its caller takes a fresh id from another entry;
+    // ids of an entry that is gone are worth nothing.
+    if (!end.answered && end.progress == send_progress::nothing_sent &&
+        job.attempts == 1 && job.open == 1 && clients_.size() > 1)
+    {
+        ids_[entry].clear();
+        job.open = job.attempts = 0;
+        job.entry = (entry + 1) % clients_.size();
+        return begin(job);
+    }
     // A caller that does not know asks again elsewhere, as the users' do.
     if (!end.answered)
         return again(job, entry, settings_.retry_wait);
