--- a/programs/client.cpp
+++ b/programs/client.cpp
@@ -6,10 +6,8 @@
 
 #include <unistd.h>
 
-#include <algorithm>
 #include <fstream>
 #include <iostream>
-#include <sstream>
 
 using namespace glenhollow;
 
@@ -85,18 +83,13 @@
         std::cout << settings_page();
         return 0;
     }
-    std::istringstream parts(entries);
-    std::string part;
-    while (std::getline(parts, part, ','))
+    const auto list = host_port::parse_list(entries);
+    if (!list)
     {
-        const auto one = host_port::parse(part);
-        if (!one)
-        {
-            std::cerr << "--entry " << one.error().text << "\n";
-            return exit_usage;
-        }
-        settings.entries.push_back(one.value());
+        std::cerr << "--entry " << list.error().text << "\n";
+        return exit_usage;
     }
+    settings.entries = list.value();
     settings.timeout = std::chrono::duration_cast<duration>(
         std::chrono::duration<double>(timeout_s));
     const operator_client client(settings);
--- a/programs/entry.cpp
+++ b/programs/entry.cpp
@@ -9,25 +9,6 @@
 
 using namespace glenhollow;
 
-namespace
-{
-
-/// Reads HOST:PORT[,HOST:PORT...].
-result<std::vector<host_port>> parse_list(const std::string& text)
-{
-    std::vector<host_port> list;
-    std::istringstream parts(text);
-    std::string part;
-    while (std::getline(parts, part, ','))
-    {
-        BOOST_OUTCOME_TRY(auto one, host_port::parse(part));
-        list.push_back(one);
-    }
-    return list;
-}
-
-} // namespace
-
 int main(int argc, char** argv)
 {
     entry_settings settings;
@@ -85,7 +66,7 @@
     parse_or_exit(line, argc, argv);
 
     const auto where = host_port::parse(platform);
-    const auto others = parse_list(seeds);
+    const auto others = host_port::parse_list(seeds);
     if (!where || !others)
     {
         std::cerr << (where ? "--seeds " + others.error().text
--- a/programs/load.cpp
+++ b/programs/load.cpp
@@ -20,19 +20,6 @@
 
 constexpr int exit_broken_promise = 1;
 
-result<std::vector<host_port>> parse_list(const std::string& text)
-{
-    std::vector<host_port> list;
-    std::istringstream parts(text);
-    std::string part;
-    while (std::getline(parts, part, ','))
-    {
-        BOOST_OUTCOME_TRY(auto one, host_port::parse(part));
-        list.push_back(one);
-    }
-    return list;
-}
-
 /// Joins the http addresses of a part of deployment.json.
 std::string addresses(const json::object& deployment, std::string_view part)
 {
@@ -113,12 +100,12 @@
         if (runners.empty())
             runners = addresses(parsed.get_object(), "runners");
     }
-    const auto entry_list = parse_list(entries);
+    const auto entry_list = host_port::parse_list(entries);
     if (!entry_list)
         exit_wrong("entry", entry_list.error().text);
     if (entry_list.value().empty())
         exit_wrong("entry", "must name one entry or more as IP:PORT");
-    const auto runner_list = parse_list(runners);
+    const auto runner_list = host_port::parse_list(runners);
     if (!runner_list)
         exit_wrong("runners", runner_list.error().text);
     const auto task_count = distribution::parse(tasks);
--- a/src/glenhollow/agent/agent_node.cpp
+++ b/src/glenhollow/agent/agent_node.cpp
@@ -4,6 +4,7 @@
 #include "glenhollow/agent/runner_caller.hpp"
 #include "glenhollow/core/port_file.hpp"
 #include "glenhollow/core/random.hpp"
+#include "glenhollow/core/run_after.hpp"
 #include "glenhollow/http/server.hpp"
 #include "glenhollow/rpc/rpc_listener.hpp"
 #include "glenhollow/rpc/rpc_loop.hpp"
@@ -12,7 +13,6 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
 #include <csignal>
@@ -195,10 +195,8 @@
             asio::post(control, [this] { end(0); });
             return;
         }
-        auto timer = std::make_shared<asio::steady_timer>(traffic.io(),
-                                                          stop_check_interval);
-        timer->async_wait([this, timer, not_before](auto)
-                          { wait_for_idle(not_before); });
+        run_after(traffic.io(), stop_check_interval,
+                  [this, not_before] { wait_for_idle(not_before); });
     }
 
     void end(int status)
--- a/src/glenhollow/entry/agent_links.cpp
+++ b/src/glenhollow/entry/agent_links.cpp
@@ -26,6 +26,19 @@
 /// Weight of a new sample in a link's smoothed delay.
 constexpr int delay_weight = 8;
 
+/// Puts all waiting acknowledgements into a message.
+template <class Request>
+void give_acknowledgements(Request& request, std::vector<task_key>& waiting)
+{
+    const auto keys = std::exchange(waiting, {});
+    auto list = request.initAcknowledged(static_cast<unsigned>(keys.size()));
+    for (unsigned i = 0; i < keys.size(); ++i)
+    {
+        list[i].setSequence(keys[i].sequence);
+        list[i].setTask(keys[i].task);
+    }
+}
+
 task_end to_end(wire::TaskResult::Reader result)
 {
     task_end end;
@@ -384,14 +397,7 @@
         out.setJobTasks(start.job_tasks);
         out.setRank(static_cast<float>(start.rank));
     }
-    const auto acks = std::exchange(to.acks, {});
-    auto acknowledged =
-        request.initAcknowledged(static_cast<unsigned>(acks.size()));
-    for (unsigned i = 0; i < acks.size(); ++i)
-    {
-        acknowledged[i].setSequence(acks[i].sequence);
-        acknowledged[i].setTask(acks[i].task);
-    }
+    give_acknowledgements(request, to.acks);
     to.sent += starts.size();
     to.started += starts.size();
     to.said = clock_.now();
@@ -456,13 +462,7 @@
 void agent_links::ping(link& to)
 {
     auto request = KJ_ASSERT_NONNULL(to.current->session).pingRequest();
-    const auto acks = std::exchange(to.acks, {});
-    auto list = request.initAcknowledged(static_cast<unsigned>(acks.size()));
-    for (unsigned i = 0; i < acks.size(); ++i)
-    {
-        list[i].setSequence(acks[i].sequence);
-        list[i].setTask(acks[i].task);
-    }
+    give_acknowledgements(request, to.acks);
     stats_.pings += 2;
     to.said = to.ping_sent = clock_.now();
     const auto index = to.index;
--- a/src/glenhollow/entry/entry_node.cpp
+++ b/src/glenhollow/entry/entry_node.cpp
@@ -2,6 +2,7 @@
 
 #include "glenhollow/core/port_file.hpp"
 #include "glenhollow/core/random.hpp"
+#include "glenhollow/core/run_after.hpp"
 #include "glenhollow/entry/control_plane.hpp"
 #include "glenhollow/entry/operator_desk.hpp"
 #include "glenhollow/entry/peer_service.hpp"
@@ -14,7 +15,6 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <atomic>
@@ -335,8 +335,8 @@
                                                   [](bool one) { return one; });
                 if (all_idle && process_clock().now() >= not_before)
                     return plane->hand_over([this] { last_callers(); });
-                after(stop_check_interval,
-                      [this, not_before] { wait_for_idle(not_before); });
+                run_after(control.io(), stop_check_interval,
+                          [this, not_before] { wait_for_idle(not_before); });
             });
     }
 
@@ -355,7 +355,8 @@
                                                   [](bool one) { return one; });
                 if (all_idle)
                     return end();
-                after(stop_check_interval, [this] { last_callers(); });
+                run_after(control.io(), stop_check_interval,
+                          [this] { last_callers(); });
             });
     }
 
@@ -375,17 +376,6 @@
             });
     }
 
-    void after(duration wait, std::function<void()> work)
-    {
-        auto timer = std::make_shared<asio::steady_timer>(control.io(), wait);
-        timer->async_wait(
-            [timer, work = std::move(work)](boost::system::error_code ec)
-            {
-                if (!ec)
-                    work();
-            });
-    }
-
     void end()
     {
         root.stop();
--- a/src/glenhollow/entry/foreign_jobs.cpp
+++ b/src/glenhollow/entry/foreign_jobs.cpp
@@ -1,9 +1,8 @@
 #include "glenhollow/entry/foreign_jobs.hpp"
 
+#include "glenhollow/core/run_after.hpp"
 #include "glenhollow/telemetry/log.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -65,17 +64,6 @@
 
 foreign_jobs::~foreign_jobs() = default;
 
-void foreign_jobs::after(duration wait, std::function<void()> work)
-{
-    auto timer = std::make_shared<boost::asio::steady_timer>(io_, wait);
-    timer->async_wait(
-        [timer, work = std::move(work)](boost::system::error_code ec)
-        {
-            if (!ec)
-                work();
-        });
-}
-
 job_answer foreign_jobs::answer_from(const incarnation_state& state,
                                      const request& asked) const
 {
@@ -244,7 +232,7 @@
         state->to_ask = state->ask_again;
         const auto pause =
             state->declined ? settings_.retry_decline : settings_.ask_again;
-        return after(pause, [this, state] { fence_all(state); });
+        return run_after(io_, pause, [this, state] { fence_all(state); });
     }
     state->ready = state->adopted = true;
     state->since = clock_.now();
--- a/src/glenhollow/entry/foreign_jobs.hpp
+++ b/src/glenhollow/entry/foreign_jobs.hpp
@@ -121,7 +121,6 @@
     void give_up(const std::shared_ptr<incarnation_state>& state);
     job_answer answer_from(const incarnation_state& state,
                            const request& asked) const;
-    void after(duration wait, std::function<void()> work);
 
     boost::asio::io_context& io_;    ///< Runs the timers.
     const clock_source& clock_;      ///< The entry's clock.
--- a/src/glenhollow/http/client.cpp
+++ b/src/glenhollow/http/client.cpp
@@ -13,6 +13,7 @@
 
 #include <charconv>
 #include <deque>
+#include <sstream>
 #include <vector>
 
 namespace glenhollow
@@ -97,6 +98,19 @@
                      static_cast<std::uint16_t>(port)};
 }
 
+result<std::vector<host_port>> host_port::parse_list(const std::string& text)
+{
+    std::vector<host_port> list;
+    std::istringstream parts(text);
+    std::string part;
+    while (std::getline(parts, part, ','))
+    {
+        BOOST_OUTCOME_TRY(auto one, parse(part));
+        list.push_back(one);
+    }
+    return list;
+}
+
 /// What the client and its calls share.
 struct http_client::state : std::enable_shared_from_this<state>
 {
--- a/src/glenhollow/http/client.hpp
+++ b/src/glenhollow/http/client.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace glenhollow
 {
@@ -27,6 +28,10 @@
     /// @return The address, or what is wrong with the text.
     static result<host_port> parse(std::string_view text);
 
+    /// @param text HOST:PORT[,HOST:PORT...], may be empty.
+    /// @return The addresses, or what is wrong with one of them.
+    static result<std::vector<host_port>> parse_list(const std::string& text);
+
     /// @return HOST:PORT.
     std::string to_string() const { return host + ":" + std::to_string(port); }
 };
--- a/src/glenhollow/load/load_run.cpp
+++ b/src/glenhollow/load/load_run.cpp
@@ -1,6 +1,7 @@
 #include "glenhollow/load/load_run.hpp"
 
-#include <boost/asio/steady_timer.hpp>
+#include "glenhollow/core/run_after.hpp"
+
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -24,12 +25,6 @@
 constexpr std::string_view prefix = "glenhollow_";
 constexpr duration lead_time = milliseconds{200};
 
-void after(asio::io_context& io, duration wait, std::function<void()> work)
-{
-    auto timer = std::make_shared<asio::steady_timer>(io, wait);
-    timer->async_wait([timer, work = std::move(work)](auto) { work(); });
-}
-
 json::value parse_or_null(const std::string& text)
 {
     boost::system::error_code ec;
@@ -198,7 +193,7 @@
                 }
                 const auto wait = ids_[entry].empty() ? settings_.retry_wait
                                                       : duration::zero();
-                after(io_, wait, [this, &job] { begin(job); });
+                run_after(io_, wait, [this, &job] { begin(job); });
             }
         });
 }
@@ -210,7 +205,7 @@
         const auto due = start_ + plan_[next_].at;
         const auto now = process_clock().now();
         if (due > now)
-            return after(io_, due - now, [this] { schedule(); });
+            return run_after(io_, due - now, [this] { schedule(); });
         begin(*jobs_[next_++]);
     }
 }
@@ -247,12 +242,12 @@
         return;
     ++job.open;
     ++totals_.resubmitted;
-    after(io_, planned.resubmit_after,
-          [this, &job]
-          {
-              --job.open;
-              send(job, other_than(job.entry, job));
-          });
+    run_after(io_, planned.resubmit_after,
+              [this, &job]
+              {
+                  --job.open;
+                  send(job, other_than(job.entry, job));
+              });
 }
 
 std::string load_run::team_of(std::size_t place) const
@@ -295,12 +290,12 @@
     }
     ++totals_.resubmitted;
     const auto to = clients_.size() > 1 ? other_than(entry, job) : entry;
-    after(io_, wait,
-          [this, &job, to]
-          {
-              --job.open;
-              send(job, to);
-          });
+    run_after(io_, wait,
+              [this, &job, to]
+              {
+                  --job.open;
+                  send(job, to);
+              });
 }
 
 void load_run::answered(job_state& job, std::size_t entry,
