--- a/tests/schedule/simulated_world.cpp
+++ b/tests/schedule/simulated_world.cpp
@@ -497,6 +497,21 @@
     }
 }
 
+void simulated_world::ask_owner(sim_job& job, sim_entry& owner)
+{
+    act(owner,
+        [this, &job, &owner]
+        {
+            owner.jobs->submit(job.sequence, job.request, std::nullopt,
+                               [this, &job, &owner](const job_answer& got)
+                               {
+                                   // A dead entry's answer reaches nobody.
+                                   if (!owner.dead)
+                                       note_answer(job, got);
+                               });
+        });
+}
+
 void simulated_world::submit(sim_job& job, std::size_t entry)
 {
     ++job.attempts;
@@ -504,17 +519,7 @@
     const bool asks_owner = entry == job.entry;
     if (asks_owner && !owner.dead)
     {
-        act(owner,
-            [this, &job, &owner]
-            {
-                owner.jobs->submit(job.sequence, job.request, std::nullopt,
-                                   [this, &job, &owner](const job_answer& got)
-                                   {
-                                       // A dead entry's answer reaches nobody.
-                                       if (!owner.dead)
-                                           note_answer(job, got);
-                                   });
-            });
+        ask_owner(job, owner);
     }
     else if (!asks_owner)
     {
@@ -544,16 +549,7 @@
             job, adopted->second->answer(job.sequence, job.request.body_hash));
     if (reachable)
     {
-        act(owner,
-            [this, &job, &owner]
-            {
-                owner.jobs->submit(job.sequence, job.request, std::nullopt,
-                                   [this, &job, &owner](const job_answer& got)
-                                   {
-                                       if (!owner.dead)
-                                           note_answer(job, got);
-                                   });
-            });
+        ask_owner(job, owner);
         return;
     }
     adopt(job, owner);
--- a/tests/schedule/simulated_world.hpp
+++ b/tests/schedule/simulated_world.hpp
@@ -82,6 +82,7 @@
 
     void plan_faults();
     void submit(sim_job& job, std::size_t entry);
+    void ask_owner(sim_job& job, sim_entry& owner);
     void ask_elsewhere(sim_job& job, std::size_t entry);
     void adopt(sim_job& job, sim_entry& dead);
     void note_answer(sim_job& job, const job_answer& answer);
