--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -134,3 +134,131 @@
   holds @6 (incarnation :UInt64) -> (held :Bool);
   members @7 () -> (members :List(Member));
 }
+
+# Durable jobs: entry <-> agent.
+
+struct TaskRef {
+  # One task of a durable job.
+  job @0 :UInt64;
+  occurrence @1 :UInt32;     # of a repeated job, from 0
+  step @2 :UInt32;
+  index @3 :UInt32;
+}
+
+struct RunOrder {
+  task @0 :TaskRef;
+  run @1 :UInt32;            # rises with each start of the task
+  epoch @2 :UInt32;          # of the part, at its owner
+  cpu @3 :UInt32;            # thousandths of a core
+  memory @4 :UInt32;         # MiB
+  gpu @5 :UInt32;
+  urgency @6 :Int64;         # smaller goes first among those that wait
+  spec @7 :Text;
+}
+
+struct RunRef {
+  task @0 :TaskRef;
+  run @1 :UInt32;
+}
+
+struct RunState {
+  task @0 :TaskRef;
+  run @1 :UInt32;
+  phase @2 :UInt8;
+  sized @3 :Bool;            # the agent knows what it takes of the runner
+}
+
+struct RunEnd {
+  task @0 :TaskRef;
+  run @1 :UInt32;
+  how @2 :UInt8;
+  number @3 :UInt64;         # of the end at its runner; 0: nothing to confirm
+  micros @4 :UInt32;         # from start to end
+}
+
+struct RunnerState {
+  service @0 :Text;
+  instance @1 :Text;         # one life of the runner
+  zone @2 :Text;
+  labels @3 :List(Text);
+  phase @4 :UInt8;
+  cpu @5 :UInt32;
+  memory @6 :UInt32;
+  gpu @7 :UInt32;
+  usedCpu @8 :UInt32;
+  usedMemory @9 :UInt32;
+  usedGpu @10 :UInt32;
+  waiting @11 :UInt32;       # orders accepted, without room yet
+  received @12 :UInt64;      # order batches of this session seen so far
+}
+
+struct PartEpoch {
+  part @0 :UInt16;
+  epoch @1 :UInt32;
+}
+
+struct RunReport {
+  state @0 :RunnerState;
+  ends @1 :List(RunEnd);
+  started @2 :List(RunRef);
+}
+
+interface RunReports {
+  # An entry's ear for one agent.
+  report @0 (report :RunReport) -> (renewed :List(PartEpoch));
+}
+
+interface RunAgent {
+  attach @0 (entry :Text, incarnation :UInt64, reports :RunReports)
+         -> (session :RunSession, incarnation :UInt64, state :RunnerState);
+}
+
+struct OrderBatch {
+  starts @0 :List(RunOrder);
+  stops @1 :List(RunRef);
+  sizes @2 :List(RunOrder);       # of runs that the agent found running
+  confirmed @3 :List(RunEnd);     # ends that are in the journal
+}
+
+interface RunSession {
+  adopt @0 (part :PartEpoch)
+        -> (declined :Bool, runs :List(RunState), ends :List(RunEnd));
+  order @1 (batch :OrderBatch) -> ();
+}
+
+# Durable jobs: entry <-> entry.
+
+struct QueueCount {
+  queue @0 :Text;
+  part @1 :UInt16;
+  pending @2 :UInt32;
+}
+
+struct EntryView {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  parts @2 :List(PartEpoch);
+  storeReachable @3 :Bool;
+  stopping @4 :Bool;
+  catalogVersion @5 :UInt64;
+  pending @6 :List(QueueCount);
+}
+
+struct JobCall {
+  verb @0 :UInt8;
+  job @1 :UInt64;
+  catalogVersion @2 :UInt64;
+  body @3 :Data;             # a new job in its journal form
+}
+
+struct JobAnswer {
+  outcome @0 :UInt8;
+  state @1 :UInt8;
+  retryAfterMs @2 :UInt32;
+}
+
+interface EntryPeer {
+  exchange @0 (view :EntryView) -> (view :EntryView);
+  call @1 (call :JobCall) -> (answer :JobAnswer);
+  catalog @2 () -> (version :UInt64, document :Data);
+}
--- /dev/null
+++ b/src/glenhollow/durable/durable_job.cpp
@@ -0,0 +1,92 @@
+#include "glenhollow/durable/durable_job.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <numeric>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+constexpr std::size_t id_digits = 16;
+constexpr int hexadecimal = 16;
+
+} // namespace
+
+std::string to_text(job_id id)
+{
+    std::string text(id_digits, '0');
+    std::array<char, id_digits> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + id_digits, id,
+                                   hexadecimal);
+    std::copy_backward(digits.data(), end.ptr, text.data() + id_digits);
+    return text;
+}
+
+std::optional<job_id> job_id_from(std::string_view text)
+{
+    if (text.size() != id_digits)
+        return std::nullopt;
+    job_id id = 0;
+    const auto* last = text.data() + text.size();
+    const auto end = std::from_chars(text.data(), last, id, hexadecimal);
+    if (end.ec != std::errc{} || end.ptr != last)
+        return std::nullopt;
+    return id;
+}
+
+part_number part_of(job_id id, std::size_t parts)
+{
+    return static_cast<part_number>(XXH3_64bits(&id, sizeof id) % parts);
+}
+
+void resources::add(const resources& other)
+{
+    cpu += other.cpu;
+    memory += other.memory;
+    gpu += other.gpu;
+}
+
+void resources::subtract(const resources& other)
+{
+    cpu -= std::min(cpu, other.cpu);
+    memory -= std::min(memory, other.memory);
+    gpu -= std::min(gpu, other.gpu);
+}
+
+bool resources::leaves_room(const resources& more,
+                            const resources& capacity) const
+{
+    return cpu + more.cpu <= capacity.cpu &&
+           memory + more.memory <= capacity.memory &&
+           gpu + more.gpu <= capacity.gpu;
+}
+
+std::size_t run_ref_hash::operator()(const run_ref& ref) const
+{
+    return XXH3_64bits(&ref, sizeof ref);
+}
+static_assert(std::has_unique_object_representations_v<task_ref>);
+
+std::size_t job_definition::task_count() const
+{
+    std::size_t total = 0;
+    for (const auto& step : steps)
+        total += step.count;
+    return total;
+}
+
+double job_definition::estimated_work() const
+{
+    double total = 0;
+    for (const auto& step : steps)
+        total += static_cast<double>(step.count) * step.estimate_ms *
+                 step.needs.cpu / 1000.0;
+    return total;
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/durable/job_rows.cpp
@@ -0,0 +1,147 @@
+// The journal's rows. Fixed field orders, JSON arrays: a row is read by
+// programs, and each byte of it is paid for at the store.
+#include "glenhollow/durable/durable_job.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value_to.hpp>
+
+namespace glenhollow
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+json::array numbers(const std::vector<std::uint32_t>& values)
+{
+    json::array list;
+    for (const auto value : values)
+        list.emplace_back(value);
+    return list;
+}
+
+json::array encode_step(const job_step& step)
+{
+    return {step.count,     step.needs.cpu,   step.needs.memory,
+            step.needs.gpu, step.estimate_ms, step.label,
+            numbers(step.after)};
+}
+
+job_step decode_step(const json::value& value)
+{
+    const auto& fields = value.as_array();
+    job_step step;
+    step.count = json::value_to<std::uint32_t>(fields.at(0));
+    step.needs.cpu = json::value_to<std::uint32_t>(fields.at(1));
+    step.needs.memory = json::value_to<std::uint32_t>(fields.at(2));
+    step.needs.gpu = json::value_to<std::uint32_t>(fields.at(3));
+    step.estimate_ms = json::value_to<std::uint32_t>(fields.at(4));
+    step.label = json::value_to<std::string>(fields.at(5));
+    step.after = json::value_to<std::vector<std::uint32_t>>(fields.at(6));
+    return step;
+}
+
+/// @param row A JSON text.
+/// @param read Makes the result from its value; may throw.
+template <class Value, class Read>
+result<Value> decode(std::string_view row, Read read)
+{
+    boost::system::error_code ec;
+    const auto value = json::parse(row, ec);
+    if (ec)
+        return failure{"a journal row is not JSON: " + ec.message()};
+    try
+    {
+        return read(value);
+    }
+    catch (const std::exception& wrong)
+    {
+        return failure{std::string("a journal row has a wrong form: ") +
+                       wrong.what()};
+    }
+}
+
+} // namespace
+
+std::string encode_definition(const job_definition& job)
+{
+    json::array steps;
+    for (const auto& step : job.steps)
+        steps.emplace_back(encode_step(step));
+    return json::serialize(json::array{
+        to_text(job.id), job.queue, job.service, job.spec, std::move(steps),
+        job.priority, job.max_attempts, job.accepted_ms, job.objective_ms});
+}
+
+result<job_definition> decode_definition(std::string_view row)
+{
+    return decode<job_definition>(
+        row,
+        [](const json::value& value) -> result<job_definition>
+        {
+            const auto& fields = value.as_array();
+            job_definition job;
+            const auto id =
+                job_id_from(json::value_to<std::string>(fields.at(0)));
+            if (!id)
+                return failure{"a journal row names no job"};
+            job.id = *id;
+            job.queue = json::value_to<std::string>(fields.at(1));
+            job.service = json::value_to<std::string>(fields.at(2));
+            job.spec = json::value_to<std::string>(fields.at(3));
+            for (const auto& step : fields.at(4).as_array())
+                job.steps.push_back(decode_step(step));
+            job.priority = json::value_to<std::uint32_t>(fields.at(5));
+            job.max_attempts = json::value_to<std::uint32_t>(fields.at(6));
+            job.accepted_ms = json::value_to<std::int64_t>(fields.at(7));
+            job.objective_ms = json::value_to<std::int64_t>(fields.at(8));
+            return job;
+        });
+}
+
+std::string encode_progress(const job_progress& progress)
+{
+    return json::serialize(
+        json::array{numbers(progress.done), numbers(progress.failed)});
+}
+
+result<job_progress> decode_progress(std::string_view row)
+{
+    return decode<job_progress>(
+        row,
+        [](const json::value& value) -> result<job_progress>
+        {
+            const auto& fields = value.as_array();
+            job_progress progress;
+            progress.done =
+                json::value_to<std::vector<std::uint32_t>>(fields.at(0));
+            progress.failed =
+                json::value_to<std::vector<std::uint32_t>>(fields.at(1));
+            return progress;
+        });
+}
+
+std::string encode_epitaph(const job_epitaph& end)
+{
+    return json::serialize(
+        json::array{static_cast<unsigned>(end.state), end.ended_ms});
+}
+
+result<job_epitaph> decode_epitaph(std::string_view row)
+{
+    return decode<job_epitaph>(
+        row,
+        [](const json::value& value) -> result<job_epitaph>
+        {
+            const auto& fields = value.as_array();
+            const auto state = json::value_to<std::size_t>(fields.at(0));
+            if (state >= name_table<job_state>::names.size())
+                return failure{"a journal row names no state"};
+            return job_epitaph{static_cast<job_state>(state),
+                               json::value_to<std::int64_t>(fields.at(1))};
+        });
+}
+
+} // namespace glenhollow
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -71,6 +71,37 @@
 CAPNP_DECLARE_SCHEMA(b64502b9cb9a9ebb);
 CAPNP_DECLARE_SCHEMA(84b3751e82281f04);
 CAPNP_DECLARE_SCHEMA(9e1e4b4aa3ce25f2);
+CAPNP_DECLARE_SCHEMA(90c22a72ec949fde);
+CAPNP_DECLARE_SCHEMA(f7dea9ea25727732);
+CAPNP_DECLARE_SCHEMA(c4051622da7e9aec);
+CAPNP_DECLARE_SCHEMA(95ab361f4ffece51);
+CAPNP_DECLARE_SCHEMA(c84efe0fb0a18373);
+CAPNP_DECLARE_SCHEMA(b25201a161893fdc);
+CAPNP_DECLARE_SCHEMA(da208cfa94747e66);
+CAPNP_DECLARE_SCHEMA(ec87597cb817e74a);
+CAPNP_DECLARE_SCHEMA(ce783e266ee53706);
+CAPNP_DECLARE_SCHEMA(db40a724295f5955);
+CAPNP_DECLARE_SCHEMA(edd9b51c9f1e0ec6);
+CAPNP_DECLARE_SCHEMA(908ace5537e1c1b4);
+CAPNP_DECLARE_SCHEMA(8b1b1977e96218db);
+CAPNP_DECLARE_SCHEMA(e617fba9298555e1);
+CAPNP_DECLARE_SCHEMA(bdbfdb43860107db);
+CAPNP_DECLARE_SCHEMA(fd92f3e1395e0247);
+CAPNP_DECLARE_SCHEMA(b8e3a013ca5517af);
+CAPNP_DECLARE_SCHEMA(ca9365f98d2c03f8);
+CAPNP_DECLARE_SCHEMA(f6cc9337eb0713c8);
+CAPNP_DECLARE_SCHEMA(95ecbefadf9b50ce);
+CAPNP_DECLARE_SCHEMA(a09400c78ece9a6f);
+CAPNP_DECLARE_SCHEMA(f07b90f43f6a30a9);
+CAPNP_DECLARE_SCHEMA(ac863c02ed76ebc2);
+CAPNP_DECLARE_SCHEMA(8ceefc25cd9f3886);
+CAPNP_DECLARE_SCHEMA(cd03708998b5f84f);
+CAPNP_DECLARE_SCHEMA(b5efd18c27d89bbf);
+CAPNP_DECLARE_SCHEMA(e6bdd1bce47ef267);
+CAPNP_DECLARE_SCHEMA(bebd09c63c93a9d8);
+CAPNP_DECLARE_SCHEMA(e5506fb7a116b5fe);
+CAPNP_DECLARE_SCHEMA(e0f8ed3e4ff016b6);
+CAPNP_DECLARE_SCHEMA(bace4bbd0ba66a8c);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -791,462 +822,498 @@
   };
 };
 
-// =======================================================================================
+struct TaskRef {
+  TaskRef() = delete;
 
-class TaskKey::Reader {
-public:
-  typedef TaskKey Reads;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(90c22a72ec949fde, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+struct RunOrder {
+  RunOrder() = delete;
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  inline  ::uint64_t getSequence() const;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f7dea9ea25727732, 4, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
 
-  inline  ::uint32_t getTask() const;
+struct RunRef {
+  RunRef() = delete;
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c4051622da7e9aec, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-class TaskKey::Builder {
-public:
-  typedef TaskKey Builds;
+struct RunState {
+  RunState() = delete;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(95ab361f4ffece51, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
 
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
+struct RunEnd {
+  RunEnd() = delete;
 
-  inline  ::uint32_t getTask();
-  inline void setTask( ::uint32_t value);
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c84efe0fb0a18373, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-#if !CAPNP_LITE
-class TaskKey::Pipeline {
-public:
-  typedef TaskKey Pipelines;
+struct RunnerState {
+  RunnerState() = delete;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b25201a161893fdc, 5, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
-#endif  // !CAPNP_LITE
 
-class Start::Reader {
-public:
-  typedef Start Reads;
+struct PartEpoch {
+  PartEpoch() = delete;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(da208cfa94747e66, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+struct RunReport {
+  RunReport() = delete;
 
-  inline bool hasKey() const;
-  inline  ::glenhollow::wire::TaskKey::Reader getKey() const;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  inline  ::int64_t getBeginBy() const;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ec87597cb817e74a, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
 
-  inline bool hasTeam() const;
-  inline  ::capnp::Text::Reader getTeam() const;
+struct RunReports {
+  RunReports() = delete;
 
-  inline bool hasTraceparent() const;
-  inline  ::capnp::Text::Reader getTraceparent() const;
+#if !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
 
-  inline bool hasPayload() const;
-  inline  ::capnp::Data::Reader getPayload() const;
+  struct ReportParams;
+  struct ReportResults;
 
-  inline  ::uint64_t getBodyHash() const;
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(ce783e266ee53706)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
 
-  inline  ::uint32_t getJobTasks() const;
+struct RunReports::ReportParams {
+  ReportParams() = delete;
 
-  inline float getRank() const;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(db40a724295f5955, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-class Start::Builder {
-public:
-  typedef Start Builds;
+struct RunReports::ReportResults {
+  ReportResults() = delete;
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(edd9b51c9f1e0ec6, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RunAgent {
+  RunAgent() = delete;
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
+  class Client;
+  class Server;
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey();
-  inline  ::glenhollow::wire::TaskKey::Builder getKey();
-  inline void setKey( ::glenhollow::wire::TaskKey::Reader value);
-  inline  ::glenhollow::wire::TaskKey::Builder initKey();
-  inline void adoptKey(::capnp::Orphan< ::glenhollow::wire::TaskKey>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::TaskKey> disownKey();
-
-  inline  ::int64_t getBeginBy();
-  inline void setBeginBy( ::int64_t value);
+  struct AttachParams;
+  struct AttachResults;
 
-  inline bool hasTeam();
-  inline  ::capnp::Text::Builder getTeam();
-  inline void setTeam( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTeam(unsigned int size);
-  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(908ace5537e1c1b4)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
 
-  inline bool hasTraceparent();
-  inline  ::capnp::Text::Builder getTraceparent();
-  inline void setTraceparent( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTraceparent(unsigned int size);
-  inline void adoptTraceparent(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTraceparent();
+struct RunAgent::AttachParams {
+  AttachParams() = delete;
 
-  inline bool hasPayload();
-  inline  ::capnp::Data::Builder getPayload();
-  inline void setPayload( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initPayload(unsigned int size);
-  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  inline  ::uint64_t getBodyHash();
-  inline void setBodyHash( ::uint64_t value);
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8b1b1977e96218db, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
 
-  inline  ::uint32_t getJobTasks();
-  inline void setJobTasks( ::uint32_t value);
+struct RunAgent::AttachResults {
+  AttachResults() = delete;
 
-  inline float getRank();
-  inline void setRank(float value);
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e617fba9298555e1, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-#if !CAPNP_LITE
-class Start::Pipeline {
-public:
-  typedef Start Pipelines;
+struct OrderBatch {
+  OrderBatch() = delete;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  inline  ::glenhollow::wire::TaskKey::Pipeline getKey();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bdbfdb43860107db, 0, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
-#endif  // !CAPNP_LITE
-
-class Load::Reader {
-public:
-  typedef Load Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+struct RunSession {
+  RunSession() = delete;
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
+  class Client;
+  class Server;
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getSlots() const;
-
-  inline  ::uint32_t getRunning() const;
-
-  inline  ::uint32_t getQueued() const;
+  struct AdoptParams;
+  struct AdoptResults;
+  struct OrderParams;
+  struct OrderResults;
 
-  inline  ::int64_t getClock() const;
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(fd92f3e1395e0247)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
 
-  inline bool getDraining() const;
+struct RunSession::AdoptParams {
+  AdoptParams() = delete;
 
-  inline  ::uint64_t getConfigVersion() const;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  inline  ::uint32_t getLinks() const;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b8e3a013ca5517af, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
 
-  inline bool getShunned() const;
+struct RunSession::AdoptResults {
+  AdoptResults() = delete;
 
-  inline  ::uint64_t getReceived() const;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ca9365f98d2c03f8, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-class Load::Builder {
-public:
-  typedef Load Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+struct RunSession::OrderParams {
+  OrderParams() = delete;
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  inline  ::uint32_t getSlots();
-  inline void setSlots( ::uint32_t value);
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f6cc9337eb0713c8, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
 
-  inline  ::uint32_t getRunning();
-  inline void setRunning( ::uint32_t value);
+struct RunSession::OrderResults {
+  OrderResults() = delete;
 
-  inline  ::uint32_t getQueued();
-  inline void setQueued( ::uint32_t value);
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  inline  ::int64_t getClock();
-  inline void setClock( ::int64_t value);
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(95ecbefadf9b50ce, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
 
-  inline bool getDraining();
-  inline void setDraining(bool value);
+struct QueueCount {
+  QueueCount() = delete;
 
-  inline  ::uint64_t getConfigVersion();
-  inline void setConfigVersion( ::uint64_t value);
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  inline  ::uint32_t getLinks();
-  inline void setLinks( ::uint32_t value);
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a09400c78ece9a6f, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
 
-  inline bool getShunned();
-  inline void setShunned(bool value);
+struct EntryView {
+  EntryView() = delete;
 
-  inline  ::uint64_t getReceived();
-  inline void setReceived( ::uint64_t value);
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f07b90f43f6a30a9, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-#if !CAPNP_LITE
-class Load::Pipeline {
-public:
-  typedef Load Pipelines;
+struct JobCall {
+  JobCall() = delete;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ac863c02ed76ebc2, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
-#endif  // !CAPNP_LITE
 
-class TaskResult::Reader {
-public:
-  typedef TaskResult Reads;
+struct JobAnswer {
+  JobAnswer() = delete;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8ceefc25cd9f3886, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryPeer {
+  EntryPeer() = delete;
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
+  class Client;
+  class Server;
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey() const;
-  inline  ::glenhollow::wire::TaskKey::Reader getKey() const;
+  struct ExchangeParams;
+  struct ExchangeResults;
+  struct CallParams;
+  struct CallResults;
+  struct CatalogParams;
+  struct CatalogResults;
 
-  inline  ::glenhollow::wire::Verdict getVerdict() const;
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(cd03708998b5f84f)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
 
-  inline  ::uint16_t getReason() const;
+struct EntryPeer::ExchangeParams {
+  ExchangeParams() = delete;
 
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  inline  ::uint32_t getWaitMicros() const;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b5efd18c27d89bbf, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
 
-  inline  ::uint32_t getRunMicros() const;
+struct EntryPeer::ExchangeResults {
+  ExchangeResults() = delete;
 
-  inline  ::uint64_t getBodyHash() const;
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  inline  ::uint32_t getJobTasks() const;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e6bdd1bce47ef267, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class TaskResult::Builder {
-public:
-  typedef TaskResult Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasKey();
-  inline  ::glenhollow::wire::TaskKey::Builder getKey();
-  inline void setKey( ::glenhollow::wire::TaskKey::Reader value);
-  inline  ::glenhollow::wire::TaskKey::Builder initKey();
-  inline void adoptKey(::capnp::Orphan< ::glenhollow::wire::TaskKey>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::TaskKey> disownKey();
+struct EntryPeer::CallParams {
+  CallParams() = delete;
 
-  inline  ::glenhollow::wire::Verdict getVerdict();
-  inline void setVerdict( ::glenhollow::wire::Verdict value);
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  inline  ::uint16_t getReason();
-  inline void setReason( ::uint16_t value);
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bebd09c63c93a9d8, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
 
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+struct EntryPeer::CallResults {
+  CallResults() = delete;
 
-  inline  ::uint32_t getWaitMicros();
-  inline void setWaitMicros( ::uint32_t value);
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  inline  ::uint32_t getRunMicros();
-  inline void setRunMicros( ::uint32_t value);
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e5506fb7a116b5fe, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
 
-  inline  ::uint64_t getBodyHash();
-  inline void setBodyHash( ::uint64_t value);
+struct EntryPeer::CatalogParams {
+  CatalogParams() = delete;
 
-  inline  ::uint32_t getJobTasks();
-  inline void setJobTasks( ::uint32_t value);
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e0f8ed3e4ff016b6, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
-#if !CAPNP_LITE
-class TaskResult::Pipeline {
-public:
-  typedef TaskResult Pipelines;
+struct EntryPeer::CatalogResults {
+  CatalogResults() = delete;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+  class Reader;
+  class Builder;
+  class Pipeline;
 
-  inline  ::glenhollow::wire::TaskKey::Pipeline getKey();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bace4bbd0ba66a8c, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
-#endif  // !CAPNP_LITE
 
-class StartBatch::Reader {
+// =======================================================================================
+
+class TaskKey::Reader {
 public:
-  typedef StartBatch Reads;
+  typedef TaskKey Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1261,11 +1328,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStarts() const;
-  inline  ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>::Reader getStarts() const;
+  inline  ::uint64_t getSequence() const;
 
-  inline bool hasAcknowledged() const;
-  inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Reader getAcknowledged() const;
+  inline  ::uint32_t getTask() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1279,9 +1344,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StartBatch::Builder {
+class TaskKey::Builder {
 public:
-  typedef StartBatch Builds;
+  typedef TaskKey Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1295,19 +1360,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStarts();
-  inline  ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>::Builder getStarts();
-  inline void setStarts( ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>::Builder initStarts(unsigned int size);
-  inline void adoptStarts(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>> disownStarts();
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline bool hasAcknowledged();
-  inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Builder getAcknowledged();
-  inline void setAcknowledged( ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Builder initAcknowledged(unsigned int size);
-  inline void adoptAcknowledged(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>> disownAcknowledged();
+  inline  ::uint32_t getTask();
+  inline void setTask( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1319,9 +1376,9 @@
 };
 
 #if !CAPNP_LITE
-class StartBatch::Pipeline {
+class TaskKey::Pipeline {
 public:
-  typedef StartBatch Pipelines;
+  typedef TaskKey Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1335,9 +1392,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StartReply::Reader {
+class Start::Reader {
 public:
-  typedef StartReply Reads;
+  typedef Start Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1352,11 +1409,25 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResults() const;
-  inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader getResults() const;
+  inline bool hasKey() const;
+  inline  ::glenhollow::wire::TaskKey::Reader getKey() const;
 
-  inline bool hasLoad() const;
-  inline  ::glenhollow::wire::Load::Reader getLoad() const;
+  inline  ::int64_t getBeginBy() const;
+
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
+
+  inline bool hasTraceparent() const;
+  inline  ::capnp::Text::Reader getTraceparent() const;
+
+  inline bool hasPayload() const;
+  inline  ::capnp::Data::Reader getPayload() const;
+
+  inline  ::uint64_t getBodyHash() const;
+
+  inline  ::uint32_t getJobTasks() const;
+
+  inline float getRank() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1370,9 +1441,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StartReply::Builder {
+class Start::Builder {
 public:
-  typedef StartReply Builds;
+  typedef Start Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1386,19 +1457,45 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasResults();
-  inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder getResults();
-  inline void setResults( ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder initResults(unsigned int size);
-  inline void adoptResults(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>> disownResults();
+  inline bool hasKey();
+  inline  ::glenhollow::wire::TaskKey::Builder getKey();
+  inline void setKey( ::glenhollow::wire::TaskKey::Reader value);
+  inline  ::glenhollow::wire::TaskKey::Builder initKey();
+  inline void adoptKey(::capnp::Orphan< ::glenhollow::wire::TaskKey>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::TaskKey> disownKey();
 
-  inline bool hasLoad();
-  inline  ::glenhollow::wire::Load::Builder getLoad();
-  inline void setLoad( ::glenhollow::wire::Load::Reader value);
-  inline  ::glenhollow::wire::Load::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::glenhollow::wire::Load>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::Load> disownLoad();
+  inline  ::int64_t getBeginBy();
+  inline void setBeginBy( ::int64_t value);
+
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
+
+  inline bool hasTraceparent();
+  inline  ::capnp::Text::Builder getTraceparent();
+  inline void setTraceparent( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTraceparent(unsigned int size);
+  inline void adoptTraceparent(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTraceparent();
+
+  inline bool hasPayload();
+  inline  ::capnp::Data::Builder getPayload();
+  inline void setPayload( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
+
+  inline  ::uint64_t getBodyHash();
+  inline void setBodyHash( ::uint64_t value);
+
+  inline  ::uint32_t getJobTasks();
+  inline void setJobTasks( ::uint32_t value);
+
+  inline float getRank();
+  inline void setRank(float value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1410,15 +1507,15 @@
 };
 
 #if !CAPNP_LITE
-class StartReply::Pipeline {
+class Start::Pipeline {
 public:
-  typedef StartReply Pipelines;
+  typedef Start Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::Load::Pipeline getLoad();
+  inline  ::glenhollow::wire::TaskKey::Pipeline getKey();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1427,9 +1524,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ConfigurationRow::Reader {
+class Load::Reader {
 public:
-  typedef ConfigurationRow Reads;
+  typedef Load Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1444,18 +1541,23 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
+  inline  ::uint32_t getSlots() const;
 
-  inline bool hasValue() const;
-  inline  ::capnp::Text::Reader getValue() const;
+  inline  ::uint32_t getRunning() const;
 
-  inline  ::uint64_t getVersion() const;
+  inline  ::uint32_t getQueued() const;
 
-  inline bool hasBy() const;
-  inline  ::capnp::Text::Reader getBy() const;
+  inline  ::int64_t getClock() const;
 
-  inline  ::int64_t getWhen() const;
+  inline bool getDraining() const;
+
+  inline  ::uint64_t getConfigVersion() const;
+
+  inline  ::uint32_t getLinks() const;
+
+  inline bool getShunned() const;
+
+  inline  ::uint64_t getReceived() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1469,9 +1571,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ConfigurationRow::Builder {
+class Load::Builder {
 public:
-  typedef ConfigurationRow Builds;
+  typedef Load Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1485,32 +1587,32 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
 
-  inline bool hasValue();
-  inline  ::capnp::Text::Builder getValue();
-  inline void setValue( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownValue();
+  inline  ::uint32_t getRunning();
+  inline void setRunning( ::uint32_t value);
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline  ::uint32_t getQueued();
+  inline void setQueued( ::uint32_t value);
 
-  inline bool hasBy();
-  inline  ::capnp::Text::Builder getBy();
-  inline void setBy( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initBy(unsigned int size);
-  inline void adoptBy(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownBy();
+  inline  ::int64_t getClock();
+  inline void setClock( ::int64_t value);
 
-  inline  ::int64_t getWhen();
-  inline void setWhen( ::int64_t value);
+  inline bool getDraining();
+  inline void setDraining(bool value);
+
+  inline  ::uint64_t getConfigVersion();
+  inline void setConfigVersion( ::uint64_t value);
+
+  inline  ::uint32_t getLinks();
+  inline void setLinks( ::uint32_t value);
+
+  inline bool getShunned();
+  inline void setShunned(bool value);
+
+  inline  ::uint64_t getReceived();
+  inline void setReceived( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1522,9 +1624,9 @@
 };
 
 #if !CAPNP_LITE
-class ConfigurationRow::Pipeline {
+class Load::Pipeline {
 public:
-  typedef ConfigurationRow Pipelines;
+  typedef Load Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1538,9 +1640,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Configuration::Reader {
+class TaskResult::Reader {
 public:
-  typedef Configuration Reads;
+  typedef TaskResult Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1555,10 +1657,23 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion() const;
+  inline bool hasKey() const;
+  inline  ::glenhollow::wire::TaskKey::Reader getKey() const;
 
-  inline bool hasRows() const;
-  inline  ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>::Reader getRows() const;
+  inline  ::glenhollow::wire::Verdict getVerdict() const;
+
+  inline  ::uint16_t getReason() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+  inline  ::uint32_t getWaitMicros() const;
+
+  inline  ::uint32_t getRunMicros() const;
+
+  inline  ::uint64_t getBodyHash() const;
+
+  inline  ::uint32_t getJobTasks() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1572,9 +1687,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Configuration::Builder {
+class TaskResult::Builder {
 public:
-  typedef Configuration Builds;
+  typedef TaskResult Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1588,15 +1703,37 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline bool hasKey();
+  inline  ::glenhollow::wire::TaskKey::Builder getKey();
+  inline void setKey( ::glenhollow::wire::TaskKey::Reader value);
+  inline  ::glenhollow::wire::TaskKey::Builder initKey();
+  inline void adoptKey(::capnp::Orphan< ::glenhollow::wire::TaskKey>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::TaskKey> disownKey();
 
-  inline bool hasRows();
-  inline  ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>::Builder getRows();
-  inline void setRows( ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>::Builder initRows(unsigned int size);
-  inline void adoptRows(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>> disownRows();
+  inline  ::glenhollow::wire::Verdict getVerdict();
+  inline void setVerdict( ::glenhollow::wire::Verdict value);
+
+  inline  ::uint16_t getReason();
+  inline void setReason( ::uint16_t value);
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+  inline  ::uint32_t getWaitMicros();
+  inline void setWaitMicros( ::uint32_t value);
+
+  inline  ::uint32_t getRunMicros();
+  inline void setRunMicros( ::uint32_t value);
+
+  inline  ::uint64_t getBodyHash();
+  inline void setBodyHash( ::uint64_t value);
+
+  inline  ::uint32_t getJobTasks();
+  inline void setJobTasks( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1608,14 +1745,15 @@
 };
 
 #if !CAPNP_LITE
-class Configuration::Pipeline {
+class TaskResult::Pipeline {
 public:
-  typedef Configuration Pipelines;
+  typedef TaskResult Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::glenhollow::wire::TaskKey::Pipeline getKey();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1624,9 +1762,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Member::Reader {
+class StartBatch::Reader {
 public:
-  typedef Member Reads;
+  typedef StartBatch Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1641,20 +1779,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
-
-  inline bool hasRole() const;
-  inline  ::capnp::Text::Reader getRole() const;
-
-  inline bool hasHall() const;
-  inline  ::capnp::Text::Reader getHall() const;
-
-  inline bool hasRpc() const;
-  inline  ::capnp::Text::Reader getRpc() const;
+  inline bool hasStarts() const;
+  inline  ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>::Reader getStarts() const;
 
-  inline bool hasState() const;
-  inline  ::capnp::Text::Reader getState() const;
+  inline bool hasAcknowledged() const;
+  inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Reader getAcknowledged() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1668,9 +1797,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Member::Builder {
+class StartBatch::Builder {
 public:
-  typedef Member Builds;
+  typedef StartBatch Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1684,40 +1813,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
-
-  inline bool hasRole();
-  inline  ::capnp::Text::Builder getRole();
-  inline void setRole( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRole(unsigned int size);
-  inline void adoptRole(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRole();
-
-  inline bool hasHall();
-  inline  ::capnp::Text::Builder getHall();
-  inline void setHall( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHall(unsigned int size);
-  inline void adoptHall(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHall();
-
-  inline bool hasRpc();
-  inline  ::capnp::Text::Builder getRpc();
-  inline void setRpc( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRpc(unsigned int size);
-  inline void adoptRpc(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRpc();
+  inline bool hasStarts();
+  inline  ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>::Builder getStarts();
+  inline void setStarts( ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>::Builder initStarts(unsigned int size);
+  inline void adoptStarts(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>> disownStarts();
 
-  inline bool hasState();
-  inline  ::capnp::Text::Builder getState();
-  inline void setState( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initState(unsigned int size);
-  inline void adoptState(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownState();
+  inline bool hasAcknowledged();
+  inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Builder getAcknowledged();
+  inline void setAcknowledged( ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Builder initAcknowledged(unsigned int size);
+  inline void adoptAcknowledged(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>> disownAcknowledged();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1729,9 +1837,9 @@
 };
 
 #if !CAPNP_LITE
-class Member::Pipeline {
+class StartBatch::Pipeline {
 public:
-  typedef Member Pipelines;
+  typedef StartBatch Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1745,133 +1853,44 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Agent::Client
-    : public virtual ::capnp::Capability::Client {
+class StartReply::Reader {
 public:
-  typedef Agent Calls;
-  typedef Agent Reads;
+  typedef StartReply Reads;
 
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  ::capnp::Request< ::glenhollow::wire::Agent::HelloParams,  ::glenhollow::wire::Agent::HelloResults> helloRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::Agent::FenceParams,  ::glenhollow::wire::Agent::FenceResults> fenceRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::Agent::DrainParams,  ::glenhollow::wire::Agent::DrainResults> drainRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::Agent::ConfigureParams,  ::glenhollow::wire::Agent::ConfigureResults> configureRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::Agent::StatusParams,  ::glenhollow::wire::Agent::StatusResults> statusRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::Agent::ConfigurationParams,  ::glenhollow::wire::Agent::ConfigurationResults> configurationRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-protected:
-  Client() = default;
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasResults() const;
+  inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader getResults() const;
+
+  inline bool hasLoad() const;
+  inline  ::glenhollow::wire::Load::Reader getLoad() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class Agent::Server
-    : public virtual ::capnp::Capability::Server {
+class StartReply::Builder {
 public:
-  typedef Agent Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::glenhollow::wire::Agent::HelloParams HelloParams;
-  typedef  ::glenhollow::wire::Agent::HelloResults HelloResults;
-  typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
-  virtual ::kj::Promise<void> hello(HelloContext context);
-  typedef  ::glenhollow::wire::Agent::FenceParams FenceParams;
-  typedef  ::glenhollow::wire::Agent::FenceResults FenceResults;
-  typedef ::capnp::CallContext<FenceParams, FenceResults> FenceContext;
-  virtual ::kj::Promise<void> fence(FenceContext context);
-  typedef  ::glenhollow::wire::Agent::DrainParams DrainParams;
-  typedef  ::glenhollow::wire::Agent::DrainResults DrainResults;
-  typedef ::capnp::CallContext<DrainParams, DrainResults> DrainContext;
-  virtual ::kj::Promise<void> drain(DrainContext context);
-  typedef  ::glenhollow::wire::Agent::ConfigureParams ConfigureParams;
-  typedef  ::glenhollow::wire::Agent::ConfigureResults ConfigureResults;
-  typedef ::capnp::CallContext<ConfigureParams, ConfigureResults> ConfigureContext;
-  virtual ::kj::Promise<void> configure(ConfigureContext context);
-  typedef  ::glenhollow::wire::Agent::StatusParams StatusParams;
-  typedef  ::glenhollow::wire::Agent::StatusResults StatusResults;
-  typedef ::capnp::CallContext<StatusParams, StatusResults> StatusContext;
-  virtual ::kj::Promise<void> status(StatusContext context);
-  typedef  ::glenhollow::wire::Agent::ConfigurationParams ConfigurationParams;
-  typedef  ::glenhollow::wire::Agent::ConfigurationResults ConfigurationResults;
-  typedef ::capnp::CallContext<ConfigurationParams, ConfigurationResults> ConfigurationContext;
-  virtual ::kj::Promise<void> configuration(ConfigurationContext context);
-
-  inline  ::glenhollow::wire::Agent::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::glenhollow::wire::Agent>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Agent::HelloParams::Reader {
-public:
-  typedef HelloParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasEntry() const;
-  inline  ::capnp::Text::Reader getEntry() const;
-
-  inline bool hasHall() const;
-  inline  ::capnp::Text::Reader getHall() const;
-
-  inline  ::uint64_t getIncarnation() const;
-
-  inline  ::uint32_t getShard() const;
-
-  inline  ::uint64_t getGeneration() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Agent::HelloParams::Builder {
-public:
-  typedef HelloParams Builds;
+  typedef StartReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1885,28 +1904,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntry();
-  inline  ::capnp::Text::Builder getEntry();
-  inline void setEntry( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEntry(unsigned int size);
-  inline void adoptEntry(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEntry();
-
-  inline bool hasHall();
-  inline  ::capnp::Text::Builder getHall();
-  inline void setHall( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHall(unsigned int size);
-  inline void adoptHall(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHall();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline  ::uint32_t getShard();
-  inline void setShard( ::uint32_t value);
+  inline bool hasResults();
+  inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder getResults();
+  inline void setResults( ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder initResults(unsigned int size);
+  inline void adoptResults(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>> disownResults();
 
-  inline  ::uint64_t getGeneration();
-  inline void setGeneration( ::uint64_t value);
+  inline bool hasLoad();
+  inline  ::glenhollow::wire::Load::Builder getLoad();
+  inline void setLoad( ::glenhollow::wire::Load::Reader value);
+  inline  ::glenhollow::wire::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::glenhollow::wire::Load>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::Load> disownLoad();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1918,14 +1928,15 @@
 };
 
 #if !CAPNP_LITE
-class Agent::HelloParams::Pipeline {
+class StartReply::Pipeline {
 public:
-  typedef HelloParams Pipelines;
+  typedef StartReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::glenhollow::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1934,9 +1945,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::HelloResults::Reader {
+class ConfigurationRow::Reader {
 public:
-  typedef HelloResults Reads;
+  typedef ConfigurationRow Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1951,15 +1962,18 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSession() const;
-#if !CAPNP_LITE
-  inline  ::glenhollow::wire::AgentSession::Client getSession() const;
-#endif  // !CAPNP_LITE
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline bool hasValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
 
-  inline bool hasLoad() const;
-  inline  ::glenhollow::wire::Load::Reader getLoad() const;
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasBy() const;
+  inline  ::capnp::Text::Reader getBy() const;
+
+  inline  ::int64_t getWhen() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1973,9 +1987,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::HelloResults::Builder {
+class ConfigurationRow::Builder {
 public:
-  typedef HelloResults Builds;
+  typedef ConfigurationRow Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1989,24 +2003,32 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSession();
-#if !CAPNP_LITE
-  inline  ::glenhollow::wire::AgentSession::Client getSession();
-  inline void setSession( ::glenhollow::wire::AgentSession::Client&& value);
-  inline void setSession( ::glenhollow::wire::AgentSession::Client& value);
-  inline void adoptSession(::capnp::Orphan< ::glenhollow::wire::AgentSession>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::AgentSession> disownSession();
-#endif  // !CAPNP_LITE
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline bool hasValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
 
-  inline bool hasLoad();
-  inline  ::glenhollow::wire::Load::Builder getLoad();
-  inline void setLoad( ::glenhollow::wire::Load::Reader value);
-  inline  ::glenhollow::wire::Load::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::glenhollow::wire::Load>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::Load> disownLoad();
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasBy();
+  inline  ::capnp::Text::Builder getBy();
+  inline void setBy( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBy(unsigned int size);
+  inline void adoptBy(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBy();
+
+  inline  ::int64_t getWhen();
+  inline void setWhen( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2018,16 +2040,14 @@
 };
 
 #if !CAPNP_LITE
-class Agent::HelloResults::Pipeline {
+class ConfigurationRow::Pipeline {
 public:
-  typedef HelloResults Pipelines;
+  typedef ConfigurationRow Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::AgentSession::Client getSession();
-  inline  ::glenhollow::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2036,9 +2056,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::FenceParams::Reader {
+class Configuration::Reader {
 public:
-  typedef FenceParams Reads;
+  typedef Configuration Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2053,9 +2073,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getVersion() const;
 
-  inline  ::uint32_t getHeardWithinMs() const;
+  inline bool hasRows() const;
+  inline  ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>::Reader getRows() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2069,9 +2090,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::FenceParams::Builder {
+class Configuration::Builder {
 public:
-  typedef FenceParams Builds;
+  typedef Configuration Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2085,11 +2106,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
-  inline  ::uint32_t getHeardWithinMs();
-  inline void setHeardWithinMs( ::uint32_t value);
+  inline bool hasRows();
+  inline  ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>::Builder getRows();
+  inline void setRows( ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>::Builder initRows(unsigned int size);
+  inline void adoptRows(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>> disownRows();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2101,9 +2126,9 @@
 };
 
 #if !CAPNP_LITE
-class Agent::FenceParams::Pipeline {
+class Configuration::Pipeline {
 public:
-  typedef FenceParams Pipelines;
+  typedef Configuration Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2117,9 +2142,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::FenceResults::Reader {
+class Member::Reader {
 public:
-  typedef FenceResults Reads;
+  typedef Member Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2134,12 +2159,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getDeclined() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-  inline bool hasRecords() const;
-  inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+  inline bool hasRole() const;
+  inline  ::capnp::Text::Reader getRole() const;
 
-  inline  ::uint32_t getUnfinished() const;
+  inline bool hasHall() const;
+  inline  ::capnp::Text::Reader getHall() const;
+
+  inline bool hasRpc() const;
+  inline  ::capnp::Text::Reader getRpc() const;
+
+  inline bool hasState() const;
+  inline  ::capnp::Text::Reader getState() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2153,9 +2186,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::FenceResults::Builder {
+class Member::Builder {
 public:
-  typedef FenceResults Builds;
+  typedef Member Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2169,18 +2202,40 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getDeclined();
-  inline void setDeclined(bool value);
-
-  inline bool hasRecords();
-  inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>> disownRecords();
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline  ::uint32_t getUnfinished();
-  inline void setUnfinished( ::uint32_t value);
+  inline bool hasRole();
+  inline  ::capnp::Text::Builder getRole();
+  inline void setRole( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRole(unsigned int size);
+  inline void adoptRole(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRole();
+
+  inline bool hasHall();
+  inline  ::capnp::Text::Builder getHall();
+  inline void setHall( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHall(unsigned int size);
+  inline void adoptHall(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHall();
+
+  inline bool hasRpc();
+  inline  ::capnp::Text::Builder getRpc();
+  inline void setRpc( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRpc(unsigned int size);
+  inline void adoptRpc(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRpc();
+
+  inline bool hasState();
+  inline  ::capnp::Text::Builder getState();
+  inline void setState( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initState(unsigned int size);
+  inline void adoptState(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownState();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2192,9 +2247,9 @@
 };
 
 #if !CAPNP_LITE
-class Agent::FenceResults::Pipeline {
+class Member::Pipeline {
 public:
-  typedef FenceResults Pipelines;
+  typedef Member Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2208,9 +2263,92 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::DrainParams::Reader {
+#if !CAPNP_LITE
+class Agent::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef DrainParams Reads;
+  typedef Agent Calls;
+  typedef Agent Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::glenhollow::wire::Agent::HelloParams,  ::glenhollow::wire::Agent::HelloResults> helloRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::Agent::FenceParams,  ::glenhollow::wire::Agent::FenceResults> fenceRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::Agent::DrainParams,  ::glenhollow::wire::Agent::DrainResults> drainRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::Agent::ConfigureParams,  ::glenhollow::wire::Agent::ConfigureResults> configureRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::Agent::StatusParams,  ::glenhollow::wire::Agent::StatusResults> statusRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::Agent::ConfigurationParams,  ::glenhollow::wire::Agent::ConfigurationResults> configurationRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Agent::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Agent Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::glenhollow::wire::Agent::HelloParams HelloParams;
+  typedef  ::glenhollow::wire::Agent::HelloResults HelloResults;
+  typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
+  virtual ::kj::Promise<void> hello(HelloContext context);
+  typedef  ::glenhollow::wire::Agent::FenceParams FenceParams;
+  typedef  ::glenhollow::wire::Agent::FenceResults FenceResults;
+  typedef ::capnp::CallContext<FenceParams, FenceResults> FenceContext;
+  virtual ::kj::Promise<void> fence(FenceContext context);
+  typedef  ::glenhollow::wire::Agent::DrainParams DrainParams;
+  typedef  ::glenhollow::wire::Agent::DrainResults DrainResults;
+  typedef ::capnp::CallContext<DrainParams, DrainResults> DrainContext;
+  virtual ::kj::Promise<void> drain(DrainContext context);
+  typedef  ::glenhollow::wire::Agent::ConfigureParams ConfigureParams;
+  typedef  ::glenhollow::wire::Agent::ConfigureResults ConfigureResults;
+  typedef ::capnp::CallContext<ConfigureParams, ConfigureResults> ConfigureContext;
+  virtual ::kj::Promise<void> configure(ConfigureContext context);
+  typedef  ::glenhollow::wire::Agent::StatusParams StatusParams;
+  typedef  ::glenhollow::wire::Agent::StatusResults StatusResults;
+  typedef ::capnp::CallContext<StatusParams, StatusResults> StatusContext;
+  virtual ::kj::Promise<void> status(StatusContext context);
+  typedef  ::glenhollow::wire::Agent::ConfigurationParams ConfigurationParams;
+  typedef  ::glenhollow::wire::Agent::ConfigurationResults ConfigurationResults;
+  typedef ::capnp::CallContext<ConfigurationParams, ConfigurationResults> ConfigurationContext;
+  virtual ::kj::Promise<void> configuration(ConfigurationContext context);
+
+  inline  ::glenhollow::wire::Agent::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::glenhollow::wire::Agent>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Agent::HelloParams::Reader {
+public:
+  typedef HelloParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2225,10 +2363,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getOn() const;
+  inline bool hasEntry() const;
+  inline  ::capnp::Text::Reader getEntry() const;
 
-  inline bool hasBy() const;
-  inline  ::capnp::Text::Reader getBy() const;
+  inline bool hasHall() const;
+  inline  ::capnp::Text::Reader getHall() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint32_t getShard() const;
+
+  inline  ::uint64_t getGeneration() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2242,9 +2387,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::DrainParams::Builder {
+class Agent::HelloParams::Builder {
 public:
-  typedef DrainParams Builds;
+  typedef HelloParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2258,15 +2403,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getOn();
-  inline void setOn(bool value);
+  inline bool hasEntry();
+  inline  ::capnp::Text::Builder getEntry();
+  inline void setEntry( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEntry(unsigned int size);
+  inline void adoptEntry(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEntry();
 
-  inline bool hasBy();
-  inline  ::capnp::Text::Builder getBy();
-  inline void setBy( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initBy(unsigned int size);
-  inline void adoptBy(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownBy();
+  inline bool hasHall();
+  inline  ::capnp::Text::Builder getHall();
+  inline void setHall( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHall(unsigned int size);
+  inline void adoptHall(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHall();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint32_t getShard();
+  inline void setShard( ::uint32_t value);
+
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2278,9 +2436,9 @@
 };
 
 #if !CAPNP_LITE
-class Agent::DrainParams::Pipeline {
+class Agent::HelloParams::Pipeline {
 public:
-  typedef DrainParams Pipelines;
+  typedef HelloParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2294,9 +2452,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::DrainResults::Reader {
+class Agent::HelloResults::Reader {
 public:
-  typedef DrainResults Reads;
+  typedef HelloResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2311,6 +2469,13 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasSession() const;
+#if !CAPNP_LITE
+  inline  ::glenhollow::wire::AgentSession::Client getSession() const;
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIncarnation() const;
+
   inline bool hasLoad() const;
   inline  ::glenhollow::wire::Load::Reader getLoad() const;
 
@@ -2326,9 +2491,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::DrainResults::Builder {
+class Agent::HelloResults::Builder {
 public:
-  typedef DrainResults Builds;
+  typedef HelloResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2342,6 +2507,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasSession();
+#if !CAPNP_LITE
+  inline  ::glenhollow::wire::AgentSession::Client getSession();
+  inline void setSession( ::glenhollow::wire::AgentSession::Client&& value);
+  inline void setSession( ::glenhollow::wire::AgentSession::Client& value);
+  inline void adoptSession(::capnp::Orphan< ::glenhollow::wire::AgentSession>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::AgentSession> disownSession();
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
   inline bool hasLoad();
   inline  ::glenhollow::wire::Load::Builder getLoad();
   inline void setLoad( ::glenhollow::wire::Load::Reader value);
@@ -2359,14 +2536,15 @@
 };
 
 #if !CAPNP_LITE
-class Agent::DrainResults::Pipeline {
+class Agent::HelloResults::Pipeline {
 public:
-  typedef DrainResults Pipelines;
+  typedef HelloResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::glenhollow::wire::AgentSession::Client getSession();
   inline  ::glenhollow::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -2376,9 +2554,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::ConfigureParams::Reader {
+class Agent::FenceParams::Reader {
 public:
-  typedef ConfigureParams Reads;
+  typedef FenceParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2393,8 +2571,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfiguration() const;
-  inline  ::glenhollow::wire::Configuration::Reader getConfiguration() const;
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint32_t getHeardWithinMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2408,9 +2587,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::ConfigureParams::Builder {
+class Agent::FenceParams::Builder {
 public:
-  typedef ConfigureParams Builds;
+  typedef FenceParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2424,12 +2603,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfiguration();
-  inline  ::glenhollow::wire::Configuration::Builder getConfiguration();
-  inline void setConfiguration( ::glenhollow::wire::Configuration::Reader value);
-  inline  ::glenhollow::wire::Configuration::Builder initConfiguration();
-  inline void adoptConfiguration(::capnp::Orphan< ::glenhollow::wire::Configuration>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::Configuration> disownConfiguration();
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint32_t getHeardWithinMs();
+  inline void setHeardWithinMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2441,15 +2619,14 @@
 };
 
 #if !CAPNP_LITE
-class Agent::ConfigureParams::Pipeline {
+class Agent::FenceParams::Pipeline {
 public:
-  typedef ConfigureParams Pipelines;
+  typedef FenceParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::Configuration::Pipeline getConfiguration();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2458,9 +2635,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::ConfigureResults::Reader {
+class Agent::FenceResults::Reader {
 public:
-  typedef ConfigureResults Reads;
+  typedef FenceResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2475,7 +2652,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion() const;
+  inline bool getDeclined() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+  inline  ::uint32_t getUnfinished() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2489,9 +2671,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::ConfigureResults::Builder {
+class Agent::FenceResults::Builder {
 public:
-  typedef ConfigureResults Builds;
+  typedef FenceResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2505,8 +2687,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline bool getDeclined();
+  inline void setDeclined(bool value);
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>> disownRecords();
+
+  inline  ::uint32_t getUnfinished();
+  inline void setUnfinished( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2518,9 +2710,9 @@
 };
 
 #if !CAPNP_LITE
-class Agent::ConfigureResults::Pipeline {
+class Agent::FenceResults::Pipeline {
 public:
-  typedef ConfigureResults Pipelines;
+  typedef FenceResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2534,9 +2726,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::StatusParams::Reader {
+class Agent::DrainParams::Reader {
 public:
-  typedef StatusParams Reads;
+  typedef DrainParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2551,6 +2743,11 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool getOn() const;
+
+  inline bool hasBy() const;
+  inline  ::capnp::Text::Reader getBy() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2563,9 +2760,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::StatusParams::Builder {
+class Agent::DrainParams::Builder {
 public:
-  typedef StatusParams Builds;
+  typedef DrainParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2579,6 +2776,16 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool getOn();
+  inline void setOn(bool value);
+
+  inline bool hasBy();
+  inline  ::capnp::Text::Builder getBy();
+  inline void setBy( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBy(unsigned int size);
+  inline void adoptBy(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBy();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2589,9 +2796,9 @@
 };
 
 #if !CAPNP_LITE
-class Agent::StatusParams::Pipeline {
+class Agent::DrainParams::Pipeline {
 public:
-  typedef StatusParams Pipelines;
+  typedef DrainParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2605,9 +2812,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::StatusResults::Reader {
+class Agent::DrainResults::Reader {
 public:
-  typedef StatusResults Reads;
+  typedef DrainResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2625,14 +2832,6 @@
   inline bool hasLoad() const;
   inline  ::glenhollow::wire::Load::Reader getLoad() const;
 
-  inline  ::uint64_t getStarted() const;
-
-  inline  ::uint64_t getRefused() const;
-
-  inline  ::uint64_t getRecords() const;
-
-  inline  ::uint64_t getBytes() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2645,9 +2844,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::StatusResults::Builder {
+class Agent::DrainResults::Builder {
 public:
-  typedef StatusResults Builds;
+  typedef DrainResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2668,18 +2867,6 @@
   inline void adoptLoad(::capnp::Orphan< ::glenhollow::wire::Load>&& value);
   inline ::capnp::Orphan< ::glenhollow::wire::Load> disownLoad();
 
-  inline  ::uint64_t getStarted();
-  inline void setStarted( ::uint64_t value);
-
-  inline  ::uint64_t getRefused();
-  inline void setRefused( ::uint64_t value);
-
-  inline  ::uint64_t getRecords();
-  inline void setRecords( ::uint64_t value);
-
-  inline  ::uint64_t getBytes();
-  inline void setBytes( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2690,9 +2877,9 @@
 };
 
 #if !CAPNP_LITE
-class Agent::StatusResults::Pipeline {
+class Agent::DrainResults::Pipeline {
 public:
-  typedef StatusResults Pipelines;
+  typedef DrainResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2707,9 +2894,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::ConfigurationParams::Reader {
+class Agent::ConfigureParams::Reader {
 public:
-  typedef ConfigurationParams Reads;
+  typedef ConfigureParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2724,7 +2911,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSince() const;
+  inline bool hasConfiguration() const;
+  inline  ::glenhollow::wire::Configuration::Reader getConfiguration() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2738,9 +2926,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::ConfigurationParams::Builder {
+class Agent::ConfigureParams::Builder {
 public:
-  typedef ConfigurationParams Builds;
+  typedef ConfigureParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2754,8 +2942,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSince();
-  inline void setSince( ::uint64_t value);
+  inline bool hasConfiguration();
+  inline  ::glenhollow::wire::Configuration::Builder getConfiguration();
+  inline void setConfiguration( ::glenhollow::wire::Configuration::Reader value);
+  inline  ::glenhollow::wire::Configuration::Builder initConfiguration();
+  inline void adoptConfiguration(::capnp::Orphan< ::glenhollow::wire::Configuration>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::Configuration> disownConfiguration();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2767,14 +2959,15 @@
 };
 
 #if !CAPNP_LITE
-class Agent::ConfigurationParams::Pipeline {
+class Agent::ConfigureParams::Pipeline {
 public:
-  typedef ConfigurationParams Pipelines;
+  typedef ConfigureParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::glenhollow::wire::Configuration::Pipeline getConfiguration();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2783,9 +2976,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Agent::ConfigurationResults::Reader {
+class Agent::ConfigureResults::Reader {
 public:
-  typedef ConfigurationResults Reads;
+  typedef ConfigureResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2800,8 +2993,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfiguration() const;
-  inline  ::glenhollow::wire::Configuration::Reader getConfiguration() const;
+  inline  ::uint64_t getVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2815,9 +3007,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Agent::ConfigurationResults::Builder {
+class Agent::ConfigureResults::Builder {
 public:
-  typedef ConfigurationResults Builds;
+  typedef ConfigureResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2831,12 +3023,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfiguration();
-  inline  ::glenhollow::wire::Configuration::Builder getConfiguration();
-  inline void setConfiguration( ::glenhollow::wire::Configuration::Reader value);
-  inline  ::glenhollow::wire::Configuration::Builder initConfiguration();
-  inline void adoptConfiguration(::capnp::Orphan< ::glenhollow::wire::Configuration>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::Configuration> disownConfiguration();
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2848,15 +3036,14 @@
 };
 
 #if !CAPNP_LITE
-class Agent::ConfigurationResults::Pipeline {
+class Agent::ConfigureResults::Pipeline {
 public:
-  typedef ConfigurationResults Pipelines;
+  typedef ConfigureResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::Configuration::Pipeline getConfiguration();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2865,66 +3052,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class AgentSession::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef AgentSession Calls;
-  typedef AgentSession Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::glenhollow::wire::StartBatch,  ::glenhollow::wire::StartReply> startRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::AgentSession::PingParams,  ::glenhollow::wire::AgentSession::PingResults> pingRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class AgentSession::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef AgentSession Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef ::capnp::CallContext< ::glenhollow::wire::StartBatch,  ::glenhollow::wire::StartReply> StartContext;
-  virtual ::kj::Promise<void> start(StartContext context);
-  typedef  ::glenhollow::wire::AgentSession::PingParams PingParams;
-  typedef  ::glenhollow::wire::AgentSession::PingResults PingResults;
-  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
-  virtual ::kj::Promise<void> ping(PingContext context);
-
-  inline  ::glenhollow::wire::AgentSession::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::glenhollow::wire::AgentSession>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class AgentSession::PingParams::Reader {
+class Agent::StatusParams::Reader {
 public:
-  typedef PingParams Reads;
+  typedef StatusParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2939,9 +3069,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAcknowledged() const;
-  inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Reader getAcknowledged() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2954,9 +3081,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class AgentSession::PingParams::Builder {
+class Agent::StatusParams::Builder {
 public:
-  typedef PingParams Builds;
+  typedef StatusParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2970,13 +3097,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAcknowledged();
-  inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Builder getAcknowledged();
-  inline void setAcknowledged( ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Builder initAcknowledged(unsigned int size);
-  inline void adoptAcknowledged(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>> disownAcknowledged();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2987,9 +3107,9 @@
 };
 
 #if !CAPNP_LITE
-class AgentSession::PingParams::Pipeline {
+class Agent::StatusParams::Pipeline {
 public:
-  typedef PingParams Pipelines;
+  typedef StatusParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3003,9 +3123,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class AgentSession::PingResults::Reader {
+class Agent::StatusResults::Reader {
 public:
-  typedef PingResults Reads;
+  typedef StatusResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3023,6 +3143,14 @@
   inline bool hasLoad() const;
   inline  ::glenhollow::wire::Load::Reader getLoad() const;
 
+  inline  ::uint64_t getStarted() const;
+
+  inline  ::uint64_t getRefused() const;
+
+  inline  ::uint64_t getRecords() const;
+
+  inline  ::uint64_t getBytes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3035,9 +3163,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class AgentSession::PingResults::Builder {
+class Agent::StatusResults::Builder {
 public:
-  typedef PingResults Builds;
+  typedef StatusResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3058,6 +3186,18 @@
   inline void adoptLoad(::capnp::Orphan< ::glenhollow::wire::Load>&& value);
   inline ::capnp::Orphan< ::glenhollow::wire::Load> disownLoad();
 
+  inline  ::uint64_t getStarted();
+  inline void setStarted( ::uint64_t value);
+
+  inline  ::uint64_t getRefused();
+  inline void setRefused( ::uint64_t value);
+
+  inline  ::uint64_t getRecords();
+  inline void setRecords( ::uint64_t value);
+
+  inline  ::uint64_t getBytes();
+  inline void setBytes( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3068,9 +3208,9 @@
 };
 
 #if !CAPNP_LITE
-class AgentSession::PingResults::Pipeline {
+class Agent::StatusResults::Pipeline {
 public:
-  typedef PingResults Pipelines;
+  typedef StatusResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3085,9 +3225,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class TeamDemand::Reader {
+class Agent::ConfigurationParams::Reader {
 public:
-  typedef TeamDemand Reads;
+  typedef ConfigurationParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3102,10 +3242,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTeam() const;
-  inline  ::capnp::Text::Reader getTeam() const;
-
-  inline double getRate() const;
+  inline  ::uint64_t getSince() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3119,9 +3256,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class TeamDemand::Builder {
+class Agent::ConfigurationParams::Builder {
 public:
-  typedef TeamDemand Builds;
+  typedef ConfigurationParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3135,111 +3272,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTeam();
-  inline  ::capnp::Text::Builder getTeam();
-  inline void setTeam( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTeam(unsigned int size);
-  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
-
-  inline double getRate();
-  inline void setRate(double value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class TeamDemand::Pipeline {
-public:
-  typedef TeamDemand Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Answer::Reader {
-public:
-  typedef Answer Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint16_t getStatus() const;
-
-  inline  ::uint16_t getReason() const;
-
-  inline  ::uint32_t getRetryAfterMs() const;
-
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Answer::Builder {
-public:
-  typedef Answer Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint16_t getStatus();
-  inline void setStatus( ::uint16_t value);
-
-  inline  ::uint16_t getReason();
-  inline void setReason( ::uint16_t value);
-
-  inline  ::uint32_t getRetryAfterMs();
-  inline void setRetryAfterMs( ::uint32_t value);
-
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+  inline  ::uint64_t getSince();
+  inline void setSince( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3251,9 +3285,9 @@
 };
 
 #if !CAPNP_LITE
-class Answer::Pipeline {
+class Agent::ConfigurationParams::Pipeline {
 public:
-  typedef Answer Pipelines;
+  typedef ConfigurationParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3267,9 +3301,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class KeptAnswer::Reader {
+class Agent::ConfigurationResults::Reader {
 public:
-  typedef KeptAnswer Reads;
+  typedef ConfigurationResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3284,12 +3318,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSequence() const;
-
-  inline  ::uint64_t getBodyHash() const;
-
-  inline bool hasAnswer() const;
-  inline  ::glenhollow::wire::Answer::Reader getAnswer() const;
+  inline bool hasConfiguration() const;
+  inline  ::glenhollow::wire::Configuration::Reader getConfiguration() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3303,9 +3333,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class KeptAnswer::Builder {
+class Agent::ConfigurationResults::Builder {
 public:
-  typedef KeptAnswer Builds;
+  typedef ConfigurationResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3319,18 +3349,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
-
-  inline  ::uint64_t getBodyHash();
-  inline void setBodyHash( ::uint64_t value);
-
-  inline bool hasAnswer();
-  inline  ::glenhollow::wire::Answer::Builder getAnswer();
-  inline void setAnswer( ::glenhollow::wire::Answer::Reader value);
-  inline  ::glenhollow::wire::Answer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::glenhollow::wire::Answer>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::Answer> disownAnswer();
+  inline bool hasConfiguration();
+  inline  ::glenhollow::wire::Configuration::Builder getConfiguration();
+  inline void setConfiguration( ::glenhollow::wire::Configuration::Reader value);
+  inline  ::glenhollow::wire::Configuration::Builder initConfiguration();
+  inline void adoptConfiguration(::capnp::Orphan< ::glenhollow::wire::Configuration>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::Configuration> disownConfiguration();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3342,15 +3366,15 @@
 };
 
 #if !CAPNP_LITE
-class KeptAnswer::Pipeline {
+class Agent::ConfigurationResults::Pipeline {
 public:
-  typedef KeptAnswer Pipelines;
+  typedef ConfigurationResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::Answer::Pipeline getAnswer();
+  inline  ::glenhollow::wire::Configuration::Pipeline getConfiguration();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3360,11 +3384,11 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Peer::Client
+class AgentSession::Client
     : public virtual ::capnp::Capability::Client {
 public:
-  typedef Peer Calls;
-  typedef Peer Reads;
+  typedef AgentSession Calls;
+  typedef AgentSession Reads;
 
   Client(decltype(nullptr));
   explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
@@ -3378,31 +3402,19 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request< ::glenhollow::wire::Peer::ExchangeParams,  ::glenhollow::wire::Peer::ExchangeResults> exchangeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::Peer::SubmitParams,  ::glenhollow::wire::Peer::SubmitResults> submitRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::Peer::LookupParams,  ::glenhollow::wire::Peer::LookupResults> lookupRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::Peer::ConfigurationParams,  ::glenhollow::wire::Peer::ConfigurationResults> configurationRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::Peer::OperateParams,  ::glenhollow::wire::Peer::OperateResults> operateRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::Peer::KeepParams,  ::glenhollow::wire::Peer::KeepResults> keepRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::Peer::HoldsParams,  ::glenhollow::wire::Peer::HoldsResults> holdsRequest(
+  ::capnp::Request< ::glenhollow::wire::StartBatch,  ::glenhollow::wire::StartReply> startRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::Peer::MembersParams,  ::glenhollow::wire::Peer::MembersResults> membersRequest(
+  ::capnp::Request< ::glenhollow::wire::AgentSession::PingParams,  ::glenhollow::wire::AgentSession::PingResults> pingRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
 };
 
-class Peer::Server
+class AgentSession::Server
     : public virtual ::capnp::Capability::Server {
 public:
-  typedef Peer Serves;
+  typedef AgentSession Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
       uint64_t interfaceId, uint16_t methodId,
@@ -3410,42 +3422,16 @@
       override;
 
 protected:
-  typedef  ::glenhollow::wire::Peer::ExchangeParams ExchangeParams;
-  typedef  ::glenhollow::wire::Peer::ExchangeResults ExchangeResults;
-  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
-  virtual ::kj::Promise<void> exchange(ExchangeContext context);
-  typedef  ::glenhollow::wire::Peer::SubmitParams SubmitParams;
-  typedef  ::glenhollow::wire::Peer::SubmitResults SubmitResults;
-  typedef ::capnp::CallContext<SubmitParams, SubmitResults> SubmitContext;
-  virtual ::kj::Promise<void> submit(SubmitContext context);
-  typedef  ::glenhollow::wire::Peer::LookupParams LookupParams;
-  typedef  ::glenhollow::wire::Peer::LookupResults LookupResults;
-  typedef ::capnp::CallContext<LookupParams, LookupResults> LookupContext;
-  virtual ::kj::Promise<void> lookup(LookupContext context);
-  typedef  ::glenhollow::wire::Peer::ConfigurationParams ConfigurationParams;
-  typedef  ::glenhollow::wire::Peer::ConfigurationResults ConfigurationResults;
-  typedef ::capnp::CallContext<ConfigurationParams, ConfigurationResults> ConfigurationContext;
-  virtual ::kj::Promise<void> configuration(ConfigurationContext context);
-  typedef  ::glenhollow::wire::Peer::OperateParams OperateParams;
-  typedef  ::glenhollow::wire::Peer::OperateResults OperateResults;
-  typedef ::capnp::CallContext<OperateParams, OperateResults> OperateContext;
-  virtual ::kj::Promise<void> operate(OperateContext context);
-  typedef  ::glenhollow::wire::Peer::KeepParams KeepParams;
-  typedef  ::glenhollow::wire::Peer::KeepResults KeepResults;
-  typedef ::capnp::CallContext<KeepParams, KeepResults> KeepContext;
-  virtual ::kj::Promise<void> keep(KeepContext context);
-  typedef  ::glenhollow::wire::Peer::HoldsParams HoldsParams;
-  typedef  ::glenhollow::wire::Peer::HoldsResults HoldsResults;
-  typedef ::capnp::CallContext<HoldsParams, HoldsResults> HoldsContext;
-  virtual ::kj::Promise<void> holds(HoldsContext context);
-  typedef  ::glenhollow::wire::Peer::MembersParams MembersParams;
-  typedef  ::glenhollow::wire::Peer::MembersResults MembersResults;
-  typedef ::capnp::CallContext<MembersParams, MembersResults> MembersContext;
-  virtual ::kj::Promise<void> members(MembersContext context);
+  typedef ::capnp::CallContext< ::glenhollow::wire::StartBatch,  ::glenhollow::wire::StartReply> StartContext;
+  virtual ::kj::Promise<void> start(StartContext context);
+  typedef  ::glenhollow::wire::AgentSession::PingParams PingParams;
+  typedef  ::glenhollow::wire::AgentSession::PingResults PingResults;
+  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
+  virtual ::kj::Promise<void> ping(PingContext context);
 
-  inline  ::glenhollow::wire::Peer::Client thisCap() {
+  inline  ::glenhollow::wire::AgentSession::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::glenhollow::wire::Peer>();
+        .template castAs< ::glenhollow::wire::AgentSession>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
@@ -3454,9 +3440,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ExchangeParams::Reader {
+class AgentSession::PingParams::Reader {
 public:
-  typedef ExchangeParams Reads;
+  typedef PingParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3471,20 +3457,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntry() const;
-  inline  ::capnp::Text::Reader getEntry() const;
-
-  inline  ::uint64_t getIncarnation() const;
-
-  inline  ::uint64_t getConfigVersion() const;
-
-  inline bool hasDemand() const;
-  inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader getDemand() const;
-
-  inline bool getStopping() const;
-
-  inline bool hasHeir() const;
-  inline  ::capnp::Text::Reader getHeir() const;
+  inline bool hasAcknowledged() const;
+  inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Reader getAcknowledged() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3498,9 +3472,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExchangeParams::Builder {
+class AgentSession::PingParams::Builder {
 public:
-  typedef ExchangeParams Builds;
+  typedef PingParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3514,49 +3488,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntry();
-  inline  ::capnp::Text::Builder getEntry();
-  inline void setEntry( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEntry(unsigned int size);
-  inline void adoptEntry(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEntry();
+  inline bool hasAcknowledged();
+  inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Builder getAcknowledged();
+  inline void setAcknowledged( ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Builder initAcknowledged(unsigned int size);
+  inline void adoptAcknowledged(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>> disownAcknowledged();
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline  ::uint64_t getConfigVersion();
-  inline void setConfigVersion( ::uint64_t value);
-
-  inline bool hasDemand();
-  inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder getDemand();
-  inline void setDemand( ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder initDemand(unsigned int size);
-  inline void adoptDemand(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>> disownDemand();
-
-  inline bool getStopping();
-  inline void setStopping(bool value);
-
-  inline bool hasHeir();
-  inline  ::capnp::Text::Builder getHeir();
-  inline void setHeir( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHeir(unsigned int size);
-  inline void adoptHeir(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHeir();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
 #if !CAPNP_LITE
-class Peer::ExchangeParams::Pipeline {
+class AgentSession::PingParams::Pipeline {
 public:
-  typedef ExchangeParams Pipelines;
+  typedef PingParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3570,9 +3521,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ExchangeResults::Reader {
+class AgentSession::PingResults::Reader {
 public:
-  typedef ExchangeResults Reads;
+  typedef PingResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3587,17 +3538,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation() const;
-
-  inline  ::uint64_t getConfigVersion() const;
-
-  inline bool hasDemand() const;
-  inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader getDemand() const;
-
-  inline bool getStopping() const;
-
-  inline bool hasHeir() const;
-  inline  ::capnp::Text::Reader getHeir() const;
+  inline bool hasLoad() const;
+  inline  ::glenhollow::wire::Load::Reader getLoad() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3611,9 +3553,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ExchangeResults::Builder {
+class AgentSession::PingResults::Builder {
 public:
-  typedef ExchangeResults Builds;
+  typedef PingResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3627,28 +3569,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline  ::uint64_t getConfigVersion();
-  inline void setConfigVersion( ::uint64_t value);
-
-  inline bool hasDemand();
-  inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder getDemand();
-  inline void setDemand( ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder initDemand(unsigned int size);
-  inline void adoptDemand(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>> disownDemand();
-
-  inline bool getStopping();
-  inline void setStopping(bool value);
-
-  inline bool hasHeir();
-  inline  ::capnp::Text::Builder getHeir();
-  inline void setHeir( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHeir(unsigned int size);
-  inline void adoptHeir(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHeir();
+  inline bool hasLoad();
+  inline  ::glenhollow::wire::Load::Builder getLoad();
+  inline void setLoad( ::glenhollow::wire::Load::Reader value);
+  inline  ::glenhollow::wire::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::glenhollow::wire::Load>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::Load> disownLoad();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3660,14 +3586,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ExchangeResults::Pipeline {
+class AgentSession::PingResults::Pipeline {
 public:
-  typedef ExchangeResults Pipelines;
+  typedef PingResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::glenhollow::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3676,9 +3603,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::SubmitParams::Reader {
+class TeamDemand::Reader {
 public:
-  typedef SubmitParams Reads;
+  typedef TeamDemand Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3693,16 +3620,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
-
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
-
-  inline bool hasTraceparent() const;
-  inline  ::capnp::Text::Reader getTraceparent() const;
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
 
-  inline bool getAdopt() const;
+  inline double getRate() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3716,9 +3637,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::SubmitParams::Builder {
+class TeamDemand::Builder {
 public:
-  typedef SubmitParams Builds;
+  typedef TeamDemand Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3732,29 +3653,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
-
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
-
-  inline bool hasTraceparent();
-  inline  ::capnp::Text::Builder getTraceparent();
-  inline void setTraceparent( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTraceparent(unsigned int size);
-  inline void adoptTraceparent(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTraceparent();
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
 
-  inline bool getAdopt();
-  inline void setAdopt(bool value);
+  inline double getRate();
+  inline void setRate(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3766,9 +3673,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::SubmitParams::Pipeline {
+class TeamDemand::Pipeline {
 public:
-  typedef SubmitParams Pipelines;
+  typedef TeamDemand Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3782,9 +3689,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::SubmitResults::Reader {
+class Answer::Reader {
 public:
-  typedef SubmitResults Reads;
+  typedef Answer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3799,8 +3706,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer() const;
-  inline  ::glenhollow::wire::Answer::Reader getAnswer() const;
+  inline  ::uint16_t getStatus() const;
+
+  inline  ::uint16_t getReason() const;
+
+  inline  ::uint32_t getRetryAfterMs() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3814,9 +3727,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::SubmitResults::Builder {
+class Answer::Builder {
 public:
-  typedef SubmitResults Builds;
+  typedef Answer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3830,12 +3743,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer();
-  inline  ::glenhollow::wire::Answer::Builder getAnswer();
-  inline void setAnswer( ::glenhollow::wire::Answer::Reader value);
-  inline  ::glenhollow::wire::Answer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::glenhollow::wire::Answer>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::Answer> disownAnswer();
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
+
+  inline  ::uint16_t getReason();
+  inline void setReason( ::uint16_t value);
+
+  inline  ::uint32_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::uint32_t value);
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3847,15 +3769,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::SubmitResults::Pipeline {
+class Answer::Pipeline {
 public:
-  typedef SubmitResults Pipelines;
+  typedef Answer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::Answer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3864,9 +3785,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::LookupParams::Reader {
+class KeptAnswer::Reader {
 public:
-  typedef LookupParams Reads;
+  typedef KeptAnswer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3881,10 +3802,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
+  inline  ::uint64_t getSequence() const;
 
-  inline bool getAdopt() const;
+  inline  ::uint64_t getBodyHash() const;
+
+  inline bool hasAnswer() const;
+  inline  ::glenhollow::wire::Answer::Reader getAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3898,9 +3821,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::LookupParams::Builder {
+class KeptAnswer::Builder {
 public:
-  typedef LookupParams Builds;
+  typedef KeptAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3914,15 +3837,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline bool getAdopt();
-  inline void setAdopt(bool value);
+  inline  ::uint64_t getBodyHash();
+  inline void setBodyHash( ::uint64_t value);
+
+  inline bool hasAnswer();
+  inline  ::glenhollow::wire::Answer::Builder getAnswer();
+  inline void setAnswer( ::glenhollow::wire::Answer::Reader value);
+  inline  ::glenhollow::wire::Answer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::glenhollow::wire::Answer>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::Answer> disownAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3934,14 +3860,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::LookupParams::Pipeline {
+class KeptAnswer::Pipeline {
 public:
-  typedef LookupParams Pipelines;
+  typedef KeptAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::glenhollow::wire::Answer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3950,91 +3877,104 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::LookupResults::Reader {
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef LookupResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  typedef Peer Calls;
+  typedef Peer Reads;
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
 
-  inline bool hasAnswer() const;
-  inline  ::glenhollow::wire::Answer::Reader getAnswer() const;
+  ::capnp::Request< ::glenhollow::wire::Peer::ExchangeParams,  ::glenhollow::wire::Peer::ExchangeResults> exchangeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::Peer::SubmitParams,  ::glenhollow::wire::Peer::SubmitResults> submitRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::Peer::LookupParams,  ::glenhollow::wire::Peer::LookupResults> lookupRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::Peer::ConfigurationParams,  ::glenhollow::wire::Peer::ConfigurationResults> configurationRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::Peer::OperateParams,  ::glenhollow::wire::Peer::OperateResults> operateRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::Peer::KeepParams,  ::glenhollow::wire::Peer::KeepResults> keepRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::Peer::HoldsParams,  ::glenhollow::wire::Peer::HoldsResults> holdsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::Peer::MembersParams,  ::glenhollow::wire::Peer::MembersResults> membersRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+protected:
+  Client() = default;
 };
 
-class Peer::LookupResults::Builder {
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
 public:
-  typedef LookupResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasAnswer();
-  inline  ::glenhollow::wire::Answer::Builder getAnswer();
-  inline void setAnswer( ::glenhollow::wire::Answer::Reader value);
-  inline  ::glenhollow::wire::Answer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::glenhollow::wire::Answer>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::Answer> disownAnswer();
+  typedef Peer Serves;
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
-#if !CAPNP_LITE
-class Peer::LookupResults::Pipeline {
-public:
-  typedef LookupResults Pipelines;
+protected:
+  typedef  ::glenhollow::wire::Peer::ExchangeParams ExchangeParams;
+  typedef  ::glenhollow::wire::Peer::ExchangeResults ExchangeResults;
+  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
+  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+  typedef  ::glenhollow::wire::Peer::SubmitParams SubmitParams;
+  typedef  ::glenhollow::wire::Peer::SubmitResults SubmitResults;
+  typedef ::capnp::CallContext<SubmitParams, SubmitResults> SubmitContext;
+  virtual ::kj::Promise<void> submit(SubmitContext context);
+  typedef  ::glenhollow::wire::Peer::LookupParams LookupParams;
+  typedef  ::glenhollow::wire::Peer::LookupResults LookupResults;
+  typedef ::capnp::CallContext<LookupParams, LookupResults> LookupContext;
+  virtual ::kj::Promise<void> lookup(LookupContext context);
+  typedef  ::glenhollow::wire::Peer::ConfigurationParams ConfigurationParams;
+  typedef  ::glenhollow::wire::Peer::ConfigurationResults ConfigurationResults;
+  typedef ::capnp::CallContext<ConfigurationParams, ConfigurationResults> ConfigurationContext;
+  virtual ::kj::Promise<void> configuration(ConfigurationContext context);
+  typedef  ::glenhollow::wire::Peer::OperateParams OperateParams;
+  typedef  ::glenhollow::wire::Peer::OperateResults OperateResults;
+  typedef ::capnp::CallContext<OperateParams, OperateResults> OperateContext;
+  virtual ::kj::Promise<void> operate(OperateContext context);
+  typedef  ::glenhollow::wire::Peer::KeepParams KeepParams;
+  typedef  ::glenhollow::wire::Peer::KeepResults KeepResults;
+  typedef ::capnp::CallContext<KeepParams, KeepResults> KeepContext;
+  virtual ::kj::Promise<void> keep(KeepContext context);
+  typedef  ::glenhollow::wire::Peer::HoldsParams HoldsParams;
+  typedef  ::glenhollow::wire::Peer::HoldsResults HoldsResults;
+  typedef ::capnp::CallContext<HoldsParams, HoldsResults> HoldsContext;
+  virtual ::kj::Promise<void> holds(HoldsContext context);
+  typedef  ::glenhollow::wire::Peer::MembersParams MembersParams;
+  typedef  ::glenhollow::wire::Peer::MembersResults MembersResults;
+  typedef ::capnp::CallContext<MembersParams, MembersResults> MembersContext;
+  virtual ::kj::Promise<void> members(MembersContext context);
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+  inline  ::glenhollow::wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::glenhollow::wire::Peer>();
+  }
 
-  inline  ::glenhollow::wire::Answer::Pipeline getAnswer();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ConfigurationParams::Reader {
+class Peer::ExchangeParams::Reader {
 public:
-  typedef ConfigurationParams Reads;
+  typedef ExchangeParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4049,7 +3989,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSince() const;
+  inline bool hasEntry() const;
+  inline  ::capnp::Text::Reader getEntry() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getConfigVersion() const;
+
+  inline bool hasDemand() const;
+  inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader getDemand() const;
+
+  inline bool getStopping() const;
+
+  inline bool hasHeir() const;
+  inline  ::capnp::Text::Reader getHeir() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4063,9 +4016,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ConfigurationParams::Builder {
+class Peer::ExchangeParams::Builder {
 public:
-  typedef ConfigurationParams Builds;
+  typedef ExchangeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4079,8 +4032,35 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSince();
-  inline void setSince( ::uint64_t value);
+  inline bool hasEntry();
+  inline  ::capnp::Text::Builder getEntry();
+  inline void setEntry( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEntry(unsigned int size);
+  inline void adoptEntry(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEntry();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getConfigVersion();
+  inline void setConfigVersion( ::uint64_t value);
+
+  inline bool hasDemand();
+  inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder getDemand();
+  inline void setDemand( ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder initDemand(unsigned int size);
+  inline void adoptDemand(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>> disownDemand();
+
+  inline bool getStopping();
+  inline void setStopping(bool value);
+
+  inline bool hasHeir();
+  inline  ::capnp::Text::Builder getHeir();
+  inline void setHeir( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHeir(unsigned int size);
+  inline void adoptHeir(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHeir();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4092,9 +4072,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ConfigurationParams::Pipeline {
+class Peer::ExchangeParams::Pipeline {
 public:
-  typedef ConfigurationParams Pipelines;
+  typedef ExchangeParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4108,9 +4088,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ConfigurationResults::Reader {
+class Peer::ExchangeResults::Reader {
 public:
-  typedef ConfigurationResults Reads;
+  typedef ExchangeResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4125,8 +4105,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfiguration() const;
-  inline  ::glenhollow::wire::Configuration::Reader getConfiguration() const;
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getConfigVersion() const;
+
+  inline bool hasDemand() const;
+  inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader getDemand() const;
+
+  inline bool getStopping() const;
+
+  inline bool hasHeir() const;
+  inline  ::capnp::Text::Reader getHeir() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4140,9 +4129,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ConfigurationResults::Builder {
+class Peer::ExchangeResults::Builder {
 public:
-  typedef ConfigurationResults Builds;
+  typedef ExchangeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4156,12 +4145,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfiguration();
-  inline  ::glenhollow::wire::Configuration::Builder getConfiguration();
-  inline void setConfiguration( ::glenhollow::wire::Configuration::Reader value);
-  inline  ::glenhollow::wire::Configuration::Builder initConfiguration();
-  inline void adoptConfiguration(::capnp::Orphan< ::glenhollow::wire::Configuration>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::Configuration> disownConfiguration();
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getConfigVersion();
+  inline void setConfigVersion( ::uint64_t value);
+
+  inline bool hasDemand();
+  inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder getDemand();
+  inline void setDemand( ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder initDemand(unsigned int size);
+  inline void adoptDemand(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>> disownDemand();
+
+  inline bool getStopping();
+  inline void setStopping(bool value);
+
+  inline bool hasHeir();
+  inline  ::capnp::Text::Builder getHeir();
+  inline void setHeir( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHeir(unsigned int size);
+  inline void adoptHeir(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHeir();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4173,15 +4178,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ConfigurationResults::Pipeline {
+class Peer::ExchangeResults::Pipeline {
 public:
-  typedef ConfigurationResults Pipelines;
+  typedef ExchangeResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::Configuration::Pipeline getConfiguration();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4190,9 +4194,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::OperateParams::Reader {
+class Peer::SubmitParams::Reader {
 public:
-  typedef OperateParams Reads;
+  typedef SubmitParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4207,11 +4211,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatement() const;
-  inline  ::capnp::Text::Reader getStatement() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline bool hasBy() const;
-  inline  ::capnp::Text::Reader getBy() const;
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+  inline bool hasTraceparent() const;
+  inline  ::capnp::Text::Reader getTraceparent() const;
+
+  inline bool getAdopt() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4225,9 +4234,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::OperateParams::Builder {
+class Peer::SubmitParams::Builder {
 public:
-  typedef OperateParams Builds;
+  typedef SubmitParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4241,19 +4250,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatement();
-  inline  ::capnp::Text::Builder getStatement();
-  inline void setStatement( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initStatement(unsigned int size);
-  inline void adoptStatement(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownStatement();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline bool hasBy();
-  inline  ::capnp::Text::Builder getBy();
-  inline void setBy( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initBy(unsigned int size);
-  inline void adoptBy(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownBy();
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+  inline bool hasTraceparent();
+  inline  ::capnp::Text::Builder getTraceparent();
+  inline void setTraceparent( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTraceparent(unsigned int size);
+  inline void adoptTraceparent(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTraceparent();
+
+  inline bool getAdopt();
+  inline void setAdopt(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4265,9 +4284,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::OperateParams::Pipeline {
+class Peer::SubmitParams::Pipeline {
 public:
-  typedef OperateParams Pipelines;
+  typedef SubmitParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4281,9 +4300,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::OperateResults::Reader {
+class Peer::SubmitResults::Reader {
 public:
-  typedef OperateResults Reads;
+  typedef SubmitResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4313,9 +4332,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::OperateResults::Builder {
+class Peer::SubmitResults::Builder {
 public:
-  typedef OperateResults Builds;
+  typedef SubmitResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4346,9 +4365,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::OperateResults::Pipeline {
+class Peer::SubmitResults::Pipeline {
 public:
-  typedef OperateResults Pipelines;
+  typedef SubmitResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4363,9 +4382,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::KeepParams::Reader {
+class Peer::LookupParams::Reader {
 public:
-  typedef KeepParams Reads;
+  typedef LookupParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4380,13 +4399,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntry() const;
-  inline  ::capnp::Text::Reader getEntry() const;
-
-  inline  ::uint64_t getIncarnation() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline bool hasAnswers() const;
-  inline  ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>::Reader getAnswers() const;
+  inline bool getAdopt() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4400,9 +4416,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::KeepParams::Builder {
+class Peer::LookupParams::Builder {
 public:
-  typedef KeepParams Builds;
+  typedef LookupParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4416,22 +4432,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntry();
-  inline  ::capnp::Text::Builder getEntry();
-  inline void setEntry( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEntry(unsigned int size);
-  inline void adoptEntry(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEntry();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline bool hasAnswers();
-  inline  ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>::Builder getAnswers();
-  inline void setAnswers( ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>::Builder initAnswers(unsigned int size);
-  inline void adoptAnswers(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>> disownAnswers();
+  inline bool getAdopt();
+  inline void setAdopt(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4443,9 +4452,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::KeepParams::Pipeline {
+class Peer::LookupParams::Pipeline {
 public:
-  typedef KeepParams Pipelines;
+  typedef LookupParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4459,9 +4468,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::KeepResults::Reader {
+class Peer::LookupResults::Reader {
 public:
-  typedef KeepResults Reads;
+  typedef LookupResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4476,6 +4485,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasAnswer() const;
+  inline  ::glenhollow::wire::Answer::Reader getAnswer() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4488,9 +4500,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::KeepResults::Builder {
+class Peer::LookupResults::Builder {
 public:
-  typedef KeepResults Builds;
+  typedef LookupResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4504,6 +4516,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasAnswer();
+  inline  ::glenhollow::wire::Answer::Builder getAnswer();
+  inline void setAnswer( ::glenhollow::wire::Answer::Reader value);
+  inline  ::glenhollow::wire::Answer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::glenhollow::wire::Answer>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::Answer> disownAnswer();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4514,14 +4533,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::KeepResults::Pipeline {
+class Peer::LookupResults::Pipeline {
 public:
-  typedef KeepResults Pipelines;
+  typedef LookupResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::glenhollow::wire::Answer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4530,9 +4550,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::HoldsParams::Reader {
+class Peer::ConfigurationParams::Reader {
 public:
-  typedef HoldsParams Reads;
+  typedef ConfigurationParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4547,7 +4567,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getSince() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4561,9 +4581,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HoldsParams::Builder {
+class Peer::ConfigurationParams::Builder {
 public:
-  typedef HoldsParams Builds;
+  typedef ConfigurationParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4577,8 +4597,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline  ::uint64_t getSince();
+  inline void setSince( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4590,9 +4610,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HoldsParams::Pipeline {
+class Peer::ConfigurationParams::Pipeline {
 public:
-  typedef HoldsParams Pipelines;
+  typedef ConfigurationParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4606,9 +4626,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::HoldsResults::Reader {
+class Peer::ConfigurationResults::Reader {
 public:
-  typedef HoldsResults Reads;
+  typedef ConfigurationResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4623,7 +4643,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getHeld() const;
+  inline bool hasConfiguration() const;
+  inline  ::glenhollow::wire::Configuration::Reader getConfiguration() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4637,9 +4658,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::HoldsResults::Builder {
+class Peer::ConfigurationResults::Builder {
 public:
-  typedef HoldsResults Builds;
+  typedef ConfigurationResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4653,8 +4674,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getHeld();
-  inline void setHeld(bool value);
+  inline bool hasConfiguration();
+  inline  ::glenhollow::wire::Configuration::Builder getConfiguration();
+  inline void setConfiguration( ::glenhollow::wire::Configuration::Reader value);
+  inline  ::glenhollow::wire::Configuration::Builder initConfiguration();
+  inline void adoptConfiguration(::capnp::Orphan< ::glenhollow::wire::Configuration>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::Configuration> disownConfiguration();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4666,14 +4691,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::HoldsResults::Pipeline {
+class Peer::ConfigurationResults::Pipeline {
 public:
-  typedef HoldsResults Pipelines;
+  typedef ConfigurationResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::glenhollow::wire::Configuration::Pipeline getConfiguration();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4682,9 +4708,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::MembersParams::Reader {
+class Peer::OperateParams::Reader {
 public:
-  typedef MembersParams Reads;
+  typedef OperateParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4699,6 +4725,12 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasStatement() const;
+  inline  ::capnp::Text::Reader getStatement() const;
+
+  inline bool hasBy() const;
+  inline  ::capnp::Text::Reader getBy() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4711,9 +4743,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::MembersParams::Builder {
+class Peer::OperateParams::Builder {
 public:
-  typedef MembersParams Builds;
+  typedef OperateParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4727,6 +4759,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasStatement();
+  inline  ::capnp::Text::Builder getStatement();
+  inline void setStatement( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initStatement(unsigned int size);
+  inline void adoptStatement(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownStatement();
+
+  inline bool hasBy();
+  inline  ::capnp::Text::Builder getBy();
+  inline void setBy( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBy(unsigned int size);
+  inline void adoptBy(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBy();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4737,9 +4783,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::MembersParams::Pipeline {
+class Peer::OperateParams::Pipeline {
 public:
-  typedef MembersParams Pipelines;
+  typedef OperateParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4753,9 +4799,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::MembersResults::Reader {
+class Peer::OperateResults::Reader {
 public:
-  typedef MembersResults Reads;
+  typedef OperateResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4770,8 +4816,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+  inline bool hasAnswer() const;
+  inline  ::glenhollow::wire::Answer::Reader getAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4785,9 +4831,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::MembersResults::Builder {
+class Peer::OperateResults::Builder {
 public:
-  typedef MembersResults Builds;
+  typedef OperateResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4801,12 +4847,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasMembers();
-  inline  ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>> disownMembers();
+  inline bool hasAnswer();
+  inline  ::glenhollow::wire::Answer::Builder getAnswer();
+  inline void setAnswer( ::glenhollow::wire::Answer::Reader value);
+  inline  ::glenhollow::wire::Answer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::glenhollow::wire::Answer>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::Answer> disownAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4818,14 +4864,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::MembersResults::Pipeline {
+class Peer::OperateResults::Pipeline {
 public:
-  typedef MembersResults Pipelines;
+  typedef OperateResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::glenhollow::wire::Answer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
