-inline bool Peer::LookupParams::Reader::getAdopt() const {
-  return _reader.getDataField<bool>(
+inline  ::uint64_t EntryView::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Peer::LookupParams::Builder::getAdopt() {
-  return _builder.getDataField<bool>(
+inline  ::uint64_t EntryView::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::LookupParams::Builder::setAdopt(bool value) {
-  _builder.setDataField<bool>(
+inline void EntryView::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::LookupResults::Reader::hasAnswer() const {
+inline bool EntryView::Reader::hasParts() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::LookupResults::Builder::hasAnswer() {
+inline bool EntryView::Builder::hasParts() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::Answer::Reader Peer::LookupResults::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader EntryView::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::Answer::Builder Peer::LookupResults::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::Answer::Pipeline Peer::LookupResults::Pipeline::getAnswer() {
-  return  ::glenhollow::wire::Answer::Pipeline(_typeless.getPointerField(0));
+inline void EntryView::Builder::setParts( ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-#endif  // !CAPNP_LITE
-inline void Peer::LookupResults::Builder::setAnswer( ::glenhollow::wire::Answer::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline  ::glenhollow::wire::Answer::Builder Peer::LookupResults::Builder::initAnswer() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void EntryView::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Peer::LookupResults::Builder::adoptAnswer(
-    ::capnp::Orphan< ::glenhollow::wire::Answer>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>> EntryView::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::Answer> Peer::LookupResults::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline bool EntryView::Reader::getStoreReachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool EntryView::Builder::getStoreReachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void EntryView::Builder::setStoreReachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EntryView::Reader::getStopping() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool EntryView::Builder::getStopping() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void EntryView::Builder::setStopping(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t EntryView::Reader::getCatalogVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryView::Builder::getCatalogVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EntryView::Builder::setCatalogVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EntryView::Reader::hasPending() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryView::Builder::hasPending() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Reader EntryView::Reader::getPending() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::getPending() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void EntryView::Builder::setPending( ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::initPending(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void EntryView::Builder::adoptPending(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>> EntryView::Builder::disownPending() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t JobCall::Reader::getVerb() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t JobCall::Builder::getVerb() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void JobCall::Builder::setVerb( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t JobCall::Reader::getJob() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t JobCall::Builder::getJob() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void JobCall::Builder::setJob( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Peer::ConfigurationParams::Reader::getSince() const {
+inline  ::uint64_t JobCall::Reader::getCatalogVersion() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Peer::ConfigurationParams::Builder::getSince() {
+inline  ::uint64_t JobCall::Builder::getCatalogVersion() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ConfigurationParams::Builder::setSince( ::uint64_t value) {
+inline void JobCall::Builder::setCatalogVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::ConfigurationResults::Reader::hasConfiguration() const {
+inline bool JobCall::Reader::hasBody() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ConfigurationResults::Builder::hasConfiguration() {
+inline bool JobCall::Builder::hasBody() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::Configuration::Reader Peer::ConfigurationResults::Reader::getConfiguration() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader JobCall::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::Configuration::Builder Peer::ConfigurationResults::Builder::getConfiguration() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder JobCall::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::Configuration::Pipeline Peer::ConfigurationResults::Pipeline::getConfiguration() {
-  return  ::glenhollow::wire::Configuration::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::ConfigurationResults::Builder::setConfiguration( ::glenhollow::wire::Configuration::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::set(_builder.getPointerField(
+inline void JobCall::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::Configuration::Builder Peer::ConfigurationResults::Builder::initConfiguration() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder JobCall::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::ConfigurationResults::Builder::adoptConfiguration(
-    ::capnp::Orphan< ::glenhollow::wire::Configuration>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::adopt(_builder.getPointerField(
+inline void JobCall::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::Configuration> Peer::ConfigurationResults::Builder::disownConfiguration() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> JobCall::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::OperateParams::Reader::hasStatement() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline  ::uint8_t JobAnswer::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool Peer::OperateParams::Builder::hasStatement() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint8_t JobAnswer::Builder::getOutcome() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Reader Peer::OperateParams::Reader::getStatement() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void JobAnswer::Builder::setOutcome( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder Peer::OperateParams::Builder::getStatement() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint8_t JobAnswer::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Peer::OperateParams::Builder::setStatement( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline  ::uint8_t JobAnswer::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder Peer::OperateParams::Builder::initStatement(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void JobAnswer::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline void Peer::OperateParams::Builder::adoptStatement(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t JobAnswer::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::OperateParams::Builder::disownStatement() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t JobAnswer::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void JobAnswer::Builder::setRetryAfterMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::OperateParams::Reader::hasBy() const {
+#if !CAPNP_LITE
+inline EntryPeer::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline EntryPeer::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline EntryPeer::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline EntryPeer::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline EntryPeer::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::glenhollow::wire::EntryPeer::Client& EntryPeer::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::glenhollow::wire::EntryPeer::Client& EntryPeer::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool EntryPeer::ExchangeParams::Reader::hasView() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::OperateParams::Builder::hasBy() {
+inline bool EntryPeer::ExchangeParams::Builder::hasView() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::OperateParams::Reader::getBy() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::glenhollow::wire::EntryView::Reader EntryPeer::ExchangeParams::Reader::getView() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::EntryView>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::OperateParams::Builder::getBy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::glenhollow::wire::EntryView::Builder EntryPeer::ExchangeParams::Builder::getView() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::EntryView>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::OperateParams::Builder::setBy( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::EntryView::Pipeline EntryPeer::ExchangeParams::Pipeline::getView() {
+  return  ::glenhollow::wire::EntryView::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::Text::Builder Peer::OperateParams::Builder::initBy(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void EntryPeer::ExchangeParams::Builder::setView( ::glenhollow::wire::EntryView::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::EntryView>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Peer::OperateParams::Builder::adoptBy(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::glenhollow::wire::EntryView::Builder EntryPeer::ExchangeParams::Builder::initView() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::EntryView>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::OperateParams::Builder::disownBy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void EntryPeer::ExchangeParams::Builder::adoptView(
+    ::capnp::Orphan< ::glenhollow::wire::EntryView>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::EntryView>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::glenhollow::wire::EntryView> EntryPeer::ExchangeParams::Builder::disownView() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::EntryView>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::OperateResults::Reader::hasAnswer() const {
+inline bool EntryPeer::ExchangeResults::Reader::hasView() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::OperateResults::Builder::hasAnswer() {
+inline bool EntryPeer::ExchangeResults::Builder::hasView() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::Answer::Reader Peer::OperateResults::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_reader.getPointerField(
+inline  ::glenhollow::wire::EntryView::Reader EntryPeer::ExchangeResults::Reader::getView() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::EntryView>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::Answer::Builder Peer::OperateResults::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_builder.getPointerField(
+inline  ::glenhollow::wire::EntryView::Builder EntryPeer::ExchangeResults::Builder::getView() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::EntryView>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::glenhollow::wire::Answer::Pipeline Peer::OperateResults::Pipeline::getAnswer() {
-  return  ::glenhollow::wire::Answer::Pipeline(_typeless.getPointerField(0));
+inline  ::glenhollow::wire::EntryView::Pipeline EntryPeer::ExchangeResults::Pipeline::getView() {
+  return  ::glenhollow::wire::EntryView::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::OperateResults::Builder::setAnswer( ::glenhollow::wire::Answer::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::set(_builder.getPointerField(
+inline void EntryPeer::ExchangeResults::Builder::setView( ::glenhollow::wire::EntryView::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::EntryView>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::Answer::Builder Peer::OperateResults::Builder::initAnswer() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::init(_builder.getPointerField(
+inline  ::glenhollow::wire::EntryView::Builder EntryPeer::ExchangeResults::Builder::initView() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::EntryView>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::OperateResults::Builder::adoptAnswer(
-    ::capnp::Orphan< ::glenhollow::wire::Answer>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::adopt(_builder.getPointerField(
+inline void EntryPeer::ExchangeResults::Builder::adoptView(
+    ::capnp::Orphan< ::glenhollow::wire::EntryView>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::EntryView>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::Answer> Peer::OperateResults::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::glenhollow::wire::EntryView> EntryPeer::ExchangeResults::Builder::disownView() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::EntryView>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::KeepParams::Reader::hasEntry() const {
+inline bool EntryPeer::CallParams::Reader::hasCall() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::KeepParams::Builder::hasEntry() {
+inline bool EntryPeer::CallParams::Builder::hasCall() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::KeepParams::Reader::getEntry() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::glenhollow::wire::JobCall::Reader EntryPeer::CallParams::Reader::getCall() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::JobCall>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::KeepParams::Builder::getEntry() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::glenhollow::wire::JobCall::Builder EntryPeer::CallParams::Builder::getCall() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::JobCall>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::KeepParams::Builder::setEntry( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::JobCall::Pipeline EntryPeer::CallParams::Pipeline::getCall() {
+  return  ::glenhollow::wire::JobCall::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::CallParams::Builder::setCall( ::glenhollow::wire::JobCall::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::JobCall>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::KeepParams::Builder::initEntry(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::glenhollow::wire::JobCall::Builder EntryPeer::CallParams::Builder::initCall() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::JobCall>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::KeepParams::Builder::adoptEntry(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void EntryPeer::CallParams::Builder::adoptCall(
+    ::capnp::Orphan< ::glenhollow::wire::JobCall>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::JobCall>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::KeepParams::Builder::disownEntry() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::glenhollow::wire::JobCall> EntryPeer::CallParams::Builder::disownCall() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::JobCall>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Peer::KeepParams::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Peer::KeepParams::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Peer::KeepParams::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Peer::KeepParams::Reader::hasAnswers() const {
+inline bool EntryPeer::CallResults::Reader::hasAnswer() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::KeepParams::Builder::hasAnswers() {
+inline bool EntryPeer::CallResults::Builder::hasAnswer() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>::Reader Peer::KeepParams::Reader::getAnswers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::glenhollow::wire::JobAnswer::Reader EntryPeer::CallResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>::Builder Peer::KeepParams::Builder::getAnswers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::glenhollow::wire::JobAnswer::Builder EntryPeer::CallResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::KeepParams::Builder::setAnswers( ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::JobAnswer::Pipeline EntryPeer::CallResults::Pipeline::getAnswer() {
+  return  ::glenhollow::wire::JobAnswer::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>::Builder Peer::KeepParams::Builder::initAnswers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void EntryPeer::CallResults::Builder::setAnswer( ::glenhollow::wire::JobAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Peer::KeepParams::Builder::adoptAnswers(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::glenhollow::wire::JobAnswer::Builder EntryPeer::CallResults::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>> Peer::KeepParams::Builder::disownAnswers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void EntryPeer::CallResults::Builder::adoptAnswer(
+    ::capnp::Orphan< ::glenhollow::wire::JobAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::glenhollow::wire::JobAnswer> EntryPeer::CallResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Peer::HoldsParams::Reader::getIncarnation() const {
+inline  ::uint64_t EntryPeer::CatalogResults::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Peer::HoldsParams::Builder::getIncarnation() {
+inline  ::uint64_t EntryPeer::CatalogResults::Builder::getVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::HoldsParams::Builder::setIncarnation( ::uint64_t value) {
+inline void EntryPeer::CatalogResults::Builder::setVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::HoldsResults::Reader::getHeld() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool Peer::HoldsResults::Builder::getHeld() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Peer::HoldsResults::Builder::setHeld(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Peer::MembersResults::Reader::hasMembers() const {
+inline bool EntryPeer::CatalogResults::Reader::hasDocument() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::MembersResults::Builder::hasMembers() {
+inline bool EntryPeer::CatalogResults::Builder::hasDocument() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>::Reader Peer::MembersResults::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader EntryPeer::CatalogResults::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>::Builder Peer::MembersResults::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder EntryPeer::CatalogResults::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::MembersResults::Builder::setMembers( ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void EntryPeer::CatalogResults::Builder::setDocument( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>::Builder Peer::MembersResults::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Data::Builder EntryPeer::CatalogResults::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::MembersResults::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void EntryPeer::CatalogResults::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>> Peer::MembersResults::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> EntryPeer::CatalogResults::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
