--- /dev/null
+++ b/programs/durable_entry.cpp
@@ -0,0 +1,223 @@
+#include "durable_entry.hpp"
+
+#include "glenhollow/core/random.hpp"
+#include "glenhollow/core/run_after.hpp"
+#include "glenhollow/rpc/rpc_listener.hpp"
+#include "glenhollow/rpc/rpc_loop.hpp"
+#include "glenhollow/telemetry/log.hpp"
+#include "platform/catalog_format.hpp"
+#include "platform/client_front.hpp"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+/// The balancer needs two missed checks, a second apart, to leave us out.
+constexpr duration unready_time = milliseconds{2300};
+constexpr duration stop_check = milliseconds{50};
+constexpr duration stop_reserve = milliseconds{900};
+
+/// The whole process.
+class durable_entry final
+{
+public:
+    durable_entry(const durable_entry_settings& settings,
+                  std::function<result<durable_entry_settings>()> reload)
+        : settings_(settings), reload_(std::move(reload)),
+          signals_(loop_.io(), SIGTERM, SIGINT, SIGHUP),
+          store_(loop_.io(), settings.store), service_(loop_.io(),
+                                                       process_clock(), store_,
+                                                       platform::parse_catalog,
+                                                       service_settings()),
+          front_(service_)
+    {
+    }
+
+    result<void> listen()
+    {
+        BOOST_OUTCOME_TRY(auto links,
+                          rpc_listener::create(loop_.io(), settings_.address,
+                                               settings_.rpc_port));
+        links_ = std::move(links);
+        http_server_settings callers;
+        callers.address = settings_.callers.host;
+        callers.port = settings_.callers.port;
+        BOOST_OUTCOME_TRY(
+            auto front,
+            http_server::create(loop_.io(), callers,
+                                [this](http_request request,
+                                       http_responder done) {
+                                    front_.handle(std::move(request),
+                                                  std::move(done));
+                                }));
+        callers_ = std::move(front);
+        BOOST_OUTCOME_TRY(auto ready, pages(settings_.readiness));
+        readiness_ = std::move(ready);
+        BOOST_OUTCOME_TRY(
+            auto metrics,
+            pages({settings_.address, settings_.metrics_port}));
+        metrics_ = std::move(metrics);
+        return outcome::success();
+    }
+
+    int run()
+    {
+        await_signal();
+        loop_.run(
+            [this]
+            {
+                links_->serve(service_.bootstrap());
+                service_.add_seeds(settings_.seeds);
+                service_.begin();
+                log_change(log_level::info, "entry_started",
+                           {{"entry", settings_.name},
+                            {"zone", settings_.zone},
+                            {"incarnation", incarnation_},
+                            {"parts", settings_.parts}});
+            },
+            [this] { links_->close(); });
+        log_change(log_level::info, "entry_stopped",
+                   {{"entry", settings_.name}});
+        return 0;
+    }
+
+private:
+    durable_service_settings service_settings() const
+    {
+        durable_service_settings out;
+        out.entry = settings_.name;
+        out.incarnation = incarnation_;
+        out.where = {settings_.address, settings_.rpc_port};
+        out.parts = settings_.parts;
+        out.catalog = platform::operator_configuration();
+        return out;
+    }
+
+    result<std::unique_ptr<http_server>> pages(const host_port& where)
+    {
+        http_server_settings limits;
+        limits.address = where.host;
+        limits.port = where.port;
+        return http_server::create(
+            loop_.io(), limits,
+            [this](const http_request& request, const http_responder& done)
+            { serve_page(request, done); });
+    }
+
+    void serve_page(const http_request& request, const http_responder& done)
+    {
+        if (request.target == "/ready" || request.target == "/readyz")
+        {
+            const bool ready = service_.ready();
+            return done({ready ? 200U : 503U, "text/plain", {},
+                         ready ? "ready\n" : "not ready\n"});
+        }
+        if (request.target != "/metrics")
+            return done({404, "text/plain", {}, "not found\n"});
+        metric_page page;
+        service_.collect(page);
+        store_.collect(page);
+        links_->collect(page);
+        done({200, "text/plain; version=0.0.4", {}, page.render()});
+    }
+
+    void await_signal()
+    {
+        signals_.async_wait(
+            [this](boost::system::error_code ec, int signal)
+            {
+                if (ec)
+                    return;
+                if (signal == SIGHUP)
+                    reload();
+                else
+                    stop();
+                await_signal();
+            });
+    }
+
+    void reload()
+    {
+        const auto fresh = reload_();
+        if (!fresh)
+        {
+            log_change(log_level::error, "reload_refused",
+                       {{"cause", fresh.error().text}});
+            return;
+        }
+        service_.add_seeds(fresh.value().seeds);
+        log_change(log_level::info, "reloaded",
+                   {{"seeds", fresh.value().seeds.size()}});
+    }
+
+    /// Parts go first, so that others take them while callers still reach
+    /// them through this entry; connections go last.
+    void stop()
+    {
+        if (std::exchange(stopping_, true))
+            return;
+        log_change(log_level::info, "stop_begun", {{"entry", settings_.name}});
+        service_.stop();
+        const auto now = process_clock().now();
+        stop_at_ = now + settings_.grace - stop_reserve;
+        run_after(loop_.io(), unready_time,
+                  [this]
+                  {
+                      callers_->close_after_answers();
+                      wait_for_idle();
+                  });
+    }
+
+    void wait_for_idle()
+    {
+        const auto now = process_clock().now();
+        const bool quiet = callers_->in_flight() == 0 && service_.released() &&
+                           now >= stop_at_ - stop_reserve;
+        if (quiet || now >= stop_at_)
+        {
+            callers_->stop_accepting();
+            return loop_.stop();
+        }
+        run_after(loop_.io(), stop_check, [this] { wait_for_idle(); });
+    }
+
+    durable_entry_settings settings_;                    ///< Checked.
+    std::function<result<durable_entry_settings>()> reload_; ///< On SIGHUP.
+    std::uint64_t incarnation_ = random_incarnation();   ///< Of this process.
+    rpc_loop loop_;                                      ///< Runs everything.
+    boost::asio::signal_set signals_;                    ///< Stop and reload.
+    platform::http_row_store store_;                     ///< The store.
+    durable_service service_;                            ///< The product.
+    platform::client_front front_;                       ///< Clients' side.
+    std::unique_ptr<rpc_listener> links_;                ///< Other entries.
+    std::unique_ptr<http_server> callers_;               ///< Clients.
+    std::unique_ptr<http_server> readiness_;             ///< The balancer.
+    std::unique_ptr<http_server> metrics_;               ///< On-call people.
+    bool stopping_ = false;                              ///< A planned stop.
+    instant stop_at_{};                                  ///< Its latest end.
+};
+
+} // namespace
+
+int run_durable_entry(
+    const durable_entry_settings& settings,
+    const std::function<result<durable_entry_settings>()>& reload)
+{
+    durable_entry process(settings, reload);
+    const auto listening = process.listen();
+    if (!listening)
+    {
+        std::cerr << listening.error().text << "\n";
+        return 1;
+    }
+    return process.run();
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/programs/durable_entry.hpp
@@ -0,0 +1,40 @@
+#ifndef PROGRAMS_DURABLE_ENTRY_HPP
+#define PROGRAMS_DURABLE_ENTRY_HPP
+
+#include "glenhollow/durable/durable_service.hpp"
+#include "platform/http_row_store.hpp"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace glenhollow
+{
+
+/// Settings of an entry that keeps its jobs in the platform's store.
+struct durable_entry_settings
+{
+    std::string name = "entry";                ///< Name of the machine.
+    std::string zone = "zone";                 ///< Where it stands.
+    std::string address = "127.0.0.1";         ///< IP number for links.
+    std::uint16_t rpc_port = 0;                ///< For links.
+    std::uint16_t metrics_port = 0;            ///< For metrics.
+    host_port callers;                         ///< Where clients call.
+    host_port readiness;                       ///< Where readiness is asked.
+    platform::row_store_settings store;        ///< The store.
+    std::vector<host_port> seeds;              ///< Entries that may be live.
+    std::size_t parts = 3;                     ///< Of the journal.
+    duration grace = seconds{6};               ///< From SIGTERM to the end.
+};
+
+/// Runs an entry until a planned stop.
+/// @param settings Checked settings.
+/// @param reload Reads the settings again, after SIGHUP.
+/// @return The exit status.
+int run_durable_entry(
+    const durable_entry_settings& settings,
+    const std::function<result<durable_entry_settings>()>& reload);
+
+} // namespace glenhollow
+
+#endif
--- /dev/null
+++ b/programs/durable_entry_main.cpp
@@ -0,0 +1,88 @@
+// glenhollow-durable-entry: takes jobs that are kept in the platform's store.
+#include "durable_entry.hpp"
+#include "glenhollow/command_line/command_line.hpp"
+#include "glenhollow/telemetry/log.hpp"
+
+#include <iostream>
+
+using namespace glenhollow;
+
+namespace
+{
+
+/// What the flags say, as text where it is checked further.
+struct given_flags
+{
+    durable_entry_settings settings; ///< Simple values.
+    std::string callers = "127.0.0.1:8161";   ///< Address.
+    std::string readiness = "127.0.0.1:8167"; ///< Address.
+    std::string store = "127.0.0.1:8169";     ///< Address.
+    std::string seeds;                        ///< Address list.
+    unsigned grace_s = 6;                     ///< Seconds.
+    log_format format = log_format::json;     ///< Of log lines.
+};
+
+command_line flags_for(given_flags& given)
+{
+    auto& settings = given.settings;
+    command_line line("glenhollow-durable-entry",
+                      "takes jobs that are kept in the platform's store");
+    line.node_file();
+    line.identifier("name", settings.name, "name of the entry's machine");
+    line.identifier("zone", settings.zone, "zone of the machine");
+    line.text("address", settings.address, "IP number for links", true);
+    line.number<std::uint16_t>("rpc-port", settings.rpc_port, 0, 65535, "",
+                               "port for links, alike on all machines");
+    line.number<std::uint16_t>("metrics-port", settings.metrics_port, 0, 65535,
+                               "", "port for metrics");
+    line.text("callers", given.callers, "IP:PORT where clients call", true);
+    line.text("readiness", given.readiness, "IP:PORT for GET /ready", true);
+    line.text("store", given.store, "IP:PORT of the platform's store", true);
+    line.text("seeds", given.seeds,
+              "IP:PORT list of entries that may be live; their link port is "
+              "this entry's");
+    line.number<std::size_t>("parts", settings.parts, 1, 4096, "parts",
+                             "of the journal; alike in all processes");
+    line.number<unsigned>("grace", given.grace_s, 1, 600, "s",
+                          "from SIGTERM to the end of the process");
+    line.choice("log-format", given.format, "format of log lines");
+    return line;
+}
+
+result<durable_entry_settings> check(const given_flags& given)
+{
+    auto settings = given.settings;
+    BOOST_OUTCOME_TRY(settings.callers, host_port::parse(given.callers));
+    BOOST_OUTCOME_TRY(settings.readiness, host_port::parse(given.readiness));
+    BOOST_OUTCOME_TRY(settings.store.server, host_port::parse(given.store));
+    BOOST_OUTCOME_TRY(settings.seeds, host_port::parse_list(given.seeds));
+    for (auto& seed : settings.seeds)
+        seed.port = settings.rpc_port;
+    settings.grace = seconds{given.grace_s};
+    return settings;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    given_flags given;
+    auto line = flags_for(given);
+    parse_or_exit(line, argc, argv);
+    const auto settings = check(given);
+    if (!settings)
+    {
+        std::cerr << settings.error().text << "\n";
+        return exit_usage;
+    }
+    start_log(given.format, "glenhollow-durable-entry");
+    return run_durable_entry(
+        settings.value(),
+        [argc, argv]() -> result<durable_entry_settings>
+        {
+            given_flags again;
+            auto flags = flags_for(again);
+            BOOST_OUTCOME_TRYV(flags.parse(argc, argv));
+            return check(again);
+        });
+}
--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -242,6 +242,7 @@
   stopping @4 :Bool;
   catalogVersion @5 :UInt64;
   pending @6 :List(QueueCount);
+  released @7 :List(PartEpoch);   # given away, free to take
 }
 
 struct JobCall {
--- a/src/glenhollow/command_line/command_line.cpp
+++ b/src/glenhollow/command_line/command_line.cpp
@@ -38,6 +38,8 @@
     return name;
 }
 
+constexpr const char* node_file_flag = "node-file";
+
 std::string key_of(const std::string& name, char letter)
 {
     return letter == 0 ? name : name + "," + letter;
@@ -140,6 +142,27 @@
     return outcome::success();
 }
 
+result<command_line::file_values>
+command_line::read_node_file(const std::string& path) const
+{
+    po::options_description known;
+    for (const auto& option : options_)
+        known.add_options()(option.name.c_str(), po::value<std::string>());
+    file_values values;
+    try
+    {
+        const auto parsed =
+            po::parse_config_file<char>(path.c_str(), known, false);
+        for (const auto& one : parsed.options)
+            values[one.string_key] = one.value.empty() ? "" : one.value.front();
+    }
+    catch (const po::error& error)
+    {
+        return failure{"node file " + path + ": " + error.what()};
+    }
+    return values;
+}
+
 result<command_line_request> command_line::parse(int argc,
                                                  const char* const* argv)
 {
@@ -159,6 +182,9 @@
                                                   : "=" + option.fallback);
         add(key.c_str(), value, option.about.c_str());
     }
+    if (has_node_file_)
+        add(node_file_flag, po::value<std::string>()->value_name("FILE"),
+            "file of 'flag = value' lines");
     add("help", "print this text");
     add("version", "print the version");
 
@@ -187,8 +213,20 @@
         std::cout << program_ << " " << version << "\n";
         return command_line_request::finish;
     }
+    file_values file;
+    const char* file_set =
+        std::getenv(environment_name(node_file_flag).c_str());
+    if (has_node_file_ && (given.count(node_file_flag) != 0 || file_set))
+    {
+        const auto path = given.count(node_file_flag) != 0
+                              ? given[node_file_flag].as<std::string>()
+                              : std::string(file_set);
+        BOOST_OUTCOME_TRY(auto read, read_node_file(path));
+        file = std::move(read);
+    }
     for (const auto& option : options_)
     {
+        const auto in_file = file.find(option.name);
         const char* set = std::getenv(environment_name(option.name).c_str());
         if (given.count(option.name) != 0)
         {
@@ -200,6 +238,10 @@
         {
             BOOST_OUTCOME_TRYV(take(option, set));
         }
+        else if (in_file != file.end())
+        {
+            BOOST_OUTCOME_TRYV(take(option, in_file->second));
+        }
         else if (option.takes_value)
         {
             BOOST_OUTCOME_TRYV(take(option, option.fallback));
--- a/src/glenhollow/command_line/command_line.hpp
+++ b/src/glenhollow/command_line/command_line.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -92,6 +93,10 @@
     /// @param about One line for --help.
     void flag(std::string_view name, bool& target, std::string_view about);
 
+    /// Adds `--node-file`: a file of `flag = value` lines. A flag on the
+    /// command line or in the environment goes before the file.
+    void node_file() { has_node_file_ = true; }
+
     /// Gives a flag a one-letter form.
     /// @param name Without the dashes.
     /// @param letter The letter.
@@ -107,6 +112,9 @@
     /// Takes a value. Returns empty or what is wrong with it.
     using taker = std::function<std::string(const std::string&)>;
 
+    /// Values of a node file by flag.
+    using file_values = std::map<std::string, std::string, std::less<>>;
+
     /// One flag.
     struct option
     {
@@ -124,10 +132,12 @@
                     double most, std::string_view unit, std::string_view about,
                     bool whole, std::function<void(double)> store);
     result<void> take(const option& option, const std::string& value);
+    result<file_values> read_node_file(const std::string& path) const;
 
     std::string program_;         ///< Its name.
     std::string about_;           ///< One line.
     std::vector<option> options_; ///< In the order of --help.
+    bool has_node_file_ = false;  ///< `--node-file` is known.
 };
 
 /// Parses, and ends the program where it must not go on.
--- /dev/null
+++ b/src/glenhollow/durable/agent_sessions.cpp
@@ -0,0 +1,215 @@
+#include "glenhollow/durable/agent_sessions.hpp"
+
+#include "glenhollow/telemetry/log.hpp"
+
+#include <utility>
+
+namespace glenhollow
+{
+
+/// One agent's session.
+struct agent_sessions::session
+{
+    std::string agent;              ///< Its name.
+    std::unique_ptr<rpc_link> link; ///< The connection.
+    kj::Maybe<wire::RunSession::Client> orders; ///< Open while attached.
+    std::uint64_t number = 0;       ///< Of the session, rising.
+    bool attached = false;          ///< It has been opened.
+    instant heard{};                ///< Its last word.
+};
+
+/// The ear that an agent reports to.
+class agent_sessions::report_server final : public wire::RunReports::Server
+{
+public:
+    report_server(agent_sessions& sessions, std::string agent,
+                  std::uint64_t number)
+        : sessions_(sessions), agent_(std::move(agent)), number_(number)
+    {
+    }
+
+    kj::Promise<void> report(ReportContext context) override
+    {
+        sessions_.heard(agent_, number_, context.getParams().getReport());
+        const auto owned = sessions_.listener_.owned_parts();
+        auto renewed = context.getResults().initRenewed(
+            static_cast<unsigned>(owned.size()));
+        for (unsigned i = 0; i < renewed.size(); ++i)
+            fill(renewed[i], owned[i]);
+        return kj::READY_NOW;
+    }
+
+private:
+    agent_sessions& sessions_; ///< Outlives the connection.
+    std::string agent_;        ///< Who reports.
+    std::uint64_t number_;     ///< Of the session.
+};
+
+agent_sessions::agent_sessions(boost::asio::io_context& io,
+                               const clock_source& clock,
+                               agent_session_listener& listener,
+                               const agent_sessions_settings& settings)
+    : io_(io), clock_(clock), listener_(listener), settings_(settings)
+{
+}
+
+agent_sessions::~agent_sessions() noexcept = default;
+
+void agent_sessions::add(const std::string& agent, const host_port& where)
+{
+    auto& one = sessions_[agent];
+    if (one && one->link->where().to_string() == where.to_string())
+        return;
+    if (one && one->attached)
+        listener_.agent_detached(agent);
+    one = std::make_unique<session>();
+    one->agent = agent;
+    one->link = std::make_unique<rpc_link>(
+        io_, clock_, where, settings_.link,
+        [this, agent](capnp::Capability::Client server)
+        { connected(agent, server.castAs<wire::RunAgent>()); },
+        [this, agent] { down(agent); });
+    one->link->tick();
+}
+
+void agent_sessions::remove(const std::string& agent)
+{
+    const auto known = sessions_.find(agent);
+    if (known == sessions_.end())
+        return;
+    if (known->second->attached)
+        listener_.agent_detached(agent);
+    sessions_.erase(known);
+}
+
+void agent_sessions::connected(const std::string& agent,
+                               wire::RunAgent::Client interface)
+{
+    auto& to = *sessions_.at(agent);
+    to.number = ++numbers_;
+    to.heard = clock_.now();
+    auto request = interface.attachRequest();
+    request.setEntry(settings_.entry);
+    request.setIncarnation(settings_.incarnation);
+    request.setReports(kj::heap<report_server>(*this, agent, to.number));
+    to.link->add(request.send().then(
+        [this, agent, number = to.number](auto&& answer)
+        {
+            const auto known = sessions_.find(agent);
+            if (known != sessions_.end() && known->second->number == number)
+                attached(*known->second, answer.getSession(),
+                         from_wire(answer.getState()));
+        },
+        [](kj::Exception&&) {}));
+}
+
+void agent_sessions::attached(session& to, wire::RunSession::Client opened,
+                              const runner_report& report)
+{
+    to.orders = kj::mv(opened);
+    to.attached = true;
+    to.heard = clock_.now();
+    log_change(log_level::info, "agent_attached",
+               {{"agent", to.agent},
+                {"runner", report.account.instance},
+                {"phase", to_name(report.account.phase)}});
+    listener_.agent_attached(to.agent, report);
+    for (const auto& part : listener_.owned_parts())
+        adopt_at(to, part);
+}
+
+void agent_sessions::down(const std::string& agent)
+{
+    const auto known = sessions_.find(agent);
+    if (known == sessions_.end())
+        return;
+    auto& gone = *known->second;
+    gone.orders = nullptr;
+    if (!std::exchange(gone.attached, false))
+        return;
+    log_change(log_level::warning, "agent_detached", {{"agent", agent}});
+    listener_.agent_detached(agent);
+}
+
+void agent_sessions::adopt(part_epoch part)
+{
+    for (auto& [agent, one] : sessions_)
+    {
+        if (one->attached)
+            adopt_at(*one, part);
+    }
+}
+
+void agent_sessions::adopt_at(session& at, part_epoch part)
+{
+    KJ_IF_MAYBE (orders, at.orders)
+    {
+        auto request = orders->adoptRequest();
+        fill(request.initPart(), part);
+        at.link->add(request.send().then(
+            [this, agent = at.agent, part](auto&& answer)
+            {
+                part_account account;
+                account.declined = answer.getDeclined();
+                for (auto run : answer.getRuns())
+                    account.runs.push_back(from_wire(run));
+                for (auto end : answer.getEnds())
+                    account.ends.push_back(from_wire(end));
+                listener_.agent_adopted(agent, part, account);
+            },
+            [](kj::Exception&&) {}));
+    }
+}
+
+void agent_sessions::heard(const std::string& agent, std::uint64_t number,
+                           wire::RunReport::Reader report)
+{
+    const auto known = sessions_.find(agent);
+    if (known == sessions_.end() || known->second->number != number)
+        return;
+    known->second->heard = clock_.now();
+    std::vector<run_end> ends;
+    for (auto end : report.getEnds())
+        ends.push_back(from_wire(end));
+    std::vector<run_ref> begun;
+    for (auto run : report.getStarted())
+        begun.push_back(from_wire(run));
+    listener_.agent_reported(agent, from_wire(report.getState()), ends, begun);
+}
+
+void agent_sessions::send(const std::string& agent, order_batch batch)
+{
+    const auto known = sessions_.find(agent);
+    if (known == sessions_.end())
+        return;
+    KJ_IF_MAYBE (orders, known->second->orders)
+    {
+        auto request = orders->orderRequest();
+        fill(request.initBatch(), batch);
+        known->second->link->add(
+            request.send().then([](auto&&) {}, [](kj::Exception&&) {}));
+    }
+}
+
+void agent_sessions::tick()
+{
+    std::vector<rpc_link*> silent;
+    for (auto& [agent, one] : sessions_)
+    {
+        one->link->tick();
+        if (one->link->up() && clock_.now() - one->heard > settings_.silence)
+            silent.push_back(one->link.get());
+    }
+    for (auto* link : silent)
+        link->drop();
+}
+
+std::vector<std::string> agent_sessions::names() const
+{
+    std::vector<std::string> all;
+    for (const auto& [agent, one] : sessions_)
+        all.push_back(agent);
+    return all;
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/durable/agent_sessions.hpp
@@ -0,0 +1,111 @@
+#ifndef GLENHOLLOW_DURABLE_AGENT_SESSIONS_HPP
+#define GLENHOLLOW_DURABLE_AGENT_SESSIONS_HPP
+
+#include "glenhollow/durable/dispatcher.hpp"
+#include "glenhollow/rpc/rpc_link.hpp"
+#include "glenhollow/runs/run_wire.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace glenhollow
+{
+
+/// Told what agents say.
+class agent_session_listener
+{
+public:
+    virtual ~agent_session_listener() = default;
+
+    /// @param agent Its session is open.
+    /// @param report What it said.
+    virtual void agent_attached(const std::string& agent,
+                                const runner_report& report) = 0;
+
+    /// @param agent Its session is gone.
+    virtual void agent_detached(const std::string& agent) = 0;
+
+    /// @param agent It has adopted a part.
+    /// @param part Which, and under which epoch.
+    /// @param account What it knows of it.
+    virtual void agent_adopted(const std::string& agent, part_epoch part,
+                               const part_account& account) = 0;
+
+    /// @param agent It reported.
+    /// @param report Its runner.
+    /// @param ends Runs that ended.
+    /// @param begun Runs that began.
+    virtual void agent_reported(const std::string& agent,
+                                const runner_report& report,
+                                const std::vector<run_end>& ends,
+                                const std::vector<run_ref>& begun) = 0;
+
+    /// @return The parts whose leases a report renews.
+    virtual std::vector<part_epoch> owned_parts() const = 0;
+};
+
+/// Limits of the sessions.
+struct agent_sessions_settings
+{
+    std::string entry;             ///< Name of this entry.
+    std::uint64_t incarnation = 0; ///< Of this entry.
+    duration silence = milliseconds{1200}; ///< Without a report: gone.
+    rpc_link_settings link;        ///< Limits of the connections.
+};
+
+/// One session with each agent. Runs inside an rpc_loop.
+class agent_sessions final : public order_sender
+{
+public:
+    /// @param io Runs them.
+    /// @param clock Outlives them.
+    /// @param listener Outlives them.
+    /// @param settings Limits.
+    agent_sessions(boost::asio::io_context& io, const clock_source& clock,
+                   agent_session_listener& listener,
+                   const agent_sessions_settings& settings);
+    ~agent_sessions() noexcept override;
+
+    /// @param agent Its name.
+    /// @param where Its address.
+    void add(const std::string& agent, const host_port& where);
+
+    /// @param agent Is gone for good.
+    void remove(const std::string& agent);
+
+    /// @param part Is this entry's from now on.
+    void adopt(part_epoch part);
+
+    void send(const std::string& agent, order_batch batch) override;
+
+    /// Connects, and drops what is silent.
+    void tick();
+
+    /// @return Names of all agents.
+    std::vector<std::string> names() const;
+
+private:
+    class report_server;
+    struct session;
+
+    void connected(const std::string& agent, wire::RunAgent::Client interface);
+    void attached(session& to, wire::RunSession::Client opened,
+                  const runner_report& report);
+    void down(const std::string& agent);
+    void adopt_at(session& at, part_epoch part);
+    void heard(const std::string& agent, std::uint64_t number,
+               wire::RunReport::Reader report);
+
+    boost::asio::io_context& io_;       ///< Runs them.
+    const clock_source& clock_;         ///< This entry's.
+    agent_session_listener& listener_;  ///< Told.
+    agent_sessions_settings settings_;  ///< Limits.
+    std::map<std::string, std::unique_ptr<session>> sessions_; ///< By agent.
+    std::uint64_t numbers_ = 0;         ///< Of sessions.
+};
+
+} // namespace glenhollow
+
+#endif
--- /dev/null
+++ b/src/glenhollow/durable/agent_view.cpp
@@ -0,0 +1,95 @@
+#include "glenhollow/durable/agent_view.hpp"
+
+#include <algorithm>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+constexpr double pace_weight = 0.05;
+constexpr double least_pace = 0.2;
+constexpr double most_pace = 20.0;
+
+} // namespace
+
+void agent_view::attached(const runner_report& report)
+{
+    linked_ = true;
+    report_ = report;
+    flying_.clear();
+    reserved_ = {};
+    batches_ = 0;
+    adopted.clear();
+    outbox = {};
+}
+
+void agent_view::detached()
+{
+    linked_ = false;
+    adopted.clear();
+    outbox = {};
+    reserved_ = {};
+    flying_.clear();
+}
+
+void agent_view::reported(const runner_report& report)
+{
+    report_ = report;
+    while (!flying_.empty() && flying_.front().number <= report.received)
+        flying_.pop_front();
+}
+
+void agent_view::sent(const resources& needs)
+{
+    reserved_ = {};
+    flying_.push_back({++batches_, needs});
+}
+
+resources agent_view::used() const
+{
+    auto total = report_.room.used;
+    total.add(reserved_);
+    for (const auto& batch : flying_)
+        total.add(batch.needs);
+    return total;
+}
+
+bool agent_view::has_room(const resources& needs) const
+{
+    return used().leaves_room(needs, report_.account.capacity);
+}
+
+bool agent_view::has_label(const std::string& label) const
+{
+    const auto& labels = report_.account.labels;
+    return label.empty() ||
+           std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+bool agent_view::note_end(bool bad, instant now,
+                          const health_view_settings& settings)
+{
+    bad_share_ += settings.weight * ((bad ? 1.0 : 0.0) - bad_share_);
+    ++ends_;
+    if (!bad && ends_ > settings.least_ends)
+        ejections_ = 0;
+    if (!bad || ends_ < settings.least_ends ||
+        bad_share_ < settings.eject_above || ejected(now))
+        return false;
+    ++ejections_;
+    ejected_until_ =
+        now + std::min(settings.eject_for * ejections_, settings.longest);
+    // On probation: one more bad end is enough, some good ones clear it.
+    bad_share_ = settings.eject_above;
+    return true;
+}
+
+void agent_view::note_pace(double ratio)
+{
+    const double bounded = std::clamp(ratio, least_pace, most_pace);
+    pace_ += pace_weight * (bounded - pace_);
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/durable/agent_view.hpp
@@ -0,0 +1,113 @@
+#ifndef GLENHOLLOW_DURABLE_AGENT_VIEW_HPP
+#define GLENHOLLOW_DURABLE_AGENT_VIEW_HPP
+
+#include "glenhollow/core/clock.hpp"
+#include "glenhollow/durable/durable_job.hpp"
+#include "glenhollow/runs/run_wire.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <set>
+#include <string>
+
+namespace glenhollow
+{
+
+/// Limits of the judgement on a runner by the ends of its runs.
+struct health_view_settings
+{
+    double weight = 0.12;            ///< Of one more end in the average.
+    double eject_above = 0.45;       ///< Share of bad ends.
+    std::uint32_t least_ends = 4;    ///< Before any judgement.
+    duration eject_for = milliseconds{1500}; ///< The first time.
+    duration longest = seconds{6};   ///< After repeated ejections.
+};
+
+/// What an entry knows of one agent and its runner.
+class agent_view final
+{
+public:
+    /// @param name Of the agent.
+    explicit agent_view(std::string name) : name_(std::move(name)) {}
+
+    /// @return The agent's name.
+    const std::string& name() const { return name_; }
+
+    /// A session is open.
+    /// @param report What it said then.
+    void attached(const runner_report& report);
+
+    /// The session is gone.
+    void detached();
+
+    /// @param report Its latest word.
+    void reported(const runner_report& report);
+
+    /// Orders leave in one batch.
+    /// @param needs What its starts take together.
+    void sent(const resources& needs);
+
+    /// A start joins the batch that will leave next.
+    /// @param needs What it takes.
+    void reserve(const resources& needs) { reserved_.add(needs); }
+
+    /// @return Whether its session is open.
+    bool linked() const { return linked_; }
+
+    /// @return What the runner says of itself.
+    const runner_account& account() const { return report_.account; }
+
+    /// @return Taken, by the agent's account and what is on its way.
+    resources used() const;
+
+    /// @param needs What a task takes.
+    /// @return Whether there is room for it.
+    bool has_room(const resources& needs) const;
+
+    /// @param label A label, may be empty.
+    /// @return Whether the runner has it.
+    bool has_label(const std::string& label) const;
+
+    /// @param bad Whether a run ended badly.
+    /// @param now The time.
+    /// @param settings Limits.
+    /// @return Whether the runner was ejected by it.
+    bool note_end(bool bad, instant now, const health_view_settings& settings);
+
+    /// @param ratio Time of a run over its estimate.
+    void note_pace(double ratio);
+
+    /// @param now The time.
+    /// @return Whether it gets no work because of bad ends.
+    bool ejected(instant now) const { return now < ejected_until_; }
+
+    /// @return Time of runs over their estimates, on average.
+    double pace() const { return pace_; }
+
+    std::set<part_number> adopted; ///< Parts whose runs there are known.
+    order_batch outbox;            ///< Leaves with the next flush.
+
+private:
+    /// A batch that the agent has not seen yet.
+    struct flying_batch
+    {
+        std::uint64_t number = 0; ///< Of the session.
+        resources needs;          ///< Of its starts.
+    };
+
+    std::string name_;                 ///< Of the agent.
+    bool linked_ = false;              ///< Its session is open.
+    runner_report report_;             ///< Its latest word.
+    std::deque<flying_batch> flying_;  ///< On their way.
+    resources reserved_;               ///< In the outbox.
+    std::uint64_t batches_ = 0;        ///< Sent in this session.
+    double bad_share_ = 0;             ///< Average of bad ends.
+    std::uint32_t ends_ = 0;           ///< Counted since the last ejection.
+    std::uint32_t ejections_ = 0;      ///< In a row.
+    instant ejected_until_{};          ///< No work until then.
+    double pace_ = 1.0;                ///< Average time over estimate.
+};
+
+} // namespace glenhollow
+
+#endif
--- /dev/null
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -0,0 +1,199 @@
+#ifndef GLENHOLLOW_DURABLE_DISPATCHER_HPP
+#define GLENHOLLOW_DURABLE_DISPATCHER_HPP
+
+#include "glenhollow/core/clock.hpp"
+#include "glenhollow/durable/agent_view.hpp"
+#include "glenhollow/durable/durable_job.hpp"
+#include "glenhollow/runs/run_wire.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace glenhollow
+{
+
+/// A task that may start.
+struct ready_task
+{
+    task_ref task;                ///< Which task.
+    part_number part = 0;         ///< Of its job.
+    std::string service;          ///< Whose runners run it.
+    std::string label;            ///< The runner must have it, if given.
+    resources needs;              ///< Of the runner.
+    std::int64_t urgency = 0;     ///< Smaller goes first.
+    std::uint32_t estimate_ms = 0; ///< The caller's guess of its time.
+    std::string avoid;            ///< An agent where it failed; may be empty.
+};
+
+/// Sends orders to agents; the links do, fakes in tests.
+class order_sender
+{
+public:
+    virtual ~order_sender() = default;
+
+    /// @param agent Its name.
+    /// @param batch Orders, in this order of arrival.
+    virtual void send(const std::string& agent, order_batch batch) = 0;
+};
+
+/// Owns the tasks that are placed; the parts do.
+class task_source
+{
+public:
+    virtual ~task_source() = default;
+
+    /// A place was found for a task.
+    /// @param task Which.
+    /// @param agent Where.
+    /// @return The order, or nothing when the task need not run any more.
+    virtual std::optional<run_order> assign(const ready_task& task,
+                                            const std::string& agent) = 0;
+};
+
+/// Limits of a dispatcher.
+struct dispatcher_settings
+{
+    std::size_t scan = 64; ///< Tasks looked at past one that fits nowhere.
+    health_view_settings health; ///< Judgement on runners.
+};
+
+/// Counters of a dispatcher.
+struct dispatcher_stats
+{
+    std::uint64_t placed = 0;   ///< Orders to start.
+    std::uint64_t stopped = 0;  ///< Orders to stop.
+    std::uint64_t batches = 0;  ///< Messages to agents.
+    std::uint64_t no_place = 0; ///< Rounds that ended for want of room.
+};
+
+/// Places the ready tasks of this entry's parts on runners: most urgent first,
+/// only where there is room by the agent's own account. One thread.
+class dispatcher final
+{
+public:
+    /// @param clock Outlives the dispatcher.
+    /// @param sender Outlives the dispatcher.
+    /// @param tasks Outlives the dispatcher.
+    /// @param settings Limits.
+    dispatcher(const clock_source& clock, order_sender& sender,
+               task_source& tasks, const dispatcher_settings& settings);
+
+    /// @param agent An agent whose session is open.
+    /// @param report What it said then.
+    void attached(const std::string& agent, const runner_report& report);
+
+    /// @param agent An agent whose session is gone.
+    void detached(const std::string& agent);
+
+    /// @param agent An agent that will not come back.
+    void forget(const std::string& agent);
+
+    /// @param agent An agent.
+    /// @param part Whose runs there are known now.
+    void adopted(const std::string& agent, part_number part);
+
+    /// @param part Not ours any more: drops its tasks.
+    void release(part_number part);
+
+    /// @param agent An agent.
+    /// @param report Its latest word.
+    void reported(const std::string& agent, const runner_report& report);
+
+    /// @param agent Where a run ended.
+    /// @param end How.
+    /// @param estimate_ms The caller's guess of its time.
+    void note_end(const std::string& agent, const run_end& end,
+                  std::uint32_t estimate_ms);
+
+    /// @param task May start.
+    void enqueue(ready_task task);
+
+    /// @param task Must not start any more.
+    void withdraw(const task_ref& task);
+
+    /// @param agent Where it runs.
+    /// @param run To be stopped.
+    void stop(const std::string& agent, const run_ref& run);
+
+    /// @param agent Where it runs.
+    /// @param order What a found run takes.
+    void size(const std::string& agent, const run_order& order);
+
+    /// @param agent Where it ended.
+    /// @param end An end that is in the journal.
+    void confirm(const std::string& agent, const run_end& end);
+
+    /// Places what can be placed and sends all orders.
+    void dispatch();
+
+    /// @param service A service.
+    /// @return Core-milliseconds that wait here.
+    double waiting_work(const std::string& service) const;
+
+    /// @param service A service.
+    /// @return Cores of all its runners that take work.
+    double ready_cores(const std::string& service) const;
+
+    /// @param service A service.
+    /// @return Cores of its runners that nothing takes now.
+    double free_cores(const std::string& service) const;
+
+    /// @param count Entries that own parts, this one included.
+    void set_owners(std::size_t count) { owners_ = count; }
+
+    /// @return Entries that own parts, this one included.
+    double owners() const { return static_cast<double>(owners_); }
+
+    /// @return What is known of the agents, by name.
+    const std::map<std::string, agent_view>& agents() const { return agents_; }
+
+    /// @return Tasks that wait.
+    std::size_t waiting() const { return by_task_.size(); }
+
+    /// @return Counters.
+    const dispatcher_stats& stats() const { return stats_; }
+
+private:
+    /// Place in the queue.
+    struct queue_key
+    {
+        std::int64_t urgency = 0;     ///< Smaller goes first.
+        std::uint64_t sequence = 0;   ///< Then first come.
+
+        auto operator<=>(const queue_key&) const = default;
+    };
+
+    /// Tasks of one service.
+    struct service_queue
+    {
+        std::map<queue_key, ready_task> tasks; ///< In order.
+        double work = 0;                       ///< Core-milliseconds.
+    };
+
+    agent_view* choose(const ready_task& task);
+    void place(service_queue& queue);
+    void remove(const std::string& service, const queue_key& key);
+    void flush(agent_view& agent);
+
+    const clock_source& clock_;     ///< This entry's.
+    order_sender& sender_;          ///< Sends the orders.
+    task_source& tasks_;            ///< Owns the tasks.
+    dispatcher_settings settings_;  ///< Limits.
+    std::map<std::string, agent_view> agents_; ///< By name.
+    std::map<std::string, service_queue> queues_; ///< By service.
+    std::unordered_map<run_ref, std::pair<std::string, queue_key>,
+                       run_ref_hash>
+        by_task_;                   ///< Place of a task; its run is 0.
+    std::uint64_t sequence_ = 0;    ///< Of queue places.
+    std::size_t owners_ = 1;        ///< Entries that own parts.
+    dispatcher_stats stats_;        ///< Counters.
+};
+
+} // namespace glenhollow
+
+#endif
--- a/src/glenhollow/durable/durable_job.cpp
+++ b/src/glenhollow/durable/durable_job.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <numeric>
 
@@ -68,9 +69,12 @@
 
 std::size_t run_ref_hash::operator()(const run_ref& ref) const
 {
-    return XXH3_64bits(&ref, sizeof ref);
+    const std::array<std::uint64_t, 3> fields{
+        ref.task.job,
+        (std::uint64_t{ref.task.occurrence} << 32U) | ref.task.step,
+        (std::uint64_t{ref.task.index} << 32U) | ref.run};
+    return XXH3_64bits(fields.data(), sizeof fields);
 }
-static_assert(std::has_unique_object_representations_v<task_ref>);
 
 std::size_t job_definition::task_count() const
 {
--- a/src/glenhollow/durable/durable_job.hpp
+++ b/src/glenhollow/durable/durable_job.hpp
@@ -164,11 +164,20 @@
     std::uint32_t micros = 0;                    ///< From start to end.
 };
 
+/// A run that failed. Its number tells it from a repeated report of it.
+struct failed_run
+{
+    std::uint32_t task = 0; ///< Flat index of the task in its job.
+    std::uint32_t run = 0;  ///< The run's number.
+
+    bool operator==(const failed_run&) const = default;
+};
+
 /// What has been journalled of a job that has not ended.
 struct job_progress
 {
-    std::vector<std::uint32_t> done;   ///< Flat indices of tasks that are done.
-    std::vector<std::uint32_t> failed; ///< One entry for each failed run.
+    std::vector<std::uint32_t> done; ///< Flat indices of tasks that are done.
+    std::vector<failed_run> failed;  ///< Attempts that are used up.
 };
 
 /// What is kept of a job that has ended.
--- /dev/null
+++ b/src/glenhollow/durable/durable_metrics.cpp
@@ -0,0 +1,100 @@
+// The metrics of durable jobs at an entry.
+#include "glenhollow/durable/durable_service.hpp"
+
+namespace glenhollow
+{
+
+void durable_service::collect_parts(metric_page& page)
+{
+    part_jobs_stats jobs;
+    journal_chain_stats journal;
+    double open = 0;
+    ownership_.for_each(
+        [&](part_jobs& part)
+        {
+            const auto& one = part.stats();
+            jobs.accepted += one.accepted;
+            jobs.repeated += one.repeated;
+            jobs.refused += one.refused;
+            jobs.succeeded += one.succeeded;
+            jobs.failed += one.failed;
+            jobs.cancelled += one.cancelled;
+            jobs.restarted += one.restarted;
+            jobs.late += one.late;
+            const auto& chain = part.journal_stats();
+            journal.transactions += chain.transactions;
+            journal.entries += chain.entries;
+            journal.refused += chain.refused;
+            journal.unknown += chain.unknown;
+            journal.settled += chain.settled;
+            open += static_cast<double>(part.open_jobs());
+        });
+    const auto count = [&page](std::string_view name, std::string_view help,
+                               std::uint64_t value)
+    { page.counter(name, help, static_cast<double>(value)); };
+    count("jobs_accepted_total", "Durable jobs taken", jobs.accepted);
+    count("jobs_repeated_total", "Submissions of a known job", jobs.repeated);
+    count("jobs_refused_total", "Durable jobs not taken", jobs.refused);
+    count("jobs_succeeded_total", "Durable jobs ended well", jobs.succeeded);
+    count("jobs_failed_total", "Durable jobs failed", jobs.failed);
+    count("jobs_cancelled_total", "Durable jobs cancelled", jobs.cancelled);
+    count("jobs_late_total", "Jobs ended after their objective", jobs.late);
+    count("tasks_restarted_total", "Tasks placed again", jobs.restarted);
+    count("journal_transactions_total", "Transactions sent",
+          journal.transactions);
+    count("journal_entries_total", "Entries made durable", journal.entries);
+    count("journal_refused_total", "Transactions turned away",
+          journal.refused);
+    count("journal_unknown_total", "Transactions without an answer",
+          journal.unknown);
+    count("journal_settled_total", "Of these, found done", journal.settled);
+    page.gauge("jobs_open", "Durable jobs not ended", open);
+}
+
+void durable_service::collect_router(metric_page& page) const
+{
+    const auto& routed = router_.stats();
+    const auto count = [&page](std::string_view name, std::string_view help,
+                               std::uint64_t value, const std::string& label)
+    { page.counter(name, help, static_cast<double>(value), label); };
+    count("calls_here_total", "Tries at own parts", routed.here, {});
+    count("calls_forwarded_total", "Tries at peers", routed.forwarded, {});
+    count("calls_ownerless_total", "Tries without an owner", routed.ownerless,
+          {});
+    count("calls_retried_total", "Tries after the first", routed.retried, {});
+    for (std::size_t i = 0; i < routed.outcomes.size(); ++i)
+    {
+        const auto outcome = static_cast<job_outcome>(i);
+        count("calls_total", "Calls for durable jobs", routed.outcomes[i],
+              "outcome=\"" + std::string(to_name(outcome)) + "\"");
+    }
+}
+
+void durable_service::collect(metric_page& page)
+{
+    collect_parts(page);
+    collect_router(page);
+    const auto& owner = ownership_.stats();
+    const auto count = [&page](std::string_view name, std::string_view help,
+                               std::uint64_t value)
+    { page.counter(name, help, static_cast<double>(value)); };
+    count("part_claims_total", "Claims written", owner.claims);
+    count("part_claim_conflicts_total", "Claims that met another head",
+          owner.conflicts);
+    count("parts_lost_total", "Parts taken by another entry", owner.lost);
+    count("parts_released_total", "Parts given away", owner.released);
+    const auto& placed = dispatcher_.stats();
+    count("tasks_placed_total", "Orders to start", placed.placed);
+    count("tasks_stopped_total", "Orders to stop", placed.stopped);
+    count("order_batches_total", "Messages to agents", placed.batches);
+    page.gauge("parts_owned", "Parts of the journal owned here",
+               static_cast<double>(ownership_.owned().size()));
+    page.gauge("tasks_waiting", "Ready tasks without a place",
+               static_cast<double>(dispatcher_.waiting()));
+    page.gauge("configuration_version", "Newest version taken",
+               static_cast<double>(catalog_.version));
+    page.gauge("store_reachable", "1 while the store answers",
+               store_.reachable() ? 1 : 0);
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -0,0 +1,413 @@
+#include "glenhollow/durable/durable_service.hpp"
+
+#include "glenhollow/core/run_after.hpp"
+#include "glenhollow/telemetry/log.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+constexpr duration tick_interval = milliseconds{50};
+constexpr duration probe_interval = milliseconds{300};
+
+std::int64_t wall_milliseconds()
+{
+    return wall_nanoseconds() / 1'000'000;
+}
+
+template <class Settings>
+Settings named(Settings settings, const durable_service_settings& of)
+{
+    settings.entry = of.entry;
+    settings.incarnation = of.incarnation;
+    return settings;
+}
+
+part_ownership_settings ownership_of(const durable_service_settings& of)
+{
+    auto settings = named(of.ownership, of);
+    settings.parts = of.parts;
+    settings.jobs.entry = of.entry;
+    settings.jobs.parts = of.parts;
+    return settings;
+}
+
+job_router_settings router_of(const durable_service_settings& of)
+{
+    auto settings = of.router;
+    settings.parts = of.parts;
+    return settings;
+}
+
+} // namespace
+
+durable_service::durable_service(boost::asio::io_context& io,
+                                 const clock_source& clock, row_store& store,
+                                 catalog_parser parse,
+                                 const durable_service_settings& settings)
+    : io_(io), clock_(clock), settings_(settings), parse_(std::move(parse)),
+      store_(clock, store, settings.store_patience),
+      agents_(io, clock, *this, named(settings.agents, settings)),
+      peers_(io, clock, *this, settings.peers),
+      dispatcher_(clock, agents_, *this, settings.dispatch),
+      ownership_(surroundings(), peers_, *this, ownership_of(settings)),
+      router_(clock, delay(), ownership_, peers_, router_of(settings)),
+      members_(store_, delay(), std::string(members_table), settings.follower,
+               [this](const stored_row& row) { take_member(row); }),
+      configuration_(store_, delay(), settings.catalog.table,
+                     settings.follower,
+                     [this](const stored_row& row) { take_catalog_row(row); }),
+      announcer_(store_, delay(),
+                 {settings.entry, member_role::entry, settings.where})
+{
+}
+
+durable_service::~durable_service() noexcept
+{
+    *alive_ = false;
+}
+
+journal_chain::delay durable_service::delay()
+{
+    return [&io = io_, alive = alive_](duration wait,
+                                       std::function<void()> work)
+    {
+        auto guarded = [alive, work = std::move(work)]
+        {
+            if (*alive)
+                work();
+        };
+        if (wait.count() == 0)
+            boost::asio::post(io, std::move(guarded));
+        else
+            run_after(io, wait, std::move(guarded));
+    };
+}
+
+part_jobs::surroundings durable_service::surroundings()
+{
+    return {clock_, wall_milliseconds, store_, dispatcher_, delay()};
+}
+
+void durable_service::begin()
+{
+    announcer_.begin();
+    configuration_.begin();
+    members_.begin();
+    tick();
+}
+
+void durable_service::add_seeds(const std::vector<host_port>& seeds)
+{
+    for (const auto& seed : seeds)
+    {
+        if (seed.to_string() != settings_.where.to_string())
+            peers_.add("seed-" + seed.to_string(), seed);
+    }
+}
+
+void durable_service::tick()
+{
+    peers_.tick();
+    agents_.tick();
+    ownership_.tick(store_.reachable());
+    check_agents();
+    probe_store();
+    const auto live = peers_.live();
+    const auto owners =
+        std::count_if(live.begin(), live.end(), [](const entry_view& view)
+                      { return !view.parts.empty(); });
+    const bool owns = !ownership_.owned().empty();
+    dispatcher_.set_owners(static_cast<std::size_t>(owners) + (owns ? 1 : 0));
+    schedule_dispatch();
+    delay()(tick_interval, [this] { tick(); });
+}
+
+/// What a silent agent ran has lapsed after a while, for all parts alike.
+void durable_service::check_agents()
+{
+    const auto now = clock_.now();
+    const auto limit = settings_.ownership.jobs.agent_silence;
+    for (auto& [agent, heard] : agent_heard_)
+    {
+        if (heard.count() == 0 || now - heard <= limit)
+            continue;
+        heard = {};
+        log_change(log_level::warning, "agent_given_up", {{"agent", agent}});
+        ownership_.for_each([&agent = agent](part_jobs& part)
+                            { part.agent_gone(agent); });
+    }
+}
+
+/// An entry without parts would not see that the store answers again.
+void durable_service::probe_store()
+{
+    const auto now = clock_.now();
+    if (store_.reachable() || now - probed_ < probe_interval)
+        return;
+    probed_ = now;
+    store_.read({settings_.catalog.table, {}, settings_.catalog.key, {}, 1},
+                [this, alive = alive_](const read_result& got)
+                {
+                    if (!*alive || !got.answered)
+                        return;
+                    for (const auto& row : got.rows)
+                        take_catalog_row(row);
+                });
+}
+
+void durable_service::schedule_dispatch()
+{
+    if (std::exchange(dispatching_, true))
+        return;
+    delay()(duration{0},
+            [this]
+            {
+                dispatching_ = false;
+                dispatcher_.dispatch();
+            });
+}
+
+void durable_service::stop()
+{
+    stopping_ = true;
+    ownership_.stop();
+    peers_.push();
+}
+
+bool durable_service::ready() const
+{
+    return !stopping_ && catalog_.version != 0;
+}
+
+// Members and configuration.
+
+void durable_service::take_member(const stored_row& row)
+{
+    if (row.key.key == settings_.entry)
+        return;
+    if (row.gone)
+    {
+        agents_.remove(row.key.key);
+        return;
+    }
+    const auto member = decode_member(row);
+    if (!member)
+    {
+        log_change(log_level::error, "member_unreadable",
+                   {{"cause", member.error().text}});
+        return;
+    }
+    const auto& known = member.value();
+    log_change(log_level::info, "member_known",
+               {{"name", known.name},
+                {"role", to_name(known.role)},
+                {"where", known.where.to_string()},
+                {"version", row.version}});
+    if (known.role == member_role::agent)
+        agents_.add(known.name, known.where);
+    else
+        peers_.add(known.name, known.where);
+}
+
+void durable_service::take_catalog_row(const stored_row& row)
+{
+    if (row.key.key == settings_.catalog.key && !row.gone)
+        take_document(row.value, "store");
+}
+
+void durable_service::take_document(const std::string& document,
+                                    std::string_view source)
+{
+    auto parsed = parse_(document);
+    if (!parsed)
+    {
+        log_change(log_level::error, "configuration_unreadable",
+                   {{"source", source}, {"cause", parsed.error().text}});
+        return;
+    }
+    if (parsed.value().version <= catalog_.version)
+        return;
+    catalog_ = std::move(parsed.value());
+    document_ = document;
+    log_change(log_level::info, "configuration_taken",
+               {{"version", catalog_.version},
+                {"queues", catalog_.queues.size()},
+                {"source", source}});
+    peers_.push();
+}
+
+// Agents.
+
+void durable_service::agent_attached(const std::string& agent,
+                                     const runner_report& report)
+{
+    dispatcher_.attached(agent, report);
+    agent_heard_[agent] = clock_.now();
+}
+
+void durable_service::agent_detached(const std::string& agent)
+{
+    dispatcher_.detached(agent);
+}
+
+void durable_service::agent_adopted(const std::string& agent, part_epoch part,
+                                    const part_account& account)
+{
+    auto* jobs = ownership_.find(part.part);
+    if (jobs == nullptr || jobs->epoch() != part)
+        return;
+    if (account.declined)
+    {
+        log_change(log_level::warning, "adoption_declined",
+                   {{"agent", agent},
+                    {"part", part.part},
+                    {"epoch", part.epoch}});
+        return jobs->verify();
+    }
+    dispatcher_.adopted(agent, part.part);
+    jobs->account_of(agent, account);
+    schedule_dispatch();
+}
+
+void durable_service::agent_reported(const std::string& agent,
+                                     const runner_report& report,
+                                     const std::vector<run_end>& ends,
+                                     const std::vector<run_ref>& begun)
+{
+    agent_heard_[agent] = clock_.now();
+    dispatcher_.reported(agent, report);
+    const auto owner = [this](const run_ref& run)
+    { return ownership_.find(part_of(run.task.job, settings_.parts)); };
+    for (const auto& run : begun)
+    {
+        if (auto* jobs = owner(run))
+            jobs->began(run);
+    }
+    for (const auto& end : ends)
+    {
+        if (auto* jobs = owner(end.run))
+            jobs->ended(agent, end);
+    }
+    schedule_dispatch();
+}
+
+std::vector<part_epoch> durable_service::owned_parts() const
+{
+    return ownership_.owned();
+}
+
+// Other entries.
+
+entry_view durable_service::own_view()
+{
+    entry_view view;
+    view.name = settings_.entry;
+    view.incarnation = settings_.incarnation;
+    view.parts = ownership_.owned();
+    view.released = ownership_.released();
+    view.store_reachable = store_.reachable();
+    view.stopping = stopping_;
+    view.catalog_version = catalog_.version;
+    ownership_.for_each(
+        [&view](part_jobs& part)
+        {
+            for (const auto& [queue, count] : part.pending())
+                view.pending.push_back({queue, part.epoch().part, count});
+        });
+    return view;
+}
+
+void durable_service::peer_seen(const entry_view& view)
+{
+    if (view.catalog_version <= catalog_.version)
+        return;
+    peers_.fetch_catalog(view.name,
+                         [this, alive = alive_](std::uint64_t,
+                                                const std::string& document)
+                         {
+                             if (*alive)
+                                 take_document(document, "peer");
+                         });
+}
+
+void durable_service::serve(const job_call& call,
+                            job_reply_handler done)
+{
+    router_.serve_here(call, std::move(done));
+    schedule_dispatch();
+}
+
+// Parts.
+
+void durable_service::part_gained(part_epoch part)
+{
+    agents_.adopt(part);
+    peers_.push();
+}
+
+void durable_service::part_given_up(part_number part)
+{
+    dispatcher_.release(part);
+    peers_.push();
+}
+
+std::set<std::string> durable_service::possible_agents() const
+{
+    const auto names = agents_.names();
+    return {names.begin(), names.end()};
+}
+
+std::optional<run_order> durable_service::assign(const ready_task& task,
+                                                 const std::string& agent)
+{
+    auto* jobs = ownership_.find(task.part);
+    if (jobs == nullptr)
+        return std::nullopt;
+    return jobs->assign(task, agent);
+}
+
+// Callers.
+
+void durable_service::submit(const job_definition& job, job_reply_handler done)
+{
+    router_.route({job_verb::submit, job.id, job}, std::move(done));
+    schedule_dispatch();
+}
+
+void durable_service::cancel(job_id id, job_reply_handler done)
+{
+    router_.route({job_verb::cancel, id, {}}, std::move(done));
+    schedule_dispatch();
+}
+
+void durable_service::state(job_id id, job_reply_handler done)
+{
+    router_.route({job_verb::state, id, {}}, std::move(done));
+}
+
+std::uint32_t durable_service::pending(const std::string& queue) const
+{
+    std::uint32_t total = 0;
+    const auto add = [&](const entry_view& view)
+    {
+        for (const auto& count : view.pending)
+        {
+            if (count.queue == queue)
+                total += count.pending;
+        }
+    };
+    for (const auto& view : peers_.live())
+        add(view);
+    add(const_cast<durable_service*>(this)->own_view());
+    return total;
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -0,0 +1,156 @@
+#ifndef GLENHOLLOW_DURABLE_DURABLE_SERVICE_HPP
+#define GLENHOLLOW_DURABLE_DURABLE_SERVICE_HPP
+
+#include "glenhollow/durable/agent_sessions.hpp"
+#include "glenhollow/durable/durable_jobs.hpp"
+#include "glenhollow/durable/entry_peers.hpp"
+#include "glenhollow/durable/job_router.hpp"
+#include "glenhollow/durable/member_directory.hpp"
+#include "glenhollow/durable/part_ownership.hpp"
+#include "glenhollow/journal/watched_store.hpp"
+#include "glenhollow/telemetry/metrics.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace glenhollow
+{
+
+/// Where the configuration's document lies in the store.
+struct catalog_place
+{
+    std::string table; ///< Kind of row; no part.
+    std::string key;   ///< Of the row.
+};
+
+/// Settings of the durable jobs of one entry.
+struct durable_service_settings
+{
+    std::string entry;             ///< Name of this entry.
+    std::uint64_t incarnation = 0; ///< Of this process.
+    host_port where;               ///< Its address for links.
+    std::size_t parts = 3;         ///< Of the journal, alike in all processes.
+    catalog_place catalog;         ///< Where the queues are told.
+    duration store_patience = milliseconds{500}; ///< Failing for so long, the
+                                                 ///< store is unreachable.
+    part_ownership_settings ownership; ///< Limits.
+    agent_sessions_settings agents;    ///< Limits.
+    entry_peers_settings peers;        ///< Limits.
+    job_router_settings router;        ///< Limits.
+    dispatcher_settings dispatch;      ///< Limits.
+    table_follower_settings follower;  ///< Limits.
+};
+
+/// The durable jobs of one entry: owned parts, links, routing. Runs inside an
+/// rpc_loop, on one thread.
+class durable_service final : public durable_jobs,
+                              private agent_session_listener,
+                              private entry_peer_handler,
+                              private part_ownership_listener,
+                              private task_source
+{
+public:
+    /// @param io Runs it.
+    /// @param clock Outlives it.
+    /// @param store Outlives it.
+    /// @param parse Reads the catalog's document.
+    /// @param settings Limits.
+    durable_service(boost::asio::io_context& io, const clock_source& clock,
+                    row_store& store, catalog_parser parse,
+                    const durable_service_settings& settings);
+    ~durable_service() noexcept override;
+
+    /// Begins to read, announce and connect.
+    void begin();
+
+    /// @return The interface offered to other entries.
+    wire::EntryPeer::Client bootstrap() { return peers_.bootstrap(); }
+
+    /// @param seeds Addresses of entries that may be live.
+    void add_seeds(const std::vector<host_port>& seeds);
+
+    /// Gives all parts away.
+    void stop();
+
+    /// @return Whether it has queues and is not being stopped.
+    bool ready() const;
+
+    /// @return Whether no part is owned any more.
+    bool released() const { return ownership_.owned().empty(); }
+
+    /// @param page Gets the metrics of durable jobs.
+    void collect(metric_page& page);
+
+    // durable_jobs
+
+    const queue_catalog& catalog() const override { return catalog_; }
+    void submit(const job_definition& job, job_reply_handler done) override;
+    void cancel(job_id id, job_reply_handler done) override;
+    void state(job_id id, job_reply_handler done) override;
+    std::uint32_t pending(const std::string& queue) const override;
+
+private:
+    void agent_attached(const std::string& agent,
+                        const runner_report& report) override;
+    void agent_detached(const std::string& agent) override;
+    void agent_adopted(const std::string& agent, part_epoch part,
+                       const part_account& account) override;
+    void agent_reported(const std::string& agent, const runner_report& report,
+                        const std::vector<run_end>& ends,
+                        const std::vector<run_ref>& begun) override;
+    std::vector<part_epoch> owned_parts() const override;
+
+    entry_view own_view() override;
+    void peer_seen(const entry_view& view) override;
+    void serve(const job_call& call,
+               job_reply_handler done) override;
+    std::string catalog_document() override { return document_; }
+
+    void part_gained(part_epoch part) override;
+    void part_given_up(part_number part) override;
+    std::set<std::string> possible_agents() const override;
+
+    std::optional<run_order> assign(const ready_task& task,
+                                    const std::string& agent) override;
+
+    void take_member(const stored_row& row);
+    void take_catalog_row(const stored_row& row);
+    void take_document(const std::string& document, std::string_view source);
+    void tick();
+    void check_agents();
+    void probe_store();
+    void schedule_dispatch();
+    void collect_parts(metric_page& page);
+    void collect_router(metric_page& page) const;
+    part_jobs::surroundings surroundings();
+    journal_chain::delay delay();
+
+    boost::asio::io_context& io_;       ///< Runs it.
+    const clock_source& clock_;         ///< This entry's.
+    durable_service_settings settings_; ///< Limits.
+    catalog_parser parse_;              ///< Reads the document.
+    watched_store store_;               ///< Where rows lie.
+    queue_catalog catalog_;             ///< Newest.
+    std::string document_;              ///< Its source.
+    agent_sessions agents_;             ///< Links to agents.
+    entry_peers peers_;                 ///< Links to entries.
+    dispatcher dispatcher_;             ///< Places tasks.
+    part_ownership ownership_;          ///< This entry's parts.
+    job_router router_;                 ///< Brings calls to owners.
+    table_follower members_;            ///< Rows of processes.
+    table_follower configuration_;      ///< Rows of the operator.
+    member_announcer announcer_;        ///< Writes this entry's row.
+    std::map<std::string, instant> agent_heard_; ///< Last word; zero: its
+                                                 ///< runs are given up.
+    instant probed_{};                  ///< Last probe of the store.
+    bool dispatching_ = false;          ///< A dispatch is on its way.
+    bool stopping_ = false;             ///< A planned stop.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
+};
+
+} // namespace glenhollow
+
+#endif
--- /dev/null
+++ b/src/glenhollow/durable/entry_peers.cpp
@@ -0,0 +1,383 @@
+#include "glenhollow/durable/entry_peers.hpp"
+
+#include "glenhollow/telemetry/log.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+void fill_view(wire::EntryView::Builder out, const entry_view& view)
+{
+    out.setName(view.name);
+    out.setIncarnation(view.incarnation);
+    auto parts = out.initParts(static_cast<unsigned>(view.parts.size()));
+    for (unsigned i = 0; i < parts.size(); ++i)
+        fill(parts[i], view.parts[i]);
+    out.setStoreReachable(view.store_reachable);
+    out.setStopping(view.stopping);
+    out.setCatalogVersion(view.catalog_version);
+    auto counts = out.initPending(static_cast<unsigned>(view.pending.size()));
+    for (unsigned i = 0; i < counts.size(); ++i)
+    {
+        counts[i].setQueue(view.pending[i].queue);
+        counts[i].setPart(view.pending[i].part);
+        counts[i].setPending(view.pending[i].pending);
+    }
+    auto free = out.initReleased(static_cast<unsigned>(view.released.size()));
+    for (unsigned i = 0; i < free.size(); ++i)
+        fill(free[i], view.released[i]);
+}
+
+entry_view view_from(wire::EntryView::Reader in)
+{
+    entry_view view;
+    view.name = in.getName();
+    view.incarnation = in.getIncarnation();
+    for (auto part : in.getParts())
+        view.parts.push_back(from_wire(part));
+    view.store_reachable = in.getStoreReachable();
+    view.stopping = in.getStopping();
+    view.catalog_version = in.getCatalogVersion();
+    for (auto count : in.getPending())
+        view.pending.push_back(
+            {count.getQueue(), count.getPart(), count.getPending()});
+    for (auto part : in.getReleased())
+        view.released.push_back(from_wire(part));
+    return view;
+}
+
+kj::ArrayPtr<const kj::byte> bytes_of(const std::string& text)
+{
+    return kj::ArrayPtr<const char>(text.data(), text.size()).asBytes();
+}
+
+std::string text_of(capnp::Data::Reader data)
+{
+    return {reinterpret_cast<const char*>(data.begin()), data.size()};
+}
+
+void fill_reply(wire::JobAnswer::Builder out, const job_reply& reply)
+{
+    out.setOutcome(static_cast<std::uint8_t>(reply.outcome));
+    out.setState(static_cast<std::uint8_t>(reply.state));
+    out.setRetryAfterMs(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<milliseconds>(reply.retry_after).count()));
+}
+
+job_reply reply_from(wire::JobAnswer::Reader in)
+{
+    return {from_index(in.getOutcome(), job_outcome::unknown),
+            from_index(in.getState(), job_state::queued),
+            milliseconds{in.getRetryAfterMs()}};
+}
+
+} // namespace
+
+bool entry_view::owns(part_number part) const
+{
+    return std::any_of(parts.begin(), parts.end(),
+                       [part](const part_epoch& one)
+                       { return one.part == part; });
+}
+
+/// One other entry.
+struct entry_peers::peer
+{
+    std::string name;               ///< Its name.
+    std::unique_ptr<rpc_link> link; ///< The connection.
+    kj::Maybe<wire::EntryPeer::Client> remote; ///< While connected.
+    bool exchanging = false;        ///< An exchange is out.
+    bool push_again = false;        ///< Another is wanted after it.
+    bool was_live = false;          ///< For the log.
+    instant sent{};                 ///< Last exchange sent.
+    instant answered{};             ///< Last view heard.
+    instant down_since{};           ///< Zero while connected.
+    entry_view view;                ///< Its last view.
+};
+
+/// What other entries call.
+class entry_peers::peer_server final : public wire::EntryPeer::Server
+{
+public:
+    explicit peer_server(entry_peers& peers) : peers_(peers) {}
+
+    kj::Promise<void> exchange(ExchangeContext context) override
+    {
+        const auto view = view_from(context.getParams().getView());
+        peers_.seen(view.name, view);
+        fill_view(context.getResults().initView(),
+                  peers_.handler_.own_view());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> call(CallContext context) override
+    {
+        auto asked = context.getParams().getCall();
+        job_call call;
+        call.verb = from_index(asked.getVerb(), job_verb::state);
+        call.id = asked.getJob();
+        if (call.verb == job_verb::submit)
+        {
+            auto job = decode_definition(text_of(asked.getBody()));
+            if (!job)
+            {
+                fill_reply(context.getResults().initAnswer(), {});
+                return kj::READY_NOW;
+            }
+            call.job = std::move(job.value());
+        }
+        auto paf = kj::newPromiseAndFulfiller<job_reply>();
+        auto fulfiller = std::make_shared<
+            kj::Own<kj::PromiseFulfiller<job_reply>>>(kj::mv(paf.fulfiller));
+        peers_.handler_.serve(call, [fulfiller](const job_reply& reply)
+                              { (*fulfiller)->fulfill(job_reply(reply)); });
+        return paf.promise.then(
+            [context](const job_reply& reply) mutable
+            { fill_reply(context.getResults().initAnswer(), reply); });
+    }
+
+    kj::Promise<void> catalog(CatalogContext context) override
+    {
+        const auto document = peers_.handler_.catalog_document();
+        auto out = context.getResults();
+        out.setVersion(peers_.handler_.own_view().catalog_version);
+        out.setDocument(bytes_of(document));
+        return kj::READY_NOW;
+    }
+
+private:
+    entry_peers& peers_; ///< Outlives the server.
+};
+
+entry_peers::entry_peers(boost::asio::io_context& io,
+                         const clock_source& clock,
+                         entry_peer_handler& handler,
+                         const entry_peers_settings& settings)
+    : io_(io), clock_(clock), handler_(handler), settings_(settings)
+{
+}
+
+entry_peers::~entry_peers() = default;
+
+wire::EntryPeer::Client entry_peers::bootstrap()
+{
+    return kj::heap<peer_server>(*this);
+}
+
+void entry_peers::add(const std::string& name, const host_port& where)
+{
+    auto& one = peers_[name];
+    if (one && one->link->where().to_string() == where.to_string())
+        return;
+    one = std::make_unique<peer>();
+    one->name = name;
+    one->down_since = clock_.now();
+    one->link = std::make_unique<rpc_link>(
+        io_, clock_, where, settings_.link,
+        [this, name](capnp::Capability::Client server)
+        { connected(*peers_.at(name), server.castAs<wire::EntryPeer>()); },
+        [this, name] { down(name); });
+    one->link->tick();
+}
+
+void entry_peers::connected(peer& to, wire::EntryPeer::Client interface)
+{
+    to.remote = kj::mv(interface);
+    to.exchanging = false;
+    exchange(to);
+}
+
+void entry_peers::down(const std::string& name)
+{
+    const auto known = peers_.find(name);
+    if (known == peers_.end())
+        return;
+    auto& gone = *known->second;
+    gone.remote = nullptr;
+    gone.exchanging = false;
+    if (gone.down_since.count() == 0)
+        gone.down_since = clock_.now();
+}
+
+void entry_peers::exchange(peer& to)
+{
+    KJ_IF_MAYBE (remote, to.remote)
+    {
+        if (to.exchanging)
+        {
+            to.push_again = true;
+            return;
+        }
+        to.exchanging = true;
+        to.push_again = false;
+        to.sent = clock_.now();
+        auto request = remote->exchangeRequest();
+        fill_view(request.initView(), handler_.own_view());
+        to.link->add(request.send().then(
+            [this, name = to.name](auto&& answer)
+            {
+                const auto known = peers_.find(name);
+                if (known == peers_.end())
+                    return;
+                auto& from = *known->second;
+                from.exchanging = false;
+                from.down_since = {};
+                seen(name, view_from(answer.getView()));
+                if (from.view.name != name)
+                    return rename(name, from.view.name);
+                if (from.push_again)
+                    exchange(from);
+            },
+            [](kj::Exception&&) {}));
+    }
+}
+
+void entry_peers::seen(const std::string& name, const entry_view& view)
+{
+    const auto known = peers_.find(name);
+    if (known != peers_.end())
+    {
+        auto& from = *known->second;
+        from.answered = clock_.now();
+        from.view = view;
+        if (!std::exchange(from.was_live, true))
+            log_change(log_level::info, "peer_live",
+                       {{"entry", name}, {"incarnation", view.incarnation}});
+    }
+    handler_.peer_seen(view);
+}
+
+/// A seed has told its name.
+void entry_peers::rename(const std::string& from, const std::string& to)
+{
+    boost::asio::post(io_,
+                      [this, from, to]
+                      {
+                          const auto known = peers_.find(from);
+                          if (known == peers_.end())
+                              return;
+                          const auto where = known->second->link->where();
+                          peers_.erase(known);
+                          if (!peers_.contains(to) &&
+                              to != handler_.own_view().name)
+                              add(to, where);
+                      });
+}
+
+bool entry_peers::is_live(const peer& one) const
+{
+    const auto now = clock_.now();
+    if (one.answered.count() == 0 || now - one.answered > settings_.silence)
+        return false;
+    return one.down_since.count() == 0 ||
+           now - one.down_since < settings_.down_grace;
+}
+
+void entry_peers::tick()
+{
+    std::vector<peer*> silent;
+    for (auto& [name, one] : peers_)
+    {
+        one->link->tick();
+        const auto now = clock_.now();
+        if (one->link->up() && one->exchanging &&
+            now - one->sent > settings_.silence)
+            silent.push_back(one.get());
+        else if (now - one->sent >= settings_.exchange && !one->exchanging)
+            exchange(*one);
+        if (one->was_live && !is_live(*one))
+        {
+            one->was_live = false;
+            log_change(log_level::warning, "peer_lost", {{"entry", name}});
+        }
+    }
+    for (auto* one : silent)
+        one->link->drop();
+}
+
+void entry_peers::push()
+{
+    for (auto& [name, one] : peers_)
+        exchange(*one);
+}
+
+std::vector<entry_view> entry_peers::live() const
+{
+    std::vector<entry_view> views;
+    for (const auto& [name, one] : peers_)
+    {
+        if (is_live(*one))
+            views.push_back(one->view);
+    }
+    return views;
+}
+
+const entry_view* entry_peers::find(const std::string& name) const
+{
+    const auto known = peers_.find(name);
+    if (known == peers_.end() || !is_live(*known->second))
+        return nullptr;
+    return &known->second->view;
+}
+
+bool entry_peers::refuses(const std::string& name) const
+{
+    const auto known = peers_.find(name);
+    return known != peers_.end() && known->second->link->refused();
+}
+
+void entry_peers::call(const std::string& name, const job_call& call,
+                       answer_handler done)
+{
+    const auto known = peers_.find(name);
+    if (known == peers_.end())
+        return done(std::nullopt);
+    KJ_IF_MAYBE (remote, known->second->remote)
+    {
+        auto request = remote->callRequest();
+        auto out = request.initCall();
+        out.setVerb(static_cast<std::uint8_t>(call.verb));
+        out.setJob(call.id);
+        if (call.verb == job_verb::submit)
+            out.setBody(bytes_of(encode_definition(call.job)));
+        auto shared = std::make_shared<answer_handler>(std::move(done));
+        known->second->link->add(request.send().then(
+            [shared](auto&& answer)
+            {
+                if (const auto told = std::exchange(*shared, nullptr))
+                    told(reply_from(answer.getAnswer()));
+            },
+            [shared](kj::Exception&&)
+            {
+                if (const auto told = std::exchange(*shared, nullptr))
+                    told(std::nullopt);
+            }));
+        return;
+    }
+    done(std::nullopt);
+}
+
+void entry_peers::fetch_catalog(
+    const std::string& name,
+    std::function<void(std::uint64_t version, std::string document)> done)
+{
+    const auto known = peers_.find(name);
+    if (known == peers_.end())
+        return;
+    KJ_IF_MAYBE (remote, known->second->remote)
+    {
+        known->second->link->add(remote->catalogRequest().send().then(
+            [done = std::move(done)](auto&& answer)
+            { done(answer.getVersion(), text_of(answer.getDocument())); },
+            [](kj::Exception&&) {}));
+    }
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/durable/entry_peers.hpp
@@ -0,0 +1,167 @@
+#ifndef GLENHOLLOW_DURABLE_ENTRY_PEERS_HPP
+#define GLENHOLLOW_DURABLE_ENTRY_PEERS_HPP
+
+#include "glenhollow/durable/part_jobs.hpp"
+#include "glenhollow/rpc/rpc_link.hpp"
+#include "glenhollow/wire/glenhollow.capnp.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace glenhollow
+{
+
+/// Jobs of one queue and part that have not begun.
+struct queue_count
+{
+    std::string queue;         ///< The queue.
+    part_number part = 0;      ///< The part.
+    std::uint32_t pending = 0; ///< Jobs.
+};
+
+/// What an entry tells the others of itself.
+struct entry_view
+{
+    std::string name;               ///< Its name.
+    std::uint64_t incarnation = 0;  ///< Of its process.
+    std::vector<part_epoch> parts;  ///< That it owns.
+    bool store_reachable = true;    ///< The store answers it.
+    bool stopping = false;          ///< It is being stopped.
+    std::uint64_t catalog_version = 0; ///< Newest it has.
+    std::vector<queue_count> pending;  ///< Of its parts.
+    std::vector<part_epoch> released;  ///< Given away, free to take.
+
+    /// @param part A part.
+    /// @return Whether this entry owns it.
+    bool owns(part_number part) const;
+};
+
+/// What is asked of a job's owner.
+enum class job_verb : std::uint8_t
+{
+    submit, ///< Accept it.
+    cancel, ///< Cancel it.
+    state   ///< Tell its state.
+};
+
+template <>
+struct name_table<job_verb>
+{
+    static constexpr std::array<std::string_view, 3> names{"submit", "cancel",
+                                                           "state"};
+};
+
+/// A call for one job.
+struct job_call
+{
+    job_verb verb = job_verb::state; ///< What is asked.
+    job_id id = 0;                   ///< Of which job.
+    job_definition job;              ///< When submitted.
+};
+
+/// Answers other entries.
+class entry_peer_handler
+{
+public:
+    virtual ~entry_peer_handler() = default;
+
+    /// @return This entry as others should see it.
+    virtual entry_view own_view() = 0;
+
+    /// @param view Another entry's.
+    virtual void peer_seen(const entry_view& view) = 0;
+
+    /// @param call For a job of a part that this entry should own.
+    /// @param done Told the answer.
+    virtual void serve(const job_call& call, job_reply_handler done) = 0;
+
+    /// @return The newest catalog's document.
+    virtual std::string catalog_document() = 0;
+};
+
+/// Limits of the links between entries.
+struct entry_peers_settings
+{
+    duration exchange = milliseconds{250};  ///< Between exchanges.
+    duration silence = milliseconds{1000};  ///< Without one: not live.
+    duration down_grace = milliseconds{150}; ///< A lost link may come back.
+    rpc_link_settings link;                 ///< Limits of the connections.
+};
+
+/// Links to the other entries. Runs inside an rpc_loop.
+class entry_peers final
+{
+public:
+    /// Told an answer, or nothing where there is none.
+    using answer_handler = std::function<void(std::optional<job_reply>)>;
+
+    /// @param io Runs them.
+    /// @param clock Outlives them.
+    /// @param handler Outlives them.
+    /// @param settings Limits.
+    entry_peers(boost::asio::io_context& io, const clock_source& clock,
+                entry_peer_handler& handler,
+                const entry_peers_settings& settings);
+    ~entry_peers();
+
+    /// @param name Of the entry.
+    /// @param where Its address.
+    void add(const std::string& name, const host_port& where);
+
+    /// @return The interface offered to other entries.
+    wire::EntryPeer::Client bootstrap();
+
+    /// Connects, exchanges, and notes who is silent.
+    void tick();
+
+    /// Tells all others at once.
+    void push();
+
+    /// @return Views of the entries that are live.
+    std::vector<entry_view> live() const;
+
+    /// @param name An entry.
+    /// @return Its view, or null where it is not live.
+    const entry_view* find(const std::string& name) const;
+
+    /// @param name An entry that is not live.
+    /// @return Whether its machine refuses connections: its process has ended.
+    bool refuses(const std::string& name) const;
+
+    /// @param name The entry to ask.
+    /// @param call What.
+    /// @param done Told the answer.
+    void call(const std::string& name, const job_call& call,
+              answer_handler done);
+
+    /// @param name The entry to ask.
+    /// @param done Told its newest catalog.
+    void fetch_catalog(
+        const std::string& name,
+        std::function<void(std::uint64_t version, std::string document)> done);
+
+private:
+    class peer_server;
+    struct peer;
+
+    void connected(peer& to, wire::EntryPeer::Client interface);
+    void down(const std::string& name);
+    void exchange(peer& to);
+    void seen(const std::string& name, const entry_view& view);
+    void rename(const std::string& from, const std::string& to);
+    bool is_live(const peer& one) const;
+
+    boost::asio::io_context& io_;   ///< Runs them.
+    const clock_source& clock_;     ///< This entry's.
+    entry_peer_handler& handler_;   ///< Answers.
+    entry_peers_settings settings_; ///< Limits.
+    std::map<std::string, std::unique_ptr<peer>> peers_; ///< By name.
+};
+
+} // namespace glenhollow
+
+#endif
--- a/src/glenhollow/durable/job_rows.cpp
+++ b/src/glenhollow/durable/job_rows.cpp
@@ -103,8 +103,11 @@
 
 std::string encode_progress(const job_progress& progress)
 {
+    json::array failed;
+    for (const auto& one : progress.failed)
+        failed.emplace_back(json::array{one.task, one.run});
     return json::serialize(
-        json::array{numbers(progress.done), numbers(progress.failed)});
+        json::array{numbers(progress.done), std::move(failed)});
 }
 
 result<job_progress> decode_progress(std::string_view row)
@@ -117,8 +120,10 @@
             job_progress progress;
             progress.done =
                 json::value_to<std::vector<std::uint32_t>>(fields.at(0));
-            progress.failed =
-                json::value_to<std::vector<std::uint32_t>>(fields.at(1));
+            for (const auto& one : fields.at(1).as_array())
+                progress.failed.push_back(
+                    {json::value_to<std::uint32_t>(one.as_array().at(0)),
+                     json::value_to<std::uint32_t>(one.as_array().at(1))});
             return progress;
         });
 }
--- /dev/null
+++ b/src/glenhollow/durable/part_jobs.cpp
@@ -0,0 +1,644 @@
+#include "glenhollow/durable/part_jobs.hpp"
+
+#include "glenhollow/telemetry/log.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <unordered_set>
+#include <utility>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+/// Run numbers of one owner lie within this many.
+constexpr std::uint32_t runs_an_epoch = 4096;
+
+constexpr std::int64_t millisecond = 1'000'000;
+
+std::int64_t to_ms(duration length)
+{
+    return length.count() / millisecond;
+}
+
+} // namespace
+
+part_jobs::part_jobs(surroundings around, part_number part,
+                     const chain_head& head, loaded_part loaded,
+                     std::set<std::string> awaited,
+                     const part_jobs_settings& settings,
+                     std::function<void()> on_lost)
+    : around_(std::move(around)), part_(part), epoch_(head.epoch),
+      settings_(settings),
+      chain_(std::make_unique<journal_chain>(around_.store, around_.later, part,
+                                             head, settings.chain,
+                                             std::move(on_lost))),
+      awaited_(std::move(awaited)), claimed_(around_.clock.now())
+{
+    for (auto& job : loaded.jobs)
+    {
+        job_record record;
+        record.tasks.resize(job.task_count());
+        record.accepted = true;
+        record.fresh = false;
+        const auto known = loaded.progress.find(job.id);
+        if (known != loaded.progress.end())
+            record.progress = std::move(known->second);
+        for (const auto flat : record.progress.done)
+        {
+            if (flat < record.tasks.size())
+                record.tasks[flat].phase = task_phase::done;
+        }
+        for (const auto& failure : record.progress.failed)
+        {
+            if (failure.task < record.tasks.size())
+                ++record.tasks[failure.task].failures;
+        }
+        record.done = record.progress.done.size();
+        record.begun = known != loaded.progress.end();
+        record.job = std::move(job);
+        const auto id = record.job.id;
+        jobs_.emplace(id, std::move(record));
+    }
+    for (const auto& [id, end] : loaded.ended)
+        remember(id, end);
+    std::sort(ended_order_.begin(), ended_order_.end());
+    if (awaited_.empty())
+        all_agents_told();
+}
+
+part_jobs::~part_jobs()
+{
+    *alive_ = false;
+}
+
+row_key part_jobs::key(std::string_view table, job_id id) const
+{
+    return {std::string(table), part_name(part_), to_text(id)};
+}
+
+std::uint32_t part_jobs::flat_index(const job_definition& job,
+                                    const task_ref& task) const
+{
+    std::uint32_t flat = task.index;
+    for (std::uint32_t i = 0; i < task.step && i < job.steps.size(); ++i)
+        flat += job.steps[i].count;
+    return flat;
+}
+
+task_ref part_jobs::ref_of(const job_definition& job, std::uint32_t flat) const
+{
+    task_ref task{job.id, 0, 0, flat};
+    while (task.index >= job.steps[task.step].count)
+        task.index -= job.steps[task.step++].count;
+    return task;
+}
+
+const job_step& part_jobs::step_of(const job_definition& job,
+                                   std::uint32_t flat) const
+{
+    return job.steps[ref_of(job, flat).step];
+}
+
+// Acceptance.
+
+std::optional<duration> part_jobs::hopeless(const job_definition& job) const
+{
+    const double cores = around_.placing.ready_cores(job.service);
+    if (cores <= 0)
+        return settings_.agent_silence;
+    const double objective =
+        static_cast<double>(job.objective_ms - around_.wall_ms());
+    // Every owner places its own share of the work on the same runners.
+    const double wait = around_.placing.waiting_work(job.service) *
+                        around_.placing.owners() / cores;
+    if (wait <= settings_.hopeless * std::max(1.0, objective))
+        return std::nullopt;
+    return milliseconds{static_cast<std::int64_t>(wait)};
+}
+
+void part_jobs::submit(const job_definition& job, job_reply_handler done)
+{
+    const auto ended = ended_.find(job.id);
+    if (ended != ended_.end())
+    {
+        ++stats_.repeated;
+        return done({job_outcome::done, ended->second.state, {}});
+    }
+    const auto known = jobs_.find(job.id);
+    if (known != jobs_.end())
+    {
+        ++stats_.repeated;
+        if (known->second.accepted)
+            return done({job_outcome::done, job_state::queued, {}});
+        known->second.acceptance.push_back(std::move(done));
+        return;
+    }
+    if (const auto wait = hopeless(job))
+    {
+        ++stats_.refused;
+        log_change(log_level::info, "job_refused",
+                   {{"job", to_text(job.id)},
+                    {"queue", job.queue},
+                    {"reason", "deadline_unreachable"},
+                    {"wait_ms", to_ms(*wait)}});
+        return done({job_outcome::refused, job_state::queued, *wait});
+    }
+    job_record record;
+    record.job = job;
+    record.tasks.resize(job.task_count());
+    record.acceptance.push_back(std::move(done));
+    jobs_.emplace(job.id, std::move(record));
+    journal_entry entry;
+    entry.puts.push_back({key(jobs_table, job.id), encode_definition(job)});
+    entry.droppable = true;
+    entry.done = [this, alive = alive_, id = job.id](journal_verdict verdict)
+    {
+        if (*alive)
+            accepted(id, verdict);
+    };
+    chain_->append(std::move(entry));
+}
+
+void part_jobs::accepted(job_id id, journal_verdict verdict)
+{
+    const auto known = jobs_.find(id);
+    if (known == jobs_.end())
+        return;
+    auto waiters = std::exchange(known->second.acceptance, {});
+    job_reply reply;
+    if (verdict == journal_verdict::durable)
+    {
+        ++stats_.accepted;
+        known->second.accepted = true;
+        make_ready(known->second);
+        reply.outcome = job_outcome::done;
+    }
+    else
+    {
+        const auto enders = std::exchange(known->second.end_waiters, {});
+        jobs_.erase(known);
+        for (const auto& ender : enders)
+            ender({job_outcome::not_owner, job_state::queued, {}});
+        reply.outcome = verdict == journal_verdict::not_written
+                            ? job_outcome::refused
+                            : job_outcome::unknown;
+        reply.retry_after = seconds{1};
+        ++stats_.refused;
+        log_change(log_level::info, "job_refused",
+                   {{"job", to_text(id)},
+                    {"reason", "journal"},
+                    {"verdict", to_name(verdict)}});
+    }
+    for (const auto& waiter : waiters)
+        waiter(reply);
+}
+
+// Tasks that may start.
+
+bool part_jobs::step_done(const job_record& record, std::uint32_t step) const
+{
+    std::uint32_t first = 0;
+    for (std::uint32_t i = 0; i < step; ++i)
+        first += record.job.steps[i].count;
+    for (std::uint32_t i = 0; i < record.job.steps[step].count; ++i)
+    {
+        if (record.tasks[first + i].phase != task_phase::done)
+            return false;
+    }
+    return true;
+}
+
+void part_jobs::make_ready(job_record& record)
+{
+    if (record.ending || !record.accepted ||
+        (!record.fresh && !awaited_.empty()))
+        return;
+    std::uint32_t flat = 0;
+    for (const auto& step : record.job.steps)
+    {
+        const bool open = std::all_of(step.after.begin(), step.after.end(),
+                                      [&](std::uint32_t before)
+                                      { return step_done(record, before); });
+        for (std::uint32_t i = 0; i < step.count; ++i, ++flat)
+        {
+            if (open && record.tasks[flat].phase == task_phase::blocked)
+                enqueue(record, flat);
+        }
+    }
+}
+
+void part_jobs::enqueue(job_record& record, std::uint32_t flat)
+{
+    auto& task = record.tasks[flat];
+    const auto& step = step_of(record.job, flat);
+    task.phase = task_phase::ready;
+    ready_task ready;
+    ready.task = ref_of(record.job, flat);
+    ready.part = part_;
+    ready.service = record.job.service;
+    ready.label = step.label;
+    ready.needs = step.needs;
+    ready.urgency = record.job.objective_ms - step.estimate_ms;
+    ready.estimate_ms = step.estimate_ms;
+    ready.avoid = task.agent;
+    around_.placing.enqueue(std::move(ready));
+}
+
+std::optional<run_order> part_jobs::assign(const ready_task& task,
+                                           const std::string& agent)
+{
+    const auto known = jobs_.find(task.task.job);
+    if (known == jobs_.end() || known->second.ending)
+        return std::nullopt;
+    auto& record = known->second;
+    const auto flat = flat_index(record.job, task.task);
+    auto& placed = record.tasks[flat];
+    if (placed.phase != task_phase::ready)
+        return std::nullopt;
+    const std::uint32_t least = (epoch_ - 1) * runs_an_epoch;
+    if (placed.run > least)
+        ++stats_.restarted;
+    placed.run = std::max(placed.run, least) + 1;
+    placed.phase = task_phase::placed;
+    placed.agent = agent;
+    return order_of(record, flat, {task.task, placed.run});
+}
+
+run_order part_jobs::order_of(const job_record& record, std::uint32_t flat,
+                              const run_ref& run) const
+{
+    const auto& step = step_of(record.job, flat);
+    run_order order;
+    order.run = run;
+    order.epoch = epoch_;
+    order.needs = step.needs;
+    order.urgency = record.job.objective_ms - step.estimate_ms;
+    order.spec = record.job.spec;
+    return order;
+}
+
+// What agents tell.
+
+void part_jobs::account_of(const std::string& agent,
+                           const part_account& account)
+{
+    requeue_unlisted(agent, account);
+    for (const auto& run : account.runs)
+        listed(agent, run);
+    for (const auto& end : account.ends)
+        ended(agent, end);
+    if (awaited_.erase(agent) > 0 && awaited_.empty())
+        all_agents_told();
+}
+
+void part_jobs::listed(const std::string& agent, const listed_run& run)
+{
+    const auto known = jobs_.find(run.run.task.job);
+    if (known == jobs_.end() || known->second.ending)
+        return around_.placing.stop(agent, run.run);
+    auto& record = known->second;
+    const auto flat = flat_index(record.job, run.run.task);
+    if (flat >= record.tasks.size())
+        return around_.placing.stop(agent, run.run);
+    auto& task = record.tasks[flat];
+    const bool here = task.phase == task_phase::placed &&
+                      task.agent == agent && task.run == run.run.run;
+    const bool free =
+        task.phase == task_phase::blocked || task.phase == task_phase::ready;
+    if (!here && !free)
+        return around_.placing.stop(agent, run.run);
+    if (free)
+    {
+        around_.placing.withdraw(run.run.task);
+        task.phase = task_phase::placed;
+        task.agent = agent;
+        task.run = run.run.run;
+    }
+    if (run.phase != run_phase::waiting)
+        record.begun = true;
+    if (!run.sized)
+        around_.placing.size(agent, order_of(record, flat, run.run));
+}
+
+/// Orders that the agent never got, or lost with its process.
+void part_jobs::requeue_unlisted(const std::string& agent,
+                                 const part_account& account)
+{
+    std::unordered_set<run_ref, run_ref_hash> told;
+    for (const auto& run : account.runs)
+        told.insert(run.run);
+    for (const auto& end : account.ends)
+        told.insert(end.run);
+    for (auto& [id, record] : jobs_)
+    {
+        for (std::uint32_t flat = 0; flat < record.tasks.size(); ++flat)
+        {
+            const auto& task = record.tasks[flat];
+            if (task.phase != task_phase::placed || task.agent != agent)
+                continue;
+            if (!told.contains({ref_of(record.job, flat), task.run}))
+                place_again(record, flat);
+        }
+    }
+}
+
+void part_jobs::agent_gone(const std::string& agent)
+{
+    for (auto& [id, record] : jobs_)
+    {
+        for (std::uint32_t flat = 0; flat < record.tasks.size(); ++flat)
+        {
+            const auto& task = record.tasks[flat];
+            if (task.phase == task_phase::placed && task.agent == agent)
+                place_again(record, flat);
+        }
+    }
+    if (awaited_.erase(agent) > 0 && awaited_.empty())
+        all_agents_told();
+}
+
+void part_jobs::all_agents_told()
+{
+    for (auto& [id, record] : jobs_)
+    {
+        make_ready(record);
+        if (record.done == record.tasks.size() && !record.ending)
+            journal_end(record, job_state::succeeded, nullptr);
+    }
+}
+
+void part_jobs::place_again(job_record& record, std::uint32_t flat)
+{
+    record.tasks[flat].phase = task_phase::blocked;
+    make_ready(record);
+}
+
+void part_jobs::began(const run_ref& run)
+{
+    const auto known = jobs_.find(run.task.job);
+    if (known != jobs_.end())
+        known->second.begun = true;
+}
+
+// Ends.
+
+void part_jobs::ended(const std::string& agent, const run_end& end)
+{
+    const auto known = jobs_.find(end.run.task.job);
+    if (known == jobs_.end())
+        return around_.placing.confirm(agent, end);
+    auto& record = known->second;
+    const auto flat = flat_index(record.job, end.run.task);
+    if (flat >= record.tasks.size())
+        return around_.placing.confirm(agent, end);
+    if (end.how != run_outcome::not_begun)
+        record.begun = true;
+    if (!record.ending)
+        around_.placing.note_end(agent, end,
+                                 step_of(record.job, flat).estimate_ms);
+    if (end.how == run_outcome::done)
+        return ended_well(record, flat, agent, end);
+    if (end.how == run_outcome::failed)
+        return ended_badly(record, flat, agent, end);
+    around_.placing.confirm(agent, end);
+    const auto& task = record.tasks[flat];
+    if (task.phase == task_phase::placed && task.run == end.run.run &&
+        task.agent == agent)
+        place_again(record, flat);
+}
+
+void part_jobs::ended_well(job_record& record, std::uint32_t flat,
+                           const std::string& agent, const run_end& end)
+{
+    auto& task = record.tasks[flat];
+    if (task.phase == task_phase::placed && task.run != end.run.run)
+        around_.placing.stop(task.agent, {end.run.task, task.run});
+    if (task.phase == task_phase::ready)
+        around_.placing.withdraw(end.run.task);
+    if (task.phase != task_phase::done)
+    {
+        task.phase = task_phase::done;
+        record.progress.done.push_back(flat);
+        ++record.done;
+        make_ready(record);
+    }
+    if (record.ending || record.done < record.tasks.size() ||
+        !awaited_.empty())
+        return journal_progress(record, agent, end);
+    journal_end(record, job_state::succeeded,
+                [this, alive = alive_, agent, end](journal_verdict verdict)
+                {
+                    if (*alive && verdict == journal_verdict::durable)
+                        around_.placing.confirm(agent, end);
+                });
+}
+
+void part_jobs::ended_badly(job_record& record, std::uint32_t flat,
+                            const std::string& agent, const run_end& end)
+{
+    auto& task = record.tasks[flat];
+    const failed_run failure{flat, end.run.run};
+    auto& failed = record.progress.failed;
+    if (std::find(failed.begin(), failed.end(), failure) == failed.end())
+    {
+        failed.push_back(failure);
+        ++task.failures;
+    }
+    const bool current = task.phase == task_phase::placed &&
+                         task.run == end.run.run && task.agent == agent;
+    if (task.phase == task_phase::done || record.ending)
+        return journal_progress(record, agent, end);
+    if (task.failures < record.job.max_attempts)
+    {
+        journal_progress(record, agent, end);
+        if (current)
+            place_again(record, flat);
+        return;
+    }
+    log_change(log_level::info, "job_failed",
+               {{"job", to_text(record.job.id)},
+                {"queue", record.job.queue},
+                {"task", flat},
+                {"run", end.run.run},
+                {"agent", agent},
+                {"attempts", task.failures}});
+    journal_end(record, job_state::failed,
+                [this, alive = alive_, agent, end](journal_verdict verdict)
+                {
+                    if (*alive && verdict == journal_verdict::durable)
+                        around_.placing.confirm(agent, end);
+                });
+}
+
+void part_jobs::journal_progress(job_record& record, const std::string& agent,
+                                 const run_end& end)
+{
+    journal_entry entry;
+    entry.urgency = journal_urgency::gathered;
+    if (!record.ending)
+        entry.puts.push_back({key(progress_table, record.job.id),
+                              encode_progress(record.progress)});
+    entry.done = [this, alive = alive_, agent, end](journal_verdict verdict)
+    {
+        if (*alive && verdict == journal_verdict::durable)
+            around_.placing.confirm(agent, end);
+    };
+    chain_->append(std::move(entry));
+}
+
+void part_jobs::journal_end(job_record& record, job_state state,
+                            std::function<void(journal_verdict)> also)
+{
+    record.ending = state;
+    stop_runs(record);
+    const auto id = record.job.id;
+    journal_entry entry;
+    const job_epitaph end{state, around_.wall_ms()};
+    entry.puts.push_back({key(ended_table, id), encode_epitaph(end)});
+    entry.removes.push_back(key(jobs_table, id));
+    entry.removes.push_back(key(progress_table, id));
+    entry.done = [this, alive = alive_, id, state,
+                  also = std::move(also)](journal_verdict verdict)
+    {
+        if (!*alive)
+            return;
+        finish(id, state, verdict);
+        if (also)
+            also(verdict);
+    };
+    chain_->append(std::move(entry));
+}
+
+void part_jobs::finish(job_id id, job_state state, journal_verdict verdict)
+{
+    const auto known = jobs_.find(id);
+    if (known == jobs_.end())
+        return;
+    auto waiters = std::exchange(known->second.end_waiters, {});
+    job_reply reply{job_outcome::done, state, {}};
+    if (verdict == journal_verdict::durable)
+    {
+        const auto now = around_.wall_ms();
+        if (now > known->second.job.objective_ms)
+            ++stats_.late;
+        ++(state == job_state::succeeded ? stats_.succeeded
+           : state == job_state::failed  ? stats_.failed
+                                         : stats_.cancelled);
+        jobs_.erase(known);
+        remember(id, {state, now});
+    }
+    else
+    {
+        reply.outcome = job_outcome::not_owner; // The part is lost.
+    }
+    for (const auto& waiter : waiters)
+        waiter(reply);
+}
+
+void part_jobs::stop_runs(job_record& record)
+{
+    for (std::uint32_t flat = 0; flat < record.tasks.size(); ++flat)
+    {
+        auto& task = record.tasks[flat];
+        const auto ref = ref_of(record.job, flat);
+        if (task.phase == task_phase::ready)
+            around_.placing.withdraw(ref);
+        if (task.phase == task_phase::placed)
+            around_.placing.stop(task.agent, {ref, task.run});
+    }
+}
+
+void part_jobs::remember(job_id id, const job_epitaph& end)
+{
+    ended_[id] = end;
+    ended_order_.emplace_back(end.ended_ms, id);
+}
+
+// Callers.
+
+void part_jobs::cancel(job_id id, job_reply_handler done)
+{
+    const auto ended = ended_.find(id);
+    if (ended != ended_.end())
+        return done({job_outcome::done, ended->second.state, {}});
+    const auto known = jobs_.find(id);
+    if (known == jobs_.end())
+        return done({job_outcome::missing, job_state::queued, {}});
+    auto& record = known->second;
+    record.end_waiters.push_back(std::move(done));
+    if (record.ending)
+        return;
+    journal_end(record, job_state::cancelled, nullptr);
+}
+
+void part_jobs::state(job_id id, job_reply_handler done)
+{
+    const auto ended = ended_.find(id);
+    if (ended != ended_.end())
+        return done({job_outcome::done, ended->second.state, {}});
+    const auto known = jobs_.find(id);
+    if (known == jobs_.end())
+        return done({job_outcome::missing, job_state::queued, {}});
+    auto& record = known->second;
+    if (record.ending)
+    {
+        record.end_waiters.push_back(std::move(done));
+        return;
+    }
+    const auto state = record.begun ? job_state::running : job_state::queued;
+    done({job_outcome::done, state, {}});
+}
+
+std::map<std::string, std::uint32_t> part_jobs::pending() const
+{
+    std::map<std::string, std::uint32_t> counts;
+    for (const auto& [id, record] : jobs_)
+    {
+        if (record.accepted && !record.begun && !record.ending)
+            ++counts[record.job.queue];
+    }
+    return counts;
+}
+
+// Time.
+
+void part_jobs::tick()
+{
+    if (!awaited_.empty() &&
+        around_.clock.now() - claimed_ > settings_.agent_silence)
+    {
+        log_change(log_level::info, "agents_not_heard",
+                   {{"part", part_}, {"agents", awaited_.size()}});
+        awaited_.clear();
+        all_agents_told();
+    }
+    forget_old();
+}
+
+void part_jobs::forget_old()
+{
+    constexpr std::size_t most = 40;
+    const auto limit = around_.wall_ms() - to_ms(settings_.keep_ended);
+    journal_entry entry;
+    entry.urgency = journal_urgency::gathered;
+    while (!ended_order_.empty() && ended_order_.front().first < limit &&
+           entry.removes.size() < most)
+    {
+        const auto id = ended_order_.front().second;
+        ended_order_.pop_front();
+        ended_.erase(id);
+        entry.removes.push_back(key(ended_table, id));
+    }
+    if (!entry.removes.empty())
+        chain_->append(std::move(entry));
+}
+
+void part_jobs::abandon()
+{
+    chain_->abandon();
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/durable/part_jobs.hpp
@@ -0,0 +1,257 @@
+#ifndef GLENHOLLOW_DURABLE_PART_JOBS_HPP
+#define GLENHOLLOW_DURABLE_PART_JOBS_HPP
+
+#include "glenhollow/core/clock.hpp"
+#include "glenhollow/durable/dispatcher.hpp"
+#include "glenhollow/durable/durable_job.hpp"
+#include "glenhollow/durable/part_loader.hpp"
+#include "glenhollow/journal/journal_chain.hpp"
+#include "glenhollow/runs/run_wire.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace glenhollow
+{
+
+/// How a call for a job ended.
+enum class job_outcome : std::uint8_t
+{
+    done,      ///< As asked; the state is that of the job.
+    missing,   ///< There is no such job.
+    refused,   ///< Not taken and will never run; come back later.
+    not_owner, ///< Another entry has the part; nothing was done.
+    unknown    ///< It may have been done.
+};
+
+template <>
+struct name_table<job_outcome>
+{
+    static constexpr std::array<std::string_view, 5> names{
+        "done", "missing", "refused", "not_owner", "unknown"};
+};
+
+/// The answer to a call for a job.
+struct job_reply
+{
+    job_outcome outcome = job_outcome::unknown; ///< What happened.
+    job_state state = job_state::queued;        ///< Of the job, when done.
+    duration retry_after{};                     ///< When refused.
+};
+
+/// Told the answer to a call for a job.
+using job_reply_handler = std::function<void(const job_reply&)>;
+
+/// Limits of a part's jobs.
+struct part_jobs_settings
+{
+    std::string entry;                  ///< Name of this entry.
+    std::size_t parts = 3;              ///< Of the journal.
+    duration keep_ended = seconds{130}; ///< Ended jobs are remembered.
+    duration agent_silence = milliseconds{3400}; ///< Until a silent agent's
+                                                 ///< runs have surely ended.
+    double hopeless = 2.2;              ///< Refuse when the wait alone takes
+                                        ///< this share of the objective.
+    journal_chain_settings chain;       ///< Limits of the journal.
+};
+
+/// Counters of a part's jobs.
+struct part_jobs_stats
+{
+    std::uint64_t accepted = 0;  ///< Jobs taken.
+    std::uint64_t repeated = 0;  ///< Submissions of a known job.
+    std::uint64_t refused = 0;   ///< Jobs not taken.
+    std::uint64_t succeeded = 0; ///< Jobs ended well.
+    std::uint64_t failed = 0;    ///< Jobs that used up an attempt limit.
+    std::uint64_t cancelled = 0; ///< Jobs cancelled.
+    std::uint64_t restarted = 0; ///< Tasks placed again.
+    std::uint64_t late = 0;      ///< Jobs ended after their objective.
+};
+
+/// The jobs of one part at its owner: accepts, journals, hands out tasks,
+/// takes their ends, answers for their state. One thread.
+class part_jobs final
+{
+public:
+    using wall_clock = std::function<std::int64_t()>;
+
+    /// What a part needs of its entry; all outlive the part.
+    struct surroundings
+    {
+        const clock_source& clock;   ///< This entry's.
+        wall_clock wall_ms;          ///< Ms since 1970.
+        row_store& store;            ///< Where rows lie.
+        dispatcher& placing;         ///< Places tasks.
+        journal_chain::delay later;  ///< Runs delayed work.
+    };
+
+    /// @param around What it needs.
+    /// @param part Which part.
+    /// @param head The claim as it was written.
+    /// @param loaded What the journal holds.
+    /// @param awaited Agents that may run something of it.
+    /// @param settings Limits.
+    /// @param on_lost Told when another entry has taken the part.
+    part_jobs(surroundings around, part_number part, const chain_head& head,
+              loaded_part loaded, std::set<std::string> awaited,
+              const part_jobs_settings& settings,
+              std::function<void()> on_lost);
+    ~part_jobs();
+
+    /// @return The part and the epoch of this ownership.
+    part_epoch epoch() const { return {part_, epoch_}; }
+
+    /// @param job Checked. Accepted once it is in the journal.
+    /// @param done Told the end.
+    void submit(const job_definition& job, job_reply_handler done);
+
+    /// @param id A job to cancel.
+    /// @param done Told the end.
+    void cancel(job_id id, job_reply_handler done);
+
+    /// @param id A job.
+    /// @param done Told its state.
+    void state(job_id id, job_reply_handler done);
+
+    /// @param agent An agent that has adopted the part.
+    /// @param account What it knows of the part.
+    void account_of(const std::string& agent, const part_account& account);
+
+    /// @param agent Nothing that was started there runs any more.
+    void agent_gone(const std::string& agent);
+
+    /// @param agent Where a run ended.
+    /// @param end How.
+    void ended(const std::string& agent, const run_end& end);
+
+    /// @param run Has begun.
+    void began(const run_ref& run);
+
+    /// @param task A place was found for it.
+    /// @param agent Where.
+    /// @return The order, or nothing when it need not run any more.
+    std::optional<run_order> assign(const ready_task& task,
+                                    const std::string& agent);
+
+    /// Does what is due: forgets old ends, stops waiting for agents.
+    void tick();
+
+    /// Makes the journal find out whether the part is still ours.
+    void verify() { chain_->append({}); }
+
+    /// Gives the part up.
+    void abandon();
+
+    /// @return Whether the journal has nothing to write.
+    bool flushed() const { return chain_->idle(); }
+
+    /// @return Whether the store has failed the last write.
+    bool troubled() const { return chain_->troubled(); }
+
+    /// @return Jobs none of whose tasks has begun, by queue.
+    std::map<std::string, std::uint32_t> pending() const;
+
+    /// @return Jobs that have not ended.
+    std::size_t open_jobs() const { return jobs_.size(); }
+
+    /// @return Counters.
+    const part_jobs_stats& stats() const { return stats_; }
+
+    /// @return Counters of the journal.
+    const journal_chain_stats& journal_stats() const
+    {
+        return chain_->stats();
+    }
+
+private:
+    /// Where a task stands.
+    enum class task_phase : std::uint8_t
+    {
+        blocked, ///< A step before it is not done, or an agent is awaited.
+        ready,   ///< Waits for a place.
+        placed,  ///< At an agent.
+        done     ///< Ended well.
+    };
+
+    /// One task.
+    struct task_record
+    {
+        task_phase phase = task_phase::blocked; ///< Where it stands.
+        std::uint32_t run = 0;      ///< Latest run's number.
+        std::uint32_t failures = 0; ///< Runs that failed.
+        std::string agent;          ///< Where it is placed, or failed last.
+    };
+
+    /// One job that has not ended.
+    struct job_record
+    {
+        job_definition job;              ///< As accepted.
+        std::vector<task_record> tasks;  ///< Flat, step after step.
+        job_progress progress;           ///< As journalled or on its way.
+        std::size_t done = 0;            ///< Tasks that are done.
+        bool begun = false;              ///< A task has begun.
+        bool accepted = false;           ///< Its row is durable.
+        bool fresh = true;               ///< Accepted by this owner.
+        std::optional<job_state> ending; ///< Its end is on its way.
+        std::vector<job_reply_handler> acceptance; ///< Wait for its row.
+        std::vector<job_reply_handler> end_waiters; ///< Wait for its end.
+    };
+
+    using job_map = std::unordered_map<job_id, job_record>;
+
+    std::uint32_t flat_index(const job_definition& job,
+                             const task_ref& task) const;
+    task_ref ref_of(const job_definition& job, std::uint32_t flat) const;
+    const job_step& step_of(const job_definition& job,
+                            std::uint32_t flat) const;
+    void make_ready(job_record& record);
+    bool step_done(const job_record& record, std::uint32_t step) const;
+    void enqueue(job_record& record, std::uint32_t flat);
+    std::optional<duration> hopeless(const job_definition& job) const;
+    void accepted(job_id id, journal_verdict verdict);
+    run_order order_of(const job_record& record, std::uint32_t flat,
+                       const run_ref& run) const;
+    void listed(const std::string& agent, const listed_run& run);
+    void requeue_unlisted(const std::string& agent,
+                          const part_account& account);
+    void ended_well(job_record& record, std::uint32_t flat,
+                    const std::string& agent, const run_end& end);
+    void ended_badly(job_record& record, std::uint32_t flat,
+                     const std::string& agent, const run_end& end);
+    void place_again(job_record& record, std::uint32_t flat);
+    void journal_progress(job_record& record, const std::string& agent,
+                          const run_end& end);
+    void journal_end(job_record& record, job_state state,
+                     std::function<void(journal_verdict)> also);
+    void finish(job_id id, job_state state, journal_verdict verdict);
+    void stop_runs(job_record& record);
+    void remember(job_id id, const job_epitaph& end);
+    void all_agents_told();
+    void forget_old();
+    row_key key(std::string_view table, job_id id) const;
+
+    surroundings around_;                 ///< Of the entry.
+    part_number part_;                    ///< Which part.
+    std::uint32_t epoch_;                 ///< Of this ownership.
+    part_jobs_settings settings_;         ///< Limits.
+    std::unique_ptr<journal_chain> chain_; ///< Its journal.
+    job_map jobs_;                        ///< Not ended.
+    std::unordered_map<job_id, job_epitaph> ended_; ///< Ended.
+    std::deque<std::pair<std::int64_t, job_id>> ended_order_; ///< By time.
+    std::set<std::string> awaited_;       ///< Agents not heard yet.
+    instant claimed_;                     ///< When the part was taken.
+    part_jobs_stats stats_;               ///< Counters.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
+};
+
+} // namespace glenhollow
+
+#endif
--- /dev/null
+++ b/src/glenhollow/durable/part_ownership.hpp
@@ -0,0 +1,139 @@
+#ifndef GLENHOLLOW_DURABLE_PART_OWNERSHIP_HPP
+#define GLENHOLLOW_DURABLE_PART_OWNERSHIP_HPP
+
+#include "glenhollow/durable/entry_peers.hpp"
+#include "glenhollow/durable/part_jobs.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace glenhollow
+{
+
+/// Limits of ownership.
+struct part_ownership_settings
+{
+    std::string entry;             ///< Name of this entry.
+    std::uint64_t incarnation = 0; ///< Of this entry.
+    std::size_t parts = 3;         ///< Of the journal.
+    duration settle = milliseconds{350}; ///< Before a part of an entry that
+                                         ///< may live is taken.
+    duration rank_step = milliseconds{250}; ///< Between candidates.
+    duration claim_retry = milliseconds{150}; ///< After a claim that failed.
+    duration balance_after = seconds{2}; ///< Calm before a part is given away.
+    part_jobs_settings jobs;       ///< Limits of the parts' jobs.
+};
+
+/// Counters of ownership.
+struct part_ownership_stats
+{
+    std::uint64_t claims = 0;    ///< Claims written.
+    std::uint64_t conflicts = 0; ///< Claims that met another head.
+    std::uint64_t lost = 0;      ///< Parts that another entry took.
+    std::uint64_t released = 0;  ///< Parts given away.
+};
+
+/// Told of this entry's parts.
+class part_ownership_listener
+{
+public:
+    virtual ~part_ownership_listener() = default;
+
+    /// @param part Owned and loaded from now on.
+    virtual void part_gained(part_epoch part) = 0;
+
+    /// @param part Not owned any more.
+    virtual void part_given_up(part_number part) = 0;
+
+    /// @return Agents that may run something.
+    virtual std::set<std::string> possible_agents() const = 0;
+};
+
+/// Decides which parts this entry owns: takes those without an owner, gives
+/// some away for balance, all before a planned stop or while the store turns
+/// this entry away and serves others. One thread.
+class part_ownership final
+{
+public:
+    /// @param around What parts need; outlives it.
+    /// @param peers The other entries; outlive it.
+    /// @param listener Told; outlives it.
+    /// @param settings Limits.
+    part_ownership(part_jobs::surroundings around, const entry_peers& peers,
+                   part_ownership_listener& listener,
+                   const part_ownership_settings& settings);
+    ~part_ownership();
+
+    /// @param reachable Whether the store answers this entry.
+    void tick(bool reachable);
+
+    /// Gives all parts away as soon as their journals are written.
+    void stop();
+
+    /// @param part A part.
+    /// @return Its jobs, or null where this entry does not own it.
+    part_jobs* find(part_number part);
+
+    /// @return All parts that this entry owns and has loaded.
+    std::vector<part_epoch> owned() const;
+
+    /// @return Parts that were given away lately.
+    const std::vector<part_epoch>& released() const { return released_; }
+
+    /// @return Counters.
+    const part_ownership_stats& stats() const { return stats_; }
+
+    /// @param visit Called for each owned part.
+    void for_each(const std::function<void(part_jobs&)>& visit);
+
+private:
+    /// One part as seen from here.
+    struct seat
+    {
+        std::unique_ptr<part_jobs> jobs; ///< While owned and loaded.
+        bool claiming = false;           ///< A claim or a load is under way.
+        instant free_since{};            ///< No live owner; zero: there is one.
+        instant retry_at{};              ///< Next claim not before.
+        chain_head seen;                 ///< Head at the first look.
+        bool looked = false;             ///< There was a first look.
+    };
+
+    bool has_live_owner(part_number part) const;
+    std::size_t rank(part_number part) const;
+    bool is_due(part_number part, const seat& at) const;
+    void look(part_number part);
+    void looked(part_number part, const read_result& got);
+    bool is_free(part_number part, const chain_head& head) const;
+    void claim(part_number part, const chain_head& head);
+    void claimed(part_number part, const chain_head& wanted,
+                 const commit_result& got);
+    void load(part_number part, const chain_head& head);
+    void loaded(part_number part, const chain_head& head,
+                std::optional<loaded_part> rows);
+    void fail(part_number part);
+    void lose(part_number part);
+    void release(part_number part, std::string_view why);
+    void balance();
+    std::vector<std::string> candidates() const;
+
+    part_jobs::surroundings around_;       ///< What parts need.
+    const entry_peers& peers_;             ///< The other entries.
+    part_ownership_listener& listener_;    ///< Told.
+    part_ownership_settings settings_;     ///< Limits.
+    std::map<part_number, seat> seats_;    ///< All parts.
+    bool reachable_ = true;                ///< The store answers this entry.
+    bool stopping_ = false;                ///< Gives all away.
+    instant stopping_since_{};             ///< When that began.
+    instant changed_{};                    ///< Last change of owners.
+    std::vector<part_epoch> released_;     ///< Given away lately.
+    part_ownership_stats stats_;           ///< Counters.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
+};
+
+} // namespace glenhollow
+
+#endif
--- a/src/glenhollow/entry/agent_control.cpp
+++ b/src/glenhollow/entry/agent_control.cpp
@@ -77,14 +77,15 @@
                 end(fresh);
         });
     connect_rpc(io_, fresh->agent.rpc,
-                [this, fresh](std::optional<tcp::socket> socket)
+                [this, fresh](connect_result got)
                 {
                     if (fresh->ended)
                         return;
-                    if (!socket)
+                    if (!got.socket)
                         return end(fresh);
                     auto rpc =
-                        kj::heap<rpc_connection>(std::move(*socket), bytes_);
+                        kj::heap<rpc_connection>(std::move(*got.socket),
+                                                 bytes_);
                     auto agent = rpc->bootstrap().castAs<wire::Agent>();
                     auto tasks = kj::heap<background_tasks>();
                     tasks->add(fresh->send(kj::mv(agent))
--- a/src/glenhollow/entry/agent_links.cpp
+++ b/src/glenhollow/entry/agent_links.cpp
@@ -216,14 +216,14 @@
     to.generation = generation;
     connect_rpc(
         io_, to.agent.rpc,
-        [this, index = to.index, generation](std::optional<tcp::socket> socket)
+        [this, index = to.index, generation](connect_result got)
         {
             auto& to = *links_[index];
             if (to.generation != generation)
                 return;
-            if (!socket)
+            if (!got.socket)
                 return broken(to, generation);
-            connected(to, std::move(*socket));
+            connected(to, std::move(*got.socket));
         });
 }
 
--- a/src/glenhollow/entry/peer_links.cpp
+++ b/src/glenhollow/entry/peer_links.cpp
@@ -88,7 +88,7 @@
     const auto generation = to.generation = ++generations_;
     connect_rpc(io_, to.entry.rpc,
                 [this, name = to.entry.name,
-                 generation](std::optional<tcp::socket> socket)
+                 generation](connect_result got)
                 {
                     const auto known = links_.find(name);
                     if (known == links_.end() ||
@@ -96,9 +96,9 @@
                         return;
                     auto& to = *known->second;
                     to.connecting = false;
-                    if (!socket)
+                    if (!got.socket)
                         return broken(to, generation);
-                    connected(to, std::move(*socket));
+                    connected(to, std::move(*got.socket));
                 });
 }
 
@@ -440,12 +440,12 @@
 {
     connect_rpc(
         io_, where,
-        [this, done](std::optional<tcp::socket> socket)
+        [this, done](connect_result got)
         {
-            if (!socket)
+            if (!got.socket)
                 return done({});
             auto once = std::make_shared<kj::Own<link::connection>>(
-                kj::heap<link::connection>(std::move(*socket), bytes_));
+                kj::heap<link::connection>(std::move(*got.socket), bytes_));
             const auto end = [this, once, done](std::vector<member> members)
             {
                 // Not from inside the connection's own call.
--- a/src/glenhollow/rpc/rpc_connection.cpp
+++ b/src/glenhollow/rpc/rpc_connection.cpp
@@ -1,5 +1,9 @@
 #include "glenhollow/rpc/rpc_connection.hpp"
 
+#include "glenhollow/core/clock.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
 #include <memory>
 
 namespace glenhollow
@@ -7,19 +11,37 @@
 
 using boost::asio::ip::tcp;
 
+namespace
+{
+
+constexpr duration connect_limit = seconds{1};
+
+} // namespace
+
 void connect_rpc(boost::asio::io_context& io, const host_port& where,
-                 std::function<void(std::optional<tcp::socket>)> done)
+                 std::function<void(connect_result)> done)
 {
     auto socket = std::make_shared<tcp::socket>(io);
+    auto timer = std::make_shared<boost::asio::steady_timer>(io, connect_limit);
+    // A machine without power says nothing; the attempt must end all the same.
+    timer->async_wait(
+        [socket](boost::system::error_code ec)
+        {
+            if (!ec)
+                socket->close(ec);
+        });
     const tcp::endpoint to(boost::asio::ip::make_address(where.host),
                            where.port);
     socket->async_connect(
         to,
-        [socket, done = std::move(done)](boost::system::error_code ec)
+        [socket, timer, done = std::move(done)](boost::system::error_code ec)
         {
+            timer->cancel();
             if (ec)
-                return done(std::nullopt);
-            done(std::move(*socket));
+                return done(
+                    {std::nullopt,
+                     ec == boost::asio::error::connection_refused});
+            done({std::move(*socket), false});
         });
 }
 
--- a/src/glenhollow/rpc/rpc_connection.hpp
+++ b/src/glenhollow/rpc/rpc_connection.hpp
@@ -39,13 +39,19 @@
     kj::Own<capnp::TwoPartyClient> client_; ///< The RPC system.
 };
 
+/// How an attempt to connect ended.
+struct connect_result
+{
+    std::optional<boost::asio::ip::tcp::socket> socket; ///< When connected.
+    bool refused = false; ///< The machine is there and nothing listens.
+};
+
 /// Opens a TCP connection.
 /// @param io Runs it.
 /// @param where The address.
-/// @param done Told the socket, or nothing where there is none.
-void connect_rpc(
-    boost::asio::io_context& io, const host_port& where,
-    std::function<void(std::optional<boost::asio::ip::tcp::socket>)> done);
+/// @param done Told the end.
+void connect_rpc(boost::asio::io_context& io, const host_port& where,
+                 std::function<void(connect_result)> done);
 
 } // namespace glenhollow
 
--- /dev/null
+++ b/src/glenhollow/rpc/rpc_link.cpp
@@ -0,0 +1,156 @@
+#include "glenhollow/rpc/rpc_link.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace glenhollow
+{
+
+using boost::asio::ip::tcp;
+
+struct rpc_link::state : std::enable_shared_from_this<state>
+{
+    /// Everything that dies with the connection.
+    struct connection
+    {
+        connection(tcp::socket socket, stream_stats& bytes)
+            : rpc(std::move(socket), bytes)
+        {
+        }
+
+        rpc_connection rpc;     ///< The RPC system.
+        background_tasks calls; ///< In flight.
+    };
+
+    state(boost::asio::io_context& context, const clock_source& time,
+          host_port address, const rpc_link_settings& limits,
+          std::function<void(capnp::Capability::Client)> up_told,
+          std::function<void()> down_told)
+        : io(context), clock(time), where(std::move(address)),
+          settings(limits), on_up(std::move(up_told)),
+          on_down(std::move(down_told)), backoff(limits.first_backoff)
+    {
+    }
+
+    boost::asio::io_context& io;    ///< Runs it.
+    const clock_source& clock;      ///< For the backoff.
+    host_port where;                ///< The address.
+    rpc_link_settings settings;     ///< Limits.
+    std::function<void(capnp::Capability::Client)> on_up; ///< Told.
+    std::function<void()> on_down;  ///< Told.
+    std::shared_ptr<connection> current; ///< Null while there is none.
+    bool connecting = false;        ///< An attempt is under way.
+    bool closed = false;            ///< The link is gone.
+    bool refused = false;           ///< Nothing listened at the last attempt.
+    std::uint64_t generation = 0;   ///< Of the connection.
+    instant retry_at{};             ///< When to connect.
+    duration backoff;               ///< Before the next attempt.
+    stream_stats bytes;             ///< What passed.
+
+    void connect()
+    {
+        connecting = true;
+        connect_rpc(io, where,
+                    [self = shared_from_this(),
+                     mine = generation](connect_result got)
+                    {
+                        if (self->closed || self->generation != mine)
+                            return;
+                        self->connecting = false;
+                        self->refused = got.refused;
+                        if (!got.socket)
+                            return self->fail();
+                        self->connected(std::move(*got.socket));
+                    });
+    }
+
+    void connected(tcp::socket socket)
+    {
+        current = std::make_shared<connection>(std::move(socket), bytes);
+        backoff = settings.first_backoff;
+        std::weak_ptr<state> weak = shared_from_this();
+        current->calls.add(current->rpc.on_disconnect().then(
+            [weak, mine = generation]
+            {
+                const auto self = weak.lock();
+                if (self && !self->closed && self->generation == mine)
+                    self->fail();
+            }));
+        on_up(current->rpc.bootstrap());
+    }
+
+    void fail()
+    {
+        forget_connection();
+        retry_at = clock.now() + backoff;
+        backoff = std::min(backoff * 2, settings.longest_backoff);
+        if (on_down)
+            on_down();
+    }
+
+    /// The connection may be what is calling us: it ends a turn later.
+    void forget_connection()
+    {
+        ++generation;
+        connecting = false;
+        if (current)
+            boost::asio::post(io, [old = std::move(current)]() mutable
+                              { old.reset(); });
+        current.reset();
+    }
+};
+
+rpc_link::rpc_link(boost::asio::io_context& io, const clock_source& clock,
+                   host_port where, const rpc_link_settings& settings,
+                   std::function<void(capnp::Capability::Client)> on_up,
+                   std::function<void()> on_down)
+    : state_(std::make_shared<state>(io, clock, std::move(where), settings,
+                                     std::move(on_up), std::move(on_down)))
+{
+}
+
+rpc_link::~rpc_link()
+{
+    state_->closed = true;
+    state_->on_down = nullptr;
+    state_->forget_connection();
+}
+
+void rpc_link::tick()
+{
+    if (!state_->current && !state_->connecting &&
+        state_->clock.now() >= state_->retry_at)
+        state_->connect();
+}
+
+void rpc_link::drop()
+{
+    if (state_->current || state_->connecting)
+        state_->fail();
+}
+
+bool rpc_link::up() const
+{
+    return state_->current != nullptr;
+}
+
+bool rpc_link::refused() const
+{
+    return !up() && state_->refused;
+}
+
+void rpc_link::add(kj::Promise<void> call)
+{
+    if (state_->current)
+        state_->current->calls.add(kj::mv(call));
+}
+
+const host_port& rpc_link::where() const
+{
+    return state_->where;
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/runs/end_ledger.hpp
@@ -0,0 +1,77 @@
+#ifndef GLENHOLLOW_RUNS_END_LEDGER_HPP
+#define GLENHOLLOW_RUNS_END_LEDGER_HPP
+
+#include "glenhollow/durable/durable_job.hpp"
+
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace glenhollow
+{
+
+/// An end that its part's owner has not confirmed.
+struct kept_end
+{
+    run_end end;          ///< As the runner listed it, or as concluded.
+    bool excused = false; ///< The hold lapsed after it: no owner is waited for.
+    bool told = false;    ///< Sent to the present owner.
+};
+
+/// The ends at one agent that are not in the journal yet, and up to which of
+/// the runner's numbers the runner may forget: only as far as every listed end
+/// is confirmed or excused.
+class end_ledger final
+{
+public:
+    /// @param end A run's end.
+    /// @return Whether it is news.
+    bool add(const run_end& end);
+
+    /// @param end An end that is in the journal.
+    void confirm(const run_end& end);
+
+    /// The hold has lapsed: no end listed so far holds back the runner.
+    void excuse_all();
+
+    /// Another life of the runner: its numbers begin anew.
+    void new_life();
+
+    /// @return The runner may forget ends up to this number.
+    std::uint64_t confirmed() const { return confirmed_; }
+
+    /// @return Whether listed ends wait for an owner.
+    bool waits() const { return !listed_.empty(); }
+
+    /// @return Whether no end is kept.
+    bool empty() const { return ends_.empty(); }
+
+    /// @param run A run.
+    /// @return Whether its end is kept.
+    bool contains(const run_ref& run) const { return ends_.contains(run); }
+
+    /// @return All kept ends.
+    std::unordered_map<run_ref, kept_end, run_ref_hash>& ends()
+    {
+        return ends_;
+    }
+
+    /// @return All kept ends.
+    const std::unordered_map<run_ref, kept_end, run_ref_hash>& ends() const
+    {
+        return ends_;
+    }
+
+private:
+    void settle(std::uint64_t number);
+
+    std::unordered_map<run_ref, kept_end, run_ref_hash> ends_; ///< By run.
+    std::map<std::uint64_t, bool> listed_; ///< Not confirmed, by number.
+    std::uint64_t confirmed_ = 0;          ///< All up to here are settled.
+    std::uint64_t highest_ = 0;            ///< Highest listed.
+};
+
+} // namespace glenhollow
+
+#endif
--- /dev/null
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -0,0 +1,321 @@
+#include "glenhollow/runs/run_agent_service.hpp"
+
+#include "glenhollow/core/run_after.hpp"
+#include "glenhollow/telemetry/log.hpp"
+
+#include <utility>
+
+namespace glenhollow
+{
+
+/// One entry's link.
+class run_agent_service::session_server final : public wire::RunSession::Server
+{
+public:
+    session_server(run_agent_service& service, std::uint64_t number)
+        : service_(service), number_(number)
+    {
+    }
+
+    kj::Promise<void> adopt(AdoptContext context) override
+    {
+        const auto part = from_wire(context.getParams().getPart());
+        const auto known = service_.keeper_.adopt(part.part, part.epoch);
+        auto out = context.getResults();
+        out.setDeclined(known.declined);
+        auto runs = out.initRuns(static_cast<unsigned>(known.runs.size()));
+        for (unsigned i = 0; i < runs.size(); ++i)
+            fill(runs[i], known.runs[i]);
+        auto ends = out.initEnds(static_cast<unsigned>(known.ends.size()));
+        for (unsigned i = 0; i < ends.size(); ++i)
+            fill(ends[i], known.ends[i]);
+        if (!known.declined)
+            service_.adopted(number_, part.part);
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> order(OrderContext context) override
+    {
+        auto* session = service_.find(number_);
+        if (session == nullptr)
+            return kj::READY_NOW; // Another session has replaced this one.
+        ++session->received;
+        ++service_.batches_;
+        session->room_dirty = true;
+        auto batch = from_wire(context.getParams().getBatch());
+        auto& keeper = service_.keeper_;
+        for (const auto& end : batch.confirmed)
+            keeper.confirm(end);
+        for (const auto& size : batch.sizes)
+            keeper.size(size);
+        for (const auto& run : batch.stops)
+            keeper.stop(run);
+        for (auto& start : batch.starts)
+            keeper.order(std::move(start));
+        service_.schedule(service_.settings_.room_gap);
+        return kj::READY_NOW;
+    }
+
+private:
+    run_agent_service& service_; ///< Outlives its sessions.
+    std::uint64_t number_;       ///< Of the session.
+};
+
+/// The bootstrap interface.
+class run_agent_service::agent_server final : public wire::RunAgent::Server
+{
+public:
+    explicit agent_server(run_agent_service& service) : service_(service) {}
+
+    kj::Promise<void> attach(AttachContext context) override
+    {
+        auto params = context.getParams();
+        const std::string entry = params.getEntry();
+        auto& session = service_.sessions_[entry];
+        session = {};
+        session.entry = entry;
+        session.number = ++service_.numbers_;
+        session.reports = params.getReports();
+        auto out = context.getResults();
+        out.setSession(
+            kj::heap<session_server>(service_, service_.numbers_));
+        out.setIncarnation(service_.incarnation_);
+        fill(out.initState(),
+             {service_.keeper_.account(), service_.keeper_.room(), 0});
+        log_change(log_level::info, "entry_attached", {{"entry", entry}});
+        return kj::READY_NOW;
+    }
+
+private:
+    run_agent_service& service_; ///< Outlives the server.
+};
+
+run_agent_service::run_agent_service(boost::asio::io_context& io,
+                                     const clock_source& clock,
+                                     run_keeper& keeper,
+                                     std::uint64_t incarnation,
+                                     const run_agent_service_settings& settings)
+    : io_(io), clock_(clock), keeper_(keeper), incarnation_(incarnation),
+      settings_(settings)
+{
+    keeper_.listen(this);
+}
+
+run_agent_service::~run_agent_service() noexcept
+{
+    *alive_ = false;
+    keeper_.listen(nullptr);
+}
+
+wire::RunAgent::Client run_agent_service::bootstrap()
+{
+    return kj::heap<agent_server>(*this);
+}
+
+run_agent_service::session* run_agent_service::find(std::uint64_t number)
+{
+    for (auto& [entry, one] : sessions_)
+    {
+        if (one.number == number)
+            return &one;
+    }
+    return nullptr;
+}
+
+void run_agent_service::adopted(std::uint64_t number, part_number part)
+{
+    owners_[part] = number;
+    auto* owner = find(number);
+    if (owner == nullptr)
+        return;
+    owner->dirty = true; // The lease begins with the next confirmed report.
+    schedule(duration{0});
+}
+
+void run_agent_service::part_changed(part_number part)
+{
+    const auto known = owners_.find(part);
+    if (known == owners_.end())
+        return;
+    auto* owner = find(known->second);
+    if (owner == nullptr)
+        return;
+    owner->dirty = true;
+    schedule(duration{0});
+}
+
+void run_agent_service::room_changed()
+{
+    for (auto& [entry, one] : sessions_)
+        one.room_dirty = true;
+    schedule(settings_.room_gap);
+}
+
+void run_agent_service::schedule(duration wait)
+{
+    if (wait.count() == 0)
+    {
+        if (std::exchange(scheduled_, true))
+            return;
+    }
+    run_after(io_, wait,
+              [this, alive = alive_, at_once = wait.count() == 0]
+              {
+                  if (!*alive)
+                      return;
+                  if (at_once)
+                      scheduled_ = false;
+                  flush();
+              });
+}
+
+void run_agent_service::tick()
+{
+    flush();
+}
+
+bool run_agent_service::is_due(const session& to) const
+{
+    if (to.reporting || to.reports == nullptr)
+        return false;
+    const auto since = clock_.now() - to.reported;
+    return to.dirty || (to.room_dirty && since >= settings_.room_gap) ||
+           since >= settings_.heartbeat;
+}
+
+void run_agent_service::flush()
+{
+    for (auto& [entry, one] : sessions_)
+    {
+        if (is_due(one))
+            report(one);
+    }
+}
+
+void run_agent_service::fill_ends(session& to, wire::RunReport::Builder out)
+{
+    std::vector<run_end> ends;
+    for (auto& [ref, kept] : keeper_.ledger().ends())
+    {
+        (void)ref;
+        if (kept.told)
+            continue;
+        ends.push_back(kept.end);
+    }
+    std::erase_if(ends,
+                  [&](const run_end& end)
+                  {
+                      const auto owner = owners_.find(
+                          keeper_.part_number_of(end.run));
+                      return owner == owners_.end() ||
+                             owner->second != to.number;
+                  });
+    keeper_.mark_told(ends);
+    auto list = out.initEnds(static_cast<unsigned>(ends.size()));
+    for (unsigned i = 0; i < list.size(); ++i)
+        fill(list[i], ends[i]);
+}
+
+void run_agent_service::fill_begun(session& to, wire::RunReport::Builder out)
+{
+    std::vector<run_ref> begun;
+    for (const auto& [part, owner] : owners_)
+    {
+        if (owner != to.number)
+            continue;
+        for (const auto& run : keeper_.take_begun(part))
+            begun.push_back(run);
+    }
+    auto list = out.initStarted(static_cast<unsigned>(begun.size()));
+    for (unsigned i = 0; i < list.size(); ++i)
+        fill(list[i], begun[i]);
+}
+
+void run_agent_service::report(session& to)
+{
+    KJ_IF_MAYBE (reports, to.reports)
+    {
+        auto request = reports->reportRequest();
+        auto out = request.initReport();
+        fill(out.initState(),
+             {keeper_.account(), keeper_.room(), to.received});
+        fill_ends(to, out);
+        fill_begun(to, out);
+        const auto sent = clock_.now();
+        const auto number = to.number;
+        to.reporting = true;
+        to.dirty = to.room_dirty = false;
+        to.reported = sent;
+        ++reports_;
+        calls_.add(request.send().then(
+            [this, number, sent](auto&& answer)
+            {
+                std::vector<part_epoch> renewed;
+                for (auto part : answer.getRenewed())
+                    renewed.push_back(from_wire(part));
+                report_answered(number, sent, renewed);
+            },
+            [this, number](kj::Exception&&) { report_failed(number); }));
+    }
+}
+
+void run_agent_service::report_answered(std::uint64_t number, instant sent,
+                                        const std::vector<part_epoch>& renewed)
+{
+    auto* from = find(number);
+    if (from == nullptr)
+        return;
+    from->reporting = false;
+    for (const auto& part : renewed)
+        keeper_.renew(part.part, part.epoch, sent);
+    if (from->dirty)
+        schedule(duration{0});
+    else if (from->room_dirty)
+        schedule(settings_.room_gap);
+}
+
+/// The link is gone; its entry attaches and adopts again, and is then told of
+/// all ends.
+void run_agent_service::report_failed(std::uint64_t number)
+{
+    auto* from = find(number);
+    if (from == nullptr)
+        return;
+    log_change(log_level::info, "entry_detached", {{"entry", from->entry}});
+    from->reports = nullptr;
+    from->reporting = false;
+}
+
+void run_agent_service::collect(metric_page& page) const
+{
+    const auto& stats = keeper_.stats();
+    const auto count = [&page](std::string_view name, std::string_view help,
+                               std::uint64_t value, std::string_view labels)
+    { page.counter(name, help, static_cast<double>(value), labels); };
+    count("runs_started_total", "Starts that the runner took", stats.started,
+          {});
+    count("runs_doubtful_total", "Starts without an answer", stats.doubtful,
+          {});
+    count("runs_stalled_total", "Runs stopped for want of progress",
+          stats.stalled, {});
+    count("runs_vanished_total", "Runs that the runner no longer showed",
+          stats.vanished, {});
+    count("runner_looks_total", "Looks at the runner", stats.looks, {});
+    count("hold_lapses_total", "Times the hold was left to lapse",
+          stats.lapses, {});
+    for (std::size_t i = 0; i < stats.ends.size(); ++i)
+    {
+        const auto how = static_cast<run_outcome>(i);
+        count("run_ends_total", "Ends of runs", stats.ends[i],
+              "how=\"" + std::string(to_name(how)) + "\"");
+    }
+    count("reports_total", "Reports to entries", reports_, {});
+    count("order_batches_total", "Order batches taken", batches_, {});
+    const auto room = keeper_.room();
+    page.gauge("runner_used_cores", "Cores taken", room.used.cpu / 1000.0);
+    page.gauge("runner_waiting_orders", "Orders without room", room.waiting);
+    page.gauge("ends_unconfirmed", "Ends that no owner has confirmed",
+               static_cast<double>(keeper_.ledger().ends().size()));
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/runs/run_agent_service.hpp
@@ -0,0 +1,98 @@
+#ifndef GLENHOLLOW_RUNS_RUN_AGENT_SERVICE_HPP
+#define GLENHOLLOW_RUNS_RUN_AGENT_SERVICE_HPP
+
+#include "glenhollow/rpc/rpc_loop.hpp"
+#include "glenhollow/runs/run_keeper.hpp"
+#include "glenhollow/runs/run_wire.hpp"
+#include "glenhollow/wire/glenhollow.capnp.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace glenhollow
+{
+
+/// Limits of the service.
+struct run_agent_service_settings
+{
+    duration heartbeat = milliseconds{300}; ///< Between reports, at most.
+    duration room_gap = milliseconds{12};   ///< Of reports of room alone.
+};
+
+/// Serves entries: one session each, with orders in and reports out. A report
+/// that its entry answers renews the leases of the parts that the entry owns.
+class run_agent_service final : private run_listener
+{
+public:
+    /// @param io Runs delayed work.
+    /// @param clock Outlives the service.
+    /// @param keeper Outlives the service.
+    /// @param incarnation Of this process.
+    /// @param settings Limits.
+    run_agent_service(boost::asio::io_context& io, const clock_source& clock,
+                      run_keeper& keeper, std::uint64_t incarnation,
+                      const run_agent_service_settings& settings);
+    ~run_agent_service() noexcept override;
+
+    /// @return The interface offered to entries.
+    wire::RunAgent::Client bootstrap();
+
+    /// Sends the reports that are due.
+    void tick();
+
+    /// @param page Gets the agent's metrics.
+    void collect(metric_page& page) const;
+
+private:
+    class agent_server;
+    class session_server;
+
+    /// One entry's session.
+    struct session
+    {
+        std::string entry;                ///< Its name.
+        std::uint64_t number = 0;         ///< Of the session, rising.
+        std::uint64_t received = 0;       ///< Order batches.
+        kj::Maybe<wire::RunReports::Client> reports; ///< Its ear.
+        bool reporting = false;           ///< A report is out.
+        bool dirty = false;               ///< Events wait.
+        bool room_dirty = false;          ///< The room has changed.
+        instant reported{};               ///< When the last one left.
+    };
+
+    void part_changed(part_number part) override;
+    void room_changed() override;
+    void schedule(duration wait);
+    void flush();
+    bool is_due(const session& to) const;
+    void report(session& to);
+    void fill_ends(session& to, wire::RunReport::Builder out);
+    void fill_begun(session& to, wire::RunReport::Builder out);
+    void report_answered(std::uint64_t number, instant sent,
+                         const std::vector<part_epoch>& renewed);
+    void report_failed(std::uint64_t number);
+    void adopted(std::uint64_t number, part_number part);
+    session* find(std::uint64_t number);
+
+    boost::asio::io_context& io_;         ///< Runs delayed work.
+    const clock_source& clock_;           ///< This agent's.
+    run_keeper& keeper_;                  ///< The runs.
+    std::uint64_t incarnation_;           ///< Of this process.
+    run_agent_service_settings settings_; ///< Limits.
+    std::map<std::string, session> sessions_; ///< By entry.
+    std::map<part_number, std::uint64_t> owners_; ///< Session by part.
+    std::uint64_t numbers_ = 0;           ///< Of sessions.
+    std::uint64_t reports_ = 0;           ///< Sent.
+    std::uint64_t batches_ = 0;           ///< Order batches taken.
+    bool scheduled_ = false;              ///< A flush is on its way.
+    background_tasks calls_;              ///< Reports that are out.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
+};
+
+} // namespace glenhollow
+
+#endif
--- /dev/null
+++ b/src/glenhollow/runs/run_keeper.cpp
@@ -0,0 +1,704 @@
+#include "glenhollow/runs/run_keeper.hpp"
+
+#include "glenhollow/telemetry/log.hpp"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+/// Steady clocks may differ by this share.
+constexpr double clock_drift = 0.02;
+constexpr duration lapse_slack = milliseconds{60};
+constexpr duration stop_retry = milliseconds{200};
+constexpr duration look_retry = milliseconds{50};
+constexpr std::uint64_t token_step = 60'000;
+
+duration with_drift(duration length)
+{
+    return length + std::chrono::duration_cast<duration>(length * clock_drift);
+}
+
+bool occupies(run_phase phase)
+{
+    return phase != run_phase::waiting;
+}
+
+} // namespace
+
+run_keeper::run_keeper(const clock_source& clock, runner_port& runner,
+                       delay later, std::uint64_t fencing_token,
+                       const run_keeper_settings& settings)
+    : clock_(clock), runner_(runner), later_(std::move(later)),
+      settings_(settings), token_(fencing_token)
+{
+    answered_ = clock_.now();
+}
+
+run_keeper::~run_keeper()
+{
+    *alive_ = false;
+}
+
+void run_keeper::begin()
+{
+    look();
+}
+
+part_number run_keeper::part_number_of(const run_ref& run) const
+{
+    return part_of(run.task.job, settings_.parts);
+}
+
+run_keeper::part_record& run_keeper::part(const run_ref& run)
+{
+    return parts_[part_number_of(run)];
+}
+
+void run_keeper::registered(const runner_account& account)
+{
+    if (account.instance != account_.instance && !account_.instance.empty())
+    {
+        log_change(log_level::warning, "runner_replaced",
+                   {{"from", account_.instance}, {"to", account.instance}});
+        departed(account_.instance);
+    }
+    const bool news = account_.instance != account.instance;
+    const auto phase = account_.phase;
+    account_ = account;
+    account_.phase = phase;
+    told_phase_ = account.phase;
+    if (news)
+        log_change(log_level::info, "runner_registered",
+                   {{"instance", account.instance},
+                    {"service", account.service},
+                    {"cpu", account.capacity.cpu}});
+    if (informed_ && clock_.now() - answered_ < silence_limit())
+        set_phase(told_phase_);
+    if (news)
+        tell_room();
+    start_waiting();
+}
+
+void run_keeper::departed(const std::string& instance)
+{
+    if (instance != account_.instance)
+        return;
+    log_change(log_level::info, "runner_departed", {{"instance", instance}});
+    account_.instance.clear();
+    told_phase_ = runner_phase::absent;
+    set_phase(runner_phase::absent);
+    end_all(run_outcome::lapsed);
+    ledger_.new_life();
+    runner_clock_.reset();
+    informed_ = false;
+}
+
+part_account run_keeper::adopt(part_number number, std::uint32_t epoch)
+{
+    part_account out;
+    auto& record = parts_[number];
+    if (epoch < record.epoch)
+    {
+        out.declined = true;
+        return out;
+    }
+    if (epoch > record.epoch)
+        log_change(log_level::info, "part_adopted",
+                   {{"part", number}, {"epoch", epoch},
+                    {"previous_epoch", record.epoch}});
+    record.epoch = epoch;
+    for (const auto& [ref, run] : runs_)
+    {
+        if (part_number_of(ref) == number)
+            out.runs.push_back({ref, run.phase, run.sized});
+    }
+    for (auto& [ref, kept] : ledger_.ends())
+    {
+        if (part_number_of(ref) != number)
+            continue;
+        kept.told = true;
+        out.ends.push_back(kept.end);
+    }
+    return out;
+}
+
+void run_keeper::renew(part_number number, std::uint32_t epoch,
+                       instant confirmed)
+{
+    auto& record = parts_[number];
+    if (epoch != record.epoch)
+        return;
+    const bool first = record.lease_epoch != epoch;
+    record.lease_epoch = epoch;
+    record.lease_until =
+        std::max(record.lease_until, confirmed + settings_.lease);
+    if (first)
+        start_waiting();
+}
+
+void run_keeper::order(run_order order)
+{
+    const auto ref = order.run;
+    if (runs_.contains(ref) || ledger_.contains(ref))
+        return;
+    const bool refused =
+        draining_ || order.epoch < part(ref).epoch ||
+        account_.phase != runner_phase::ready ||
+        (runs_.size() >= settings_.waiting_limit &&
+         room().waiting >= settings_.waiting_limit);
+    run_record record;
+    record.order = std::move(order);
+    record.changed = clock_.now();
+    runs_.emplace(ref, std::move(record));
+    if (refused)
+        return end_run(ref, run_outcome::not_begun, 0);
+    start_waiting();
+}
+
+bool run_keeper::may_start(const run_record& run)
+{
+    const auto& owner = part(run.order.run);
+    return account_.phase == runner_phase::ready && !lapsing_ &&
+           unsized_ == 0 && runner_clock_.known() &&
+           owner.lease_epoch == owner.epoch &&
+           clock_.now() < owner.lease_until &&
+           used_.leaves_room(run.order.needs, account_.capacity);
+}
+
+void run_keeper::start_waiting()
+{
+    std::vector<run_record*> waiting;
+    for (auto& [ref, run] : runs_)
+    {
+        if (run.phase == run_phase::waiting)
+            waiting.push_back(&run);
+    }
+    std::sort(waiting.begin(), waiting.end(),
+              [](const run_record* a, const run_record* b)
+              { return a->order.urgency < b->order.urgency; });
+    for (auto* run : waiting)
+    {
+        if (may_start(*run))
+            send_start(*run);
+    }
+}
+
+order_context run_keeper::context() const
+{
+    return {account_.instance, token_,
+            runner_clock_.at(clock_.now(), settings_.hold)};
+}
+
+void run_keeper::send_start(run_record& run)
+{
+    run.phase = run_phase::starting;
+    run.changed = clock_.now();
+    used_.add(run.order.needs);
+    held_until_ =
+        std::max(held_until_, clock_.now() + with_drift(settings_.hold));
+    runner_.start({run.order.run, run.order.spec}, context(),
+                  [this, alive = alive_, ref = run.order.run](
+                      const order_result& got)
+                  {
+                      if (*alive)
+                          start_answered(ref, got);
+                  });
+}
+
+void run_keeper::start_answered(const run_ref& ref, const order_result& got)
+{
+    runner_clock_.heard(clock_.now(), got.clock_ms);
+    const auto known = runs_.find(ref);
+    if (known == runs_.end())
+        return;
+    auto& run = known->second;
+    switch (got.outcome)
+    {
+    case order_outcome::done:
+        ++stats_.started;
+        return begun(run);
+    case order_outcome::unanswered:
+        ++stats_.doubtful;
+        if (run.phase == run_phase::starting)
+        {
+            run.phase = run_phase::doubtful;
+            run.changed = clock_.now();
+        }
+        return;
+    case order_outcome::fenced:
+        raise_token();
+        break;
+    default:
+        break;
+    }
+    log_change(log_level::info, "start_refused",
+               {{"job", to_text(ref.task.job)},
+                {"run", ref.run},
+                {"cause", to_name(got.outcome)}});
+    end_run(ref, run_outcome::not_begun, 0);
+}
+
+void run_keeper::begun(run_record& run)
+{
+    if (run.phase == run_phase::stopping || run.phase == run_phase::running)
+        return;
+    run.phase = run_phase::running;
+    run.changed = clock_.now();
+    run.progressed = run.changed;
+    auto& owner = part(run.order.run);
+    owner.begun.push_back(run.order.run);
+    if (listener_ != nullptr)
+        listener_->part_changed(part_number_of(run.order.run));
+}
+
+void run_keeper::stop(const run_ref& ref)
+{
+    const auto known = runs_.find(ref);
+    if (known == runs_.end())
+        return;
+    auto& run = known->second;
+    if (run.phase == run_phase::waiting)
+        return end_run(ref, run_outcome::not_begun, 0);
+    if (run.phase != run_phase::doubtful)
+        run.phase = run_phase::stopping;
+    send_stop(run);
+}
+
+void run_keeper::send_stop(run_record& run)
+{
+    if (run.asked_stop)
+        return;
+    run.asked_stop = true;
+    run.changed = clock_.now();
+    runner_.stop(run.order.run, context(),
+                 [this, alive = alive_, ref = run.order.run](
+                     const order_result& got)
+                 {
+                     if (*alive)
+                         stop_answered(ref, got);
+                 });
+}
+
+void run_keeper::stop_answered(const run_ref& ref, const order_result& got)
+{
+    runner_clock_.heard(clock_.now(), got.clock_ms);
+    const auto known = runs_.find(ref);
+    if (known == runs_.end())
+        return;
+    auto& run = known->second;
+    if (got.outcome == order_outcome::done ||
+        got.outcome == order_outcome::superseded)
+    {
+        // From now on the runner refuses a late start of this run.
+        run.settled = clock_.now();
+        return;
+    }
+    if (got.outcome == order_outcome::fenced)
+        raise_token();
+    run.asked_stop = false;
+}
+
+void run_keeper::size(const run_order& order)
+{
+    const auto known = runs_.find(order.run);
+    if (known == runs_.end() || known->second.sized)
+        return;
+    known->second.sized = true;
+    known->second.order.needs = order.needs;
+    used_.add(order.needs);
+    --unsized_;
+    tell_room();
+    start_waiting();
+}
+
+void run_keeper::confirm(const run_end& end)
+{
+    ledger_.confirm(end);
+}
+
+void run_keeper::free_run(const run_ref& ref)
+{
+    const auto known = runs_.find(ref);
+    if (known == runs_.end())
+        return;
+    if (!known->second.sized)
+        --unsized_;
+    else if (occupies(known->second.phase))
+        used_.subtract(known->second.order.needs);
+    runs_.erase(known);
+}
+
+void run_keeper::end_run(const run_ref& ref, run_outcome how,
+                         std::uint64_t number)
+{
+    run_end end{ref, how, number, 0};
+    const auto known = runs_.find(ref);
+    if (known != runs_.end() && occupies(known->second.phase))
+    {
+        const auto ran = clock_.now() - known->second.changed;
+        end.micros = static_cast<std::uint32_t>(
+            std::chrono::duration_cast<microseconds>(ran).count());
+    }
+    const bool occupied =
+        known != runs_.end() && occupies(known->second.phase);
+    free_run(ref);
+    if (!ledger_.add(end))
+        return;
+    ++stats_.ends[static_cast<std::size_t>(how)];
+    if (how == run_outcome::not_begun)
+        ++stats_.not_begun;
+    if (listener_ != nullptr)
+        listener_->part_changed(part_number_of(ref));
+    if (!occupied)
+        return;
+    tell_room();
+    start_waiting();
+}
+
+void run_keeper::end_all(run_outcome how)
+{
+    std::vector<run_ref> all;
+    for (const auto& [ref, run] : runs_)
+        all.push_back(ref);
+    for (const auto& ref : all)
+    {
+        const auto known = runs_.find(ref);
+        if (known == runs_.end())
+            continue;
+        const bool waiting = known->second.phase == run_phase::waiting;
+        end_run(ref, waiting ? run_outcome::not_begun : how, 0);
+    }
+}
+
+void run_keeper::look()
+{
+    if (looking_)
+        return;
+    looking_ = true;
+    ++stats_.looks;
+    hold_request request;
+    request.context = context();
+    request.confirmed = ledger_.confirmed();
+    hold_out_ = {};
+    if (lapsing_)
+        request.context.deadline_ms = 0;
+    else if (runner_clock_.known())
+        hold_out_ = clock_.now() + with_drift(settings_.hold);
+    if (!ledger_.waits() && runner_clock_.known() && informed_ && !lapsing_)
+        request.wait = settings_.look_wait;
+    runner_.hold(request,
+                 [this, alive = alive_, sent = clock_.now()](
+                     const hold_result& got)
+                 {
+                     if (*alive)
+                         look_answered(sent, got);
+                 });
+}
+
+void run_keeper::look_answered(instant sent, const hold_result& got)
+{
+    looking_ = false;
+    if (got.outcome != order_outcome::unhealthy)
+        held_until_ = std::max(held_until_, hold_out_);
+    hold_out_ = {};
+    const bool knew_clock = runner_clock_.known();
+    runner_clock_.heard(clock_.now(), got.clock_ms);
+    if (got.outcome == order_outcome::fenced)
+        raise_token();
+    if (got.outcome == order_outcome::done)
+    {
+        answered_ = clock_.now();
+        const bool first = !informed_;
+        informed_ = true;
+        take_finished(got.finished);
+        take_running(got.running);
+        settle_absent(sent, got.running);
+        if (first || account_.phase == runner_phase::absent)
+            set_phase(told_phase_);
+    }
+    if (!knew_clock && runner_clock_.known())
+        return look();
+    look_again(got.outcome == order_outcome::done);
+}
+
+void run_keeper::look_again(bool answered)
+{
+    const bool at_once = !ledger_.waits() && informed_ && !lapsing_;
+    auto gap = at_once ? duration{0} : settings_.look_gap;
+    if (!answered)
+        gap = look_retry;
+    later_(gap,
+           [this, alive = alive_]
+           {
+               if (*alive)
+                   look();
+           });
+}
+
+void run_keeper::take_finished(const std::vector<run_end>& finished)
+{
+    for (const auto& end : finished)
+    {
+        if (end.number <= ledger_.confirmed())
+            continue;
+        end_run(end.run, end.how, end.number);
+    }
+}
+
+void run_keeper::take_running(const std::vector<shown_run>& running)
+{
+    const auto now = clock_.now();
+    for (const auto& shown : running)
+    {
+        const auto known = runs_.find(shown.run);
+        if (known == runs_.end())
+        {
+            if (ledger_.contains(shown.run))
+                continue;
+            run_record found;
+            found.order.run = shown.run;
+            found.phase = run_phase::running;
+            found.sized = false;
+            found.changed = found.progressed = now;
+            ++unsized_;
+            runs_.emplace(shown.run, std::move(found));
+            continue;
+        }
+        auto& run = known->second;
+        const bool was_doubtful = run.phase == run_phase::doubtful;
+        if (run.phase == run_phase::starting || was_doubtful)
+            begun(run);
+        if (was_doubtful && run.asked_stop)
+            run.phase = run_phase::stopping;
+        if (shown.percent > run.percent)
+        {
+            run.percent = shown.percent;
+            run.progressed = now;
+        }
+    }
+}
+
+/// Runs that the runner ought to show and does not.
+void run_keeper::settle_absent(instant sent,
+                               const std::vector<shown_run>& running)
+{
+    std::unordered_set<run_ref, run_ref_hash> shown;
+    for (const auto& one : running)
+        shown.insert(one.run);
+    std::vector<run_ref> gone;
+    for (const auto& [ref, run] : runs_)
+    {
+        if (shown.contains(ref))
+            continue;
+        const bool ran = (run.phase == run_phase::running ||
+                          run.phase == run_phase::stopping) &&
+                         run.changed < sent &&
+                         (run.phase == run_phase::running ||
+                          (run.settled.count() != 0 && run.settled < sent));
+        const bool never = run.phase == run_phase::doubtful &&
+                           run.settled.count() != 0 && run.settled < sent;
+        if (ran || never)
+            gone.push_back(ref);
+    }
+    for (const auto& ref : gone)
+    {
+        const auto known = runs_.find(ref);
+        if (known == runs_.end())
+            continue;
+        const bool doubtful = known->second.phase == run_phase::doubtful;
+        if (!doubtful)
+            ++stats_.vanished;
+        end_run(ref, doubtful ? run_outcome::not_begun : run_outcome::lapsed,
+                0);
+    }
+}
+
+void run_keeper::tick()
+{
+    check_leases();
+    check_silence();
+    check_runs();
+    start_waiting();
+}
+
+duration run_keeper::silence_limit() const
+{
+    return with_drift(settings_.hold) + lapse_slack;
+}
+
+instant run_keeper::latest_hold() const
+{
+    return std::max(held_until_, hold_out_);
+}
+
+/// A part whose owner is silent: what runs for it must be dead before a
+/// successor may start it elsewhere, and its ends must not be taken back
+/// later. Both hold once the runner's hold has lapsed.
+void run_keeper::check_leases()
+{
+    const auto now = clock_.now();
+    if (lapsing_)
+    {
+        if (now < lapse_over_)
+            return;
+        lapsing_ = false;
+        ledger_.excuse_all();
+        log_change(log_level::info, "hold_lapsed", {});
+        return;
+    }
+    bool silent = false;
+    part_number which = 0;
+    const auto check = [&](const run_ref& ref)
+    {
+        if (now >= part(ref).lease_until)
+        {
+            silent = true;
+            which = part_number_of(ref);
+        }
+    };
+    for (const auto& [ref, run] : runs_)
+    {
+        if (occupies(run.phase))
+            check(ref);
+    }
+    for (const auto& [ref, kept] : ledger_.ends())
+    {
+        const bool counts = kept.end.how == run_outcome::done ||
+                            kept.end.how == run_outcome::failed;
+        if (counts && kept.end.number != 0 && !kept.excused)
+            check(ref);
+    }
+    if (!silent)
+        return;
+    lapsing_ = true;
+    ++stats_.lapses;
+    lapse_over_ = std::max(latest_hold(), now) + lapse_slack;
+    log_change(log_level::warning, "hold_left_to_lapse",
+               {{"part", which}, {"epoch", parts_[which].epoch}});
+}
+
+/// A runner that answers nothing has let go of everything by now.
+void run_keeper::check_silence()
+{
+    const auto now = clock_.now();
+    if (now - answered_ < silence_limit())
+        return;
+    set_phase(runner_phase::absent);
+    if (!runs_.empty() && now >= latest_hold() + lapse_slack)
+        end_all(run_outcome::lapsed);
+}
+
+void run_keeper::check_runs()
+{
+    const auto now = clock_.now();
+    std::vector<run_ref> to_stop;
+    for (auto& [ref, run] : runs_)
+    {
+        const bool retry = !run.asked_stop && now - run.changed >= stop_retry;
+        if (run.phase == run_phase::stopping && run.settled.count() == 0 &&
+            retry)
+            to_stop.push_back(ref);
+        if (run.phase == run_phase::doubtful && run.settled.count() == 0)
+        {
+            if (now - run.changed > with_drift(settings_.hold) + lapse_slack)
+                run.settled = now; // Too late for it to begin.
+            else if (!run.asked_stop)
+                to_stop.push_back(ref);
+        }
+        if (run.phase == run_phase::running &&
+            now - run.progressed > settings_.stall &&
+            now - answered_ < settings_.look_wait * 2)
+        {
+            ++stats_.stalled;
+            log_change(log_level::info, "run_stalled",
+                       {{"job", to_text(ref.task.job)},
+                        {"run", ref.run},
+                        {"percent", run.percent}});
+            to_stop.push_back(ref);
+        }
+    }
+    for (const auto& ref : to_stop)
+        stop(ref);
+}
+
+void run_keeper::raise_token()
+{
+    token_ += token_step;
+    log_change(log_level::warning, "fencing_token_raised",
+               {{"token", token_}});
+}
+
+void run_keeper::set_phase(runner_phase phase)
+{
+    if (account_.phase == phase)
+        return;
+    log_change(log_level::info, "runner_phase",
+               {{"instance", account_.instance},
+                {"from", to_name(account_.phase)},
+                {"to", to_name(phase)}});
+    account_.phase = phase;
+    if (phase != runner_phase::ready)
+    {
+        std::vector<run_ref> waiting;
+        for (const auto& [ref, run] : runs_)
+        {
+            if (run.phase == run_phase::waiting)
+                waiting.push_back(ref);
+        }
+        for (const auto& ref : waiting)
+            end_run(ref, run_outcome::not_begun, 0);
+    }
+    tell_room();
+}
+
+void run_keeper::tell_room()
+{
+    if (listener_ != nullptr)
+        listener_->room_changed();
+}
+
+void run_keeper::drain()
+{
+    draining_ = true;
+    if (account_.phase == runner_phase::ready)
+        set_phase(runner_phase::draining);
+    told_phase_ = runner_phase::draining;
+}
+
+runner_room run_keeper::room() const
+{
+    runner_room out;
+    out.used = used_;
+    for (const auto& [ref, run] : runs_)
+    {
+        if (run.phase != run_phase::waiting)
+            continue;
+        out.used.add(run.order.needs);
+        ++out.waiting;
+    }
+    if (unsized_ > 0 || !informed_ || lapsing_)
+        out.used = account_.capacity;
+    return out;
+}
+
+void run_keeper::mark_told(const std::vector<run_end>& ends)
+{
+    for (const auto& end : ends)
+    {
+        const auto known = ledger_.ends().find(end.run);
+        if (known != ledger_.ends().end())
+            known->second.told = true;
+    }
+}
+
+std::vector<run_ref> run_keeper::take_begun(part_number number)
+{
+    return std::exchange(parts_[number].begun, {});
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/runs/run_keeper.hpp
@@ -0,0 +1,305 @@
+#ifndef GLENHOLLOW_RUNS_RUN_KEEPER_HPP
+#define GLENHOLLOW_RUNS_RUN_KEEPER_HPP
+
+#include "glenhollow/core/clock.hpp"
+#include "glenhollow/durable/durable_job.hpp"
+#include "glenhollow/runs/end_ledger.hpp"
+#include "glenhollow/runs/runner_clock.hpp"
+#include "glenhollow/runs/runner_port.hpp"
+#include "glenhollow/telemetry/metrics.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace glenhollow
+{
+
+/// Where a run stands at its agent.
+enum class run_phase : std::uint8_t
+{
+    waiting,  ///< Accepted, not yet sent to the runner.
+    starting, ///< Sent, no answer yet.
+    doubtful, ///< Sent, the answer is lost.
+    running,  ///< The runner has it.
+    stopping  ///< Told to stop, not yet ended.
+};
+
+template <>
+struct name_table<run_phase>
+{
+    static constexpr std::array<std::string_view, 5> names{
+        "waiting", "starting", "doubtful", "running", "stopping"};
+};
+
+/// Whether a runner takes work.
+enum class runner_phase : std::uint8_t
+{
+    absent,  ///< Not registered, or it does not answer.
+    ready,   ///< Takes starts.
+    draining ///< Finishes what runs.
+};
+
+template <>
+struct name_table<runner_phase>
+{
+    static constexpr std::array<std::string_view, 3> names{"absent", "ready",
+                                                           "draining"};
+};
+
+/// What a runner says of itself.
+struct runner_account
+{
+    std::string service;                       ///< What it runs.
+    std::string instance;                      ///< This life of it.
+    std::string zone;                          ///< Where it stands.
+    std::vector<std::string> labels;           ///< Kind, rack.
+    resources capacity;                        ///< All of it.
+    runner_phase phase = runner_phase::absent; ///< Whether it takes work.
+};
+
+/// What an agent tells of its runner's room.
+struct runner_room
+{
+    resources used;            ///< By what runs, starts, stops or waits.
+    std::uint32_t waiting = 0; ///< Orders without room yet.
+};
+
+/// A start that an owner orders.
+struct run_order
+{
+    run_ref run;              ///< Which run.
+    std::uint32_t epoch = 0;  ///< Of the part, at the owner.
+    resources needs;          ///< What it takes.
+    std::int64_t urgency = 0; ///< Smaller goes first.
+    std::string spec;         ///< The job's.
+};
+
+/// A run as its agent lists it for a new owner.
+struct listed_run
+{
+    run_ref run;                          ///< Which run.
+    run_phase phase = run_phase::waiting; ///< Where it stands.
+    bool sized = false;                   ///< The agent knows what it takes.
+};
+
+/// All that an agent knows of one part.
+struct part_account
+{
+    bool declined = false;        ///< A later owner has been here.
+    std::vector<listed_run> runs; ///< Not ended.
+    std::vector<run_end> ends;    ///< Not confirmed by an owner.
+};
+
+/// Limits of a keeper.
+struct run_keeper_settings
+{
+    std::size_t parts = 3;                   ///< Of the journal.
+    duration lease = milliseconds{1800};     ///< From an owner's confirmation.
+    duration hold = milliseconds{1000};      ///< Longest hold of the runner.
+    duration look_wait = milliseconds{200};  ///< Of one look, at most.
+    duration look_gap = milliseconds{8};     ///< While ends are unconfirmed.
+    duration stall = milliseconds{900};      ///< A run without progress.
+    std::size_t waiting_limit = 16;          ///< Orders without room.
+};
+
+/// Counters of a keeper.
+struct run_keeper_stats
+{
+    std::uint64_t started = 0;   ///< Starts that the runner took.
+    std::uint64_t not_begun = 0; ///< Orders that never began.
+    std::uint64_t doubtful = 0;  ///< Starts without an answer.
+    std::uint64_t looks = 0;     ///< Looks at the runner.
+    std::uint64_t lapses = 0;    ///< Times the hold was left to lapse.
+    std::uint64_t stalled = 0;   ///< Runs stopped for want of progress.
+    std::uint64_t vanished = 0;  ///< Runs that the runner no longer showed.
+    std::array<std::uint64_t, name_table<run_outcome>::names.size()>
+        ends{}; ///< By outcome.
+};
+
+/// Told of changes.
+class run_listener
+{
+public:
+    virtual ~run_listener() = default;
+
+    /// @param part Has an end or a begun run to tell.
+    virtual void part_changed(part_number part) = 0;
+
+    /// The runner's room or phase has changed.
+    virtual void room_changed() = 0;
+};
+
+/// The one voice that speaks to a runner: keeps its runs, its room, its hold
+/// and the ends that no owner has journalled yet. One thread.
+class run_keeper final
+{
+public:
+    /// Runs a function after a while.
+    using delay = std::function<void(duration, std::function<void()>)>;
+
+    /// @param clock Outlives the keeper.
+    /// @param runner Outlives the keeper.
+    /// @param later Runs delayed work; none after the keeper's end.
+    /// @param fencing_token First token; above those of earlier processes.
+    /// @param settings Limits.
+    run_keeper(const clock_source& clock, runner_port& runner, delay later,
+               std::uint64_t fencing_token,
+               const run_keeper_settings& settings);
+    ~run_keeper();
+
+    /// @param listener Told of changes; outlives the keeper.
+    void listen(run_listener* listener) { listener_ = listener; }
+
+    /// Begins to look at the runner.
+    void begin();
+
+    /// @return Whether the runner has been looked at, so that runs are known.
+    bool informed() const { return informed_; }
+
+    /// @param account As the runner registers itself.
+    void registered(const runner_account& account);
+
+    /// @param instance A life that has ended.
+    void departed(const std::string& instance);
+
+    /// Takes a part's new owner.
+    /// @param part The part.
+    /// @param epoch The owner's.
+    /// @return What is known, or that a later owner has been here.
+    part_account adopt(part_number part, std::uint32_t epoch);
+
+    /// @param part A part.
+    /// @param epoch Whose lease is renewed.
+    /// @param confirmed When this agent sent what the owner has confirmed.
+    void renew(part_number part, std::uint32_t epoch, instant confirmed);
+
+    /// @param order A start; a refused one ends as `not_begun`.
+    void order(run_order order);
+
+    /// @param run What to stop.
+    void stop(const run_ref& run);
+
+    /// @param order What a run takes that was found running.
+    void size(const run_order& order);
+
+    /// @param end An end that is in the journal.
+    void confirm(const run_end& end);
+
+    /// Does what is due.
+    void tick();
+
+    /// Takes no more orders; what runs goes on.
+    void drain();
+
+    /// @return Whether nothing runs or waits to be confirmed.
+    bool idle() const { return runs_.empty() && ledger_.empty(); }
+
+    /// @return What the runner said of itself, and whether it answers.
+    const runner_account& account() const { return account_; }
+
+    /// @return Room as owners should see it.
+    runner_room room() const;
+
+    /// @return Ends that no owner has confirmed.
+    const end_ledger& ledger() const { return ledger_; }
+
+    /// @param part A part.
+    /// @return Runs that began since the last call.
+    std::vector<run_ref> take_begun(part_number part);
+
+    /// @param run A run.
+    /// @return The part that its job belongs to.
+    part_number part_number_of(const run_ref& run) const;
+
+    /// @param ends Have been sent to the present owner.
+    void mark_told(const std::vector<run_end>& ends);
+
+    /// @return Counters.
+    const run_keeper_stats& stats() const { return stats_; }
+
+private:
+    /// One run that has not ended.
+    struct run_record
+    {
+        run_order order;                      ///< As ordered or found.
+        run_phase phase = run_phase::waiting; ///< Where it stands.
+        bool sized = true;                    ///< Its needs are known.
+        bool asked_stop = false;              ///< A stop is out.
+        instant changed{};                    ///< When the phase changed.
+        instant settled{}; ///< Doubtful: when it could not begin any more.
+        std::uint32_t percent = 0; ///< Of its work, as last shown.
+        instant progressed{};      ///< When the percent last rose.
+    };
+
+    /// What is known of one part.
+    struct part_record
+    {
+        std::uint32_t epoch = 0;       ///< Highest adopted.
+        std::uint32_t lease_epoch = 0; ///< Whose lease it is.
+        instant lease_until{};         ///< End of the lease.
+        std::vector<run_ref> begun;    ///< Not yet told.
+    };
+
+    using runs = std::unordered_map<run_ref, run_record, run_ref_hash>;
+
+    part_record& part(const run_ref& run);
+    bool may_start(const run_record& run);
+    void start_waiting();
+    void send_start(run_record& run);
+    void start_answered(const run_ref& ref, const order_result& got);
+    void send_stop(run_record& run);
+    void stop_answered(const run_ref& ref, const order_result& got);
+    void begun(run_record& run);
+    void end_run(const run_ref& ref, run_outcome how, std::uint64_t number);
+    void free_run(const run_ref& ref);
+    void look();
+    void look_answered(instant sent, const hold_result& got);
+    void look_again(bool answered);
+    void take_running(const std::vector<shown_run>& running);
+    void take_finished(const std::vector<run_end>& finished);
+    void settle_absent(instant sent, const std::vector<shown_run>& running);
+    void end_all(run_outcome how);
+    void check_leases();
+    void check_silence();
+    void check_runs();
+    order_context context() const;
+    duration silence_limit() const;
+    instant latest_hold() const;
+    void raise_token();
+    void set_phase(runner_phase phase);
+    void tell_room();
+
+    const clock_source& clock_;      ///< This agent's.
+    runner_port& runner_;            ///< The runner.
+    delay later_;                    ///< Delayed work.
+    run_keeper_settings settings_;   ///< Limits.
+    run_listener* listener_ = nullptr; ///< Told of changes.
+    std::uint64_t token_;            ///< Fencing token.
+    runner_account account_;         ///< As last registered.
+    runner_phase told_phase_ = runner_phase::absent; ///< By the runner.
+    runner_clock runner_clock_;      ///< The runner's clock as seen here.
+    runs runs_;                      ///< Not ended.
+    end_ledger ledger_;              ///< Ended, not confirmed.
+    std::map<part_number, part_record> parts_; ///< By number.
+    resources used_;                 ///< By sized runs past waiting.
+    std::size_t unsized_ = 0;        ///< Runs of unknown needs.
+    bool informed_ = false;          ///< A look has been answered.
+    bool looking_ = false;           ///< A look is out.
+    bool draining_ = false;          ///< No more orders.
+    bool lapsing_ = false;           ///< The hold is left to lapse.
+    instant lapse_over_{};           ///< When it surely has.
+    instant held_until_{};           ///< Latest end of the hold.
+    instant hold_out_{};             ///< Of the look that is out.
+    instant answered_{};             ///< Last answer to a look.
+    run_keeper_stats stats_;         ///< Counters.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
+};
+
+} // namespace glenhollow
+
+#endif
--- /dev/null
+++ b/src/glenhollow/runs/run_wire.cpp
@@ -0,0 +1,181 @@
+#include "glenhollow/runs/run_wire.hpp"
+
+namespace glenhollow
+{
+
+namespace
+{
+
+void fill_task(wire::TaskRef::Builder out, const task_ref& task)
+{
+    out.setJob(task.job);
+    out.setOccurrence(task.occurrence);
+    out.setStep(task.step);
+    out.setIndex(task.index);
+}
+
+task_ref task_from(wire::TaskRef::Reader in)
+{
+    return {in.getJob(), in.getOccurrence(), in.getStep(), in.getIndex()};
+}
+
+std::string text(capnp::Text::Reader in)
+{
+    return {in.cStr(), in.size()};
+}
+
+/// Fills a list of structures.
+template <class List, class Items>
+void fill_all(List list, const Items& items)
+{
+    unsigned at = 0;
+    for (const auto& item : items)
+        fill(list[at++], item);
+}
+
+/// Reads a list of structures.
+template <class Item, class List>
+std::vector<Item> all_from(List list)
+{
+    std::vector<Item> items;
+    items.reserve(list.size());
+    for (auto item : list)
+        items.push_back(from_wire(item));
+    return items;
+}
+
+} // namespace
+
+void fill(wire::RunRef::Builder out, const run_ref& run)
+{
+    fill_task(out.initTask(), run.task);
+    out.setRun(run.run);
+}
+
+run_ref from_wire(wire::RunRef::Reader in)
+{
+    return {task_from(in.getTask()), in.getRun()};
+}
+
+void fill(wire::RunEnd::Builder out, const run_end& end)
+{
+    fill_task(out.initTask(), end.run.task);
+    out.setRun(end.run.run);
+    out.setHow(static_cast<std::uint8_t>(end.how));
+    out.setNumber(end.number);
+    out.setMicros(end.micros);
+}
+
+run_end from_wire(wire::RunEnd::Reader in)
+{
+    return {{task_from(in.getTask()), in.getRun()},
+            from_index(in.getHow(), run_outcome::failed),
+            in.getNumber(),
+            in.getMicros()};
+}
+
+void fill(wire::RunOrder::Builder out, const run_order& order)
+{
+    fill_task(out.initTask(), order.run.task);
+    out.setRun(order.run.run);
+    out.setEpoch(order.epoch);
+    out.setCpu(order.needs.cpu);
+    out.setMemory(order.needs.memory);
+    out.setGpu(order.needs.gpu);
+    out.setUrgency(order.urgency);
+    out.setSpec(order.spec);
+}
+
+run_order from_wire(wire::RunOrder::Reader in)
+{
+    run_order order;
+    order.run = {task_from(in.getTask()), in.getRun()};
+    order.epoch = in.getEpoch();
+    order.needs = {in.getCpu(), in.getMemory(), in.getGpu()};
+    order.urgency = in.getUrgency();
+    order.spec = text(in.getSpec());
+    return order;
+}
+
+void fill(wire::RunState::Builder out, const listed_run& run)
+{
+    fill_task(out.initTask(), run.run.task);
+    out.setRun(run.run.run);
+    out.setPhase(static_cast<std::uint8_t>(run.phase));
+    out.setSized(run.sized);
+}
+
+listed_run from_wire(wire::RunState::Reader in)
+{
+    return {{task_from(in.getTask()), in.getRun()},
+            from_index(in.getPhase(), run_phase::running),
+            in.getSized()};
+}
+
+void fill(wire::RunnerState::Builder out, const runner_report& report)
+{
+    const auto& account = report.account;
+    out.setService(account.service);
+    out.setInstance(account.instance);
+    out.setZone(account.zone);
+    auto labels = out.initLabels(static_cast<unsigned>(account.labels.size()));
+    for (unsigned i = 0; i < labels.size(); ++i)
+        labels.set(i, account.labels[i].c_str());
+    out.setPhase(static_cast<std::uint8_t>(account.phase));
+    out.setCpu(account.capacity.cpu);
+    out.setMemory(account.capacity.memory);
+    out.setGpu(account.capacity.gpu);
+    out.setUsedCpu(report.room.used.cpu);
+    out.setUsedMemory(report.room.used.memory);
+    out.setUsedGpu(report.room.used.gpu);
+    out.setWaiting(report.room.waiting);
+    out.setReceived(report.received);
+}
+
+runner_report from_wire(wire::RunnerState::Reader in)
+{
+    runner_report report;
+    auto& account = report.account;
+    account.service = text(in.getService());
+    account.instance = text(in.getInstance());
+    account.zone = text(in.getZone());
+    for (auto label : in.getLabels())
+        account.labels.push_back(text(label));
+    account.phase = from_index(in.getPhase(), runner_phase::absent);
+    account.capacity = {in.getCpu(), in.getMemory(), in.getGpu()};
+    report.room.used = {in.getUsedCpu(), in.getUsedMemory(), in.getUsedGpu()};
+    report.room.waiting = in.getWaiting();
+    report.received = in.getReceived();
+    return report;
+}
+
+void fill(wire::PartEpoch::Builder out, const part_epoch& part)
+{
+    out.setPart(part.part);
+    out.setEpoch(part.epoch);
+}
+
+part_epoch from_wire(wire::PartEpoch::Reader in)
+{
+    return {in.getPart(), in.getEpoch()};
+}
+
+void fill(wire::OrderBatch::Builder out, const order_batch& batch)
+{
+    const auto size = [](const auto& items)
+    { return static_cast<unsigned>(items.size()); };
+    fill_all(out.initStarts(size(batch.starts)), batch.starts);
+    fill_all(out.initStops(size(batch.stops)), batch.stops);
+    fill_all(out.initSizes(size(batch.sizes)), batch.sizes);
+    fill_all(out.initConfirmed(size(batch.confirmed)), batch.confirmed);
+}
+
+order_batch from_wire(wire::OrderBatch::Reader in)
+{
+    return {all_from<run_order>(in.getStarts()),
+            all_from<run_ref>(in.getStops()),
+            all_from<run_order>(in.getSizes()),
+            all_from<run_end>(in.getConfirmed())};
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/runs/run_wire.hpp
@@ -0,0 +1,101 @@
+#ifndef GLENHOLLOW_RUNS_RUN_WIRE_HPP
+#define GLENHOLLOW_RUNS_RUN_WIRE_HPP
+
+#include "glenhollow/runs/run_keeper.hpp"
+#include "glenhollow/wire/glenhollow.capnp.h"
+
+namespace glenhollow
+{
+
+/// @param out Gets the run.
+/// @param run A run.
+void fill(wire::RunRef::Builder out, const run_ref& run);
+
+/// @param in A run on the wire.
+/// @return The run.
+run_ref from_wire(wire::RunRef::Reader in);
+
+/// @param out Gets the end.
+/// @param end A run's end.
+void fill(wire::RunEnd::Builder out, const run_end& end);
+
+/// @param in An end on the wire.
+/// @return The end.
+run_end from_wire(wire::RunEnd::Reader in);
+
+/// @param out Gets the order.
+/// @param order A start.
+void fill(wire::RunOrder::Builder out, const run_order& order);
+
+/// @param in An order on the wire.
+/// @return The order.
+run_order from_wire(wire::RunOrder::Reader in);
+
+/// @param out Gets the run.
+/// @param run A run that has not ended.
+void fill(wire::RunState::Builder out, const listed_run& run);
+
+/// @param in A run on the wire.
+/// @return The run.
+listed_run from_wire(wire::RunState::Reader in);
+
+/// A runner as its agent reports it to one session.
+struct runner_report
+{
+    runner_account account;     ///< What it says of itself.
+    runner_room room;           ///< What is taken.
+    std::uint64_t received = 0; ///< Order batches of the session seen.
+};
+
+/// @param out Gets the report.
+/// @param report A runner.
+void fill(wire::RunnerState::Builder out, const runner_report& report);
+
+/// @param in A runner on the wire.
+/// @return The report.
+runner_report from_wire(wire::RunnerState::Reader in);
+
+/// A part and whose it is.
+struct part_epoch
+{
+    part_number part = 0;    ///< The part.
+    std::uint32_t epoch = 0; ///< Counts its owners.
+
+    bool operator==(const part_epoch&) const = default;
+};
+
+/// @param out Gets the part.
+/// @param part A part and whose it is.
+void fill(wire::PartEpoch::Builder out, const part_epoch& part);
+
+/// @param in A part on the wire.
+/// @return The part.
+part_epoch from_wire(wire::PartEpoch::Reader in);
+
+/// Orders that go to one agent together.
+struct order_batch
+{
+    std::vector<run_order> starts;  ///< To start.
+    std::vector<run_ref> stops;     ///< To stop.
+    std::vector<run_order> sizes;   ///< What found runs take.
+    std::vector<run_end> confirmed; ///< Ends that are in the journal.
+
+    /// @return Whether there is nothing to say.
+    bool empty() const
+    {
+        return starts.empty() && stops.empty() && sizes.empty() &&
+               confirmed.empty();
+    }
+};
+
+/// @param out Gets the batch.
+/// @param batch Orders.
+void fill(wire::OrderBatch::Builder out, const order_batch& batch);
+
+/// @param in A batch on the wire.
+/// @return The orders.
+order_batch from_wire(wire::OrderBatch::Reader in);
+
+} // namespace glenhollow
+
+#endif
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -1159,7 +1159,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f07b90f43f6a30a9, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f07b90f43f6a30a9, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -7289,6 +7289,9 @@
   inline bool hasPending() const;
   inline  ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Reader getPending() const;
 
+  inline bool hasReleased() const;
+  inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader getReleased() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -7350,6 +7353,13 @@
   inline void adoptPending(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>> disownPending();
 
+  inline bool hasReleased();
+  inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder getReleased();
+  inline void setReleased( ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder initReleased(unsigned int size);
+  inline void adoptReleased(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>> disownReleased();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -12506,6 +12516,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool EntryView::Reader::hasReleased() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryView::Builder::hasReleased() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader EntryView::Reader::getReleased() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::getReleased() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void EntryView::Builder::setReleased( ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::initReleased(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void EntryView::Builder::adoptReleased(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>> EntryView::Builder::disownReleased() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint8_t JobCall::Reader::getVerb() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
