--- a/src/glenhollow/durable/agent_sessions.cpp
+++ b/src/glenhollow/durable/agent_sessions.cpp
@@ -149,7 +149,7 @@
         at.link->add(request.send().then(
             [this, agent = at.agent, part](auto&& answer)
             {
-                part_account account;
+                lease_account account;
                 account.declined = answer.getDeclined();
                 for (auto run : answer.getRuns())
                     account.runs.push_back(from_wire(run));
--- a/src/glenhollow/durable/agent_sessions.hpp
+++ b/src/glenhollow/durable/agent_sessions.hpp
@@ -31,7 +31,7 @@
     /// @param part Which, and under which epoch.
     /// @param account What it knows of it.
     virtual void agent_adopted(const std::string& agent, part_epoch part,
-                               const part_account& account) = 0;
+                               const lease_account& account) = 0;
 
     /// @param agent It reported.
     /// @param report Its runner.
--- a/src/glenhollow/durable/durable_job.hpp
+++ b/src/glenhollow/durable/durable_job.hpp
@@ -21,6 +21,27 @@
 /// Number of a part of the journal, from 0.
 using part_number = std::uint16_t;
 
+/// Stands for the jobs that an entry keeps in memory alone.
+inline constexpr part_number memory_part = 0xFFFF;
+
+/// Runs of jobs in memory have numbers above this one, runs of jobs in the
+/// journal below it.
+inline constexpr std::uint32_t first_memory_run = 1U << 30U;
+
+/// How long a job must last.
+enum class durability : std::uint8_t
+{
+    journalled, ///< Kept, whatever fails; its caller asks for its state.
+    in_memory   ///< As long as its entry; its caller waits for its end.
+};
+
+template <>
+struct name_table<durability>
+{
+    static constexpr std::array<std::string_view, 2> names{"journalled",
+                                                           "in_memory"};
+};
+
 /// @param id A job.
 /// @return Its 16 hexadecimal digits.
 std::string to_text(job_id id);
@@ -71,6 +92,9 @@
     std::uint32_t run = 0; ///< Its start's number, rising.
 
     bool operator==(const run_ref&) const = default;
+
+    /// @return Whether its job is kept in memory alone.
+    bool in_memory() const { return run > first_memory_run; }
 };
 
 /// Hashes run names.
@@ -103,6 +127,9 @@
     std::uint32_t max_attempts = 1; ///< Runs of a task that may fail.
     std::int64_t accepted_ms = 0;   ///< Wall time, ms since 1970.
     std::int64_t objective_ms = 0;  ///< Wall time by which it should end.
+    std::int64_t give_up_ms = 0;    ///< Wall time after which an answer is
+                                    ///< worth nothing; 0: never.
+    durability lasts = durability::journalled; ///< How long it must last.
 
     /// @return All tasks of all steps.
     std::size_t task_count() const;
--- a/src/glenhollow/durable/durable_jobs.hpp
+++ b/src/glenhollow/durable/durable_jobs.hpp
@@ -1,7 +1,7 @@
 #ifndef GLENHOLLOW_DURABLE_DURABLE_JOBS_HPP
 #define GLENHOLLOW_DURABLE_DURABLE_JOBS_HPP
 
-#include "glenhollow/durable/part_jobs.hpp"
+#include "glenhollow/durable/job_board.hpp"
 #include "glenhollow/durable/queue_catalog.hpp"
 
 #include <functional>
@@ -21,8 +21,11 @@
     virtual const queue_catalog& catalog() const = 0;
 
     /// @param job Of a queue of the catalog, with a checked form.
-    /// @param done Told the end; accepted means that it is kept.
-    virtual void submit(const job_definition& job, job_reply_handler done) = 0;
+    /// @param done Told the end: of a journalled job that it is kept, of one
+    /// in memory how it ended.
+    /// @return Withdraws a job in memory; empty for a journalled one.
+    virtual std::function<void()> submit(const job_definition& job,
+                                         job_reply_handler done) = 0;
 
     /// @param id A job.
     /// @param done Told the end.
--- a/src/glenhollow/durable/durable_metrics.cpp
+++ b/src/glenhollow/durable/durable_metrics.cpp
@@ -6,11 +6,11 @@
 
 void durable_service::collect_parts(metric_page& page)
 {
-    part_jobs_stats jobs;
+    job_board_stats jobs;
     journal_chain_stats journal;
     double open = 0;
-    ownership_.for_each(
-        [&](part_jobs& part)
+    const auto add =
+        [&](job_board& part)
         {
             const auto& one = part.stats();
             jobs.accepted += one.accepted;
@@ -27,8 +27,12 @@
             journal.refused += chain.refused;
             journal.unknown += chain.unknown;
             journal.settled += chain.settled;
+            jobs.given_up += one.given_up;
+            jobs.withdrawn += one.withdrawn;
             open += static_cast<double>(part.open_jobs());
-        });
+        };
+    ownership_.for_each(add);
+    add(memory_);
     const auto count = [&page](std::string_view name, std::string_view help,
                                std::uint64_t value)
     { page.counter(name, help, static_cast<double>(value)); };
@@ -39,6 +43,10 @@
     count("jobs_failed_total", "Durable jobs failed", jobs.failed);
     count("jobs_cancelled_total", "Durable jobs cancelled", jobs.cancelled);
     count("jobs_late_total", "Jobs ended after their objective", jobs.late);
+    count("jobs_given_up_total", "Jobs in memory past any worth",
+          jobs.given_up);
+    count("jobs_withdrawn_total", "Jobs in memory whose caller left",
+          jobs.withdrawn);
     count("tasks_restarted_total", "Tasks placed again", jobs.restarted);
     count("journal_transactions_total", "Transactions sent",
           journal.transactions);
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -17,6 +17,13 @@
 constexpr duration tick_interval = milliseconds{50};
 constexpr duration probe_interval = milliseconds{300};
 
+/// A job in memory that is sent again soon after its end is not run anew.
+constexpr duration memory_of_ends = seconds{10};
+
+/// An agent's lease for jobs in memory, its time to notice, the longest hold
+/// of its runner and some slack.
+constexpr duration memory_agent_silence = milliseconds{2000};
+
 std::int64_t wall_milliseconds()
 {
     return wall_nanoseconds() / 1'000'000;
@@ -39,6 +46,16 @@
     return settings;
 }
 
+job_board_settings memory_of(const durable_service_settings& of)
+{
+    auto settings = of.memory;
+    settings.entry = of.entry;
+    settings.parts = of.parts;
+    settings.keep_ended = memory_of_ends;
+    settings.agent_silence = memory_agent_silence;
+    return settings;
+}
+
 job_router_settings router_of(const durable_service_settings& of)
 {
     auto settings = of.router;
@@ -58,6 +75,7 @@
       peers_(io, clock, *this, settings.peers),
       dispatcher_(clock, agents_, *this, settings.dispatch),
       ownership_(surroundings(), peers_, *this, ownership_of(settings)),
+      memory_(surroundings(), memory_of(settings)),
       router_(clock, delay(), ownership_, peers_, router_of(settings)),
       members_(store_, delay(), std::string(members_table), settings.follower,
                [this](const stored_row& row) { take_member(row); }),
@@ -91,7 +109,7 @@
     };
 }
 
-part_jobs::surroundings durable_service::surroundings()
+job_board::surroundings durable_service::surroundings()
 {
     return {clock_, wall_milliseconds, store_, dispatcher_, delay()};
 }
@@ -120,12 +138,8 @@
     ownership_.tick(store_.reachable());
     check_agents();
     probe_store();
-    const auto live = peers_.live();
-    const auto owners =
-        std::count_if(live.begin(), live.end(), [](const entry_view& view)
-                      { return !view.parts.empty(); });
-    const bool owns = !ownership_.owned().empty();
-    dispatcher_.set_owners(static_cast<std::size_t>(owners) + (owns ? 1 : 0));
+    memory_.tick();
+    dispatcher_.set_owners(peers_.live().size() + 1);
     schedule_dispatch();
     delay()(tick_interval, [this] { tick(); });
 }
@@ -135,13 +149,19 @@
 {
     const auto now = clock_.now();
     const auto limit = settings_.ownership.jobs.agent_silence;
-    for (auto& [agent, heard] : agent_heard_)
+    for (auto& [agent, silence] : agent_heard_)
     {
-        if (heard.count() == 0 || now - heard <= limit)
+        const auto length = now - silence.heard;
+        if (!silence.memory_ended && length > memory_agent_silence)
+        {
+            silence.memory_ended = true;
+            memory_.agent_gone(agent);
+        }
+        if (silence.parts_ended || length <= limit)
             continue;
-        heard = {};
+        silence.parts_ended = true;
         log_change(log_level::warning, "agent_given_up", {{"agent", agent}});
-        ownership_.for_each([&agent = agent](part_jobs& part)
+        ownership_.for_each([&agent = agent](job_board& part)
                             { part.agent_gone(agent); });
     }
 }
@@ -250,7 +270,7 @@
                                      const runner_report& report)
 {
     dispatcher_.attached(agent, report);
-    agent_heard_[agent] = clock_.now();
+    agent_heard_[agent] = {clock_.now(), false, false};
 }
 
 void durable_service::agent_detached(const std::string& agent)
@@ -259,9 +279,10 @@
 }
 
 void durable_service::agent_adopted(const std::string& agent, part_epoch part,
-                                    const part_account& account)
+                                    const lease_account& account)
 {
-    auto* jobs = ownership_.find(part.part);
+    auto* jobs =
+        part.part == memory_part ? &memory_ : ownership_.find(part.part);
     if (jobs == nullptr || jobs->epoch() != part)
         return;
     if (account.declined)
@@ -282,18 +303,16 @@
                                      const std::vector<run_end>& ends,
                                      const std::vector<run_ref>& begun)
 {
-    agent_heard_[agent] = clock_.now();
+    agent_heard_[agent] = {clock_.now(), false, false};
     dispatcher_.reported(agent, report);
-    const auto owner = [this](const run_ref& run)
-    { return ownership_.find(part_of(run.task.job, settings_.parts)); };
     for (const auto& run : begun)
     {
-        if (auto* jobs = owner(run))
+        if (auto* jobs = board_of(run))
             jobs->began(run);
     }
     for (const auto& end : ends)
     {
-        if (auto* jobs = owner(end.run))
+        if (auto* jobs = board_of(end.run))
             jobs->ended(agent, end);
     }
     schedule_dispatch();
@@ -301,7 +320,16 @@
 
 std::vector<part_epoch> durable_service::owned_parts() const
 {
-    return ownership_.owned();
+    auto parts = ownership_.owned();
+    parts.push_back(memory_.epoch());
+    return parts;
+}
+
+job_board* durable_service::board_of(const run_ref& run)
+{
+    if (run.in_memory())
+        return &memory_;
+    return ownership_.find(part_of(run.task.job, settings_.parts));
 }
 
 // Other entries.
@@ -317,7 +345,7 @@
     view.stopping = stopping_;
     view.catalog_version = catalog_.version;
     ownership_.for_each(
-        [&view](part_jobs& part)
+        [&view](job_board& part)
         {
             for (const auto& [queue, count] : part.pending())
                 view.pending.push_back({queue, part.epoch().part, count});
@@ -368,7 +396,8 @@
 std::optional<run_order> durable_service::assign(const ready_task& task,
                                                  const std::string& agent)
 {
-    auto* jobs = ownership_.find(task.part);
+    auto* jobs =
+        task.part == memory_part ? &memory_ : ownership_.find(task.part);
     if (jobs == nullptr)
         return std::nullopt;
     return jobs->assign(task, agent);
@@ -376,10 +405,24 @@
 
 // Callers.
 
-void durable_service::submit(const job_definition& job, job_reply_handler done)
+std::function<void()> durable_service::submit(const job_definition& job,
+                                              job_reply_handler done)
 {
+    if (job.lasts == durability::in_memory)
+    {
+        memory_.submit(job, std::move(done));
+        schedule_dispatch();
+        return [this, alive = alive_, id = job.id]
+        {
+            if (!*alive)
+                return;
+            memory_.withdraw(id);
+            schedule_dispatch();
+        };
+    }
     router_.route({job_verb::submit, job.id, job}, std::move(done));
     schedule_dispatch();
+    return {};
 }
 
 void durable_service::cancel(job_id id, job_reply_handler done)
@@ -396,6 +439,9 @@
 std::uint32_t durable_service::pending(const std::string& queue) const
 {
     std::uint32_t total = 0;
+    const auto in_memory = memory_.pending();
+    const auto here = in_memory.find(queue);
+    total += here == in_memory.end() ? 0 : here->second;
     const auto add = [&](const entry_view& view)
     {
         for (const auto& count : view.pending)
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -37,6 +37,7 @@
     duration store_patience = milliseconds{500}; ///< Failing for so long, the
                                                  ///< store is unreachable.
     part_ownership_settings ownership; ///< Limits.
+    job_board_settings memory;         ///< Limits of jobs in memory.
     agent_sessions_settings agents;    ///< Limits.
     entry_peers_settings peers;        ///< Limits.
     job_router_settings router;        ///< Limits.
@@ -87,7 +88,8 @@
     // durable_jobs
 
     const queue_catalog& catalog() const override { return catalog_; }
-    void submit(const job_definition& job, job_reply_handler done) override;
+    std::function<void()> submit(const job_definition& job,
+                                 job_reply_handler done) override;
     void cancel(job_id id, job_reply_handler done) override;
     void state(job_id id, job_reply_handler done) override;
     std::uint32_t pending(const std::string& queue) const override;
@@ -97,7 +99,7 @@
                         const runner_report& report) override;
     void agent_detached(const std::string& agent) override;
     void agent_adopted(const std::string& agent, part_epoch part,
-                       const part_account& account) override;
+                       const lease_account& account) override;
     void agent_reported(const std::string& agent, const runner_report& report,
                         const std::vector<run_end>& ends,
                         const std::vector<run_ref>& begun) override;
@@ -116,6 +118,7 @@
     std::optional<run_order> assign(const ready_task& task,
                                     const std::string& agent) override;
 
+    job_board* board_of(const run_ref& run);
     void take_member(const stored_row& row);
     void take_catalog_row(const stored_row& row);
     void take_document(const std::string& document, std::string_view source);
@@ -125,7 +128,7 @@
     void schedule_dispatch();
     void collect_parts(metric_page& page);
     void collect_router(metric_page& page) const;
-    part_jobs::surroundings surroundings();
+    job_board::surroundings surroundings();
     journal_chain::delay delay();
 
     boost::asio::io_context& io_;       ///< Runs it.
@@ -139,12 +142,20 @@
     entry_peers peers_;                 ///< Links to entries.
     dispatcher dispatcher_;             ///< Places tasks.
     part_ownership ownership_;          ///< This entry's parts.
+    job_board memory_;                  ///< Jobs kept in memory alone.
     job_router router_;                 ///< Brings calls to owners.
     table_follower members_;            ///< Rows of processes.
     table_follower configuration_;      ///< Rows of the operator.
     member_announcer announcer_;        ///< Writes this entry's row.
-    std::map<std::string, instant> agent_heard_; ///< Last word; zero: its
-                                                 ///< runs are given up.
+    /// How long an agent has been silent.
+    struct agent_silence
+    {
+        instant heard{};            ///< Its last word.
+        bool memory_ended = false;  ///< Its runs in memory are given up.
+        bool parts_ended = false;   ///< All its runs are given up.
+    };
+
+    std::map<std::string, agent_silence> agent_heard_; ///< By agent.
     instant probed_{};                  ///< Last probe of the store.
     bool dispatching_ = false;          ///< A dispatch is on its way.
     bool stopping_ = false;             ///< A planned stop.
--- a/src/glenhollow/durable/entry_peers.hpp
+++ b/src/glenhollow/durable/entry_peers.hpp
@@ -1,7 +1,7 @@
 #ifndef GLENHOLLOW_DURABLE_ENTRY_PEERS_HPP
 #define GLENHOLLOW_DURABLE_ENTRY_PEERS_HPP
 
-#include "glenhollow/durable/part_jobs.hpp"
+#include "glenhollow/durable/job_board.hpp"
 #include "glenhollow/rpc/rpc_link.hpp"
 #include "glenhollow/wire/glenhollow.capnp.h"
 
--- a/src/glenhollow/durable/part_jobs.cpp
+++ b/src/glenhollow/durable/job_board.cpp
@@ -1,4 +1,4 @@
-#include "glenhollow/durable/part_jobs.hpp"
+#include "glenhollow/durable/job_board.hpp"
 
 #include "glenhollow/telemetry/log.hpp"
 
@@ -25,10 +25,10 @@
 
 } // namespace
 
-part_jobs::part_jobs(surroundings around, part_number part,
+job_board::job_board(surroundings around, part_number part,
                      const chain_head& head, loaded_part loaded,
                      std::set<std::string> awaited,
-                     const part_jobs_settings& settings,
+                     const job_board_settings& settings,
                      std::function<void()> on_lost)
     : around_(std::move(around)), part_(part), epoch_(head.epoch),
       settings_(settings),
@@ -69,17 +69,23 @@
         all_agents_told();
 }
 
-part_jobs::~part_jobs()
+job_board::job_board(surroundings around, const job_board_settings& settings)
+    : around_(std::move(around)), part_(memory_part), epoch_(0),
+      settings_(settings), claimed_(around_.clock.now())
+{
+}
+
+job_board::~job_board()
 {
     *alive_ = false;
 }
 
-row_key part_jobs::key(std::string_view table, job_id id) const
+row_key job_board::key(std::string_view table, job_id id) const
 {
     return {std::string(table), part_name(part_), to_text(id)};
 }
 
-std::uint32_t part_jobs::flat_index(const job_definition& job,
+std::uint32_t job_board::flat_index(const job_definition& job,
                                     const task_ref& task) const
 {
     std::uint32_t flat = task.index;
@@ -88,7 +94,7 @@
     return flat;
 }
 
-task_ref part_jobs::ref_of(const job_definition& job, std::uint32_t flat) const
+task_ref job_board::ref_of(const job_definition& job, std::uint32_t flat) const
 {
     task_ref task{job.id, 0, 0, flat};
     while (task.index >= job.steps[task.step].count)
@@ -96,7 +102,7 @@
     return task;
 }
 
-const job_step& part_jobs::step_of(const job_definition& job,
+const job_step& job_board::step_of(const job_definition& job,
                                    std::uint32_t flat) const
 {
     return job.steps[ref_of(job, flat).step];
@@ -104,7 +110,7 @@
 
 // Acceptance.
 
-std::optional<duration> part_jobs::hopeless(const job_definition& job) const
+std::optional<duration> job_board::hopeless(const job_definition& job) const
 {
     const double cores = around_.placing.ready_cores(job.service);
     if (cores <= 0)
@@ -119,7 +125,7 @@
     return milliseconds{static_cast<std::int64_t>(wait)};
 }
 
-void part_jobs::submit(const job_definition& job, job_reply_handler done)
+void job_board::submit(const job_definition& job, job_reply_handler done)
 {
     const auto ended = ended_.find(job.id);
     if (ended != ended_.end())
@@ -131,9 +137,12 @@
     if (known != jobs_.end())
     {
         ++stats_.repeated;
-        if (known->second.accepted)
-            return done({job_outcome::done, job_state::queued, {}});
-        known->second.acceptance.push_back(std::move(done));
+        if (!chain_)
+            known->second.end_waiters.push_back(std::move(done));
+        else if (known->second.accepted)
+            done({job_outcome::done, job_state::queued, {}});
+        else
+            known->second.acceptance.push_back(std::move(done));
         return;
     }
     if (const auto wait = hopeless(job))
@@ -146,6 +155,8 @@
                     {"wait_ms", to_ms(*wait)}});
         return done({job_outcome::refused, job_state::queued, *wait});
     }
+    if (!chain_)
+        return accept_in_memory(job, std::move(done));
     job_record record;
     record.job = job;
     record.tasks.resize(job.task_count());
@@ -162,7 +173,79 @@
     chain_->append(std::move(entry));
 }
 
-void part_jobs::accepted(job_id id, journal_verdict verdict)
+void job_board::accept_in_memory(const job_definition& job,
+                                 job_reply_handler done)
+{
+    ++stats_.accepted;
+    job_record record;
+    record.job = job;
+    record.tasks.resize(job.task_count());
+    record.accepted = true;
+    record.give_up = around_.clock.now() +
+                     milliseconds{job.give_up_ms - job.accepted_ms};
+    record.end_waiters.push_back(std::move(done));
+    give_ups_.emplace(record.give_up, job.id);
+    make_ready(jobs_.emplace(job.id, std::move(record)).first->second);
+}
+
+void job_board::withdraw(job_id id)
+{
+    const auto known = jobs_.find(id);
+    if (known == jobs_.end() || known->second.ending)
+        return;
+    ++stats_.withdrawn;
+    journal_end(known->second, job_state::cancelled, nullptr);
+}
+
+void job_board::give_up_late()
+{
+    const auto now = around_.clock.now();
+    while (!give_ups_.empty() && give_ups_.begin()->first <= now)
+    {
+        const auto id = give_ups_.begin()->second;
+        give_ups_.erase(give_ups_.begin());
+        const auto known = jobs_.find(id);
+        if (known != jobs_.end() && !known->second.ending)
+            give_up(known->second);
+    }
+}
+
+/// Its end would be worth nothing any more. What has not begun was not run,
+/// and its caller may come again; what has begun has failed.
+void job_board::give_up(job_record& record)
+{
+    ++stats_.given_up;
+    const auto id = record.job.id;
+    log_change(log_level::info, "job_given_up",
+               {{"job", to_text(id)},
+                {"queue", record.job.queue},
+                {"tasks_done", record.done},
+                {"tasks", record.tasks.size()},
+                {"verdict", record.begun ? "ran" : "not_run"}});
+    if (record.begun)
+        return journal_end(record, job_state::failed, nullptr);
+    stop_runs(record);
+    const auto waiters = std::exchange(record.end_waiters, {});
+    jobs_.erase(id);
+    for (const auto& waiter : waiters)
+        waiter({job_outcome::refused, job_state::queued, seconds{1}});
+}
+
+/// Jobs in memory have nothing to write: it is done at once.
+void job_board::write(journal_entry entry)
+{
+    if (chain_)
+        return chain_->append(std::move(entry));
+    if (entry.done)
+        entry.done(journal_verdict::durable);
+}
+
+std::uint32_t job_board::first_run() const
+{
+    return chain_ ? (epoch_ - 1) * runs_an_epoch : first_memory_run;
+}
+
+void job_board::accepted(job_id id, journal_verdict verdict)
 {
     const auto known = jobs_.find(id);
     if (known == jobs_.end())
@@ -198,7 +281,7 @@
 
 // Tasks that may start.
 
-bool part_jobs::step_done(const job_record& record, std::uint32_t step) const
+bool job_board::step_done(const job_record& record, std::uint32_t step) const
 {
     std::uint32_t first = 0;
     for (std::uint32_t i = 0; i < step; ++i)
@@ -211,7 +294,7 @@
     return true;
 }
 
-void part_jobs::make_ready(job_record& record)
+void job_board::make_ready(job_record& record)
 {
     if (record.ending || !record.accepted ||
         (!record.fresh && !awaited_.empty()))
@@ -230,7 +313,7 @@
     }
 }
 
-void part_jobs::enqueue(job_record& record, std::uint32_t flat)
+void job_board::enqueue(job_record& record, std::uint32_t flat)
 {
     auto& task = record.tasks[flat];
     const auto& step = step_of(record.job, flat);
@@ -247,7 +330,7 @@
     around_.placing.enqueue(std::move(ready));
 }
 
-std::optional<run_order> part_jobs::assign(const ready_task& task,
+std::optional<run_order> job_board::assign(const ready_task& task,
                                            const std::string& agent)
 {
     const auto known = jobs_.find(task.task.job);
@@ -258,7 +341,9 @@
     auto& placed = record.tasks[flat];
     if (placed.phase != task_phase::ready)
         return std::nullopt;
-    const std::uint32_t least = (epoch_ - 1) * runs_an_epoch;
+    const std::uint32_t least = first_run();
+    if (!chain_ && around_.clock.now() >= record.give_up)
+        return std::nullopt;
     if (placed.run > least)
         ++stats_.restarted;
     placed.run = std::max(placed.run, least) + 1;
@@ -267,7 +352,7 @@
     return order_of(record, flat, {task.task, placed.run});
 }
 
-run_order part_jobs::order_of(const job_record& record, std::uint32_t flat,
+run_order job_board::order_of(const job_record& record, std::uint32_t flat,
                               const run_ref& run) const
 {
     const auto& step = step_of(record.job, flat);
@@ -282,21 +367,27 @@
 
 // What agents tell.
 
-void part_jobs::account_of(const std::string& agent,
-                           const part_account& account)
+void job_board::account_of(const std::string& agent,
+                           const lease_account& account)
 {
     requeue_unlisted(agent, account);
     for (const auto& run : account.runs)
         listed(agent, run);
     for (const auto& end : account.ends)
-        ended(agent, end);
+    {
+        // Ends in memory that nobody has claimed may be another entry's.
+        if (chain_ || jobs_.contains(end.run.task.job))
+            ended(agent, end);
+    }
     if (awaited_.erase(agent) > 0 && awaited_.empty())
         all_agents_told();
 }
 
-void part_jobs::listed(const std::string& agent, const listed_run& run)
+void job_board::listed(const std::string& agent, const listed_run& run)
 {
     const auto known = jobs_.find(run.run.task.job);
+    if (known == jobs_.end() && !chain_ && !run.sized)
+        return; // It may be another entry's.
     if (known == jobs_.end() || known->second.ending)
         return around_.placing.stop(agent, run.run);
     auto& record = known->second;
@@ -324,8 +415,8 @@
 }
 
 /// Orders that the agent never got, or lost with its process.
-void part_jobs::requeue_unlisted(const std::string& agent,
-                                 const part_account& account)
+void job_board::requeue_unlisted(const std::string& agent,
+                                 const lease_account& account)
 {
     std::unordered_set<run_ref, run_ref_hash> told;
     for (const auto& run : account.runs)
@@ -345,7 +436,7 @@
     }
 }
 
-void part_jobs::agent_gone(const std::string& agent)
+void job_board::agent_gone(const std::string& agent)
 {
     for (auto& [id, record] : jobs_)
     {
@@ -360,7 +451,7 @@
         all_agents_told();
 }
 
-void part_jobs::all_agents_told()
+void job_board::all_agents_told()
 {
     for (auto& [id, record] : jobs_)
     {
@@ -370,13 +461,13 @@
     }
 }
 
-void part_jobs::place_again(job_record& record, std::uint32_t flat)
+void job_board::place_again(job_record& record, std::uint32_t flat)
 {
     record.tasks[flat].phase = task_phase::blocked;
     make_ready(record);
 }
 
-void part_jobs::began(const run_ref& run)
+void job_board::began(const run_ref& run)
 {
     const auto known = jobs_.find(run.task.job);
     if (known != jobs_.end())
@@ -385,7 +476,7 @@
 
 // Ends.
 
-void part_jobs::ended(const std::string& agent, const run_end& end)
+void job_board::ended(const std::string& agent, const run_end& end)
 {
     const auto known = jobs_.find(end.run.task.job);
     if (known == jobs_.end())
@@ -410,7 +501,7 @@
         place_again(record, flat);
 }
 
-void part_jobs::ended_well(job_record& record, std::uint32_t flat,
+void job_board::ended_well(job_record& record, std::uint32_t flat,
                            const std::string& agent, const run_end& end)
 {
     auto& task = record.tasks[flat];
@@ -436,7 +527,7 @@
                 });
 }
 
-void part_jobs::ended_badly(job_record& record, std::uint32_t flat,
+void job_board::ended_badly(job_record& record, std::uint32_t flat,
                             const std::string& agent, const run_end& end)
 {
     auto& task = record.tasks[flat];
@@ -473,7 +564,7 @@
                 });
 }
 
-void part_jobs::journal_progress(job_record& record, const std::string& agent,
+void job_board::journal_progress(job_record& record, const std::string& agent,
                                  const run_end& end)
 {
     journal_entry entry;
@@ -486,10 +577,10 @@
         if (*alive && verdict == journal_verdict::durable)
             around_.placing.confirm(agent, end);
     };
-    chain_->append(std::move(entry));
+    write(std::move(entry));
 }
 
-void part_jobs::journal_end(job_record& record, job_state state,
+void job_board::journal_end(job_record& record, job_state state,
                             std::function<void(journal_verdict)> also)
 {
     record.ending = state;
@@ -509,10 +600,10 @@
         if (also)
             also(verdict);
     };
-    chain_->append(std::move(entry));
+    write(std::move(entry));
 }
 
-void part_jobs::finish(job_id id, job_state state, journal_verdict verdict)
+void job_board::finish(job_id id, job_state state, journal_verdict verdict)
 {
     const auto known = jobs_.find(id);
     if (known == jobs_.end())
@@ -538,7 +629,7 @@
         waiter(reply);
 }
 
-void part_jobs::stop_runs(job_record& record)
+void job_board::stop_runs(job_record& record)
 {
     for (std::uint32_t flat = 0; flat < record.tasks.size(); ++flat)
     {
@@ -551,7 +642,7 @@
     }
 }
 
-void part_jobs::remember(job_id id, const job_epitaph& end)
+void job_board::remember(job_id id, const job_epitaph& end)
 {
     ended_[id] = end;
     ended_order_.emplace_back(end.ended_ms, id);
@@ -559,7 +650,7 @@
 
 // Callers.
 
-void part_jobs::cancel(job_id id, job_reply_handler done)
+void job_board::cancel(job_id id, job_reply_handler done)
 {
     const auto ended = ended_.find(id);
     if (ended != ended_.end())
@@ -574,7 +665,7 @@
     journal_end(record, job_state::cancelled, nullptr);
 }
 
-void part_jobs::state(job_id id, job_reply_handler done)
+void job_board::state(job_id id, job_reply_handler done)
 {
     const auto ended = ended_.find(id);
     if (ended != ended_.end())
@@ -592,7 +683,7 @@
     done({job_outcome::done, state, {}});
 }
 
-std::map<std::string, std::uint32_t> part_jobs::pending() const
+std::map<std::string, std::uint32_t> job_board::pending() const
 {
     std::map<std::string, std::uint32_t> counts;
     for (const auto& [id, record] : jobs_)
@@ -605,7 +696,7 @@
 
 // Time.
 
-void part_jobs::tick()
+void job_board::tick()
 {
     if (!awaited_.empty() &&
         around_.clock.now() - claimed_ > settings_.agent_silence)
@@ -615,10 +706,11 @@
         awaited_.clear();
         all_agents_told();
     }
+    give_up_late();
     forget_old();
 }
 
-void part_jobs::forget_old()
+void job_board::forget_old()
 {
     constexpr std::size_t most = 40;
     const auto limit = around_.wall_ms() - to_ms(settings_.keep_ended);
@@ -633,12 +725,13 @@
         entry.removes.push_back(key(ended_table, id));
     }
     if (!entry.removes.empty())
-        chain_->append(std::move(entry));
+        write(std::move(entry));
 }
 
-void part_jobs::abandon()
+void job_board::abandon()
 {
-    chain_->abandon();
+    if (chain_)
+        chain_->abandon();
 }
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/part_jobs.hpp
+++ b/src/glenhollow/durable/job_board.hpp
@@ -1,5 +1,5 @@
-#ifndef GLENHOLLOW_DURABLE_PART_JOBS_HPP
-#define GLENHOLLOW_DURABLE_PART_JOBS_HPP
+#ifndef GLENHOLLOW_DURABLE_JOB_BOARD_HPP
+#define GLENHOLLOW_DURABLE_JOB_BOARD_HPP
 
 #include "glenhollow/core/clock.hpp"
 #include "glenhollow/durable/dispatcher.hpp"
@@ -51,7 +51,7 @@
 using job_reply_handler = std::function<void(const job_reply&)>;
 
 /// Limits of a part's jobs.
-struct part_jobs_settings
+struct job_board_settings
 {
     std::string entry;                  ///< Name of this entry.
     std::size_t parts = 3;              ///< Of the journal.
@@ -64,7 +64,7 @@
 };
 
 /// Counters of a part's jobs.
-struct part_jobs_stats
+struct job_board_stats
 {
     std::uint64_t accepted = 0;  ///< Jobs taken.
     std::uint64_t repeated = 0;  ///< Submissions of a known job.
@@ -74,11 +74,14 @@
     std::uint64_t cancelled = 0; ///< Jobs cancelled.
     std::uint64_t restarted = 0; ///< Tasks placed again.
     std::uint64_t late = 0;      ///< Jobs ended after their objective.
+    std::uint64_t given_up = 0;  ///< Jobs in memory past any worth.
+    std::uint64_t withdrawn = 0; ///< Jobs in memory whose caller left.
 };
 
-/// The jobs of one part at its owner: accepts, journals, hands out tasks,
-/// takes their ends, answers for their state. One thread.
-class part_jobs final
+/// The jobs of one part at its owner, or those that an entry keeps in memory
+/// alone: accepts, journals, hands out tasks, takes their ends, answers for
+/// their state. One thread.
+class job_board final
 {
 public:
     using wall_clock = std::function<std::int64_t()>;
@@ -100,16 +103,22 @@
     /// @param awaited Agents that may run something of it.
     /// @param settings Limits.
     /// @param on_lost Told when another entry has taken the part.
-    part_jobs(surroundings around, part_number part, const chain_head& head,
+    job_board(surroundings around, part_number part, const chain_head& head,
               loaded_part loaded, std::set<std::string> awaited,
-              const part_jobs_settings& settings,
+              const job_board_settings& settings,
               std::function<void()> on_lost);
-    ~part_jobs();
+
+    /// For jobs in memory.
+    /// @param around What it needs.
+    /// @param settings Limits.
+    job_board(surroundings around, const job_board_settings& settings);
+    ~job_board();
 
     /// @return The part and the epoch of this ownership.
     part_epoch epoch() const { return {part_, epoch_}; }
 
-    /// @param job Checked. Accepted once it is in the journal.
+    /// @param job Checked. Accepted once it is in the journal; one in memory
+    /// at once, and its end is its answer.
     /// @param done Told the end.
     void submit(const job_definition& job, job_reply_handler done);
 
@@ -123,7 +132,7 @@
 
     /// @param agent An agent that has adopted the part.
     /// @param account What it knows of the part.
-    void account_of(const std::string& agent, const part_account& account);
+    void account_of(const std::string& agent, const lease_account& account);
 
     /// @param agent Nothing that was started there runs any more.
     void agent_gone(const std::string& agent);
@@ -144,6 +153,9 @@
     /// Does what is due: forgets old ends, stops waiting for agents.
     void tick();
 
+    /// @param id A job in memory whose caller has gone.
+    void withdraw(job_id id);
+
     /// Makes the journal find out whether the part is still ours.
     void verify() { chain_->append({}); }
 
@@ -163,12 +175,12 @@
     std::size_t open_jobs() const { return jobs_.size(); }
 
     /// @return Counters.
-    const part_jobs_stats& stats() const { return stats_; }
+    const job_board_stats& stats() const { return stats_; }
 
     /// @return Counters of the journal.
-    const journal_chain_stats& journal_stats() const
+    journal_chain_stats journal_stats() const
     {
-        return chain_->stats();
+        return chain_ ? chain_->stats() : journal_chain_stats{};
     }
 
 private:
@@ -200,6 +212,7 @@
         bool begun = false;              ///< A task has begun.
         bool accepted = false;           ///< Its row is durable.
         bool fresh = true;               ///< Accepted by this owner.
+        instant give_up{};               ///< Of one in memory.
         std::optional<job_state> ending; ///< Its end is on its way.
         std::vector<job_reply_handler> acceptance; ///< Wait for its row.
         std::vector<job_reply_handler> end_waiters; ///< Wait for its end.
@@ -216,12 +229,17 @@
     bool step_done(const job_record& record, std::uint32_t step) const;
     void enqueue(job_record& record, std::uint32_t flat);
     std::optional<duration> hopeless(const job_definition& job) const;
+    void accept_in_memory(const job_definition& job, job_reply_handler done);
+    void give_up_late();
+    void give_up(job_record& record);
+    void write(journal_entry entry);
+    std::uint32_t first_run() const;
     void accepted(job_id id, journal_verdict verdict);
     run_order order_of(const job_record& record, std::uint32_t flat,
                        const run_ref& run) const;
     void listed(const std::string& agent, const listed_run& run);
     void requeue_unlisted(const std::string& agent,
-                          const part_account& account);
+                          const lease_account& account);
     void ended_well(job_record& record, std::uint32_t flat,
                     const std::string& agent, const run_end& end);
     void ended_badly(job_record& record, std::uint32_t flat,
@@ -241,14 +259,15 @@
     surroundings around_;                 ///< Of the entry.
     part_number part_;                    ///< Which part.
     std::uint32_t epoch_;                 ///< Of this ownership.
-    part_jobs_settings settings_;         ///< Limits.
+    job_board_settings settings_;         ///< Limits.
     std::unique_ptr<journal_chain> chain_; ///< Its journal.
     job_map jobs_;                        ///< Not ended.
     std::unordered_map<job_id, job_epitaph> ended_; ///< Ended.
     std::deque<std::pair<std::int64_t, job_id>> ended_order_; ///< By time.
+    std::multimap<instant, job_id> give_ups_; ///< Jobs in memory by time.
     std::set<std::string> awaited_;       ///< Agents not heard yet.
     instant claimed_;                     ///< When the part was taken.
-    part_jobs_stats stats_;               ///< Counters.
+    job_board_stats stats_;               ///< Counters.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
 };
 
--- a/src/glenhollow/durable/part_ownership.cpp
+++ b/src/glenhollow/durable/part_ownership.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-part_ownership::part_ownership(part_jobs::surroundings around,
+part_ownership::part_ownership(job_board::surroundings around,
                                const entry_peers& peers,
                                part_ownership_listener& listener,
                                const part_ownership_settings& settings)
@@ -40,7 +40,7 @@
     *alive_ = false;
 }
 
-part_jobs* part_ownership::find(part_number part)
+job_board* part_ownership::find(part_number part)
 {
     const auto known = seats_.find(part);
     return known == seats_.end() ? nullptr : known->second.jobs.get();
@@ -57,7 +57,7 @@
     return all;
 }
 
-void part_ownership::for_each(const std::function<void(part_jobs&)>& visit)
+void part_ownership::for_each(const std::function<void(job_board&)>& visit)
 {
     for (auto& [part, at] : seats_)
     {
@@ -273,7 +273,7 @@
         awaited.clear();
     auto limits = settings_.jobs;
     limits.parts = settings_.parts;
-    at.jobs = std::make_unique<part_jobs>(
+    at.jobs = std::make_unique<job_board>(
         around_, part, head, std::move(*rows), std::move(awaited), limits,
         [this, alive = alive_, part]
         {
--- a/src/glenhollow/durable/part_ownership.hpp
+++ b/src/glenhollow/durable/part_ownership.hpp
@@ -2,7 +2,7 @@
 #define GLENHOLLOW_DURABLE_PART_OWNERSHIP_HPP
 
 #include "glenhollow/durable/entry_peers.hpp"
-#include "glenhollow/durable/part_jobs.hpp"
+#include "glenhollow/durable/job_board.hpp"
 
 #include <functional>
 #include <map>
@@ -25,7 +25,7 @@
     duration rank_step = milliseconds{250}; ///< Between candidates.
     duration claim_retry = milliseconds{150}; ///< After a claim that failed.
     duration balance_after = seconds{2}; ///< Calm before a part is given away.
-    part_jobs_settings jobs;       ///< Limits of the parts' jobs.
+    job_board_settings jobs;       ///< Limits of the parts' jobs.
 };
 
 /// Counters of ownership.
@@ -63,7 +63,7 @@
     /// @param peers The other entries; outlive it.
     /// @param listener Told; outlives it.
     /// @param settings Limits.
-    part_ownership(part_jobs::surroundings around, const entry_peers& peers,
+    part_ownership(job_board::surroundings around, const entry_peers& peers,
                    part_ownership_listener& listener,
                    const part_ownership_settings& settings);
     ~part_ownership();
@@ -76,7 +76,7 @@
 
     /// @param part A part.
     /// @return Its jobs, or null where this entry does not own it.
-    part_jobs* find(part_number part);
+    job_board* find(part_number part);
 
     /// @return All parts that this entry owns and has loaded.
     std::vector<part_epoch> owned() const;
@@ -88,13 +88,13 @@
     const part_ownership_stats& stats() const { return stats_; }
 
     /// @param visit Called for each owned part.
-    void for_each(const std::function<void(part_jobs&)>& visit);
+    void for_each(const std::function<void(job_board&)>& visit);
 
 private:
     /// One part as seen from here.
     struct seat
     {
-        std::unique_ptr<part_jobs> jobs; ///< While owned and loaded.
+        std::unique_ptr<job_board> jobs; ///< While owned and loaded.
         bool claiming = false;           ///< A claim or a load is under way.
         instant free_since{};            ///< No live owner; zero: there is one.
         instant retry_at{};              ///< Next claim not before.
@@ -120,7 +120,7 @@
     void balance();
     std::vector<std::string> candidates() const;
 
-    part_jobs::surroundings around_;       ///< What parts need.
+    job_board::surroundings around_;       ///< What parts need.
     const entry_peers& peers_;             ///< The other entries.
     part_ownership_listener& listener_;    ///< Told.
     part_ownership_settings settings_;     ///< Limits.
--- a/src/glenhollow/durable/queue_catalog.cpp
+++ b/src/glenhollow/durable/queue_catalog.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// Of a caller that does not say how long it waits.
+constexpr std::int64_t longest_patience_ms = 30'000;
+
 /// The longest chain of steps, by the caller's estimates.
 std::uint64_t longest_chain(const std::vector<job_step>& steps)
 {
@@ -77,8 +80,20 @@
     job.accepted_ms = now_ms;
     const double allowed =
         rule.stretch * static_cast<double>(longest_chain(job.steps));
-    job.objective_ms =
-        now_ms + rule.target_ms + static_cast<std::int64_t>(allowed);
+    const auto objective = rule.target_ms + static_cast<std::int64_t>(allowed);
+    job.objective_ms = now_ms + objective;
+    if (job.lasts == durability::in_memory)
+    {
+        // Past three times its objective an end is worth nothing.
+        const auto patience = job.give_up_ms == 0
+                                  ? longest_patience_ms
+                                  : job.give_up_ms;
+        job.give_up_ms = now_ms + std::min(patience, 3 * objective);
+    }
+    else
+    {
+        job.give_up_ms = 0;
+    }
     return job;
 }
 
--- a/src/glenhollow/durable/queue_catalog.hpp
+++ b/src/glenhollow/durable/queue_catalog.hpp
@@ -43,7 +43,8 @@
 using catalog_parser =
     std::function<result<queue_catalog>(std::string_view document)>;
 
-/// @param job Its form is checked, and its objective set.
+/// @param job Its form is checked, and its objective set; its `give_up_ms`
+/// says how long its caller waits, 0 where it does not.
 /// @param rule Of its queue.
 /// @param now_ms Wall time, ms since 1970.
 /// @return The job as it will be journalled, or which field is wrong.
--- a/src/glenhollow/http/message.hpp
+++ b/src/glenhollow/http/message.hpp
@@ -3,6 +3,7 @@
 
 #include "glenhollow/core/verdict.hpp"
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,9 @@
     std::string target = "/";   ///< Path and query.
     http_headers headers;       ///< Those that matter to the receiver.
     std::string body;           ///< Whole.
+    /// Received only: takes a function to be called once, at the latest
+    /// before the answer, when the caller has closed its connection.
+    std::function<void(std::function<void()>)> on_close;
 };
 
 /// A response, received or to be sent.
--- a/src/glenhollow/http/server.cpp
+++ b/src/glenhollow/http/server.cpp
@@ -216,7 +216,15 @@
         stream.expires_never();
         ++self.in_flight;
         const bool keep_alive = parser.get().keep_alive();
-        auto answer = co_await respond(self.handler, to_request(parser.get()));
+        auto request = to_request(parser.get());
+        auto watch = std::make_shared<close_watch>();
+        request.on_close = [watch](std::function<void()> told)
+        { watch->told = std::move(told); };
+        if (buffer.size() == 0)
+            watch_for_close(stream.socket(), watch);
+        auto answer = co_await respond(self.handler, std::move(request));
+        watch->told = nullptr;
+        stream.socket().cancel(ec);
         auto message =
             to_message(std::move(answer), keep_alive && !self.closing);
         stream.expires_after(self.settings.read_timeout);
@@ -226,6 +234,32 @@
         co_return !ec && message.keep_alive();
     }
 
+    /// Who wants to know that a caller has gone.
+    struct close_watch
+    {
+        std::function<void()> told; ///< May be empty.
+    };
+
+    /// While a request is in hand its connection says nothing, or closes.
+    static void watch_for_close(tcp::socket& socket,
+                                const std::shared_ptr<close_watch>& watch)
+    {
+        socket.async_wait(
+            tcp::socket::wait_read,
+            [&socket, watch](error_code ec)
+            {
+                if (ec || !watch->told)
+                    return;
+                char byte = 0;
+                const auto n = ::recv(socket.native_handle(), &byte, 1,
+                                      MSG_PEEK | MSG_DONTWAIT);
+                const bool open =
+                    n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR));
+                if (!open)
+                    std::exchange(watch->told, nullptr)();
+            });
+    }
+
     /// Reads and drops what is left of a refused request, up to a bound.
     static asio::awaitable<void> discard_rest(beast::tcp_stream& stream)
     {
--- a/src/glenhollow/runs/end_ledger.cpp
+++ b/src/glenhollow/runs/end_ledger.cpp
@@ -5,7 +5,7 @@
 namespace glenhollow
 {
 
-bool end_ledger::add(const run_end& end)
+bool end_ledger::add(const run_end& end, std::uint32_t lease, instant now)
 {
     if (end.number != 0)
     {
@@ -24,7 +24,7 @@
         listed_.emplace(end.number, false);
         return true;
     }
-    ends_.emplace(end.run, kept_end{end, false, false});
+    ends_.emplace(end.run, kept_end{end, lease, now, false, false});
     if (end.number != 0)
         listed_.emplace(end.number, false);
     return true;
--- a/src/glenhollow/runs/end_ledger.hpp
+++ b/src/glenhollow/runs/end_ledger.hpp
@@ -1,6 +1,7 @@
 #ifndef GLENHOLLOW_RUNS_END_LEDGER_HPP
 #define GLENHOLLOW_RUNS_END_LEDGER_HPP
 
+#include "glenhollow/core/clock.hpp"
 #include "glenhollow/durable/durable_job.hpp"
 
 #include <cstdint>
@@ -15,6 +16,8 @@
 struct kept_end
 {
     run_end end;          ///< As the runner listed it, or as concluded.
+    std::uint32_t lease = 0; ///< Under which it ran.
+    instant noted{};      ///< When it was noted.
     bool excused = false; ///< The hold lapsed after it: no owner is waited for.
     bool told = false;    ///< Sent to the present owner.
 };
@@ -26,8 +29,10 @@
 {
 public:
     /// @param end A run's end.
+    /// @param lease Under which it ran.
+    /// @param now The time.
     /// @return Whether it is news.
-    bool add(const run_end& end);
+    bool add(const run_end& end, std::uint32_t lease, instant now);
 
     /// @param end An end that is in the journal.
     void confirm(const run_end& end);
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -20,7 +20,12 @@
     kj::Promise<void> adopt(AdoptContext context) override
     {
         const auto part = from_wire(context.getParams().getPart());
-        const auto known = service_.keeper_.adopt(part.part, part.epoch);
+        auto* session = service_.find(number_);
+        if (session == nullptr)
+            return kj::READY_NOW; // Another session has replaced this one.
+        const lease_id lease =
+            part.part == memory_part ? session->memory : part.part;
+        const auto known = service_.keeper_.adopt(lease, part.epoch);
         auto out = context.getResults();
         out.setDeclined(known.declined);
         auto runs = out.initRuns(static_cast<unsigned>(known.runs.size()));
@@ -30,7 +35,7 @@
         for (unsigned i = 0; i < ends.size(); ++i)
             fill(ends[i], known.ends[i]);
         if (!known.declined)
-            service_.adopted(number_, part.part);
+            service_.adopted(number_, lease);
         return kj::READY_NOW;
     }
 
@@ -47,11 +52,11 @@
         for (const auto& end : batch.confirmed)
             keeper.confirm(end);
         for (const auto& size : batch.sizes)
-            keeper.size(size);
+            keeper.size(size, session->memory);
         for (const auto& run : batch.stops)
             keeper.stop(run);
         for (auto& start : batch.starts)
-            keeper.order(std::move(start));
+            keeper.order(std::move(start), session->memory);
         service_.schedule(service_.settings_.room_gap);
         return kj::READY_NOW;
     }
@@ -71,11 +76,7 @@
     {
         auto params = context.getParams();
         const std::string entry = params.getEntry();
-        auto& session = service_.sessions_[entry];
-        session = {};
-        session.entry = entry;
-        session.number = ++service_.numbers_;
-        session.reports = params.getReports();
+        service_.open(entry, params.getIncarnation(), params.getReports());
         auto out = context.getResults();
         out.setSession(
             kj::heap<session_server>(service_, service_.numbers_));
@@ -122,9 +123,39 @@
     return nullptr;
 }
 
-void run_agent_service::adopted(std::uint64_t number, part_number part)
+/// An entry attaches, again or with another process: what an ended process
+/// had in memory is nobody's.
+void run_agent_service::open(const std::string& entry,
+                             std::uint64_t incarnation,
+                             wire::RunReports::Client reports)
+{
+    auto& opened = sessions_[entry];
+    const bool same = opened.incarnation == incarnation;
+    if (!same && opened.incarnation != 0)
+        keeper_.expire(opened.memory);
+    const auto memory = same ? opened.memory : memory_lease(processes_++);
+    opened = {};
+    opened.entry = entry;
+    opened.incarnation = incarnation;
+    opened.memory = memory;
+    opened.number = ++numbers_;
+    opened.reports = kj::mv(reports);
+}
+
+std::vector<lease_id> run_agent_service::leases_of(const session& of) const
+{
+    std::vector<lease_id> leases;
+    for (const auto& [lease, owner] : owners_)
+    {
+        if (owner == of.number)
+            leases.push_back(lease);
+    }
+    return leases;
+}
+
+void run_agent_service::adopted(std::uint64_t number, lease_id lease)
 {
-    owners_[part] = number;
+    owners_[lease] = number;
     auto* owner = find(number);
     if (owner == nullptr)
         return;
@@ -132,9 +163,9 @@
     schedule(duration{0});
 }
 
-void run_agent_service::part_changed(part_number part)
+void run_agent_service::lease_changed(lease_id lease)
 {
-    const auto known = owners_.find(part);
+    const auto known = owners_.find(lease);
     if (known == owners_.end())
         return;
     auto* owner = find(known->second);
@@ -195,22 +226,11 @@
 void run_agent_service::fill_ends(session& to, wire::RunReport::Builder out)
 {
     std::vector<run_end> ends;
-    for (auto& [ref, kept] : keeper_.ledger().ends())
+    for (const auto lease : leases_of(to))
     {
-        (void)ref;
-        if (kept.told)
-            continue;
-        ends.push_back(kept.end);
+        const auto some = keeper_.take_ends(lease);
+        ends.insert(ends.end(), some.begin(), some.end());
     }
-    std::erase_if(ends,
-                  [&](const run_end& end)
-                  {
-                      const auto owner = owners_.find(
-                          keeper_.part_number_of(end.run));
-                      return owner == owners_.end() ||
-                             owner->second != to.number;
-                  });
-    keeper_.mark_told(ends);
     auto list = out.initEnds(static_cast<unsigned>(ends.size()));
     for (unsigned i = 0; i < list.size(); ++i)
         fill(list[i], ends[i]);
@@ -219,12 +239,10 @@
 void run_agent_service::fill_begun(session& to, wire::RunReport::Builder out)
 {
     std::vector<run_ref> begun;
-    for (const auto& [part, owner] : owners_)
+    for (const auto lease : leases_of(to))
     {
-        if (owner != to.number)
-            continue;
-        for (const auto& run : keeper_.take_begun(part))
-            begun.push_back(run);
+        const auto some = keeper_.take_begun(lease);
+        begun.insert(begun.end(), some.begin(), some.end());
     }
     auto list = out.initStarted(static_cast<unsigned>(begun.size()));
     for (unsigned i = 0; i < list.size(); ++i)
@@ -266,6 +284,7 @@
     if (from == nullptr)
         return;
     from->reporting = false;
+    keeper_.renew(from->memory, 0, sent);
     for (const auto& part : renewed)
         keeper_.renew(part.part, part.epoch, sent);
     if (from->dirty)
--- a/src/glenhollow/runs/run_agent_service.hpp
+++ b/src/glenhollow/runs/run_agent_service.hpp
@@ -19,7 +19,7 @@
 /// Limits of the service.
 struct run_agent_service_settings
 {
-    duration heartbeat = milliseconds{300}; ///< Between reports, at most.
+    duration heartbeat = milliseconds{200}; ///< Between reports, at most.
     duration room_gap = milliseconds{12};   ///< Of reports of room alone.
 };
 
@@ -56,6 +56,8 @@
     {
         std::string entry;                ///< Its name.
         std::uint64_t number = 0;         ///< Of the session, rising.
+        std::uint64_t incarnation = 0;    ///< Of the entry's process.
+        lease_id memory = 0;              ///< Lease of its jobs in memory.
         std::uint64_t received = 0;       ///< Order batches.
         kj::Maybe<wire::RunReports::Client> reports; ///< Its ear.
         bool reporting = false;           ///< A report is out.
@@ -64,7 +66,7 @@
         instant reported{};               ///< When the last one left.
     };
 
-    void part_changed(part_number part) override;
+    void lease_changed(lease_id lease) override;
     void room_changed() override;
     void schedule(duration wait);
     void flush();
@@ -75,7 +77,10 @@
     void report_answered(std::uint64_t number, instant sent,
                          const std::vector<part_epoch>& renewed);
     void report_failed(std::uint64_t number);
-    void adopted(std::uint64_t number, part_number part);
+    void adopted(std::uint64_t number, lease_id lease);
+    void open(const std::string& entry, std::uint64_t incarnation,
+              wire::RunReports::Client reports);
+    std::vector<lease_id> leases_of(const session& of) const;
     session* find(std::uint64_t number);
 
     boost::asio::io_context& io_;         ///< Runs delayed work.
@@ -84,7 +89,8 @@
     std::uint64_t incarnation_;           ///< Of this process.
     run_agent_service_settings settings_; ///< Limits.
     std::map<std::string, session> sessions_; ///< By entry.
-    std::map<part_number, std::uint64_t> owners_; ///< Session by part.
+    std::map<lease_id, std::uint64_t> owners_; ///< Session by lease.
+    std::uint32_t processes_ = 0;         ///< Entries' processes so far.
     std::uint64_t numbers_ = 0;           ///< Of sessions.
     std::uint64_t reports_ = 0;           ///< Sent.
     std::uint64_t batches_ = 0;           ///< Order batches taken.
--- a/src/glenhollow/runs/run_keeper.cpp
+++ b/src/glenhollow/runs/run_keeper.cpp
@@ -49,14 +49,16 @@
     look();
 }
 
-part_number run_keeper::part_number_of(const run_ref& run) const
+run_keeper::lease_record& run_keeper::lease_of(const run_record& run)
 {
-    return part_of(run.task.job, settings_.parts);
+    return leases_[run.lease];
 }
 
-run_keeper::part_record& run_keeper::part(const run_ref& run)
+/// Of a run that this process did not start.
+lease_id run_keeper::found_lease(const run_ref& run) const
 {
-    return parts_[part_number_of(run)];
+    return run.in_memory() ? unclaimed_lease
+                           : part_of(run.task.job, settings_.parts);
 }
 
 void run_keeper::registered(const runner_account& account)
@@ -98,10 +100,10 @@
     informed_ = false;
 }
 
-part_account run_keeper::adopt(part_number number, std::uint32_t epoch)
+lease_account run_keeper::adopt(lease_id lease, std::uint32_t epoch)
 {
-    part_account out;
-    auto& record = parts_[number];
+    lease_account out;
+    auto& record = leases_[lease];
     if (epoch < record.epoch)
     {
         out.declined = true;
@@ -109,49 +111,63 @@
     }
     if (epoch > record.epoch)
         log_change(log_level::info, "part_adopted",
-                   {{"part", number}, {"epoch", epoch},
+                   {{"part", lease},
+                    {"epoch", epoch},
                     {"previous_epoch", record.epoch}});
     record.epoch = epoch;
+    const auto concerns = [lease](lease_id of)
+    {
+        return of == lease ||
+               (!is_part_lease(lease) && of == unclaimed_lease);
+    };
     for (const auto& [ref, run] : runs_)
     {
-        if (part_number_of(ref) == number)
+        if (concerns(run.lease))
             out.runs.push_back({ref, run.phase, run.sized});
     }
     for (auto& [ref, kept] : ledger_.ends())
     {
-        if (part_number_of(ref) != number)
+        if (!concerns(kept.lease))
             continue;
-        kept.told = true;
+        kept.told = kept.lease == lease;
         out.ends.push_back(kept.end);
     }
     return out;
 }
 
-void run_keeper::renew(part_number number, std::uint32_t epoch,
-                       instant confirmed)
+void run_keeper::renew(lease_id lease, std::uint32_t epoch, instant confirmed)
 {
-    auto& record = parts_[number];
+    auto& record = leases_[lease];
     if (epoch != record.epoch)
         return;
-    const bool first = record.lease_epoch != epoch;
+    const auto length = is_part_lease(lease) ? settings_.part_lease
+                                             : settings_.memory_lease;
+    const bool first =
+        record.lease_epoch != epoch || clock_.now() >= record.until;
     record.lease_epoch = epoch;
-    record.lease_until =
-        std::max(record.lease_until, confirmed + settings_.lease);
+    record.until = std::max(record.until, confirmed + length);
     if (first)
         start_waiting();
 }
 
-void run_keeper::order(run_order order)
+void run_keeper::expire(lease_id lease)
+{
+    leases_[lease].until = {};
+    end_expired_runs();
+}
+
+void run_keeper::order(run_order order, lease_id memory)
 {
     const auto ref = order.run;
     if (runs_.contains(ref) || ledger_.contains(ref))
         return;
+    run_record record;
+    record.lease = ref.in_memory() ? memory : found_lease(ref);
     const bool refused =
-        draining_ || order.epoch < part(ref).epoch ||
+        draining_ || order.epoch < leases_[record.lease].epoch ||
         account_.phase != runner_phase::ready ||
         (runs_.size() >= settings_.waiting_limit &&
          room().waiting >= settings_.waiting_limit);
-    run_record record;
     record.order = std::move(order);
     record.changed = clock_.now();
     runs_.emplace(ref, std::move(record));
@@ -162,11 +178,11 @@
 
 bool run_keeper::may_start(const run_record& run)
 {
-    const auto& owner = part(run.order.run);
+    const auto& owner = lease_of(run);
     return account_.phase == runner_phase::ready && !lapsing_ &&
            unsized_ == 0 && runner_clock_.known() &&
            owner.lease_epoch == owner.epoch &&
-           clock_.now() < owner.lease_until &&
+           clock_.now() < owner.until &&
            used_.leaves_room(run.order.needs, account_.capacity);
 }
 
@@ -250,10 +266,9 @@
     run.phase = run_phase::running;
     run.changed = clock_.now();
     run.progressed = run.changed;
-    auto& owner = part(run.order.run);
-    owner.begun.push_back(run.order.run);
+    lease_of(run).begun.push_back(run.order.run);
     if (listener_ != nullptr)
-        listener_->part_changed(part_number_of(run.order.run));
+        listener_->lease_changed(run.lease);
 }
 
 void run_keeper::stop(const run_ref& ref)
@@ -303,12 +318,14 @@
     run.asked_stop = false;
 }
 
-void run_keeper::size(const run_order& order)
+void run_keeper::size(const run_order& order, lease_id memory)
 {
     const auto known = runs_.find(order.run);
     if (known == runs_.end() || known->second.sized)
         return;
     known->second.sized = true;
+    if (order.run.in_memory())
+        known->second.lease = memory;
     known->second.order.needs = order.needs;
     used_.add(order.needs);
     --unsized_;
@@ -346,14 +363,20 @@
     }
     const bool occupied =
         known != runs_.end() && occupies(known->second.phase);
+    const bool orphan =
+        known != runs_.end() && known->second.orphaned.count() != 0;
+    const auto lease =
+        known != runs_.end() ? known->second.lease : found_lease(ref);
     free_run(ref);
-    if (!ledger_.add(end))
+    if (!ledger_.add(end, lease, clock_.now()))
         return;
     ++stats_.ends[static_cast<std::size_t>(how)];
     if (how == run_outcome::not_begun)
         ++stats_.not_begun;
-    if (listener_ != nullptr)
-        listener_->part_changed(part_number_of(ref));
+    if (orphan && ref.in_memory())
+        ledger_.confirm(end); // Its entry has gone; nobody asks for it.
+    else if (listener_ != nullptr)
+        listener_->lease_changed(lease);
     if (!occupied)
         return;
     tell_room();
@@ -462,6 +485,7 @@
                 continue;
             run_record found;
             found.order.run = shown.run;
+            found.lease = found_lease(shown.run);
             found.phase = run_phase::running;
             found.sized = false;
             found.changed = found.progressed = now;
@@ -536,50 +560,94 @@
     return std::max(held_until_, hold_out_);
 }
 
+bool run_keeper::expired(lease_id lease, instant found) const
+{
+    const auto now = clock_.now();
+    if (lease == unclaimed_lease)
+        return now - found >= settings_.claim_time;
+    const auto known = leases_.find(lease);
+    return known == leases_.end() || now >= known->second.until;
+}
+
 /// A part whose owner is silent: what runs for it must be dead before a
 /// successor may start it elsewhere, and its ends must not be taken back
-/// later. Both hold once the runner's hold has lapsed.
+/// later. Both hold once the runner's hold has lapsed. What runs in memory
+/// for a silent entry is stopped, and lapses where that fails.
 void run_keeper::check_leases()
 {
-    const auto now = clock_.now();
     if (lapsing_)
     {
-        if (now < lapse_over_)
+        if (clock_.now() < lapse_over_)
             return;
         lapsing_ = false;
         ledger_.excuse_all();
         log_change(log_level::info, "hold_lapsed", {});
         return;
     }
-    bool silent = false;
-    part_number which = 0;
-    const auto check = [&](const run_ref& ref)
+    end_expired_runs();
+    excuse_expired_ends();
+}
+
+void run_keeper::end_expired_runs()
+{
+    const auto now = clock_.now();
+    std::vector<run_ref> orphans;
+    for (auto& [ref, run] : runs_)
     {
-        if (now >= part(ref).lease_until)
+        if (!expired(run.lease, run.changed))
+        {
+            run.orphaned = {};
+            continue;
+        }
+        if (is_part_lease(run.lease))
         {
-            silent = true;
-            which = part_number_of(ref);
+            if (occupies(run.phase))
+                let_hold_lapse("part_lease", run.lease);
+            continue;
+        }
+        if (run.orphaned.count() == 0)
+        {
+            run.orphaned = now;
+            orphans.push_back(ref);
+        }
+        else if (now - run.orphaned > settings_.stop_time)
+        {
+            let_hold_lapse("memory_lease", run.lease);
         }
-    };
-    for (const auto& [ref, run] : runs_)
-    {
-        if (occupies(run.phase))
-            check(ref);
     }
+    if (!orphans.empty())
+        log_change(log_level::info, "runs_orphaned",
+                   {{"runs", orphans.size()}});
+    for (const auto& ref : orphans)
+        stop(ref);
+}
+
+void run_keeper::excuse_expired_ends()
+{
+    std::vector<run_end> unwanted;
     for (const auto& [ref, kept] : ledger_.ends())
     {
+        if (!expired(kept.lease, kept.noted))
+            continue;
         const bool counts = kept.end.how == run_outcome::done ||
                             kept.end.how == run_outcome::failed;
-        if (counts && kept.end.number != 0 && !kept.excused)
-            check(ref);
+        if (ref.in_memory())
+            unwanted.push_back(kept.end);
+        else if (counts && kept.end.number != 0 && !kept.excused)
+            let_hold_lapse("end_unconfirmed", kept.lease);
     }
-    if (!silent)
+    for (const auto& end : unwanted)
+        ledger_.confirm(end);
+}
+
+void run_keeper::let_hold_lapse(std::string_view cause, lease_id lease)
+{
+    if (std::exchange(lapsing_, true))
         return;
-    lapsing_ = true;
     ++stats_.lapses;
-    lapse_over_ = std::max(latest_hold(), now) + lapse_slack;
+    lapse_over_ = std::max(latest_hold(), clock_.now()) + lapse_slack;
     log_change(log_level::warning, "hold_left_to_lapse",
-               {{"part", which}, {"epoch", parts_[which].epoch}});
+               {{"cause", cause}, {"lease", lease}});
 }
 
 /// A runner that answers nothing has let go of everything by now.
@@ -686,19 +754,20 @@
     return out;
 }
 
-void run_keeper::mark_told(const std::vector<run_end>& ends)
+std::vector<run_end> run_keeper::take_ends(lease_id lease)
 {
-    for (const auto& end : ends)
+    std::vector<run_end> ends;
+    for (auto& [ref, kept] : ledger_.ends())
     {
-        const auto known = ledger_.ends().find(end.run);
-        if (known != ledger_.ends().end())
-            known->second.told = true;
+        if (kept.lease == lease && !std::exchange(kept.told, true))
+            ends.push_back(kept.end);
     }
+    return ends;
 }
 
-std::vector<run_ref> run_keeper::take_begun(part_number number)
+std::vector<run_ref> run_keeper::take_begun(lease_id lease)
 {
-    return std::exchange(parts_[number].begun, {});
+    return std::exchange(leases_[lease].begun, {});
 }
 
 } // namespace glenhollow
--- a/src/glenhollow/runs/run_keeper.hpp
+++ b/src/glenhollow/runs/run_keeper.hpp
@@ -19,6 +19,27 @@
 namespace glenhollow
 {
 
+/// Names a lease under which runs go on: that of a part of the journal, or that
+/// of an entry's process for its jobs in memory.
+using lease_id = std::uint32_t;
+
+/// Of runs in memory whose entry has not claimed them yet.
+inline constexpr lease_id unclaimed_lease = 0xFFFF'FFFF;
+
+/// @param number Of an entry's process at this agent, from 0.
+/// @return The lease of its jobs in memory.
+constexpr lease_id memory_lease(std::uint32_t number)
+{
+    return 0x1'0000U + number;
+}
+
+/// @param lease A lease.
+/// @return Whether it is that of a part of the journal.
+constexpr bool is_part_lease(lease_id lease)
+{
+    return lease < 0x1'0000U;
+}
+
 /// Where a run stands at its agent.
 enum class run_phase : std::uint8_t
 {
@@ -87,8 +108,8 @@
     bool sized = false;                   ///< The agent knows what it takes.
 };
 
-/// All that an agent knows of one part.
-struct part_account
+/// All that an agent knows of the runs under one lease.
+struct lease_account
 {
     bool declined = false;        ///< A later owner has been here.
     std::vector<listed_run> runs; ///< Not ended.
@@ -99,7 +120,12 @@
 struct run_keeper_settings
 {
     std::size_t parts = 3;                   ///< Of the journal.
-    duration lease = milliseconds{1800};     ///< From an owner's confirmation.
+    duration part_lease = milliseconds{1800}; ///< From an owner's
+                                              ///< confirmation.
+    duration memory_lease = milliseconds{800}; ///< From an entry's.
+    duration claim_time = milliseconds{600};   ///< For runs that were found.
+    duration stop_time = milliseconds{350};    ///< For runs without a lease,
+                                               ///< before the hold lapses.
     duration hold = milliseconds{1000};      ///< Longest hold of the runner.
     duration look_wait = milliseconds{200};  ///< Of one look, at most.
     duration look_gap = milliseconds{8};     ///< While ends are unconfirmed.
@@ -127,8 +153,8 @@
 public:
     virtual ~run_listener() = default;
 
-    /// @param part Has an end or a begun run to tell.
-    virtual void part_changed(part_number part) = 0;
+    /// @param lease Has an end or a begun run to tell.
+    virtual void lease_changed(lease_id lease) = 0;
 
     /// The runner's room or phase has changed.
     virtual void room_changed() = 0;
@@ -167,25 +193,31 @@
     /// @param instance A life that has ended.
     void departed(const std::string& instance);
 
-    /// Takes a part's new owner.
-    /// @param part The part.
-    /// @param epoch The owner's.
-    /// @return What is known, or that a later owner has been here.
-    part_account adopt(part_number part, std::uint32_t epoch);
+    /// Takes a lease's holder.
+    /// @param lease A part's, or an entry's.
+    /// @param epoch The owner's; 0 for an entry's lease.
+    /// @return What is known, or that a later owner has been here. For an
+    /// entry's lease that includes what nobody has claimed.
+    lease_account adopt(lease_id lease, std::uint32_t epoch);
 
-    /// @param part A part.
+    /// @param lease A part's, or an entry's.
     /// @param epoch Whose lease is renewed.
-    /// @param confirmed When this agent sent what the owner has confirmed.
-    void renew(part_number part, std::uint32_t epoch, instant confirmed);
+    /// @param confirmed When this agent sent what the holder has confirmed.
+    void renew(lease_id lease, std::uint32_t epoch, instant confirmed);
+
+    /// @param lease Its holder's process has ended.
+    void expire(lease_id lease);
 
     /// @param order A start; a refused one ends as `not_begun`.
-    void order(run_order order);
+    /// @param memory Lease of the entry that orders, for a job in memory.
+    void order(run_order order, lease_id memory);
 
     /// @param run What to stop.
     void stop(const run_ref& run);
 
     /// @param order What a run takes that was found running.
-    void size(const run_order& order);
+    /// @param memory Lease of the entry that claims it, for a job in memory.
+    void size(const run_order& order, lease_id memory);
 
     /// @param end An end that is in the journal.
     void confirm(const run_end& end);
@@ -208,16 +240,13 @@
     /// @return Ends that no owner has confirmed.
     const end_ledger& ledger() const { return ledger_; }
 
-    /// @param part A part.
+    /// @param lease A lease.
     /// @return Runs that began since the last call.
-    std::vector<run_ref> take_begun(part_number part);
-
-    /// @param run A run.
-    /// @return The part that its job belongs to.
-    part_number part_number_of(const run_ref& run) const;
+    std::vector<run_ref> take_begun(lease_id lease);
 
-    /// @param ends Have been sent to the present owner.
-    void mark_told(const std::vector<run_end>& ends);
+    /// @param lease A lease.
+    /// @return Its ends that were not taken yet, to be told to its holder.
+    std::vector<run_end> take_ends(lease_id lease);
 
     /// @return Counters.
     const run_keeper_stats& stats() const { return stats_; }
@@ -227,27 +256,34 @@
     struct run_record
     {
         run_order order;                      ///< As ordered or found.
+        lease_id lease = unclaimed_lease;     ///< Under which it goes on.
         run_phase phase = run_phase::waiting; ///< Where it stands.
         bool sized = true;                    ///< Its needs are known.
         bool asked_stop = false;              ///< A stop is out.
         instant changed{};                    ///< When the phase changed.
         instant settled{}; ///< Doubtful: when it could not begin any more.
+        instant orphaned{}; ///< Its lease was found expired; zero: it has one.
         std::uint32_t percent = 0; ///< Of its work, as last shown.
         instant progressed{};      ///< When the percent last rose.
     };
 
-    /// What is known of one part.
-    struct part_record
+    /// What is known of one lease.
+    struct lease_record
     {
         std::uint32_t epoch = 0;       ///< Highest adopted.
         std::uint32_t lease_epoch = 0; ///< Whose lease it is.
-        instant lease_until{};         ///< End of the lease.
+        instant until{};               ///< Its end.
         std::vector<run_ref> begun;    ///< Not yet told.
     };
 
     using runs = std::unordered_map<run_ref, run_record, run_ref_hash>;
 
-    part_record& part(const run_ref& run);
+    lease_record& lease_of(const run_record& run);
+    lease_id found_lease(const run_ref& run) const;
+    bool expired(lease_id lease, instant found) const;
+    void end_expired_runs();
+    void excuse_expired_ends();
+    void let_hold_lapse(std::string_view cause, lease_id lease);
     bool may_start(const run_record& run);
     void start_waiting();
     void send_start(run_record& run);
@@ -285,7 +321,7 @@
     runner_clock runner_clock_;      ///< The runner's clock as seen here.
     runs runs_;                      ///< Not ended.
     end_ledger ledger_;              ///< Ended, not confirmed.
-    std::map<part_number, part_record> parts_; ///< By number.
+    std::map<lease_id, lease_record> leases_; ///< By lease.
     resources used_;                 ///< By sized runs past waiting.
     std::size_t unsized_ = 0;        ///< Runs of unknown needs.
     bool informed_ = false;          ///< A look has been answered.
