--- a/src/glenhollow/durable/job_board.cpp
+++ b/src/glenhollow/durable/job_board.cpp
@@ -210,8 +210,9 @@
     }
 }
 
-/// Its end would be worth nothing any more. What has not begun was not run,
-/// and its caller may come again; what has begun has failed.
+/// Its end would be worth nothing any more. Where no task was ever handed out
+/// the job was surely not run; else nothing is said of how it ended, for it has
+/// not failed by itself.
 void job_board::give_up(job_record& record)
 {
     ++stats_.given_up;
@@ -221,14 +222,14 @@
                 {"queue", record.job.queue},
                 {"tasks_done", record.done},
                 {"tasks", record.tasks.size()},
-                {"verdict", record.begun ? "ran" : "not_run"}});
-    if (record.begun)
-        return journal_end(record, job_state::failed, nullptr);
+                {"verdict", record.handed_out ? "may_have_run" : "not_run"}});
     stop_runs(record);
+    const auto outcome =
+        record.handed_out ? job_outcome::unknown : job_outcome::refused;
     const auto waiters = std::exchange(record.end_waiters, {});
     jobs_.erase(id);
     for (const auto& waiter : waiters)
-        waiter({job_outcome::refused, job_state::queued, seconds{1}});
+        waiter({outcome, job_state::queued, seconds{1}});
 }
 
 /// Jobs in memory have nothing to write: it is done at once.
@@ -349,6 +350,7 @@
     placed.run = std::max(placed.run, least) + 1;
     placed.phase = task_phase::placed;
     placed.agent = agent;
+    record.handed_out = true;
     return order_of(record, flat, {task.task, placed.run});
 }
 
--- a/src/glenhollow/durable/job_board.hpp
+++ b/src/glenhollow/durable/job_board.hpp
@@ -210,6 +210,7 @@
         job_progress progress;           ///< As journalled or on its way.
         std::size_t done = 0;            ///< Tasks that are done.
         bool begun = false;              ///< A task has begun.
+        bool handed_out = false;         ///< A task was sent to an agent.
         bool accepted = false;           ///< Its row is durable.
         bool fresh = true;               ///< Accepted by this owner.
         instant give_up{};               ///< Of one in memory.
