--- a/programs/durable_entry.cpp
+++ b/programs/durable_entry.cpp
@@ -21,8 +21,11 @@
 
 /// The balancer needs two missed checks, a second apart, to leave us out.
 constexpr duration unready_time = milliseconds{2300};
+/// After that only connections from before can bring a request.
+constexpr duration idle_time = milliseconds{400};
 constexpr duration stop_check = milliseconds{50};
 constexpr duration stop_reserve = milliseconds{900};
+constexpr duration answer_time = milliseconds{150};
 
 /// The whole process.
 class durable_entry final
@@ -167,10 +170,12 @@
         service_.stop();
         const auto now = process_clock().now();
         stop_at_ = now + settings_.grace - stop_reserve;
-        run_after(loop_.io(), unready_time,
+        callers_->close_after_answers();
+        run_after(loop_.io(), unready_time, [this] { service_.refuse_new(); });
+        run_after(loop_.io(), unready_time + idle_time,
                   [this]
                   {
-                      callers_->close_after_answers();
+                      callers_->close_idle();
                       wait_for_idle();
                   });
     }
@@ -178,14 +183,15 @@
     void wait_for_idle()
     {
         const auto now = process_clock().now();
-        const bool quiet = callers_->in_flight() == 0 && service_.released() &&
-                           now >= stop_at_ - stop_reserve;
-        if (quiet || now >= stop_at_)
+        const bool quiet = callers_->in_flight() == 0 && service_.released();
+        if (!quiet && now < stop_at_)
         {
-            callers_->stop_accepting();
-            return loop_.stop();
+            run_after(loop_.io(), stop_check, [this] { wait_for_idle(); });
+            return;
         }
-        run_after(loop_.io(), stop_check, [this] { wait_for_idle(); });
+        callers_->stop_accepting();
+        service_.give_up_all();
+        run_after(loop_.io(), answer_time, [this] { loop_.stop(); });
     }
 
     durable_entry_settings settings_;                    ///< Checked.
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -202,6 +202,12 @@
     peers_.push();
 }
 
+void durable_service::give_up_all()
+{
+    memory_.give_up_all();
+    dispatcher_.dispatch();
+}
+
 bool durable_service::ready() const
 {
     return !stopping_ && catalog_.version != 0;
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -76,6 +76,12 @@
     /// Gives all parts away.
     void stop();
 
+    /// Takes no more jobs in memory.
+    void refuse_new() { memory_.refuse_new(); }
+
+    /// Answers for all jobs in memory at once.
+    void give_up_all();
+
     /// @return Whether it has queues and is not being stopped.
     bool ready() const;
 
@@ -131,6 +137,8 @@
     job_board::surroundings surroundings();
     journal_chain::delay delay();
 
+    /// Guards delayed work; first, since the others' delays hold it.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     boost::asio::io_context& io_;       ///< Runs it.
     const clock_source& clock_;         ///< This entry's.
     durable_service_settings settings_; ///< Limits.
@@ -159,7 +167,6 @@
     instant probed_{};                  ///< Last probe of the store.
     bool dispatching_ = false;          ///< A dispatch is on its way.
     bool stopping_ = false;             ///< A planned stop.
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/job_board.cpp
+++ b/src/glenhollow/durable/job_board.cpp
@@ -16,6 +16,9 @@
 /// Run numbers of one owner lie within this many.
 constexpr std::uint32_t runs_an_epoch = 4096;
 
+/// When to come back where nothing better is known.
+constexpr duration refusal_wait = seconds{1};
+
 constexpr std::int64_t millisecond = 1'000'000;
 
 std::int64_t to_ms(duration length)
@@ -113,8 +116,8 @@
 std::optional<duration> job_board::hopeless(const job_definition& job) const
 {
     const double cores = around_.placing.ready_cores(job.service);
-    if (cores <= 0)
-        return settings_.agent_silence;
+    if (refusing_ || cores <= 0)
+        return refusal_wait;
     const double objective =
         static_cast<double>(job.objective_ms - around_.wall_ms());
     // Every owner places its own share of the work on the same runners.
@@ -210,6 +213,16 @@
     }
 }
 
+void job_board::give_up_all()
+{
+    for (auto& [at, id] : std::exchange(give_ups_, {}))
+    {
+        const auto known = jobs_.find(id);
+        if (known != jobs_.end() && !known->second.ending)
+            give_up(known->second);
+    }
+}
+
 /// Its end would be worth nothing any more. Where no task was ever handed out
 /// the job was surely not run; else nothing is said of how it ended, for it has
 /// not failed by itself.
--- a/src/glenhollow/durable/job_board.hpp
+++ b/src/glenhollow/durable/job_board.hpp
@@ -159,6 +159,12 @@
     /// Makes the journal find out whether the part is still ours.
     void verify() { chain_->append({}); }
 
+    /// Takes no more new jobs.
+    void refuse_new() { refusing_ = true; }
+
+    /// Answers for all jobs in memory at once: the process ends.
+    void give_up_all();
+
     /// Gives the part up.
     void abandon();
 
@@ -267,6 +273,7 @@
     std::deque<std::pair<std::int64_t, job_id>> ended_order_; ///< By time.
     std::multimap<instant, job_id> give_ups_; ///< Jobs in memory by time.
     std::set<std::string> awaited_;       ///< Agents not heard yet.
+    bool refusing_ = false;               ///< Takes no more new jobs.
     instant claimed_;                     ///< When the part was taken.
     job_board_stats stats_;               ///< Counters.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
--- a/src/glenhollow/http/server.cpp
+++ b/src/glenhollow/http/server.cpp
@@ -12,6 +12,9 @@
 
 #include <sys/socket.h>
 
+#include <set>
+#include <utility>
+
 namespace glenhollow
 {
 
@@ -116,6 +119,7 @@
     http_handler handler;          ///< Takes the requests.
     tcp::acceptor acceptor;        ///< Listens.
     std::size_t connections = 0;   ///< Open now.
+    std::set<beast::tcp_stream*> idle; ///< Waiting for a request.
     std::size_t in_flight = 0;     ///< Requests taken, not answered.
     bool stopping = false;         ///< No new connections.
     bool closing = false;          ///< Connections close when answered.
@@ -190,8 +194,10 @@
         {
             // Only the wait for the first byte may take the idle time.
             stream.expires_after(self.settings.idle_timeout);
+            self.idle.insert(&stream);
             const std::size_t n = co_await stream.async_read_some(
                 buffer.prepare(4096), asio::redirect_error(token, ec));
+            self.idle.erase(&stream);
             buffer.commit(n);
             if (ec)
                 co_return false;
@@ -303,6 +309,13 @@
     state_->closing = true;
 }
 
+void http_server::close_idle()
+{
+    const auto waiting = state_->idle;
+    for (auto* stream : waiting)
+        stream->cancel();
+}
+
 void http_server::stop_accepting()
 {
     state_->stopping = true;
--- a/src/glenhollow/http/server.hpp
+++ b/src/glenhollow/http/server.hpp
@@ -54,6 +54,9 @@
     /// Makes each connection close after its next answer.
     void close_after_answers();
 
+    /// Closes the connections that wait for a request.
+    void close_idle();
+
     /// Stops taking connections; requests in flight are answered, and their
     /// connections close after the answer.
     void stop_accepting();
