--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -16,6 +16,7 @@
 
 constexpr duration tick_interval = milliseconds{50};
 constexpr duration probe_interval = milliseconds{300};
+constexpr duration load_log_interval = seconds{2};
 
 /// A job in memory that is sent again soon after its end is not run anew.
 constexpr duration memory_of_ends = seconds{10};
@@ -138,6 +139,7 @@
     ownership_.tick(store_.reachable());
     check_agents();
     probe_store();
+    log_load();
     memory_.tick();
     dispatcher_.set_owners(peers_.live().size() + 1);
     schedule_dispatch();
@@ -166,6 +168,38 @@
     }
 }
 
+/// One line each while for the people on call: what limits placement.
+void durable_service::log_load()
+{
+    const auto now = clock_.now();
+    if (now - load_logged_ < load_log_interval)
+        return;
+    load_logged_ = now;
+    std::size_t linked = 0;
+    std::size_t ready = 0;
+    std::size_t ejected = 0;
+    double free_cores = 0;
+    for (const auto& [name, agent] : dispatcher_.agents())
+    {
+        linked += agent.linked() ? 1 : 0;
+        if (!agent.linked() ||
+            agent.account().phase != runner_phase::ready)
+            continue;
+        ++ready;
+        ejected += agent.ejected(now) ? 1 : 0;
+        const auto& capacity = agent.account().capacity;
+        free_cores += (capacity.cpu - std::min(capacity.cpu, agent.used().cpu)) /
+                      1000.0;
+    }
+    log_change(log_level::info, "placement_load",
+               {{"jobs", memory_.open_jobs()},
+                {"tasks_waiting", dispatcher_.waiting()},
+                {"agents_linked", linked},
+                {"runners_ready", ready},
+                {"runners_ejected", ejected},
+                {"free_cores", static_cast<std::int64_t>(free_cores)}});
+}
+
 /// An entry without parts would not see that the store answers again.
 void durable_service::probe_store()
 {
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -131,6 +131,7 @@
     void tick();
     void check_agents();
     void probe_store();
+    void log_load();
     void schedule_dispatch();
     void collect_parts(metric_page& page);
     void collect_router(metric_page& page) const;
@@ -165,6 +166,7 @@
 
     std::map<std::string, agent_silence> agent_heard_; ///< By agent.
     instant probed_{};                  ///< Last probe of the store.
+    instant load_logged_{};             ///< Last line on the load.
     bool dispatching_ = false;          ///< A dispatch is on its way.
     bool stopping_ = false;             ///< A planned stop.
 };
