--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -174,6 +174,7 @@
   how @2 :UInt8;
   number @3 :UInt64;         # of the end at its runner; 0: nothing to confirm
   micros @4 :UInt32;         # from start to end
+  claimed @5 :Bool;          # ran under a lease of the entry that is told
 }
 
 struct RunnerState {
--- a/src/glenhollow/durable/durable_job.hpp
+++ b/src/glenhollow/durable/durable_job.hpp
@@ -189,6 +189,7 @@
     run_outcome how = run_outcome::failed;       ///< How it ended.
     std::uint64_t number = 0;                    ///< At its runner; 0: none.
     std::uint32_t micros = 0;                    ///< From start to end.
+    bool claimed = true; ///< It ran under a lease of the entry that is told.
 };
 
 /// A run that failed. Its number tells it from a repeated report of it.
--- a/src/glenhollow/durable/job_board.cpp
+++ b/src/glenhollow/durable/job_board.cpp
@@ -391,7 +391,7 @@
     for (const auto& end : account.ends)
     {
         // Ends in memory that nobody has claimed may be another entry's.
-        if (chain_ || jobs_.contains(end.run.task.job))
+        if (chain_ || end.claimed || jobs_.contains(end.run.task.job))
             ended(agent, end);
     }
     if (awaited_.erase(agent) > 0 && awaited_.empty())
--- a/src/glenhollow/runs/end_ledger.cpp
+++ b/src/glenhollow/runs/end_ledger.cpp
@@ -1,32 +1,25 @@
 #include "glenhollow/runs/end_ledger.hpp"
 
-#include <algorithm>
-
 namespace glenhollow
 {
 
 bool end_ledger::add(const run_end& end, std::uint32_t lease, instant now)
 {
-    if (end.number != 0)
-    {
-        if (end.number <= confirmed_)
-            return false;
-        highest_ = std::max(highest_, end.number);
-    }
+    if (end.number != 0 &&
+        (end.number <= confirmed_ || listed_.contains(end.number)))
+        return false;
     const auto known = ends_.find(end.run);
-    if (known != ends_.end())
+    // Concluded before, now listed by the runner: the runner knows.
+    const bool concluded = known != ends_.end() &&
+                           known->second.end.number == 0 && end.number != 0;
+    if (known != ends_.end() && !concluded)
+        return false;
+    if (end.number != 0)
     {
-        // Concluded before, now listed by the runner: the runner knows.
-        if (known->second.end.number != 0 || end.number == 0)
-            return false;
-        known->second.end = end;
-        known->second.told = false;
         listed_.emplace(end.number, false);
-        return true;
+        ++unsettled_;
     }
-    ends_.emplace(end.run, kept_end{end, lease, now, false, false});
-    if (end.number != 0)
-        listed_.emplace(end.number, false);
+    ends_.insert_or_assign(end.run, kept_end{end, lease, now, false, false});
     return true;
 }
 
@@ -44,20 +37,25 @@
 
 void end_ledger::settle(std::uint64_t number)
 {
-    if (number == 0)
+    const auto known = listed_.find(number);
+    if (known == listed_.end() || known->second)
         return;
-    listed_.erase(number);
-    confirmed_ =
-        std::max(confirmed_,
-                 listed_.empty() ? highest_ : listed_.begin()->first - 1);
+    known->second = true;
+    --unsettled_;
+    while (!listed_.empty() && listed_.begin()->second)
+    {
+        confirmed_ = listed_.begin()->first;
+        listed_.erase(listed_.begin());
+    }
 }
 
 void end_ledger::excuse_all()
 {
     for (auto& [run, kept] : ends_)
+    {
         kept.excused = true;
-    listed_.clear();
-    confirmed_ = std::max(confirmed_, highest_);
+        settle(kept.end.number);
+    }
 }
 
 void end_ledger::new_life()
@@ -68,8 +66,8 @@
         kept.told = false;
     }
     listed_.clear();
+    unsettled_ = 0;
     confirmed_ = 0;
-    highest_ = 0;
 }
 
 } // namespace glenhollow
--- a/src/glenhollow/runs/end_ledger.hpp
+++ b/src/glenhollow/runs/end_ledger.hpp
@@ -47,7 +47,7 @@
     std::uint64_t confirmed() const { return confirmed_; }
 
     /// @return Whether listed ends wait for an owner.
-    bool waits() const { return !listed_.empty(); }
+    bool waits() const { return unsettled_ > 0; }
 
     /// @return Whether no end is kept.
     bool empty() const { return ends_.empty(); }
@@ -72,9 +72,11 @@
     void settle(std::uint64_t number);
 
     std::unordered_map<run_ref, kept_end, run_ref_hash> ends_; ///< By run.
-    std::map<std::uint64_t, bool> listed_; ///< Not confirmed, by number.
+    /// Numbers above `confirmed_` and whether they are settled: the runner
+    /// lists them again until all before them are.
+    std::map<std::uint64_t, bool> listed_;
     std::uint64_t confirmed_ = 0;          ///< All up to here are settled.
-    std::uint64_t highest_ = 0;            ///< Highest listed.
+    std::size_t unsettled_ = 0;            ///< Of the listed.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/runs/run_keeper.cpp
+++ b/src/glenhollow/runs/run_keeper.cpp
@@ -131,6 +131,7 @@
             continue;
         kept.told = kept.lease == lease;
         out.ends.push_back(kept.end);
+        out.ends.back().claimed = kept.told;
     }
     return out;
 }
@@ -353,7 +354,7 @@
 void run_keeper::end_run(const run_ref& ref, run_outcome how,
                          std::uint64_t number)
 {
-    run_end end{ref, how, number, 0};
+    run_end end{ref, how, number, 0, true};
     const auto known = runs_.find(ref);
     if (known != runs_.end() && occupies(known->second.phase))
     {
--- a/src/glenhollow/runs/run_wire.cpp
+++ b/src/glenhollow/runs/run_wire.cpp
@@ -64,6 +64,7 @@
     out.setHow(static_cast<std::uint8_t>(end.how));
     out.setNumber(end.number);
     out.setMicros(end.micros);
+    out.setClaimed(end.claimed);
 }
 
 run_end from_wire(wire::RunEnd::Reader in)
@@ -71,7 +72,8 @@
     return {{task_from(in.getTask()), in.getRun()},
             from_index(in.getHow(), run_outcome::failed),
             in.getNumber(),
-            in.getMicros()};
+            in.getMicros(),
+            in.getClaimed()};
 }
 
 void fill(wire::RunOrder::Builder out, const run_order& order)
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -5777,6 +5777,8 @@
 
   inline  ::uint32_t getMicros() const;
 
+  inline bool getClaimed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5824,6 +5826,9 @@
   inline  ::uint32_t getMicros();
   inline void setMicros( ::uint32_t value);
 
+  inline bool getClaimed();
+  inline void setClaimed(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -11275,6 +11280,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RunEnd::Reader::getClaimed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+}
+
+inline bool RunEnd::Builder::getClaimed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+}
+inline void RunEnd::Builder::setClaimed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RunnerState::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
