--- a/programs/durable_agent.cpp
+++ b/programs/durable_agent.cpp
@@ -45,7 +45,8 @@
                   settings.keeper),
           registration_(keeper_),
           announcer_(store_, delay(),
-                     {settings.name, member_role::agent,
+                     {settings.name,
+                      member_role::agent,
                       {settings.address, settings.rpc_port}})
     {
     }
@@ -61,19 +62,18 @@
         limits.port = settings_.registration.port;
         BOOST_OUTCOME_TRY(
             auto accounts,
-            http_server::create(loop_.io(), limits,
-                                [this](const http_request& request,
-                                       const http_responder& done)
-                                { registration_.handle(request, done); }));
+            http_server::create(
+                loop_.io(), limits,
+                [this](const http_request& request, const http_responder& done)
+                { registration_.handle(request, done); }));
         accounts_ = std::move(accounts);
         limits.address = settings_.address;
         limits.port = settings_.metrics_port;
-        BOOST_OUTCOME_TRY(
-            auto metrics,
-            http_server::create(loop_.io(), limits,
-                                [this](const http_request& request,
-                                       const http_responder& done)
-                                { serve_page(request, done); }));
+        BOOST_OUTCOME_TRY(auto metrics, http_server::create(
+                                            loop_.io(), limits,
+                                            [this](const http_request& request,
+                                                   const http_responder& done)
+                                            { serve_page(request, done); }));
         metrics_ = std::move(metrics);
         return outcome::success();
     }
@@ -182,21 +182,21 @@
         run_after(loop_.io(), stop_check, [this] { wait_for_idle(); });
     }
 
-    durable_agent_settings settings_;                    ///< Checked.
+    durable_agent_settings settings_;                        ///< Checked.
     std::function<result<durable_agent_settings>()> reload_; ///< On SIGHUP.
-    rpc_loop loop_;                                      ///< Runs everything.
-    boost::asio::signal_set signals_;                    ///< Stop and reload.
-    platform::http_row_store store_;                     ///< The store.
-    platform::http_runner runner_;                       ///< The runner.
-    run_keeper keeper_;                                  ///< The product.
-    platform::runner_registration registration_;         ///< Its accounts.
-    member_announcer announcer_;                         ///< Its row.
-    std::unique_ptr<run_agent_service> service_;         ///< For entries.
-    std::unique_ptr<rpc_listener> links_;                ///< From entries.
-    std::unique_ptr<http_server> accounts_;              ///< From the runner.
-    std::unique_ptr<http_server> metrics_;               ///< On-call people.
-    bool stopping_ = false;                              ///< A planned stop.
-    instant stop_at_{};                                  ///< Its latest end.
+    rpc_loop loop_;                              ///< Runs everything.
+    boost::asio::signal_set signals_;            ///< Stop and reload.
+    platform::http_row_store store_;             ///< The store.
+    platform::http_runner runner_;               ///< The runner.
+    run_keeper keeper_;                          ///< The product.
+    platform::runner_registration registration_; ///< Its accounts.
+    member_announcer announcer_;                 ///< Its row.
+    std::unique_ptr<run_agent_service> service_; ///< For entries.
+    std::unique_ptr<rpc_listener> links_;        ///< From entries.
+    std::unique_ptr<http_server> accounts_;      ///< From the runner.
+    std::unique_ptr<http_server> metrics_;       ///< On-call people.
+    bool stopping_ = false;                      ///< A planned stop.
+    instant stop_at_{};                          ///< Its latest end.
 };
 
 } // namespace
--- a/programs/durable_agent.hpp
+++ b/programs/durable_agent.hpp
@@ -15,17 +15,17 @@
 /// Settings of an agent that speaks to the platform's runner.
 struct durable_agent_settings
 {
-    std::string name = "agent";                ///< Name of the machine.
-    std::string zone = "zone";                 ///< Where it stands.
-    std::string address = "127.0.0.1";         ///< IP number for links.
-    std::uint16_t rpc_port = 0;                ///< For links.
-    std::uint16_t metrics_port = 0;            ///< For metrics.
-    host_port registration;                    ///< Where the runner registers.
-    platform::http_runner_settings runner;     ///< The runner.
-    platform::row_store_settings store;        ///< The store.
-    run_keeper_settings keeper;                ///< Limits.
-    run_agent_service_settings service;        ///< Limits.
-    duration grace = seconds{6};               ///< From SIGTERM to the end.
+    std::string name = "agent";            ///< Name of the machine.
+    std::string zone = "zone";             ///< Where it stands.
+    std::string address = "127.0.0.1";     ///< IP number for links.
+    std::uint16_t rpc_port = 0;            ///< For links.
+    std::uint16_t metrics_port = 0;        ///< For metrics.
+    host_port registration;                ///< Where the runner registers.
+    platform::http_runner_settings runner; ///< The runner.
+    platform::row_store_settings store;    ///< The store.
+    run_keeper_settings keeper;            ///< Limits.
+    run_agent_service_settings service;    ///< Limits.
+    duration grace = seconds{6};           ///< From SIGTERM to the end.
 };
 
 /// Runs an agent until a planned stop.
--- a/programs/durable_agent_main.cpp
+++ b/programs/durable_agent_main.cpp
@@ -13,7 +13,7 @@
 /// What the flags say, as text where it is checked further.
 struct given_flags
 {
-    durable_agent_settings settings; ///< Simple values.
+    durable_agent_settings settings;             ///< Simple values.
     std::string registration = "127.0.0.1:8166"; ///< Address.
     std::string runner = "127.0.0.1:8165";       ///< Address.
     std::string store = "127.0.0.1:8169";        ///< Address.
@@ -75,13 +75,12 @@
         return exit_usage;
     }
     start_log(given.format, "glenhollow-durable-agent");
-    return run_durable_agent(
-        settings.value(),
-        [argc, argv]() -> result<durable_agent_settings>
-        {
-            given_flags again;
-            auto flags = flags_for(again);
-            BOOST_OUTCOME_TRYV(flags.parse(argc, argv));
-            return check(again);
-        });
+    return run_durable_agent(settings.value(),
+                             [argc, argv]() -> result<durable_agent_settings>
+                             {
+                                 given_flags again;
+                                 auto flags = flags_for(again);
+                                 BOOST_OUTCOME_TRYV(flags.parse(argc, argv));
+                                 return check(again);
+                             });
 }
--- a/programs/durable_entry.cpp
+++ b/programs/durable_entry.cpp
@@ -35,10 +35,9 @@
                   std::function<result<durable_entry_settings>()> reload)
         : settings_(settings), reload_(std::move(reload)),
           signals_(loop_.io(), SIGTERM, SIGINT, SIGHUP),
-          store_(loop_.io(), settings.store), service_(loop_.io(),
-                                                       process_clock(), store_,
-                                                       platform::parse_catalog,
-                                                       service_settings()),
+          store_(loop_.io(), settings.store),
+          service_(loop_.io(), process_clock(), store_, platform::parse_catalog,
+                   service_settings()),
           front_(service_)
     {
     }
@@ -54,18 +53,15 @@
         callers.port = settings_.callers.port;
         BOOST_OUTCOME_TRY(
             auto front,
-            http_server::create(loop_.io(), callers,
-                                [this](http_request request,
-                                       http_responder done) {
-                                    front_.handle(std::move(request),
-                                                  std::move(done));
-                                }));
+            http_server::create(
+                loop_.io(), callers,
+                [this](http_request request, http_responder done)
+                { front_.handle(std::move(request), std::move(done)); }));
         callers_ = std::move(front);
         BOOST_OUTCOME_TRY(auto ready, pages(settings_.readiness));
         readiness_ = std::move(ready);
-        BOOST_OUTCOME_TRY(
-            auto metrics,
-            pages({settings_.address, settings_.metrics_port}));
+        BOOST_OUTCOME_TRY(auto metrics,
+                          pages({settings_.address, settings_.metrics_port}));
         metrics_ = std::move(metrics);
         return outcome::success();
     }
@@ -119,7 +115,9 @@
         if (request.target == "/ready" || request.target == "/readyz")
         {
             const bool ready = service_.ready();
-            return done({ready ? 200U : 503U, "text/plain", {},
+            return done({ready ? 200U : 503U,
+                         "text/plain",
+                         {},
                          ready ? "ready\n" : "not ready\n"});
         }
         if (request.target != "/metrics")
@@ -194,20 +192,20 @@
         run_after(loop_.io(), answer_time, [this] { loop_.stop(); });
     }
 
-    durable_entry_settings settings_;                    ///< Checked.
+    durable_entry_settings settings_;                        ///< Checked.
     std::function<result<durable_entry_settings>()> reload_; ///< On SIGHUP.
-    std::uint64_t incarnation_ = random_incarnation();   ///< Of this process.
-    rpc_loop loop_;                                      ///< Runs everything.
-    boost::asio::signal_set signals_;                    ///< Stop and reload.
-    platform::http_row_store store_;                     ///< The store.
-    durable_service service_;                            ///< The product.
-    platform::client_front front_;                       ///< Clients' side.
-    std::unique_ptr<rpc_listener> links_;                ///< Other entries.
-    std::unique_ptr<http_server> callers_;               ///< Clients.
-    std::unique_ptr<http_server> readiness_;             ///< The balancer.
-    std::unique_ptr<http_server> metrics_;               ///< On-call people.
-    bool stopping_ = false;                              ///< A planned stop.
-    instant stop_at_{};                                  ///< Its latest end.
+    std::uint64_t incarnation_ = random_incarnation(); ///< Of this process.
+    rpc_loop loop_;                                    ///< Runs everything.
+    boost::asio::signal_set signals_;                  ///< Stop and reload.
+    platform::http_row_store store_;                   ///< The store.
+    durable_service service_;                          ///< The product.
+    platform::client_front front_;                     ///< Clients' side.
+    std::unique_ptr<rpc_listener> links_;              ///< Other entries.
+    std::unique_ptr<http_server> callers_;             ///< Clients.
+    std::unique_ptr<http_server> readiness_;           ///< The balancer.
+    std::unique_ptr<http_server> metrics_;             ///< On-call people.
+    bool stopping_ = false;                            ///< A planned stop.
+    instant stop_at_{};                                ///< Its latest end.
 };
 
 } // namespace
--- a/programs/durable_entry.hpp
+++ b/programs/durable_entry.hpp
@@ -14,17 +14,17 @@
 /// Settings of an entry that keeps its jobs in the platform's store.
 struct durable_entry_settings
 {
-    std::string name = "entry";                ///< Name of the machine.
-    std::string zone = "zone";                 ///< Where it stands.
-    std::string address = "127.0.0.1";         ///< IP number for links.
-    std::uint16_t rpc_port = 0;                ///< For links.
-    std::uint16_t metrics_port = 0;            ///< For metrics.
-    host_port callers;                         ///< Where clients call.
-    host_port readiness;                       ///< Where readiness is asked.
-    platform::row_store_settings store;        ///< The store.
-    std::vector<host_port> seeds;              ///< Entries that may be live.
-    std::size_t parts = 3;                     ///< Of the journal.
-    duration grace = seconds{6};               ///< From SIGTERM to the end.
+    std::string name = "entry";         ///< Name of the machine.
+    std::string zone = "zone";          ///< Where it stands.
+    std::string address = "127.0.0.1";  ///< IP number for links.
+    std::uint16_t rpc_port = 0;         ///< For links.
+    std::uint16_t metrics_port = 0;     ///< For metrics.
+    host_port callers;                  ///< Where clients call.
+    host_port readiness;                ///< Where readiness is asked.
+    platform::row_store_settings store; ///< The store.
+    std::vector<host_port> seeds;       ///< Entries that may be live.
+    std::size_t parts = 3;              ///< Of the journal.
+    duration grace = seconds{6};        ///< From SIGTERM to the end.
 };
 
 /// Runs an entry until a planned stop.
--- a/programs/durable_entry_main.cpp
+++ b/programs/durable_entry_main.cpp
@@ -13,7 +13,7 @@
 /// What the flags say, as text where it is checked further.
 struct given_flags
 {
-    durable_entry_settings settings; ///< Simple values.
+    durable_entry_settings settings;          ///< Simple values.
     std::string callers = "127.0.0.1:8161";   ///< Address.
     std::string readiness = "127.0.0.1:8167"; ///< Address.
     std::string store = "127.0.0.1:8169";     ///< Address.
@@ -76,13 +76,12 @@
         return exit_usage;
     }
     start_log(given.format, "glenhollow-durable-entry");
-    return run_durable_entry(
-        settings.value(),
-        [argc, argv]() -> result<durable_entry_settings>
-        {
-            given_flags again;
-            auto flags = flags_for(again);
-            BOOST_OUTCOME_TRYV(flags.parse(argc, argv));
-            return check(again);
-        });
+    return run_durable_entry(settings.value(),
+                             [argc, argv]() -> result<durable_entry_settings>
+                             {
+                                 given_flags again;
+                                 auto flags = flags_for(again);
+                                 BOOST_OUTCOME_TRYV(flags.parse(argc, argv));
+                                 return check(again);
+                             });
 }
--- a/scripts/format.sh
+++ b/scripts/format.sh
@@ -5,5 +5,5 @@
 mode=-i
 [ "${1:-}" = --check ] && mode="--dry-run --Werror"
 # shellcheck disable=SC2086
-find src programs standins tests samples \( -name '*.hpp' -o -name '*.cpp' \) \
+find src platform programs standins tests samples \( -name '*.hpp' -o -name '*.cpp' \) \
     -not -path '*/wire/*' -print0 | xargs -0 clang-format-14 $mode
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -5,13 +5,13 @@
 cd "$(dirname "$0")/.."
 kept=build/lint
 mkdir -p "$kept"
-headers=$(find src -name '*.hpp' -not -path '*/wire/*' -print0 | sort -z |
+headers=$(find src platform -name '*.hpp' -not -path '*/wire/*' -print0 | sort -z |
     xargs -0 cat .clang-tidy | sha256sum | cut -c1-16)
 todo=()
 while IFS= read -r file; do
     mark="$kept/$(sha256sum "$file" | cut -c1-16).$headers"
     [ -e "$mark" ] || todo+=("$file=$mark")
-done < <(find src programs standins -name '*.cpp' -not -path '*/wire/*' |
+done < <(find src platform programs standins -name '*.cpp' -not -path '*/wire/*' |
     grep -v boost_source.cpp | sort)
 [ ${#todo[@]} -eq 0 ] && exit 0
 printf '%s\n' "${todo[@]}" | xargs -P "$(nproc)" -I{} bash -c '
--- a/src/glenhollow/durable/agent_sessions.cpp
+++ b/src/glenhollow/durable/agent_sessions.cpp
@@ -10,12 +10,12 @@
 /// One agent's session.
 struct agent_sessions::session
 {
-    std::string agent;              ///< Its name.
-    std::unique_ptr<rpc_link> link; ///< The connection.
+    std::string agent;                          ///< Its name.
+    std::unique_ptr<rpc_link> link;             ///< The connection.
     kj::Maybe<wire::RunSession::Client> orders; ///< Open while attached.
-    std::uint64_t number = 0;       ///< Of the session, rising.
-    bool attached = false;          ///< It has been opened.
-    instant heard{};                ///< Its last word.
+    std::uint64_t number = 0;                   ///< Of the session, rising.
+    bool attached = false;                      ///< It has been opened.
+    instant heard{};                            ///< Its last word.
 };
 
 /// The ear that an agent reports to.
--- a/src/glenhollow/durable/agent_sessions.hpp
+++ b/src/glenhollow/durable/agent_sessions.hpp
@@ -49,10 +49,10 @@
 /// Limits of the sessions.
 struct agent_sessions_settings
 {
-    std::string entry;             ///< Name of this entry.
-    std::uint64_t incarnation = 0; ///< Of this entry.
+    std::string entry;                     ///< Name of this entry.
+    std::uint64_t incarnation = 0;         ///< Of this entry.
     duration silence = milliseconds{1200}; ///< Without a report: gone.
-    rpc_link_settings link;        ///< Limits of the connections.
+    rpc_link_settings link;                ///< Limits of the connections.
 };
 
 /// One session with each agent. Runs inside an rpc_loop.
@@ -98,12 +98,12 @@
     void heard(const std::string& agent, std::uint64_t number,
                wire::RunReport::Reader report);
 
-    boost::asio::io_context& io_;       ///< Runs them.
-    const clock_source& clock_;         ///< This entry's.
-    agent_session_listener& listener_;  ///< Told.
-    agent_sessions_settings settings_;  ///< Limits.
+    boost::asio::io_context& io_;      ///< Runs them.
+    const clock_source& clock_;        ///< This entry's.
+    agent_session_listener& listener_; ///< Told.
+    agent_sessions_settings settings_; ///< Limits.
     std::map<std::string, std::unique_ptr<session>> sessions_; ///< By agent.
-    std::uint64_t numbers_ = 0;         ///< Of sessions.
+    std::uint64_t numbers_ = 0;                                ///< Of sessions.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/agent_view.hpp
+++ b/src/glenhollow/durable/agent_view.hpp
@@ -16,11 +16,11 @@
 /// Limits of the judgement on a runner by the ends of its runs.
 struct health_view_settings
 {
-    double weight = 0.12;            ///< Of one more end in the average.
-    double eject_above = 0.45;       ///< Share of bad ends.
-    std::uint32_t least_ends = 4;    ///< Before any judgement.
+    double weight = 0.12;         ///< Of one more end in the average.
+    double eject_above = 0.45;    ///< Share of bad ends.
+    std::uint32_t least_ends = 4; ///< Before any judgement.
     duration eject_for = milliseconds{1500}; ///< The first time.
-    duration longest = seconds{6};   ///< After repeated ejections.
+    duration longest = seconds{6};           ///< After repeated ejections.
 };
 
 /// What an entry knows of one agent and its runner.
@@ -95,17 +95,17 @@
         resources needs;          ///< Of its starts.
     };
 
-    std::string name_;                 ///< Of the agent.
-    bool linked_ = false;              ///< Its session is open.
-    runner_report report_;             ///< Its latest word.
-    std::deque<flying_batch> flying_;  ///< On their way.
-    resources reserved_;               ///< In the outbox.
-    std::uint64_t batches_ = 0;        ///< Sent in this session.
-    double bad_share_ = 0;             ///< Average of bad ends.
-    std::uint32_t ends_ = 0;           ///< Counted since the last ejection.
-    std::uint32_t ejections_ = 0;      ///< In a row.
-    instant ejected_until_{};          ///< No work until then.
-    double pace_ = 1.0;                ///< Average time over estimate.
+    std::string name_;                ///< Of the agent.
+    bool linked_ = false;             ///< Its session is open.
+    runner_report report_;            ///< Its latest word.
+    std::deque<flying_batch> flying_; ///< On their way.
+    resources reserved_;              ///< In the outbox.
+    std::uint64_t batches_ = 0;       ///< Sent in this session.
+    double bad_share_ = 0;            ///< Average of bad ends.
+    std::uint32_t ends_ = 0;          ///< Counted since the last ejection.
+    std::uint32_t ejections_ = 0;     ///< In a row.
+    instant ejected_until_{};         ///< No work until then.
+    double pace_ = 1.0;               ///< Average time over estimate.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -260,8 +260,7 @@
     {
         const auto& account = agent.account();
         if (!agent.linked() || account.service != service ||
-            account.phase != runner_phase::ready ||
-            agent.ejected(clock_.now()))
+            account.phase != runner_phase::ready || agent.ejected(clock_.now()))
             continue;
         const auto used = std::min(agent.used().cpu, account.capacity.cpu);
         cores += (account.capacity.cpu - used) / per_core;
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -20,14 +20,14 @@
 /// A task that may start.
 struct ready_task
 {
-    task_ref task;                ///< Which task.
-    part_number part = 0;         ///< Of its job.
-    std::string service;          ///< Whose runners run it.
-    std::string label;            ///< The runner must have it, if given.
-    resources needs;              ///< Of the runner.
-    std::int64_t urgency = 0;     ///< Smaller goes first.
+    task_ref task;                 ///< Which task.
+    part_number part = 0;          ///< Of its job.
+    std::string service;           ///< Whose runners run it.
+    std::string label;             ///< The runner must have it, if given.
+    resources needs;               ///< Of the runner.
+    std::int64_t urgency = 0;      ///< Smaller goes first.
     std::uint32_t estimate_ms = 0; ///< The caller's guess of its time.
-    std::string avoid;            ///< An agent where it failed; may be empty.
+    std::string avoid;             ///< An agent where it failed; may be empty.
 };
 
 /// Sends orders to agents; the links do, fakes in tests.
@@ -162,8 +162,8 @@
     /// Place in the queue.
     struct queue_key
     {
-        std::int64_t urgency = 0;     ///< Smaller goes first.
-        std::uint64_t sequence = 0;   ///< Then first come.
+        std::int64_t urgency = 0;   ///< Smaller goes first.
+        std::uint64_t sequence = 0; ///< Then first come.
 
         auto operator<=>(const queue_key&) const = default;
     };
@@ -180,18 +180,18 @@
     void remove(const std::string& service, const queue_key& key);
     void flush(agent_view& agent);
 
-    const clock_source& clock_;     ///< This entry's.
-    order_sender& sender_;          ///< Sends the orders.
-    task_source& tasks_;            ///< Owns the tasks.
-    dispatcher_settings settings_;  ///< Limits.
-    std::map<std::string, agent_view> agents_; ///< By name.
+    const clock_source& clock_;                   ///< This entry's.
+    order_sender& sender_;                        ///< Sends the orders.
+    task_source& tasks_;                          ///< Owns the tasks.
+    dispatcher_settings settings_;                ///< Limits.
+    std::map<std::string, agent_view> agents_;    ///< By name.
     std::map<std::string, service_queue> queues_; ///< By service.
     std::unordered_map<run_ref, std::pair<std::string, queue_key>,
                        run_ref_hash>
-        by_task_;                   ///< Place of a task; its run is 0.
-    std::uint64_t sequence_ = 0;    ///< Of queue places.
-    std::size_t owners_ = 1;        ///< Entries that own parts.
-    dispatcher_stats stats_;        ///< Counters.
+        by_task_;                ///< Place of a task; its run is 0.
+    std::uint64_t sequence_ = 0; ///< Of queue places.
+    std::size_t owners_ = 1;     ///< Entries that own parts.
+    dispatcher_stats stats_;     ///< Counters.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/durable_job.hpp
+++ b/src/glenhollow/durable/durable_job.hpp
@@ -178,17 +178,16 @@
 struct name_table<run_outcome>
 {
     static constexpr std::array<std::string_view, 7> names{
-        "done",   "failed", "stopped",  "lapsed",
-        "broken", "alone",  "not_begun"};
+        "done", "failed", "stopped", "lapsed", "broken", "alone", "not_begun"};
 };
 
 /// One run's end as its agent tells it.
 struct run_end
 {
-    run_ref run;                                 ///< Which run.
-    run_outcome how = run_outcome::failed;       ///< How it ended.
-    std::uint64_t number = 0;                    ///< At its runner; 0: none.
-    std::uint32_t micros = 0;                    ///< From start to end.
+    run_ref run;                           ///< Which run.
+    run_outcome how = run_outcome::failed; ///< How it ended.
+    std::uint64_t number = 0;              ///< At its runner; 0: none.
+    std::uint32_t micros = 0;              ///< From start to end.
     bool claimed = true; ///< It ran under a lease of the entry that is told.
 };
 
--- a/src/glenhollow/durable/durable_metrics.cpp
+++ b/src/glenhollow/durable/durable_metrics.cpp
@@ -9,28 +9,27 @@
     job_board_stats jobs;
     journal_chain_stats journal;
     double open = 0;
-    const auto add =
-        [&](job_board& part)
-        {
-            const auto& one = part.stats();
-            jobs.accepted += one.accepted;
-            jobs.repeated += one.repeated;
-            jobs.refused += one.refused;
-            jobs.succeeded += one.succeeded;
-            jobs.failed += one.failed;
-            jobs.cancelled += one.cancelled;
-            jobs.restarted += one.restarted;
-            jobs.late += one.late;
-            const auto& chain = part.journal_stats();
-            journal.transactions += chain.transactions;
-            journal.entries += chain.entries;
-            journal.refused += chain.refused;
-            journal.unknown += chain.unknown;
-            journal.settled += chain.settled;
-            jobs.given_up += one.given_up;
-            jobs.withdrawn += one.withdrawn;
-            open += static_cast<double>(part.open_jobs());
-        };
+    const auto add = [&](job_board& part)
+    {
+        const auto& one = part.stats();
+        jobs.accepted += one.accepted;
+        jobs.repeated += one.repeated;
+        jobs.refused += one.refused;
+        jobs.succeeded += one.succeeded;
+        jobs.failed += one.failed;
+        jobs.cancelled += one.cancelled;
+        jobs.restarted += one.restarted;
+        jobs.late += one.late;
+        const auto& chain = part.journal_stats();
+        journal.transactions += chain.transactions;
+        journal.entries += chain.entries;
+        journal.refused += chain.refused;
+        journal.unknown += chain.unknown;
+        journal.settled += chain.settled;
+        jobs.given_up += one.given_up;
+        jobs.withdrawn += one.withdrawn;
+        open += static_cast<double>(part.open_jobs());
+    };
     ownership_.for_each(add);
     add(memory_);
     const auto count = [&page](std::string_view name, std::string_view help,
@@ -51,8 +50,7 @@
     count("journal_transactions_total", "Transactions sent",
           journal.transactions);
     count("journal_entries_total", "Entries made durable", journal.entries);
-    count("journal_refused_total", "Transactions turned away",
-          journal.refused);
+    count("journal_refused_total", "Transactions turned away", journal.refused);
     count("journal_unknown_total", "Transactions without an answer",
           journal.unknown);
     count("journal_settled_total", "Of these, found done", journal.settled);
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -80,8 +80,7 @@
       router_(clock, delay(), ownership_, peers_, router_of(settings)),
       members_(store_, delay(), std::string(members_table), settings.follower,
                [this](const stored_row& row) { take_member(row); }),
-      configuration_(store_, delay(), settings.catalog.table,
-                     settings.follower,
+      configuration_(store_, delay(), settings.catalog.table, settings.follower,
                      [this](const stored_row& row) { take_catalog_row(row); }),
       announcer_(store_, delay(),
                  {settings.entry, member_role::entry, settings.where})
@@ -95,8 +94,8 @@
 
 journal_chain::delay durable_service::delay()
 {
-    return [&io = io_, alive = alive_](duration wait,
-                                       std::function<void()> work)
+    return
+        [&io = io_, alive = alive_](duration wait, std::function<void()> work)
     {
         auto guarded = [alive, work = std::move(work)]
         {
@@ -182,14 +181,13 @@
     for (const auto& [name, agent] : dispatcher_.agents())
     {
         linked += agent.linked() ? 1 : 0;
-        if (!agent.linked() ||
-            agent.account().phase != runner_phase::ready)
+        if (!agent.linked() || agent.account().phase != runner_phase::ready)
             continue;
         ++ready;
         ejected += agent.ejected(now) ? 1 : 0;
         const auto& capacity = agent.account().capacity;
-        free_cores += (capacity.cpu - std::min(capacity.cpu, agent.used().cpu)) /
-                      1000.0;
+        free_cores +=
+            (capacity.cpu - std::min(capacity.cpu, agent.used().cpu)) / 1000.0;
     }
     log_change(log_level::info, "placement_load",
                {{"jobs", memory_.open_jobs()},
@@ -327,10 +325,9 @@
         return;
     if (account.declined)
     {
-        log_change(log_level::warning, "adoption_declined",
-                   {{"agent", agent},
-                    {"part", part.part},
-                    {"epoch", part.epoch}});
+        log_change(
+            log_level::warning, "adoption_declined",
+            {{"agent", agent}, {"part", part.part}, {"epoch", part.epoch}});
         return jobs->verify();
     }
     dispatcher_.adopted(agent, part.part);
@@ -397,17 +394,16 @@
 {
     if (view.catalog_version <= catalog_.version)
         return;
-    peers_.fetch_catalog(view.name,
-                         [this, alive = alive_](std::uint64_t,
-                                                const std::string& document)
-                         {
-                             if (*alive)
-                                 take_document(document, "peer");
-                         });
+    peers_.fetch_catalog(
+        view.name,
+        [this, alive = alive_](std::uint64_t, const std::string& document)
+        {
+            if (*alive)
+                take_document(document, "peer");
+        });
 }
 
-void durable_service::serve(const job_call& call,
-                            job_reply_handler done)
+void durable_service::serve(const job_call& call, job_reply_handler done)
 {
     router_.serve_here(call, std::move(done));
     schedule_dispatch();
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -36,13 +36,13 @@
     catalog_place catalog;         ///< Where the queues are told.
     duration store_patience = milliseconds{500}; ///< Failing for so long, the
                                                  ///< store is unreachable.
-    part_ownership_settings ownership; ///< Limits.
-    job_board_settings memory;         ///< Limits of jobs in memory.
-    agent_sessions_settings agents;    ///< Limits.
-    entry_peers_settings peers;        ///< Limits.
-    job_router_settings router;        ///< Limits.
-    dispatcher_settings dispatch;      ///< Limits.
-    table_follower_settings follower;  ///< Limits.
+    part_ownership_settings ownership;           ///< Limits.
+    job_board_settings memory;                   ///< Limits of jobs in memory.
+    agent_sessions_settings agents;              ///< Limits.
+    entry_peers_settings peers;                  ///< Limits.
+    job_router_settings router;                  ///< Limits.
+    dispatcher_settings dispatch;                ///< Limits.
+    table_follower_settings follower;            ///< Limits.
 };
 
 /// The durable jobs of one entry: owned parts, links, routing. Runs inside an
@@ -113,8 +113,7 @@
 
     entry_view own_view() override;
     void peer_seen(const entry_view& view) override;
-    void serve(const job_call& call,
-               job_reply_handler done) override;
+    void serve(const job_call& call, job_reply_handler done) override;
     std::string catalog_document() override { return document_; }
 
     void part_gained(part_epoch part) override;
@@ -159,16 +158,16 @@
     /// How long an agent has been silent.
     struct agent_silence
     {
-        instant heard{};            ///< Its last word.
-        bool memory_ended = false;  ///< Its runs in memory are given up.
-        bool parts_ended = false;   ///< All its runs are given up.
+        instant heard{};           ///< Its last word.
+        bool memory_ended = false; ///< Its runs in memory are given up.
+        bool parts_ended = false;  ///< All its runs are given up.
     };
 
     std::map<std::string, agent_silence> agent_heard_; ///< By agent.
-    instant probed_{};                  ///< Last probe of the store.
-    instant load_logged_{};             ///< Last line on the load.
-    bool dispatching_ = false;          ///< A dispatch is on its way.
-    bool stopping_ = false;             ///< A planned stop.
+    instant probed_{};         ///< Last probe of the store.
+    instant load_logged_{};    ///< Last line on the load.
+    bool dispatching_ = false; ///< A dispatch is on its way.
+    bool stopping_ = false;    ///< A planned stop.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/entry_peers.cpp
+++ b/src/glenhollow/durable/entry_peers.cpp
@@ -90,16 +90,16 @@
 /// One other entry.
 struct entry_peers::peer
 {
-    std::string name;               ///< Its name.
-    std::unique_ptr<rpc_link> link; ///< The connection.
+    std::string name;                          ///< Its name.
+    std::unique_ptr<rpc_link> link;            ///< The connection.
     kj::Maybe<wire::EntryPeer::Client> remote; ///< While connected.
-    bool exchanging = false;        ///< An exchange is out.
-    bool push_again = false;        ///< Another is wanted after it.
-    bool was_live = false;          ///< For the log.
-    instant sent{};                 ///< Last exchange sent.
-    instant answered{};             ///< Last view heard.
-    instant down_since{};           ///< Zero while connected.
-    entry_view view;                ///< Its last view.
+    bool exchanging = false;                   ///< An exchange is out.
+    bool push_again = false;                   ///< Another is wanted after it.
+    bool was_live = false;                     ///< For the log.
+    instant sent{};                            ///< Last exchange sent.
+    instant answered{};                        ///< Last view heard.
+    instant down_since{};                      ///< Zero while connected.
+    entry_view view;                           ///< Its last view.
 };
 
 /// What other entries call.
@@ -112,8 +112,7 @@
     {
         const auto view = view_from(context.getParams().getView());
         peers_.seen(view.name, view);
-        fill_view(context.getResults().initView(),
-                  peers_.handler_.own_view());
+        fill_view(context.getResults().initView(), peers_.handler_.own_view());
         return kj::READY_NOW;
     }
 
@@ -134,8 +133,9 @@
             call.job = std::move(job.value());
         }
         auto paf = kj::newPromiseAndFulfiller<job_reply>();
-        auto fulfiller = std::make_shared<
-            kj::Own<kj::PromiseFulfiller<job_reply>>>(kj::mv(paf.fulfiller));
+        auto fulfiller =
+            std::make_shared<kj::Own<kj::PromiseFulfiller<job_reply>>>(
+                kj::mv(paf.fulfiller));
         peers_.handler_.serve(call, [fulfiller](const job_reply& reply)
                               { (*fulfiller)->fulfill(job_reply(reply)); });
         return paf.promise.then(
@@ -156,8 +156,7 @@
     entry_peers& peers_; ///< Outlives the server.
 };
 
-entry_peers::entry_peers(boost::asio::io_context& io,
-                         const clock_source& clock,
+entry_peers::entry_peers(boost::asio::io_context& io, const clock_source& clock,
                          entry_peer_handler& handler,
                          const entry_peers_settings& settings)
     : io_(io), clock_(clock), handler_(handler), settings_(settings)
--- a/src/glenhollow/durable/entry_peers.hpp
+++ b/src/glenhollow/durable/entry_peers.hpp
@@ -26,11 +26,11 @@
 /// What an entry tells the others of itself.
 struct entry_view
 {
-    std::string name;               ///< Its name.
-    std::uint64_t incarnation = 0;  ///< Of its process.
-    std::vector<part_epoch> parts;  ///< That it owns.
-    bool store_reachable = true;    ///< The store answers it.
-    bool stopping = false;          ///< It is being stopped.
+    std::string name;                  ///< Its name.
+    std::uint64_t incarnation = 0;     ///< Of its process.
+    std::vector<part_epoch> parts;     ///< That it owns.
+    bool store_reachable = true;       ///< The store answers it.
+    bool stopping = false;             ///< It is being stopped.
     std::uint64_t catalog_version = 0; ///< Newest it has.
     std::vector<queue_count> pending;  ///< Of its parts.
     std::vector<part_epoch> released;  ///< Given away, free to take.
@@ -86,10 +86,10 @@
 /// Limits of the links between entries.
 struct entry_peers_settings
 {
-    duration exchange = milliseconds{250};  ///< Between exchanges.
-    duration silence = milliseconds{1000};  ///< Without one: not live.
+    duration exchange = milliseconds{250};   ///< Between exchanges.
+    duration silence = milliseconds{1000};   ///< Without one: not live.
     duration down_grace = milliseconds{150}; ///< A lost link may come back.
-    rpc_link_settings link;                 ///< Limits of the connections.
+    rpc_link_settings link;                  ///< Limits of the connections.
 };
 
 /// Links to the other entries. Runs inside an rpc_loop.
@@ -155,10 +155,10 @@
     void rename(const std::string& from, const std::string& to);
     bool is_live(const peer& one) const;
 
-    boost::asio::io_context& io_;   ///< Runs them.
-    const clock_source& clock_;     ///< This entry's.
-    entry_peer_handler& handler_;   ///< Answers.
-    entry_peers_settings settings_; ///< Limits.
+    boost::asio::io_context& io_;                        ///< Runs them.
+    const clock_source& clock_;                          ///< This entry's.
+    entry_peer_handler& handler_;                        ///< Answers.
+    entry_peers_settings settings_;                      ///< Limits.
     std::map<std::string, std::unique_ptr<peer>> peers_; ///< By name.
 };
 
--- a/src/glenhollow/durable/job_board.cpp
+++ b/src/glenhollow/durable/job_board.cpp
@@ -184,8 +184,8 @@
     record.job = job;
     record.tasks.resize(job.task_count());
     record.accepted = true;
-    record.give_up = around_.clock.now() +
-                     milliseconds{job.give_up_ms - job.accepted_ms};
+    record.give_up =
+        around_.clock.now() + milliseconds{job.give_up_ms - job.accepted_ms};
     record.end_waiters.push_back(std::move(done));
     give_ups_.emplace(record.give_up, job.id);
     make_ready(jobs_.emplace(job.id, std::move(record)).first->second);
@@ -410,8 +410,8 @@
     if (flat >= record.tasks.size())
         return around_.placing.stop(agent, run.run);
     auto& task = record.tasks[flat];
-    const bool here = task.phase == task_phase::placed &&
-                      task.agent == agent && task.run == run.run.run;
+    const bool here = task.phase == task_phase::placed && task.agent == agent &&
+                      task.run == run.run.run;
     const bool free =
         task.phase == task_phase::blocked || task.phase == task_phase::ready;
     if (!here && !free)
@@ -531,8 +531,7 @@
         ++record.done;
         make_ready(record);
     }
-    if (record.ending || record.done < record.tasks.size() ||
-        !awaited_.empty())
+    if (record.ending || record.done < record.tasks.size() || !awaited_.empty())
         return journal_progress(record, agent, end);
     journal_end(record, job_state::succeeded,
                 [this, alive = alive_, agent, end](journal_verdict verdict)
--- a/src/glenhollow/durable/job_board.hpp
+++ b/src/glenhollow/durable/job_board.hpp
@@ -53,14 +53,14 @@
 /// Limits of a part's jobs.
 struct job_board_settings
 {
-    std::string entry;                  ///< Name of this entry.
-    std::size_t parts = 3;              ///< Of the journal.
-    duration keep_ended = seconds{130}; ///< Ended jobs are remembered.
+    std::string entry;                           ///< Name of this entry.
+    std::size_t parts = 3;                       ///< Of the journal.
+    duration keep_ended = seconds{130};          ///< Ended jobs are remembered.
     duration agent_silence = milliseconds{3400}; ///< Until a silent agent's
                                                  ///< runs have surely ended.
-    double hopeless = 2.2;              ///< Refuse when the wait alone takes
-                                        ///< this share of the objective.
-    journal_chain_settings chain;       ///< Limits of the journal.
+    double hopeless = 2.2;        ///< Refuse when the wait alone takes
+                                  ///< this share of the objective.
+    journal_chain_settings chain; ///< Limits of the journal.
 };
 
 /// Counters of a part's jobs.
@@ -89,11 +89,11 @@
     /// What a part needs of its entry; all outlive the part.
     struct surroundings
     {
-        const clock_source& clock;   ///< This entry's.
-        wall_clock wall_ms;          ///< Ms since 1970.
-        row_store& store;            ///< Where rows lie.
-        dispatcher& placing;         ///< Places tasks.
-        journal_chain::delay later;  ///< Runs delayed work.
+        const clock_source& clock;  ///< This entry's.
+        wall_clock wall_ms;         ///< Ms since 1970.
+        row_store& store;           ///< Where rows lie.
+        dispatcher& placing;        ///< Places tasks.
+        journal_chain::delay later; ///< Runs delayed work.
     };
 
     /// @param around What it needs.
@@ -203,9 +203,9 @@
     struct task_record
     {
         task_phase phase = task_phase::blocked; ///< Where it stands.
-        std::uint32_t run = 0;      ///< Latest run's number.
-        std::uint32_t failures = 0; ///< Runs that failed.
-        std::string agent;          ///< Where it is placed, or failed last.
+        std::uint32_t run = 0;                  ///< Latest run's number.
+        std::uint32_t failures = 0;             ///< Runs that failed.
+        std::string agent; ///< Where it is placed, or failed last.
     };
 
     /// One job that has not ended.
@@ -221,7 +221,7 @@
         bool fresh = true;               ///< Accepted by this owner.
         instant give_up{};               ///< Of one in memory.
         std::optional<job_state> ending; ///< Its end is on its way.
-        std::vector<job_reply_handler> acceptance; ///< Wait for its row.
+        std::vector<job_reply_handler> acceptance;  ///< Wait for its row.
         std::vector<job_reply_handler> end_waiters; ///< Wait for its end.
     };
 
@@ -263,19 +263,19 @@
     void forget_old();
     row_key key(std::string_view table, job_id id) const;
 
-    surroundings around_;                 ///< Of the entry.
-    part_number part_;                    ///< Which part.
-    std::uint32_t epoch_;                 ///< Of this ownership.
-    job_board_settings settings_;         ///< Limits.
-    std::unique_ptr<journal_chain> chain_; ///< Its journal.
-    job_map jobs_;                        ///< Not ended.
+    surroundings around_;                           ///< Of the entry.
+    part_number part_;                              ///< Which part.
+    std::uint32_t epoch_;                           ///< Of this ownership.
+    job_board_settings settings_;                   ///< Limits.
+    std::unique_ptr<journal_chain> chain_;          ///< Its journal.
+    job_map jobs_;                                  ///< Not ended.
     std::unordered_map<job_id, job_epitaph> ended_; ///< Ended.
     std::deque<std::pair<std::int64_t, job_id>> ended_order_; ///< By time.
     std::multimap<instant, job_id> give_ups_; ///< Jobs in memory by time.
-    std::set<std::string> awaited_;       ///< Agents not heard yet.
-    bool refusing_ = false;               ///< Takes no more new jobs.
-    instant claimed_;                     ///< When the part was taken.
-    job_board_stats stats_;               ///< Counters.
+    std::set<std::string> awaited_;           ///< Agents not heard yet.
+    bool refusing_ = false;                   ///< Takes no more new jobs.
+    instant claimed_;                         ///< When the part was taken.
+    job_board_stats stats_;                   ///< Counters.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
 };
 
--- a/src/glenhollow/durable/job_router.cpp
+++ b/src/glenhollow/durable/job_router.cpp
@@ -10,13 +10,13 @@
 /// One call under way.
 struct job_router::routed
 {
-    job_call call;              ///< What is asked.
-    job_reply_handler done;         ///< Told the end.
-    instant begun{};            ///< When it came.
-    std::uint64_t attempt = 0;  ///< Counts tries.
-    bool out = false;           ///< A try is out.
-    bool maybe_done = false;    ///< A try may have taken effect.
-    bool ended = false;         ///< The end was told.
+    job_call call;             ///< What is asked.
+    job_reply_handler done;    ///< Told the end.
+    instant begun{};           ///< When it came.
+    std::uint64_t attempt = 0; ///< Counts tries.
+    bool out = false;          ///< A try is out.
+    bool maybe_done = false;   ///< A try may have taken effect.
+    bool ended = false;        ///< The end was told.
 };
 
 job_router::job_router(const clock_source& clock, journal_chain::delay later,
@@ -136,8 +136,8 @@
 {
     if (call->ended)
         return;
-    const bool surely_not = !call->maybe_done && !call->out &&
-                            call->call.verb == job_verb::submit;
+    const bool surely_not =
+        !call->maybe_done && !call->out && call->call.verb == job_verb::submit;
     log_change(log_level::info, "call_given_up",
                {{"job", to_text(call->call.id)},
                 {"verb", to_name(call->call.verb)},
--- a/src/glenhollow/durable/job_router.hpp
+++ b/src/glenhollow/durable/job_router.hpp
@@ -15,14 +15,14 @@
 /// Limits of the router.
 struct job_router_settings
 {
-    std::size_t parts = 3;                     ///< Of the journal.
-    duration ownerless = milliseconds{150};    ///< A submission waits for an
-                                               ///< owner so long.
+    std::size_t parts = 3;                      ///< Of the journal.
+    duration ownerless = milliseconds{150};     ///< A submission waits for an
+                                                ///< owner so long.
     duration submit_limit = milliseconds{1400}; ///< Of a submission that may
                                                 ///< have been taken.
-    duration ask_limit = milliseconds{3500};   ///< Of other calls.
-    duration answer_limit = milliseconds{700}; ///< Of one try at a peer.
-    duration retry = milliseconds{20};         ///< Between tries.
+    duration ask_limit = milliseconds{3500};    ///< Of other calls.
+    duration answer_limit = milliseconds{700};  ///< Of one try at a peer.
+    duration retry = milliseconds{20};          ///< Between tries.
 };
 
 /// Counters of the router.
--- a/src/glenhollow/durable/member_directory.cpp
+++ b/src/glenhollow/durable/member_directory.cpp
@@ -33,8 +33,8 @@
     {
         const auto value = json::parse(row.value);
         const auto& fields = value.as_array();
-        const auto role = from_name<member_role>(
-            json::value_to<std::string>(fields.at(0)));
+        const auto role =
+            from_name<member_role>(json::value_to<std::string>(fields.at(0)));
         if (!role)
             return failure{"the row of member " + row.key.key +
                            " names no role"};
@@ -73,7 +73,8 @@
                            return keep->again();
                        const bool there =
                            !got.rows.empty() &&
-                           got.rows.front().key == member_key(keep->self.name) &&
+                           got.rows.front().key ==
+                               member_key(keep->self.name) &&
                            got.rows.front().value == encode_member(keep->self);
                        if (!there)
                            keep->write();
--- a/src/glenhollow/durable/part_loader.cpp
+++ b/src/glenhollow/durable/part_loader.cpp
@@ -23,12 +23,12 @@
     {
     }
 
-    row_store& store;                                      ///< Where rows lie.
-    part_number part;                                      ///< Which part.
-    std::function<void(std::optional<loaded_part>)> done;  ///< Told the end.
-    loaded_part found;                                     ///< So far.
-    std::size_t open = tables.size();                      ///< Tables to read.
-    bool failed = false;                                   ///< A read failed.
+    row_store& store;                                     ///< Where rows lie.
+    part_number part;                                     ///< Which part.
+    std::function<void(std::optional<loaded_part>)> done; ///< Told the end.
+    loaded_part found;                                    ///< So far.
+    std::size_t open = tables.size();                     ///< Tables to read.
+    bool failed = false;                                  ///< A read failed.
 
     void read(std::string_view table, const std::string& from)
     {
@@ -63,8 +63,7 @@
             keep(decode_definition(row.value), [this](job_definition job)
                  { found.jobs.push_back(std::move(job)); });
         else if (table == progress_table)
-            keep(decode_progress(row.value),
-                 [this, id](job_progress progress)
+            keep(decode_progress(row.value), [this, id](job_progress progress)
                  { found.progress.emplace(*id, std::move(progress)); });
         else
             keep(decode_epitaph(row.value), [this, id](job_epitaph end)
--- a/src/glenhollow/durable/part_loader.hpp
+++ b/src/glenhollow/durable/part_loader.hpp
@@ -22,9 +22,9 @@
 /// What the journal holds of a part.
 struct loaded_part
 {
-    std::vector<job_definition> jobs;                    ///< Not ended.
-    std::unordered_map<job_id, job_progress> progress;   ///< Of these.
-    std::vector<std::pair<job_id, job_epitaph>> ended;   ///< Ended.
+    std::vector<job_definition> jobs;                  ///< Not ended.
+    std::unordered_map<job_id, job_progress> progress; ///< Of these.
+    std::vector<std::pair<job_id, job_epitaph>> ended; ///< Ended.
 };
 
 /// Reads a part after it was claimed, page by page.
--- a/src/glenhollow/durable/part_ownership.cpp
+++ b/src/glenhollow/durable/part_ownership.cpp
@@ -88,8 +88,9 @@
 /// How many others should rather take the part: those with fewer parts first.
 std::size_t part_ownership::rank(part_number part) const
 {
-    const auto key = [part](std::size_t owned, const std::string& name)
-    { return std::tuple{owned, weight(part, name), name}; };
+    const auto key = [part](std::size_t owned, const std::string& name) {
+        return std::tuple{owned, weight(part, name), name};
+    };
     const auto mine = key(owned().size(), settings_.entry);
     std::size_t before = 0;
     for (const auto& view : peers_.live())
@@ -123,8 +124,7 @@
         {
             at.jobs->tick();
             const bool flushed = at.jobs->flushed();
-            if (stopping_ &&
-                (flushed || now - stopping_since_ > stop_patience))
+            if (stopping_ && (flushed || now - stopping_since_ > stop_patience))
                 release(part, "stopping");
             else if (!reachable_ && others_reach)
                 release(part, "store_turns_away");
@@ -178,9 +178,8 @@
         head = found.value();
     }
     const bool surely_free = is_free(part, head);
-    const bool settled =
-        at.looked && at.seen.version == head.version &&
-        now - at.free_since >= settings_.settle;
+    const bool settled = at.looked && at.seen.version == head.version &&
+                         now - at.free_since >= settings_.settle;
     if (surely_free || settled)
         return claim(part, head);
     if (at.looked && at.seen.version != head.version)
@@ -215,13 +214,13 @@
     row_transaction change;
     change.expected.push_back({head_key(part), head.version});
     change.puts.push_back({head_key(part), encode_head(wanted)});
-    around_.store.commit(change,
-                         [this, alive = alive_, part, wanted](
-                             const commit_result& got)
-                         {
-                             if (*alive)
-                                 claimed(part, wanted, got);
-                         });
+    around_.store.commit(
+        change,
+        [this, alive = alive_, part, wanted](const commit_result& got)
+        {
+            if (*alive)
+                claimed(part, wanted, got);
+        });
 }
 
 void part_ownership::claimed(part_number part, const chain_head& wanted,
@@ -243,13 +242,13 @@
 
 void part_ownership::load(part_number part, const chain_head& head)
 {
-    load_part(around_.store, part,
-              [this, alive = alive_, part, head](
-                  std::optional<loaded_part> rows)
-              {
-                  if (*alive)
-                      loaded(part, head, std::move(rows));
-              });
+    load_part(
+        around_.store, part,
+        [this, alive = alive_, part, head](std::optional<loaded_part> rows)
+        {
+            if (*alive)
+                loaded(part, head, std::move(rows));
+        });
 }
 
 void part_ownership::loaded(part_number part, const chain_head& head,
@@ -273,18 +272,19 @@
         awaited.clear();
     auto limits = settings_.jobs;
     limits.parts = settings_.parts;
-    at.jobs = std::make_unique<job_board>(
-        around_, part, head, std::move(*rows), std::move(awaited), limits,
-        [this, alive = alive_, part]
-        {
-            // The chain that tells of its loss is part of what ends.
-            around_.later(duration{0},
-                          [this, alive, part]
-                          {
-                              if (*alive)
-                                  lose(part);
-                          });
-        });
+    at.jobs = std::make_unique<job_board>(around_, part, head, std::move(*rows),
+                                          std::move(awaited), limits,
+                                          [this, alive = alive_, part]
+                                          {
+                                              // The chain that tells of its
+                                              // loss is part of what ends.
+                                              around_.later(duration{0},
+                                                            [this, alive, part]
+                                                            {
+                                                                if (*alive)
+                                                                    lose(part);
+                                                            });
+                                          });
     listener_.part_gained(at.jobs->epoch());
 }
 
@@ -314,10 +314,9 @@
 {
     auto& at = seats_[part];
     ++stats_.released;
-    log_change(log_level::info, "part_released",
-               {{"part", part},
-                {"epoch", at.jobs->epoch().epoch},
-                {"reason", why}});
+    log_change(
+        log_level::info, "part_released",
+        {{"part", part}, {"epoch", at.jobs->epoch().epoch}, {"reason", why}});
     released_.push_back(at.jobs->epoch());
     if (released_.size() > released_kept)
         released_.erase(released_.begin());
--- a/src/glenhollow/durable/part_ownership.hpp
+++ b/src/glenhollow/durable/part_ownership.hpp
@@ -17,15 +17,15 @@
 /// Limits of ownership.
 struct part_ownership_settings
 {
-    std::string entry;             ///< Name of this entry.
-    std::uint64_t incarnation = 0; ///< Of this entry.
-    std::size_t parts = 3;         ///< Of the journal.
-    duration settle = milliseconds{350}; ///< Before a part of an entry that
-                                         ///< may live is taken.
+    std::string entry;                      ///< Name of this entry.
+    std::uint64_t incarnation = 0;          ///< Of this entry.
+    std::size_t parts = 3;                  ///< Of the journal.
+    duration settle = milliseconds{350};    ///< Before a part of an entry that
+                                            ///< may live is taken.
     duration rank_step = milliseconds{250}; ///< Between candidates.
     duration claim_retry = milliseconds{150}; ///< After a claim that failed.
     duration balance_after = seconds{2}; ///< Calm before a part is given away.
-    job_board_settings jobs;       ///< Limits of the parts' jobs.
+    job_board_settings jobs;             ///< Limits of the parts' jobs.
 };
 
 /// Counters of ownership.
@@ -120,17 +120,17 @@
     void balance();
     std::vector<std::string> candidates() const;
 
-    job_board::surroundings around_;       ///< What parts need.
-    const entry_peers& peers_;             ///< The other entries.
-    part_ownership_listener& listener_;    ///< Told.
-    part_ownership_settings settings_;     ///< Limits.
-    std::map<part_number, seat> seats_;    ///< All parts.
-    bool reachable_ = true;                ///< The store answers this entry.
-    bool stopping_ = false;                ///< Gives all away.
-    instant stopping_since_{};             ///< When that began.
-    instant changed_{};                    ///< Last change of owners.
-    std::vector<part_epoch> released_;     ///< Given away lately.
-    part_ownership_stats stats_;           ///< Counters.
+    job_board::surroundings around_;    ///< What parts need.
+    const entry_peers& peers_;          ///< The other entries.
+    part_ownership_listener& listener_; ///< Told.
+    part_ownership_settings settings_;  ///< Limits.
+    std::map<part_number, seat> seats_; ///< All parts.
+    bool reachable_ = true;             ///< The store answers this entry.
+    bool stopping_ = false;             ///< Gives all away.
+    instant stopping_since_{};          ///< When that began.
+    instant changed_{};                 ///< Last change of owners.
+    std::vector<part_epoch> released_;  ///< Given away lately.
+    part_ownership_stats stats_;        ///< Counters.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
 };
 
--- a/src/glenhollow/durable/queue_catalog.cpp
+++ b/src/glenhollow/durable/queue_catalog.cpp
@@ -85,9 +85,8 @@
     if (job.lasts == durability::in_memory)
     {
         // Past three times its objective an end is worth nothing.
-        const auto patience = job.give_up_ms == 0
-                                  ? longest_patience_ms
-                                  : job.give_up_ms;
+        const auto patience =
+            job.give_up_ms == 0 ? longest_patience_ms : job.give_up_ms;
         job.give_up_ms = now_ms + std::min(patience, 3 * objective);
     }
     else
--- a/src/glenhollow/durable/queue_catalog.hpp
+++ b/src/glenhollow/durable/queue_catalog.hpp
@@ -16,21 +16,21 @@
 /// What the configuration says of one queue.
 struct queue_rule
 {
-    std::string name;                  ///< Of the queue.
-    std::string host;                  ///< Requests name it.
-    std::string prefix;                ///< Their paths begin so.
-    std::string service;               ///< Whose runners run its tasks.
-    std::uint32_t priority = 0;        ///< 0 goes first.
-    std::uint32_t max_attempts = 1;    ///< Runs of a task that may fail.
-    double stretch = 1.0;              ///< Objective: times the work.
-    std::uint32_t target_ms = 0;       ///< Objective: plus this.
+    std::string name;               ///< Of the queue.
+    std::string host;               ///< Requests name it.
+    std::string prefix;             ///< Their paths begin so.
+    std::string service;            ///< Whose runners run its tasks.
+    std::uint32_t priority = 0;     ///< 0 goes first.
+    std::uint32_t max_attempts = 1; ///< Runs of a task that may fail.
+    double stretch = 1.0;           ///< Objective: times the work.
+    std::uint32_t target_ms = 0;    ///< Objective: plus this.
 };
 
 /// One version of the queues. Only a higher version replaces a lower one.
 struct queue_catalog
 {
-    std::uint64_t version = 0;         ///< 0: none yet.
-    std::vector<queue_rule> queues;    ///< In no order.
+    std::uint64_t version = 0;            ///< 0: none yet.
+    std::vector<queue_rule> queues;       ///< In no order.
     std::size_t max_body_bytes = 262'144; ///< Of a request.
 
     /// @param host As the request names it, perhaps with a port.
--- a/src/glenhollow/durable/table_follower.cpp
+++ b/src/glenhollow/durable/table_follower.cpp
@@ -17,12 +17,12 @@
     {
     }
 
-    row_store& store;                 ///< Where rows lie.
-    journal_chain::delay later;       ///< Runs delayed work.
-    std::string table;                ///< Kind of row.
-    table_follower_settings settings; ///< Limits.
+    row_store& store;                              ///< Where rows lie.
+    journal_chain::delay later;                    ///< Runs delayed work.
+    std::string table;                             ///< Kind of row.
+    table_follower_settings settings;              ///< Limits.
     std::function<void(const stored_row&)> on_row; ///< Told.
-    bool closed = false;              ///< The follower is gone.
+    bool closed = false;                           ///< The follower is gone.
 
     void read(const std::string& from, std::uint64_t since)
     {
@@ -48,10 +48,10 @@
 
     void follow(std::uint64_t version)
     {
-        store.follow(table, version, settings.wait,
-                     [self = shared_from_this(), version](
-                         const feed_result& got)
-                     { self->followed(got, version); });
+        store.follow(
+            table, version, settings.wait,
+            [self = shared_from_this(), version](const feed_result& got)
+            { self->followed(got, version); });
     }
 
     void followed(const feed_result& got, std::uint64_t version)
--- a/src/glenhollow/durable/table_follower.hpp
+++ b/src/glenhollow/durable/table_follower.hpp
@@ -15,9 +15,9 @@
 /// Limits of a follower.
 struct table_follower_settings
 {
-    duration wait = seconds{20};              ///< Of one long wait.
-    duration retry = milliseconds{250};       ///< After a failure.
-    duration least_gap = milliseconds{20};    ///< Between two waits.
+    duration wait = seconds{20};           ///< Of one long wait.
+    duration retry = milliseconds{250};    ///< After a failure.
+    duration least_gap = milliseconds{20}; ///< Between two waits.
 };
 
 /// Reads a small table and follows its changes. Where the store forgot the
--- a/src/glenhollow/entry/agent_control.cpp
+++ b/src/glenhollow/entry/agent_control.cpp
@@ -83,9 +83,8 @@
                         return;
                     if (!got.socket)
                         return end(fresh);
-                    auto rpc =
-                        kj::heap<rpc_connection>(std::move(*got.socket),
-                                                 bytes_);
+                    auto rpc = kj::heap<rpc_connection>(std::move(*got.socket),
+                                                        bytes_);
                     auto agent = rpc->bootstrap().castAs<wire::Agent>();
                     auto tasks = kj::heap<background_tasks>();
                     tasks->add(fresh->send(kj::mv(agent))
--- a/src/glenhollow/entry/agent_links.cpp
+++ b/src/glenhollow/entry/agent_links.cpp
@@ -214,17 +214,16 @@
     to.connecting = true;
     const std::uint64_t generation = ++generations_;
     to.generation = generation;
-    connect_rpc(
-        io_, to.agent.rpc,
-        [this, index = to.index, generation](connect_result got)
-        {
-            auto& to = *links_[index];
-            if (to.generation != generation)
-                return;
-            if (!got.socket)
-                return broken(to, generation);
-            connected(to, std::move(*got.socket));
-        });
+    connect_rpc(io_, to.agent.rpc,
+                [this, index = to.index, generation](connect_result got)
+                {
+                    auto& to = *links_[index];
+                    if (to.generation != generation)
+                        return;
+                    if (!got.socket)
+                        return broken(to, generation);
+                    connected(to, std::move(*got.socket));
+                });
 }
 
 void agent_links::connected(link& to, tcp::socket socket)
--- a/src/glenhollow/entry/peer_links.cpp
+++ b/src/glenhollow/entry/peer_links.cpp
@@ -87,8 +87,7 @@
     to.connecting = true;
     const auto generation = to.generation = ++generations_;
     connect_rpc(io_, to.entry.rpc,
-                [this, name = to.entry.name,
-                 generation](connect_result got)
+                [this, name = to.entry.name, generation](connect_result got)
                 {
                     const auto known = links_.find(name);
                     if (known == links_.end() ||
--- a/src/glenhollow/http/server.cpp
+++ b/src/glenhollow/http/server.cpp
@@ -114,15 +114,15 @@
     {
     }
 
-    asio::io_context& io;          ///< Runs the connections.
-    http_server_settings settings; ///< Limits.
-    http_handler handler;          ///< Takes the requests.
-    tcp::acceptor acceptor;        ///< Listens.
-    std::size_t connections = 0;   ///< Open now.
+    asio::io_context& io;              ///< Runs the connections.
+    http_server_settings settings;     ///< Limits.
+    http_handler handler;              ///< Takes the requests.
+    tcp::acceptor acceptor;            ///< Listens.
+    std::size_t connections = 0;       ///< Open now.
     std::set<beast::tcp_stream*> idle; ///< Waiting for a request.
-    std::size_t in_flight = 0;     ///< Requests taken, not answered.
-    bool stopping = false;         ///< No new connections.
-    bool closing = false;          ///< Connections close when answered.
+    std::size_t in_flight = 0;         ///< Requests taken, not answered.
+    bool stopping = false;             ///< No new connections.
+    bool closing = false;              ///< Connections close when answered.
 
     result<void> listen()
     {
--- a/src/glenhollow/journal/journal_chain.cpp
+++ b/src/glenhollow/journal/journal_chain.cpp
@@ -35,8 +35,8 @@
 
 std::string encode_head(const chain_head& head)
 {
-    return json::serialize(json::array{head.owner, head.incarnation, head.epoch,
-                                       head.sequence});
+    return json::serialize(
+        json::array{head.owner, head.incarnation, head.epoch, head.sequence});
 }
 
 result<chain_head> decode_head(const stored_row& row)
@@ -83,21 +83,21 @@
     {
     }
 
-    row_store& store;                 ///< Where rows lie.
-    delay later;                      ///< Runs delayed work.
-    part_number part;                 ///< Which part.
-    chain_head end;                   ///< As last known.
-    journal_chain_settings settings;  ///< Limits.
-    std::function<void()> on_lost;    ///< Told of the part's loss.
+    row_store& store;                  ///< Where rows lie.
+    delay later;                       ///< Runs delayed work.
+    part_number part;                  ///< Which part.
+    chain_head end;                    ///< As last known.
+    journal_chain_settings settings;   ///< Limits.
+    std::function<void()> on_lost;     ///< Told of the part's loss.
     std::deque<journal_entry> waiting; ///< Not yet sent.
-    std::vector<journal_entry> batch; ///< Of the transaction that is out.
-    bool out = false;                 ///< A transaction is out or to be tried.
-    bool uncertain = false;           ///< A try of it had no answer.
-    bool timer_set = false;           ///< A gather timer runs.
-    bool lost = false;                ///< The part is not ours any more.
-    bool troubled = false;            ///< The last try failed.
-    duration backoff;                 ///< Before the next try.
-    journal_chain_stats stats;        ///< Counters.
+    std::vector<journal_entry> batch;  ///< Of the transaction that is out.
+    bool out = false;                  ///< A transaction is out or to be tried.
+    bool uncertain = false;            ///< A try of it had no answer.
+    bool timer_set = false;            ///< A gather timer runs.
+    bool lost = false;                 ///< The part is not ours any more.
+    bool troubled = false;             ///< The last try failed.
+    duration backoff;                  ///< Before the next try.
+    journal_chain_stats stats;         ///< Counters.
 
     void append(journal_entry entry)
     {
@@ -171,8 +171,8 @@
     merged_rows() const
     {
         std::vector<std::pair<row_key, std::optional<std::string>>> rows;
-        const auto set = [&rows](const row_key& key,
-                                 std::optional<std::string> value)
+        const auto set =
+            [&rows](const row_key& key, std::optional<std::string> value)
         {
             const auto known =
                 std::find_if(rows.begin(), rows.end(),
@@ -263,8 +263,8 @@
     {
         lost = true;
         out = false;
-        const auto verdict = uncertain ? journal_verdict::unknown
-                                       : journal_verdict::not_written;
+        const auto verdict =
+            uncertain ? journal_verdict::unknown : journal_verdict::not_written;
         auto ended = std::exchange(batch, {});
         auto unsent = std::exchange(waiting, {});
         for (auto& entry : ended)
--- a/src/glenhollow/journal/journal_chain.hpp
+++ b/src/glenhollow/journal/journal_chain.hpp
@@ -68,8 +68,8 @@
 /// Rows that change together, and who waits for it.
 struct journal_entry
 {
-    std::vector<row_write> puts;    ///< Rows to write.
-    std::vector<row_key> removes;   ///< Rows to remove.
+    std::vector<row_write> puts;                        ///< Rows to write.
+    std::vector<row_key> removes;                       ///< Rows to remove.
     journal_urgency urgency = journal_urgency::at_once; ///< When.
     bool droppable = false; ///< While the store turns us away, give it up.
     std::function<void(journal_verdict)> done; ///< Told the end; may be empty.
@@ -78,8 +78,8 @@
 /// Limits of a chain.
 struct journal_chain_settings
 {
-    duration gather = milliseconds{12};      ///< For `gathered` entries.
-    duration first_backoff = milliseconds{25};  ///< After a refusal.
+    duration gather = milliseconds{12};           ///< For `gathered` entries.
+    duration first_backoff = milliseconds{25};    ///< After a refusal.
     duration longest_backoff = milliseconds{200}; ///< Between tries.
 };
 
--- a/src/glenhollow/journal/row_store.hpp
+++ b/src/glenhollow/journal/row_store.hpp
@@ -65,9 +65,8 @@
 template <>
 struct name_table<store_outcome>
 {
-    static constexpr std::array<std::string_view, 4> names{"done", "conflict",
-                                                           "refused",
-                                                           "unknown"};
+    static constexpr std::array<std::string_view, 4> names{
+        "done", "conflict", "refused", "unknown"};
 };
 
 /// The end of a transaction.
@@ -91,10 +90,10 @@
 /// The end of a read.
 struct read_result
 {
-    bool answered = false;         ///< Whether the rows are those of now.
-    std::vector<stored_row> rows;  ///< In the order of their keys.
-    bool more = false;             ///< The range goes on after the last row.
-    std::uint64_t version = 0;     ///< The store's newest.
+    bool answered = false;        ///< Whether the rows are those of now.
+    std::vector<stored_row> rows; ///< In the order of their keys.
+    bool more = false;            ///< The range goes on after the last row.
+    std::uint64_t version = 0;    ///< The store's newest.
 };
 
 /// How a wait for changes ended.
--- a/src/glenhollow/journal/watched_store.cpp
+++ b/src/glenhollow/journal/watched_store.cpp
@@ -30,15 +30,15 @@
 
 void watched_store::commit(const row_transaction& change, commit_handler done)
 {
-    inner_.commit(change,
-                  [this, kept = state_, done = std::move(done)](
-                      commit_result got)
-                  {
-                      const bool good = got.outcome == store_outcome::done ||
-                                        got.outcome == store_outcome::conflict;
-                      note(clock_, *kept, good);
-                      done(std::move(got));
-                  });
+    inner_.commit(
+        change,
+        [this, kept = state_, done = std::move(done)](commit_result got)
+        {
+            const bool good = got.outcome == store_outcome::done ||
+                              got.outcome == store_outcome::conflict;
+            note(clock_, *kept, good);
+            done(std::move(got));
+        });
 }
 
 void watched_store::read(const row_range& range, read_handler done)
--- a/src/glenhollow/journal/watched_store.hpp
+++ b/src/glenhollow/journal/watched_store.hpp
@@ -34,7 +34,7 @@
     /// Shared with calls that are out.
     struct state
     {
-        instant answered{};     ///< Last good answer.
+        instant answered{};      ///< Last good answer.
         instant failing_since{}; ///< First failure after it; zero: none.
     };
 
--- a/src/glenhollow/rpc/rpc_connection.cpp
+++ b/src/glenhollow/rpc/rpc_connection.cpp
@@ -38,9 +38,8 @@
         {
             timer->cancel();
             if (ec)
-                return done(
-                    {std::nullopt,
-                     ec == boost::asio::error::connection_refused});
+                return done({std::nullopt,
+                             ec == boost::asio::error::connection_refused});
             done({std::move(*socket), false});
         });
 }
--- a/src/glenhollow/rpc/rpc_link.cpp
+++ b/src/glenhollow/rpc/rpc_link.cpp
@@ -29,42 +29,42 @@
           host_port address, const rpc_link_settings& limits,
           std::function<void(capnp::Capability::Client)> up_told,
           std::function<void()> down_told)
-        : io(context), clock(time), where(std::move(address)),
-          settings(limits), on_up(std::move(up_told)),
-          on_down(std::move(down_told)), backoff(limits.first_backoff)
+        : io(context), clock(time), where(std::move(address)), settings(limits),
+          on_up(std::move(up_told)), on_down(std::move(down_told)),
+          backoff(limits.first_backoff)
     {
     }
 
-    boost::asio::io_context& io;    ///< Runs it.
-    const clock_source& clock;      ///< For the backoff.
-    host_port where;                ///< The address.
-    rpc_link_settings settings;     ///< Limits.
+    boost::asio::io_context& io;                          ///< Runs it.
+    const clock_source& clock;                            ///< For the backoff.
+    host_port where;                                      ///< The address.
+    rpc_link_settings settings;                           ///< Limits.
     std::function<void(capnp::Capability::Client)> on_up; ///< Told.
-    std::function<void()> on_down;  ///< Told.
+    std::function<void()> on_down;                        ///< Told.
     std::shared_ptr<connection> current; ///< Null while there is none.
-    bool connecting = false;        ///< An attempt is under way.
-    bool closed = false;            ///< The link is gone.
-    bool refused = false;           ///< Nothing listened at the last attempt.
-    std::uint64_t generation = 0;   ///< Of the connection.
-    instant retry_at{};             ///< When to connect.
-    duration backoff;               ///< Before the next attempt.
-    stream_stats bytes;             ///< What passed.
+    bool connecting = false;             ///< An attempt is under way.
+    bool closed = false;                 ///< The link is gone.
+    bool refused = false;         ///< Nothing listened at the last attempt.
+    std::uint64_t generation = 0; ///< Of the connection.
+    instant retry_at{};           ///< When to connect.
+    duration backoff;             ///< Before the next attempt.
+    stream_stats bytes;           ///< What passed.
 
     void connect()
     {
         connecting = true;
-        connect_rpc(io, where,
-                    [self = shared_from_this(),
-                     mine = generation](connect_result got)
-                    {
-                        if (self->closed || self->generation != mine)
-                            return;
-                        self->connecting = false;
-                        self->refused = got.refused;
-                        if (!got.socket)
-                            return self->fail();
-                        self->connected(std::move(*got.socket));
-                    });
+        connect_rpc(
+            io, where,
+            [self = shared_from_this(), mine = generation](connect_result got)
+            {
+                if (self->closed || self->generation != mine)
+                    return;
+                self->connecting = false;
+                self->refused = got.refused;
+                if (!got.socket)
+                    return self->fail();
+                self->connected(std::move(*got.socket));
+            });
     }
 
     void connected(tcp::socket socket)
--- a/src/glenhollow/runs/end_ledger.hpp
+++ b/src/glenhollow/runs/end_ledger.hpp
@@ -15,9 +15,9 @@
 /// An end that its part's owner has not confirmed.
 struct kept_end
 {
-    run_end end;          ///< As the runner listed it, or as concluded.
+    run_end end;             ///< As the runner listed it, or as concluded.
     std::uint32_t lease = 0; ///< Under which it ran.
-    instant noted{};      ///< When it was noted.
+    instant noted{};         ///< When it was noted.
     bool excused = false; ///< The hold lapsed after it: no owner is waited for.
     bool told = false;    ///< Sent to the present owner.
 };
@@ -75,8 +75,8 @@
     /// Numbers above `confirmed_` and whether they are settled: the runner
     /// lists them again until all before them are.
     std::map<std::uint64_t, bool> listed_;
-    std::uint64_t confirmed_ = 0;          ///< All up to here are settled.
-    std::size_t unsettled_ = 0;            ///< Of the listed.
+    std::uint64_t confirmed_ = 0; ///< All up to here are settled.
+    std::size_t unsettled_ = 0;   ///< Of the listed.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -78,8 +78,7 @@
         const std::string entry = params.getEntry();
         service_.open(entry, params.getIncarnation(), params.getReports());
         auto out = context.getResults();
-        out.setSession(
-            kj::heap<session_server>(service_, service_.numbers_));
+        out.setSession(kj::heap<session_server>(service_, service_.numbers_));
         out.setIncarnation(service_.incarnation_);
         fill(out.initState(),
              {service_.keeper_.account(), service_.keeper_.room(), 0});
@@ -255,8 +254,7 @@
     {
         auto request = reports->reportRequest();
         auto out = request.initReport();
-        fill(out.initState(),
-             {keeper_.account(), keeper_.room(), to.received});
+        fill(out.initState(), {keeper_.account(), keeper_.room(), to.received});
         fill_ends(to, out);
         fill_begun(to, out);
         const auto sent = clock_.now();
@@ -320,8 +318,8 @@
     count("runs_vanished_total", "Runs that the runner no longer showed",
           stats.vanished, {});
     count("runner_looks_total", "Looks at the runner", stats.looks, {});
-    count("hold_lapses_total", "Times the hold was left to lapse",
-          stats.lapses, {});
+    count("hold_lapses_total", "Times the hold was left to lapse", stats.lapses,
+          {});
     for (std::size_t i = 0; i < stats.ends.size(); ++i)
     {
         const auto how = static_cast<run_outcome>(i);
--- a/src/glenhollow/runs/run_agent_service.hpp
+++ b/src/glenhollow/runs/run_agent_service.hpp
@@ -54,16 +54,16 @@
     /// One entry's session.
     struct session
     {
-        std::string entry;                ///< Its name.
-        std::uint64_t number = 0;         ///< Of the session, rising.
-        std::uint64_t incarnation = 0;    ///< Of the entry's process.
-        lease_id memory = 0;              ///< Lease of its jobs in memory.
-        std::uint64_t received = 0;       ///< Order batches.
+        std::string entry;             ///< Its name.
+        std::uint64_t number = 0;      ///< Of the session, rising.
+        std::uint64_t incarnation = 0; ///< Of the entry's process.
+        lease_id memory = 0;           ///< Lease of its jobs in memory.
+        std::uint64_t received = 0;    ///< Order batches.
         kj::Maybe<wire::RunReports::Client> reports; ///< Its ear.
-        bool reporting = false;           ///< A report is out.
-        bool dirty = false;               ///< Events wait.
-        bool room_dirty = false;          ///< The room has changed.
-        instant reported{};               ///< When the last one left.
+        bool reporting = false;                      ///< A report is out.
+        bool dirty = false;                          ///< Events wait.
+        bool room_dirty = false;                     ///< The room has changed.
+        instant reported{}; ///< When the last one left.
     };
 
     void lease_changed(lease_id lease) override;
@@ -83,19 +83,19 @@
     std::vector<lease_id> leases_of(const session& of) const;
     session* find(std::uint64_t number);
 
-    boost::asio::io_context& io_;         ///< Runs delayed work.
-    const clock_source& clock_;           ///< This agent's.
-    run_keeper& keeper_;                  ///< The runs.
-    std::uint64_t incarnation_;           ///< Of this process.
-    run_agent_service_settings settings_; ///< Limits.
-    std::map<std::string, session> sessions_; ///< By entry.
+    boost::asio::io_context& io_;              ///< Runs delayed work.
+    const clock_source& clock_;                ///< This agent's.
+    run_keeper& keeper_;                       ///< The runs.
+    std::uint64_t incarnation_;                ///< Of this process.
+    run_agent_service_settings settings_;      ///< Limits.
+    std::map<std::string, session> sessions_;  ///< By entry.
     std::map<lease_id, std::uint64_t> owners_; ///< Session by lease.
-    std::uint32_t processes_ = 0;         ///< Entries' processes so far.
-    std::uint64_t numbers_ = 0;           ///< Of sessions.
-    std::uint64_t reports_ = 0;           ///< Sent.
-    std::uint64_t batches_ = 0;           ///< Order batches taken.
-    bool scheduled_ = false;              ///< A flush is on its way.
-    background_tasks calls_;              ///< Reports that are out.
+    std::uint32_t processes_ = 0;              ///< Entries' processes so far.
+    std::uint64_t numbers_ = 0;                ///< Of sessions.
+    std::uint64_t reports_ = 0;                ///< Sent.
+    std::uint64_t batches_ = 0;                ///< Order batches taken.
+    bool scheduled_ = false;                   ///< A flush is on its way.
+    background_tasks calls_;                   ///< Reports that are out.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
 };
 
--- a/src/glenhollow/runs/run_keeper.cpp
+++ b/src/glenhollow/runs/run_keeper.cpp
@@ -116,10 +116,7 @@
                     {"previous_epoch", record.epoch}});
     record.epoch = epoch;
     const auto concerns = [lease](lease_id of)
-    {
-        return of == lease ||
-               (!is_part_lease(lease) && of == unclaimed_lease);
-    };
+    { return of == lease || (!is_part_lease(lease) && of == unclaimed_lease); };
     for (const auto& [ref, run] : runs_)
     {
         if (concerns(run.lease))
@@ -141,8 +138,8 @@
     auto& record = leases_[lease];
     if (epoch != record.epoch)
         return;
-    const auto length = is_part_lease(lease) ? settings_.part_lease
-                                             : settings_.memory_lease;
+    const auto length =
+        is_part_lease(lease) ? settings_.part_lease : settings_.memory_lease;
     const bool first =
         record.lease_epoch != epoch || clock_.now() >= record.until;
     record.lease_epoch = epoch;
@@ -164,11 +161,11 @@
         return;
     run_record record;
     record.lease = ref.in_memory() ? memory : found_lease(ref);
-    const bool refused =
-        draining_ || order.epoch < leases_[record.lease].epoch ||
-        account_.phase != runner_phase::ready ||
-        (runs_.size() >= settings_.waiting_limit &&
-         room().waiting >= settings_.waiting_limit);
+    const bool refused = draining_ ||
+                         order.epoch < leases_[record.lease].epoch ||
+                         account_.phase != runner_phase::ready ||
+                         (runs_.size() >= settings_.waiting_limit &&
+                          room().waiting >= settings_.waiting_limit);
     record.order = std::move(order);
     record.changed = clock_.now();
     runs_.emplace(ref, std::move(record));
@@ -182,8 +179,7 @@
     const auto& owner = lease_of(run);
     return account_.phase == runner_phase::ready && !lapsing_ &&
            unsized_ == 0 && runner_clock_.known() &&
-           owner.lease_epoch == owner.epoch &&
-           clock_.now() < owner.until &&
+           owner.lease_epoch == owner.epoch && clock_.now() < owner.until &&
            used_.leaves_room(run.order.needs, account_.capacity);
 }
 
@@ -218,13 +214,13 @@
     used_.add(run.order.needs);
     held_until_ =
         std::max(held_until_, clock_.now() + with_drift(settings_.hold));
-    runner_.start({run.order.run, run.order.spec}, context(),
-                  [this, alive = alive_, ref = run.order.run](
-                      const order_result& got)
-                  {
-                      if (*alive)
-                          start_answered(ref, got);
-                  });
+    runner_.start(
+        {run.order.run, run.order.spec}, context(),
+        [this, alive = alive_, ref = run.order.run](const order_result& got)
+        {
+            if (*alive)
+                start_answered(ref, got);
+        });
 }
 
 void run_keeper::start_answered(const run_ref& ref, const order_result& got)
@@ -291,13 +287,13 @@
         return;
     run.asked_stop = true;
     run.changed = clock_.now();
-    runner_.stop(run.order.run, context(),
-                 [this, alive = alive_, ref = run.order.run](
-                     const order_result& got)
-                 {
-                     if (*alive)
-                         stop_answered(ref, got);
-                 });
+    runner_.stop(
+        run.order.run, context(),
+        [this, alive = alive_, ref = run.order.run](const order_result& got)
+        {
+            if (*alive)
+                stop_answered(ref, got);
+        });
 }
 
 void run_keeper::stop_answered(const run_ref& ref, const order_result& got)
@@ -362,8 +358,7 @@
         end.micros = static_cast<std::uint32_t>(
             std::chrono::duration_cast<microseconds>(ran).count());
     }
-    const bool occupied =
-        known != runs_.end() && occupies(known->second.phase);
+    const bool occupied = known != runs_.end() && occupies(known->second.phase);
     const bool orphan =
         known != runs_.end() && known->second.orphaned.count() != 0;
     const auto lease =
@@ -415,13 +410,13 @@
         hold_out_ = clock_.now() + with_drift(settings_.hold);
     if (!ledger_.waits() && runner_clock_.known() && informed_ && !lapsing_)
         request.wait = settings_.look_wait;
-    runner_.hold(request,
-                 [this, alive = alive_, sent = clock_.now()](
-                     const hold_result& got)
-                 {
-                     if (*alive)
-                         look_answered(sent, got);
-                 });
+    runner_.hold(
+        request,
+        [this, alive = alive_, sent = clock_.now()](const hold_result& got)
+        {
+            if (*alive)
+                look_answered(sent, got);
+        });
 }
 
 void run_keeper::look_answered(instant sent, const hold_result& got)
@@ -698,8 +693,7 @@
 void run_keeper::raise_token()
 {
     token_ += token_step;
-    log_change(log_level::warning, "fencing_token_raised",
-               {{"token", token_}});
+    log_change(log_level::warning, "fencing_token_raised", {{"token", token_}});
 }
 
 void run_keeper::set_phase(runner_phase phase)
--- a/src/glenhollow/runs/run_keeper.hpp
+++ b/src/glenhollow/runs/run_keeper.hpp
@@ -119,18 +119,18 @@
 /// Limits of a keeper.
 struct run_keeper_settings
 {
-    std::size_t parts = 3;                   ///< Of the journal.
-    duration part_lease = milliseconds{1800}; ///< From an owner's
-                                              ///< confirmation.
+    std::size_t parts = 3;                     ///< Of the journal.
+    duration part_lease = milliseconds{1800};  ///< From an owner's
+                                               ///< confirmation.
     duration memory_lease = milliseconds{800}; ///< From an entry's.
     duration claim_time = milliseconds{600};   ///< For runs that were found.
     duration stop_time = milliseconds{350};    ///< For runs without a lease,
                                                ///< before the hold lapses.
-    duration hold = milliseconds{1000};      ///< Longest hold of the runner.
-    duration look_wait = milliseconds{200};  ///< Of one look, at most.
-    duration look_gap = milliseconds{8};     ///< While ends are unconfirmed.
-    duration stall = milliseconds{900};      ///< A run without progress.
-    std::size_t waiting_limit = 16;          ///< Orders without room.
+    duration hold = milliseconds{1000};        ///< Longest hold of the runner.
+    duration look_wait = milliseconds{200};    ///< Of one look, at most.
+    duration look_gap = milliseconds{8};       ///< While ends are unconfirmed.
+    duration stall = milliseconds{900};        ///< A run without progress.
+    std::size_t waiting_limit = 16;            ///< Orders without room.
 };
 
 /// Counters of a keeper.
@@ -261,7 +261,7 @@
         bool sized = true;                    ///< Its needs are known.
         bool asked_stop = false;              ///< A stop is out.
         instant changed{};                    ///< When the phase changed.
-        instant settled{}; ///< Doubtful: when it could not begin any more.
+        instant settled{};  ///< Doubtful: when it could not begin any more.
         instant orphaned{}; ///< Its lease was found expired; zero: it has one.
         std::uint32_t percent = 0; ///< Of its work, as last shown.
         instant progressed{};      ///< When the percent last rose.
@@ -310,29 +310,29 @@
     void set_phase(runner_phase phase);
     void tell_room();
 
-    const clock_source& clock_;      ///< This agent's.
-    runner_port& runner_;            ///< The runner.
-    delay later_;                    ///< Delayed work.
-    run_keeper_settings settings_;   ///< Limits.
-    run_listener* listener_ = nullptr; ///< Told of changes.
-    std::uint64_t token_;            ///< Fencing token.
-    runner_account account_;         ///< As last registered.
+    const clock_source& clock_;                      ///< This agent's.
+    runner_port& runner_;                            ///< The runner.
+    delay later_;                                    ///< Delayed work.
+    run_keeper_settings settings_;                   ///< Limits.
+    run_listener* listener_ = nullptr;               ///< Told of changes.
+    std::uint64_t token_;                            ///< Fencing token.
+    runner_account account_;                         ///< As last registered.
     runner_phase told_phase_ = runner_phase::absent; ///< By the runner.
-    runner_clock runner_clock_;      ///< The runner's clock as seen here.
-    runs runs_;                      ///< Not ended.
-    end_ledger ledger_;              ///< Ended, not confirmed.
+    runner_clock runner_clock_; ///< The runner's clock as seen here.
+    runs runs_;                 ///< Not ended.
+    end_ledger ledger_;         ///< Ended, not confirmed.
     std::map<lease_id, lease_record> leases_; ///< By lease.
-    resources used_;                 ///< By sized runs past waiting.
-    std::size_t unsized_ = 0;        ///< Runs of unknown needs.
-    bool informed_ = false;          ///< A look has been answered.
-    bool looking_ = false;           ///< A look is out.
-    bool draining_ = false;          ///< No more orders.
-    bool lapsing_ = false;           ///< The hold is left to lapse.
-    instant lapse_over_{};           ///< When it surely has.
-    instant held_until_{};           ///< Latest end of the hold.
-    instant hold_out_{};             ///< Of the look that is out.
-    instant answered_{};             ///< Last answer to a look.
-    run_keeper_stats stats_;         ///< Counters.
+    resources used_;                          ///< By sized runs past waiting.
+    std::size_t unsized_ = 0;                 ///< Runs of unknown needs.
+    bool informed_ = false;                   ///< A look has been answered.
+    bool looking_ = false;                    ///< A look is out.
+    bool draining_ = false;                   ///< No more orders.
+    bool lapsing_ = false;                    ///< The hold is left to lapse.
+    instant lapse_over_{};                    ///< When it surely has.
+    instant held_until_{};                    ///< Latest end of the hold.
+    instant hold_out_{};                      ///< Of the look that is out.
+    instant answered_{};                      ///< Last answer to a look.
+    run_keeper_stats stats_;                  ///< Counters.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
 };
 
--- a/src/glenhollow/runs/runner_port.hpp
+++ b/src/glenhollow/runs/runner_port.hpp
@@ -16,15 +16,15 @@
 /// How an order to the runner ended.
 enum class order_outcome : std::uint8_t
 {
-    done,        ///< The runner took it.
-    fenced,      ///< The fencing token was too low.
-    superseded,  ///< That run has ended or was stopped there.
-    late,        ///< It arrived after its deadline.
-    no_room,     ///< The runner guards its room.
-    unhealthy,   ///< The runner did nothing and will take orders later.
-    wrong_life,  ///< Another life of the runner answered.
-    malformed,   ///< The runner did nothing and never will.
-    unanswered   ///< It may be done, now or later.
+    done,       ///< The runner took it.
+    fenced,     ///< The fencing token was too low.
+    superseded, ///< That run has ended or was stopped there.
+    late,       ///< It arrived after its deadline.
+    no_room,    ///< The runner guards its room.
+    unhealthy,  ///< The runner did nothing and will take orders later.
+    wrong_life, ///< Another life of the runner answered.
+    malformed,  ///< The runner did nothing and never will.
+    unanswered  ///< It may be done, now or later.
 };
 
 template <>
@@ -69,9 +69,9 @@
 struct hold_result
 {
     order_outcome outcome = order_outcome::unanswered; ///< What happened.
-    std::int64_t clock_ms = 0;      ///< The runner's clock.
-    std::vector<shown_run> running; ///< All that runs.
-    std::vector<run_end> finished;  ///< Ends not yet confirmed.
+    std::int64_t clock_ms = 0;                         ///< The runner's clock.
+    std::vector<shown_run> running;                    ///< All that runs.
+    std::vector<run_end> finished; ///< Ends not yet confirmed.
 };
 
 /// A start of a run.
