--- a/src/glenhollow/runs/end_ledger.cpp
+++ b/src/glenhollow/runs/end_ledger.cpp
@@ -49,6 +49,15 @@
     }
 }
 
+void end_ledger::excuse(const run_ref& run)
+{
+    const auto known = ends_.find(run);
+    if (known == ends_.end() || known->second.excused)
+        return;
+    known->second.excused = true;
+    settle(known->second.end.number);
+}
+
 void end_ledger::excuse_all()
 {
     for (auto& [run, kept] : ends_)
--- a/src/glenhollow/runs/end_ledger.hpp
+++ b/src/glenhollow/runs/end_ledger.hpp
@@ -37,6 +37,9 @@
     /// @param end An end that is in the journal.
     void confirm(const run_end& end);
 
+    /// @param run Its end does not hold back the runner any more.
+    void excuse(const run_ref& run);
+
     /// The hold has lapsed: no end listed so far holds back the runner.
     void excuse_all();
 
--- a/src/glenhollow/runs/run_keeper.cpp
+++ b/src/glenhollow/runs/run_keeper.cpp
@@ -16,6 +16,7 @@
 constexpr duration lapse_slack = milliseconds{60};
 constexpr duration stop_retry = milliseconds{200};
 constexpr duration look_retry = milliseconds{50};
+constexpr duration renew_blind = milliseconds{800};
 constexpr std::uint64_t token_step = 60'000;
 
 duration with_drift(duration length)
@@ -152,6 +153,8 @@
 {
     leases_[lease].until = {};
     end_expired_runs();
+    for (const auto& end : take_ends(lease))
+        ledger_.confirm(end);
 }
 
 void run_keeper::order(run_order order, lease_id memory)
@@ -286,7 +289,7 @@
     if (run.asked_stop)
         return;
     run.asked_stop = true;
-    run.changed = clock_.now();
+    run.stop_sent = clock_.now();
     runner_.stop(
         run.order.run, context(),
         [this, alive = alive_, ref = run.order.run](const order_result& got)
@@ -370,8 +373,8 @@
     if (how == run_outcome::not_begun)
         ++stats_.not_begun;
     if (orphan && ref.in_memory())
-        ledger_.confirm(end); // Its entry has gone; nobody asks for it.
-    else if (listener_ != nullptr)
+        ledger_.excuse(ref); // Its entry may never ask for it.
+    if (listener_ != nullptr)
         listener_->lease_changed(lease);
     if (!occupied)
         return;
@@ -404,7 +407,10 @@
     request.context = context();
     request.confirmed = ledger_.confirmed();
     hold_out_ = {};
-    if (lapsing_)
+    // A look that is not answered may renew the hold all the same; a runner
+    // that stays silent must be let go of before its runs count as ended.
+    const bool let_go = lapsing_ || clock_.now() - answered_ > renew_blind;
+    if (let_go)
         request.context.deadline_ms = 0;
     else if (runner_clock_.known())
         hold_out_ = clock_.now() + with_drift(settings_.hold);
@@ -621,6 +627,7 @@
 void run_keeper::excuse_expired_ends()
 {
     std::vector<run_end> unwanted;
+    std::vector<run_end> excused;
     for (const auto& [ref, kept] : ledger_.ends())
     {
         if (!expired(kept.lease, kept.noted))
@@ -628,10 +635,14 @@
         const bool counts = kept.end.how == run_outcome::done ||
                             kept.end.how == run_outcome::failed;
         if (ref.in_memory())
-            unwanted.push_back(kept.end);
+            (clock_.now() - kept.noted > settings_.keep_unwanted ? unwanted
+                                                                 : excused)
+                .push_back(kept.end);
         else if (counts && kept.end.number != 0 && !kept.excused)
             let_hold_lapse("end_unconfirmed", kept.lease);
     }
+    for (const auto& end : excused)
+        ledger_.excuse(end.run);
     for (const auto& end : unwanted)
         ledger_.confirm(end);
 }
@@ -663,7 +674,7 @@
     std::vector<run_ref> to_stop;
     for (auto& [ref, run] : runs_)
     {
-        const bool retry = !run.asked_stop && now - run.changed >= stop_retry;
+        const bool retry = !run.asked_stop && now - run.stop_sent >= stop_retry;
         if (run.phase == run_phase::stopping && run.settled.count() == 0 &&
             retry)
             to_stop.push_back(ref);
@@ -671,7 +682,7 @@
         {
             if (now - run.changed > with_drift(settings_.hold) + lapse_slack)
                 run.settled = now; // Too late for it to begin.
-            else if (!run.asked_stop)
+            else if (retry)
                 to_stop.push_back(ref);
         }
         if (run.phase == run_phase::running &&
--- a/src/glenhollow/runs/run_keeper.hpp
+++ b/src/glenhollow/runs/run_keeper.hpp
@@ -130,6 +130,7 @@
     duration look_wait = milliseconds{200};    ///< Of one look, at most.
     duration look_gap = milliseconds{8};       ///< While ends are unconfirmed.
     duration stall = milliseconds{900};        ///< A run without progress.
+    duration keep_unwanted = seconds{10};      ///< Ends of entries that went.
     std::size_t waiting_limit = 16;            ///< Orders without room.
 };
 
@@ -261,6 +262,7 @@
         bool sized = true;                    ///< Its needs are known.
         bool asked_stop = false;              ///< A stop is out.
         instant changed{};                    ///< When the phase changed.
+        instant stop_sent{};                  ///< Last stop.
         instant settled{};  ///< Doubtful: when it could not begin any more.
         instant orphaned{}; ///< Its lease was found expired; zero: it has one.
         std::uint32_t percent = 0; ///< Of its work, as last shown.
--- /dev/null
+++ b/tests/unit/adapter/client_front_tests.cpp
@@ -0,0 +1,169 @@
+#include "platform/catalog_format.hpp"
+#include "platform/client_front.hpp"
+#include "platform/http_runner.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace glenhollow;
+
+namespace
+{
+
+constexpr std::string_view configuration = R"({"version":7,"routes":[
+    {"name":"r-1","host":"a.example","path_prefix":"/x/","service":"s",
+     "priority":2,"max_attempts":3,"stretch":1.6,"target_latency_ms":60}],
+    "services":[],"limits":{"max_body_bytes":2000}})";
+
+/// Keeps what the adapter asks.
+class fake_jobs final : public durable_jobs
+{
+public:
+    const queue_catalog& catalog() const override { return queues; }
+
+    std::function<void()> submit(const job_definition& job,
+                                 job_reply_handler done) override
+    {
+        submitted = job;
+        done(reply);
+        return [this] { ++withdrawn; };
+    }
+
+    void cancel(job_id id, job_reply_handler done) override
+    {
+        cancelled = id;
+        done(reply);
+    }
+
+    void state(job_id id, job_reply_handler done) override
+    {
+        asked = id;
+        done(reply);
+    }
+
+    std::uint32_t pending(const std::string&) const override { return 12; }
+
+    queue_catalog queues;
+    job_reply reply{job_outcome::done, job_state::running, {}};
+    std::optional<job_definition> submitted;
+    std::optional<job_id> cancelled;
+    std::optional<job_id> asked;
+    int withdrawn = 0;
+};
+
+/// The front over fake jobs.
+struct front_world
+{
+    front_world()
+    {
+        jobs.queues = platform::parse_catalog(configuration).value();
+    }
+
+    http_response call(std::string method, std::string target,
+                       std::string body = {})
+    {
+        http_request request;
+        request.method = std::move(method);
+        request.target = std::move(target);
+        request.headers = {{"Host", "a.example"},
+                           {"Glenhollow-Timeout-Ms", "1900"}};
+        request.body = std::move(body);
+        http_response got;
+        front.handle(std::move(request),
+                     [&got](http_response answer) { got = std::move(answer); });
+        return got;
+    }
+
+    fake_jobs jobs;
+    platform::client_front front{jobs};
+};
+
+constexpr auto path = "/x/5c0e7a21d94b36f8";
+
+} // namespace
+
+TEST_CASE("the operator's configuration becomes queues")
+{
+    const auto catalog = platform::parse_catalog(configuration);
+    REQUIRE(catalog);
+    CHECK(catalog.value().version == 7);
+    CHECK(catalog.value().queues.at(0).max_attempts == 3);
+    CHECK(catalog.value().max_body_bytes == 2000);
+    CHECK_FALSE(platform::parse_catalog("{}"));
+    CHECK_FALSE(platform::parse_catalog(R"({"version":1,"routes":3})"));
+}
+
+TEST_CASE("a submission becomes a job, and its answer a status")
+{
+    front_world world;
+    const auto got =
+        world.call("POST", path,
+                   R"({"spec":"s","steps":[{"count":2,"cpu":1600,"mem_mb":64,
+            "estimate_ms":100}],"best_effort":true})");
+    CHECK(got.status == 200);
+    CHECK(got.body == R"({"state":"running"})");
+    REQUIRE(world.jobs.submitted);
+    CHECK(world.jobs.submitted->lasts == durability::in_memory);
+    CHECK(world.jobs.submitted->steps[0].needs.cpu == 1600);
+    CHECK(world.jobs.submitted->give_up_ms > 0);
+}
+
+TEST_CASE("refusals say when to come back, unknown ends say nothing")
+{
+    front_world world;
+    const std::string body = R"({"spec":"s","steps":[{"count":1}]})";
+    world.jobs.reply = {job_outcome::refused, job_state::queued,
+                        milliseconds{1500}};
+    const auto refused = world.call("POST", path, body);
+    CHECK(refused.status == 503);
+    CHECK(header_value(refused.headers, "Retry-After") == "2");
+    world.jobs.reply.outcome = job_outcome::unknown;
+    CHECK(world.call("POST", path, body).status == 504);
+    world.jobs.reply.outcome = job_outcome::missing;
+    CHECK(world.call("GET", path).status == 410);
+}
+
+TEST_CASE("bad input gets its own answer and runs nothing")
+{
+    front_world world;
+    const auto status = [&world](std::string body)
+    { return world.call("POST", path, std::move(body)).status; };
+    CHECK(status("no json") == 400);
+    CHECK(status(R"({"spec":3,"steps":[{"count":1}]})") == 400);
+    CHECK(status(R"({"spec":"s"})") == 400);
+    CHECK(status(R"({"spec":"s","steps":[3]})") == 400);
+    CHECK(status(R"({"spec":"s","steps":[{"count":1,"after":[0]}]})") == 400);
+    CHECK(status(R"({"spec":"s","steps":[{"count":0}]})") == 400);
+    CHECK(status(std::string(3000, ' ')) == 413);
+    CHECK(world.call("POST", "/x/not-an-id", "{}").status == 404);
+    CHECK(world.call("GET", "/elsewhere/").status == 404);
+    CHECK(world.call("PUT", path).status == 405);
+    CHECK_FALSE(world.jobs.submitted);
+}
+
+TEST_CASE("without a configuration every call is told to come back")
+{
+    front_world world;
+    world.jobs.queues = {};
+    CHECK(world.call("GET", path).status == 503);
+}
+
+TEST_CASE("state, cancel and the queue's count reach the product")
+{
+    front_world world;
+    CHECK(world.call("GET", path).body == R"({"state":"running"})");
+    CHECK(world.jobs.asked == 0x5c0e7a21d94b36f8U);
+    CHECK(world.call("DELETE", path).status == 200);
+    CHECK(world.jobs.cancelled == 0x5c0e7a21d94b36f8U);
+    CHECK(world.call("GET", "/x/").body == R"({"pending":12})");
+}
+
+TEST_CASE("a task's name on the wire is read back")
+{
+    const task_ref task{0x5c0e7a21d94b36f8, 1, 2, 17};
+    CHECK(platform::task_name(task) == "5c0e7a21d94b36f8.1.2.17");
+    CHECK(platform::task_from("5c0e7a21d94b36f8.1.2.17") == task);
+    CHECK_FALSE(platform::task_from("5c0e7a21d94b36f8.1.2"));
+    CHECK_FALSE(platform::task_from("x.1.2.3"));
+}
--- /dev/null
+++ b/tests/unit/durable/job_rows_tests.cpp
@@ -0,0 +1,125 @@
+#include "glenhollow/durable/durable_job.hpp"
+#include "glenhollow/durable/queue_catalog.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace glenhollow;
+
+namespace
+{
+
+job_definition sample()
+{
+    job_definition job;
+    job.id = 0x00c0ffee12345678;
+    job.spec = "text \"quoted\"";
+    job.steps.resize(2);
+    job.steps[0].count = 3;
+    job.steps[0].needs = {1600, 64, 0};
+    job.steps[0].estimate_ms = 60;
+    job.steps[1].label = "kind-a";
+    job.steps[1].estimate_ms = 100;
+    job.steps[1].after = {0};
+    return job;
+}
+
+queue_rule rule()
+{
+    queue_rule out;
+    out.name = "queue-1";
+    out.service = "service-1";
+    out.max_attempts = 2;
+    out.stretch = 1.5;
+    out.target_ms = 60;
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("a job's id is 16 hexadecimal digits, and nothing else")
+{
+    CHECK(to_text(0xabc) == "0000000000000abc");
+    CHECK(job_id_from("0000000000000abc") == 0xabcU);
+    CHECK_FALSE(job_id_from("abc"));
+    CHECK_FALSE(job_id_from("000000000000zabc"));
+}
+
+TEST_CASE("journal rows give back what was written")
+{
+    const auto formed = admit_form(sample(), rule(), 1000);
+    REQUIRE(formed);
+    const auto read = decode_definition(encode_definition(formed.value()));
+    REQUIRE(read);
+    CHECK(read.value().id == sample().id);
+    CHECK(read.value().spec == sample().spec);
+    CHECK(read.value().steps[1].after == std::vector<std::uint32_t>{0});
+    CHECK(read.value().objective_ms == 1000 + 60 + 240);
+
+    job_progress progress;
+    progress.done = {0, 2};
+    progress.failed = {{1, 4097}};
+    const auto known = decode_progress(encode_progress(progress));
+    REQUIRE(known);
+    CHECK(known.value().done == progress.done);
+    CHECK(known.value().failed == progress.failed);
+
+    const auto end = decode_epitaph(encode_epitaph({job_state::cancelled, 77}));
+    REQUIRE(end);
+    CHECK(end.value().state == job_state::cancelled);
+}
+
+TEST_CASE("rows of a wrong form are told, not guessed")
+{
+    CHECK_FALSE(decode_definition("{"));
+    CHECK_FALSE(decode_definition("[]"));
+    CHECK_FALSE(decode_progress("[1]"));
+    CHECK_FALSE(decode_epitaph("[99,1]"));
+}
+
+TEST_CASE("a job of a wrong form is refused with its field's name")
+{
+    auto circle = sample();
+    circle.steps[0].after = {1};
+    CHECK(admit_form(circle, rule(), 0).error().text ==
+          "steps[0].after names step 1, which is not earlier");
+    auto empty = sample();
+    empty.steps.clear();
+    CHECK(admit_form(empty, rule(), 0).error().text == "steps is empty");
+    auto none = sample();
+    none.steps[1].count = 0;
+    CHECK(admit_form(none, rule(), 0).error().text ==
+          "steps[1].count is not in 1..10000");
+    auto large = sample();
+    large.spec.assign(max_spec_bytes + 1, 'x');
+    CHECK(admit_form(large, rule(), 0).error().text ==
+          "spec has more than 4000 bytes");
+}
+
+TEST_CASE("a job in memory is given up when nobody waits or wants its end")
+{
+    auto job = sample();
+    job.lasts = durability::in_memory;
+    job.give_up_ms = 5000;
+    CHECK(admit_form(job, rule(), 1000).value().give_up_ms == 1000 + 900);
+    job.give_up_ms = 400;
+    CHECK(admit_form(job, rule(), 1000).value().give_up_ms == 1400);
+    job.lasts = durability::journalled;
+    CHECK(admit_form(job, rule(), 1000).value().give_up_ms == 0);
+}
+
+TEST_CASE("the longest matching prefix of the host names the queue")
+{
+    queue_catalog catalog;
+    auto one = rule();
+    one.host = "a.example";
+    one.prefix = "/x/";
+    auto two = one;
+    two.name = "queue-2";
+    two.prefix = "/x/y/";
+    catalog.queues = {one, two};
+    REQUIRE(catalog.find("a.example", "/x/1"));
+    CHECK(catalog.find("a.example", "/x/1")->name == "queue-1");
+    CHECK(catalog.find("a.example:80", "/x/y/1")->name == "queue-2");
+    CHECK(catalog.find("b.example", "/x/1") == nullptr);
+    CHECK(catalog.find("a.example", "/z/") == nullptr);
+}
--- /dev/null
+++ b/tests/unit/runs/run_keeper_tests.cpp
@@ -0,0 +1,321 @@
+#include "glenhollow/runs/run_keeper.hpp"
+#include "unit/support/fake_runner_port.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace glenhollow;
+
+namespace
+{
+
+constexpr lease_id entry_lease = memory_lease(0);
+constexpr std::uint32_t first_run = first_memory_run + 1;
+
+/// An agent's keeper with a runner of 4 cores.
+struct keeper_world
+{
+    keeper_world()
+    {
+        account.service = "service-1";
+        account.instance = "life-1";
+        account.capacity = {4000, 1000, 0};
+        account.phase = runner_phase::ready;
+        make();
+        keeper->registered(account);
+        keeper->begin();
+        run(milliseconds{20});
+    }
+
+    void make()
+    {
+        keeper = std::make_unique<run_keeper>(loop.clock, runner, loop.delay(),
+                                              1000, run_keeper_settings{});
+    }
+
+    /// Lets time pass with an entry that answers, or with none.
+    void run(duration length, bool entry_answers = true)
+    {
+        constexpr duration step = milliseconds{10};
+        for (duration passed{}; passed < length; passed += step)
+        {
+            if (entry_answers)
+                keeper->renew(entry_lease, 0, loop.clock.now());
+            keeper->tick();
+            loop.advance(step);
+        }
+    }
+
+    static run_ref ref(std::uint32_t index, std::uint32_t run = first_run)
+    {
+        return {{42, 0, 0, index}, run};
+    }
+
+    void order(const run_ref& run, std::uint32_t cpu = 1000,
+               std::int64_t urgency = 0)
+    {
+        run_order order;
+        order.run = run;
+        order.needs = {cpu, 10, 0};
+        order.urgency = urgency;
+        keeper->order(order, entry_lease);
+    }
+
+    std::vector<run_end> ends() { return keeper->take_ends(entry_lease); }
+
+    manual_loop loop;
+    fake_runner_port runner{loop};
+    runner_account account;
+    std::unique_ptr<run_keeper> keeper;
+};
+
+} // namespace
+
+TEST_CASE("starts stay within the runner's room, most urgent first")
+{
+    keeper_world world;
+    for (std::uint32_t i = 0; i < 6; ++i)
+        world.order(keeper_world::ref(i), 1000, 100 - i);
+    world.run(milliseconds{20});
+    CHECK(world.runner.running.size() == 4);
+    CHECK(world.keeper->room().waiting == 2);
+    world.runner.finish(world.runner.running.front(), run_outcome::done);
+    world.run(milliseconds{250});
+    CHECK(world.runner.running.size() == 4);
+    CHECK(world.runner.running.back() == keeper_world::ref(5));
+}
+
+TEST_CASE("an end is told at once and confirmed to the runner only after")
+{
+    keeper_world world;
+    world.order(keeper_world::ref(0));
+    world.run(milliseconds{20});
+    world.runner.finish(keeper_world::ref(0), run_outcome::done);
+    world.run(milliseconds{250});
+    const auto told = world.ends();
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].how == run_outcome::done);
+    CHECK(world.runner.confirmed == 0);
+    world.keeper->confirm(told[0]);
+    world.run(milliseconds{50});
+    CHECK(world.runner.confirmed == 1);
+}
+
+TEST_CASE("a start whose answer is lost is found running, not started again")
+{
+    keeper_world world;
+    world.runner.lose_answers = 1;
+    world.order(keeper_world::ref(0));
+    world.run(milliseconds{600});
+    CHECK(world.runner.started[42] == 1);
+    CHECK(world.runner.stops == 0);
+    CHECK(world.ends().empty());
+}
+
+TEST_CASE("a start without an answer is barred before it counts as not begun")
+{
+    keeper_world world;
+    world.runner.drop_orders = 1;
+    world.order(keeper_world::ref(0));
+    world.run(milliseconds{700});
+    const auto told = world.ends();
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].how == run_outcome::not_begun);
+    // It arrives seconds later.
+    REQUIRE(world.runner.late_starts.size() == 1);
+    const auto& [run, context] = world.runner.late_starts.front();
+    CHECK(world.runner.begin(run, context) != order_outcome::done);
+}
+
+TEST_CASE("with neither start nor stop answered, the start's deadline passes")
+{
+    keeper_world world;
+    world.runner.drop_orders = 100;
+    world.order(keeper_world::ref(0));
+    world.run(milliseconds{900});
+    CHECK(world.ends().empty());
+    world.run(milliseconds{1500});
+    REQUIRE(world.ends().size() == 1);
+    const auto& [run, context] = world.runner.late_starts.front();
+    CHECK(world.runner.begin(run, context) == order_outcome::late);
+}
+
+TEST_CASE("runs of a silent entry are stopped within their lease")
+{
+    keeper_world world;
+    world.order(keeper_world::ref(0));
+    world.run(milliseconds{20});
+    REQUIRE(world.runner.running.size() == 1);
+    world.run(milliseconds{700}, false);
+    CHECK(world.runner.running.size() == 1);
+    world.run(milliseconds{400}, false);
+    CHECK(world.runner.running.empty());
+    world.run(seconds{11}, false);
+    CHECK(world.keeper->ledger().empty());
+}
+
+TEST_CASE("where stops get no answer, the hold is left to lapse")
+{
+    keeper_world world;
+    world.order(keeper_world::ref(0));
+    world.run(milliseconds{20});
+    world.runner.drop_orders = 1000;
+    world.run(milliseconds{2600}, false);
+    CHECK(world.runner.running.empty());
+    CHECK(world.keeper->stats().lapses == 1);
+}
+
+TEST_CASE("an entry's next process ends what the last one had in memory")
+{
+    keeper_world world;
+    world.order(keeper_world::ref(0));
+    world.run(milliseconds{20});
+    world.keeper->expire(entry_lease);
+    world.run(milliseconds{20}, false);
+    CHECK(world.runner.running.empty());
+}
+
+TEST_CASE("nothing starts without a lease, and its entry is told so")
+{
+    keeper_world world;
+    world.run(milliseconds{900}, false);
+    world.order(keeper_world::ref(0));
+    world.run(milliseconds{100}, false);
+    CHECK(world.runner.running.empty());
+    world.run(milliseconds{20});
+    const auto told = world.ends();
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].how == run_outcome::not_begun);
+}
+
+TEST_CASE("an entry that was silent for a while is told what was stopped")
+{
+    keeper_world world;
+    world.order(keeper_world::ref(0));
+    world.run(milliseconds{20});
+    world.run(milliseconds{1500}, false);
+    REQUIRE(world.runner.running.empty());
+    world.run(milliseconds{50});
+    const auto told = world.ends();
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].how == run_outcome::stopped);
+    // The runner was not held back meanwhile.
+    CHECK(world.runner.confirmed == 1);
+}
+
+TEST_CASE("a restarted agent starts nothing until it knows what runs")
+{
+    keeper_world world;
+    world.order(keeper_world::ref(0), 3000);
+    world.run(milliseconds{20});
+    REQUIRE(world.runner.running.size() == 1);
+    world.make();
+    world.keeper->registered(world.account);
+    world.keeper->begin();
+    world.run(milliseconds{20});
+    const auto known = world.keeper->adopt(entry_lease, 0);
+    REQUIRE(known.runs.size() == 1);
+    CHECK_FALSE(known.runs[0].sized);
+    world.order(keeper_world::ref(1), 3000);
+    world.run(milliseconds{50});
+    CHECK(world.runner.running.size() == 1);
+    run_order claimed;
+    claimed.run = keeper_world::ref(0);
+    claimed.needs = {3000, 10, 0};
+    world.keeper->size(claimed, entry_lease);
+    world.run(milliseconds{50});
+    CHECK(world.runner.running.size() == 1);
+    world.runner.finish(keeper_world::ref(0), run_outcome::done);
+    world.run(milliseconds{300});
+    CHECK(world.runner.running.front() == keeper_world::ref(1));
+}
+
+TEST_CASE("found runs that nobody claims are stopped")
+{
+    keeper_world world;
+    world.order(keeper_world::ref(0));
+    world.run(milliseconds{20});
+    world.make();
+    world.keeper->registered(world.account);
+    world.keeper->begin();
+    world.run(milliseconds{900});
+    CHECK(world.runner.running.empty());
+}
+
+TEST_CASE("a part's end that nobody journals lets the hold lapse, once")
+{
+    keeper_world world;
+    const run_ref kept{{42, 0, 0, 0}, 1};
+    const auto part = part_of(42, run_keeper_settings{}.parts);
+    world.keeper->adopt(part, 1);
+    world.keeper->renew(part, 1, world.loop.clock.now());
+    run_order order;
+    order.run = kept;
+    order.epoch = 1;
+    order.needs = {1000, 10, 0};
+    world.keeper->order(order, entry_lease);
+    world.run(milliseconds{20});
+    REQUIRE(world.runner.running.size() == 1);
+    world.runner.finish(kept, run_outcome::done);
+    world.run(seconds{6});
+    CHECK(world.keeper->stats().lapses == 1);
+    // A successor is still told of it.
+    const auto known = world.keeper->adopt(part, 2);
+    REQUIRE(known.ends.size() == 1);
+    CHECK(known.ends[0].how == run_outcome::done);
+}
+
+TEST_CASE("an earlier owner of a part is declined and its orders refused")
+{
+    keeper_world world;
+    const auto part = part_of(42, run_keeper_settings{}.parts);
+    world.keeper->adopt(part, 5);
+    CHECK(world.keeper->adopt(part, 4).declined);
+    world.keeper->renew(part, 5, world.loop.clock.now());
+    run_order order;
+    order.run = {{42, 0, 0, 0}, 1};
+    order.epoch = 4;
+    order.needs = {1000, 10, 0};
+    world.keeper->order(order, entry_lease);
+    world.run(milliseconds{20});
+    CHECK(world.runner.running.empty());
+}
+
+TEST_CASE("another life of the runner ends what the last one ran")
+{
+    keeper_world world;
+    world.order(keeper_world::ref(0));
+    world.run(milliseconds{20});
+    auto next = world.account;
+    next.instance = "life-2";
+    world.runner.running.clear();
+    world.keeper->registered(next);
+    const auto told = world.ends();
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].how == run_outcome::lapsed);
+    CHECK(told[0].number == 0);
+}
+
+TEST_CASE("a draining runner gets no new work and its orders come back")
+{
+    keeper_world world;
+    auto leaving = world.account;
+    leaving.phase = runner_phase::draining;
+    world.keeper->registered(leaving);
+    world.order(keeper_world::ref(0));
+    world.run(milliseconds{20});
+    CHECK(world.runner.running.empty());
+    REQUIRE(world.ends().size() == 1);
+}
+
+TEST_CASE("a runner that answers nothing is absent and its runs lapse")
+{
+    keeper_world world;
+    world.order(keeper_world::ref(0));
+    world.run(milliseconds{20});
+    world.runner.silent = true;
+    world.run(milliseconds{3000});
+    CHECK(world.keeper->account().phase == runner_phase::absent);
+    const auto told = world.ends();
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].how == run_outcome::lapsed);
+}
--- /dev/null
+++ b/tests/unit/support/fake_runner_port.hpp
@@ -0,0 +1,156 @@
+#ifndef GLENHOLLOW_TESTS_UNIT_SUPPORT_FAKE_RUNNER_PORT_HPP
+#define GLENHOLLOW_TESTS_UNIT_SUPPORT_FAKE_RUNNER_PORT_HPP
+
+#include "glenhollow/runs/runner_port.hpp"
+#include "unit/support/manual_loop.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace glenhollow
+{
+
+/// A runner by the platform's rules, with faults.
+class fake_runner_port final : public runner_port
+{
+public:
+    explicit fake_runner_port(manual_loop& loop) : loop_(loop) {}
+
+    void start(const run_start& start, const order_context& context,
+               order_handler done) override
+    {
+        if (drop_orders > 0)
+        {
+            --drop_orders;
+            late_starts.emplace_back(start.run, context);
+            return answer(std::move(done), order_outcome::unanswered);
+        }
+        auto outcome = begin(start.run, context);
+        if (lose_answers > 0)
+        {
+            --lose_answers;
+            outcome = order_outcome::unanswered;
+        }
+        answer(std::move(done), outcome);
+    }
+
+    void stop(const run_ref& run, const order_context&,
+              order_handler done) override
+    {
+        ++stops;
+        if (drop_orders > 0)
+        {
+            --drop_orders;
+            return answer(std::move(done), order_outcome::unanswered);
+        }
+        barred.push_back(run);
+        finish(run, run_outcome::stopped);
+        answer(std::move(done), order_outcome::done);
+    }
+
+    void hold(const hold_request& request, hold_handler done) override
+    {
+        ++looks;
+        if (silent)
+        {
+            loop_.delay()(milliseconds{350},
+                          [done = std::move(done)] { done({}); });
+            return;
+        }
+        if (request.context.deadline_ms > 0)
+            held_until = std::max(held_until, request.context.deadline_ms);
+        confirmed = std::max(confirmed, request.confirmed);
+        std::erase_if(ends, [this](const run_end& end)
+                      { return end.number <= confirmed; });
+        const auto wait = ends.empty() ? request.wait : duration{0};
+        loop_.delay()(wait + milliseconds{1},
+                      [this, done = std::move(done)]
+                      {
+                          lapse();
+                          hold_result end;
+                          end.outcome = order_outcome::done;
+                          end.clock_ms = now_ms();
+                          for (const auto& run : running)
+                              end.running.push_back({run, ++percent});
+                          end.finished = ends;
+                          done(std::move(end));
+                      });
+    }
+
+    /// @param context Of an order.
+    /// @return What a start of the run comes to now.
+    order_outcome begin(const run_ref& run, const order_context& context)
+    {
+        if (context.deadline_ms <= now_ms())
+            return order_outcome::late;
+        if (std::find(barred.begin(), barred.end(), run) != barred.end())
+            return order_outcome::superseded;
+        held_until = std::max(held_until, context.deadline_ms);
+        running.push_back(run);
+        ++started[run.task.job];
+        return order_outcome::done;
+    }
+
+    /// @param run Ends so.
+    void finish(run_ref run, run_outcome how)
+    {
+        const auto known = std::find(running.begin(), running.end(), run);
+        if (known == running.end())
+            return;
+        running.erase(known);
+        ends.push_back({run, how, ++numbers, 0, true});
+    }
+
+    /// Kills what nobody renewed.
+    void lapse()
+    {
+        if (now_ms() < held_until)
+            return;
+        for (const auto& run : std::vector<run_ref>(running))
+            finish(run, run_outcome::lapsed);
+    }
+
+    /// @return The runner's clock.
+    std::int64_t now_ms() const
+    {
+        return std::chrono::duration_cast<milliseconds>(loop_.clock.now())
+            .count();
+    }
+
+    std::vector<run_ref> running;  ///< Now.
+    std::vector<run_end> ends;     ///< Not confirmed.
+    std::vector<run_ref> barred;   ///< Stopped or ended.
+    std::map<job_id, int> started; ///< Counts starts.
+    std::vector<std::pair<run_ref, order_context>> late_starts; ///< Dropped.
+    std::uint64_t numbers = 0;                                  ///< Of ends.
+    std::uint64_t confirmed = 0;                                ///< By looks.
+    std::int64_t held_until = 0; ///< On its clock.
+    std::uint32_t percent = 0;   ///< Rises with each look.
+    int looks = 0;               ///< Looks so far.
+    int stops = 0;               ///< Stops so far.
+    int drop_orders = 0;         ///< So many get no answer, not done.
+    int lose_answers = 0;        ///< So many starts go unanswered.
+    bool silent = false;         ///< Looks get no answer.
+
+private:
+    void answer(order_handler done, order_outcome outcome)
+    {
+        const auto wait = outcome == order_outcome::unanswered
+                              ? duration{milliseconds{250}}
+                              : duration{milliseconds{1}};
+        loop_.delay()(wait,
+                      [this, outcome, done = std::move(done)] {
+                          done({outcome, now_ms()});
+                      });
+    }
+
+    manual_loop& loop_; ///< Time.
+};
+
+} // namespace glenhollow
+
+#endif
