--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -151,12 +151,12 @@
         known->second.outbox.confirmed.push_back(end);
 }
 
-/// The quickest runner with room; among like ones the emptiest.
+/// The quickest runner with room to spare; among like ones the emptiest.
 agent_view* dispatcher::choose(const ready_task& task)
 {
     const auto now = clock_.now();
     agent_view* best = nullptr;
-    std::tuple<bool, bool, double, double> best_rank{};
+    std::tuple<bool, bool, bool, double, double> best_rank{};
     for (auto& [name, agent] : agents_)
     {
         const auto& account = agent.account();
@@ -167,7 +167,9 @@
             continue;
         const double taken =
             agent.used().cpu / std::max(1.0, 1.0 * account.capacity.cpu);
-        const std::tuple rank{agent.ejected(now), name == task.avoid,
+        // Other entries place there too, and this view of it is not of now.
+        const bool crowded = taken > settings_.crowded;
+        const std::tuple rank{agent.ejected(now), name == task.avoid, crowded,
                               agent.pace(), taken};
         if (best == nullptr || rank < best_rank)
         {
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -58,6 +58,7 @@
 /// Limits of a dispatcher.
 struct dispatcher_settings
 {
+    double crowded = 0.7;  ///< Runners with more taken come last.
     std::size_t scan = 64; ///< Tasks looked at past one that fits nowhere.
     health_view_settings health; ///< Judgement on runners.
 };
