Tasks of jobs that will be late go behind those that can be in time; no refusal while room is free

Cause: in a burst the order of objectives makes every job late in turn, and the estimate of the wait refused jobs with runners free (priced).

--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -101,18 +101,44 @@
     const run_ref place{task.task, 0};
     if (by_task_.contains(place))
         return;
-    const queue_key key{task.urgency, ++sequence_};
+    insert({false, task.urgency, ++sequence_}, std::move(task));
+}
+
+void dispatcher::insert(const queue_key& key, ready_task task)
+{
     auto& queue = queues_[task.service];
-    queue.work += work_of(task);
-    by_task_.emplace(place, std::pair{task.service, key});
+    if (!key.late)
+        queue.work += work_of(task);
+    by_task_.emplace(run_ref{task.task, 0}, std::pair{task.service, key});
     queue.tasks.emplace(key, std::move(task));
 }
 
+/// A job that will miss its objective is worth the same a while later, so it
+/// must not make others miss theirs.
+void dispatcher::put_late_last(service_queue& queue)
+{
+    const auto now = clock_.now();
+    std::vector<queue_key> late;
+    for (const auto& [key, task] : queue.tasks)
+    {
+        if (!key.late && task.start_by < now)
+            late.push_back(key);
+    }
+    for (const auto& key : late)
+    {
+        auto task = queue.tasks.at(key);
+        remove(task.service, key);
+        insert({true, key.urgency, key.sequence}, std::move(task));
+        ++stats_.late;
+    }
+}
+
 void dispatcher::remove(const std::string& service, const queue_key& key)
 {
     auto& queue = queues_[service];
     const auto known = queue.tasks.find(key);
-    queue.work -= work_of(known->second);
+    if (!key.late)
+        queue.work -= work_of(known->second);
     by_task_.erase(run_ref{known->second.task, 0});
     queue.tasks.erase(known);
     if (queue.tasks.empty())
@@ -186,6 +212,7 @@
 
 void dispatcher::place(service_queue& queue)
 {
+    put_late_last(queue);
     std::size_t misses = 0;
     auto at = queue.tasks.begin();
     while (at != queue.tasks.end() && misses < settings_.scan)
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -25,7 +25,8 @@
     std::string service;           ///< Whose runners run it.
     std::string label;             ///< The runner must have it, if given.
     resources needs;               ///< Of the runner.
-    std::int64_t urgency = 0;      ///< Smaller goes first.
+    std::int64_t urgency = 0;     ///< Smaller goes first.
+    instant start_by{};           ///< Later its job misses its objective.
     std::uint32_t estimate_ms = 0; ///< The caller's guess of its time.
     std::string avoid;             ///< An agent where it failed; may be empty.
 };
@@ -69,6 +70,7 @@
     std::uint64_t placed = 0;   ///< Orders to start.
     std::uint64_t stopped = 0;  ///< Orders to stop.
     std::uint64_t batches = 0;  ///< Messages to agents.
+    std::uint64_t late = 0;     ///< Tasks put behind those in time.
     std::uint64_t no_place = 0; ///< Rounds that ended for want of room.
 };
 
@@ -163,6 +165,7 @@
     /// Place in the queue.
     struct queue_key
     {
+        bool late = false;            ///< After all that can be in time.
         std::int64_t urgency = 0;   ///< Smaller goes first.
         std::uint64_t sequence = 0; ///< Then first come.
 
@@ -173,12 +176,14 @@
     struct service_queue
     {
         std::map<queue_key, ready_task> tasks; ///< In order.
-        double work = 0;                       ///< Core-milliseconds.
+        double work = 0; ///< Core-milliseconds that can be in time.
     };
 
     agent_view* choose(const ready_task& task);
     void place(service_queue& queue);
     void remove(const std::string& service, const queue_key& key);
+    void put_late_last(service_queue& queue);
+    void insert(const queue_key& key, ready_task task);
     void flush(agent_view& agent);
 
     const clock_source& clock_;                   ///< This entry's.
--- a/src/glenhollow/durable/durable_job.cpp
+++ b/src/glenhollow/durable/durable_job.cpp
@@ -84,13 +84,12 @@
     return total;
 }
 
-double job_definition::estimated_work() const
+double job_definition::widest_cores() const
 {
-    double total = 0;
+    double most = 0;
     for (const auto& step : steps)
-        total += static_cast<double>(step.count) * step.estimate_ms *
-                 step.needs.cpu / 1000.0;
-    return total;
+        most = std::max(most, step.count * (step.needs.cpu / 1000.0));
+    return most;
 }
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/durable_job.hpp
+++ b/src/glenhollow/durable/durable_job.hpp
@@ -134,8 +134,8 @@
     /// @return All tasks of all steps.
     std::size_t task_count() const;
 
-    /// @return Core-milliseconds by the caller's estimates.
-    double estimated_work() const;
+    /// @return Cores that its widest step takes at once.
+    double widest_cores() const;
 };
 
 /// Where a job stands.
--- a/src/glenhollow/durable/job_board.cpp
+++ b/src/glenhollow/durable/job_board.cpp
@@ -120,6 +120,8 @@
         return refusal_wait;
     const double objective =
         static_cast<double>(job.objective_ms - around_.wall_ms());
+    if (around_.placing.free_cores(job.service) >= job.widest_cores())
+        return std::nullopt;
     // Every owner places its own share of the work on the same runners.
     const double wait = around_.placing.waiting_work(job.service) *
                         around_.placing.owners() / cores;
@@ -340,6 +342,8 @@
     ready.needs = step.needs;
     ready.urgency = record.job.objective_ms - step.estimate_ms;
     ready.estimate_ms = step.estimate_ms;
+    ready.start_by = around_.clock.now() +
+                     milliseconds{ready.urgency - around_.wall_ms()};
     ready.avoid = task.agent;
     around_.placing.enqueue(std::move(ready));
 }
