A question about a job that has begun waits 25 ms for its end

Cause: callers ask when they believe that the last task has ended, a few ms before its owner has journalled the end, and then not again for long. Ruled out: the group commit's wait.

--- a/src/glenhollow/durable/job_board.cpp
+++ b/src/glenhollow/durable/job_board.cpp
@@ -692,6 +692,22 @@
     if (known == jobs_.end())
         return done({job_outcome::missing, job_state::queued, {}});
     auto& record = known->second;
+    if (record.ending || !record.begun)
+        return tell_state(record, std::move(done));
+    // Callers ask when they believe that it ends: the end is near, if it is
+    // not on its way here already.
+    around_.later(settings_.near_end,
+                  [this, alive = alive_, id, done = std::move(done)]
+                  {
+                      if (*alive)
+                          state_after_wait(id, done);
+                      else
+                          done({job_outcome::not_owner, {}, {}});
+                  });
+}
+
+void job_board::tell_state(job_record& record, job_reply_handler done)
+{
     if (record.ending)
     {
         record.end_waiters.push_back(std::move(done));
@@ -701,6 +717,17 @@
     done({job_outcome::done, state, {}});
 }
 
+void job_board::state_after_wait(job_id id, const job_reply_handler& done)
+{
+    const auto ended = ended_.find(id);
+    if (ended != ended_.end())
+        return done({job_outcome::done, ended->second.state, {}});
+    const auto known = jobs_.find(id);
+    if (known == jobs_.end())
+        return done({job_outcome::missing, job_state::queued, {}});
+    tell_state(known->second, done);
+}
+
 std::map<std::string, std::uint32_t> job_board::pending() const
 {
     std::map<std::string, std::uint32_t> counts;
--- a/src/glenhollow/durable/job_board.hpp
+++ b/src/glenhollow/durable/job_board.hpp
@@ -58,6 +58,8 @@
     duration keep_ended = seconds{130};          ///< Ended jobs are remembered.
     duration agent_silence = milliseconds{3400}; ///< Until a silent agent's
                                                  ///< runs have surely ended.
+    duration near_end = milliseconds{25}; ///< A question about a job that
+                                          ///< has begun waits so long.
     double hopeless = 2.2;        ///< Refuse when the wait alone takes
                                   ///< this share of the objective.
     journal_chain_settings chain; ///< Limits of the journal.
@@ -235,6 +237,8 @@
     void make_ready(job_record& record);
     bool step_done(const job_record& record, std::uint32_t step) const;
     void enqueue(job_record& record, std::uint32_t flat);
+    void tell_state(job_record& record, job_reply_handler done);
+    void state_after_wait(job_id id, const job_reply_handler& done);
     std::optional<duration> hopeless(const job_definition& job) const;
     void accept_in_memory(const job_definition& job, job_reply_handler done);
     void give_up_late();
