--- a/programs/durable_agent_main.cpp
+++ b/programs/durable_agent_main.cpp
@@ -74,7 +74,8 @@
         std::cerr << settings.error().text << "\n";
         return exit_usage;
     }
-    start_log(given.format, "glenhollow-durable-agent");
+    start_log(given.format, "glenhollow-durable-agent",
+              log_destination::standard_output);
     return run_durable_agent(settings.value(),
                              [argc, argv]() -> result<durable_agent_settings>
                              {
--- a/programs/durable_entry_main.cpp
+++ b/programs/durable_entry_main.cpp
@@ -75,7 +75,8 @@
         std::cerr << settings.error().text << "\n";
         return exit_usage;
     }
-    start_log(given.format, "glenhollow-durable-entry");
+    start_log(given.format, "glenhollow-durable-entry",
+              log_destination::standard_output);
     return run_durable_entry(settings.value(),
                              [argc, argv]() -> result<durable_entry_settings>
                              {
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -25,8 +25,8 @@
     std::string service;           ///< Whose runners run it.
     std::string label;             ///< The runner must have it, if given.
     resources needs;               ///< Of the runner.
-    std::int64_t urgency = 0;     ///< Smaller goes first.
-    instant start_by{};           ///< Later its job misses its objective.
+    std::int64_t urgency = 0;      ///< Smaller goes first.
+    instant start_by{};            ///< Later its job misses its objective.
     std::uint32_t estimate_ms = 0; ///< The caller's guess of its time.
     std::string avoid;             ///< An agent where it failed; may be empty.
 };
@@ -165,7 +165,7 @@
     /// Place in the queue.
     struct queue_key
     {
-        bool late = false;            ///< After all that can be in time.
+        bool late = false;          ///< After all that can be in time.
         std::int64_t urgency = 0;   ///< Smaller goes first.
         std::uint64_t sequence = 0; ///< Then first come.
 
--- a/src/glenhollow/durable/job_board.cpp
+++ b/src/glenhollow/durable/job_board.cpp
@@ -342,8 +342,8 @@
     ready.needs = step.needs;
     ready.urgency = record.job.objective_ms - step.estimate_ms;
     ready.estimate_ms = step.estimate_ms;
-    ready.start_by = around_.clock.now() +
-                     milliseconds{ready.urgency - around_.wall_ms()};
+    ready.start_by =
+        around_.clock.now() + milliseconds{ready.urgency - around_.wall_ms()};
     ready.avoid = task.agent;
     around_.placing.enqueue(std::move(ready));
 }
--- a/src/glenhollow/durable/job_board.hpp
+++ b/src/glenhollow/durable/job_board.hpp
@@ -60,9 +60,9 @@
                                                  ///< runs have surely ended.
     duration near_end = milliseconds{25}; ///< A question about a job that
                                           ///< has begun waits so long.
-    double hopeless = 2.2;        ///< Refuse when the wait alone takes
-                                  ///< this share of the objective.
-    journal_chain_settings chain; ///< Limits of the journal.
+    double hopeless = 2.2;                ///< Refuse when the wait alone takes
+                                          ///< this share of the objective.
+    journal_chain_settings chain;         ///< Limits of the journal.
 };
 
 /// Counters of a part's jobs.
--- a/src/glenhollow/rpc/rpc_connection.cpp
+++ b/src/glenhollow/rpc/rpc_connection.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr duration connect_limit = seconds{1};
+constexpr duration connect_limit = milliseconds{400};
 
 } // namespace
 
--- a/src/glenhollow/runs/run_keeper.cpp
+++ b/src/glenhollow/runs/run_keeper.cpp
@@ -80,8 +80,7 @@
                    {{"instance", account.instance},
                     {"service", account.service},
                     {"cpu", account.capacity.cpu}});
-    if (informed_ && clock_.now() - answered_ < silence_limit())
-        set_phase(told_phase_);
+    take_told_phase();
     if (news)
         tell_room();
     start_waiting();
@@ -237,6 +236,7 @@
     {
     case order_outcome::done:
         ++stats_.started;
+        refusal_wait_ = {};
         return begun(run);
     case order_outcome::unanswered:
         ++stats_.doubtful;
@@ -249,6 +249,9 @@
     case order_outcome::fenced:
         raise_token();
         break;
+    case order_outcome::unhealthy:
+        leave_alone();
+        break;
     default:
         break;
     }
@@ -259,6 +262,30 @@
     end_run(ref, run_outcome::not_begun, 0);
 }
 
+/// A runner that refuses starts looks empty and would draw all of them.
+void run_keeper::leave_alone()
+{
+    if (left_alone())
+        return;
+    refusal_wait_ = std::clamp(refusal_wait_ * 2, settings_.first_refusal,
+                               settings_.longest_refusal);
+    refused_until_ = clock_.now() + refusal_wait_;
+    set_phase(runner_phase::absent);
+}
+
+bool run_keeper::left_alone() const
+{
+    return clock_.now() < refused_until_;
+}
+
+/// The runner's own word counts while it answers and takes starts.
+void run_keeper::take_told_phase()
+{
+    const bool answers = clock_.now() - answered_ < silence_limit();
+    if (informed_ && answers && !left_alone())
+        set_phase(told_phase_);
+}
+
 void run_keeper::begun(run_record& run)
 {
     if (run.phase == run_phase::stopping || run.phase == run_phase::running)
@@ -444,7 +471,7 @@
         take_running(got.running);
         settle_absent(sent, got.running);
         if (first || account_.phase == runner_phase::absent)
-            set_phase(told_phase_);
+            take_told_phase();
     }
     if (!knew_clock && runner_clock_.known())
         return look();
--- a/src/glenhollow/runs/run_keeper.hpp
+++ b/src/glenhollow/runs/run_keeper.hpp
@@ -119,19 +119,22 @@
 /// Limits of a keeper.
 struct run_keeper_settings
 {
-    std::size_t parts = 3;                     ///< Of the journal.
-    duration part_lease = milliseconds{1800};  ///< From an owner's
-                                               ///< confirmation.
-    duration memory_lease = milliseconds{800}; ///< From an entry's.
-    duration claim_time = milliseconds{600};   ///< For runs that were found.
-    duration stop_time = milliseconds{350};    ///< For runs without a lease,
-                                               ///< before the hold lapses.
-    duration hold = milliseconds{1000};        ///< Longest hold of the runner.
-    duration look_wait = milliseconds{200};    ///< Of one look, at most.
-    duration look_gap = milliseconds{8};       ///< While ends are unconfirmed.
-    duration stall = milliseconds{900};        ///< A run without progress.
-    duration keep_unwanted = seconds{10};      ///< Ends of entries that went.
-    std::size_t waiting_limit = 16;            ///< Orders without room.
+    std::size_t parts = 3;                      ///< Of the journal.
+    duration part_lease = milliseconds{1800};   ///< From an owner's
+                                                ///< confirmation.
+    duration memory_lease = milliseconds{800};  ///< From an entry's.
+    duration claim_time = milliseconds{600};    ///< For runs that were found.
+    duration stop_time = milliseconds{350};     ///< For runs without a lease,
+                                                ///< before the hold lapses.
+    duration hold = milliseconds{1000};         ///< Longest hold of the runner.
+    duration look_wait = milliseconds{200};     ///< Of one look, at most.
+    duration look_gap = milliseconds{8};        ///< While ends are unconfirmed.
+    duration stall = milliseconds{900};         ///< A run without progress.
+    duration keep_unwanted = seconds{10};       ///< Ends of entries that went.
+    duration first_refusal = milliseconds{200}; ///< After a refused start the
+                                                ///< runner is left alone.
+    duration longest_refusal = milliseconds{1600}; ///< After repeated ones.
+    std::size_t waiting_limit = 16;                ///< Orders without room.
 };
 
 /// Counters of a keeper.
@@ -311,6 +314,9 @@
     void raise_token();
     void set_phase(runner_phase phase);
     void tell_room();
+    void leave_alone();
+    bool left_alone() const;
+    void take_told_phase();
 
     const clock_source& clock_;                      ///< This agent's.
     runner_port& runner_;                            ///< The runner.
@@ -333,6 +339,8 @@
     instant lapse_over_{};                    ///< When it surely has.
     instant held_until_{};                    ///< Latest end of the hold.
     instant hold_out_{};                      ///< Of the look that is out.
+    instant refused_until_{};                 ///< The runner is left alone.
+    duration refusal_wait_{};                 ///< The last such time.
     instant answered_{};                      ///< Last answer to a look.
     run_keeper_stats stats_;                  ///< Counters.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
--- a/src/glenhollow/telemetry/log.cpp
+++ b/src/glenhollow/telemetry/log.cpp
@@ -1,20 +1,26 @@
 #include "glenhollow/telemetry/log.hpp"
 
-#include <boost/core/null_deleter.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/smart_ptr/make_shared_object.hpp>
 
+#include "glenhollow/core/clock.hpp"
+#include "glenhollow/telemetry/log_budget.hpp"
+
+#include <poll.h>
+#include <unistd.h>
+
 #include <array>
+#include <atomic>
 #include <ctime>
-#include <iostream>
+#include <mutex>
 
 namespace glenhollow
 {
@@ -80,19 +86,59 @@
     return line.append(1, '}');
 }
 
+/// Writes lines to a descriptor, never waiting for its reader: a full pipe
+/// costs lines, not requests.
+class patient_backend final
+    : public logging::sinks::basic_formatted_sink_backend<char>
+{
+public:
+    /// @param descriptor Where lines go.
+    explicit patient_backend(int descriptor) : descriptor_(descriptor) {}
+
+    /// @param line One line without its end.
+    void consume(const logging::record_view&, const std::string& line)
+    {
+        const std::string whole = line + "\n";
+        ::pollfd ready{descriptor_, POLLOUT, 0};
+        const bool writable =
+            ::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0;
+        if (!writable || ::write(descriptor_, whole.data(), whole.size()) < 0)
+            ++lost;
+    }
+
+    static inline std::atomic<std::uint64_t> lost = 0; ///< Lines not taken.
+
+private:
+    int descriptor_; ///< Where lines go.
+};
+
+std::mutex budget_guard;
+log_budget budget;
+
+log_permit permit_for(std::string_view event)
+{
+    const std::lock_guard lock(budget_guard);
+    return budget.admit(event, process_clock().now());
+}
+
 } // namespace
 
-void start_log(log_format format, std::string_view program)
+std::uint64_t lost_log_lines()
+{
+    return patient_backend::lost;
+}
+
+void start_log(log_format format, std::string_view program,
+               log_destination destination)
 {
     chosen_format = format;
     chosen_program = program;
-    using backend = logging::sinks::text_ostream_backend;
-    auto stream = boost::make_shared<backend>();
-    stream->add_stream(
-        boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-    stream->auto_flush(true);
-    using sink = logging::sinks::synchronous_sink<backend>;
-    auto front = boost::make_shared<sink>(stream);
+    const int descriptor = destination == log_destination::standard_output
+                               ? STDOUT_FILENO
+                               : STDERR_FILENO;
+    using sink = logging::sinks::synchronous_sink<patient_backend>;
+    auto front = boost::make_shared<sink>(
+        boost::make_shared<patient_backend>(descriptor));
     front->set_formatter(logging::expressions::stream
                          << logging::expressions::smessage);
     logging::core::get()->remove_all_sinks();
@@ -103,6 +149,19 @@
                 std::initializer_list<log_field> fields)
 {
     static logging::sources::logger_mt logger;
+    const auto permit = permit_for(event);
+    if (!permit.write)
+        return;
+    if (permit.left_out > 0)
+    {
+        const std::initializer_list<log_field> said{{"of", event},
+                                                    {"lines", permit.left_out}};
+        BOOST_LOG(logger) << (chosen_format == log_format::json
+                                  ? as_json(log_level::warning,
+                                            "lines_left_out", said)
+                                  : as_text(log_level::warning,
+                                            "lines_left_out", said));
+    }
     BOOST_LOG(logger) << (chosen_format == log_format::json
                               ? as_json(level, event, fields)
                               : as_text(level, event, fields));
--- a/src/glenhollow/telemetry/log.hpp
+++ b/src/glenhollow/telemetry/log.hpp
@@ -58,13 +58,25 @@
     std::string value;    ///< Its value as text.
 };
 
-/// Sets up logging to standard error.
+/// Where lines go.
+enum class log_destination : std::uint8_t
+{
+    standard_error, ///< Besides a program's output.
+    standard_output ///< Of daemons whose output is their log.
+};
+
+/// Sets up logging.
 /// @param format How lines are written.
 /// @param program Named in each line.
-void start_log(log_format format, std::string_view program);
+/// @param destination Where lines go.
+void start_log(log_format format, std::string_view program,
+               log_destination destination = log_destination::standard_error);
+
+/// @return Lines that their reader did not take in time.
+std::uint64_t lost_log_lines();
 
-/// Writes one line. Lines are for changes of state; what happens often is
-/// counted instead.
+/// Writes one line, within the budget of its kind. Lines are for changes of
+/// state; what happens often is counted instead.
 /// @param level How urgent it is.
 /// @param event What changed, in snake_case.
 /// @param fields What a reader needs to know of it.
--- a/tests/unit/durable/job_board_tests.cpp
+++ b/tests/unit/durable/job_board_tests.cpp
@@ -286,6 +286,7 @@
     world.end(agent, run, run_outcome::failed);
     std::optional<job_reply> shown;
     world.board->state(1, [&](const job_reply& reply) { shown = reply; });
+    world.settle();
     REQUIRE(shown);
     CHECK_FALSE(is_final(shown->state));
     const auto last = world.started.back();
--- a/tests/unit/runs/run_keeper_tests.cpp
+++ b/tests/unit/runs/run_keeper_tests.cpp
@@ -319,3 +319,24 @@
     REQUIRE(told.size() == 1);
     CHECK(told[0].how == run_outcome::lapsed);
 }
+
+TEST_CASE("a runner that refuses starts is left alone for a while")
+{
+    // Found in an incident: two such runners looked empty, and each task went
+    // from one to the other every two milliseconds.
+    keeper_world world;
+    world.runner.refuse = true;
+    world.order(keeper_world::ref(0));
+    world.run(milliseconds{20});
+    REQUIRE(world.ends().size() == 1);
+    CHECK(world.keeper->account().phase == runner_phase::absent);
+    world.order(keeper_world::ref(1));
+    world.run(milliseconds{20});
+    CHECK(world.runner.refusals == 1);
+    world.run(milliseconds{400});
+    CHECK(world.keeper->account().phase == runner_phase::ready);
+    world.runner.refuse = false;
+    world.order(keeper_world::ref(2));
+    world.run(milliseconds{20});
+    CHECK(world.runner.running.size() == 1);
+}
--- a/tests/unit/support/fake_runner_port.hpp
+++ b/tests/unit/support/fake_runner_port.hpp
@@ -29,6 +29,11 @@
             late_starts.emplace_back(start.run, context);
             return answer(std::move(done), order_outcome::unanswered);
         }
+        if (refuse)
+        {
+            ++refusals;
+            return answer(std::move(done), order_outcome::unhealthy);
+        }
         auto outcome = begin(start.run, context);
         if (lose_answers > 0)
         {
@@ -134,6 +139,8 @@
     int stops = 0;               ///< Stops so far.
     int drop_orders = 0;         ///< So many get no answer, not done.
     int lose_answers = 0;        ///< So many starts go unanswered.
+    bool refuse = false;         ///< Takes no starts.
+    int refusals = 0;            ///< So many refused.
     bool silent = false;         ///< Looks get no answer.
 
 private:
