--- a/src/glenhollow/durable/job_board.cpp
+++ b/src/glenhollow/durable/job_board.cpp
@@ -113,11 +113,14 @@
 
 // Acceptance.
 
-std::optional<duration> job_board::hopeless(const job_definition& job) const
+std::optional<job_board::refusal>
+job_board::refusal_of(const job_definition& job) const
 {
+    if (refusing_)
+        return refusal{reason::stopping, refusal_wait};
     const double cores = around_.placing.ready_cores(job.service);
-    if (refusing_ || cores <= 0)
-        return refusal_wait;
+    if (cores <= 0)
+        return refusal{reason::no_runner, refusal_wait};
     const double objective =
         static_cast<double>(job.objective_ms - around_.wall_ms());
     if (around_.placing.free_cores(job.service) >= job.widest_cores())
@@ -127,7 +130,8 @@
                         around_.placing.owners() / cores;
     if (wait <= settings_.hopeless * std::max(1.0, objective))
         return std::nullopt;
-    return milliseconds{static_cast<std::int64_t>(wait)};
+    return refusal{reason::deadline_unreachable,
+                   milliseconds{static_cast<std::int64_t>(wait)}};
 }
 
 void job_board::submit(const job_definition& job, job_reply_handler done)
@@ -150,15 +154,15 @@
             known->second.acceptance.push_back(std::move(done));
         return;
     }
-    if (const auto wait = hopeless(job))
+    if (const auto refused = refusal_of(job))
     {
         ++stats_.refused;
         log_change(log_level::info, "job_refused",
                    {{"job", to_text(job.id)},
                     {"queue", job.queue},
-                    {"reason", "deadline_unreachable"},
-                    {"wait_ms", to_ms(*wait)}});
-        return done({job_outcome::refused, job_state::queued, *wait});
+                    {"reason", to_name(refused->why)},
+                    {"wait_ms", to_ms(refused->wait)}});
+        return done({job_outcome::refused, job_state::queued, refused->wait});
     }
     if (!chain_)
         return accept_in_memory(job, std::move(done));
--- a/src/glenhollow/durable/job_board.hpp
+++ b/src/glenhollow/durable/job_board.hpp
@@ -2,6 +2,7 @@
 #define GLENHOLLOW_DURABLE_JOB_BOARD_HPP
 
 #include "glenhollow/core/clock.hpp"
+#include "glenhollow/core/verdict.hpp"
 #include "glenhollow/durable/dispatcher.hpp"
 #include "glenhollow/durable/durable_job.hpp"
 #include "glenhollow/durable/part_loader.hpp"
@@ -201,6 +202,13 @@
         done     ///< Ended well.
     };
 
+    /// Why a job is not taken.
+    struct refusal
+    {
+        reason why = reason::none; ///< The cause.
+        duration wait{};           ///< When to come back.
+    };
+
     /// One task.
     struct task_record
     {
@@ -239,7 +247,7 @@
     void enqueue(job_record& record, std::uint32_t flat);
     void tell_state(job_record& record, job_reply_handler done);
     void state_after_wait(job_id id, const job_reply_handler& done);
-    std::optional<duration> hopeless(const job_definition& job) const;
+    std::optional<refusal> refusal_of(const job_definition& job) const;
     void accept_in_memory(const job_definition& job, job_reply_handler done);
     void give_up_late();
     void give_up(job_record& record);
--- a/tests/unit/durable/job_board_tests.cpp
+++ b/tests/unit/durable/job_board_tests.cpp
@@ -430,3 +430,18 @@
     REQUIRE(world.started.size() == 2);
     CHECK(world.started.back().first != agent);
 }
+
+TEST_CASE("without a runner, or while it stops, a board takes no job")
+{
+    board_world world;
+    world.in_memory();
+    world.board->refuse_new();
+    world.submit(board_world::memory_job(1));
+    CHECK(world.replies.at(1).outcome == job_outcome::refused);
+    world.in_memory();
+    world.placing.detached("agent-1");
+    world.placing.detached("agent-2");
+    world.submit(board_world::memory_job(2));
+    CHECK(world.replies.at(2).outcome == job_outcome::refused);
+    CHECK(world.replies.at(2).retry_after > duration{});
+}
