--- a/src/glenhollow/runs/run_keeper.cpp
+++ b/src/glenhollow/runs/run_keeper.cpp
@@ -1,35 +1,15 @@
 #include "glenhollow/runs/run_keeper.hpp"
 
+#include "glenhollow/runs/run_keeper_timing.hpp"
 #include "glenhollow/telemetry/log.hpp"
 
 #include <algorithm>
-#include <unordered_set>
+#include <utility>
 
 namespace glenhollow
 {
 
-namespace
-{
-
-/// Steady clocks may differ by this share.
-constexpr double clock_drift = 0.02;
-constexpr duration lapse_slack = milliseconds{60};
-constexpr duration stop_retry = milliseconds{200};
-constexpr duration look_retry = milliseconds{50};
-constexpr duration renew_blind = milliseconds{800};
-constexpr std::uint64_t token_step = 60'000;
-
-duration with_drift(duration length)
-{
-    return length + std::chrono::duration_cast<duration>(length * clock_drift);
-}
-
-bool occupies(run_phase phase)
-{
-    return phase != run_phase::waiting;
-}
-
-} // namespace
+using namespace keeper_timing;
 
 run_keeper::run_keeper(const clock_source& clock, runner_port& runner,
                        delay later, std::uint64_t fencing_token,
@@ -50,18 +30,6 @@
     look();
 }
 
-run_keeper::lease_record& run_keeper::lease_of(const run_record& run)
-{
-    return leases_[run.lease];
-}
-
-/// Of a run that this process did not start.
-lease_id run_keeper::found_lease(const run_ref& run) const
-{
-    return run.in_memory() ? unclaimed_lease
-                           : part_of(run.task.job, settings_.parts);
-}
-
 void run_keeper::registered(const runner_account& account)
 {
     if (account.instance != account_.instance && !account_.instance.empty())
@@ -100,62 +68,6 @@
     informed_ = false;
 }
 
-lease_account run_keeper::adopt(lease_id lease, std::uint32_t epoch)
-{
-    lease_account out;
-    auto& record = leases_[lease];
-    if (epoch < record.epoch)
-    {
-        out.declined = true;
-        return out;
-    }
-    if (epoch > record.epoch)
-        log_change(log_level::info, "part_adopted",
-                   {{"part", lease},
-                    {"epoch", epoch},
-                    {"previous_epoch", record.epoch}});
-    record.epoch = epoch;
-    const auto concerns = [lease](lease_id of)
-    { return of == lease || (!is_part_lease(lease) && of == unclaimed_lease); };
-    for (const auto& [ref, run] : runs_)
-    {
-        if (concerns(run.lease))
-            out.runs.push_back({ref, run.phase, run.sized});
-    }
-    for (auto& [ref, kept] : ledger_.ends())
-    {
-        if (!concerns(kept.lease))
-            continue;
-        kept.told = kept.lease == lease;
-        out.ends.push_back(kept.end);
-        out.ends.back().claimed = kept.told;
-    }
-    return out;
-}
-
-void run_keeper::renew(lease_id lease, std::uint32_t epoch, instant confirmed)
-{
-    auto& record = leases_[lease];
-    if (epoch != record.epoch)
-        return;
-    const auto length =
-        is_part_lease(lease) ? settings_.part_lease : settings_.memory_lease;
-    const bool first =
-        record.lease_epoch != epoch || clock_.now() >= record.until;
-    record.lease_epoch = epoch;
-    record.until = std::max(record.until, confirmed + length);
-    if (first)
-        start_waiting();
-}
-
-void run_keeper::expire(lease_id lease)
-{
-    leases_[lease].until = {};
-    end_expired_runs();
-    for (const auto& end : take_ends(lease))
-        ledger_.confirm(end);
-}
-
 void run_keeper::order(run_order order, lease_id memory)
 {
     const auto ref = order.run;
@@ -424,153 +336,6 @@
     }
 }
 
-void run_keeper::look()
-{
-    if (looking_)
-        return;
-    looking_ = true;
-    ++stats_.looks;
-    hold_request request;
-    request.context = context();
-    request.confirmed = ledger_.confirmed();
-    hold_out_ = {};
-    // A look that is not answered may renew the hold all the same; a runner
-    // that stays silent must be let go of before its runs count as ended.
-    const bool let_go = lapsing_ || clock_.now() - answered_ > renew_blind;
-    if (let_go)
-        request.context.deadline_ms = 0;
-    else if (runner_clock_.known())
-        hold_out_ = clock_.now() + with_drift(settings_.hold);
-    if (!ledger_.waits() && runner_clock_.known() && informed_ && !lapsing_)
-        request.wait = settings_.look_wait;
-    runner_.hold(
-        request,
-        [this, alive = alive_, sent = clock_.now()](const hold_result& got)
-        {
-            if (*alive)
-                look_answered(sent, got);
-        });
-}
-
-void run_keeper::look_answered(instant sent, const hold_result& got)
-{
-    looking_ = false;
-    if (got.outcome != order_outcome::unhealthy)
-        held_until_ = std::max(held_until_, hold_out_);
-    hold_out_ = {};
-    const bool knew_clock = runner_clock_.known();
-    runner_clock_.heard(clock_.now(), got.clock_ms);
-    if (got.outcome == order_outcome::fenced)
-        raise_token();
-    if (got.outcome == order_outcome::done)
-    {
-        answered_ = clock_.now();
-        const bool first = !informed_;
-        informed_ = true;
-        take_finished(got.finished);
-        take_running(got.running);
-        settle_absent(sent, got.running);
-        if (first || account_.phase == runner_phase::absent)
-            take_told_phase();
-    }
-    if (!knew_clock && runner_clock_.known())
-        return look();
-    look_again(got.outcome == order_outcome::done);
-}
-
-void run_keeper::look_again(bool answered)
-{
-    const bool at_once = !ledger_.waits() && informed_ && !lapsing_;
-    auto gap = at_once ? duration{0} : settings_.look_gap;
-    if (!answered)
-        gap = look_retry;
-    later_(gap,
-           [this, alive = alive_]
-           {
-               if (*alive)
-                   look();
-           });
-}
-
-void run_keeper::take_finished(const std::vector<run_end>& finished)
-{
-    for (const auto& end : finished)
-    {
-        if (end.number <= ledger_.confirmed())
-            continue;
-        end_run(end.run, end.how, end.number);
-    }
-}
-
-void run_keeper::take_running(const std::vector<shown_run>& running)
-{
-    const auto now = clock_.now();
-    for (const auto& shown : running)
-    {
-        const auto known = runs_.find(shown.run);
-        if (known == runs_.end())
-        {
-            if (ledger_.contains(shown.run))
-                continue;
-            run_record found;
-            found.order.run = shown.run;
-            found.lease = found_lease(shown.run);
-            found.phase = run_phase::running;
-            found.sized = false;
-            found.changed = found.progressed = now;
-            ++unsized_;
-            runs_.emplace(shown.run, std::move(found));
-            continue;
-        }
-        auto& run = known->second;
-        const bool was_doubtful = run.phase == run_phase::doubtful;
-        if (run.phase == run_phase::starting || was_doubtful)
-            begun(run);
-        if (was_doubtful && run.asked_stop)
-            run.phase = run_phase::stopping;
-        if (shown.percent > run.percent)
-        {
-            run.percent = shown.percent;
-            run.progressed = now;
-        }
-    }
-}
-
-/// Runs that the runner ought to show and does not.
-void run_keeper::settle_absent(instant sent,
-                               const std::vector<shown_run>& running)
-{
-    std::unordered_set<run_ref, run_ref_hash> shown;
-    for (const auto& one : running)
-        shown.insert(one.run);
-    std::vector<run_ref> gone;
-    for (const auto& [ref, run] : runs_)
-    {
-        if (shown.contains(ref))
-            continue;
-        const bool ran = (run.phase == run_phase::running ||
-                          run.phase == run_phase::stopping) &&
-                         run.changed < sent &&
-                         (run.phase == run_phase::running ||
-                          (run.settled.count() != 0 && run.settled < sent));
-        const bool never = run.phase == run_phase::doubtful &&
-                           run.settled.count() != 0 && run.settled < sent;
-        if (ran || never)
-            gone.push_back(ref);
-    }
-    for (const auto& ref : gone)
-    {
-        const auto known = runs_.find(ref);
-        if (known == runs_.end())
-            continue;
-        const bool doubtful = known->second.phase == run_phase::doubtful;
-        if (!doubtful)
-            ++stats_.vanished;
-        end_run(ref, doubtful ? run_outcome::not_begun : run_outcome::lapsed,
-                0);
-    }
-}
-
 void run_keeper::tick()
 {
     check_leases();
@@ -579,122 +344,6 @@
     start_waiting();
 }
 
-duration run_keeper::silence_limit() const
-{
-    return with_drift(settings_.hold) + lapse_slack;
-}
-
-instant run_keeper::latest_hold() const
-{
-    return std::max(held_until_, hold_out_);
-}
-
-bool run_keeper::expired(lease_id lease, instant found) const
-{
-    const auto now = clock_.now();
-    if (lease == unclaimed_lease)
-        return now - found >= settings_.claim_time;
-    const auto known = leases_.find(lease);
-    return known == leases_.end() || now >= known->second.until;
-}
-
-/// A part whose owner is silent: what runs for it must be dead before a
-/// successor may start it elsewhere, and its ends must not be taken back
-/// later. Both hold once the runner's hold has lapsed. What runs in memory
-/// for a silent entry is stopped, and lapses where that fails.
-void run_keeper::check_leases()
-{
-    if (lapsing_)
-    {
-        if (clock_.now() < lapse_over_)
-            return;
-        lapsing_ = false;
-        ledger_.excuse_all();
-        log_change(log_level::info, "hold_lapsed", {});
-        return;
-    }
-    end_expired_runs();
-    excuse_expired_ends();
-}
-
-void run_keeper::end_expired_runs()
-{
-    const auto now = clock_.now();
-    std::vector<run_ref> orphans;
-    for (auto& [ref, run] : runs_)
-    {
-        if (!expired(run.lease, run.changed))
-        {
-            run.orphaned = {};
-            continue;
-        }
-        if (is_part_lease(run.lease))
-        {
-            if (occupies(run.phase))
-                let_hold_lapse("part_lease", run.lease);
-            continue;
-        }
-        if (run.orphaned.count() == 0)
-        {
-            run.orphaned = now;
-            orphans.push_back(ref);
-        }
-        else if (now - run.orphaned > settings_.stop_time)
-        {
-            let_hold_lapse("memory_lease", run.lease);
-        }
-    }
-    if (!orphans.empty())
-        log_change(log_level::info, "runs_orphaned",
-                   {{"runs", orphans.size()}});
-    for (const auto& ref : orphans)
-        stop(ref);
-}
-
-void run_keeper::excuse_expired_ends()
-{
-    std::vector<run_end> unwanted;
-    std::vector<run_end> excused;
-    for (const auto& [ref, kept] : ledger_.ends())
-    {
-        if (!expired(kept.lease, kept.noted))
-            continue;
-        const bool counts = kept.end.how == run_outcome::done ||
-                            kept.end.how == run_outcome::failed;
-        if (ref.in_memory())
-            (clock_.now() - kept.noted > settings_.keep_unwanted ? unwanted
-                                                                 : excused)
-                .push_back(kept.end);
-        else if (counts && kept.end.number != 0 && !kept.excused)
-            let_hold_lapse("end_unconfirmed", kept.lease);
-    }
-    for (const auto& end : excused)
-        ledger_.excuse(end.run);
-    for (const auto& end : unwanted)
-        ledger_.confirm(end);
-}
-
-void run_keeper::let_hold_lapse(std::string_view cause, lease_id lease)
-{
-    if (std::exchange(lapsing_, true))
-        return;
-    ++stats_.lapses;
-    lapse_over_ = std::max(latest_hold(), clock_.now()) + lapse_slack;
-    log_change(log_level::warning, "hold_left_to_lapse",
-               {{"cause", cause}, {"lease", lease}});
-}
-
-/// A runner that answers nothing has let go of everything by now.
-void run_keeper::check_silence()
-{
-    const auto now = clock_.now();
-    if (now - answered_ < silence_limit())
-        return;
-    set_phase(runner_phase::absent);
-    if (!runs_.empty() && now >= latest_hold() + lapse_slack)
-        end_all(run_outcome::lapsed);
-}
-
 void run_keeper::check_runs()
 {
     const auto now = clock_.now();
--- /dev/null
+++ b/src/glenhollow/runs/run_keeper_leases.cpp
@@ -0,0 +1,178 @@
+// Leases: who may have runs here, and what becomes of them without.
+#include "glenhollow/runs/run_keeper.hpp"
+
+#include "glenhollow/runs/run_keeper_timing.hpp"
+#include "glenhollow/telemetry/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace glenhollow
+{
+
+using namespace keeper_timing;
+
+run_keeper::lease_record& run_keeper::lease_of(const run_record& run)
+{
+    return leases_[run.lease];
+}
+
+/// Of a run that this process did not start.
+lease_id run_keeper::found_lease(const run_ref& run) const
+{
+    return run.in_memory() ? unclaimed_lease
+                           : part_of(run.task.job, settings_.parts);
+}
+
+lease_account run_keeper::adopt(lease_id lease, std::uint32_t epoch)
+{
+    lease_account out;
+    auto& record = leases_[lease];
+    if (epoch < record.epoch)
+    {
+        out.declined = true;
+        return out;
+    }
+    if (epoch > record.epoch)
+        log_change(log_level::info, "part_adopted",
+                   {{"part", lease},
+                    {"epoch", epoch},
+                    {"previous_epoch", record.epoch}});
+    record.epoch = epoch;
+    const auto concerns = [lease](lease_id of)
+    { return of == lease || (!is_part_lease(lease) && of == unclaimed_lease); };
+    for (const auto& [ref, run] : runs_)
+    {
+        if (concerns(run.lease))
+            out.runs.push_back({ref, run.phase, run.sized});
+    }
+    for (auto& [ref, kept] : ledger_.ends())
+    {
+        if (!concerns(kept.lease))
+            continue;
+        kept.told = kept.lease == lease;
+        out.ends.push_back(kept.end);
+        out.ends.back().claimed = kept.told;
+    }
+    return out;
+}
+
+void run_keeper::renew(lease_id lease, std::uint32_t epoch, instant confirmed)
+{
+    auto& record = leases_[lease];
+    if (epoch != record.epoch)
+        return;
+    const auto length =
+        is_part_lease(lease) ? settings_.part_lease : settings_.memory_lease;
+    const bool first =
+        record.lease_epoch != epoch || clock_.now() >= record.until;
+    record.lease_epoch = epoch;
+    record.until = std::max(record.until, confirmed + length);
+    if (first)
+        start_waiting();
+}
+
+void run_keeper::expire(lease_id lease)
+{
+    leases_[lease].until = {};
+    end_expired_runs();
+    for (const auto& end : take_ends(lease))
+        ledger_.confirm(end);
+}
+
+bool run_keeper::expired(lease_id lease, instant found) const
+{
+    const auto now = clock_.now();
+    if (lease == unclaimed_lease)
+        return now - found >= settings_.claim_time;
+    const auto known = leases_.find(lease);
+    return known == leases_.end() || now >= known->second.until;
+}
+
+/// A part whose owner is silent: what runs for it must be dead before a
+/// successor may start it elsewhere, and its ends must not be taken back
+/// later. Both hold once the runner's hold has lapsed. What runs in memory
+/// for a silent entry is stopped, and lapses where that fails.
+void run_keeper::check_leases()
+{
+    if (lapsing_)
+    {
+        if (clock_.now() < lapse_over_)
+            return;
+        lapsing_ = false;
+        ledger_.excuse_all();
+        log_change(log_level::info, "hold_lapsed", {});
+        return;
+    }
+    end_expired_runs();
+    excuse_expired_ends();
+}
+
+void run_keeper::end_expired_runs()
+{
+    const auto now = clock_.now();
+    std::vector<run_ref> orphans;
+    for (auto& [ref, run] : runs_)
+    {
+        if (!expired(run.lease, run.changed))
+        {
+            run.orphaned = {};
+            continue;
+        }
+        if (is_part_lease(run.lease))
+        {
+            if (occupies(run.phase))
+                let_hold_lapse("part_lease", run.lease);
+            continue;
+        }
+        if (run.orphaned.count() == 0)
+        {
+            run.orphaned = now;
+            orphans.push_back(ref);
+        }
+        else if (now - run.orphaned > settings_.stop_time)
+        {
+            let_hold_lapse("memory_lease", run.lease);
+        }
+    }
+    if (!orphans.empty())
+        log_change(log_level::info, "runs_orphaned",
+                   {{"runs", orphans.size()}});
+    for (const auto& ref : orphans)
+        stop(ref);
+}
+
+void run_keeper::excuse_expired_ends()
+{
+    std::vector<run_end> unwanted;
+    std::vector<run_end> excused;
+    for (const auto& [ref, kept] : ledger_.ends())
+    {
+        if (!expired(kept.lease, kept.noted))
+            continue;
+        const bool counts = kept.end.how == run_outcome::done ||
+                            kept.end.how == run_outcome::failed;
+        if (ref.in_memory())
+            (clock_.now() - kept.noted > settings_.keep_unwanted ? unwanted
+                                                                 : excused)
+                .push_back(kept.end);
+        else if (counts && kept.end.number != 0 && !kept.excused)
+            let_hold_lapse("end_unconfirmed", kept.lease);
+    }
+    for (const auto& end : excused)
+        ledger_.excuse(end.run);
+    for (const auto& end : unwanted)
+        ledger_.confirm(end);
+}
+
+void run_keeper::let_hold_lapse(std::string_view cause, lease_id lease)
+{
+    if (std::exchange(lapsing_, true))
+        return;
+    ++stats_.lapses;
+    lapse_over_ = std::max(latest_hold(), clock_.now()) + lapse_slack;
+    log_change(log_level::warning, "hold_left_to_lapse",
+               {{"cause", cause}, {"lease", lease}});
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/runs/run_keeper_timing.hpp
@@ -0,0 +1,40 @@
+#ifndef GLENHOLLOW_RUNS_RUN_KEEPER_TIMING_HPP
+#define GLENHOLLOW_RUNS_RUN_KEEPER_TIMING_HPP
+
+#include "glenhollow/core/clock.hpp"
+#include "glenhollow/runs/run_keeper.hpp"
+
+/// What the parts of run_keeper share; nothing else includes it.
+namespace glenhollow::keeper_timing
+{
+
+/// Steady clocks may differ by this share.
+inline constexpr double clock_drift = 0.02;
+/// Past the end of a hold before its runs count as ended.
+inline constexpr duration lapse_slack = milliseconds{60};
+/// Between two stops of one run.
+inline constexpr duration stop_retry = milliseconds{200};
+/// Between looks that get no answer.
+inline constexpr duration look_retry = milliseconds{50};
+/// Unanswered looks renew the hold so long.
+inline constexpr duration renew_blind = milliseconds{800};
+/// Added to a fencing token that was refused.
+inline constexpr std::uint64_t token_step = 60'000;
+
+/// @param length On the runner's clock.
+/// @return The longest that may take on this machine's.
+inline duration with_drift(duration length)
+{
+    return length + std::chrono::duration_cast<duration>(length * clock_drift);
+}
+
+/// @param phase Of a run.
+/// @return Whether it takes room.
+inline bool occupies(run_phase phase)
+{
+    return phase != run_phase::waiting;
+}
+
+} // namespace glenhollow::keeper_timing
+
+#endif
