--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -101,7 +101,8 @@
     const run_ref place{task.task, 0};
     if (by_task_.contains(place))
         return;
-    insert({false, task.urgency, ++sequence_}, std::move(task));
+    const queue_key key{false, task.urgency, ++sequence_};
+    insert(key, std::move(task));
 }
 
 void dispatcher::insert(const queue_key& key, ready_task task)
