A job in memory that is sent again is given up at its own time

Cause: withdrawn or ended jobs left their entry in the list of give-up times, so that the same id sent again was given up at the first one's time. The list now holds exactly the open jobs. Ruled out: comparing times at give-up alone, which would leave the list growing. Test first failed (2 of 3 checks), now passes; 190 unit cases green.

--- a/src/glenhollow/durable/job_board.cpp
+++ b/src/glenhollow/durable/job_board.cpp
@@ -208,23 +208,13 @@
 {
     const auto now = around_.clock.now();
     while (!give_ups_.empty() && give_ups_.begin()->first <= now)
-    {
-        const auto id = give_ups_.begin()->second;
-        give_ups_.erase(give_ups_.begin());
-        const auto known = jobs_.find(id);
-        if (known != jobs_.end() && !known->second.ending)
-            give_up(known->second);
-    }
+        give_up(jobs_.at(give_ups_.begin()->second));
 }
 
 void job_board::give_up_all()
 {
-    for (auto& [at, id] : std::exchange(give_ups_, {}))
-    {
-        const auto known = jobs_.find(id);
-        if (known != jobs_.end() && !known->second.ending)
-            give_up(known->second);
-    }
+    while (!give_ups_.empty())
+        give_up(jobs_.at(give_ups_.begin()->second));
 }
 
 /// Its end would be worth nothing any more. Where no task was ever handed out
@@ -251,11 +241,18 @@
     const auto outcome =
         record.handed_out ? job_outcome::unknown : job_outcome::refused;
     const auto waiters = std::exchange(record.end_waiters, {});
-    jobs_.erase(id);
+    erase(jobs_.find(id));
     for (const auto& waiter : waiters)
         waiter({outcome, job_state::queued, seconds{1}});
 }
 
+/// Its time goes with it: the same id may come again.
+void job_board::erase(job_map::iterator job)
+{
+    give_ups_.erase({job->second.give_up, job->first});
+    jobs_.erase(job);
+}
+
 /// Jobs in memory have nothing to write: it is done at once.
 void job_board::write(journal_entry entry)
 {
--- a/src/glenhollow/durable/job_board.hpp
+++ b/src/glenhollow/durable/job_board.hpp
@@ -252,6 +252,7 @@
     void give_up_late();
     void give_up(job_record& record);
     void drop(job_record& record);
+    void erase(job_map::iterator job);
     void write(journal_entry entry);
     std::uint32_t first_run() const;
     void accepted(job_id id, journal_verdict verdict);
@@ -284,7 +285,7 @@
     job_map jobs_;                                  ///< Not ended.
     std::unordered_map<job_id, job_epitaph> ended_; ///< Ended.
     std::deque<std::pair<std::int64_t, job_id>> ended_order_; ///< By time.
-    std::multimap<instant, job_id> give_ups_; ///< Jobs in memory by time.
+    std::set<std::pair<instant, job_id>> give_ups_; ///< Open jobs in memory.
     std::set<std::string> awaited_;           ///< Agents not heard yet.
     bool refusing_ = false;                   ///< Takes no more new jobs.
     instant claimed_;                         ///< When the part was taken.
--- a/src/glenhollow/durable/job_board_ends.cpp
+++ b/src/glenhollow/durable/job_board_ends.cpp
@@ -258,7 +258,7 @@
         ++(state == job_state::succeeded ? stats_.succeeded
            : state == job_state::failed  ? stats_.failed
                                          : stats_.cancelled);
-        jobs_.erase(known);
+        erase(known);
         remember(id, {state, now});
     }
     else
--- a/tests/unit/durable/job_board_tests.cpp
+++ b/tests/unit/durable/job_board_tests.cpp
@@ -378,6 +378,29 @@
     CHECK(world.replies.at(1).outcome == job_outcome::unknown);
 }
 
+TEST_CASE("a job sent again is given up at its own time, not the first one's")
+{
+    board_world world;
+    world.in_memory();
+    world.submit(board_world::memory_job(1));
+    world.board->withdraw(1);
+    world.loop.advance(seconds{2});
+    world.replies.clear();
+    auto again = board_world::memory_job(1);
+    again.accepted_ms += 2000;
+    again.objective_ms += 2000;
+    again.give_up_ms += 2000;
+    world.submit(again);
+    // Past the first one's time, not past its own.
+    world.loop.advance(milliseconds{1500});
+    world.settle();
+    CHECK(world.replies.empty());
+    CHECK(world.board->open_jobs() == 1);
+    world.loop.advance(seconds{2});
+    world.settle();
+    CHECK(world.replies.at(1).outcome == job_outcome::unknown);
+}
+
 TEST_CASE("runs in memory that nobody claimed are left to their own entry")
 {
     board_world world;
