Tasks go where their data lies

Now a step has a preferred label: its tasks go to runners with it, wait for room there while they would be late elsewhere, and go elsewhere where they are in time or late anyway. Runners that much work prefers are left to it, and a runner's pace is not judged by tasks far from their data.

--- a/programs/durable_entry.cpp
+++ b/programs/durable_entry.cpp
@@ -95,6 +95,7 @@
         out.incarnation = incarnation_;
         out.where = {settings_.address, settings_.rpc_port};
         out.parts = settings_.parts;
+        out.dispatch.far_factor = settings_.far_factor;
         out.catalog = platform::operator_configuration();
         return out;
     }
--- a/programs/durable_entry.hpp
+++ b/programs/durable_entry.hpp
@@ -25,6 +25,8 @@
     std::vector<host_port> seeds;       ///< Entries that may be live.
     std::size_t parts = 3;              ///< Of the journal.
     duration grace = seconds{6};        ///< From SIGTERM to the end.
+    double far_factor = 1.0;            ///< Time of a task far from its data,
+                                        ///< over that near it.
 };
 
 /// Runs an entry until a planned stop.
--- a/programs/durable_entry_main.cpp
+++ b/programs/durable_entry_main.cpp
@@ -45,6 +45,8 @@
                              "of the journal; alike in all processes");
     line.number<unsigned>("grace", given.grace_s, 1, 600, "s",
                           "from SIGTERM to the end of the process");
+    line.number<double>("far-factor", settings.far_factor, 1, 100, "",
+                        "time of a task far from its data, over that near it");
     line.choice("log-format", given.format, "format of log lines");
     return line;
 }
--- a/src/glenhollow/durable/agent_view.hpp
+++ b/src/glenhollow/durable/agent_view.hpp
@@ -65,7 +65,7 @@
     bool has_room(const resources& needs) const;
 
     /// @param label A label, may be empty.
-    /// @return Whether the runner has it.
+    /// @return Whether the runner has it, or none is asked for.
     bool has_label(const std::string& label) const;
 
     /// @param bad Whether a run ended badly.
@@ -86,6 +86,7 @@
 
     std::set<part_number> adopted; ///< Parts whose runs there are known.
     order_batch outbox;            ///< Leaves with the next flush.
+    bool hot = false;              ///< Much work prefers this runner.
 
 private:
     /// A batch that the agent has not seen yet.
--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -3,7 +3,6 @@
 #include "glenhollow/telemetry/log.hpp"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace glenhollow
@@ -13,6 +12,8 @@
 {
 
 constexpr double per_core = 1000.0;
+constexpr double micros_a_ms = 1000.0;
+constexpr duration hot_interval = milliseconds{100};
 
 double work_of(const ready_task& task)
 {
@@ -81,14 +82,17 @@
 }
 
 void dispatcher::note_end(const std::string& agent, const run_end& end,
-                          std::uint32_t estimate_ms)
+                          const job_step& step)
 {
     const auto known = agents_.find(agent);
     if (known == agents_.end())
         return;
     auto& view = known->second;
-    if (end.how == run_outcome::done && estimate_ms > 0)
-        view.note_pace(end.micros / (per_core * estimate_ms));
+    const double expected_ms =
+        step.estimate_ms *
+        (view.has_label(step.preferred_label) ? 1.0 : settings_.far_factor);
+    if (end.how == run_outcome::done && expected_ms > 0)
+        view.note_pace(end.micros / (micros_a_ms * expected_ms));
     if (end.how != run_outcome::done && !is_bad(end.how))
         return;
     if (view.note_end(is_bad(end.how), clock_.now(), settings_.health))
@@ -101,6 +105,8 @@
     const run_ref place{task.task, 0};
     if (by_task_.contains(place))
         return;
+    if (!task.preferred_label.empty())
+        demand_.add(task.preferred_label, work_of(task), clock_.now());
     const queue_key key{false, task.urgency, ++sequence_};
     insert(key, std::move(task));
 }
@@ -122,8 +128,9 @@
     std::vector<queue_key> late;
     for (const auto& [key, task] : queue.tasks)
     {
-        if (!key.late && task.start_by < now)
-            late.push_back(key);
+        if (key.late || task.start_by >= now)
+            break; // The most urgent come first.
+        late.push_back(key);
     }
     for (const auto& key : late)
     {
@@ -178,60 +185,131 @@
         known->second.outbox.confirmed.push_back(end);
 }
 
+bool dispatcher::suits(const agent_view& agent, const ready_task& task) const
+{
+    const auto& account = agent.account();
+    return agent.linked() && account.phase == runner_phase::ready &&
+           account.service == task.service &&
+           agent.adopted.contains(task.part) && agent.has_label(task.label);
+}
+
+dispatcher::rank dispatcher::rank_of(const agent_view& agent,
+                                     const ready_task& task) const
+{
+    rank out;
+    out.ejected = agent.ejected(clock_.now());
+    out.avoid = agent.name() == task.avoid;
+    out.far = !agent.has_label(task.preferred_label);
+    out.hot = agent.hot && (out.far || task.preferred_label.empty());
+    out.taken = agent.used().cpu /
+                std::max(1.0, 1.0 * agent.account().capacity.cpu);
+    // Other entries place there too, and this view of it is not of now.
+    out.crowded = out.taken > settings_.crowded;
+    out.pace = agent.pace();
+    return out;
+}
+
+/// Far from its data a task takes longer, and takes room from others for so
+/// long: only if it ends in time there all the same, or is late anyway.
+bool dispatcher::worth_going_far(const agent_view& agent, const rank& far,
+                                 const ready_task& task) const
+{
+    if (far.crowded)
+        return false;
+    const auto now = clock_.now();
+    if (task.start_by < now)
+        return true;
+    const double longer_ms =
+        task.estimate_ms * (settings_.far_factor * agent.pace() - 1.0);
+    return now + milliseconds{static_cast<std::int64_t>(longer_ms)} <=
+           task.start_by;
+}
+
 /// The quickest runner with room to spare; among like ones the emptiest.
 agent_view* dispatcher::choose(const ready_task& task)
 {
-    const auto now = clock_.now();
     agent_view* best = nullptr;
-    std::tuple<bool, bool, bool, double, double> best_rank{};
+    rank best_rank;
+    bool near_ones = false;
     for (auto& [name, agent] : agents_)
     {
-        const auto& account = agent.account();
-        if (!agent.linked() || account.phase != runner_phase::ready ||
-            account.service != task.service ||
-            !agent.adopted.contains(task.part) ||
-            !agent.has_label(task.label) || !agent.has_room(task.needs))
+        if (!suits(agent, task))
+            continue;
+        const auto own = rank_of(agent, task);
+        near_ones |= !own.far && !own.ejected;
+        if (!agent.has_room(task.needs))
             continue;
-        const double taken =
-            agent.used().cpu / std::max(1.0, 1.0 * account.capacity.cpu);
-        // Other entries place there too, and this view of it is not of now.
-        const bool crowded = taken > settings_.crowded;
-        const std::tuple rank{agent.ejected(now), name == task.avoid, crowded,
-                              agent.pace(), taken};
-        if (best == nullptr || rank < best_rank)
+        if (best == nullptr || own < best_rank)
         {
             best = &agent;
-            best_rank = rank;
+            best_rank = own;
         }
     }
+    if (best == nullptr)
+        return nullptr;
     // An ejected runner gets nothing while another could, even if it waits.
-    if (best != nullptr && std::get<0>(best_rank) &&
-        ready_cores(task.service) > 0)
+    if (best_rank.ejected && ready_cores(task.service) > 0)
+        return nullptr;
+    if (best_rank.far && near_ones && !worth_going_far(*best, best_rank, task))
         return nullptr;
+    if (best_rank.far)
+        ++stats_.far;
     return best;
 }
 
+/// Marks the runners whose label much of the work prefers.
+void dispatcher::mark_hot()
+{
+    const auto now = clock_.now();
+    demand_.forget_old(now);
+    for (auto& [name, agent] : agents_)
+        agent.hot = false;
+    if (demand_.empty())
+        return;
+    std::map<std::string, double> cores;
+    for (const auto& [name, agent] : agents_)
+    {
+        for (const auto& label : agent.account().labels)
+            cores[label] += agent.account().capacity.cpu / per_core;
+    }
+    for (auto& [name, agent] : agents_)
+    {
+        for (const auto& label : agent.account().labels)
+            // Every owner sees its own share of the work.
+            agent.hot |= demand_.cores(label, now) * owners() >
+                         settings_.hot * cores[label];
+    }
+}
+
+bool dispatcher::alike(const ready_task& task, const ready_task& unplaced)
+{
+    return task.part == unplaced.part &&
+           task.needs.cpu >= unplaced.needs.cpu &&
+           task.label == unplaced.label &&
+           task.preferred_label == unplaced.preferred_label;
+}
+
 void dispatcher::place(service_queue& queue)
 {
     put_late_last(queue);
-    std::size_t misses = 0;
+    std::vector<ready_task> unplaced; // A task of each kind that fits nowhere.
     auto at = queue.tasks.begin();
-    while (at != queue.tasks.end() && misses < settings_.scan)
+    while (at != queue.tasks.end() && unplaced.size() < settings_.scan)
     {
         const auto here = at++;
-        const auto task = here->second;
-        auto* agent = choose(task);
+        const auto& waiting = here->second;
+        if (std::any_of(unplaced.begin(), unplaced.end(),
+                        [&waiting](const ready_task& one)
+                        { return alike(waiting, one); }))
+            continue;
+        auto* agent = choose(waiting);
         if (agent == nullptr)
         {
-            ++misses;
-            // Tasks alike fit nowhere either.
-            while (at != queue.tasks.end() && at->second.part == task.part &&
-                   at->second.needs.cpu >= task.needs.cpu &&
-                   at->second.label == task.label)
-                ++at;
+            unplaced.push_back(waiting);
             continue;
         }
         const auto key = here->first;
+        const auto task = waiting;
         remove(task.service, key);
         auto order = tasks_.assign(task, agent->name());
         if (!order)
@@ -240,12 +318,17 @@
         agent->outbox.starts.push_back(std::move(*order));
         ++stats_.placed;
     }
-    if (misses > 0)
+    if (!unplaced.empty())
         ++stats_.no_place;
 }
 
 void dispatcher::dispatch()
 {
+    if (clock_.now() - hot_marked_ >= hot_interval)
+    {
+        hot_marked_ = clock_.now();
+        mark_hot();
+    }
     for (auto& [service, queue] : queues_)
         place(queue);
     for (auto& [name, agent] : agents_)
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "glenhollow/core/clock.hpp"
 #include "glenhollow/durable/agent_view.hpp"
 #include "glenhollow/durable/durable_job.hpp"
+#include "glenhollow/durable/label_demand.hpp"
 #include "glenhollow/runs/run_wire.hpp"
 
 #include <cstdint>
@@ -24,6 +25,7 @@
     part_number part = 0;          ///< Of its job.
     std::string service;           ///< Whose runners run it.
     std::string label;             ///< The runner must have it, if given.
+    std::string preferred_label;   ///< Other runners are slower at it.
     resources needs;               ///< Of the runner.
     std::int64_t urgency = 0;      ///< Smaller goes first.
     instant start_by{};            ///< Later its job misses its objective.
@@ -60,6 +62,10 @@
 struct dispatcher_settings
 {
     double crowded = 0.7;  ///< Runners with more taken come last.
+    double far_factor = 1; ///< Time of a task at a runner without its
+                           ///< preferred label, over that with it.
+    double hot = 0.5;      ///< Runners whose label is preferred by more than
+                           ///< this share of their cores are left to it.
     std::size_t scan = 64; ///< Tasks looked at past one that fits nowhere.
     health_view_settings health; ///< Judgement on runners.
 };
@@ -72,6 +78,7 @@
     std::uint64_t batches = 0;  ///< Messages to agents.
     std::uint64_t late = 0;     ///< Tasks put behind those in time.
     std::uint64_t no_place = 0; ///< Rounds that ended for want of room.
+    std::uint64_t far = 0;      ///< Placed without the preferred label.
 };
 
 /// Places the ready tasks of this entry's parts on runners: most urgent first,
@@ -109,9 +116,9 @@
 
     /// @param agent Where a run ended.
     /// @param end How.
-    /// @param estimate_ms The caller's guess of its time.
+    /// @param step Of its task.
     void note_end(const std::string& agent, const run_end& end,
-                  std::uint32_t estimate_ms);
+                  const job_step& step);
 
     /// @param task May start.
     void enqueue(ready_task task);
@@ -179,7 +186,27 @@
         double work = 0; ///< Core-milliseconds that can be in time.
     };
 
+    /// How well a runner suits a task; smaller is better.
+    struct rank
+    {
+        bool ejected = false; ///< Its runs ended badly.
+        bool avoid = false;   ///< The task failed there.
+        bool far = false;     ///< It lacks the preferred label.
+        bool hot = false;     ///< Others prefer it.
+        bool crowded = false; ///< Little room is left.
+        double pace = 0;      ///< Time of its runs over their estimates.
+        double taken = 0;     ///< Share of its cores.
+
+        auto operator<=>(const rank&) const = default;
+    };
+
+    rank rank_of(const agent_view& agent, const ready_task& task) const;
+    bool suits(const agent_view& agent, const ready_task& task) const;
+    bool worth_going_far(const agent_view& agent, const rank& far,
+                         const ready_task& task) const;
     agent_view* choose(const ready_task& task);
+    void mark_hot();
+    static bool alike(const ready_task& task, const ready_task& unplaced);
     void place(service_queue& queue);
     void remove(const std::string& service, const queue_key& key);
     void put_late_last(service_queue& queue);
@@ -195,6 +222,8 @@
     std::unordered_map<run_ref, std::pair<std::string, queue_key>,
                        run_ref_hash>
         by_task_;                ///< Place of a task; its run is 0.
+    label_demand demand_;        ///< Work by preferred label.
+    instant hot_marked_{};       ///< When hot runners were last marked.
     std::uint64_t sequence_ = 0; ///< Of queue places.
     std::size_t owners_ = 1;     ///< Entries that own parts.
     dispatcher_stats stats_;     ///< Counters.
--- a/src/glenhollow/durable/durable_job.hpp
+++ b/src/glenhollow/durable/durable_job.hpp
@@ -112,6 +112,8 @@
     resources needs;                  ///< Of each task.
     std::uint32_t estimate_ms = 0;    ///< A rough guess of a task's time.
     std::string label;                ///< The runner must have it, if given.
+    std::string preferred_label;      ///< Other runners are slower at it,
+                                      ///< for its data lies here.
     std::vector<std::uint32_t> after; ///< Steps that must be done first.
 };
 
--- a/src/glenhollow/durable/job_board_ends.cpp
+++ b/src/glenhollow/durable/job_board_ends.cpp
@@ -129,8 +129,7 @@
     if (end.how != run_outcome::not_begun)
         record.begun = true;
     if (!record.ending)
-        around_.placing.note_end(agent, end,
-                                 step_of(record.job, flat).estimate_ms);
+        around_.placing.note_end(agent, end, step_of(record.job, flat));
     if (end.how == run_outcome::done)
         return ended_well(record, flat, agent, end);
     if (end.how == run_outcome::failed)
--- a/src/glenhollow/durable/job_rows.cpp
+++ b/src/glenhollow/durable/job_rows.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 
+constexpr std::size_t preferred_label_field = 7;
+
 json::array numbers(const std::vector<std::uint32_t>& values)
 {
     json::array list;
@@ -26,7 +28,7 @@
 {
     return {step.count,         step.needs.cpu,   step.needs.memory,
             step.needs.gpu,     step.estimate_ms, step.label,
-            numbers(step.after)};
+            numbers(step.after), step.preferred_label};
 }
 
 job_step decode_step(const json::value& value)
@@ -40,6 +42,9 @@
     step.estimate_ms = json::value_to<std::uint32_t>(fields.at(4));
     step.label = json::value_to<std::string>(fields.at(5));
     step.after = json::value_to<std::vector<std::uint32_t>>(fields.at(6));
+    if (fields.size() > preferred_label_field) // Rows of before have none.
+        step.preferred_label =
+            json::value_to<std::string>(fields.at(preferred_label_field));
     return step;
 }
 
--- /dev/null
+++ b/src/glenhollow/durable/label_demand.cpp
@@ -0,0 +1,44 @@
+#include "glenhollow/durable/label_demand.hpp"
+
+#include <cmath>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+/// Time in which what has come loses all but 1/e of its weight.
+constexpr double memory_ms = 1000.0;
+
+constexpr double hardly_any_core_ms = 1.0;
+
+} // namespace
+
+double label_demand::decayed(const account& of, instant now)
+{
+    const double age_ms =
+        std::chrono::duration<double, std::milli>(now - of.at).count();
+    return of.core_ms * std::exp(-age_ms / memory_ms);
+}
+
+void label_demand::add(const std::string& label, double core_ms, instant now)
+{
+    auto& known = labels_[label];
+    known.core_ms = decayed(known, now) + core_ms;
+    known.at = now;
+}
+
+double label_demand::cores(const std::string& label, instant now) const
+{
+    const auto known = labels_.find(label);
+    return known == labels_.end() ? 0 : decayed(known->second, now) / memory_ms;
+}
+
+void label_demand::forget_old(instant now)
+{
+    std::erase_if(labels_, [now](const auto& one)
+                  { return decayed(one.second, now) < hardly_any_core_ms; });
+}
+
+} // namespace glenhollow
--- a/tests/unit/adapter/client_front_tests.cpp
+++ b/tests/unit/adapter/client_front_tests.cpp
@@ -100,12 +100,13 @@
     const auto got =
         world.call("POST", path,
                    R"({"spec":"s","steps":[{"count":2,"cpu":1600,"mem_mb":64,
-            "estimate_ms":100}],"best_effort":true})");
+            "estimate_ms":100,"affinity":"r1-3"}],"best_effort":true})");
     CHECK(got.status == 200);
     CHECK(got.body == R"({"state":"running"})");
     REQUIRE(world.jobs.submitted);
     CHECK(world.jobs.submitted->lasts == durability::in_memory);
     CHECK(world.jobs.submitted->steps[0].needs.cpu == 1600);
+    CHECK(world.jobs.submitted->steps[0].preferred_label == "r1-3");
     CHECK(world.jobs.submitted->give_up_ms > 0);
 }
 
--- /dev/null
+++ b/tests/unit/durable/dispatcher_tests.cpp
@@ -0,0 +1,181 @@
+#include "glenhollow/durable/dispatcher.hpp"
+#include "unit/support/manual_loop.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace glenhollow;
+
+namespace
+{
+
+/// A dispatcher over runners of two racks that do as they are told.
+struct placement_world : order_sender, task_source
+{
+    explicit placement_world(double far_factor = 3)
+        : placing(loop.clock, *this, *this, settings(far_factor))
+    {
+    }
+
+    static dispatcher_settings settings(double far_factor)
+    {
+        dispatcher_settings out;
+        out.far_factor = far_factor;
+        return out;
+    }
+
+    /// @param taken Thousandths of a core that its agent says are taken.
+    void runner(const std::string& name, const std::string& rack,
+                std::uint32_t taken = 0)
+    {
+        placing.attached(name, report(rack, taken));
+        placing.adopted(name, memory_part);
+    }
+
+    static runner_report report(const std::string& rack, std::uint32_t taken)
+    {
+        runner_report out;
+        out.account.service = "service-1";
+        out.account.capacity = {16000, 64000, 0};
+        out.account.phase = runner_phase::ready;
+        out.account.labels = {"kind-a", rack};
+        out.room.used = {taken, 0, 0};
+        return out;
+    }
+
+    /// @param slack Until it must start near its data to be in time.
+    ready_task task(const std::string& rack, duration slack)
+    {
+        ready_task out;
+        out.task.job = ++jobs;
+        out.part = memory_part;
+        out.service = "service-1";
+        out.preferred_label = rack;
+        out.needs = {1600, 64, 0};
+        out.estimate_ms = 60;
+        out.start_by = loop.clock.now() + slack;
+        out.urgency = out.start_by.count() / 1'000'000;
+        return out;
+    }
+
+    /// @return Where the only task that was placed went; empty: nowhere.
+    std::string place(const ready_task& wanted)
+    {
+        starts.clear();
+        placing.enqueue(wanted);
+        placing.dispatch();
+        return starts.empty() ? "" : starts.back();
+    }
+
+    std::string place_again()
+    {
+        starts.clear();
+        placing.dispatch();
+        return starts.empty() ? "" : starts.back();
+    }
+
+    void send(const std::string& agent, order_batch batch) override
+    {
+        starts.insert(starts.end(), batch.starts.size(), agent);
+    }
+
+    std::optional<run_order> assign(const ready_task& wanted,
+                                    const std::string&) override
+    {
+        run_order order;
+        order.run.task = wanted.task;
+        order.needs = wanted.needs;
+        return order;
+    }
+
+    manual_loop loop;
+    dispatcher placing;
+    std::vector<std::string> starts;
+    job_id jobs = 0;
+};
+
+constexpr duration slack = milliseconds{96};
+
+} // namespace
+
+TEST_CASE("a task goes where its data lies, also to a fuller runner")
+{
+    placement_world world;
+    world.runner("a", "rack-1");
+    world.runner("b", "rack-2", 13000);
+    CHECK(world.place(world.task("rack-2", slack)) == "b");
+}
+
+TEST_CASE("a task that would be late elsewhere waits for room at its data")
+{
+    placement_world world;
+    world.runner("a", "rack-1");
+    world.runner("b", "rack-2", 15000);
+    CHECK(world.place(world.task("rack-2", slack)).empty());
+    world.placing.reported("b", placement_world::report("rack-2", 0));
+    CHECK(world.place_again() == "b");
+}
+
+TEST_CASE("a task that is late goes to any runner with room to spare")
+{
+    placement_world world;
+    world.runner("a", "rack-1", 14000);
+    world.runner("b", "rack-2", 15000);
+    CHECK(world.place(world.task("rack-2", slack)).empty());
+    world.loop.advance(slack + milliseconds{1});
+    CHECK(world.place_again().empty()); // Little room is left at "a".
+    world.placing.reported("a", placement_world::report("rack-1", 0));
+    CHECK(world.place_again() == "a");
+    CHECK(world.placing.stats().far == 1);
+}
+
+TEST_CASE("a task that is in time elsewhere does not wait for room")
+{
+    placement_world world(1.5);
+    world.runner("a", "rack-1");
+    world.runner("b", "rack-2", 15000);
+    CHECK(world.place(world.task("rack-2", slack)) == "a");
+}
+
+TEST_CASE("a task whose data lies at no runner goes to any")
+{
+    placement_world world;
+    world.runner("a", "rack-1");
+    CHECK(world.place(world.task("rack-9", slack)) == "a");
+}
+
+TEST_CASE("runners that much work prefers are left to it")
+{
+    placement_world world;
+    world.runner("a", "rack-1", 8000);
+    world.runner("b", "rack-2");
+    for (int i = 0; i < 5; ++i) // 12.8 core-seconds within a second.
+    {
+        auto wide = world.task("rack-2", slack);
+        wide.estimate_ms = 1600;
+        world.placing.enqueue(wide);
+    }
+    world.loop.advance(milliseconds{100});
+    world.placing.dispatch();
+    REQUIRE(world.starts == std::vector<std::string>(5, "b"));
+    CHECK(world.place(world.task("", slack)) == "a");
+    // Unless there is no room elsewhere.
+    world.placing.reported("a", placement_world::report("rack-1", 16000));
+    CHECK(world.place(world.task("", slack)) == "b");
+}
+
+TEST_CASE("time far from the data is not held against the runner")
+{
+    placement_world world;
+    world.runner("a", "rack-1");
+    job_step step;
+    step.estimate_ms = 60;
+    step.preferred_label = "rack-2";
+    run_end end;
+    end.how = run_outcome::done;
+    end.micros = 180'000;
+    for (int i = 0; i < 20; ++i)
+        world.placing.note_end("a", end, step);
+    CHECK(world.placing.agents().at("a").pace() == Approx(1.0));
+}
--- a/tests/unit/durable/job_rows_tests.cpp
+++ b/tests/unit/durable/job_rows_tests.cpp
@@ -18,6 +18,7 @@
     job.steps[0].needs = {1600, 64, 0};
     job.steps[0].estimate_ms = 60;
     job.steps[1].label = "kind-a";
+    job.steps[1].preferred_label = "rack-3";
     job.steps[1].estimate_ms = 100;
     job.steps[1].after = {0};
     return job;
@@ -53,6 +54,8 @@
     CHECK(read.value().id == sample().id);
     CHECK(read.value().spec == sample().spec);
     CHECK(read.value().steps[1].after == std::vector<std::uint32_t>{0});
+    CHECK(read.value().steps[0].preferred_label.empty());
+    CHECK(read.value().steps[1].preferred_label == "rack-3");
     CHECK(read.value().objective_ms == 1000 + 60 + 240);
 
     job_progress progress;
