Entries say how often they want to be told of room, by how late their own timers come

Cause: small entries (0.12 cores) spend most of their time on reports of room; what they can bear depends on the machine, not on the number of agents. Each answer to a report carries a gap: agents over a rate that falls by a fifth with each late tick and rises with punctual ones, 150 to 1,500 a second. An agent never goes below its own gap. Ruled out: a fixed lower rate, which would take current knowledge from machines with time to spare. Tests: budget by lag, gap capped, agent heeds it.

--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -208,7 +208,9 @@
 
 interface RunReports {
   # An entry's ear for one agent.
-  report @0 (report :RunReport) -> (renewed :List(PartEpoch));
+  # `roomGapMs`: the least time until the next report of room alone.
+  report @0 (report :RunReport)
+         -> (renewed :List(PartEpoch), roomGapMs :UInt32);
 }
 
 interface RunAgent {
--- a/src/glenhollow/durable/agent_sessions.cpp
+++ b/src/glenhollow/durable/agent_sessions.cpp
@@ -32,8 +32,12 @@
     {
         sessions_.heard(agent_, number_, context.getParams().getReport());
         const auto owned = sessions_.listener_.owned_parts();
-        auto renewed = context.getResults().initRenewed(
-            static_cast<unsigned>(owned.size()));
+        auto results = context.getResults();
+        const auto gap = sessions_.listener_.room_gap(sessions_.attached_);
+        results.setRoomGapMs(static_cast<std::uint32_t>(
+            std::chrono::duration_cast<milliseconds>(gap).count()));
+        auto renewed =
+            results.initRenewed(static_cast<unsigned>(owned.size()));
         for (unsigned i = 0; i < renewed.size(); ++i)
             fill(renewed[i], owned[i]);
         return kj::READY_NOW;
@@ -194,9 +198,11 @@
 void agent_sessions::tick()
 {
     std::vector<rpc_link*> silent;
+    attached_ = 0;
     for (auto& [agent, one] : sessions_)
     {
         one->link->tick();
+        attached_ += one->attached ? 1 : 0;
         if (one->link->up() && clock_.now() - one->heard > settings_.silence)
             silent.push_back(one->link.get());
     }
--- a/src/glenhollow/durable/agent_sessions.hpp
+++ b/src/glenhollow/durable/agent_sessions.hpp
@@ -44,6 +44,10 @@
 
     /// @return The parts whose leases a report renews.
     virtual std::vector<part_epoch> owned_parts() const = 0;
+
+    /// @param agents Agents that report.
+    /// @return The least time between two reports of room of one of them.
+    virtual duration room_gap(std::size_t agents) const = 0;
 };
 
 /// Limits of the sessions.
@@ -103,6 +107,7 @@
     agent_session_listener& listener_; ///< Told.
     agent_sessions_settings settings_; ///< Limits.
     std::map<std::string, std::unique_ptr<session>> sessions_; ///< By agent.
+    std::size_t attached_ = 0;                                 ///< By last tick.
     std::uint64_t numbers_ = 0;                                ///< Of sessions.
 };
 
--- a/src/glenhollow/durable/durable_metrics.cpp
+++ b/src/glenhollow/durable/durable_metrics.cpp
@@ -95,6 +95,8 @@
     count("order_batches_total", "Messages to agents", placed.batches);
     page.gauge("parts_owned", "Parts of the journal owned here",
                static_cast<double>(ownership_.owned().size()));
+    page.gauge("room_reports_wanted", "Reports of room a second",
+               reports_.rate());
     page.gauge("tasks_waiting", "Ready tasks without a place",
                static_cast<double>(dispatcher_.waiting()));
     page.gauge("configuration_version", "Newest version taken",
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -75,6 +75,7 @@
       agents_(io, clock, *this, named(settings.agents, settings)),
       peers_(io, clock, *this, settings.peers),
       dispatcher_(clock, agents_, *this, settings.dispatch),
+      reports_(settings.reports),
       ownership_(surroundings(), peers_, *this, ownership_of(settings)),
       memory_(surroundings(), memory_of(settings)),
       router_(clock, delay(), ownership_, peers_, router_of(settings)),
@@ -133,6 +134,10 @@
 
 void durable_service::tick()
 {
+    const auto now = clock_.now();
+    if (tick_due_.count() != 0)
+        reports_.note_tick(now - tick_due_);
+    tick_due_ = now + tick_interval;
     peers_.tick();
     agents_.tick();
     ownership_.tick(store_.reachable());
@@ -192,6 +197,7 @@
     log_change(log_level::info, "placement_load",
                {{"jobs", memory_.open_jobs()},
                 {"tasks_waiting", dispatcher_.waiting()},
+                {"reports_per_s", static_cast<std::int64_t>(reports_.rate())},
                 {"agents_linked", linked},
                 {"runners_ready", ready},
                 {"runners_ejected", ejected},
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -7,6 +7,7 @@
 #include "glenhollow/durable/job_router.hpp"
 #include "glenhollow/durable/member_directory.hpp"
 #include "glenhollow/durable/part_ownership.hpp"
+#include "glenhollow/durable/report_budget.hpp"
 #include "glenhollow/journal/watched_store.hpp"
 #include "glenhollow/telemetry/metrics.hpp"
 
@@ -42,6 +43,7 @@
     entry_peers_settings peers;                  ///< Limits.
     job_router_settings router;                  ///< Limits.
     dispatcher_settings dispatch;                ///< Limits.
+    report_budget_settings reports;              ///< Limits.
     table_follower_settings follower;            ///< Limits.
 };
 
@@ -110,6 +112,10 @@
                         const std::vector<run_end>& ends,
                         const std::vector<run_ref>& begun) override;
     std::vector<part_epoch> owned_parts() const override;
+    duration room_gap(std::size_t agents) const override
+    {
+        return reports_.gap(agents);
+    }
 
     entry_view own_view() override;
     void peer_seen(const entry_view& view) override;
@@ -149,6 +155,7 @@
     agent_sessions agents_;             ///< Links to agents.
     entry_peers peers_;                 ///< Links to entries.
     dispatcher dispatcher_;             ///< Places tasks.
+    report_budget reports_;             ///< That this machine can bear.
     part_ownership ownership_;          ///< This entry's parts.
     job_board memory_;                  ///< Jobs kept in memory alone.
     job_router router_;                 ///< Brings calls to owners.
@@ -164,6 +171,7 @@
     };
 
     std::map<std::string, agent_silence> agent_heard_; ///< By agent.
+    instant tick_due_{};       ///< When the next tick should come.
     instant probed_{};         ///< Last probe of the store.
     instant load_logged_{};    ///< Last line on the load.
     bool dispatching_ = false; ///< A dispatch is on its way.
--- a/src/glenhollow/runs/report_pacing.hpp
+++ b/src/glenhollow/runs/report_pacing.hpp
@@ -23,6 +23,7 @@
     bool urgent = false; ///< Ends wait.
     bool room = false;   ///< The room has changed, or runs have begun.
     instant reported{};  ///< When the last report left.
+    duration wished{};   ///< Gap of reports of room that the entry asks for.
 };
 
 /// Decides when a session is told. Runs begin and end at an agent as often
@@ -52,7 +53,8 @@
     bool is_due(const report_marks& marks, std::size_t open, instant now) const
     {
         const auto since = now - marks.reported;
-        return marks.urgent || (marks.room && since >= room_gap(open)) ||
+        const auto gap = std::max(room_gap(open), marks.wished);
+        return marks.urgent || (marks.room && since >= gap) ||
                since >= settings_.heartbeat;
     }
 
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -300,7 +300,7 @@
         const auto number = to.number;
         to.reporting = true;
         to.told_life = account.instance;
-        to.marks = {false, false, sent};
+        to.marks = {false, false, sent, to.marks.wished};
         ++reports_;
         calls_.add(request.send().then(
             [this, number, sent](auto&& answer)
@@ -308,19 +308,22 @@
                 std::vector<part_epoch> renewed;
                 for (auto part : answer.getRenewed())
                     renewed.push_back(from_wire(part));
-                report_answered(number, sent, renewed);
+                report_answered(number, sent, renewed,
+                                milliseconds{answer.getRoomGapMs()});
             },
             [this, number](kj::Exception&&) { report_failed(number); }));
     }
 }
 
 void run_agent_service::report_answered(std::uint64_t number, instant sent,
-                                        const std::vector<part_epoch>& renewed)
+                                        const std::vector<part_epoch>& renewed,
+                                        duration wished)
 {
     auto* from = find(number);
     if (from == nullptr)
         return;
     from->reporting = false;
+    from->marks.wished = wished;
     keeper_.renew(from->memory, 0, sent);
     for (const auto& part : renewed)
         keeper_.renew(part.part, part.epoch, sent);
--- a/src/glenhollow/runs/run_agent_service.hpp
+++ b/src/glenhollow/runs/run_agent_service.hpp
@@ -71,7 +71,8 @@
     void fill_ends(session& to, wire::RunReport::Builder out);
     void fill_begun(session& to, wire::RunReport::Builder out);
     void report_answered(std::uint64_t number, instant sent,
-                         const std::vector<part_epoch>& renewed);
+                         const std::vector<part_epoch>& renewed,
+                         duration wished);
     void report_failed(std::uint64_t number);
     void adopted(std::uint64_t number, lease_id lease);
     void open(const std::string& entry, std::uint64_t incarnation,
--- a/src/glenhollow/wire/glenhollow.capnp.cpp
+++ b/src/glenhollow/wire/glenhollow.capnp.cpp
@@ -4327,17 +4327,17 @@
   1, 1, i_db40a724295f5955, nullptr, nullptr, { &s_db40a724295f5955, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<38> b_edd9b51c9f1e0ec6 = {
+static const ::capnp::_::AlignedData<54> b_edd9b51c9f1e0ec6 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     198,  14,  30, 159,  28, 181, 217, 237,
-     28,   0,   0,   0,   1,   0,   0,   0,
+     28,   0,   0,   0,   1,   0,   1,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0,  90,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0,  63,   0,   0,   0,
+     33,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     103, 108, 101, 110, 104, 111, 108, 108,
@@ -4346,14 +4346,21 @@
     114, 116, 115,  46, 114, 101, 112, 111,
     114, 116,  36,  82, 101, 115, 117, 108,
     116, 115,   0,   0,   0,   0,   0,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  66,   0,   0,   0,
+     41,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   1,   0,
-     36,   0,   0,   0,   2,   0,   1,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     64,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     61,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     60,   0,   0,   0,   3,   0,   1,   0,
+     72,   0,   0,   0,   2,   0,   1,   0,
     114, 101, 110, 101, 119, 101, 100,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -4364,6 +4371,15 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 111, 111, 109,  71,  97, 112,  77,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -4372,11 +4388,11 @@
 static const ::capnp::_::RawSchema* const d_edd9b51c9f1e0ec6[] = {
   &s_da208cfa94747e66,
 };
-static const uint16_t m_edd9b51c9f1e0ec6[] = {0};
-static const uint16_t i_edd9b51c9f1e0ec6[] = {0};
+static const uint16_t m_edd9b51c9f1e0ec6[] = {0, 1};
+static const uint16_t i_edd9b51c9f1e0ec6[] = {0, 1};
 const ::capnp::_::RawSchema s_edd9b51c9f1e0ec6 = {
-  0xedd9b51c9f1e0ec6, b_edd9b51c9f1e0ec6.words, 38, d_edd9b51c9f1e0ec6, m_edd9b51c9f1e0ec6,
-  1, 1, i_edd9b51c9f1e0ec6, nullptr, nullptr, { &s_edd9b51c9f1e0ec6, nullptr, nullptr, 0, 0, nullptr }
+  0xedd9b51c9f1e0ec6, b_edd9b51c9f1e0ec6.words, 54, d_edd9b51c9f1e0ec6, m_edd9b51c9f1e0ec6,
+  1, 2, i_edd9b51c9f1e0ec6, nullptr, nullptr, { &s_edd9b51c9f1e0ec6, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<29> b_908ace5537e1c1b4 = {
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -984,7 +984,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(edd9b51c9f1e0ec6, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(edd9b51c9f1e0ec6, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -6356,6 +6356,8 @@
   inline bool hasRenewed() const;
   inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader getRenewed() const;
 
+  inline  ::uint32_t getRoomGapMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6391,6 +6393,9 @@
   inline void adoptRenewed(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>> disownRenewed();
 
+  inline  ::uint32_t getRoomGapMs();
+  inline void setRoomGapMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -11811,6 +11816,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t RunReports::ReportResults::Reader::getRoomGapMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunReports::ReportResults::Builder::getRoomGapMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RunReports::ReportResults::Builder::setRoomGapMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline RunAgent::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/tests/unit/runs/report_pacing_tests.cpp
+++ b/tests/unit/runs/report_pacing_tests.cpp
@@ -1,5 +1,6 @@
 #include "glenhollow/runs/report_pacing.hpp"
 #include "glenhollow/durable/agent_view.hpp"
+#include "glenhollow/durable/report_budget.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -48,6 +49,29 @@
     CHECK(reports_a_second(12) >= 200);
 }
 
+TEST_CASE("an entry asks for as many reports as it can bear, not per agent")
+{
+    report_budget budget({});
+    CHECK(budget.gap(11) < milliseconds{10});
+    CHECK(budget.gap(6600) == seconds{1});
+    const auto quick = budget.gap(70);
+    for (int i = 0; i < 20; ++i)
+        budget.note_tick(milliseconds{30}); // A small machine, or a busy one.
+    CHECK(budget.gap(70) > 4 * quick);
+    CHECK(budget.gap(70) < milliseconds{500});
+    for (int i = 0; i < 100; ++i)
+        budget.note_tick(milliseconds{1});
+    CHECK(budget.gap(70) == quick);
+}
+
+TEST_CASE("an agent heeds the gap that an entry asks for")
+{
+    const report_pacing pacing({});
+    const report_marks marks{false, true, begin, milliseconds{100}};
+    CHECK_FALSE(pacing.is_due(marks, 3, begin + milliseconds{50}));
+    CHECK(pacing.is_due(marks, 3, begin + milliseconds{100}));
+}
+
 TEST_CASE("ends are told at once, and something within each heartbeat")
 {
     const report_pacing pacing({});
