--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -154,6 +154,7 @@
   gpu @5 :UInt32;
   urgency @6 :Int64;         # smaller goes first among those that wait
   spec @7 :Text;
+  estimateMs @8 :UInt32;     # a rough guess of its time; 0: none
 }
 
 struct RunRef {
--- a/src/glenhollow/durable/job_board.cpp
+++ b/src/glenhollow/durable/job_board.cpp
@@ -386,6 +386,7 @@
     order.needs = step.needs;
     order.urgency = record.job.objective_ms - step.estimate_ms;
     order.spec = record.job.spec;
+    order.estimate_ms = step.estimate_ms;
     return order;
 }
 
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -194,6 +194,14 @@
     schedule_room();
 }
 
+/// Entries must not send work to a runner that is left alone.
+void run_agent_service::phase_changed()
+{
+    for (auto& [entry, one] : sessions_)
+        one.marks.urgent = true;
+    schedule_now();
+}
+
 std::size_t run_agent_service::open_sessions() const
 {
     return std::count_if(sessions_.begin(), sessions_.end(),
--- a/src/glenhollow/runs/run_agent_service.hpp
+++ b/src/glenhollow/runs/run_agent_service.hpp
@@ -62,6 +62,7 @@
     void lease_changed(lease_id lease) override;
     void run_began(lease_id lease) override;
     void room_changed() override;
+    void phase_changed() override;
     void schedule_now();
     void schedule_room();
     std::size_t open_sessions() const;
--- a/src/glenhollow/runs/run_keeper.cpp
+++ b/src/glenhollow/runs/run_keeper.cpp
@@ -15,7 +15,7 @@
                        delay later, std::uint64_t fencing_token,
                        const run_keeper_settings& settings)
     : clock_(clock), runner_(runner), later_(std::move(later)),
-      settings_(settings), token_(fencing_token)
+      settings_(settings), token_(fencing_token), breaker_(settings.breaker)
 {
     answered_ = clock_.now();
 }
@@ -65,6 +65,7 @@
     end_all(run_outcome::lapsed);
     ledger_.new_life();
     runner_clock_.reset();
+    breaker_.reset();
     informed_ = false;
 }
 
@@ -78,8 +79,10 @@
     const bool refused = draining_ ||
                          order.epoch < leases_[record.lease].epoch ||
                          account_.phase != runner_phase::ready ||
+                         (probing() && !runs_.empty()) ||
                          (runs_.size() >= settings_.waiting_limit &&
                           room().waiting >= settings_.waiting_limit);
+    largest_cpu_ = std::max(largest_cpu_, order.needs.cpu);
     record.order = std::move(order);
     record.changed = clock_.now();
     runs_.emplace(ref, std::move(record));
@@ -91,8 +94,9 @@
 bool run_keeper::may_start(const run_record& run)
 {
     const auto& owner = lease_of(run);
+    const bool occupied = used_.cpu > 0 || used_.gpu > 0 || used_.memory > 0;
     return account_.phase == runner_phase::ready && !lapsing_ &&
-           unsized_ == 0 && runner_clock_.known() &&
+           !(probing() && occupied) && unsized_ == 0 && runner_clock_.known() &&
            owner.lease_epoch == owner.epoch && clock_.now() < owner.until &&
            used_.leaves_room(run.order.needs, account_.capacity);
 }
@@ -187,7 +191,41 @@
 
 bool run_keeper::left_alone() const
 {
-    return clock_.now() < refused_until_;
+    const auto now = clock_.now();
+    return now < refused_until_ || breaker_.state(now) == breaker_state::open;
+}
+
+bool run_keeper::probing() const
+{
+    return breaker_.state(clock_.now()) == breaker_state::probing;
+}
+
+/// @param bad Whether a run failed or stood still.
+void run_keeper::note_health(const run_ref& ref, bool bad)
+{
+    if (!breaker_.note_end(ref.task.job, bad, clock_.now()))
+        return;
+    const auto state = breaker_.state(clock_.now());
+    log_change(log_level::warning, "runner_judged",
+               {{"instance", account_.instance},
+                {"state", to_name(state)},
+                {"job", to_text(ref.task.job)},
+                {"run", ref.run}});
+    if (state == breaker_state::open)
+        set_phase(runner_phase::absent);
+    else
+        tell_room();
+}
+
+/// A sound runner shows progress of a hundredth of a task at least.
+duration run_keeper::stall_limit(const run_record& run) const
+{
+    const milliseconds estimate{run.order.estimate_ms};
+    if (estimate.count() == 0)
+        return settings_.stall;
+    const auto share = std::chrono::duration_cast<duration>(
+        estimate * settings_.stall_share);
+    return std::clamp<duration>(share, settings_.least_stall, settings_.stall);
 }
 
 /// The runner's own word counts while it answers and takes starts.
@@ -315,6 +353,8 @@
         ledger_.excuse(ref); // Its entry may never ask for it.
     if (listener_ != nullptr)
         listener_->lease_changed(lease);
+    if (how == run_outcome::done || how == run_outcome::failed)
+        note_health(ref, how == run_outcome::failed);
     if (!occupied)
         return;
     tell_room();
@@ -348,6 +388,7 @@
 {
     const auto now = clock_.now();
     std::vector<run_ref> to_stop;
+    std::vector<run_ref> stalled;
     for (auto& [ref, run] : runs_)
     {
         const bool retry = !run.asked_stop && now - run.stop_sent >= stop_retry;
@@ -361,9 +402,9 @@
             else if (retry)
                 to_stop.push_back(ref);
         }
+        // By what looks have shown, not by how long none was answered.
         if (run.phase == run_phase::running &&
-            now - run.progressed > settings_.stall &&
-            now - answered_ < settings_.look_wait * 2)
+            answered_ - run.progressed > stall_limit(run))
         {
             ++stats_.stalled;
             log_change(log_level::info, "run_stalled",
@@ -371,10 +412,13 @@
                         {"run", ref.run},
                         {"percent", run.percent}});
             to_stop.push_back(ref);
+            stalled.push_back(ref);
         }
     }
     for (const auto& ref : to_stop)
         stop(ref);
+    for (const auto& ref : stalled)
+        note_health(ref, true);
 }
 
 void run_keeper::raise_token()
@@ -392,6 +436,8 @@
                 {"from", to_name(account_.phase)},
                 {"to", to_name(phase)}});
     account_.phase = phase;
+    if (listener_ != nullptr)
+        listener_->phase_changed();
     if (phase != runner_phase::ready)
     {
         std::vector<run_ref> waiting;
@@ -433,9 +479,19 @@
     }
     if (unsized_ > 0 || !informed_ || lapsing_)
         out.used = account_.capacity;
+    else if (probing())
+        out.used.cpu = std::max(out.used.cpu, probing_used());
     return out;
 }
 
+/// A runner on probation looks crowded, with room for one run.
+std::uint32_t run_keeper::probing_used() const
+{
+    const auto all = account_.capacity.cpu;
+    const auto spare = std::max(all / 4, std::min(all, largest_cpu_));
+    return runs_.empty() ? all - spare : all;
+}
+
 std::vector<run_end> run_keeper::take_ends(lease_id lease)
 {
     std::vector<run_end> ends;
--- a/src/glenhollow/runs/run_keeper.hpp
+++ b/src/glenhollow/runs/run_keeper.hpp
@@ -4,6 +4,7 @@
 #include "glenhollow/core/clock.hpp"
 #include "glenhollow/durable/durable_job.hpp"
 #include "glenhollow/runs/end_ledger.hpp"
+#include "glenhollow/runs/runner_breaker.hpp"
 #include "glenhollow/runs/runner_clock.hpp"
 #include "glenhollow/runs/runner_port.hpp"
 #include "glenhollow/telemetry/metrics.hpp"
@@ -98,6 +99,7 @@
     resources needs;          ///< What it takes.
     std::int64_t urgency = 0; ///< Smaller goes first.
     std::string spec;         ///< The job's.
+    std::uint32_t estimate_ms = 0; ///< A rough guess of its time; 0: none.
 };
 
 /// A run as its agent lists it for a new owner.
@@ -127,9 +129,13 @@
     duration stop_time = milliseconds{350};     ///< For runs without a lease,
                                                 ///< before the hold lapses.
     duration hold = milliseconds{1000};         ///< Longest hold of the runner.
-    duration look_wait = milliseconds{200};     ///< Of one look, at most.
+    duration look_wait = milliseconds{100};     ///< Of one look, at most.
     duration look_gap = milliseconds{8};        ///< While ends are unconfirmed.
-    duration stall = milliseconds{900};         ///< A run without progress.
+    duration stall = milliseconds{900};         ///< A run without progress,
+                                                ///< where no time is guessed.
+    double stall_share = 0.35;                  ///< Of the guessed time.
+    duration least_stall = milliseconds{200};   ///< Whatever is guessed.
+    runner_breaker_settings breaker;            ///< Judgement on the runner.
     duration keep_unwanted = seconds{10};       ///< Ends of entries that went.
     duration first_refusal = milliseconds{200}; ///< After a refused start the
                                                 ///< runner is left alone.
@@ -165,6 +171,9 @@
 
     /// The runner's room or phase has changed.
     virtual void room_changed() = 0;
+
+    /// The runner takes work or takes none any more.
+    virtual void phase_changed() = 0;
 };
 
 /// The one voice that speaks to a runner: keeps its runs, its room, its hold
@@ -319,6 +328,10 @@
     void tell_room();
     void leave_alone();
     bool left_alone() const;
+    duration stall_limit(const run_record& run) const;
+    void note_health(const run_ref& ref, bool bad);
+    bool probing() const;
+    std::uint32_t probing_used() const;
     void take_told_phase();
 
     const clock_source& clock_;                      ///< This agent's.
@@ -330,11 +343,13 @@
     runner_account account_;                         ///< As last registered.
     runner_phase told_phase_ = runner_phase::absent; ///< By the runner.
     runner_clock runner_clock_; ///< The runner's clock as seen here.
+    runner_breaker breaker_;    ///< Judges it by the ends of its runs.
     runs runs_;                 ///< Not ended.
     end_ledger ledger_;         ///< Ended, not confirmed.
     std::map<lease_id, lease_record> leases_; ///< By lease.
     resources used_;                          ///< By sized runs past waiting.
     std::size_t unsized_ = 0;                 ///< Runs of unknown needs.
+    std::uint32_t largest_cpu_ = 0;           ///< Of any order so far.
     bool informed_ = false;                   ///< A look has been answered.
     bool looking_ = false;                    ///< A look is out.
     bool draining_ = false;                   ///< No more orders.
--- a/src/glenhollow/runs/run_wire.cpp
+++ b/src/glenhollow/runs/run_wire.cpp
@@ -111,6 +111,7 @@
     out.setGpu(order.needs.gpu);
     out.setUrgency(order.urgency);
     out.setSpec(order.spec);
+    out.setEstimateMs(order.estimate_ms);
 }
 
 run_order from_wire(wire::RunOrder::Reader in)
@@ -121,6 +122,7 @@
     order.needs = {in.getCpu(), in.getMemory(), in.getGpu()};
     order.urgency = in.getUrgency();
     order.spec = text(in.getSpec());
+    order.estimate_ms = in.getEstimateMs();
     return order;
 }
 
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -5478,6 +5478,8 @@
   inline bool hasSpec() const;
   inline  ::capnp::Text::Reader getSpec() const;
 
+  inline  ::uint32_t getEstimateMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5538,6 +5540,9 @@
   inline void adoptSpec(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownSpec();
 
+  inline  ::uint32_t getEstimateMs();
+  inline void setEstimateMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -11061,6 +11066,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t RunOrder::Reader::getEstimateMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunOrder::Builder::getEstimateMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void RunOrder::Builder::setEstimateMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RunRef::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/unit/runs/run_keeper_tests.cpp
+++ b/tests/unit/runs/run_keeper_tests.cpp
@@ -50,6 +50,17 @@
         return {{42, 0, 0, index}, run};
     }
 
+    /// Orders a run of another job, with a guess of its time.
+    run_ref order_of_job(job_id job)
+    {
+        run_order order;
+        order.run = {{job, 0, 0, 0}, first_run};
+        order.needs = {1000, 10, 0};
+        order.estimate_ms = 60;
+        keeper->order(order, entry_lease);
+        return order.run;
+    }
+
     void order(const run_ref& run, std::uint32_t cpu = 1000,
                std::int64_t urgency = 0)
     {
@@ -340,3 +351,57 @@
     world.run(milliseconds{20});
     CHECK(world.runner.running.size() == 1);
 }
+
+TEST_CASE("a runner that stands still loses its runs and gets no more")
+{
+    // Found on alpenfluss-nom-grown: callers left before any run counted as
+    // stalled, so that nobody ever learned of such runners.
+    keeper_world world;
+    world.runner.stands_still = true;
+    for (job_id job = 1; job <= 4; ++job)
+        world.order_of_job(job);
+    world.run(milliseconds{400});
+    CHECK(world.keeper->account().phase == runner_phase::absent);
+    CHECK(world.runner.running.empty());
+    CHECK(world.keeper->stats().stalled == 4);
+    world.order_of_job(5);
+    CHECK(world.keeper->stats().not_begun == 1);
+    // One at a time on probation, until it is sound again.
+    world.runner.stands_still = false;
+    world.run(milliseconds{500});
+    CHECK(world.keeper->account().phase == runner_phase::ready);
+    const auto probe = world.order_of_job(6);
+    world.order_of_job(7);
+    world.run(milliseconds{50});
+    CHECK(world.runner.running == std::vector<run_ref>{probe});
+    world.runner.finish(probe, run_outcome::done);
+    world.run(milliseconds{50});
+    const auto second = world.order_of_job(8);
+    world.run(milliseconds{50});
+    world.runner.finish(second, run_outcome::done);
+    world.run(milliseconds{50});
+    world.order_of_job(9);
+    world.order_of_job(10);
+    world.run(milliseconds{50});
+    CHECK(world.runner.running.size() == 2);
+}
+
+TEST_CASE("a run that shows progress is never taken for a stalled one")
+{
+    keeper_world world;
+    for (job_id job = 1; job <= 4; ++job)
+        world.order_of_job(job);
+    world.run(seconds{3});
+    CHECK(world.runner.running.size() == 4);
+    CHECK(world.keeper->stats().stalled == 0);
+}
+
+TEST_CASE("looks that are not answered do not make a run stalled")
+{
+    keeper_world world;
+    world.order_of_job(1);
+    world.run(milliseconds{50});
+    world.runner.silent = true;
+    world.run(milliseconds{500});
+    CHECK(world.keeper->stats().stalled == 0);
+}
--- a/tests/unit/support/fake_runner_port.hpp
+++ b/tests/unit/support/fake_runner_port.hpp
@@ -80,7 +80,8 @@
                           end.outcome = order_outcome::done;
                           end.clock_ms = now_ms();
                           for (const auto& run : running)
-                              end.running.push_back({run, ++percent});
+                              end.running.push_back(
+                                  {run, percent += stands_still ? 0 : 1});
                           end.finished = ends;
                           done(std::move(end));
                       });
@@ -142,6 +143,7 @@
     bool refuse = false;         ///< Takes no starts.
     int refusals = 0;            ///< So many refused.
     bool silent = false;         ///< Looks get no answer.
+    bool stands_still = false;   ///< Its runs make no progress.
 
 private:
     void answer(order_handler done, order_outcome outcome)
