Entries spread over runners that are alike

Cause: runners were ranked by exact pace and room, so that all entries, with views some ten ms old, sent to the same runner at once, which then queued. Pace now counts in classes and room in quarters, and each entry draws its own order among like runners. Ruled out: uniform random, which sends to slow runners too.

--- a/src/glenhollow/durable/agent_view.hpp
+++ b/src/glenhollow/durable/agent_view.hpp
@@ -28,11 +28,18 @@
 {
 public:
     /// @param name Of the agent.
-    explicit agent_view(std::string name) : name_(std::move(name)) {}
+    /// @param lot Orders it among agents that are alike.
+    explicit agent_view(std::string name, std::uint64_t lot = 0)
+        : name_(std::move(name)), lot_(lot)
+    {
+    }
 
     /// @return The agent's name.
     const std::string& name() const { return name_; }
 
+    /// @return Orders it among agents that are alike.
+    std::uint64_t lot() const { return lot_; }
+
     /// A session is open.
     /// @param report What it said then.
     void attached(const runner_report& report);
@@ -97,6 +104,7 @@
     };
 
     std::string name_;                ///< Of the agent.
+    std::uint64_t lot_;               ///< Order among like ones.
     bool linked_ = false;             ///< Its session is open.
     runner_report report_;            ///< Its latest word.
     std::deque<flying_batch> flying_; ///< On their way.
--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -13,6 +13,8 @@
 
 constexpr double per_core = 1000.0;
 constexpr double micros_a_ms = 1000.0;
+constexpr double classes_of_pace = 2.0;
+constexpr double quarters = 4.0;
 constexpr duration hot_interval = milliseconds{100};
 
 double work_of(const ready_task& task)
@@ -29,13 +31,14 @@
 
 dispatcher::dispatcher(const clock_source& clock, order_sender& sender,
                        task_source& tasks, const dispatcher_settings& settings)
-    : clock_(clock), sender_(sender), tasks_(tasks), settings_(settings)
+    : clock_(clock), sender_(sender), tasks_(tasks), settings_(settings),
+      lots_(settings.seed)
 {
 }
 
 void dispatcher::attached(const std::string& agent, const runner_report& report)
 {
-    agents_.try_emplace(agent, agent).first->second.attached(report);
+    agents_.try_emplace(agent, agent, lots_()).first->second.attached(report);
 }
 
 void dispatcher::detached(const std::string& agent)
@@ -201,11 +204,13 @@
     out.avoid = agent.name() == task.avoid;
     out.far = !agent.has_label(task.preferred_label);
     out.hot = agent.hot && (out.far || task.preferred_label.empty());
-    out.taken = agent.used().cpu /
-                std::max(1.0, 1.0 * agent.account().capacity.cpu);
+    const double taken = agent.used().cpu /
+                         std::max(1.0, 1.0 * agent.account().capacity.cpu);
     // Other entries place there too, and this view of it is not of now.
-    out.crowded = out.taken > settings_.crowded;
-    out.pace = agent.pace();
+    out.crowded = taken > settings_.crowded;
+    out.slowness = static_cast<int>(agent.pace() * classes_of_pace);
+    out.taken = static_cast<int>(taken * quarters);
+    out.lot = agent.lot();
     return out;
 }
 
@@ -225,7 +230,8 @@
            task.start_by;
 }
 
-/// The quickest runner with room to spare; among like ones the emptiest.
+/// The quickest runner with room to spare; among like ones the emptiest; among
+/// those, each entry has an order of its own, lest all go to one at once.
 agent_view* dispatcher::choose(const ready_task& task)
 {
     agent_view* best = nullptr;
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -2,6 +2,7 @@
 #define GLENHOLLOW_DURABLE_DISPATCHER_HPP
 
 #include "glenhollow/core/clock.hpp"
+#include "glenhollow/core/random.hpp"
 #include "glenhollow/durable/agent_view.hpp"
 #include "glenhollow/durable/durable_job.hpp"
 #include "glenhollow/durable/label_demand.hpp"
@@ -68,6 +69,7 @@
                            ///< this share of their cores are left to it.
     std::size_t scan = 64; ///< Tasks looked at past one that fits nowhere.
     health_view_settings health; ///< Judgement on runners.
+    std::uint64_t seed = 1;      ///< Of this entry's order of like runners.
 };
 
 /// Counters of a dispatcher.
@@ -194,8 +196,9 @@
         bool far = false;     ///< It lacks the preferred label.
         bool hot = false;     ///< Others prefer it.
         bool crowded = false; ///< Little room is left.
-        double pace = 0;      ///< Time of its runs over their estimates.
-        double taken = 0;     ///< Share of its cores.
+        int slowness = 0;     ///< Class of its pace.
+        int taken = 0;        ///< Quarters of its cores.
+        std::uint64_t lot = 0; ///< Drawn by this entry for this runner.
 
         auto operator<=>(const rank&) const = default;
     };
@@ -224,6 +227,7 @@
         by_task_;                ///< Place of a task; its run is 0.
     label_demand demand_;        ///< Work by preferred label.
     instant hot_marked_{};       ///< When hot runners were last marked.
+    random_engine lots_;         ///< Draws an order among like runners.
     std::uint64_t sequence_ = 0; ///< Of queue places.
     std::size_t owners_ = 1;     ///< Entries that own parts.
     dispatcher_stats stats_;     ///< Counters.
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -57,6 +57,13 @@
     return settings;
 }
 
+dispatcher_settings dispatch_of(const durable_service_settings& of)
+{
+    auto settings = of.dispatch;
+    settings.seed = of.incarnation;
+    return settings;
+}
+
 job_router_settings router_of(const durable_service_settings& of)
 {
     auto settings = of.router;
@@ -74,7 +81,7 @@
       store_(clock, store, settings.store_patience),
       agents_(io, clock, *this, named(settings.agents, settings)),
       peers_(io, clock, *this, settings.peers),
-      dispatcher_(clock, agents_, *this, settings.dispatch),
+      dispatcher_(clock, agents_, *this, dispatch_of(settings)),
       reports_(settings.reports),
       ownership_(surroundings(), peers_, *this, ownership_of(settings)),
       memory_(surroundings(), memory_of(settings)),
--- a/tests/unit/durable/dispatcher_tests.cpp
+++ b/tests/unit/durable/dispatcher_tests.cpp
@@ -13,14 +13,15 @@
 /// A dispatcher over runners of two racks that do as they are told.
 struct placement_world : order_sender, task_source
 {
-    explicit placement_world(double far_factor = 3)
-        : placing(loop.clock, *this, *this, settings(far_factor))
+    explicit placement_world(double far_factor = 3, std::uint64_t seed = 1)
+        : placing(loop.clock, *this, *this, settings(far_factor, seed))
     {
     }
 
-    static dispatcher_settings settings(double far_factor)
+    static dispatcher_settings settings(double far_factor, std::uint64_t seed)
     {
         dispatcher_settings out;
+        out.seed = seed;
         out.far_factor = far_factor;
         return out;
     }
@@ -165,6 +166,21 @@
     CHECK(world.place(world.task("", slack)) == "b");
 }
 
+TEST_CASE("entries do not all send to one of many runners that are alike")
+{
+    // Found on the grown deployments: with old views, all chose the quickest.
+    std::map<std::string, int> chosen;
+    for (std::uint64_t entry = 1; entry <= 12; ++entry)
+    {
+        placement_world world(1, entry);
+        for (int i = 0; i < 70; ++i)
+            world.runner("agent-" + std::to_string(i), "rack-1");
+        ++chosen[world.place(world.task("", slack))];
+    }
+    for (const auto& [agent, entries] : chosen)
+        CHECK(entries <= 3);
+}
+
 TEST_CASE("time far from the data is not held against the runner")
 {
     placement_world world;
