--- a/src/glenhollow/durable/report_budget.hpp
+++ b/src/glenhollow/durable/report_budget.hpp
@@ -14,9 +14,9 @@
 {
     double most = 1500;                    ///< Reports a second.
     double least = 150;                    ///< Reports a second.
-    double raise = 15;                     ///< Each punctual tick.
+    double raise = 4;                      ///< Each punctual tick.
     double cut = 0.8;                      ///< Factor of each late tick.
-    duration late = milliseconds{8};       ///< A tick that comes later.
+    duration late = milliseconds{4};       ///< A tick that comes later.
     duration longest_gap = seconds{1};     ///< Told to agents, at most.
 };
 
