Under overload some jobs stand back early so that the others are in time

Now each 40 ms the queue is gone through in its order at the rate at which work finds places; where a task would start too late, the least important job before it that has not begun stands back (Moore's rule, with the queues' priority in place of length, since large jobs must not be served worse). Ruled out: refusing at admission, where the share that this entry gets of the runners is not known.

--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -15,7 +15,8 @@
 constexpr double micros_a_ms = 1000.0;
 constexpr double classes_of_pace = 2.0;
 constexpr double quarters = 4.0;
-constexpr duration hot_interval = milliseconds{100};
+constexpr duration review_interval = milliseconds{40};
+constexpr double least_backlog = 1.0; // Core-milliseconds.
 
 double work_of(const ready_task& task)
 {
@@ -119,6 +120,7 @@
     auto& queue = queues_[task.service];
     if (!key.late)
         queue.work += work_of(task);
+    ++queue.jobs[task.task.job].waiting;
     by_task_.emplace(run_ref{task.task, 0}, std::pair{task.service, key});
     queue.tasks.emplace(key, std::move(task));
 }
@@ -135,12 +137,61 @@
             break; // The most urgent come first.
         late.push_back(key);
     }
-    for (const auto& key : late)
+    stats_.late += late.size();
+    move_to_late(queue, late);
+}
+
+/// Under overload some jobs go behind all others before they are late.
+void dispatcher::put_back(service_queue& queue)
+{
+    std::vector<waiting_task> tasks;
+    for (const auto& [key, task] : queue.tasks)
+    {
+        if (key.late)
+            break;
+        const auto job = task.task.job;
+        tasks.push_back({job, task.priority, task.start_by, work_of(task),
+                         queue.jobs.at(job).begun});
+    }
+    const auto back =
+        jobs_to_put_back(tasks, queue.rate.cores(), clock_.now());
+    if (back.empty())
+        return;
+    std::vector<queue_key> keys;
+    for (const auto& [key, task] : queue.tasks)
+    {
+        if (!key.late && back.contains(task.task.job))
+            keys.push_back(key);
+    }
+    stats_.put_back += back.size();
+    move_to_late(queue, keys);
+}
+
+void dispatcher::move_to_late(service_queue& queue,
+                              const std::vector<queue_key>& keys)
+{
+    for (const auto& key : keys)
     {
         auto task = queue.tasks.at(key);
+        const bool begun = queue.jobs.at(task.task.job).begun;
         remove(task.service, key);
+        queue.jobs[task.task.job].begun = begun;
         insert({true, key.urgency, key.sequence}, std::move(task));
-        ++stats_.late;
+    }
+}
+
+/// Looks over the queues each while.
+void dispatcher::review()
+{
+    const auto now = clock_.now();
+    if (now - reviewed_ < review_interval)
+        return;
+    reviewed_ = now;
+    mark_hot();
+    for (auto& [service, queue] : queues_)
+    {
+        queue.rate.review(now, queue.work >= least_backlog);
+        put_back(queue);
     }
 }
 
@@ -150,6 +201,9 @@
     const auto known = queue.tasks.find(key);
     if (!key.late)
         queue.work -= work_of(known->second);
+    const auto job = queue.jobs.find(known->second.task.job);
+    if (--job->second.waiting == 0)
+        queue.jobs.erase(job);
     by_task_.erase(run_ref{known->second.task, 0});
     queue.tasks.erase(known);
     if (queue.tasks.empty())
@@ -316,6 +370,8 @@
         }
         const auto key = here->first;
         const auto task = waiting;
+        queue.jobs.at(task.task.job).begun = true;
+        queue.rate.placed(work_of(task));
         remove(task.service, key);
         auto order = tasks_.assign(task, agent->name());
         if (!order)
@@ -330,11 +386,7 @@
 
 void dispatcher::dispatch()
 {
-    if (clock_.now() - hot_marked_ >= hot_interval)
-    {
-        hot_marked_ = clock_.now();
-        mark_hot();
-    }
+    review();
     for (auto& [service, queue] : queues_)
         place(queue);
     for (auto& [name, agent] : agents_)
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -6,6 +6,8 @@
 #include "glenhollow/durable/agent_view.hpp"
 #include "glenhollow/durable/durable_job.hpp"
 #include "glenhollow/durable/label_demand.hpp"
+#include "glenhollow/durable/overload_plan.hpp"
+#include "glenhollow/durable/placement_rate.hpp"
 #include "glenhollow/runs/run_wire.hpp"
 
 #include <cstdint>
@@ -28,6 +30,7 @@
     std::string label;             ///< The runner must have it, if given.
     std::string preferred_label;   ///< Other runners are slower at it.
     resources needs;               ///< Of the runner.
+    std::uint32_t priority = 0;    ///< Of its queue; 0 goes first.
     std::int64_t urgency = 0;      ///< Smaller goes first.
     instant start_by{};            ///< Later its job misses its objective.
     std::uint32_t estimate_ms = 0; ///< The caller's guess of its time.
@@ -81,6 +84,7 @@
     std::uint64_t late = 0;     ///< Tasks put behind those in time.
     std::uint64_t no_place = 0; ///< Rounds that ended for want of room.
     std::uint64_t far = 0;      ///< Placed without the preferred label.
+    std::uint64_t put_back = 0; ///< Jobs put behind others under overload.
 };
 
 /// Places the ready tasks of this entry's parts on runners: most urgent first,
@@ -181,11 +185,20 @@
         auto operator<=>(const queue_key&) const = default;
     };
 
+    /// What is known of a job some of whose tasks wait.
+    struct queued_job
+    {
+        std::size_t waiting = 0; ///< Tasks.
+        bool begun = false;      ///< Others were placed.
+    };
+
     /// Tasks of one service.
     struct service_queue
     {
         std::map<queue_key, ready_task> tasks; ///< In order.
         double work = 0; ///< Core-milliseconds that can be in time.
+        std::unordered_map<job_id, queued_job> jobs; ///< Of these tasks.
+        placement_rate rate; ///< At which work finds a place.
     };
 
     /// How well a runner suits a task; smaller is better.
@@ -213,6 +226,9 @@
     void place(service_queue& queue);
     void remove(const std::string& service, const queue_key& key);
     void put_late_last(service_queue& queue);
+    void put_back(service_queue& queue);
+    void move_to_late(service_queue& queue, const std::vector<queue_key>& keys);
+    void review();
     void insert(const queue_key& key, ready_task task);
     void flush(agent_view& agent);
 
@@ -226,7 +242,7 @@
                        run_ref_hash>
         by_task_;                ///< Place of a task; its run is 0.
     label_demand demand_;        ///< Work by preferred label.
-    instant hot_marked_{};       ///< When hot runners were last marked.
+    instant reviewed_{};         ///< When the queues were last looked over.
     random_engine lots_;         ///< Draws an order among like runners.
     std::uint64_t sequence_ = 0; ///< Of queue places.
     std::size_t owners_ = 1;     ///< Entries that own parts.
--- a/src/glenhollow/durable/job_board.cpp
+++ b/src/glenhollow/durable/job_board.cpp
@@ -345,6 +345,7 @@
     ready.label = step.label;
     ready.preferred_label = step.preferred_label;
     ready.needs = step.needs;
+    ready.priority = record.job.priority;
     ready.urgency = record.job.objective_ms - step.estimate_ms;
     ready.estimate_ms = step.estimate_ms;
     ready.start_by =
--- /dev/null
+++ b/src/glenhollow/durable/overload_plan.cpp
@@ -0,0 +1,59 @@
+#include "glenhollow/durable/overload_plan.hpp"
+
+#include <queue>
+#include <tuple>
+#include <unordered_map>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+/// A job that could stand back; the greatest does first.
+struct candidate
+{
+    std::uint32_t priority = 0; ///< Of its queue.
+    instant start_by{};         ///< Of its tasks.
+    job_id job = 0;             ///< Which.
+
+    auto operator<=>(const candidate&) const = default;
+};
+
+} // namespace
+
+std::unordered_set<job_id> jobs_to_put_back(
+    const std::vector<waiting_task>& tasks, double cores, instant now)
+{
+    std::unordered_set<job_id> back;
+    if (cores <= 0)
+        return back;
+    std::unordered_map<job_id, double> work; // Before the task in question.
+    std::priority_queue<candidate> candidates;
+    double before = 0;
+    for (const auto& task : tasks)
+    {
+        if (back.contains(task.job))
+            continue;
+        if (!work.contains(task.job) && !task.begun)
+            candidates.push({task.priority, task.start_by, task.job});
+        work[task.job] += task.core_ms;
+        const double slack_ms =
+            std::chrono::duration<double, std::milli>(task.start_by - now)
+                .count();
+        while (before > slack_ms * cores && !candidates.empty())
+        {
+            const auto victim = candidates.top().job;
+            candidates.pop();
+            back.insert(victim);
+            before -= work[victim] - (victim == task.job ? task.core_ms : 0);
+            if (victim == task.job)
+                break;
+        }
+        if (!back.contains(task.job))
+            before += task.core_ms;
+    }
+    return back;
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/durable/placement_rate.hpp
@@ -0,0 +1,56 @@
+#ifndef GLENHOLLOW_DURABLE_PLACEMENT_RATE_HPP
+#define GLENHOLLOW_DURABLE_PLACEMENT_RATE_HPP
+
+#include "glenhollow/core/clock.hpp"
+
+namespace glenhollow
+{
+
+/// How quickly the work of one queue finds places while some of it waits: the
+/// share of the runners that this entry gets, beside all others. One thread.
+class placement_rate final
+{
+public:
+    /// @param core_ms Work that found a place.
+    void placed(double core_ms) { core_ms_ += core_ms; }
+
+    /// Ends a span of time.
+    /// @param now The time.
+    /// @param waits Whether work waits at its end.
+    void review(instant now, bool waits)
+    {
+        const double span_ms =
+            std::chrono::duration<double, std::milli>(now - since_).count();
+        if (!waits || !waited_)
+            cores_ = spans_ = 0;
+        else if (span_ms > 0)
+            note(core_ms_ / span_ms);
+        waited_ = waits;
+        core_ms_ = 0;
+        since_ = now;
+    }
+
+    /// @return Core-milliseconds a millisecond; 0 where it is not known, for
+    /// nothing has had to wait for long.
+    double cores() const { return spans_ < enough ? 0 : cores_; }
+
+private:
+    static constexpr double weight = 0.3; ///< Of the newest span.
+    static constexpr int enough = 3;      ///< Spans before it is told.
+
+    void note(double cores)
+    {
+        cores_ = cores_ == 0 ? cores : cores_ + weight * (cores - cores_);
+        ++spans_;
+    }
+
+    double core_ms_ = 0;  ///< In this span.
+    double cores_ = 0;    ///< On average; 0: nothing waited lately.
+    int spans_ = 0;       ///< Noted since work began to wait.
+    bool waited_ = false; ///< At the begin of this span.
+    instant since_{};     ///< Its begin.
+};
+
+} // namespace glenhollow
+
+#endif
--- a/tests/unit/durable/dispatcher_tests.cpp
+++ b/tests/unit/durable/dispatcher_tests.cpp
@@ -42,6 +42,7 @@
         out.account.phase = runner_phase::ready;
         out.account.labels = {"kind-a", rack};
         out.room.used = {taken, 0, 0};
+        out.received = 1000; // All that was sent.
         return out;
     }
 
@@ -84,6 +85,7 @@
     std::optional<run_order> assign(const ready_task& wanted,
                                     const std::string&) override
     {
+        placed.push_back(wanted.task.job);
         run_order order;
         order.run.task = wanted.task;
         order.needs = wanted.needs;
@@ -93,6 +95,7 @@
     manual_loop loop;
     dispatcher placing;
     std::vector<std::string> starts;
+    std::vector<job_id> placed;
     job_id jobs = 0;
 };
 
@@ -181,6 +184,38 @@
         CHECK(entries <= 3);
 }
 
+TEST_CASE("under overload what is less important stands back early")
+{
+    placement_world world(1);
+    world.runner("a", "rack-1", 15000);
+    std::map<job_id, std::uint32_t> priorities;
+    const auto enqueue = [&](std::uint32_t priority, duration left)
+    {
+        auto wanted = world.task("", left);
+        wanted.priority = priority;
+        priorities[wanted.task.job] = priority;
+        world.placing.enqueue(wanted);
+    };
+    for (int i = 0; i < 24; ++i)
+        enqueue(i % 2 == 0 ? 2 : 0, milliseconds{500 + 10 * i});
+    // Room for one task each 50 ms, so that half of them can be in time.
+    for (int i = 0; i < 10; ++i)
+    {
+        world.loop.advance(milliseconds{50});
+        world.placing.reported("a", placement_world::report("rack-1", 14000));
+        world.placing.dispatch();
+    }
+    REQUIRE(world.placing.stats().placed == 10);
+    CHECK(world.placing.stats().put_back > 0);
+    CHECK(world.placing.stats().late == 0);
+    for (const auto job : world.placed)
+        priorities.erase(job);
+    std::size_t important = 0;
+    for (const auto& [job, priority] : priorities)
+        important += priority == 0 ? 1 : 0;
+    CHECK(important <= 4); // By urgency alone it would be seven of twelve.
+}
+
 TEST_CASE("time far from the data is not held against the runner")
 {
     placement_world world;
