Late jobs that have begun are finished first; jobs that cannot end in time are refused before they begin

Late tasks of begun jobs now go before other late ones, and a job of which nothing was handed out is refused once its longest chain does not fit before its give-up time any more. Ruled out: giving late jobs up at once, for they still earn part of their worth. Tests: one for each, both failed at first by the old order.

--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "glenhollow/telemetry/log.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace glenhollow
@@ -111,14 +112,14 @@
         return;
     if (!task.preferred_label.empty())
         demand_.add(task.preferred_label, work_of(task), clock_.now());
-    const queue_key key{false, task.urgency, ++sequence_};
+    const queue_key key{queue_class::in_time, task.urgency, ++sequence_};
     insert(key, std::move(task));
 }
 
 void dispatcher::insert(const queue_key& key, ready_task task)
 {
     auto& queue = queues_[task.service];
-    if (!key.late)
+    if (key.rank == queue_class::in_time)
         queue.work += work_of(task);
     ++queue.jobs[task.task.job].waiting;
     by_task_.emplace(run_ref{task.task, 0}, std::pair{task.service, key});
@@ -133,7 +134,7 @@
     std::vector<queue_key> late;
     for (const auto& [key, task] : queue.tasks)
     {
-        if (key.late || task.start_by >= now)
+        if (key.rank != queue_class::in_time || task.start_by >= now)
             break; // The most urgent come first.
         late.push_back(key);
     }
@@ -147,7 +148,7 @@
     std::vector<waiting_task> tasks;
     for (const auto& [key, task] : queue.tasks)
     {
-        if (key.late)
+        if (key.rank != queue_class::in_time)
             break;
         const auto job = task.task.job;
         tasks.push_back({job, task.priority, task.start_by, work_of(task),
@@ -160,7 +161,7 @@
     std::vector<queue_key> keys;
     for (const auto& [key, task] : queue.tasks)
     {
-        if (!key.late && back.contains(task.task.job))
+        if (key.rank == queue_class::in_time && back.contains(task.task.job))
             keys.push_back(key);
     }
     stats_.put_back += back.size();
@@ -176,10 +177,27 @@
         const bool begun = queue.jobs.at(task.task.job).begun;
         remove(task.service, key);
         queue.jobs[task.task.job].begun = begun;
-        insert({true, key.urgency, key.sequence}, std::move(task));
+        insert({begun ? queue_class::late_begun : queue_class::late, key.urgency,
+                key.sequence},
+               std::move(task));
     }
 }
 
+/// Jobs that began late are finished before others begin.
+void dispatcher::raise_begun(service_queue& queue)
+{
+    std::vector<queue_key> keys;
+    const queue_key first{queue_class::late,
+                          std::numeric_limits<std::int64_t>::min(), 0};
+    for (auto at = queue.tasks.lower_bound(first); at != queue.tasks.end();
+         ++at)
+    {
+        if (queue.jobs.at(at->second.task.job).begun)
+            keys.push_back(at->first);
+    }
+    move_to_late(queue, keys);
+}
+
 /// Looks over the queues each while.
 void dispatcher::review()
 {
@@ -192,6 +210,7 @@
     {
         queue.rate.review(now, queue.work >= least_backlog);
         put_back(queue);
+        raise_begun(queue);
     }
 }
 
@@ -199,7 +218,7 @@
 {
     auto& queue = queues_[service];
     const auto known = queue.tasks.find(key);
-    if (!key.late)
+    if (key.rank == queue_class::in_time)
         queue.work -= work_of(known->second);
     const auto job = queue.jobs.find(known->second.task.job);
     if (--job->second.waiting == 0)
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -175,10 +175,18 @@
     const dispatcher_stats& stats() const { return stats_; }
 
 private:
+    /// Which tasks of a queue go first.
+    enum class queue_class : std::uint8_t
+    {
+        in_time,    ///< Their jobs can meet their objectives.
+        late_begun, ///< Late, of jobs that have begun: what they did counts.
+        late        ///< Late, or standing back.
+    };
+
     /// Place in the queue.
     struct queue_key
     {
-        bool late = false;          ///< After all that can be in time.
+        queue_class rank = queue_class::in_time; ///< Smaller goes first.
         std::int64_t urgency = 0;   ///< Smaller goes first.
         std::uint64_t sequence = 0; ///< Then first come.
 
@@ -228,6 +236,7 @@
     void put_late_last(service_queue& queue);
     void put_back(service_queue& queue);
     void move_to_late(service_queue& queue, const std::vector<queue_key>& keys);
+    void raise_begun(service_queue& queue);
     void review();
     void insert(const queue_key& key, ready_task task);
     void flush(agent_view& agent);
--- a/src/glenhollow/durable/durable_job.cpp
+++ b/src/glenhollow/durable/durable_job.cpp
@@ -84,6 +84,19 @@
     return total;
 }
 
+std::uint64_t job_definition::longest_chain_ms() const
+{
+    std::vector<std::uint64_t> ends(steps.size(), 0);
+    for (std::size_t i = 0; i < steps.size(); ++i)
+    {
+        std::uint64_t begin = 0;
+        for (const auto before : steps[i].after)
+            begin = std::max(begin, ends[before]);
+        ends[i] = begin + steps[i].estimate_ms;
+    }
+    return ends.empty() ? 0 : *std::max_element(ends.begin(), ends.end());
+}
+
 double job_definition::widest_cores() const
 {
     double most = 0;
--- a/src/glenhollow/durable/durable_job.hpp
+++ b/src/glenhollow/durable/durable_job.hpp
@@ -136,6 +136,9 @@
     /// @return All tasks of all steps.
     std::size_t task_count() const;
 
+    /// @return The longest chain of its steps by their estimates, ms.
+    std::uint64_t longest_chain_ms() const;
+
     /// @return Cores that its widest step takes at once.
     double widest_cores() const;
 };
--- a/src/glenhollow/durable/job_board.cpp
+++ b/src/glenhollow/durable/job_board.cpp
@@ -191,7 +191,9 @@
     record.give_up =
         around_.clock.now() + milliseconds{job.give_up_ms - job.accepted_ms};
     record.end_waiters.push_back(std::move(done));
-    give_ups_.emplace(record.give_up, job.id);
+    // Begun any later it could not end in time for its caller.
+    record.review_at = record.give_up - milliseconds{job.longest_chain_ms()};
+    reviews_.emplace(record.review_at, job.id);
     make_ready(jobs_.emplace(job.id, std::move(record)).first->second);
 }
 
@@ -207,14 +209,24 @@
 void job_board::give_up_late()
 {
     const auto now = around_.clock.now();
-    while (!give_ups_.empty() && give_ups_.begin()->first <= now)
-        give_up(jobs_.at(give_ups_.begin()->second));
+    while (!reviews_.empty() && reviews_.begin()->first <= now)
+    {
+        auto& record = jobs_.at(reviews_.begin()->second);
+        if (!record.handed_out || record.give_up <= now)
+        {
+            give_up(record);
+            continue;
+        }
+        reviews_.erase(reviews_.begin());
+        record.review_at = record.give_up;
+        reviews_.emplace(record.review_at, record.job.id);
+    }
 }
 
 void job_board::give_up_all()
 {
-    while (!give_ups_.empty())
-        give_up(jobs_.at(give_ups_.begin()->second));
+    while (!reviews_.empty())
+        give_up(jobs_.at(reviews_.begin()->second));
 }
 
 /// Its end would be worth nothing any more. Where no task was ever handed out
@@ -249,7 +261,7 @@
 /// Its time goes with it: the same id may come again.
 void job_board::erase(job_map::iterator job)
 {
-    give_ups_.erase({job->second.give_up, job->first});
+    reviews_.erase({job->second.review_at, job->first});
     jobs_.erase(job);
 }
 
--- a/src/glenhollow/durable/queue_catalog.cpp
+++ b/src/glenhollow/durable/queue_catalog.cpp
@@ -11,20 +11,6 @@
 /// Of a caller that does not say how long it waits.
 constexpr std::int64_t longest_patience_ms = 30'000;
 
-/// The longest chain of steps, by the caller's estimates.
-std::uint64_t longest_chain(const std::vector<job_step>& steps)
-{
-    std::vector<std::uint64_t> ends(steps.size(), 0);
-    for (std::size_t i = 0; i < steps.size(); ++i)
-    {
-        std::uint64_t begin = 0;
-        for (const auto before : steps[i].after)
-            begin = std::max(begin, ends[before]);
-        ends[i] = begin + steps[i].estimate_ms;
-    }
-    return ends.empty() ? 0 : *std::max_element(ends.begin(), ends.end());
-}
-
 result<void> check_step(const std::vector<job_step>& steps, std::size_t at)
 {
     const auto field = "steps[" + std::to_string(at) + "].";
@@ -79,7 +65,7 @@
     job.max_attempts = rule.max_attempts;
     job.accepted_ms = now_ms;
     const double allowed =
-        rule.stretch * static_cast<double>(longest_chain(job.steps));
+        rule.stretch * static_cast<double>(job.longest_chain_ms());
     const auto objective = rule.target_ms + static_cast<std::int64_t>(allowed);
     job.objective_ms = now_ms + objective;
     if (job.lasts == durability::in_memory)
--- a/tests/unit/durable/dispatcher_tests.cpp
+++ b/tests/unit/durable/dispatcher_tests.cpp
@@ -216,6 +216,27 @@
     CHECK(important <= 4); // By urgency alone it would be seven of twelve.
 }
 
+TEST_CASE("late jobs that have begun are finished before others begin")
+{
+    placement_world world(1);
+    world.runner("a", "rack-1", 14000); // Room for one.
+    auto older = world.task("", milliseconds{1});
+    auto begun = world.task("", milliseconds{2});
+    auto rest = begun;
+    rest.task.index = 1;
+    world.placing.enqueue(begun);
+    world.placing.enqueue(rest);
+    world.placing.dispatch();
+    REQUIRE(world.placed == std::vector<job_id>{begun.task.job});
+    world.placing.enqueue(older);
+    world.loop.advance(milliseconds{50});
+    world.placing.dispatch(); // Both are late now.
+    world.placing.reported("a", placement_world::report("rack-1", 14000));
+    world.placing.dispatch();
+    REQUIRE(world.placed.size() == 2);
+    CHECK(world.placed.back() == begun.task.job);
+}
+
 TEST_CASE("time far from the data is not held against the runner")
 {
     placement_world world;
--- a/tests/unit/durable/job_board_tests.cpp
+++ b/tests/unit/durable/job_board_tests.cpp
@@ -364,6 +364,30 @@
     CHECK(world.replies.at(1).outcome == job_outcome::unknown);
 }
 
+TEST_CASE("a job that can't end in time for its caller is refused, not begun")
+{
+    board_world world;
+    world.in_memory();
+    auto fills = board_world::memory_job(1, 16); // All runners.
+    fills.give_up_ms += 3000;
+    world.submit(fills);
+    auto waits = board_world::memory_job(2);
+    waits.steps[0].estimate_ms = 1000;
+    world.submit(waits);
+    world.loop.advance(milliseconds{1800});
+    world.settle();
+    CHECK(world.replies.empty());
+    // 2.1 s of its 3 s have passed: its second does not fit any more.
+    world.loop.advance(milliseconds{150});
+    world.settle();
+    CHECK(world.replies.at(2).outcome == job_outcome::refused);
+    CHECK(world.replies.at(2).retry_after > duration{});
+    CHECK_FALSE(world.replies.contains(1)); // It has begun and goes on.
+    world.end_all(run_outcome::done);
+    CHECK(world.replies.at(1).state == job_state::succeeded);
+    CHECK(world.started.empty());
+}
+
 TEST_CASE("a caller that leaves takes its job in memory along")
 {
     board_world world;
