--- a/programs/durable_agent.hpp
+++ b/programs/durable_agent.hpp
@@ -24,7 +24,7 @@
     platform::http_runner_settings runner; ///< The runner.
     platform::row_store_settings store;    ///< The store.
     run_keeper_settings keeper;            ///< Limits.
-    report_pacing_settings service;    ///< Limits.
+    report_pacing_settings service;        ///< Limits.
     duration grace = seconds{6};           ///< From SIGTERM to the end.
 };
 
--- a/src/glenhollow/durable/agent_sessions.cpp
+++ b/src/glenhollow/durable/agent_sessions.cpp
@@ -36,8 +36,7 @@
         const auto gap = sessions_.listener_.room_gap(sessions_.attached_);
         results.setRoomGapMs(static_cast<std::uint32_t>(
             std::chrono::duration_cast<milliseconds>(gap).count()));
-        auto renewed =
-            results.initRenewed(static_cast<unsigned>(owned.size()));
+        auto renewed = results.initRenewed(static_cast<unsigned>(owned.size()));
         for (unsigned i = 0; i < renewed.size(); ++i)
             fill(renewed[i], owned[i]);
         return kj::READY_NOW;
--- a/src/glenhollow/durable/agent_sessions.hpp
+++ b/src/glenhollow/durable/agent_sessions.hpp
@@ -107,8 +107,8 @@
     agent_session_listener& listener_; ///< Told.
     agent_sessions_settings settings_; ///< Limits.
     std::map<std::string, std::unique_ptr<session>> sessions_; ///< By agent.
-    std::size_t attached_ = 0;                                 ///< By last tick.
-    std::uint64_t numbers_ = 0;                                ///< Of sessions.
+    std::size_t attached_ = 0;  ///< By last tick.
+    std::uint64_t numbers_ = 0; ///< Of sessions.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -154,8 +154,7 @@
         tasks.push_back({job, task.priority, task.start_by, work_of(task),
                          queue.jobs.at(job).begun});
     }
-    const auto back =
-        jobs_to_put_back(tasks, queue.rate.cores(), clock_.now());
+    const auto back = jobs_to_put_back(tasks, queue.rate.cores(), clock_.now());
     if (back.empty())
         return;
     std::vector<queue_key> keys;
@@ -177,8 +176,8 @@
         const bool begun = queue.jobs.at(task.task.job).begun;
         remove(task.service, key);
         queue.jobs[task.task.job].begun = begun;
-        insert({begun ? queue_class::late_begun : queue_class::late, key.urgency,
-                key.sequence},
+        insert({begun ? queue_class::late_begun : queue_class::late,
+                key.urgency, key.sequence},
                std::move(task));
     }
 }
@@ -280,8 +279,8 @@
     out.avoid = agent.name() == task.avoid;
     out.far = !agent.has_label(task.preferred_label);
     out.hot = agent.hot && (out.far || task.preferred_label.empty());
-    const double taken = agent.used().cpu /
-                         std::max(1.0, 1.0 * agent.account().capacity.cpu);
+    const double taken =
+        agent.used().cpu / std::max(1.0, 1.0 * agent.account().capacity.cpu);
     // Other entries place there too, and this view of it is not of now.
     out.crowded = taken > settings_.crowded;
     out.slowness = static_cast<int>(pace * classes_of_pace);
@@ -371,8 +370,7 @@
 
 bool dispatcher::alike(const ready_task& task, const ready_task& unplaced)
 {
-    return task.part == unplaced.part &&
-           task.needs.cpu >= unplaced.needs.cpu &&
+    return task.part == unplaced.part && task.needs.cpu >= unplaced.needs.cpu &&
            task.label == unplaced.label &&
            task.preferred_label == unplaced.preferred_label;
 }
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -189,8 +189,8 @@
     struct queue_key
     {
         queue_class rank = queue_class::in_time; ///< Smaller goes first.
-        std::int64_t urgency = 0;   ///< Smaller goes first.
-        std::uint64_t sequence = 0; ///< Then first come.
+        std::int64_t urgency = 0;                ///< Smaller goes first.
+        std::uint64_t sequence = 0;              ///< Then first come.
 
         auto operator<=>(const queue_key&) const = default;
     };
@@ -214,14 +214,14 @@
     /// How well a runner suits a task; smaller is better.
     struct rank
     {
-        bool ejected = false; ///< Its runs ended badly.
-        bool slow = false;    ///< Its runs take far longer than guessed.
-        bool avoid = false;   ///< The task failed there.
-        bool far = false;     ///< It lacks the preferred label.
-        bool hot = false;     ///< Others prefer it.
-        bool crowded = false; ///< Little room is left.
-        int slowness = 0;     ///< Class of its pace.
-        int taken = 0;        ///< Quarters of its cores.
+        bool ejected = false;  ///< Its runs ended badly.
+        bool slow = false;     ///< Its runs take far longer than guessed.
+        bool avoid = false;    ///< The task failed there.
+        bool far = false;      ///< It lacks the preferred label.
+        bool hot = false;      ///< Others prefer it.
+        bool crowded = false;  ///< Little room is left.
+        int slowness = 0;      ///< Class of its pace.
+        int taken = 0;         ///< Quarters of its cores.
         std::uint64_t lot = 0; ///< Drawn by this entry for this runner.
 
         auto operator<=>(const rank&) const = default;
--- a/src/glenhollow/durable/job_board.hpp
+++ b/src/glenhollow/durable/job_board.hpp
@@ -221,18 +221,18 @@
     /// One job that has not ended.
     struct job_record
     {
-        job_definition job;              ///< As accepted.
-        std::vector<task_record> tasks;  ///< Flat, step after step.
-        job_progress progress;           ///< As journalled or on its way.
-        std::size_t done = 0;            ///< Tasks that are done.
-        bool begun = false;              ///< A task has begun.
-        bool handed_out = false;         ///< A task was sent to an agent.
-        bool accepted = false;           ///< Its row is durable.
-        bool fresh = true;               ///< Accepted by this owner.
-        instant give_up{};   ///< Of one in memory.
+        job_definition job;             ///< As accepted.
+        std::vector<task_record> tasks; ///< Flat, step after step.
+        job_progress progress;          ///< As journalled or on its way.
+        std::size_t done = 0;           ///< Tasks that are done.
+        bool begun = false;             ///< A task has begun.
+        bool handed_out = false;        ///< A task was sent to an agent.
+        bool accepted = false;          ///< Its row is durable.
+        bool fresh = true;              ///< Accepted by this owner.
+        instant give_up{};              ///< Of one in memory.
         instant review_at{}; ///< When it is looked at: at the time of giving
                              ///< up, or earlier if nothing was handed out.
-        std::optional<job_state> ending; ///< Its end is on its way.
+        std::optional<job_state> ending;            ///< Its end is on its way.
         std::vector<job_reply_handler> acceptance;  ///< Wait for its row.
         std::vector<job_reply_handler> end_waiters; ///< Wait for its end.
     };
@@ -288,10 +288,10 @@
     std::unordered_map<job_id, job_epitaph> ended_; ///< Ended.
     std::deque<std::pair<std::int64_t, job_id>> ended_order_; ///< By time.
     std::set<std::pair<instant, job_id>> reviews_; ///< Open jobs in memory.
-    std::set<std::string> awaited_;           ///< Agents not heard yet.
-    bool refusing_ = false;                   ///< Takes no more new jobs.
-    instant claimed_;                         ///< When the part was taken.
-    job_board_stats stats_;                   ///< Counters.
+    std::set<std::string> awaited_;                ///< Agents not heard yet.
+    bool refusing_ = false;                        ///< Takes no more new jobs.
+    instant claimed_;                              ///< When the part was taken.
+    job_board_stats stats_;                        ///< Counters.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
 };
 
--- a/src/glenhollow/durable/job_rows.cpp
+++ b/src/glenhollow/durable/job_rows.cpp
@@ -26,8 +26,8 @@
 
 json::array encode_step(const job_step& step)
 {
-    return {step.count,         step.needs.cpu,   step.needs.memory,
-            step.needs.gpu,     step.estimate_ms, step.label,
+    return {step.count,          step.needs.cpu,      step.needs.memory,
+            step.needs.gpu,      step.estimate_ms,    step.label,
             numbers(step.after), step.preferred_label};
 }
 
--- a/src/glenhollow/durable/overload_plan.cpp
+++ b/src/glenhollow/durable/overload_plan.cpp
@@ -17,13 +17,19 @@
     instant start_by{};         ///< Of its tasks.
     job_id job = 0;             ///< Which.
 
-    auto operator<=>(const candidate&) const = default;
+    /// @return Whether another one stands back first.
+    bool operator<(const candidate& other) const
+    {
+        return std::tie(priority, start_by, job) <
+               std::tie(other.priority, other.start_by, other.job);
+    }
 };
 
 } // namespace
 
-std::unordered_set<job_id> jobs_to_put_back(
-    const std::vector<waiting_task>& tasks, double cores, instant now)
+std::unordered_set<job_id>
+jobs_to_put_back(const std::vector<waiting_task>& tasks, double cores,
+                 instant now)
 {
     std::unordered_set<job_id> back;
     if (cores <= 0)
--- a/src/glenhollow/durable/overload_plan.hpp
+++ b/src/glenhollow/durable/overload_plan.hpp
@@ -33,8 +33,9 @@
 /// @return The jobs that stand back.
 /// @note Moore's rule for the fewest late jobs on one machine, with importance
 /// in place of length: J. M. Moore, Management Science 15 (1968).
-std::unordered_set<job_id> jobs_to_put_back(
-    const std::vector<waiting_task>& tasks, double cores, instant now);
+std::unordered_set<job_id>
+jobs_to_put_back(const std::vector<waiting_task>& tasks, double cores,
+                 instant now);
 
 } // namespace glenhollow
 
--- a/src/glenhollow/durable/report_budget.hpp
+++ b/src/glenhollow/durable/report_budget.hpp
@@ -12,12 +12,12 @@
 /// Limits of a report budget.
 struct report_budget_settings
 {
-    double most = 1500;                    ///< Reports a second.
-    double least = 150;                    ///< Reports a second.
-    double raise = 4;                      ///< Each punctual tick.
-    double cut = 0.8;                      ///< Factor of each late tick.
-    duration late = milliseconds{4};       ///< A tick that comes later.
-    duration longest_gap = seconds{1};     ///< Told to agents, at most.
+    double most = 1500;                ///< Reports a second.
+    double least = 150;                ///< Reports a second.
+    double raise = 4;                  ///< Each punctual tick.
+    double cut = 0.8;                  ///< Factor of each late tick.
+    duration late = milliseconds{4};   ///< A tick that comes later.
+    duration longest_gap = seconds{1}; ///< Told to agents, at most.
 };
 
 /// How many reports of room an entry can bear, by how late its own timers
@@ -46,8 +46,8 @@
     /// @return The least time between two reports of room of one of them.
     duration gap(std::size_t agents) const
     {
-        const std::chrono::duration<double> wanted{
-            static_cast<double>(agents) / rate_};
+        const std::chrono::duration<double> wanted{static_cast<double>(agents) /
+                                                   rate_};
         return std::min(std::chrono::duration_cast<duration>(wanted),
                         settings_.longest_gap);
     }
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -159,7 +159,8 @@
     auto* owner = find(number);
     if (owner == nullptr)
         return;
-    owner->marks.urgent = true; // The lease begins with the next confirmed report.
+    owner->marks.urgent =
+        true; // The lease begins with the next confirmed report.
     schedule_now();
 }
 
@@ -235,12 +236,12 @@
                       return;
                   room_scheduled_ = false;
                   flush();
-                  const bool left = std::any_of(
-                      sessions_.begin(), sessions_.end(), [](const auto& one)
-                      {
-                          return one.second.marks.room &&
-                                 one.second.reports != nullptr;
-                      });
+                  const bool left =
+                      std::any_of(sessions_.begin(), sessions_.end(),
+                                  [](const auto& one) {
+                                      return one.second.marks.room &&
+                                             one.second.reports != nullptr;
+                                  });
                   if (left)
                       schedule_room();
               });
--- a/src/glenhollow/runs/run_agent_service.hpp
+++ b/src/glenhollow/runs/run_agent_service.hpp
@@ -54,9 +54,9 @@
         lease_id memory = 0;           ///< Lease of its jobs in memory.
         std::uint64_t received = 0;    ///< Order batches.
         kj::Maybe<wire::RunReports::Client> reports; ///< Its ear.
-        bool reporting = false; ///< A report is out.
-        report_marks marks;     ///< What it has to be told.
-        std::string told_life;  ///< Runner's life whose account was told.
+        bool reporting = false;                      ///< A report is out.
+        report_marks marks;    ///< What it has to be told.
+        std::string told_life; ///< Runner's life whose account was told.
     };
 
     void lease_changed(lease_id lease) override;
--- a/src/glenhollow/runs/run_keeper.cpp
+++ b/src/glenhollow/runs/run_keeper.cpp
@@ -223,8 +223,8 @@
     const milliseconds estimate{run.order.estimate_ms};
     if (estimate.count() == 0)
         return settings_.stall;
-    const auto share = std::chrono::duration_cast<duration>(
-        estimate * settings_.stall_share);
+    const auto share =
+        std::chrono::duration_cast<duration>(estimate * settings_.stall_share);
     return std::clamp<duration>(share, settings_.least_stall, settings_.stall);
 }
 
--- a/src/glenhollow/runs/run_keeper.hpp
+++ b/src/glenhollow/runs/run_keeper.hpp
@@ -94,11 +94,11 @@
 /// A start that an owner orders.
 struct run_order
 {
-    run_ref run;              ///< Which run.
-    std::uint32_t epoch = 0;  ///< Of the part, at the owner.
-    resources needs;          ///< What it takes.
-    std::int64_t urgency = 0; ///< Smaller goes first.
-    std::string spec;         ///< The job's.
+    run_ref run;                   ///< Which run.
+    std::uint32_t epoch = 0;       ///< Of the part, at the owner.
+    resources needs;               ///< What it takes.
+    std::int64_t urgency = 0;      ///< Smaller goes first.
+    std::string spec;              ///< The job's.
     std::uint32_t estimate_ms = 0; ///< A rough guess of its time; 0: none.
 };
 
--- a/src/glenhollow/runs/runner_breaker.hpp
+++ b/src/glenhollow/runs/runner_breaker.hpp
@@ -30,9 +30,9 @@
 /// Limits of a breaker.
 struct runner_breaker_settings
 {
-    std::uint32_t bad_in_row = 3;             ///< Bad ends until it opens.
-    std::uint32_t good_to_close = 2;          ///< Good ends of probes.
-    duration first_wait = milliseconds{400};  ///< Until the first probe.
+    std::uint32_t bad_in_row = 3;               ///< Bad ends until it opens.
+    std::uint32_t good_to_close = 2;            ///< Good ends of probes.
+    duration first_wait = milliseconds{400};    ///< Until the first probe.
     duration longest_wait = milliseconds{1600}; ///< After bad probes.
 };
 
--- a/tests/unit/runs/report_pacing_tests.cpp
+++ b/tests/unit/runs/report_pacing_tests.cpp
@@ -1,6 +1,6 @@
-#include "glenhollow/runs/report_pacing.hpp"
 #include "glenhollow/durable/agent_view.hpp"
 #include "glenhollow/durable/report_budget.hpp"
+#include "glenhollow/runs/report_pacing.hpp"
 
 #include <catch2/catch.hpp>
 
