--- a/src/glenhollow/durable/agent_view.cpp
+++ b/src/glenhollow/durable/agent_view.cpp
@@ -1,7 +1,6 @@
 #include "glenhollow/durable/agent_view.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace glenhollow
 {
@@ -9,8 +8,7 @@
 namespace
 {
 
-constexpr double pace_weight = 0.1;
-constexpr double pace_memory_s = 3.0; ///< Until 1/e of it is left.
+constexpr double pace_weight = 0.05;
 constexpr double least_pace = 0.2;
 constexpr double most_pace = 20.0;
 
@@ -94,18 +92,10 @@
     return true;
 }
 
-void agent_view::note_pace(double ratio, instant now)
+void agent_view::note_pace(double ratio)
 {
     const double bounded = std::clamp(ratio, least_pace, most_pace);
-    const double known = pace(now);
-    pace_ = known + pace_weight * (bounded - known);
-    paced_ = now;
-}
-
-double agent_view::pace(instant now) const
-{
-    const double age_s = std::chrono::duration<double>(now - paced_).count();
-    return 1.0 + (pace_ - 1.0) * std::exp(-age_s / pace_memory_s);
+    pace_ += pace_weight * (bounded - pace_);
 }
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/agent_view.hpp
+++ b/src/glenhollow/durable/agent_view.hpp
@@ -82,17 +82,14 @@
     bool note_end(bool bad, instant now, const health_view_settings& settings);
 
     /// @param ratio Time of a run over its estimate.
-    /// @param now The time.
-    void note_pace(double ratio, instant now);
+    void note_pace(double ratio);
 
     /// @param now The time.
     /// @return Whether it gets no work because of bad ends.
     bool ejected(instant now) const { return now < ejected_until_; }
 
-    /// @param now The time.
-    /// @return Time of runs over their estimates, on average; what is old
-    /// counts less, so that a runner that was slow is tried again.
-    double pace(instant now) const;
+    /// @return Time of runs over their estimates, on average.
+    double pace() const { return pace_; }
 
     std::set<part_number> adopted; ///< Parts whose runs there are known.
     order_batch outbox;            ///< Leaves with the next flush.
@@ -118,7 +115,6 @@
     std::uint32_t ejections_ = 0;     ///< In a row.
     instant ejected_until_{};         ///< No work until then.
     double pace_ = 1.0;               ///< Average time over estimate.
-    instant paced_{};                 ///< When it was last noted.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -97,7 +97,7 @@
         step.estimate_ms *
         (view.has_label(step.preferred_label) ? 1.0 : settings_.far_factor);
     if (end.how == run_outcome::done && expected_ms > 0)
-        view.note_pace(end.micros / (micros_a_ms * expected_ms), clock_.now());
+        view.note_pace(end.micros / (micros_a_ms * expected_ms));
     if (end.how != run_outcome::done && !is_bad(end.how))
         return;
     if (view.note_end(is_bad(end.how), clock_.now(), settings_.health))
@@ -272,10 +272,7 @@
                                      const ready_task& task) const
 {
     rank out;
-    const auto now = clock_.now();
-    const double pace = agent.pace(now);
-    out.ejected = agent.ejected(now);
-    out.slow = pace > settings_.slow;
+    out.ejected = agent.ejected(clock_.now());
     out.avoid = agent.name() == task.avoid;
     out.far = !agent.has_label(task.preferred_label);
     out.hot = agent.hot && (out.far || task.preferred_label.empty());
@@ -283,26 +280,24 @@
         agent.used().cpu / std::max(1.0, 1.0 * agent.account().capacity.cpu);
     // Other entries place there too, and this view of it is not of now.
     out.crowded = taken > settings_.crowded;
-    out.slowness = static_cast<int>(pace * classes_of_pace);
+    out.slowness = static_cast<int>(agent.pace() * classes_of_pace);
     out.taken = static_cast<int>(taken * quarters);
     out.lot = agent.lot();
     return out;
 }
 
-/// Far from its data, or at a slow runner, a task takes longer, and takes room
-/// from others for so long: only if it ends in time there all the same. A late
-/// one may go far, but not to a slow runner, where it would hardly end at all.
-bool dispatcher::worth_taking_longer(const agent_view& agent, const rank& there,
-                                     const ready_task& task) const
+/// Far from its data a task takes longer, and takes room from others for so
+/// long: only if it ends in time there all the same, or is late anyway.
+bool dispatcher::worth_going_far(const agent_view& agent, const rank& far,
+                                 const ready_task& task) const
 {
-    if (there.far && there.crowded)
+    if (far.crowded)
         return false;
     const auto now = clock_.now();
     if (task.start_by < now)
-        return !there.slow;
-    const double times =
-        agent.pace(now) * (there.far ? settings_.far_factor : 1.0);
-    const double longer_ms = task.estimate_ms * (times - 1.0);
+        return true;
+    const double longer_ms =
+        task.estimate_ms * (settings_.far_factor * agent.pace() - 1.0);
     return now + milliseconds{static_cast<std::int64_t>(longer_ms)} <=
            task.start_by;
 }
@@ -314,14 +309,12 @@
     agent_view* best = nullptr;
     rank best_rank;
     bool near_ones = false;
-    bool quick_ones = false;
     for (auto& [name, agent] : agents_)
     {
         if (!suits(agent, task))
             continue;
         const auto own = rank_of(agent, task);
         near_ones |= !own.far && !own.ejected;
-        quick_ones |= !own.slow && !own.ejected;
         if (!agent.has_room(task.needs))
             continue;
         if (best == nullptr || own < best_rank)
@@ -335,9 +328,7 @@
     // An ejected runner gets nothing while another could, even if it waits.
     if (best_rank.ejected && ready_cores(task.service) > 0)
         return nullptr;
-    const bool better_ones =
-        (best_rank.far && near_ones) || (best_rank.slow && quick_ones);
-    if (better_ones && !worth_taking_longer(*best, best_rank, task))
+    if (best_rank.far && near_ones && !worth_going_far(*best, best_rank, task))
         return nullptr;
     if (best_rank.far)
         ++stats_.far;
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -68,8 +68,6 @@
     double crowded = 0.7;  ///< Runners with more taken come last.
     double far_factor = 1; ///< Time of a task at a runner without its
                            ///< preferred label, over that with it.
-    double slow = 2.0;     ///< Runners of a worse pace are used only for tasks
-                           ///< that are in time there all the same.
     double hot = 0.5;      ///< Runners whose label is preferred by more than
                            ///< this share of their cores are left to it.
     std::size_t scan = 64; ///< Tasks looked at past one that fits nowhere.
@@ -215,7 +213,6 @@
     struct rank
     {
         bool ejected = false;  ///< Its runs ended badly.
-        bool slow = false;     ///< Its runs take far longer than guessed.
         bool avoid = false;    ///< The task failed there.
         bool far = false;      ///< It lacks the preferred label.
         bool hot = false;      ///< Others prefer it.
@@ -229,8 +226,8 @@
 
     rank rank_of(const agent_view& agent, const ready_task& task) const;
     bool suits(const agent_view& agent, const ready_task& task) const;
-    bool worth_taking_longer(const agent_view& agent, const rank& there,
-                             const ready_task& task) const;
+    bool worth_going_far(const agent_view& agent, const rank& far,
+                         const ready_task& task) const;
     agent_view* choose(const ready_task& task);
     void mark_hot();
     static bool alike(const ready_task& task, const ready_task& unplaced);
