A planned stop ends with status 0 whatever links are open

Cause: an entry's links, whose calls live in KJ's event loop, were destroyed with the process object after the loop had ended; KJ then throws from destructors, so each entry that was stopped while it had links ended with terminate. Agents destroy their service inside the loop and were not hit. Ruled out: signal handling and the listener, which was closed in time.

durable_service::close() ends all links while the loop lives.

--- a/programs/durable_entry.cpp
+++ b/programs/durable_entry.cpp
@@ -81,7 +81,11 @@
                             {"incarnation", incarnation_},
                             {"parts", settings_.parts}});
             },
-            [this] { links_->close(); });
+            [this]
+            {
+                service_.close();
+                links_->close();
+            });
         log_change(log_level::info, "entry_stopped",
                    {{"entry", settings_.name}});
         return 0;
--- a/src/glenhollow/durable/agent_sessions.cpp
+++ b/src/glenhollow/durable/agent_sessions.cpp
@@ -58,6 +58,11 @@
 
 agent_sessions::~agent_sessions() noexcept = default;
 
+void agent_sessions::close()
+{
+    sessions_.clear();
+}
+
 void agent_sessions::add(const std::string& agent, const host_port& where)
 {
     auto& one = sessions_[agent];
--- a/src/glenhollow/durable/agent_sessions.hpp
+++ b/src/glenhollow/durable/agent_sessions.hpp
@@ -87,6 +87,10 @@
     /// Connects, and drops what is silent.
     void tick();
 
+    /// Ends all sessions. Their calls live in the event loop and must not
+    /// outlast it.
+    void close();
+
     /// @return Names of all agents.
     std::vector<std::string> names() const;
 
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -253,6 +253,13 @@
     dispatcher_.dispatch();
 }
 
+void durable_service::close()
+{
+    *alive_ = false;
+    agents_.close();
+    peers_.close();
+}
+
 bool durable_service::ready() const
 {
     return !stopping_ && catalog_.version != 0;
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -84,6 +84,9 @@
     /// Answers for all jobs in memory at once.
     void give_up_all();
 
+    /// Ends all links and delayed work; called while the event loop lives.
+    void close();
+
     /// @return Whether it has queues and is not being stopped.
     bool ready() const;
 
--- a/src/glenhollow/durable/entry_peers.cpp
+++ b/src/glenhollow/durable/entry_peers.cpp
@@ -170,6 +170,11 @@
     return kj::heap<peer_server>(*this);
 }
 
+void entry_peers::close()
+{
+    peers_.clear();
+}
+
 void entry_peers::add(const std::string& name, const host_port& where)
 {
     auto& one = peers_[name];
--- a/src/glenhollow/durable/entry_peers.hpp
+++ b/src/glenhollow/durable/entry_peers.hpp
@@ -118,6 +118,10 @@
     /// Connects, exchanges, and notes who is silent.
     void tick();
 
+    /// Ends all links. Their calls live in the event loop and must not
+    /// outlast it.
+    void close();
+
     /// Tells all others at once.
     void push();
 
