A backend server is looked at as soon as no end is unconfirmed

Hypothesis: under load an agent nearly always has an end that its entry has not confirmed, so looks come 8 ms apart and room is known to be free late. Change: the confirmation of the last such end starts a look that waits for the next end. Fewer looks, not more.

--- a/src/glenhollow/runs/run_keeper.cpp
+++ b/src/glenhollow/runs/run_keeper.cpp
@@ -310,9 +310,14 @@
     start_waiting();
 }
 
+/// Ends that are not confirmed make the next look return at once; as soon as
+/// none is left, a look can wait for the next end and tell it without delay.
 void run_keeper::confirm(const run_end& end)
 {
+    const bool waited = ledger_.waits();
     ledger_.confirm(end);
+    if (waited && !ledger_.waits() && informed_ && !lapsing_)
+        look();
 }
 
 void run_keeper::free_run(const run_ref& ref)
--- a/tests/unit/runs/run_keeper_tests.cpp
+++ b/tests/unit/runs/run_keeper_tests.cpp
@@ -405,3 +405,23 @@
     world.run(milliseconds{500});
     CHECK(world.keeper->stats().stalled == 0);
 }
+
+TEST_CASE("the runner is looked at as soon as no end is unconfirmed")
+{
+    // Ends that were not confirmed yet made looks return at once, so these
+    // were 8 ms apart; the next end waited for the next look.
+    keeper_world world;
+    world.order(keeper_world::ref(0));
+    world.run(milliseconds{20});
+    world.runner.finish(keeper_world::ref(0), run_outcome::done);
+    while (!world.keeper->ledger().waits())
+        world.loop.advance(milliseconds{1});
+    const auto told = world.ends();
+    REQUIRE(told.size() == 1);
+    world.loop.advance(milliseconds{2});
+    const auto before = world.runner.looks;
+    world.keeper->confirm(told[0]);
+    CHECK(world.runner.looks == before + 1);
+    world.loop.advance(milliseconds{20});
+    CHECK(world.runner.looks == before + 1); // It waits for an end.
+}
