--- a/programs/durable_entry.cpp
+++ b/programs/durable_entry.cpp
@@ -99,6 +99,8 @@
         out.incarnation = incarnation_;
         out.where = {settings_.address, settings_.rpc_port};
         out.parts = settings_.parts;
+        out.share_placement = !settings_.own_placement;
+        out.power = settings_.cpu_share * settings_.cores;
         out.dispatch.far_factor = settings_.far_factor;
         out.catalog = platform::operator_configuration();
         return out;
--- a/programs/durable_entry.hpp
+++ b/programs/durable_entry.hpp
@@ -25,6 +25,9 @@
     std::vector<host_port> seeds;       ///< Entries that may be live.
     std::size_t parts = 3;              ///< Of the journal.
     duration grace = seconds{6};        ///< From SIGTERM to the end.
+    bool own_placement = false;         ///< Never placed by another entry.
+    double cpu_share = 1.0;             ///< Of a core, for this process.
+    double cores = 1.0;                 ///< How many times as fast it runs.
     double far_factor = 1.0;            ///< Time of a task far from its data,
                                         ///< over that near it.
 };
--- a/programs/durable_entry_main.cpp
+++ b/programs/durable_entry_main.cpp
@@ -45,6 +45,12 @@
                              "of the journal; alike in all processes");
     line.number<unsigned>("grace", given.grace_s, 1, 600, "s",
                           "from SIGTERM to the end of the process");
+    line.flag("own-placement", settings.own_placement,
+              "place this entry's tasks here, never at the placer of all");
+    line.number<double>("cpu-share", settings.cpu_share, 0.01, 1024, "cores",
+                        "share of a core that this process may use");
+    line.number<double>("cores", settings.cores, 0.1, 1024, "",
+                        "how many times as fast as usual that core runs");
     line.number<double>("far-factor", settings.far_factor, 1, 100, "",
                         "time of a task far from its data, over that near it");
     line.choice("log-format", given.format, "format of log lines");
--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -155,6 +155,8 @@
   urgency @6 :Int64;         # smaller goes first among those that wait
   spec @7 :Text;
   estimateMs @8 :UInt32;     # a rough guess of its time; 0: none
+  placer @9 :UInt64;         # incarnation of the entry that chose the place
+  grant @10 :UInt32;         # its number there; 0: the sender chose by itself
 }
 
 struct RunRef {
@@ -205,13 +207,15 @@
   state @0 :RunnerState;
   ends @1 :List(RunEnd);
   started @2 :List(RunRef);
+  granted @3 :List(UInt32);  # grants of the receiver whose orders have come
 }
 
 interface RunReports {
   # An entry's ear for one agent.
   # `roomGapMs`: the least time until the next report of room alone.
+  # `places`: the entry places the tasks of others too and is told first.
   report @0 (report :RunReport)
-         -> (renewed :List(PartEpoch), roomGapMs :UInt32);
+         -> (renewed :List(PartEpoch), roomGapMs :UInt32, places :Bool);
 }
 
 interface RunAgent {
@@ -249,6 +253,9 @@
   catalogVersion @5 :UInt64;
   pending @6 :List(QueueCount);
   released @7 :List(PartEpoch);   # given away, free to take
+  power @8 :UInt32;               # thousandths of a core that it may use
+  timely @9 :Bool;                # its own timers come in time
+  agents @10 :UInt32;             # with which it has a session
 }
 
 struct JobCall {
@@ -264,7 +271,51 @@
   retryAfterMs @2 :UInt32;
 }
 
+struct WantedTasks {
+  # Tasks of one step that are alike and wait for a place.
+  job @0 :UInt64;
+  occurrence @1 :UInt32;
+  step @2 :UInt32;
+  indices @3 :List(UInt32);
+  service @4 :Text;
+  label @5 :Text;            # the backend server must have it, if given
+  preferredLabel @6 :Text;   # others are slower at it
+  cpu @7 :UInt32;            # thousandths of a core
+  memory @8 :UInt32;         # MiB
+  gpu @9 :UInt32;
+  priority @10 :UInt32;      # 0 goes first
+  slackMicros @11 :Int64;    # from now until it must start to be in time
+  estimateMs @12 :UInt32;
+  avoid @13 :Text;           # agent where it failed
+  begun @14 :Bool;           # other tasks of its job were placed
+}
+
+struct TaskGrant {
+  task @0 :TaskRef;
+  agent @1 :Text;
+  number @2 :UInt32;         # of the grant at its placer
+}
+
+struct DeclinedGrant {
+  agent @0 :Text;
+  number @1 :UInt32;
+  unreachable @2 :Bool;      # the entry has no session with the agent
+}
+
+interface PlacementGrants {
+  # An entry's ear for its placer.
+  grant @0 (grants :List(TaskGrant)) -> ();
+}
+
+interface PlacementSession {
+  # `restart`: forget all that this session wanted before.
+  want @0 (restart :Bool, tasks :List(WantedTasks), withdrawn :List(TaskRef),
+           declined :List(DeclinedGrant)) -> ();
+}
+
 interface EntryPeer {
+  place @3 (entry :Text, incarnation :UInt64, grants :PlacementGrants)
+        -> (session :PlacementSession, incarnation :UInt64);
   exchange @0 (view :EntryView) -> (view :EntryView);
   call @1 (call :JobCall) -> (answer :JobAnswer);
   catalog @2 () -> (version :UInt64, document :Data);
--- a/src/glenhollow/durable/agent_sessions.cpp
+++ b/src/glenhollow/durable/agent_sessions.cpp
@@ -36,6 +36,7 @@
         const auto gap = sessions_.listener_.room_gap(sessions_.attached_);
         results.setRoomGapMs(static_cast<std::uint32_t>(
             std::chrono::duration_cast<milliseconds>(gap).count()));
+        results.setPlaces(sessions_.listener_.places_for_others());
         auto renewed = results.initRenewed(static_cast<unsigned>(owned.size()));
         for (unsigned i = 0; i < renewed.size(); ++i)
             fill(renewed[i], owned[i]);
@@ -182,7 +183,10 @@
     std::vector<run_ref> begun;
     for (auto run : report.getStarted())
         begun.push_back(from_wire(run));
-    listener_.agent_reported(agent, from_wire(report.getState()), ends, begun);
+    auto state = from_wire(report.getState());
+    for (auto grant : report.getGranted())
+        state.granted.push_back(grant);
+    listener_.agent_reported(agent, state, ends, begun);
 }
 
 void agent_sessions::send(const std::string& agent, order_batch batch)
--- a/src/glenhollow/durable/agent_sessions.hpp
+++ b/src/glenhollow/durable/agent_sessions.hpp
@@ -48,6 +48,9 @@
     /// @param agents Agents that report.
     /// @return The least time between two reports of room of one of them.
     virtual duration room_gap(std::size_t agents) const = 0;
+
+    /// @return Whether this entry places the tasks of others too.
+    virtual bool places_for_others() const = 0;
 };
 
 /// Limits of the sessions.
@@ -94,6 +97,9 @@
     /// @return Names of all agents.
     std::vector<std::string> names() const;
 
+    /// @return Agents with an open session, by last tick.
+    std::size_t attached() const { return attached_; }
+
 private:
     class report_server;
     struct session;
--- a/src/glenhollow/durable/agent_view.cpp
+++ b/src/glenhollow/durable/agent_view.cpp
@@ -19,6 +19,7 @@
     linked_ = true;
     report_ = report;
     flying_.clear();
+    granted_.clear();
     reserved_ = {};
     batches_ = 0;
     adopted.clear();
@@ -32,6 +33,7 @@
     outbox = {};
     reserved_ = {};
     flying_.clear();
+    granted_.clear();
 }
 
 void agent_view::reported(const runner_report& report)
@@ -45,6 +47,26 @@
     }
     while (!flying_.empty() && flying_.front().number <= report.received)
         flying_.pop_front();
+    for (const auto number : report.granted)
+        granted_.erase(number);
+}
+
+void agent_view::grant(std::uint32_t number, const resources& needs,
+                       instant until)
+{
+    granted_[number] = {needs, until};
+}
+
+void agent_view::expire_grants(instant now)
+{
+    std::erase_if(granted_,
+                  [now](const auto& one) { return one.second.until <= now; });
+}
+
+bool agent_view::blocked(entry_number entry, instant now) const
+{
+    const auto known = blocked_.find(entry);
+    return known != blocked_.end() && now < known->second;
 }
 
 void agent_view::sent(const resources& needs)
@@ -59,6 +81,8 @@
     total.add(reserved_);
     for (const auto& batch : flying_)
         total.add(batch.needs);
+    for (const auto& [number, room] : granted_)
+        total.add(room.needs);
     return total;
 }
 
--- a/src/glenhollow/durable/agent_view.hpp
+++ b/src/glenhollow/durable/agent_view.hpp
@@ -7,12 +7,16 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <set>
 #include <string>
 
 namespace glenhollow
 {
 
+/// Numbers the entries whose tasks an entry places; 0: its own.
+using entry_number = std::uint32_t;
+
 /// Limits of the judgement on a runner by the ends of its runs.
 struct health_view_settings
 {
@@ -58,6 +62,28 @@
     /// @param needs What it takes.
     void reserve(const resources& needs) { reserved_.add(needs); }
 
+    /// Room was granted to a task of another entry, whose order is on its way.
+    /// @param number Of the grant.
+    /// @param needs What the task takes.
+    /// @param until When the room is free again if no order has come.
+    void grant(std::uint32_t number, const resources& needs, instant until);
+
+    /// @param number Of a grant that will not be used.
+    void revoke(std::uint32_t number) { granted_.erase(number); }
+
+    /// Frees the room of grants whose orders never came.
+    /// @param now The time.
+    void expire_grants(instant now);
+
+    /// @param entry Another entry, which has no session with this agent.
+    /// @param until When it may have one again.
+    void block(entry_number entry, instant until) { blocked_[entry] = until; }
+
+    /// @param entry An entry, 0: this one.
+    /// @param now The time.
+    /// @return Whether it lacked a session with this agent lately.
+    bool blocked(entry_number entry, instant now) const;
+
     /// @return Whether its session is open.
     bool linked() const { return linked_; }
 
@@ -103,18 +129,27 @@
         resources needs;          ///< Of its starts.
     };
 
-    std::string name_;                ///< Of the agent.
-    std::uint64_t lot_;               ///< Order among like ones.
-    bool linked_ = false;             ///< Its session is open.
-    runner_report report_;            ///< Its latest word.
-    std::deque<flying_batch> flying_; ///< On their way.
-    resources reserved_;              ///< In the outbox.
-    std::uint64_t batches_ = 0;       ///< Sent in this session.
-    double bad_share_ = 0;            ///< Average of bad ends.
-    std::uint32_t ends_ = 0;          ///< Counted since the last ejection.
-    std::uint32_t ejections_ = 0;     ///< In a row.
-    instant ejected_until_{};         ///< No work until then.
-    double pace_ = 1.0;               ///< Average time over estimate.
+    /// Room that another entry's order will take.
+    struct granted_room
+    {
+        resources needs; ///< Of the task.
+        instant until{}; ///< Free again, if no order has come.
+    };
+
+    std::string name_;                              ///< Of the agent.
+    std::uint64_t lot_;                             ///< Order among like ones.
+    bool linked_ = false;                           ///< Its session is open.
+    runner_report report_;                          ///< Its latest word.
+    std::deque<flying_batch> flying_;               ///< On their way.
+    resources reserved_;                            ///< In the outbox.
+    std::map<std::uint32_t, granted_room> granted_; ///< By number.
+    std::map<entry_number, instant> blocked_; ///< Entries without a session.
+    std::uint64_t batches_ = 0;               ///< Sent in this session.
+    double bad_share_ = 0;                    ///< Average of bad ends.
+    std::uint32_t ends_ = 0;      ///< Counted since the last ejection.
+    std::uint32_t ejections_ = 0; ///< In a row.
+    instant ejected_until_{};     ///< No work until then.
+    double pace_ = 1.0;           ///< Average time over estimate.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -3,7 +3,6 @@
 #include "glenhollow/telemetry/log.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace glenhollow
@@ -69,7 +68,7 @@
     {
         for (const auto& [key, task] : queue.tasks)
         {
-            if (task.part == part)
+            if (task.part == part && task.entry == 0)
                 dropped.push_back(task.task);
         }
     }
@@ -107,12 +106,15 @@
 
 void dispatcher::enqueue(ready_task task)
 {
-    const run_ref place{task.task, 0};
+    const run_ref place{task.task, task.entry};
     if (by_task_.contains(place))
         return;
+    if (delegated_ && task.entry == 0)
+        changes_.added.push_back(task);
+    foreign_ += task.entry == 0 ? 0 : 1;
     if (!task.preferred_label.empty())
         demand_.add(task.preferred_label, work_of(task), clock_.now());
-    const queue_key key{queue_class::in_time, task.urgency, ++sequence_};
+    const queue_key key{queue_class::in_time, task.start_by, ++sequence_};
     insert(key, std::move(task));
 }
 
@@ -120,9 +122,15 @@
 {
     auto& queue = queues_[task.service];
     if (key.rank == queue_class::in_time)
+    {
         queue.work += work_of(task);
-    ++queue.jobs[task.task.job].waiting;
-    by_task_.emplace(run_ref{task.task, 0}, std::pair{task.service, key});
+        queue.own_work += task.entry == 0 ? work_of(task) : 0;
+    }
+    auto& job = queue.jobs[job_key(task)];
+    ++job.waiting;
+    job.begun |= task.begun;
+    by_task_.emplace(run_ref{task.task, task.entry},
+                     std::pair{task.service, key});
     queue.tasks.emplace(key, std::move(task));
 }
 
@@ -150,7 +158,7 @@
     {
         if (key.rank != queue_class::in_time)
             break;
-        const auto job = task.task.job;
+        const auto job = job_key(task);
         tasks.push_back({job, task.priority, task.start_by, work_of(task),
                          queue.jobs.at(job).begun});
     }
@@ -160,7 +168,7 @@
     std::vector<queue_key> keys;
     for (const auto& [key, task] : queue.tasks)
     {
-        if (key.rank == queue_class::in_time && back.contains(task.task.job))
+        if (key.rank == queue_class::in_time && back.contains(job_key(task)))
             keys.push_back(key);
     }
     stats_.put_back += back.size();
@@ -173,11 +181,12 @@
     for (const auto& key : keys)
     {
         auto task = queue.tasks.at(key);
-        const bool begun = queue.jobs.at(task.task.job).begun;
+        const auto job = job_key(task);
+        const bool begun = queue.jobs.at(job).begun;
         remove(task.service, key);
-        queue.jobs[task.task.job].begun = begun;
+        queue.jobs[job].begun = begun;
         insert({begun ? queue_class::late_begun : queue_class::late,
-                key.urgency, key.sequence},
+                key.start_by, key.sequence},
                std::move(task));
     }
 }
@@ -186,12 +195,11 @@
 void dispatcher::raise_begun(service_queue& queue)
 {
     std::vector<queue_key> keys;
-    const queue_key first{queue_class::late,
-                          std::numeric_limits<std::int64_t>::min(), 0};
+    const queue_key first{queue_class::late, instant::min(), 0};
     for (auto at = queue.tasks.lower_bound(first); at != queue.tasks.end();
          ++at)
     {
-        if (queue.jobs.at(at->second.task.job).begun)
+        if (queue.jobs.at(job_key(at->second)).begun)
             keys.push_back(at->first);
     }
     move_to_late(queue, keys);
@@ -204,6 +212,8 @@
     if (now - reviewed_ < review_interval)
         return;
     reviewed_ = now;
+    for (auto& [name, agent] : agents_)
+        agent.expire_grants(now);
     mark_hot();
     for (auto& [service, queue] : queues_)
     {
@@ -217,26 +227,44 @@
 {
     auto& queue = queues_[service];
     const auto known = queue.tasks.find(key);
+    const auto& task = known->second;
     if (key.rank == queue_class::in_time)
-        queue.work -= work_of(known->second);
-    const auto job = queue.jobs.find(known->second.task.job);
+    {
+        queue.work -= work_of(task);
+        queue.own_work -= task.entry == 0 ? work_of(task) : 0;
+    }
+    const auto job = queue.jobs.find(job_key(task));
     if (--job->second.waiting == 0)
         queue.jobs.erase(job);
-    by_task_.erase(run_ref{known->second.task, 0});
+    by_task_.erase(run_ref{task.task, task.entry});
     queue.tasks.erase(known);
     if (queue.tasks.empty())
-        queue.work = 0;
+        queue.work = queue.own_work = 0;
 }
 
-void dispatcher::withdraw(const task_ref& task)
+void dispatcher::withdraw(const task_ref& task, entry_number entry)
 {
-    const auto known = by_task_.find(run_ref{task, 0});
+    const auto known = by_task_.find(run_ref{task, entry});
     if (known == by_task_.end())
         return;
     const auto [service, key] = known->second;
+    note_removed(queues_[service].tasks.at(key));
     remove(service, key);
 }
 
+/// A task leaves the queue for good.
+void dispatcher::note_removed(const ready_task& task)
+{
+    foreign_ -= task.entry == 0 ? 0 : 1;
+    if (!delegated_ || task.entry != 0)
+        return;
+    const auto untold =
+        std::erase_if(changes_.added, [&task](const ready_task& one)
+                      { return one.task == task.task; });
+    if (untold == 0)
+        changes_.withdrawn.push_back(task.task);
+}
+
 void dispatcher::stop(const std::string& agent, const run_ref& run)
 {
     const auto known = agents_.find(agent);
@@ -263,9 +291,12 @@
 bool dispatcher::suits(const agent_view& agent, const ready_task& task) const
 {
     const auto& account = agent.account();
+    const bool reachable = task.entry == 0
+                               ? agent.adopted.contains(task.part)
+                               : !agent.blocked(task.entry, clock_.now());
     return agent.linked() && account.phase == runner_phase::ready &&
-           account.service == task.service &&
-           agent.adopted.contains(task.part) && agent.has_label(task.label);
+           account.service == task.service && reachable &&
+           agent.has_label(task.label);
 }
 
 dispatcher::rank dispatcher::rank_of(const agent_view& agent,
@@ -344,6 +375,8 @@
         agent.hot = false;
     if (demand_.empty())
         return;
+    // Every owner sees its own share of the work, but for a placer.
+    const double share = foreign_ > 0 ? 1.0 : owners();
     std::map<std::string, double> cores;
     for (const auto& [name, agent] : agents_)
     {
@@ -353,15 +386,15 @@
     for (auto& [name, agent] : agents_)
     {
         for (const auto& label : agent.account().labels)
-            // Every owner sees its own share of the work.
-            agent.hot |= demand_.cores(label, now) * owners() >
+            agent.hot |= demand_.cores(label, now) * share >
                          settings_.hot * cores[label];
     }
 }
 
 bool dispatcher::alike(const ready_task& task, const ready_task& unplaced)
 {
-    return task.part == unplaced.part && task.needs.cpu >= unplaced.needs.cpu &&
+    return task.part == unplaced.part && task.entry == unplaced.entry &&
+           task.needs.cpu >= unplaced.needs.cpu &&
            task.label == unplaced.label &&
            task.preferred_label == unplaced.preferred_label;
 }
@@ -375,6 +408,8 @@
     {
         const auto here = at++;
         const auto& waiting = here->second;
+        if (delegated_ && waiting.entry == 0)
+            continue;
         if (std::any_of(unplaced.begin(), unplaced.end(),
                         [&waiting](const ready_task& one)
                         { return alike(waiting, one); }))
@@ -387,25 +422,133 @@
         }
         const auto key = here->first;
         const auto task = waiting;
-        queue.jobs.at(task.task.job).begun = true;
+        queue.jobs.at(job_key(task)).begun = true;
         queue.rate.placed(work_of(task));
+        note_removed(task);
         remove(task.service, key);
-        auto order = tasks_.assign(task, agent->name());
-        if (!order)
-            continue;
-        agent->reserve(order->needs);
-        agent->outbox.starts.push_back(std::move(*order));
-        ++stats_.placed;
+        if (task.entry != 0)
+            grant(task, *agent);
+        else
+            begin_at(task, *agent, 0, 0);
     }
     if (!unplaced.empty())
         ++stats_.no_place;
 }
 
+/// @param grant Number of the placer's grant; 0: this entry chose the agent.
+/// @return Whether the task was still to be run.
+bool dispatcher::begin_at(const ready_task& task, agent_view& agent,
+                          std::uint64_t placer, std::uint32_t grant)
+{
+    auto order = tasks_.assign(task, agent.name());
+    if (!order)
+        return false;
+    order->placer = placer;
+    order->grant = grant;
+    agent.reserve(order->needs);
+    agent.outbox.starts.push_back(std::move(*order));
+    ++stats_.placed;
+    return true;
+}
+
+void dispatcher::grant(const ready_task& task, agent_view& agent)
+{
+    const auto number = ++grant_numbers_;
+    agent.grant(number, task.needs, clock_.now() + settings_.grant_time);
+    granted_[task.entry].push_back({task.task, agent.name(), number});
+    ++stats_.granted;
+}
+
+void dispatcher::drop_entry(entry_number entry)
+{
+    std::vector<task_ref> dropped;
+    for (const auto& [service, queue] : queues_)
+    {
+        for (const auto& [key, task] : queue.tasks)
+        {
+            if (task.entry == entry)
+                dropped.push_back(task.task);
+        }
+    }
+    for (const auto& task : dropped)
+        withdraw(task, entry);
+    granted_.erase(entry);
+}
+
+void dispatcher::declined(entry_number entry, const declined_grant& grant)
+{
+    ++stats_.declined;
+    const auto known = agents_.find(grant.agent);
+    if (known == agents_.end())
+        return;
+    known->second.revoke(grant.number);
+    if (grant.unreachable)
+        known->second.block(entry, clock_.now() + settings_.block_time);
+}
+
+void dispatcher::delegate(bool on)
+{
+    delegated_ = on;
+    changes_ = {};
+}
+
+std::vector<ready_task> dispatcher::waiting_tasks() const
+{
+    std::vector<ready_task> own;
+    for (const auto& [service, queue] : queues_)
+    {
+        for (const auto& [key, task] : queue.tasks)
+        {
+            if (task.entry != 0)
+                continue;
+            own.push_back(task);
+            own.back().begun = queue.jobs.at(job_key(task)).begun;
+        }
+    }
+    return own;
+}
+
+queue_changes dispatcher::take_changes()
+{
+    return std::exchange(changes_, {});
+}
+
+grant_verdict dispatcher::use(const task_grant& grant, std::uint64_t placer)
+{
+    const auto known = by_task_.find(run_ref{grant.task, 0});
+    if (known == by_task_.end())
+        return grant_verdict::not_wanted;
+    const auto [service, key] = known->second;
+    auto& queue = queues_[service];
+    const auto task = queue.tasks.at(key);
+    const auto agent = agents_.find(grant.agent);
+    if (agent == agents_.end() || !suits(agent->second, task))
+    {
+        if (delegated_)
+            changes_.added.push_back(task); // Its placer has forgotten it.
+        return grant_verdict::unreachable;
+    }
+    queue.jobs.at(job_key(task)).begun = true;
+    remove(service, key); // The placer knows.
+    return begin_at(task, agent->second, placer, grant.number)
+               ? grant_verdict::used
+               : grant_verdict::not_wanted;
+}
+
+/// The same job may wait at two entries: its caller has sent it again.
+job_id dispatcher::job_key(const ready_task& task)
+{
+    constexpr std::uint64_t odd = 0x9E3779B97F4A7C15; // Spreads the numbers.
+    return task.task.job ^ (task.entry * odd);
+}
+
 void dispatcher::dispatch()
 {
     review();
     for (auto& [service, queue] : queues_)
         place(queue);
+    for (auto& [entry, grants] : std::exchange(granted_, {}))
+        grants_->grant(entry, std::move(grants));
     for (auto& [name, agent] : agents_)
         flush(agent);
 }
@@ -425,7 +568,11 @@
 double dispatcher::waiting_work(const std::string& service) const
 {
     const auto known = queues_.find(service);
-    return known == queues_.end() ? 0 : known->second.work;
+    if (known == queues_.end())
+        return 0;
+    // Every entry has its own share of the work, but for a placer's.
+    return foreign_ > 0 ? known->second.work
+                        : known->second.own_work * owners();
 }
 
 double dispatcher::ready_cores(const std::string& service) const
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -31,10 +31,56 @@
     std::string preferred_label;   ///< Other runners are slower at it.
     resources needs;               ///< Of the runner.
     std::uint32_t priority = 0;    ///< Of its queue; 0 goes first.
-    std::int64_t urgency = 0;      ///< Smaller goes first.
     instant start_by{};            ///< Later its job misses its objective.
     std::uint32_t estimate_ms = 0; ///< The caller's guess of its time.
     std::string avoid;             ///< An agent where it failed; may be empty.
+    bool begun = false;            ///< Other tasks of its job were placed.
+    entry_number entry = 0;        ///< Whose it is; 0: this entry's.
+};
+
+/// A place for a task of another entry.
+struct task_grant
+{
+    task_ref task;            ///< The task.
+    std::string agent;        ///< Where it may start.
+    std::uint32_t number = 0; ///< Of the grant at its placer.
+};
+
+/// A grant that the task's entry did not use.
+struct declined_grant
+{
+    std::string agent;        ///< Where.
+    std::uint32_t number = 0; ///< Of the grant at its placer.
+    bool unreachable = false; ///< The entry has no session with the agent.
+};
+
+/// What became of a grant at the task's entry.
+enum class grant_verdict : std::uint8_t
+{
+    used,       ///< Its order is on its way.
+    not_wanted, ///< The task does not wait any more.
+    unreachable ///< This entry has no session with the agent.
+};
+
+/// Waiting tasks that an entry's placer has to be told of.
+struct queue_changes
+{
+    std::vector<ready_task> added;   ///< Wait since the last call.
+    std::vector<task_ref> withdrawn; ///< Wait no more.
+
+    /// @return Whether there is nothing to tell.
+    bool empty() const { return added.empty() && withdrawn.empty(); }
+};
+
+/// Tells other entries of places for their tasks; a fake in tests.
+class grant_sender
+{
+public:
+    virtual ~grant_sender() = default;
+
+    /// @param entry Whose tasks.
+    /// @param grants Their places.
+    virtual void grant(entry_number entry, std::vector<task_grant> grants) = 0;
 };
 
 /// Sends orders to agents; the links do, fakes in tests.
@@ -73,6 +119,12 @@
     std::size_t scan = 64; ///< Tasks looked at past one that fits nowhere.
     health_view_settings health; ///< Judgement on runners.
     std::uint64_t seed = 1;      ///< Of this entry's order of like runners.
+    duration grant_time = milliseconds{150}; ///< A grant's order must have
+                                             ///< come by then: some ten times
+                                             ///< of what it takes when idle.
+    duration block_time = milliseconds{300}; ///< An entry without a session
+                                             ///< gets no grants there so long;
+                                             ///< about one try to connect.
 };
 
 /// Counters of a dispatcher.
@@ -85,6 +137,8 @@
     std::uint64_t no_place = 0; ///< Rounds that ended for want of room.
     std::uint64_t far = 0;      ///< Placed without the preferred label.
     std::uint64_t put_back = 0; ///< Jobs put behind others under overload.
+    std::uint64_t granted = 0;  ///< Places for tasks of other entries.
+    std::uint64_t declined = 0; ///< Of these, not used.
 };
 
 /// Places the ready tasks of this entry's parts on runners: most urgent first,
@@ -130,7 +184,37 @@
     void enqueue(ready_task task);
 
     /// @param task Must not start any more.
-    void withdraw(const task_ref& task);
+    /// @param entry Whose it is; 0: this entry's.
+    void withdraw(const task_ref& task, entry_number entry = 0);
+
+    /// Tasks of other entries are placed here as well.
+    /// @param grants Told of their places; outlives the dispatcher.
+    void serve(grant_sender* grants) { grants_ = grants; }
+
+    /// @param entry Another entry, whose tasks are all dropped.
+    void drop_entry(entry_number entry);
+
+    /// @param entry Another entry.
+    /// @param grant It did not use.
+    void declined(entry_number entry, const declined_grant& grant);
+
+    /// Another entry places this entry's tasks, or does so no more.
+    /// @param on Whether it does.
+    void delegate(bool on);
+
+    /// @return Whether another entry places this entry's tasks.
+    bool delegated() const { return delegated_; }
+
+    /// @return This entry's waiting tasks.
+    std::vector<ready_task> waiting_tasks() const;
+
+    /// @return What has changed among them since the last call.
+    queue_changes take_changes();
+
+    /// @param grant A place for a task of this entry.
+    /// @param placer Incarnation of the entry that found it.
+    /// @return What became of it.
+    grant_verdict use(const task_grant& grant, std::uint64_t placer);
 
     /// @param agent Where it runs.
     /// @param run To be stopped.
@@ -148,7 +232,7 @@
     void dispatch();
 
     /// @param service A service.
-    /// @return Core-milliseconds that wait here.
+    /// @return Core-milliseconds that wait at all entries, as far as known.
     double waiting_work(const std::string& service) const;
 
     /// @param service A service.
@@ -187,7 +271,7 @@
     struct queue_key
     {
         queue_class rank = queue_class::in_time; ///< Smaller goes first.
-        std::int64_t urgency = 0;                ///< Smaller goes first.
+        instant start_by{};                      ///< Smaller goes first.
         std::uint64_t sequence = 0;              ///< Then first come.
 
         auto operator<=>(const queue_key&) const = default;
@@ -204,8 +288,9 @@
     struct service_queue
     {
         std::map<queue_key, ready_task> tasks; ///< In order.
-        double work = 0; ///< Core-milliseconds that can be in time.
-        std::unordered_map<job_id, queued_job> jobs; ///< Of these tasks.
+        double work = 0;     ///< Core-milliseconds that can be in time.
+        double own_work = 0; ///< Of this, of this entry's tasks.
+        std::unordered_map<job_id, queued_job> jobs; ///< By job_key().
         placement_rate rate; ///< At which work finds a place.
     };
 
@@ -231,6 +316,11 @@
     agent_view* choose(const ready_task& task);
     void mark_hot();
     static bool alike(const ready_task& task, const ready_task& unplaced);
+    static job_id job_key(const ready_task& task);
+    bool begin_at(const ready_task& task, agent_view& agent,
+                  std::uint64_t placer, std::uint32_t grant);
+    void grant(const ready_task& task, agent_view& agent);
+    void note_removed(const ready_task& task);
     void place(service_queue& queue);
     void remove(const std::string& service, const queue_key& key);
     void put_late_last(service_queue& queue);
@@ -249,13 +339,19 @@
     std::map<std::string, service_queue> queues_; ///< By service.
     std::unordered_map<run_ref, std::pair<std::string, queue_key>,
                        run_ref_hash>
-        by_task_;                ///< Place of a task; its run is 0.
-    label_demand demand_;        ///< Work by preferred label.
-    instant reviewed_{};         ///< When the queues were last looked over.
-    random_engine lots_;         ///< Draws an order among like runners.
-    std::uint64_t sequence_ = 0; ///< Of queue places.
-    std::size_t owners_ = 1;     ///< Entries that own parts.
-    dispatcher_stats stats_;     ///< Counters.
+        by_task_;         ///< Place of a task; its run is its entry's number.
+    label_demand demand_; ///< Work by preferred label.
+    instant reviewed_{};  ///< When the queues were last looked over.
+    random_engine lots_;  ///< Draws an order among like runners.
+    std::uint64_t sequence_ = 0;     ///< Of queue places.
+    grant_sender* grants_ = nullptr; ///< Tells other entries.
+    std::map<entry_number, std::vector<task_grant>> granted_; ///< To be told.
+    std::uint32_t grant_numbers_ = 0; ///< Of grants so far.
+    std::size_t foreign_ = 0;         ///< Waiting tasks of other entries.
+    bool delegated_ = false;          ///< Another entry places ours.
+    queue_changes changes_;           ///< To be told to it.
+    std::size_t owners_ = 1;          ///< Entries that own parts.
+    dispatcher_stats stats_;          ///< Counters.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -18,6 +18,18 @@
 constexpr duration probe_interval = milliseconds{300};
 constexpr duration load_log_interval = seconds{2};
 
+/// While room is told to another entry that places, this one needs it only to
+/// be ready to place by itself.
+constexpr duration idle_room_gap = milliseconds{150};
+
+/// Timers this late on average make an entry a bad placer; much of a short
+/// task's slack would go by. They must be well below it again to come back.
+constexpr duration untimely_lag = milliseconds{12};
+constexpr duration timely_lag = milliseconds{5};
+constexpr int lag_weight = 8; // Newest tick: one eighth.
+
+constexpr double per_core = 1000.0;
+
 /// A job in memory that is sent again soon after its end is not run anew.
 constexpr duration memory_of_ends = seconds{10};
 
@@ -82,7 +94,11 @@
       agents_(io, clock, *this, named(settings.agents, settings)),
       peers_(io, clock, *this, settings.peers),
       dispatcher_(clock, agents_, *this, dispatch_of(settings)),
-      reports_(settings.reports),
+      reports_(settings.reports), placer_reports_(settings.placer_reports),
+      placements_(clock, dispatcher_, [this] { schedule_dispatch(); }),
+      placer_(
+          clock, peers_, dispatcher_, [this] { schedule_dispatch(); },
+          named(settings.placement, settings)),
       ownership_(surroundings(), peers_, *this, ownership_of(settings)),
       memory_(surroundings(), memory_of(settings)),
       router_(clock, delay(), ownership_, peers_, router_of(settings)),
@@ -143,7 +159,7 @@
 {
     const auto now = clock_.now();
     if (tick_due_.count() != 0)
-        reports_.note_tick(now - tick_due_);
+        note_lag(now - tick_due_);
     tick_due_ = now + tick_interval;
     peers_.tick();
     agents_.tick();
@@ -153,10 +169,55 @@
     log_load();
     memory_.tick();
     dispatcher_.set_owners(peers_.live().size() + 1);
+    choose_placer();
     schedule_dispatch();
     delay()(tick_interval, [this] { tick(); });
 }
 
+void durable_service::note_lag(duration lag)
+{
+    auto& budget = placements_.active() ? placer_reports_ : reports_;
+    budget.note_tick(lag);
+    lag_ += (lag - lag_) / lag_weight;
+    timely_ = lag_ < (timely_ ? untimely_lag : timely_lag);
+}
+
+duration durable_service::room_gap(std::size_t agents) const
+{
+    if (placements_.active())
+        return placer_reports_.gap(agents);
+    const auto gap = reports_.gap(agents);
+    return dispatcher_.delegated() ? std::max(gap, idle_room_gap) : gap;
+}
+
+/// One entry places for all, so that the most urgent task of all is the first
+/// to get room, wherever its caller's connection ended up.
+void durable_service::choose_placer()
+{
+    if (!settings_.share_placement)
+        return;
+    std::vector<placer_candidate> candidates;
+    const auto add = [&candidates](const entry_view& view)
+    {
+        candidates.push_back(
+            {view.name, view.power, view.agents,
+             view.timely && !view.stopping && view.catalog_version != 0});
+    };
+    add(own_view());
+    for (const auto& view : peers_.live())
+        add(view);
+    const auto chosen = glenhollow::choose_placer(candidates, settings_.placer);
+    placer_.follow(chosen == settings_.entry ? std::string{} : chosen);
+    placer_.flush();
+}
+
+wire::PlacementSession::Client
+durable_service::open_placement(const std::string& entry,
+                                wire::PlacementGrants::Client grants)
+{
+    return placements_.open(entry, kj::mv(grants));
+}
+
 /// What a silent agent ran has lapsed after a while, for all parts alike.
 void durable_service::check_agents()
 {
@@ -204,6 +265,8 @@
     log_change(log_level::info, "placement_load",
                {{"jobs", memory_.open_jobs()},
                 {"tasks_waiting", dispatcher_.waiting()},
+                {"placer", placer_.placer()},
+                {"places_for_others", placements_.active()},
                 {"reports_per_s", static_cast<std::int64_t>(reports_.rate())},
                 {"agents_linked", linked},
                 {"runners_ready", ready},
@@ -237,6 +300,7 @@
             {
                 dispatching_ = false;
                 dispatcher_.dispatch();
+                placer_.flush();
             });
 }
 
@@ -256,6 +320,8 @@
 void durable_service::close()
 {
     *alive_ = false;
+    placer_.close();
+    placements_.close();
     agents_.close();
     peers_.close();
 }
@@ -401,6 +467,9 @@
     view.store_reachable = store_.reachable();
     view.stopping = stopping_;
     view.catalog_version = catalog_.version;
+    view.power = static_cast<std::uint32_t>(settings_.power * per_core);
+    view.timely = timely_;
+    view.agents = static_cast<std::uint32_t>(agents_.attached());
     ownership_.for_each(
         [&view](job_board& part)
         {
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -7,6 +7,9 @@
 #include "glenhollow/durable/job_router.hpp"
 #include "glenhollow/durable/member_directory.hpp"
 #include "glenhollow/durable/part_ownership.hpp"
+#include "glenhollow/durable/placement_client.hpp"
+#include "glenhollow/durable/placement_server.hpp"
+#include "glenhollow/durable/placer_choice.hpp"
 #include "glenhollow/durable/report_budget.hpp"
 #include "glenhollow/journal/watched_store.hpp"
 #include "glenhollow/telemetry/metrics.hpp"
@@ -44,7 +47,14 @@
     job_router_settings router;                  ///< Limits.
     dispatcher_settings dispatch;                ///< Limits.
     report_budget_settings reports;              ///< Limits.
-    table_follower_settings follower;            ///< Limits.
+    report_budget_settings placer_reports{5000, 500}; ///< While placing for
+                                                      ///< others, whose ends
+                                                      ///< it must know too.
+    double power = 1.0;            ///< Of a core that this process may use.
+    bool share_placement = true;   ///< One entry places the tasks of all.
+    placer_choice_settings placer; ///< Which one.
+    placement_client_settings placement; ///< Limits.
+    table_follower_settings follower;    ///< Limits.
 };
 
 /// The durable jobs of one entry: owned parts, links, routing. Runs inside an
@@ -115,10 +125,11 @@
                         const std::vector<run_end>& ends,
                         const std::vector<run_ref>& begun) override;
     std::vector<part_epoch> owned_parts() const override;
-    duration room_gap(std::size_t agents) const override
-    {
-        return reports_.gap(agents);
-    }
+    duration room_gap(std::size_t agents) const override;
+    bool places_for_others() const override { return placements_.active(); }
+    wire::PlacementSession::Client
+    open_placement(const std::string& entry,
+                   wire::PlacementGrants::Client grants) override;
 
     entry_view own_view() override;
     void peer_seen(const entry_view& view) override;
@@ -138,6 +149,8 @@
     void take_document(const std::string& document, std::string_view source);
     void tick();
     void check_agents();
+    void choose_placer();
+    void note_lag(duration lag);
     void probe_store();
     void log_load();
     void schedule_dispatch();
@@ -159,6 +172,11 @@
     entry_peers peers_;                 ///< Links to entries.
     dispatcher dispatcher_;             ///< Places tasks.
     report_budget reports_;             ///< That this machine can bear.
+    report_budget placer_reports_;      ///< The same while placing for others.
+    placement_server placements_;       ///< Other entries' tasks.
+    placement_client placer_;           ///< Where ours are placed.
+    duration lag_{};                    ///< Of timers, on average.
+    bool timely_ = true;                ///< They come in time.
     part_ownership ownership_;          ///< This entry's parts.
     job_board memory_;                  ///< Jobs kept in memory alone.
     job_router router_;                 ///< Brings calls to owners.
--- a/src/glenhollow/durable/entry_peers.cpp
+++ b/src/glenhollow/durable/entry_peers.cpp
@@ -33,6 +33,9 @@
     auto free = out.initReleased(static_cast<unsigned>(view.released.size()));
     for (unsigned i = 0; i < free.size(); ++i)
         fill(free[i], view.released[i]);
+    out.setPower(view.power);
+    out.setTimely(view.timely);
+    out.setAgents(view.agents);
 }
 
 entry_view view_from(wire::EntryView::Reader in)
@@ -50,6 +53,9 @@
             {count.getQueue(), count.getPart(), count.getPending()});
     for (auto part : in.getReleased())
         view.released.push_back(from_wire(part));
+    view.power = in.getPower();
+    view.timely = in.getTimely();
+    view.agents = in.getAgents();
     return view;
 }
 
@@ -143,6 +149,17 @@
             { fill_reply(context.getResults().initAnswer(), reply); });
     }
 
+    kj::Promise<void> place(PlaceContext context) override
+    {
+        auto params = context.getParams();
+        auto session = peers_.handler_.open_placement(params.getEntry(),
+                                                      params.getGrants());
+        auto out = context.getResults();
+        out.setSession(kj::mv(session));
+        out.setIncarnation(peers_.handler_.own_view().incarnation);
+        return kj::READY_NOW;
+    }
+
     kj::Promise<void> catalog(CatalogContext context) override
     {
         const auto document = peers_.handler_.catalog_document();
@@ -368,6 +385,41 @@
     done(std::nullopt);
 }
 
+bool entry_peers::connected(const std::string& name) const
+{
+    const auto known = peers_.find(name);
+    return known != peers_.end() && known->second->remote != nullptr;
+}
+
+bool entry_peers::open_placement(const std::string& name,
+                                 const std::string& entry,
+                                 std::uint64_t incarnation,
+                                 wire::PlacementGrants::Client grants,
+                                 placement_handler done)
+{
+    const auto known = peers_.find(name);
+    if (known == peers_.end())
+        return false;
+    KJ_IF_MAYBE (remote, known->second->remote)
+    {
+        auto request = remote->placeRequest();
+        request.setEntry(entry);
+        request.setIncarnation(incarnation);
+        request.setGrants(kj::mv(grants));
+        known->second->link->add(request.send().then(
+            [done = std::move(done)](auto&& answer)
+            { done(answer.getIncarnation(), answer.getSession()); },
+            [](kj::Exception&&) {}));
+        return true;
+    }
+    return false;
+}
+
+void entry_peers::later(std::function<void()> work)
+{
+    boost::asio::post(io_, std::move(work));
+}
+
 void entry_peers::fetch_catalog(
     const std::string& name,
     std::function<void(std::uint64_t version, std::string document)> done)
--- a/src/glenhollow/durable/entry_peers.hpp
+++ b/src/glenhollow/durable/entry_peers.hpp
@@ -34,6 +34,9 @@
     std::uint64_t catalog_version = 0; ///< Newest it has.
     std::vector<queue_count> pending;  ///< Of its parts.
     std::vector<part_epoch> released;  ///< Given away, free to take.
+    std::uint32_t power = 0;  ///< Thousandths of a core that it may use.
+    bool timely = false;      ///< Its own timers come in time.
+    std::uint32_t agents = 0; ///< With which it has a session.
 
     /// @param part A part.
     /// @return Whether this entry owns it.
@@ -81,6 +84,13 @@
 
     /// @return The newest catalog's document.
     virtual std::string catalog_document() = 0;
+
+    /// @param entry Wants this entry to place its tasks.
+    /// @param grants Told of places.
+    /// @return Its session.
+    virtual wire::PlacementSession::Client
+    open_placement(const std::string& entry,
+                   wire::PlacementGrants::Client grants) = 0;
 };
 
 /// Limits of the links between entries.
@@ -142,6 +152,28 @@
     void call(const std::string& name, const job_call& call,
               answer_handler done);
 
+    /// @param name An entry.
+    /// @return Whether there is a connection to it.
+    bool connected(const std::string& name) const;
+
+    /// Told the placer's incarnation and its session.
+    using placement_handler =
+        std::function<void(std::uint64_t, wire::PlacementSession::Client)>;
+
+    /// @param name The entry that shall place.
+    /// @param entry This entry's name.
+    /// @param incarnation Of this process.
+    /// @param grants Told of places.
+    /// @param done Told the session; never, where the link breaks.
+    /// @return Whether it was asked.
+    bool open_placement(const std::string& name, const std::string& entry,
+                        std::uint64_t incarnation,
+                        wire::PlacementGrants::Client grants,
+                        placement_handler done);
+
+    /// @param work Runs after what runs now.
+    void later(std::function<void()> work);
+
     /// @param name The entry to ask.
     /// @param done Told its newest catalog.
     void fetch_catalog(
--- a/src/glenhollow/durable/job_board.cpp
+++ b/src/glenhollow/durable/job_board.cpp
@@ -123,9 +123,7 @@
         static_cast<double>(job.objective_ms - around_.wall_ms());
     if (around_.placing.free_cores(job.service) >= job.widest_cores())
         return std::nullopt;
-    // Every owner places its own share of the work on the same runners.
-    const double wait = around_.placing.waiting_work(job.service) *
-                        around_.placing.owners() / cores;
+    const double wait = around_.placing.waiting_work(job.service) / cores;
     if (wait <= settings_.hopeless * std::max(1.0, objective))
         return std::nullopt;
     return refusal{reason::deadline_unreachable,
@@ -358,10 +356,10 @@
     ready.preferred_label = step.preferred_label;
     ready.needs = step.needs;
     ready.priority = record.job.priority;
-    ready.urgency = record.job.objective_ms - step.estimate_ms;
     ready.estimate_ms = step.estimate_ms;
-    ready.start_by =
-        around_.clock.now() + milliseconds{ready.urgency - around_.wall_ms()};
+    const auto slack_ms =
+        record.job.objective_ms - step.estimate_ms - around_.wall_ms();
+    ready.start_by = around_.clock.now() + milliseconds{slack_ms};
     ready.avoid = task.agent;
     around_.placing.enqueue(std::move(ready));
 }
--- /dev/null
+++ b/src/glenhollow/durable/placement_client.cpp
@@ -0,0 +1,181 @@
+#include "glenhollow/durable/placement_client.hpp"
+
+#include "glenhollow/telemetry/log.hpp"
+
+#include <utility>
+
+namespace glenhollow
+{
+
+/// What the placer calls.
+class placement_client::grant_server final
+    : public wire::PlacementGrants::Server
+{
+public:
+    grant_server(placement_client& client, std::uint64_t number)
+        : client_(client), alive_(client.alive_), number_(number)
+    {
+    }
+
+    kj::Promise<void> grant(GrantContext context) override
+    {
+        if (!*alive_)
+            return kj::READY_NOW;
+        std::vector<task_grant> grants;
+        for (auto one : context.getParams().getGrants())
+            grants.push_back(from_wire(one));
+        client_.granted(number_, grants);
+        return kj::READY_NOW;
+    }
+
+private:
+    placement_client& client_;    ///< Not used after its end.
+    std::shared_ptr<bool> alive_; ///< Whether it has not ended.
+    std::uint64_t number_;        ///< Of the session.
+};
+
+placement_client::placement_client(const clock_source& clock,
+                                   entry_peers& peers, dispatcher& placing,
+                                   std::function<void()> on_change,
+                                   const placement_client_settings& settings)
+    : clock_(clock), peers_(peers), placing_(placing),
+      on_change_(std::move(on_change)), settings_(settings)
+{
+}
+
+placement_client::~placement_client() noexcept
+{
+    *alive_ = false;
+}
+
+void placement_client::follow(const std::string& placer)
+{
+    if (placer != placer_)
+    {
+        if (session_)
+            leave("another_placer");
+        opening_ = false;
+        ++number_;
+        placer_ = placer;
+        retry_at_ = {};
+    }
+    if (opening_ && clock_.now() - opening_since_ > settings_.retry)
+        opening_ = false; // Its link is gone, or it is silent.
+    if (!placer_.empty() && !session_ && !opening_ && clock_.now() >= retry_at_)
+        begin();
+}
+
+void placement_client::begin()
+{
+    const auto number = ++number_;
+    opening_ = peers_.open_placement(
+        placer_, settings_.entry, settings_.incarnation,
+        kj::heap<grant_server>(*this, number),
+        [this, alive = alive_, number](std::uint64_t incarnation,
+                                       wire::PlacementSession::Client orders)
+        {
+            if (*alive)
+                opened(number, incarnation, kj::mv(orders));
+        });
+    opening_since_ = clock_.now();
+}
+
+void placement_client::opened(std::uint64_t number, std::uint64_t incarnation,
+                              wire::PlacementSession::Client orders)
+{
+    if (number != number_)
+        return; // Given up meanwhile.
+    opening_ = false;
+    session_.reset(new session{kj::mv(orders), incarnation, {}, {}});
+    declined_.clear();
+    log_change(log_level::info, "placer_followed", {{"entry", placer_}});
+    want_message all;
+    all.restart = true;
+    all.changes.added = placing_.waiting_tasks();
+    placing_.delegate(true);
+    send(std::move(all));
+}
+
+void placement_client::send(want_message message)
+{
+    auto request = session_->orders.wantRequest();
+    fill(request, message, clock_.now());
+    session_->out.push_back(clock_.now());
+    ++stats_.messages;
+    session_->calls.add(request.send().then(
+        [this, number = number_](auto&&) { answered(number); },
+        [this, alive = alive_, number = number_](kj::Exception&&)
+        {
+            if (*alive && number == number_)
+                on_change_(); // Not from inside its own call: see flush().
+        }));
+}
+
+void placement_client::answered(std::uint64_t number)
+{
+    if (number == number_ && session_ && !session_->out.empty())
+        session_->out.pop_front();
+}
+
+void placement_client::flush()
+{
+    if (!session_)
+        return;
+    const bool silent =
+        !session_->out.empty() &&
+        clock_.now() - session_->out.front() > settings_.patience;
+    if (silent || !peers_.connected(placer_))
+    {
+        ++stats_.failures;
+        return leave(silent ? "silent" : "link_down");
+    }
+    want_message message;
+    message.changes = placing_.take_changes();
+    message.declined = std::exchange(declined_, {});
+    if (!message.empty())
+        send(std::move(message));
+}
+
+void placement_client::granted(std::uint64_t number,
+                               const std::vector<task_grant>& grants)
+{
+    if (number != number_ || !session_)
+        return;
+    stats_.grants += grants.size();
+    for (const auto& grant : grants)
+    {
+        const auto verdict = placing_.use(grant, session_->incarnation);
+        if (verdict == grant_verdict::used)
+            continue;
+        ++stats_.unused;
+        declined_.push_back(
+            {grant.agent, grant.number, verdict == grant_verdict::unreachable});
+    }
+    on_change_();
+}
+
+void placement_client::leave(std::string_view cause)
+{
+    log_change(log_level::warning, "placer_left",
+               {{"entry", placer_}, {"cause", cause}});
+    retry_at_ = clock_.now() + settings_.retry;
+    ++number_;
+    end_session();
+    on_change_();
+}
+
+/// The session may be what is calling: it ends a turn later.
+void placement_client::end_session()
+{
+    placing_.delegate(false);
+    peers_.later([old = std::shared_ptr<session>(std::move(session_))]() mutable
+                 { old.reset(); });
+}
+
+void placement_client::close()
+{
+    ++number_;
+    session_.reset();
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/durable/placement_server.cpp
@@ -0,0 +1,121 @@
+#include "glenhollow/durable/placement_server.hpp"
+
+#include "glenhollow/telemetry/log.hpp"
+
+#include <utility>
+
+namespace glenhollow
+{
+
+/// What the session's entry calls; ends with its connection.
+class placement_server::session_server final
+    : public wire::PlacementSession::Server
+{
+public:
+    session_server(placement_server& server, entry_number entry)
+        : server_(server), alive_(server.alive_), entry_(entry)
+    {
+    }
+
+    ~session_server() noexcept
+    {
+        if (*alive_)
+            server_.end(entry_);
+    }
+
+    kj::Promise<void> want(WantContext context) override
+    {
+        if (*alive_)
+            server_.take(entry_,
+                         from_wire(context.getParams(), server_.clock_.now()));
+        return kj::READY_NOW;
+    }
+
+private:
+    placement_server& server_;    ///< Not used after its end.
+    std::shared_ptr<bool> alive_; ///< Whether it has not ended.
+    entry_number entry_;          ///< Of the session.
+};
+
+placement_server::placement_server(const clock_source& clock,
+                                   dispatcher& placing,
+                                   std::function<void()> on_change)
+    : clock_(clock), placing_(placing), on_change_(std::move(on_change))
+{
+    placing_.serve(this);
+}
+
+placement_server::~placement_server() noexcept
+{
+    *alive_ = false;
+    placing_.serve(nullptr);
+}
+
+wire::PlacementSession::Client
+placement_server::open(const std::string& entry,
+                       wire::PlacementGrants::Client grants)
+{
+    for (auto at = sessions_.begin(); at != sessions_.end();)
+    {
+        const auto here = at++;
+        if (here->second.entry == entry)
+            end(here->first);
+    }
+    const auto number = ++numbers_;
+    sessions_.emplace(number, session{entry, kj::mv(grants)});
+    log_change(log_level::info, "placement_session_opened", {{"entry", entry}});
+    return kj::heap<session_server>(*this, number);
+}
+
+void placement_server::take(entry_number entry, const want_message& message)
+{
+    if (!sessions_.contains(entry))
+        return; // A later session of the same entry has replaced this one.
+    if (message.restart)
+        placing_.drop_entry(entry);
+    for (const auto& grant : message.declined)
+        placing_.declined(entry, grant);
+    for (const auto& task : message.changes.withdrawn)
+        placing_.withdraw(task, entry);
+    for (auto task : message.changes.added)
+    {
+        task.entry = entry;
+        placing_.enqueue(std::move(task));
+    }
+    on_change_();
+}
+
+void placement_server::end(entry_number entry)
+{
+    const auto known = sessions_.find(entry);
+    if (known == sessions_.end())
+        return;
+    log_change(log_level::info, "placement_session_ended",
+               {{"entry", known->second.entry}});
+    sessions_.erase(known);
+    placing_.drop_entry(entry);
+}
+
+void placement_server::grant(entry_number entry, std::vector<task_grant> grants)
+{
+    const auto known = sessions_.find(entry);
+    if (known == sessions_.end())
+        return; // The room is free again when its grants expire.
+    auto request = known->second.grants.grantRequest();
+    auto out = request.initGrants(static_cast<unsigned>(grants.size()));
+    for (unsigned i = 0; i < out.size(); ++i)
+        fill(out[i], grants[i]);
+    if (!calls_)
+        calls_ = std::make_unique<background_tasks>();
+    // A failed call means a broken link, with which the session ends.
+    calls_->add(request.send().ignoreResult());
+}
+
+void placement_server::close()
+{
+    while (!sessions_.empty())
+        end(sessions_.begin()->first);
+    calls_.reset();
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/durable/placement_wire.hpp
@@ -0,0 +1,48 @@
+#ifndef GLENHOLLOW_DURABLE_PLACEMENT_WIRE_HPP
+#define GLENHOLLOW_DURABLE_PLACEMENT_WIRE_HPP
+
+#include "glenhollow/durable/dispatcher.hpp"
+#include "glenhollow/wire/glenhollow.capnp.h"
+
+#include <vector>
+
+namespace glenhollow
+{
+
+/// What an entry tells its placer.
+struct want_message
+{
+    bool restart = false;                 ///< Forget what was wanted before.
+    queue_changes changes;                ///< Of its waiting tasks.
+    std::vector<declined_grant> declined; ///< Grants that it did not use.
+
+    /// @return Whether there is nothing to tell.
+    bool empty() const
+    {
+        return !restart && changes.empty() && declined.empty();
+    }
+};
+
+/// @param out Gets the message.
+/// @param message What is told.
+/// @param now The sender's time.
+void fill(wire::PlacementSession::WantParams::Builder out,
+          const want_message& message, instant now);
+
+/// @param in A message.
+/// @param now The receiver's time.
+/// @return What was told, in the receiver's time.
+want_message from_wire(wire::PlacementSession::WantParams::Reader in,
+                       instant now);
+
+/// @param out Gets the grant.
+/// @param grant A grant.
+void fill(wire::TaskGrant::Builder out, const task_grant& grant);
+
+/// @param in A grant on the wire.
+/// @return The grant.
+task_grant from_wire(wire::TaskGrant::Reader in);
+
+} // namespace glenhollow
+
+#endif
--- a/src/glenhollow/runs/report_pacing.hpp
+++ b/src/glenhollow/runs/report_pacing.hpp
@@ -15,6 +15,8 @@
     duration heartbeat = milliseconds{200}; ///< Between reports, at most.
     duration room_gap = milliseconds{4};    ///< Of reports of room alone, for
                                             ///< each open session.
+    duration placer_gap = milliseconds{1};  ///< Of those to an entry that
+                                            ///< places for all others.
 };
 
 /// What one session has to be told.
@@ -24,6 +26,7 @@
     bool room = false;   ///< The room has changed, or runs have begun.
     instant reported{};  ///< When the last report left.
     duration wished{};   ///< Gap of reports of room that the entry asks for.
+    bool places = false; ///< The entry places for all others.
 };
 
 /// Decides when a session is told. Runs begin and end at an agent as often
@@ -46,6 +49,15 @@
                static_cast<duration::rep>(std::max<std::size_t>(1, open));
     }
 
+    /// @param marks What a session has to be told.
+    /// @param open Open sessions.
+    /// @return The least time between two reports of room to this session.
+    duration room_gap(const report_marks& marks, std::size_t open) const
+    {
+        const auto least = marks.places ? settings_.placer_gap : room_gap(open);
+        return std::max(least, marks.wished);
+    }
+
     /// @param marks What a session has to be told.
     /// @param open Open sessions.
     /// @param now The time.
@@ -53,8 +65,7 @@
     bool is_due(const report_marks& marks, std::size_t open, instant now) const
     {
         const auto since = now - marks.reported;
-        const auto gap = std::max(room_gap(open), marks.wished);
-        return marks.urgent || (marks.room && since >= gap) ||
+        return marks.urgent || (marks.room && since >= room_gap(marks, open)) ||
                since >= settings_.heartbeat;
     }
 
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -57,7 +57,10 @@
         for (const auto& run : batch.stops)
             keeper.stop(run);
         for (auto& start : batch.starts)
+        {
+            service_.note_grant(start);
             keeper.order(std::move(start), session->memory);
+        }
         service_.schedule_room();
         return kj::READY_NOW;
     }
@@ -81,8 +84,9 @@
         auto out = context.getResults();
         out.setSession(kj::heap<session_server>(service_, service_.numbers_));
         out.setIncarnation(service_.incarnation_);
-        fill(out.initState(),
-             {service_.keeper_.account(), service_.keeper_.room(), 0, true});
+        fill(
+            out.initState(),
+            {service_.keeper_.account(), service_.keeper_.room(), 0, true, {}});
         log_change(log_level::info, "entry_attached", {{"entry", entry}});
         return kj::READY_NOW;
     }
@@ -224,12 +228,38 @@
               });
 }
 
+/// Its placer counts the room as taken until it hears that the order is here.
+void run_agent_service::note_grant(const run_order& order)
+{
+    if (order.grant == 0)
+        return;
+    for (auto& [entry, one] : sessions_)
+    {
+        if (one.incarnation != order.placer)
+            continue;
+        one.granted.push_back(order.grant);
+        one.marks.room = true;
+    }
+}
+
+duration run_agent_service::next_room_gap() const
+{
+    const auto open = open_sessions();
+    auto gap = pacing_.room_gap(open);
+    for (const auto& [entry, one] : sessions_)
+    {
+        if (one.marks.room && one.reports != nullptr)
+            gap = std::min(gap, pacing_.room_gap(one.marks, open));
+    }
+    return gap;
+}
+
 /// One timer serves all that changes within the gap.
 void run_agent_service::schedule_room()
 {
     if (std::exchange(room_scheduled_, true))
         return;
-    run_after(io_, pacing_.room_gap(open_sessions()),
+    run_after(io_, next_room_gap(),
               [this, alive = alive_]
               {
                   if (!*alive)
@@ -302,14 +332,20 @@
         auto out = request.initReport();
         const auto& account = keeper_.account();
         const bool whole = to.told_life != account.instance;
-        fill(out.initState(), {account, keeper_.room(), to.received, whole});
+        fill(out.initState(),
+             {account, keeper_.room(), to.received, whole, {}});
         fill_ends(to, out);
         fill_begun(to, out);
+        auto granted =
+            out.initGranted(static_cast<unsigned>(to.granted.size()));
+        for (unsigned i = 0; i < granted.size(); ++i)
+            granted.set(i, to.granted[i]);
+        to.granted.clear();
         const auto sent = clock_.now();
         const auto number = to.number;
         to.reporting = true;
         to.told_life = account.instance;
-        to.marks = {false, false, sent, to.marks.wished};
+        to.marks = {false, false, sent, to.marks.wished, to.marks.places};
         ++reports_;
         calls_.add(request.send().then(
             [this, number, sent](auto&& answer)
@@ -318,7 +354,8 @@
                 for (auto part : answer.getRenewed())
                     renewed.push_back(from_wire(part));
                 report_answered(number, sent, renewed,
-                                milliseconds{answer.getRoomGapMs()});
+                                milliseconds{answer.getRoomGapMs()},
+                                answer.getPlaces());
             },
             [this, number](kj::Exception&&) { report_failed(number); }));
     }
@@ -326,13 +363,14 @@
 
 void run_agent_service::report_answered(std::uint64_t number, instant sent,
                                         const std::vector<part_epoch>& renewed,
-                                        duration wished)
+                                        duration wished, bool places)
 {
     auto* from = find(number);
     if (from == nullptr)
         return;
     from->reporting = false;
     from->marks.wished = wished;
+    from->marks.places = places;
     keeper_.renew(from->memory, 0, sent);
     for (const auto& part : renewed)
         keeper_.renew(part.part, part.epoch, sent);
--- a/src/glenhollow/runs/run_agent_service.hpp
+++ b/src/glenhollow/runs/run_agent_service.hpp
@@ -55,7 +55,8 @@
         std::uint64_t received = 0;    ///< Order batches.
         kj::Maybe<wire::RunReports::Client> reports; ///< Its ear.
         bool reporting = false;                      ///< A report is out.
-        report_marks marks;    ///< What it has to be told.
+        report_marks marks;                 ///< What it has to be told.
+        std::vector<std::uint32_t> granted; ///< Its grants that have come.
         std::string told_life; ///< Runner's life whose account was told.
     };
 
@@ -65,6 +66,8 @@
     void phase_changed() override;
     void schedule_now();
     void schedule_room();
+    duration next_room_gap() const;
+    void note_grant(const run_order& order);
     std::size_t open_sessions() const;
     void flush();
     bool is_due(const session& to) const;
@@ -73,7 +76,7 @@
     void fill_begun(session& to, wire::RunReport::Builder out);
     void report_answered(std::uint64_t number, instant sent,
                          const std::vector<part_epoch>& renewed,
-                         duration wished);
+                         duration wished, bool places);
     void report_failed(std::uint64_t number);
     void adopted(std::uint64_t number, lease_id lease);
     void open(const std::string& entry, std::uint64_t incarnation,
--- a/src/glenhollow/runs/run_keeper.hpp
+++ b/src/glenhollow/runs/run_keeper.hpp
@@ -100,6 +100,9 @@
     std::int64_t urgency = 0;      ///< Smaller goes first.
     std::string spec;              ///< The job's.
     std::uint32_t estimate_ms = 0; ///< A rough guess of its time; 0: none.
+    std::uint64_t placer = 0;      ///< Incarnation of the entry that chose
+                                   ///< this agent, if not the sender.
+    std::uint32_t grant = 0;       ///< Its number there; 0: none.
 };
 
 /// A run as its agent lists it for a new owner.
--- a/src/glenhollow/runs/run_wire.cpp
+++ b/src/glenhollow/runs/run_wire.cpp
@@ -6,19 +6,6 @@
 namespace
 {
 
-void fill_task(wire::TaskRef::Builder out, const task_ref& task)
-{
-    out.setJob(task.job);
-    out.setOccurrence(task.occurrence);
-    out.setStep(task.step);
-    out.setIndex(task.index);
-}
-
-task_ref task_from(wire::TaskRef::Reader in)
-{
-    return {in.getJob(), in.getOccurrence(), in.getStep(), in.getIndex()};
-}
-
 std::string text(capnp::Text::Reader in)
 {
     return {in.cStr(), in.size()};
@@ -71,20 +58,33 @@
 
 } // namespace
 
+void fill(wire::TaskRef::Builder out, const task_ref& task)
+{
+    out.setJob(task.job);
+    out.setOccurrence(task.occurrence);
+    out.setStep(task.step);
+    out.setIndex(task.index);
+}
+
+task_ref from_wire(wire::TaskRef::Reader in)
+{
+    return {in.getJob(), in.getOccurrence(), in.getStep(), in.getIndex()};
+}
+
 void fill(wire::RunRef::Builder out, const run_ref& run)
 {
-    fill_task(out.initTask(), run.task);
+    fill(out.initTask(), run.task);
     out.setRun(run.run);
 }
 
 run_ref from_wire(wire::RunRef::Reader in)
 {
-    return {task_from(in.getTask()), in.getRun()};
+    return {from_wire(in.getTask()), in.getRun()};
 }
 
 void fill(wire::RunEnd::Builder out, const run_end& end)
 {
-    fill_task(out.initTask(), end.run.task);
+    fill(out.initTask(), end.run.task);
     out.setRun(end.run.run);
     out.setHow(static_cast<std::uint8_t>(end.how));
     out.setNumber(end.number);
@@ -94,7 +94,7 @@
 
 run_end from_wire(wire::RunEnd::Reader in)
 {
-    return {{task_from(in.getTask()), in.getRun()},
+    return {{from_wire(in.getTask()), in.getRun()},
             from_index(in.getHow(), run_outcome::failed),
             in.getNumber(),
             in.getMicros(),
@@ -103,7 +103,7 @@
 
 void fill(wire::RunOrder::Builder out, const run_order& order)
 {
-    fill_task(out.initTask(), order.run.task);
+    fill(out.initTask(), order.run.task);
     out.setRun(order.run.run);
     out.setEpoch(order.epoch);
     out.setCpu(order.needs.cpu);
@@ -112,23 +112,27 @@
     out.setUrgency(order.urgency);
     out.setSpec(order.spec);
     out.setEstimateMs(order.estimate_ms);
+    out.setPlacer(order.placer);
+    out.setGrant(order.grant);
 }
 
 run_order from_wire(wire::RunOrder::Reader in)
 {
     run_order order;
-    order.run = {task_from(in.getTask()), in.getRun()};
+    order.run = {from_wire(in.getTask()), in.getRun()};
     order.epoch = in.getEpoch();
     order.needs = {in.getCpu(), in.getMemory(), in.getGpu()};
     order.urgency = in.getUrgency();
     order.spec = text(in.getSpec());
     order.estimate_ms = in.getEstimateMs();
+    order.placer = in.getPlacer();
+    order.grant = in.getGrant();
     return order;
 }
 
 void fill(wire::RunState::Builder out, const listed_run& run)
 {
-    fill_task(out.initTask(), run.run.task);
+    fill(out.initTask(), run.run.task);
     out.setRun(run.run.run);
     out.setPhase(static_cast<std::uint8_t>(run.phase));
     out.setSized(run.sized);
@@ -136,7 +140,7 @@
 
 listed_run from_wire(wire::RunState::Reader in)
 {
-    return {{task_from(in.getTask()), in.getRun()},
+    return {{from_wire(in.getTask()), in.getRun()},
             from_index(in.getPhase(), run_phase::running),
             in.getSized()};
 }
--- a/src/glenhollow/runs/run_wire.hpp
+++ b/src/glenhollow/runs/run_wire.hpp
@@ -7,6 +7,14 @@
 namespace glenhollow
 {
 
+/// @param out Gets the task.
+/// @param task A task.
+void fill(wire::TaskRef::Builder out, const task_ref& task);
+
+/// @param in A task on the wire.
+/// @return The task.
+task_ref from_wire(wire::TaskRef::Reader in);
+
 /// @param out Gets the run.
 /// @param run A run.
 void fill(wire::RunRef::Builder out, const run_ref& run);
@@ -46,6 +54,8 @@
     runner_room room;           ///< What is taken.
     std::uint64_t received = 0; ///< Order batches of the session seen.
     bool whole = true;          ///< All of the account, not its phase alone.
+    std::vector<std::uint32_t> granted; ///< Grants of the receiver whose
+                                        ///< orders have come since.
 };
 
 /// @param out Gets the report.
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -95,6 +95,15 @@
 CAPNP_DECLARE_SCHEMA(f07b90f43f6a30a9);
 CAPNP_DECLARE_SCHEMA(ac863c02ed76ebc2);
 CAPNP_DECLARE_SCHEMA(8ceefc25cd9f3886);
+CAPNP_DECLARE_SCHEMA(9d0c01391bc9688c);
+CAPNP_DECLARE_SCHEMA(a42d58681f74644e);
+CAPNP_DECLARE_SCHEMA(ea252000cf7148bb);
+CAPNP_DECLARE_SCHEMA(a5976fd46db3b8c6);
+CAPNP_DECLARE_SCHEMA(96419b5771d66711);
+CAPNP_DECLARE_SCHEMA(81ca0676f72edc7c);
+CAPNP_DECLARE_SCHEMA(81652ca7b9073c6f);
+CAPNP_DECLARE_SCHEMA(963e882a56c93417);
+CAPNP_DECLARE_SCHEMA(aa44e4a4eec55075);
 CAPNP_DECLARE_SCHEMA(cd03708998b5f84f);
 CAPNP_DECLARE_SCHEMA(b5efd18c27d89bbf);
 CAPNP_DECLARE_SCHEMA(e6bdd1bce47ef267);
@@ -102,6 +111,8 @@
 CAPNP_DECLARE_SCHEMA(e5506fb7a116b5fe);
 CAPNP_DECLARE_SCHEMA(e0f8ed3e4ff016b6);
 CAPNP_DECLARE_SCHEMA(bace4bbd0ba66a8c);
+CAPNP_DECLARE_SCHEMA(d1ca2cb6ea35601f);
+CAPNP_DECLARE_SCHEMA(fbd83b739df97924);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -845,7 +856,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f7dea9ea25727732, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f7dea9ea25727732, 6, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -935,7 +946,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ec87597cb817e74a, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ec87597cb817e74a, 0, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1159,7 +1170,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f07b90f43f6a30a9, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f07b90f43f6a30a9, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1196,6 +1207,149 @@
   };
 };
 
+struct WantedTasks {
+  WantedTasks() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9d0c01391bc9688c, 6, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TaskGrant {
+  TaskGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a42d58681f74644e, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct DeclinedGrant {
+  DeclinedGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ea252000cf7148bb, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PlacementGrants {
+  PlacementGrants() = delete;
+
+#if !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
+
+  struct GrantParams;
+  struct GrantResults;
+
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(a5976fd46db3b8c6)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
+
+struct PlacementGrants::GrantParams {
+  GrantParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(96419b5771d66711, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PlacementGrants::GrantResults {
+  GrantResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(81ca0676f72edc7c, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PlacementSession {
+  PlacementSession() = delete;
+
+#if !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
+
+  struct WantParams;
+  struct WantResults;
+
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(81652ca7b9073c6f)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
+
+struct PlacementSession::WantParams {
+  WantParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(963e882a56c93417, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PlacementSession::WantResults {
+  WantResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(aa44e4a4eec55075, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct EntryPeer {
   EntryPeer() = delete;
 
@@ -1210,6 +1364,8 @@
   struct CallResults;
   struct CatalogParams;
   struct CatalogResults;
+  struct PlaceParams;
+  struct PlaceResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -1309,6 +1465,36 @@
   };
 };
 
+struct EntryPeer::PlaceParams {
+  PlaceParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d1ca2cb6ea35601f, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryPeer::PlaceResults {
+  PlaceResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fbd83b739df97924, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class TaskKey::Reader {
@@ -5480,6 +5666,10 @@
 
   inline  ::uint32_t getEstimateMs() const;
 
+  inline  ::uint64_t getPlacer() const;
+
+  inline  ::uint32_t getGrant() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5543,6 +5733,12 @@
   inline  ::uint32_t getEstimateMs();
   inline void setEstimateMs( ::uint32_t value);
 
+  inline  ::uint64_t getPlacer();
+  inline void setPlacer( ::uint64_t value);
+
+  inline  ::uint32_t getGrant();
+  inline void setGrant( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6130,6 +6326,9 @@
   inline bool hasStarted() const;
   inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader getStarted() const;
 
+  inline bool hasGranted() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getGranted() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6179,6 +6378,14 @@
   inline void adoptStarted(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>> disownStarted();
 
+  inline bool hasGranted();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getGranted();
+  inline void setGranted( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setGranted(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initGranted(unsigned int size);
+  inline void adoptGranted(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownGranted();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6363,6 +6570,8 @@
 
   inline  ::uint32_t getRoomGapMs() const;
 
+  inline bool getPlaces() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6401,6 +6610,9 @@
   inline  ::uint32_t getRoomGapMs();
   inline void setRoomGapMs( ::uint32_t value);
 
+  inline bool getPlaces();
+  inline void setPlaces(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7312,6 +7524,12 @@
   inline bool hasReleased() const;
   inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader getReleased() const;
 
+  inline  ::uint32_t getPower() const;
+
+  inline bool getTimely() const;
+
+  inline  ::uint32_t getAgents() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -7380,6 +7598,15 @@
   inline void adoptReleased(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>> disownReleased();
 
+  inline  ::uint32_t getPower();
+  inline void setPower( ::uint32_t value);
+
+  inline bool getTimely();
+  inline void setTimely(bool value);
+
+  inline  ::uint32_t getAgents();
+  inline void setAgents( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7588,74 +7815,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class EntryPeer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef EntryPeer Calls;
-  typedef EntryPeer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::glenhollow::wire::EntryPeer::ExchangeParams,  ::glenhollow::wire::EntryPeer::ExchangeResults> exchangeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::EntryPeer::CallParams,  ::glenhollow::wire::EntryPeer::CallResults> callRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::EntryPeer::CatalogParams,  ::glenhollow::wire::EntryPeer::CatalogResults> catalogRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class EntryPeer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef EntryPeer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::glenhollow::wire::EntryPeer::ExchangeParams ExchangeParams;
-  typedef  ::glenhollow::wire::EntryPeer::ExchangeResults ExchangeResults;
-  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
-  virtual ::kj::Promise<void> exchange(ExchangeContext context);
-  typedef  ::glenhollow::wire::EntryPeer::CallParams CallParams;
-  typedef  ::glenhollow::wire::EntryPeer::CallResults CallResults;
-  typedef ::capnp::CallContext<CallParams, CallResults> CallContext;
-  virtual ::kj::Promise<void> call(CallContext context);
-  typedef  ::glenhollow::wire::EntryPeer::CatalogParams CatalogParams;
-  typedef  ::glenhollow::wire::EntryPeer::CatalogResults CatalogResults;
-  typedef ::capnp::CallContext<CatalogParams, CatalogResults> CatalogContext;
-  virtual ::kj::Promise<void> catalog(CatalogContext context);
-
-  inline  ::glenhollow::wire::EntryPeer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::glenhollow::wire::EntryPeer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class EntryPeer::ExchangeParams::Reader {
+class WantedTasks::Reader {
 public:
-  typedef ExchangeParams Reads;
+  typedef WantedTasks Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7670,8 +7832,40 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasView() const;
-  inline  ::glenhollow::wire::EntryView::Reader getView() const;
+  inline  ::uint64_t getJob() const;
+
+  inline  ::uint32_t getOccurrence() const;
+
+  inline  ::uint32_t getStep() const;
+
+  inline bool hasIndices() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getIndices() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasLabel() const;
+  inline  ::capnp::Text::Reader getLabel() const;
+
+  inline bool hasPreferredLabel() const;
+  inline  ::capnp::Text::Reader getPreferredLabel() const;
+
+  inline  ::uint32_t getCpu() const;
+
+  inline  ::uint32_t getMemory() const;
+
+  inline  ::uint32_t getGpu() const;
+
+  inline  ::uint32_t getPriority() const;
+
+  inline  ::int64_t getSlackMicros() const;
+
+  inline  ::uint32_t getEstimateMs() const;
+
+  inline bool hasAvoid() const;
+  inline  ::capnp::Text::Reader getAvoid() const;
+
+  inline bool getBegun() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7685,9 +7879,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::ExchangeParams::Builder {
+class WantedTasks::Builder {
 public:
-  typedef ExchangeParams Builds;
+  typedef WantedTasks Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7701,32 +7895,90 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasView();
-  inline  ::glenhollow::wire::EntryView::Builder getView();
-  inline void setView( ::glenhollow::wire::EntryView::Reader value);
-  inline  ::glenhollow::wire::EntryView::Builder initView();
-  inline void adoptView(::capnp::Orphan< ::glenhollow::wire::EntryView>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::EntryView> disownView();
+  inline  ::uint64_t getJob();
+  inline void setJob( ::uint64_t value);
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  inline  ::uint32_t getOccurrence();
+  inline void setOccurrence( ::uint32_t value);
+
+  inline  ::uint32_t getStep();
+  inline void setStep( ::uint32_t value);
+
+  inline bool hasIndices();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getIndices();
+  inline void setIndices( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setIndices(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initIndices(unsigned int size);
+  inline void adoptIndices(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownIndices();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasLabel();
+  inline  ::capnp::Text::Builder getLabel();
+  inline void setLabel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLabel(unsigned int size);
+  inline void adoptLabel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLabel();
+
+  inline bool hasPreferredLabel();
+  inline  ::capnp::Text::Builder getPreferredLabel();
+  inline void setPreferredLabel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPreferredLabel(unsigned int size);
+  inline void adoptPreferredLabel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPreferredLabel();
+
+  inline  ::uint32_t getCpu();
+  inline void setCpu( ::uint32_t value);
+
+  inline  ::uint32_t getMemory();
+  inline void setMemory( ::uint32_t value);
+
+  inline  ::uint32_t getGpu();
+  inline void setGpu( ::uint32_t value);
+
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
+
+  inline  ::int64_t getSlackMicros();
+  inline void setSlackMicros( ::int64_t value);
+
+  inline  ::uint32_t getEstimateMs();
+  inline void setEstimateMs( ::uint32_t value);
+
+  inline bool hasAvoid();
+  inline  ::capnp::Text::Builder getAvoid();
+  inline void setAvoid( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAvoid(unsigned int size);
+  inline void adoptAvoid(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAvoid();
+
+  inline bool getBegun();
+  inline void setBegun(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class EntryPeer::ExchangeParams::Pipeline {
+class WantedTasks::Pipeline {
 public:
-  typedef ExchangeParams Pipelines;
+  typedef WantedTasks Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::EntryView::Pipeline getView();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -7735,9 +7987,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::ExchangeResults::Reader {
+class TaskGrant::Reader {
 public:
-  typedef ExchangeResults Reads;
+  typedef TaskGrant Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7752,8 +8004,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasView() const;
-  inline  ::glenhollow::wire::EntryView::Reader getView() const;
+  inline bool hasTask() const;
+  inline  ::glenhollow::wire::TaskRef::Reader getTask() const;
+
+  inline bool hasAgent() const;
+  inline  ::capnp::Text::Reader getAgent() const;
+
+  inline  ::uint32_t getNumber() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7767,9 +8024,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::ExchangeResults::Builder {
+class TaskGrant::Builder {
 public:
-  typedef ExchangeResults Builds;
+  typedef TaskGrant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7783,12 +8040,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasView();
-  inline  ::glenhollow::wire::EntryView::Builder getView();
-  inline void setView( ::glenhollow::wire::EntryView::Reader value);
-  inline  ::glenhollow::wire::EntryView::Builder initView();
-  inline void adoptView(::capnp::Orphan< ::glenhollow::wire::EntryView>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::EntryView> disownView();
+  inline bool hasTask();
+  inline  ::glenhollow::wire::TaskRef::Builder getTask();
+  inline void setTask( ::glenhollow::wire::TaskRef::Reader value);
+  inline  ::glenhollow::wire::TaskRef::Builder initTask();
+  inline void adoptTask(::capnp::Orphan< ::glenhollow::wire::TaskRef>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::TaskRef> disownTask();
+
+  inline bool hasAgent();
+  inline  ::capnp::Text::Builder getAgent();
+  inline void setAgent( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAgent(unsigned int size);
+  inline void adoptAgent(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAgent();
+
+  inline  ::uint32_t getNumber();
+  inline void setNumber( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7800,15 +8067,15 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::ExchangeResults::Pipeline {
+class TaskGrant::Pipeline {
 public:
-  typedef ExchangeResults Pipelines;
+  typedef TaskGrant Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::EntryView::Pipeline getView();
+  inline  ::glenhollow::wire::TaskRef::Pipeline getTask();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -7817,9 +8084,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::CallParams::Reader {
+class DeclinedGrant::Reader {
 public:
-  typedef CallParams Reads;
+  typedef DeclinedGrant Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7834,8 +8101,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCall() const;
-  inline  ::glenhollow::wire::JobCall::Reader getCall() const;
+  inline bool hasAgent() const;
+  inline  ::capnp::Text::Reader getAgent() const;
+
+  inline  ::uint32_t getNumber() const;
+
+  inline bool getUnreachable() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7849,9 +8120,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::CallParams::Builder {
+class DeclinedGrant::Builder {
 public:
-  typedef CallParams Builds;
+  typedef DeclinedGrant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7865,12 +8136,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCall();
-  inline  ::glenhollow::wire::JobCall::Builder getCall();
-  inline void setCall( ::glenhollow::wire::JobCall::Reader value);
-  inline  ::glenhollow::wire::JobCall::Builder initCall();
-  inline void adoptCall(::capnp::Orphan< ::glenhollow::wire::JobCall>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::JobCall> disownCall();
+  inline bool hasAgent();
+  inline  ::capnp::Text::Builder getAgent();
+  inline void setAgent( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAgent(unsigned int size);
+  inline void adoptAgent(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAgent();
+
+  inline  ::uint32_t getNumber();
+  inline void setNumber( ::uint32_t value);
+
+  inline bool getUnreachable();
+  inline void setUnreachable(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7882,15 +8159,14 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::CallParams::Pipeline {
+class DeclinedGrant::Pipeline {
 public:
-  typedef CallParams Pipelines;
+  typedef DeclinedGrant Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::JobCall::Pipeline getCall();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -7899,9 +8175,62 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::CallResults::Reader {
+#if !CAPNP_LITE
+class PlacementGrants::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef CallResults Reads;
+  typedef PlacementGrants Calls;
+  typedef PlacementGrants Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::glenhollow::wire::PlacementGrants::GrantParams,  ::glenhollow::wire::PlacementGrants::GrantResults> grantRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class PlacementGrants::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef PlacementGrants Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::glenhollow::wire::PlacementGrants::GrantParams GrantParams;
+  typedef  ::glenhollow::wire::PlacementGrants::GrantResults GrantResults;
+  typedef ::capnp::CallContext<GrantParams, GrantResults> GrantContext;
+  virtual ::kj::Promise<void> grant(GrantContext context);
+
+  inline  ::glenhollow::wire::PlacementGrants::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::glenhollow::wire::PlacementGrants>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class PlacementGrants::GrantParams::Reader {
+public:
+  typedef GrantParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7916,8 +8245,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer() const;
-  inline  ::glenhollow::wire::JobAnswer::Reader getAnswer() const;
+  inline bool hasGrants() const;
+  inline  ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7931,9 +8260,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::CallResults::Builder {
+class PlacementGrants::GrantParams::Builder {
 public:
-  typedef CallResults Builds;
+  typedef GrantParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7947,12 +8276,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer();
-  inline  ::glenhollow::wire::JobAnswer::Builder getAnswer();
-  inline void setAnswer( ::glenhollow::wire::JobAnswer::Reader value);
-  inline  ::glenhollow::wire::JobAnswer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::glenhollow::wire::JobAnswer>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::JobAnswer> disownAnswer();
+  inline bool hasGrants();
+  inline  ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>::Builder getGrants();
+  inline void setGrants( ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
+  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>> disownGrants();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7964,15 +8293,14 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::CallResults::Pipeline {
+class PlacementGrants::GrantParams::Pipeline {
 public:
-  typedef CallResults Pipelines;
+  typedef GrantParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::JobAnswer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -7981,9 +8309,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::CatalogParams::Reader {
+class PlacementGrants::GrantResults::Reader {
 public:
-  typedef CatalogParams Reads;
+  typedef GrantResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8010,9 +8338,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::CatalogParams::Builder {
+class PlacementGrants::GrantResults::Builder {
 public:
-  typedef CatalogParams Builds;
+  typedef GrantResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8036,9 +8364,9 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::CatalogParams::Pipeline {
+class PlacementGrants::GrantResults::Pipeline {
 public:
-  typedef CatalogParams Pipelines;
+  typedef GrantResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -8052,9 +8380,62 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::CatalogResults::Reader {
+#if !CAPNP_LITE
+class PlacementSession::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef CatalogResults Reads;
+  typedef PlacementSession Calls;
+  typedef PlacementSession Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::glenhollow::wire::PlacementSession::WantParams,  ::glenhollow::wire::PlacementSession::WantResults> wantRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class PlacementSession::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef PlacementSession Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::glenhollow::wire::PlacementSession::WantParams WantParams;
+  typedef  ::glenhollow::wire::PlacementSession::WantResults WantResults;
+  typedef ::capnp::CallContext<WantParams, WantResults> WantContext;
+  virtual ::kj::Promise<void> want(WantContext context);
+
+  inline  ::glenhollow::wire::PlacementSession::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::glenhollow::wire::PlacementSession>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class PlacementSession::WantParams::Reader {
+public:
+  typedef WantParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8069,10 +8450,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion() const;
+  inline bool getRestart() const;
 
-  inline bool hasDocument() const;
-  inline  ::capnp::Data::Reader getDocument() const;
+  inline bool hasTasks() const;
+  inline  ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>::Reader getTasks() const;
+
+  inline bool hasWithdrawn() const;
+  inline  ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>::Reader getWithdrawn() const;
+
+  inline bool hasDeclined() const;
+  inline  ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>::Reader getDeclined() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -8086,9 +8473,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::CatalogResults::Builder {
+class PlacementSession::WantParams::Builder {
 public:
-  typedef CatalogResults Builds;
+  typedef WantParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8102,15 +8489,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline bool getRestart();
+  inline void setRestart(bool value);
 
-  inline bool hasDocument();
-  inline  ::capnp::Data::Builder getDocument();
-  inline void setDocument( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initDocument(unsigned int size);
-  inline void adoptDocument(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownDocument();
+  inline bool hasTasks();
+  inline  ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>::Builder getTasks();
+  inline void setTasks( ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>::Builder initTasks(unsigned int size);
+  inline void adoptTasks(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>> disownTasks();
+
+  inline bool hasWithdrawn();
+  inline  ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>::Builder getWithdrawn();
+  inline void setWithdrawn( ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>::Builder initWithdrawn(unsigned int size);
+  inline void adoptWithdrawn(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>> disownWithdrawn();
+
+  inline bool hasDeclined();
+  inline  ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>::Builder getDeclined();
+  inline void setDeclined( ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>::Builder initDeclined(unsigned int size);
+  inline void adoptDeclined(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>> disownDeclined();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -8122,9 +8523,9 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::CatalogResults::Pipeline {
+class PlacementSession::WantParams::Pipeline {
 public:
-  typedef CatalogResults Pipelines;
+  typedef WantParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
