@@ -8138,4610 +8539,6212 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
-
-inline  ::uint64_t TaskKey::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+class PlacementSession::WantResults::Reader {
+public:
+  typedef WantResults Reads;
 
-inline  ::uint64_t TaskKey::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void TaskKey::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint32_t TaskKey::Reader::getTask() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint32_t TaskKey::Builder::getTask() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void TaskKey::Builder::setTask( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline bool Start::Reader::hasKey() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Start::Builder::hasKey() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::glenhollow::wire::TaskKey::Reader Start::Reader::getKey() const {
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PlacementSession::WantResults::Builder {
+public:
+  typedef WantResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PlacementSession::WantResults::Pipeline {
+public:
+  typedef WantResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+class EntryPeer::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef EntryPeer Calls;
+  typedef EntryPeer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::glenhollow::wire::EntryPeer::ExchangeParams,  ::glenhollow::wire::EntryPeer::ExchangeResults> exchangeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::EntryPeer::CallParams,  ::glenhollow::wire::EntryPeer::CallResults> callRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::EntryPeer::CatalogParams,  ::glenhollow::wire::EntryPeer::CatalogResults> catalogRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::EntryPeer::PlaceParams,  ::glenhollow::wire::EntryPeer::PlaceResults> placeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class EntryPeer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef EntryPeer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::glenhollow::wire::EntryPeer::ExchangeParams ExchangeParams;
+  typedef  ::glenhollow::wire::EntryPeer::ExchangeResults ExchangeResults;
+  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
+  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+  typedef  ::glenhollow::wire::EntryPeer::CallParams CallParams;
+  typedef  ::glenhollow::wire::EntryPeer::CallResults CallResults;
+  typedef ::capnp::CallContext<CallParams, CallResults> CallContext;
+  virtual ::kj::Promise<void> call(CallContext context);
+  typedef  ::glenhollow::wire::EntryPeer::CatalogParams CatalogParams;
+  typedef  ::glenhollow::wire::EntryPeer::CatalogResults CatalogResults;
+  typedef ::capnp::CallContext<CatalogParams, CatalogResults> CatalogContext;
+  virtual ::kj::Promise<void> catalog(CatalogContext context);
+  typedef  ::glenhollow::wire::EntryPeer::PlaceParams PlaceParams;
+  typedef  ::glenhollow::wire::EntryPeer::PlaceResults PlaceResults;
+  typedef ::capnp::CallContext<PlaceParams, PlaceResults> PlaceContext;
+  virtual ::kj::Promise<void> place(PlaceContext context);
+
+  inline  ::glenhollow::wire::EntryPeer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::glenhollow::wire::EntryPeer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::ExchangeParams::Reader {
+public:
+  typedef ExchangeParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasView() const;
+  inline  ::glenhollow::wire::EntryView::Reader getView() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::ExchangeParams::Builder {
+public:
+  typedef ExchangeParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasView();
+  inline  ::glenhollow::wire::EntryView::Builder getView();
+  inline void setView( ::glenhollow::wire::EntryView::Reader value);
+  inline  ::glenhollow::wire::EntryView::Builder initView();
+  inline void adoptView(::capnp::Orphan< ::glenhollow::wire::EntryView>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::EntryView> disownView();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::ExchangeParams::Pipeline {
+public:
+  typedef ExchangeParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::glenhollow::wire::EntryView::Pipeline getView();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::ExchangeResults::Reader {
+public:
+  typedef ExchangeResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasView() const;
+  inline  ::glenhollow::wire::EntryView::Reader getView() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::ExchangeResults::Builder {
+public:
+  typedef ExchangeResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasView();
+  inline  ::glenhollow::wire::EntryView::Builder getView();
+  inline void setView( ::glenhollow::wire::EntryView::Reader value);
+  inline  ::glenhollow::wire::EntryView::Builder initView();
+  inline void adoptView(::capnp::Orphan< ::glenhollow::wire::EntryView>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::EntryView> disownView();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::ExchangeResults::Pipeline {
+public:
+  typedef ExchangeResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::glenhollow::wire::EntryView::Pipeline getView();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::CallParams::Reader {
+public:
+  typedef CallParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCall() const;
+  inline  ::glenhollow::wire::JobCall::Reader getCall() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::CallParams::Builder {
+public:
+  typedef CallParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCall();
+  inline  ::glenhollow::wire::JobCall::Builder getCall();
+  inline void setCall( ::glenhollow::wire::JobCall::Reader value);
+  inline  ::glenhollow::wire::JobCall::Builder initCall();
+  inline void adoptCall(::capnp::Orphan< ::glenhollow::wire::JobCall>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::JobCall> disownCall();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::CallParams::Pipeline {
+public:
+  typedef CallParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::glenhollow::wire::JobCall::Pipeline getCall();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::CallResults::Reader {
+public:
+  typedef CallResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAnswer() const;
+  inline  ::glenhollow::wire::JobAnswer::Reader getAnswer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::CallResults::Builder {
+public:
+  typedef CallResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAnswer();
+  inline  ::glenhollow::wire::JobAnswer::Builder getAnswer();
+  inline void setAnswer( ::glenhollow::wire::JobAnswer::Reader value);
+  inline  ::glenhollow::wire::JobAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::glenhollow::wire::JobAnswer>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::JobAnswer> disownAnswer();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::CallResults::Pipeline {
+public:
+  typedef CallResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::glenhollow::wire::JobAnswer::Pipeline getAnswer();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::CatalogParams::Reader {
+public:
+  typedef CatalogParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::CatalogParams::Builder {
+public:
+  typedef CatalogParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::CatalogParams::Pipeline {
+public:
+  typedef CatalogParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::CatalogResults::Reader {
+public:
+  typedef CatalogResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasDocument() const;
+  inline  ::capnp::Data::Reader getDocument() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::CatalogResults::Builder {
+public:
+  typedef CatalogResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasDocument();
+  inline  ::capnp::Data::Builder getDocument();
+  inline void setDocument( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDocument(unsigned int size);
+  inline void adoptDocument(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDocument();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::CatalogResults::Pipeline {
+public:
+  typedef CatalogResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::PlaceParams::Reader {
+public:
+  typedef PlaceParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEntry() const;
+  inline  ::capnp::Text::Reader getEntry() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool hasGrants() const;
+#if !CAPNP_LITE
+  inline  ::glenhollow::wire::PlacementGrants::Client getGrants() const;
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::PlaceParams::Builder {
+public:
+  typedef PlaceParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEntry();
+  inline  ::capnp::Text::Builder getEntry();
+  inline void setEntry( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEntry(unsigned int size);
+  inline void adoptEntry(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEntry();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline bool hasGrants();
+#if !CAPNP_LITE
+  inline  ::glenhollow::wire::PlacementGrants::Client getGrants();
+  inline void setGrants( ::glenhollow::wire::PlacementGrants::Client&& value);
+  inline void setGrants( ::glenhollow::wire::PlacementGrants::Client& value);
+  inline void adoptGrants(::capnp::Orphan< ::glenhollow::wire::PlacementGrants>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::PlacementGrants> disownGrants();
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::PlaceParams::Pipeline {
+public:
+  typedef PlaceParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::glenhollow::wire::PlacementGrants::Client getGrants();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::PlaceResults::Reader {
+public:
+  typedef PlaceResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSession() const;
+#if !CAPNP_LITE
+  inline  ::glenhollow::wire::PlacementSession::Client getSession() const;
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIncarnation() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::PlaceResults::Builder {
+public:
+  typedef PlaceResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSession();
+#if !CAPNP_LITE
+  inline  ::glenhollow::wire::PlacementSession::Client getSession();
+  inline void setSession( ::glenhollow::wire::PlacementSession::Client&& value);
+  inline void setSession( ::glenhollow::wire::PlacementSession::Client& value);
+  inline void adoptSession(::capnp::Orphan< ::glenhollow::wire::PlacementSession>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::PlacementSession> disownSession();
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::PlaceResults::Pipeline {
+public:
+  typedef PlaceResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::glenhollow::wire::PlacementSession::Client getSession();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint64_t TaskKey::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TaskKey::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TaskKey::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TaskKey::Reader::getTask() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TaskKey::Builder::getTask() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TaskKey::Builder::setTask( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Start::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Start::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::glenhollow::wire::TaskKey::Reader Start::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::glenhollow::wire::TaskKey::Builder Start::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::TaskKey::Pipeline Start::Pipeline::getKey() {
+  return  ::glenhollow::wire::TaskKey::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Start::Builder::setKey( ::glenhollow::wire::TaskKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::glenhollow::wire::TaskKey::Builder Start::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Start::Builder::adoptKey(
+    ::capnp::Orphan< ::glenhollow::wire::TaskKey>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::glenhollow::wire::TaskKey> Start::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Start::Reader::getBeginBy() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Start::Builder::getBeginBy() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Start::Builder::setBeginBy( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Start::Reader::hasTeam() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Start::Builder::hasTeam() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Start::Reader::getTeam() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Start::Builder::getTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Start::Builder::setTeam( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Start::Builder::initTeam(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Start::Builder::adoptTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Start::Builder::disownTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Start::Reader::hasTraceparent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Start::Builder::hasTraceparent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Start::Reader::getTraceparent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Start::Builder::getTraceparent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Start::Builder::setTraceparent( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Start::Builder::initTraceparent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Start::Builder::adoptTraceparent(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Start::Builder::disownTraceparent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Start::Reader::hasPayload() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Start::Builder::hasPayload() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Start::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Start::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Start::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Start::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Start::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Start::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Start::Reader::getBodyHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Start::Builder::getBodyHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Start::Builder::setBodyHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Start::Reader::getJobTasks() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Start::Builder::getJobTasks() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Start::Builder::setJobTasks( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline float Start::Reader::getRank() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline float Start::Builder::getRank() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Start::Builder::setRank(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getQueued() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getQueued() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setQueued( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Load::Reader::getClock() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Load::Builder::getClock() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setClock( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Load::Reader::getDraining() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool Load::Builder::getDraining() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setDraining(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Load::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Load::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setConfigVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getLinks() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getLinks() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setLinks( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Load::Reader::getShunned() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+
+inline bool Load::Builder::getShunned() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setShunned(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Load::Reader::getReceived() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Load::Builder::getReceived() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setReceived( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TaskResult::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TaskResult::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::glenhollow::wire::TaskKey::Reader TaskResult::Reader::getKey() const {
   return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::TaskKey::Builder Start::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::get(_builder.getPointerField(
+inline  ::glenhollow::wire::TaskKey::Builder TaskResult::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::TaskKey::Pipeline TaskResult::Pipeline::getKey() {
+  return  ::glenhollow::wire::TaskKey::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void TaskResult::Builder::setKey( ::glenhollow::wire::TaskKey::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::glenhollow::wire::TaskKey::Builder TaskResult::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TaskResult::Builder::adoptKey(
+    ::capnp::Orphan< ::glenhollow::wire::TaskKey>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::glenhollow::wire::TaskKey> TaskResult::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::glenhollow::wire::Verdict TaskResult::Reader::getVerdict() const {
+  return _reader.getDataField< ::glenhollow::wire::Verdict>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::glenhollow::wire::Verdict TaskResult::Builder::getVerdict() {
+  return _builder.getDataField< ::glenhollow::wire::Verdict>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TaskResult::Builder::setVerdict( ::glenhollow::wire::Verdict value) {
+  _builder.setDataField< ::glenhollow::wire::Verdict>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t TaskResult::Reader::getReason() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t TaskResult::Builder::getReason() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TaskResult::Builder::setReason( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TaskResult::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool TaskResult::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader TaskResult::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder TaskResult::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void TaskResult::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder TaskResult::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void TaskResult::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> TaskResult::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t TaskResult::Reader::getWaitMicros() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TaskResult::Builder::getWaitMicros() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TaskResult::Builder::setWaitMicros( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TaskResult::Reader::getRunMicros() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TaskResult::Builder::getRunMicros() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TaskResult::Builder::setRunMicros( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TaskResult::Reader::getBodyHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TaskResult::Builder::getBodyHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TaskResult::Builder::setBodyHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TaskResult::Reader::getJobTasks() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TaskResult::Builder::getJobTasks() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TaskResult::Builder::setJobTasks( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StartBatch::Reader::hasStarts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StartBatch::Builder::hasStarts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>::Reader StartBatch::Reader::getStarts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::TaskKey::Pipeline Start::Pipeline::getKey() {
-  return  ::glenhollow::wire::TaskKey::Pipeline(_typeless.getPointerField(0));
+inline  ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>::Builder StartBatch::Builder::getStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void Start::Builder::setKey( ::glenhollow::wire::TaskKey::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::set(_builder.getPointerField(
+inline void StartBatch::Builder::setStarts( ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::TaskKey::Builder Start::Builder::initKey() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::init(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>::Builder StartBatch::Builder::initStarts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StartBatch::Builder::adoptStarts(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>> StartBatch::Builder::disownStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Start::Builder::adoptKey(
-    ::capnp::Orphan< ::glenhollow::wire::TaskKey>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::adopt(_builder.getPointerField(
+
+inline bool StartBatch::Reader::hasAcknowledged() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StartBatch::Builder::hasAcknowledged() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Reader StartBatch::Reader::getAcknowledged() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Builder StartBatch::Builder::getAcknowledged() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StartBatch::Builder::setAcknowledged( ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Builder StartBatch::Builder::initAcknowledged(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StartBatch::Builder::adoptAcknowledged(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>> StartBatch::Builder::disownAcknowledged() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool StartReply::Reader::hasResults() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StartReply::Builder::hasResults() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader StartReply::Reader::getResults() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder StartReply::Builder::getResults() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StartReply::Builder::setResults( ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder StartReply::Builder::initResults(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StartReply::Builder::adoptResults(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::TaskKey> Start::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>> StartReply::Builder::disownResults() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Start::Reader::getBeginBy() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool StartReply::Reader::hasLoad() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StartReply::Builder::hasLoad() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::glenhollow::wire::Load::Reader StartReply::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::glenhollow::wire::Load::Builder StartReply::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::Load::Pipeline StartReply::Pipeline::getLoad() {
+  return  ::glenhollow::wire::Load::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void StartReply::Builder::setLoad( ::glenhollow::wire::Load::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::glenhollow::wire::Load::Builder StartReply::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StartReply::Builder::adoptLoad(
+    ::capnp::Orphan< ::glenhollow::wire::Load>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::glenhollow::wire::Load> StartReply::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Start::Builder::getBeginBy() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ConfigurationRow::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Start::Builder::setBeginBy( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool ConfigurationRow::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ConfigurationRow::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ConfigurationRow::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConfigurationRow::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ConfigurationRow::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ConfigurationRow::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ConfigurationRow::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Start::Reader::hasTeam() const {
+inline bool ConfigurationRow::Reader::hasValue() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Start::Builder::hasTeam() {
+inline bool ConfigurationRow::Builder::hasValue() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Start::Reader::getTeam() const {
+inline  ::capnp::Text::Reader ConfigurationRow::Reader::getValue() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Start::Builder::getTeam() {
+inline  ::capnp::Text::Builder ConfigurationRow::Builder::getValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Start::Builder::setTeam( ::capnp::Text::Reader value) {
+inline void ConfigurationRow::Builder::setValue( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Start::Builder::initTeam(unsigned int size) {
+inline  ::capnp::Text::Builder ConfigurationRow::Builder::initValue(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Start::Builder::adoptTeam(
+inline void ConfigurationRow::Builder::adoptValue(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Start::Builder::disownTeam() {
+inline ::capnp::Orphan< ::capnp::Text> ConfigurationRow::Builder::disownValue() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Start::Reader::hasTraceparent() const {
+inline  ::uint64_t ConfigurationRow::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigurationRow::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ConfigurationRow::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConfigurationRow::Reader::hasBy() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Start::Builder::hasTraceparent() {
+inline bool ConfigurationRow::Builder::hasBy() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Start::Reader::getTraceparent() const {
+inline  ::capnp::Text::Reader ConfigurationRow::Reader::getBy() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Start::Builder::getTraceparent() {
+inline  ::capnp::Text::Builder ConfigurationRow::Builder::getBy() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Start::Builder::setTraceparent( ::capnp::Text::Reader value) {
+inline void ConfigurationRow::Builder::setBy( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Start::Builder::initTraceparent(unsigned int size) {
+inline  ::capnp::Text::Builder ConfigurationRow::Builder::initBy(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Start::Builder::adoptTraceparent(
+inline void ConfigurationRow::Builder::adoptBy(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Start::Builder::disownTraceparent() {
+inline ::capnp::Orphan< ::capnp::Text> ConfigurationRow::Builder::disownBy() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Start::Reader::hasPayload() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool Start::Builder::hasPayload() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader Start::Reader::getPayload() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder Start::Builder::getPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void Start::Builder::setPayload( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder Start::Builder::initPayload(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void Start::Builder::adoptPayload(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> Start::Builder::disownPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t Start::Reader::getBodyHash() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Start::Builder::getBodyHash() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Start::Builder::setBodyHash( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Start::Reader::getJobTasks() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Start::Builder::getJobTasks() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Start::Builder::setJobTasks( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline float Start::Reader::getRank() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-
-inline float Start::Builder::getRank() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-inline void Start::Builder::setRank(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Load::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Load::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Load::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Load::Reader::getRunning() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Load::Builder::getRunning() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Load::Builder::setRunning( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Load::Reader::getQueued() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Load::Builder::getQueued() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Load::Builder::setQueued( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t Load::Reader::getClock() const {
+inline  ::int64_t ConfigurationRow::Reader::getWhen() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Load::Builder::getClock() {
+inline  ::int64_t ConfigurationRow::Builder::getWhen() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setClock( ::int64_t value) {
+inline void ConfigurationRow::Builder::setWhen( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Load::Reader::getDraining() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
-}
-
-inline bool Load::Builder::getDraining() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
-}
-inline void Load::Builder::setDraining(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Load::Reader::getConfigVersion() const {
+inline  ::uint64_t Configuration::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Load::Builder::getConfigVersion() {
+inline  ::uint64_t Configuration::Builder::getVersion() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setConfigVersion( ::uint64_t value) {
+inline void Configuration::Builder::setVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Load::Reader::getLinks() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Load::Builder::getLinks() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool Configuration::Reader::hasRows() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Load::Builder::setLinks( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline bool Configuration::Builder::hasRows() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool Load::Reader::getShunned() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>::Reader Configuration::Reader::getRows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool Load::Builder::getShunned() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>::Builder Configuration::Builder::getRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Load::Builder::setShunned(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
+inline void Configuration::Builder::setRows( ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t Load::Reader::getReceived() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>::Builder Configuration::Builder::initRows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t Load::Builder::getReceived() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline void Configuration::Builder::adoptRows(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Load::Builder::setReceived( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>> Configuration::Builder::disownRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool TaskResult::Reader::hasKey() const {
+inline bool Member::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool TaskResult::Builder::hasKey() {
+inline bool Member::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::TaskKey::Reader TaskResult::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Member::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::TaskKey::Builder TaskResult::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Member::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::TaskKey::Pipeline TaskResult::Pipeline::getKey() {
-  return  ::glenhollow::wire::TaskKey::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void TaskResult::Builder::setKey( ::glenhollow::wire::TaskKey::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::set(_builder.getPointerField(
+inline void Member::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::TaskKey::Builder TaskResult::Builder::initKey() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Member::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void TaskResult::Builder::adoptKey(
-    ::capnp::Orphan< ::glenhollow::wire::TaskKey>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::adopt(_builder.getPointerField(
+inline void Member::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::TaskKey> TaskResult::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskKey>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::glenhollow::wire::Verdict TaskResult::Reader::getVerdict() const {
-  return _reader.getDataField< ::glenhollow::wire::Verdict>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::glenhollow::wire::Verdict TaskResult::Builder::getVerdict() {
-  return _builder.getDataField< ::glenhollow::wire::Verdict>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void TaskResult::Builder::setVerdict( ::glenhollow::wire::Verdict value) {
-  _builder.setDataField< ::glenhollow::wire::Verdict>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint16_t TaskResult::Reader::getReason() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t TaskResult::Builder::getReason() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void TaskResult::Builder::setReason( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool TaskResult::Reader::hasBody() const {
+inline bool Member::Reader::hasRole() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool TaskResult::Builder::hasBody() {
+inline bool Member::Builder::hasRole() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader TaskResult::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Member::Reader::getRole() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder TaskResult::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Member::Builder::getRole() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void TaskResult::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void Member::Builder::setRole( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder TaskResult::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Member::Builder::initRole(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void TaskResult::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void Member::Builder::adoptRole(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> TaskResult::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownRole() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t TaskResult::Reader::getWaitMicros() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Member::Reader::hasHall() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t TaskResult::Builder::getWaitMicros() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Member::Builder::hasHall() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void TaskResult::Builder::setWaitMicros( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader Member::Reader::getHall() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t TaskResult::Reader::getRunMicros() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Member::Builder::getHall() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t TaskResult::Builder::getRunMicros() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void Member::Builder::setHall( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void TaskResult::Builder::setRunMicros( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder Member::Builder::initHall(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t TaskResult::Reader::getBodyHash() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void Member::Builder::adoptHall(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownHall() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t TaskResult::Builder::getBodyHash() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Member::Reader::hasRpc() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void TaskResult::Builder::setBodyHash( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline bool Member::Builder::hasRpc() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getRpc() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getRpc() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setRpc( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initRpc(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptRpc(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownRpc() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t TaskResult::Reader::getJobTasks() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool Member::Reader::hasState() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasState() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getState() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getState() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setState( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initState(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptState(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownState() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t TaskResult::Builder::getJobTasks() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline Agent::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Agent::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Agent::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Agent::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Agent::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::glenhollow::wire::Agent::Client& Agent::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
 }
-inline void TaskResult::Builder::setJobTasks( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline  ::glenhollow::wire::Agent::Client& Agent::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
 }
 
-inline bool StartBatch::Reader::hasStarts() const {
+#endif  // !CAPNP_LITE
+inline bool Agent::HelloParams::Reader::hasEntry() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StartBatch::Builder::hasStarts() {
+inline bool Agent::HelloParams::Builder::hasEntry() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>::Reader StartBatch::Reader::getStarts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Agent::HelloParams::Reader::getEntry() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>::Builder StartBatch::Builder::getStarts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Agent::HelloParams::Builder::getEntry() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StartBatch::Builder::setStarts( ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Agent::HelloParams::Builder::setEntry( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>::Builder StartBatch::Builder::initStarts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Agent::HelloParams::Builder::initEntry(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StartBatch::Builder::adoptStarts(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Agent::HelloParams::Builder::adoptEntry(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>> StartBatch::Builder::disownStarts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Start,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Agent::HelloParams::Builder::disownEntry() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool StartBatch::Reader::hasAcknowledged() const {
+inline bool Agent::HelloParams::Reader::hasHall() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool StartBatch::Builder::hasAcknowledged() {
+inline bool Agent::HelloParams::Builder::hasHall() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Reader StartBatch::Reader::getAcknowledged() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Agent::HelloParams::Reader::getHall() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Builder StartBatch::Builder::getAcknowledged() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Agent::HelloParams::Builder::getHall() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StartBatch::Builder::setAcknowledged( ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Agent::HelloParams::Builder::setHall( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Builder StartBatch::Builder::initAcknowledged(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Agent::HelloParams::Builder::initHall(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void StartBatch::Builder::adoptAcknowledged(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Agent::HelloParams::Builder::adoptHall(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>> StartBatch::Builder::disownAcknowledged() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Agent::HelloParams::Builder::disownHall() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool StartReply::Reader::hasResults() const {
+inline  ::uint64_t Agent::HelloParams::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Agent::HelloParams::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Agent::HelloParams::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Agent::HelloParams::Reader::getShard() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Agent::HelloParams::Builder::getShard() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Agent::HelloParams::Builder::setShard( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Agent::HelloParams::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Agent::HelloParams::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Agent::HelloParams::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Agent::HelloResults::Reader::hasSession() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StartReply::Builder::hasResults() {
+inline bool Agent::HelloResults::Builder::hasSession() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader StartReply::Reader::getResults() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::AgentSession::Client Agent::HelloResults::Reader::getSession() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::AgentSession>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder StartReply::Builder::getResults() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::glenhollow::wire::AgentSession::Client Agent::HelloResults::Builder::getSession() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::AgentSession>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StartReply::Builder::setResults( ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::glenhollow::wire::AgentSession::Client Agent::HelloResults::Pipeline::getSession() {
+  return  ::glenhollow::wire::AgentSession::Client(_typeless.getPointerField(0).asCap());
 }
-inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder StartReply::Builder::initResults(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void Agent::HelloResults::Builder::setSession( ::glenhollow::wire::AgentSession::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::AgentSession>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
 }
-inline void StartReply::Builder::adoptResults(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Agent::HelloResults::Builder::setSession( ::glenhollow::wire::AgentSession::Client& cap) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::AgentSession>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+}
+inline void Agent::HelloResults::Builder::adoptSession(
+    ::capnp::Orphan< ::glenhollow::wire::AgentSession>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::AgentSession>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>> StartReply::Builder::disownResults() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::glenhollow::wire::AgentSession> Agent::HelloResults::Builder::disownSession() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::AgentSession>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
+#endif  // !CAPNP_LITE
 
-inline bool StartReply::Reader::hasLoad() const {
+inline  ::uint64_t Agent::HelloResults::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Agent::HelloResults::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Agent::HelloResults::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Agent::HelloResults::Reader::hasLoad() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool StartReply::Builder::hasLoad() {
+inline bool Agent::HelloResults::Builder::hasLoad() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::Load::Reader StartReply::Reader::getLoad() const {
+inline  ::glenhollow::wire::Load::Reader Agent::HelloResults::Reader::getLoad() const {
   return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::Load::Builder StartReply::Builder::getLoad() {
+inline  ::glenhollow::wire::Load::Builder Agent::HelloResults::Builder::getLoad() {
   return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::glenhollow::wire::Load::Pipeline StartReply::Pipeline::getLoad() {
+inline  ::glenhollow::wire::Load::Pipeline Agent::HelloResults::Pipeline::getLoad() {
   return  ::glenhollow::wire::Load::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void StartReply::Builder::setLoad( ::glenhollow::wire::Load::Reader value) {
+inline void Agent::HelloResults::Builder::setLoad( ::glenhollow::wire::Load::Reader value) {
   ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::Load::Builder StartReply::Builder::initLoad() {
+inline  ::glenhollow::wire::Load::Builder Agent::HelloResults::Builder::initLoad() {
   return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void StartReply::Builder::adoptLoad(
+inline void Agent::HelloResults::Builder::adoptLoad(
     ::capnp::Orphan< ::glenhollow::wire::Load>&& value) {
   ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::Load> StartReply::Builder::disownLoad() {
+inline ::capnp::Orphan< ::glenhollow::wire::Load> Agent::HelloResults::Builder::disownLoad() {
   return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ConfigurationRow::Reader::hasKey() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool ConfigurationRow::Builder::hasKey() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader ConfigurationRow::Reader::getKey() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ConfigurationRow::Builder::getKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void ConfigurationRow::Builder::setKey( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder ConfigurationRow::Builder::initKey(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void ConfigurationRow::Builder::adoptKey(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> ConfigurationRow::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::uint64_t Agent::FenceParams::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool ConfigurationRow::Reader::hasValue() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool ConfigurationRow::Builder::hasValue() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader ConfigurationRow::Reader::getValue() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder ConfigurationRow::Builder::getValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::uint64_t Agent::FenceParams::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ConfigurationRow::Builder::setValue( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Agent::FenceParams::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder ConfigurationRow::Builder::initValue(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+
+inline  ::uint32_t Agent::FenceParams::Reader::getHeardWithinMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ConfigurationRow::Builder::adoptValue(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t Agent::FenceParams::Builder::getHeardWithinMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> ConfigurationRow::Builder::disownValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Agent::FenceParams::Builder::setHeardWithinMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConfigurationRow::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
+inline bool Agent::FenceResults::Reader::getDeclined() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfigurationRow::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
+inline bool Agent::FenceResults::Builder::getDeclined() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ConfigurationRow::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Agent::FenceResults::Builder::setDeclined(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ConfigurationRow::Reader::hasBy() const {
+inline bool Agent::FenceResults::Reader::hasRecords() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigurationRow::Builder::hasBy() {
+inline bool Agent::FenceResults::Builder::hasRecords() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ConfigurationRow::Reader::getBy() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader Agent::FenceResults::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ConfigurationRow::Builder::getBy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder Agent::FenceResults::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ConfigurationRow::Builder::setBy( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Agent::FenceResults::Builder::setRecords( ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ConfigurationRow::Builder::initBy(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder Agent::FenceResults::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ConfigurationRow::Builder::adoptBy(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Agent::FenceResults::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ConfigurationRow::Builder::disownBy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>> Agent::FenceResults::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t ConfigurationRow::Reader::getWhen() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint32_t Agent::FenceResults::Reader::getUnfinished() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t ConfigurationRow::Builder::getWhen() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint32_t Agent::FenceResults::Builder::getUnfinished() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ConfigurationRow::Builder::setWhen( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void Agent::FenceResults::Builder::setUnfinished( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Configuration::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
+inline bool Agent::DrainParams::Reader::getOn() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Configuration::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
+inline bool Agent::DrainParams::Builder::getOn() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Configuration::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Agent::DrainParams::Builder::setOn(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Configuration::Reader::hasRows() const {
+inline bool Agent::DrainParams::Reader::hasBy() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Configuration::Builder::hasRows() {
+inline bool Agent::DrainParams::Builder::hasBy() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>::Reader Configuration::Reader::getRows() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Agent::DrainParams::Reader::getBy() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>::Builder Configuration::Builder::getRows() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Agent::DrainParams::Builder::getBy() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Configuration::Builder::setRows( ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Agent::DrainParams::Builder::setBy( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>::Builder Configuration::Builder::initRows(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Agent::DrainParams::Builder::initBy(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Configuration::Builder::adoptRows(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Agent::DrainParams::Builder::adoptBy(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>> Configuration::Builder::disownRows() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::ConfigurationRow,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Agent::DrainParams::Builder::disownBy() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Member::Reader::hasName() const {
+inline bool Agent::DrainResults::Reader::hasLoad() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasName() {
+inline bool Agent::DrainResults::Builder::hasLoad() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::glenhollow::wire::Load::Reader Agent::DrainResults::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::glenhollow::wire::Load::Builder Agent::DrainResults::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::Load::Pipeline Agent::DrainResults::Pipeline::getLoad() {
+  return  ::glenhollow::wire::Load::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Agent::DrainResults::Builder::setLoad( ::glenhollow::wire::Load::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::glenhollow::wire::Load::Builder Agent::DrainResults::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Agent::DrainResults::Builder::adoptLoad(
+    ::capnp::Orphan< ::glenhollow::wire::Load>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::glenhollow::wire::Load> Agent::DrainResults::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Member::Reader::hasRole() const {
+inline bool Agent::ConfigureParams::Reader::hasConfiguration() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasRole() {
+inline bool Agent::ConfigureParams::Builder::hasConfiguration() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getRole() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::glenhollow::wire::Configuration::Reader Agent::ConfigureParams::Reader::getConfiguration() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getRole() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::glenhollow::wire::Configuration::Builder Agent::ConfigureParams::Builder::getConfiguration() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setRole( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::Configuration::Pipeline Agent::ConfigureParams::Pipeline::getConfiguration() {
+  return  ::glenhollow::wire::Configuration::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::Text::Builder Member::Builder::initRole(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void Agent::ConfigureParams::Builder::setConfiguration( ::glenhollow::wire::Configuration::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Member::Builder::adoptRole(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::glenhollow::wire::Configuration::Builder Agent::ConfigureParams::Builder::initConfiguration() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownRole() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Agent::ConfigureParams::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::glenhollow::wire::Configuration>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::glenhollow::wire::Configuration> Agent::ConfigureParams::Builder::disownConfiguration() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Member::Reader::hasHall() const {
+inline  ::uint64_t Agent::ConfigureResults::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Agent::ConfigureResults::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Agent::ConfigureResults::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Agent::StatusResults::Reader::hasLoad() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasHall() {
+inline bool Agent::StatusResults::Builder::hasLoad() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getHall() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::glenhollow::wire::Load::Reader Agent::StatusResults::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getHall() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::glenhollow::wire::Load::Builder Agent::StatusResults::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::Load::Pipeline Agent::StatusResults::Pipeline::getLoad() {
+  return  ::glenhollow::wire::Load::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Agent::StatusResults::Builder::setLoad( ::glenhollow::wire::Load::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::glenhollow::wire::Load::Builder Agent::StatusResults::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Agent::StatusResults::Builder::adoptLoad(
+    ::capnp::Orphan< ::glenhollow::wire::Load>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::glenhollow::wire::Load> Agent::StatusResults::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Agent::StatusResults::Reader::getStarted() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Agent::StatusResults::Builder::getStarted() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Agent::StatusResults::Builder::setStarted( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline void Member::Builder::setHall( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t Agent::StatusResults::Reader::getRefused() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder Member::Builder::initHall(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+
+inline  ::uint64_t Agent::StatusResults::Builder::getRefused() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::adoptHall(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Agent::StatusResults::Builder::setRefused( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownHall() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Agent::StatusResults::Reader::getRecords() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool Member::Reader::hasRpc() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t Agent::StatusResults::Builder::getRecords() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline bool Member::Builder::hasRpc() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline void Agent::StatusResults::Builder::setRecords( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Reader Member::Reader::getRpc() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Agent::StatusResults::Reader::getBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder Member::Builder::getRpc() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Agent::StatusResults::Builder::getBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setRpc( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void Agent::StatusResults::Builder::setBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initRpc(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+
+inline  ::uint64_t Agent::ConfigurationParams::Reader::getSince() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::adoptRpc(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t Agent::ConfigurationParams::Builder::getSince() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownRpc() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void Agent::ConfigurationParams::Builder::setSince( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Member::Reader::hasState() const {
+inline bool Agent::ConfigurationResults::Reader::hasConfiguration() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasState() {
+inline bool Agent::ConfigurationResults::Builder::hasConfiguration() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getState() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::glenhollow::wire::Configuration::Reader Agent::ConfigurationResults::Reader::getConfiguration() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getState() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::glenhollow::wire::Configuration::Builder Agent::ConfigurationResults::Builder::getConfiguration() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setState( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::Configuration::Pipeline Agent::ConfigurationResults::Pipeline::getConfiguration() {
+  return  ::glenhollow::wire::Configuration::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::Text::Builder Member::Builder::initState(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void Agent::ConfigurationResults::Builder::setConfiguration( ::glenhollow::wire::Configuration::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Member::Builder::adoptState(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::glenhollow::wire::Configuration::Builder Agent::ConfigurationResults::Builder::initConfiguration() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownState() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void Agent::ConfigurationResults::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::glenhollow::wire::Configuration>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::glenhollow::wire::Configuration> Agent::ConfigurationResults::Builder::disownConfiguration() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
-inline Agent::Client::Client(decltype(nullptr))
+inline AgentSession::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
-inline Agent::Client::Client(
+inline AgentSession::Client::Client(
     ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
-inline Agent::Client::Client(::kj::Own<_t>&& server)
+inline AgentSession::Client::Client(::kj::Own<_t>&& server)
     : ::capnp::Capability::Client(::kj::mv(server)) {}
 template <typename _t, typename>
-inline Agent::Client::Client(::kj::Promise<_t>&& promise)
+inline AgentSession::Client::Client(::kj::Promise<_t>&& promise)
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Agent::Client::Client(::kj::Exception&& exception)
+inline AgentSession::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::glenhollow::wire::Agent::Client& Agent::Client::operator=(Client& other) {
+inline  ::glenhollow::wire::AgentSession::Client& AgentSession::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline  ::glenhollow::wire::Agent::Client& Agent::Client::operator=(Client&& other) {
+inline  ::glenhollow::wire::AgentSession::Client& AgentSession::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
-inline bool Agent::HelloParams::Reader::hasEntry() const {
+inline bool AgentSession::PingParams::Reader::hasAcknowledged() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::HelloParams::Builder::hasEntry() {
+inline bool AgentSession::PingParams::Builder::hasAcknowledged() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Agent::HelloParams::Reader::getEntry() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Reader AgentSession::PingParams::Reader::getAcknowledged() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Agent::HelloParams::Builder::getEntry() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Builder AgentSession::PingParams::Builder::getAcknowledged() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Agent::HelloParams::Builder::setEntry( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void AgentSession::PingParams::Builder::setAcknowledged( ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Agent::HelloParams::Builder::initEntry(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Builder AgentSession::PingParams::Builder::initAcknowledged(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Agent::HelloParams::Builder::adoptEntry(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void AgentSession::PingParams::Builder::adoptAcknowledged(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Agent::HelloParams::Builder::disownEntry() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>> AgentSession::PingParams::Builder::disownAcknowledged() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Agent::HelloParams::Reader::hasHall() const {
+inline bool AgentSession::PingResults::Reader::hasLoad() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::HelloParams::Builder::hasHall() {
+inline bool AgentSession::PingResults::Builder::hasLoad() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Agent::HelloParams::Reader::getHall() const {
+inline  ::glenhollow::wire::Load::Reader AgentSession::PingResults::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::glenhollow::wire::Load::Builder AgentSession::PingResults::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::Load::Pipeline AgentSession::PingResults::Pipeline::getLoad() {
+  return  ::glenhollow::wire::Load::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void AgentSession::PingResults::Builder::setLoad( ::glenhollow::wire::Load::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::glenhollow::wire::Load::Builder AgentSession::PingResults::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentSession::PingResults::Builder::adoptLoad(
+    ::capnp::Orphan< ::glenhollow::wire::Load>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::glenhollow::wire::Load> AgentSession::PingResults::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool TeamDemand::Reader::hasTeam() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TeamDemand::Builder::hasTeam() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TeamDemand::Reader::getTeam() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Agent::HelloParams::Builder::getHall() {
+inline  ::capnp::Text::Builder TeamDemand::Builder::getTeam() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Agent::HelloParams::Builder::setHall( ::capnp::Text::Reader value) {
+inline void TeamDemand::Builder::setTeam( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Agent::HelloParams::Builder::initHall(unsigned int size) {
+inline  ::capnp::Text::Builder TeamDemand::Builder::initTeam(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Agent::HelloParams::Builder::adoptHall(
+inline void TeamDemand::Builder::adoptTeam(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Agent::HelloParams::Builder::disownHall() {
+inline ::capnp::Orphan< ::capnp::Text> TeamDemand::Builder::disownTeam() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double TeamDemand::Reader::getRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double TeamDemand::Builder::getRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TeamDemand::Builder::setRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Agent::HelloParams::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint16_t Answer::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Agent::HelloParams::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint16_t Answer::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Agent::HelloParams::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Answer::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Agent::HelloParams::Reader::getShard() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Answer::Reader::getReason() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Agent::HelloParams::Builder::getShard() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Answer::Builder::getReason() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Agent::HelloParams::Builder::setShard( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Answer::Builder::setReason( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Agent::HelloParams::Reader::getGeneration() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Answer::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Agent::HelloParams::Builder::getGeneration() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Answer::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Agent::HelloParams::Builder::setGeneration( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Answer::Builder::setRetryAfterMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Agent::HelloResults::Reader::hasSession() const {
+inline bool Answer::Reader::hasBody() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::HelloResults::Builder::hasSession() {
+inline bool Answer::Builder::hasBody() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::AgentSession::Client Agent::HelloResults::Reader::getSession() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::AgentSession>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader Answer::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::AgentSession::Client Agent::HelloResults::Builder::getSession() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::AgentSession>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder Answer::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::AgentSession::Client Agent::HelloResults::Pipeline::getSession() {
-  return  ::glenhollow::wire::AgentSession::Client(_typeless.getPointerField(0).asCap());
-}
-inline void Agent::HelloResults::Builder::setSession( ::glenhollow::wire::AgentSession::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::AgentSession>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
+inline void Answer::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Agent::HelloResults::Builder::setSession( ::glenhollow::wire::AgentSession::Client& cap) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::AgentSession>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+inline  ::capnp::Data::Builder Answer::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Agent::HelloResults::Builder::adoptSession(
-    ::capnp::Orphan< ::glenhollow::wire::AgentSession>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::AgentSession>::adopt(_builder.getPointerField(
+inline void Answer::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::AgentSession> Agent::HelloResults::Builder::disownSession() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::AgentSession>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> Answer::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
 
-inline  ::uint64_t Agent::HelloResults::Reader::getIncarnation() const {
+inline  ::uint64_t KeptAnswer::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Agent::HelloResults::Builder::getIncarnation() {
+inline  ::uint64_t KeptAnswer::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Agent::HelloResults::Builder::setIncarnation( ::uint64_t value) {
+inline void KeptAnswer::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Agent::HelloResults::Reader::hasLoad() const {
+inline  ::uint64_t KeptAnswer::Reader::getBodyHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KeptAnswer::Builder::getBodyHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void KeptAnswer::Builder::setBodyHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool KeptAnswer::Reader::hasAnswer() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::HelloResults::Builder::hasLoad() {
+inline bool KeptAnswer::Builder::hasAnswer() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::Load::Reader Agent::HelloResults::Reader::getLoad() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::glenhollow::wire::Answer::Reader KeptAnswer::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::Load::Builder Agent::HelloResults::Builder::getLoad() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::glenhollow::wire::Answer::Builder KeptAnswer::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::glenhollow::wire::Load::Pipeline Agent::HelloResults::Pipeline::getLoad() {
-  return  ::glenhollow::wire::Load::Pipeline(_typeless.getPointerField(1));
+inline  ::glenhollow::wire::Answer::Pipeline KeptAnswer::Pipeline::getAnswer() {
+  return  ::glenhollow::wire::Answer::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Agent::HelloResults::Builder::setLoad( ::glenhollow::wire::Load::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::glenhollow::wire::Load::Builder Agent::HelloResults::Builder::initLoad() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Agent::HelloResults::Builder::adoptLoad(
-    ::capnp::Orphan< ::glenhollow::wire::Load>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::glenhollow::wire::Load> Agent::HelloResults::Builder::disownLoad() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t Agent::FenceParams::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Agent::FenceParams::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Agent::FenceParams::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Agent::FenceParams::Reader::getHeardWithinMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void KeptAnswer::Builder::setAnswer( ::glenhollow::wire::Answer::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t Agent::FenceParams::Builder::getHeardWithinMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::glenhollow::wire::Answer::Builder KeptAnswer::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Agent::FenceParams::Builder::setHeardWithinMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void KeptAnswer::Builder::adoptAnswer(
+    ::capnp::Orphan< ::glenhollow::wire::Answer>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline bool Agent::FenceResults::Reader::getDeclined() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::glenhollow::wire::Answer> KeptAnswer::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Agent::FenceResults::Builder::getDeclined() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline Peer::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Peer::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Peer::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Peer::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Peer::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::glenhollow::wire::Peer::Client& Peer::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
 }
-inline void Agent::FenceResults::Builder::setDeclined(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::glenhollow::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
 }
 
-inline bool Agent::FenceResults::Reader::hasRecords() const {
+#endif  // !CAPNP_LITE
+inline bool Peer::ExchangeParams::Reader::hasEntry() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::FenceResults::Builder::hasRecords() {
+inline bool Peer::ExchangeParams::Builder::hasEntry() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader Agent::FenceResults::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Peer::ExchangeParams::Reader::getEntry() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder Agent::FenceResults::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Peer::ExchangeParams::Builder::getEntry() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Agent::FenceResults::Builder::setRecords( ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Peer::ExchangeParams::Builder::setEntry( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder Agent::FenceResults::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Peer::ExchangeParams::Builder::initEntry(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Agent::FenceResults::Builder::adoptRecords(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Peer::ExchangeParams::Builder::adoptEntry(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>> Agent::FenceResults::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskResult,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Peer::ExchangeParams::Builder::disownEntry() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Peer::ExchangeParams::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::ExchangeParams::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::ExchangeParams::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Agent::FenceResults::Reader::getUnfinished() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t Peer::ExchangeParams::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Agent::FenceResults::Builder::getUnfinished() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t Peer::ExchangeParams::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Agent::FenceResults::Builder::setUnfinished( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void Peer::ExchangeParams::Builder::setConfigVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Agent::DrainParams::Reader::getOn() const {
+inline bool Peer::ExchangeParams::Reader::hasDemand() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ExchangeParams::Builder::hasDemand() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader Peer::ExchangeParams::Reader::getDemand() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder Peer::ExchangeParams::Builder::getDemand() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::ExchangeParams::Builder::setDemand( ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder Peer::ExchangeParams::Builder::initDemand(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::ExchangeParams::Builder::adoptDemand(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>> Peer::ExchangeParams::Builder::disownDemand() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::ExchangeParams::Reader::getStopping() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
-inline bool Agent::DrainParams::Builder::getOn() {
+inline bool Peer::ExchangeParams::Builder::getStopping() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
-inline void Agent::DrainParams::Builder::setOn(bool value) {
+inline void Peer::ExchangeParams::Builder::setStopping(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Agent::DrainParams::Reader::hasBy() const {
+inline bool Peer::ExchangeParams::Reader::hasHeir() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::DrainParams::Builder::hasBy() {
+inline bool Peer::ExchangeParams::Builder::hasHeir() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Agent::DrainParams::Reader::getBy() const {
+inline  ::capnp::Text::Reader Peer::ExchangeParams::Reader::getHeir() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Agent::DrainParams::Builder::getBy() {
+inline  ::capnp::Text::Builder Peer::ExchangeParams::Builder::getHeir() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Agent::DrainParams::Builder::setBy( ::capnp::Text::Reader value) {
+inline void Peer::ExchangeParams::Builder::setHeir( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Agent::DrainParams::Builder::initBy(unsigned int size) {
+inline  ::capnp::Text::Builder Peer::ExchangeParams::Builder::initHeir(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Agent::DrainParams::Builder::adoptBy(
+inline void Peer::ExchangeParams::Builder::adoptHeir(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Agent::DrainParams::Builder::disownBy() {
+inline ::capnp::Orphan< ::capnp::Text> Peer::ExchangeParams::Builder::disownHeir() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Agent::DrainResults::Reader::hasLoad() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Agent::DrainResults::Builder::hasLoad() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::glenhollow::wire::Load::Reader Agent::DrainResults::Reader::getLoad() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::glenhollow::wire::Load::Builder Agent::DrainResults::Builder::getLoad() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::uint64_t Peer::ExchangeResults::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::Load::Pipeline Agent::DrainResults::Pipeline::getLoad() {
-  return  ::glenhollow::wire::Load::Pipeline(_typeless.getPointerField(0));
+
+inline  ::uint64_t Peer::ExchangeResults::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-#endif  // !CAPNP_LITE
-inline void Agent::DrainResults::Builder::setLoad( ::glenhollow::wire::Load::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Peer::ExchangeResults::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::glenhollow::wire::Load::Builder Agent::DrainResults::Builder::initLoad() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Peer::ExchangeResults::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Agent::DrainResults::Builder::adoptLoad(
-    ::capnp::Orphan< ::glenhollow::wire::Load>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t Peer::ExchangeResults::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::glenhollow::wire::Load> Agent::DrainResults::Builder::disownLoad() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Peer::ExchangeResults::Builder::setConfigVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Agent::ConfigureParams::Reader::hasConfiguration() const {
+inline bool Peer::ExchangeResults::Reader::hasDemand() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::ConfigureParams::Builder::hasConfiguration() {
+inline bool Peer::ExchangeResults::Builder::hasDemand() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::Configuration::Reader Agent::ConfigureParams::Reader::getConfiguration() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::get(_reader.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader Peer::ExchangeResults::Reader::getDemand() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::Configuration::Builder Agent::ConfigureParams::Builder::getConfiguration() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::get(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder Peer::ExchangeResults::Builder::getDemand() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::Configuration::Pipeline Agent::ConfigureParams::Pipeline::getConfiguration() {
-  return  ::glenhollow::wire::Configuration::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Agent::ConfigureParams::Builder::setConfiguration( ::glenhollow::wire::Configuration::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::set(_builder.getPointerField(
+inline void Peer::ExchangeResults::Builder::setDemand( ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::Configuration::Builder Agent::ConfigureParams::Builder::initConfiguration() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder Peer::ExchangeResults::Builder::initDemand(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Agent::ConfigureParams::Builder::adoptConfiguration(
-    ::capnp::Orphan< ::glenhollow::wire::Configuration>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::adopt(_builder.getPointerField(
+inline void Peer::ExchangeResults::Builder::adoptDemand(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::Configuration> Agent::ConfigureParams::Builder::disownConfiguration() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>> Peer::ExchangeResults::Builder::disownDemand() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Agent::ConfigureResults::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::ExchangeResults::Reader::getStopping() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Agent::ConfigureResults::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::ExchangeResults::Builder::getStopping() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
-inline void Agent::ConfigureResults::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Peer::ExchangeResults::Builder::setStopping(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Agent::StatusResults::Reader::hasLoad() const {
+inline bool Peer::ExchangeResults::Reader::hasHeir() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ExchangeResults::Builder::hasHeir() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::ExchangeResults::Reader::getHeir() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::ExchangeResults::Builder::getHeir() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::ExchangeResults::Builder::setHeir( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::ExchangeResults::Builder::initHeir(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::ExchangeResults::Builder::adoptHeir(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::ExchangeResults::Builder::disownHeir() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::SubmitParams::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::StatusResults::Builder::hasLoad() {
+inline bool Peer::SubmitParams::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::Load::Reader Agent::StatusResults::Reader::getLoad() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Peer::SubmitParams::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::Load::Builder Agent::StatusResults::Builder::getLoad() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Peer::SubmitParams::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::Load::Pipeline Agent::StatusResults::Pipeline::getLoad() {
-  return  ::glenhollow::wire::Load::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Agent::StatusResults::Builder::setLoad( ::glenhollow::wire::Load::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::set(_builder.getPointerField(
+inline void Peer::SubmitParams::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::Load::Builder Agent::StatusResults::Builder::initLoad() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Peer::SubmitParams::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Agent::StatusResults::Builder::adoptLoad(
-    ::capnp::Orphan< ::glenhollow::wire::Load>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::adopt(_builder.getPointerField(
+inline void Peer::SubmitParams::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::Load> Agent::StatusResults::Builder::disownLoad() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Peer::SubmitParams::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Agent::StatusResults::Reader::getStarted() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::SubmitParams::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Agent::StatusResults::Builder::getStarted() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::SubmitParams::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Agent::StatusResults::Builder::setStarted( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Data::Reader Peer::SubmitParams::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Agent::StatusResults::Reader::getRefused() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Builder Peer::SubmitParams::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Agent::StatusResults::Builder::getRefused() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void Peer::SubmitParams::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void Agent::StatusResults::Builder::setRefused( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Data::Builder Peer::SubmitParams::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t Agent::StatusResults::Reader::getRecords() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void Peer::SubmitParams::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Peer::SubmitParams::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Agent::StatusResults::Builder::getRecords() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Peer::SubmitParams::Reader::hasTraceparent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void Agent::StatusResults::Builder::setRecords( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline bool Peer::SubmitParams::Builder::hasTraceparent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Agent::StatusResults::Reader::getBytes() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader Peer::SubmitParams::Reader::getTraceparent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Agent::StatusResults::Builder::getBytes() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Peer::SubmitParams::Builder::getTraceparent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Agent::StatusResults::Builder::setBytes( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Peer::SubmitParams::Builder::setTraceparent( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::SubmitParams::Builder::initTraceparent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Peer::SubmitParams::Builder::adoptTraceparent(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::SubmitParams::Builder::disownTraceparent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Agent::ConfigurationParams::Reader::getSince() const {
-  return _reader.getDataField< ::uint64_t>(
+inline bool Peer::SubmitParams::Reader::getAdopt() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Agent::ConfigurationParams::Builder::getSince() {
-  return _builder.getDataField< ::uint64_t>(
+inline bool Peer::SubmitParams::Builder::getAdopt() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Agent::ConfigurationParams::Builder::setSince( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Peer::SubmitParams::Builder::setAdopt(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Agent::ConfigurationResults::Reader::hasConfiguration() const {
+inline bool Peer::SubmitResults::Reader::hasAnswer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Agent::ConfigurationResults::Builder::hasConfiguration() {
+inline bool Peer::SubmitResults::Builder::hasAnswer() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::Configuration::Reader Agent::ConfigurationResults::Reader::getConfiguration() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::get(_reader.getPointerField(
+inline  ::glenhollow::wire::Answer::Reader Peer::SubmitResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::Configuration::Builder Agent::ConfigurationResults::Builder::getConfiguration() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::get(_builder.getPointerField(
+inline  ::glenhollow::wire::Answer::Builder Peer::SubmitResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::glenhollow::wire::Configuration::Pipeline Agent::ConfigurationResults::Pipeline::getConfiguration() {
-  return  ::glenhollow::wire::Configuration::Pipeline(_typeless.getPointerField(0));
+inline  ::glenhollow::wire::Answer::Pipeline Peer::SubmitResults::Pipeline::getAnswer() {
+  return  ::glenhollow::wire::Answer::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Agent::ConfigurationResults::Builder::setConfiguration( ::glenhollow::wire::Configuration::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::set(_builder.getPointerField(
+inline void Peer::SubmitResults::Builder::setAnswer( ::glenhollow::wire::Answer::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::Configuration::Builder Agent::ConfigurationResults::Builder::initConfiguration() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::init(_builder.getPointerField(
+inline  ::glenhollow::wire::Answer::Builder Peer::SubmitResults::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Agent::ConfigurationResults::Builder::adoptConfiguration(
-    ::capnp::Orphan< ::glenhollow::wire::Configuration>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::adopt(_builder.getPointerField(
+inline void Peer::SubmitResults::Builder::adoptAnswer(
+    ::capnp::Orphan< ::glenhollow::wire::Answer>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::Configuration> Agent::ConfigurationResults::Builder::disownConfiguration() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::glenhollow::wire::Answer> Peer::SubmitResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-#if !CAPNP_LITE
-inline AgentSession::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline AgentSession::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline AgentSession::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline AgentSession::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline AgentSession::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::glenhollow::wire::AgentSession::Client& AgentSession::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::glenhollow::wire::AgentSession::Client& AgentSession::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
-
-#endif  // !CAPNP_LITE
-inline bool AgentSession::PingParams::Reader::hasAcknowledged() const {
+inline bool Peer::LookupParams::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool AgentSession::PingParams::Builder::hasAcknowledged() {
+inline bool Peer::LookupParams::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Reader AgentSession::PingParams::Reader::getAcknowledged() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Peer::LookupParams::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Builder AgentSession::PingParams::Builder::getAcknowledged() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Peer::LookupParams::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
