-inline void AgentSession::PingParams::Builder::setAcknowledged( ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Peer::LookupParams::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>::Builder AgentSession::PingParams::Builder::initAcknowledged(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Peer::LookupParams::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AgentSession::PingParams::Builder::adoptAcknowledged(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Peer::LookupParams::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>> AgentSession::PingParams::Builder::disownAcknowledged() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskKey,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Peer::LookupParams::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool AgentSession::PingResults::Reader::hasLoad() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AgentSession::PingResults::Builder::hasLoad() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::glenhollow::wire::Load::Reader AgentSession::PingResults::Reader::getLoad() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::glenhollow::wire::Load::Builder AgentSession::PingResults::Builder::getLoad() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::Load::Pipeline AgentSession::PingResults::Pipeline::getLoad() {
-  return  ::glenhollow::wire::Load::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void AgentSession::PingResults::Builder::setLoad( ::glenhollow::wire::Load::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::glenhollow::wire::Load::Builder AgentSession::PingResults::Builder::initLoad() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AgentSession::PingResults::Builder::adoptLoad(
-    ::capnp::Orphan< ::glenhollow::wire::Load>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline bool Peer::LookupParams::Reader::getAdopt() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::glenhollow::wire::Load> AgentSession::PingResults::Builder::disownLoad() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Load>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline bool Peer::LookupParams::Builder::getAdopt() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::LookupParams::Builder::setAdopt(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool TeamDemand::Reader::hasTeam() const {
+inline bool Peer::LookupResults::Reader::hasAnswer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool TeamDemand::Builder::hasTeam() {
+inline bool Peer::LookupResults::Builder::hasAnswer() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TeamDemand::Reader::getTeam() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::glenhollow::wire::Answer::Reader Peer::LookupResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TeamDemand::Builder::getTeam() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::glenhollow::wire::Answer::Builder Peer::LookupResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TeamDemand::Builder::setTeam( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::Answer::Pipeline Peer::LookupResults::Pipeline::getAnswer() {
+  return  ::glenhollow::wire::Answer::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::LookupResults::Builder::setAnswer( ::glenhollow::wire::Answer::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TeamDemand::Builder::initTeam(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::glenhollow::wire::Answer::Builder Peer::LookupResults::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TeamDemand::Builder::adoptTeam(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Peer::LookupResults::Builder::adoptAnswer(
+    ::capnp::Orphan< ::glenhollow::wire::Answer>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TeamDemand::Builder::disownTeam() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::glenhollow::wire::Answer> Peer::LookupResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline double TeamDemand::Reader::getRate() const {
-  return _reader.getDataField<double>(
+inline  ::uint64_t Peer::ConfigurationParams::Reader::getSince() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline double TeamDemand::Builder::getRate() {
-  return _builder.getDataField<double>(
+inline  ::uint64_t Peer::ConfigurationParams::Builder::getSince() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TeamDemand::Builder::setRate(double value) {
-  _builder.setDataField<double>(
+inline void Peer::ConfigurationParams::Builder::setSince( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Answer::Reader::getStatus() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::ConfigurationResults::Reader::hasConfiguration() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint16_t Answer::Builder::getStatus() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::ConfigurationResults::Builder::hasConfiguration() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Answer::Builder::setStatus( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::glenhollow::wire::Configuration::Reader Peer::ConfigurationResults::Reader::getConfiguration() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint16_t Answer::Reader::getReason() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::glenhollow::wire::Configuration::Builder Peer::ConfigurationResults::Builder::getConfiguration() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint16_t Answer::Builder::getReason() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::Configuration::Pipeline Peer::ConfigurationResults::Pipeline::getConfiguration() {
+  return  ::glenhollow::wire::Configuration::Pipeline(_typeless.getPointerField(0));
 }
-inline void Answer::Builder::setReason( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void Peer::ConfigurationResults::Builder::setConfiguration( ::glenhollow::wire::Configuration::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t Answer::Reader::getRetryAfterMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::glenhollow::wire::Configuration::Builder Peer::ConfigurationResults::Builder::initConfiguration() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Answer::Builder::getRetryAfterMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void Peer::ConfigurationResults::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::glenhollow::wire::Configuration>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Answer::Builder::setRetryAfterMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::glenhollow::wire::Configuration> Peer::ConfigurationResults::Builder::disownConfiguration() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Answer::Reader::hasBody() const {
+inline bool Peer::OperateParams::Reader::hasStatement() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Answer::Builder::hasBody() {
+inline bool Peer::OperateParams::Builder::hasStatement() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Answer::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Peer::OperateParams::Reader::getStatement() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Answer::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Peer::OperateParams::Builder::getStatement() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Answer::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void Peer::OperateParams::Builder::setStatement( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Answer::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Peer::OperateParams::Builder::initStatement(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Answer::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void Peer::OperateParams::Builder::adoptStatement(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Answer::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Peer::OperateParams::Builder::disownStatement() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t KeptAnswer::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::OperateParams::Reader::hasBy() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t KeptAnswer::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Peer::OperateParams::Builder::hasBy() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void KeptAnswer::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader Peer::OperateParams::Reader::getBy() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t KeptAnswer::Reader::getBodyHash() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Peer::OperateParams::Builder::getBy() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t KeptAnswer::Builder::getBodyHash() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void Peer::OperateParams::Builder::setBy( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void KeptAnswer::Builder::setBodyHash( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder Peer::OperateParams::Builder::initBy(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::OperateParams::Builder::adoptBy(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::OperateParams::Builder::disownBy() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool KeptAnswer::Reader::hasAnswer() const {
+inline bool Peer::OperateResults::Reader::hasAnswer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool KeptAnswer::Builder::hasAnswer() {
+inline bool Peer::OperateResults::Builder::hasAnswer() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::Answer::Reader KeptAnswer::Reader::getAnswer() const {
+inline  ::glenhollow::wire::Answer::Reader Peer::OperateResults::Reader::getAnswer() const {
   return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::Answer::Builder KeptAnswer::Builder::getAnswer() {
+inline  ::glenhollow::wire::Answer::Builder Peer::OperateResults::Builder::getAnswer() {
   return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::glenhollow::wire::Answer::Pipeline KeptAnswer::Pipeline::getAnswer() {
+inline  ::glenhollow::wire::Answer::Pipeline Peer::OperateResults::Pipeline::getAnswer() {
   return  ::glenhollow::wire::Answer::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void KeptAnswer::Builder::setAnswer( ::glenhollow::wire::Answer::Reader value) {
+inline void Peer::OperateResults::Builder::setAnswer( ::glenhollow::wire::Answer::Reader value) {
   ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::Answer::Builder KeptAnswer::Builder::initAnswer() {
+inline  ::glenhollow::wire::Answer::Builder Peer::OperateResults::Builder::initAnswer() {
   return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void KeptAnswer::Builder::adoptAnswer(
+inline void Peer::OperateResults::Builder::adoptAnswer(
     ::capnp::Orphan< ::glenhollow::wire::Answer>&& value) {
   ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::Answer> KeptAnswer::Builder::disownAnswer() {
+inline ::capnp::Orphan< ::glenhollow::wire::Answer> Peer::OperateResults::Builder::disownAnswer() {
   return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-#if !CAPNP_LITE
-inline Peer::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Peer::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Peer::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Peer::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Peer::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::glenhollow::wire::Peer::Client& Peer::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::glenhollow::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
-
-#endif  // !CAPNP_LITE
-inline bool Peer::ExchangeParams::Reader::hasEntry() const {
+inline bool Peer::KeepParams::Reader::hasEntry() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ExchangeParams::Builder::hasEntry() {
+inline bool Peer::KeepParams::Builder::hasEntry() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::ExchangeParams::Reader::getEntry() const {
+inline  ::capnp::Text::Reader Peer::KeepParams::Reader::getEntry() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::ExchangeParams::Builder::getEntry() {
+inline  ::capnp::Text::Builder Peer::KeepParams::Builder::getEntry() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ExchangeParams::Builder::setEntry( ::capnp::Text::Reader value) {
+inline void Peer::KeepParams::Builder::setEntry( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::ExchangeParams::Builder::initEntry(unsigned int size) {
+inline  ::capnp::Text::Builder Peer::KeepParams::Builder::initEntry(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::ExchangeParams::Builder::adoptEntry(
+inline void Peer::KeepParams::Builder::adoptEntry(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::ExchangeParams::Builder::disownEntry() {
+inline ::capnp::Orphan< ::capnp::Text> Peer::KeepParams::Builder::disownEntry() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Peer::ExchangeParams::Reader::getIncarnation() const {
+inline  ::uint64_t Peer::KeepParams::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Peer::ExchangeParams::Builder::getIncarnation() {
+inline  ::uint64_t Peer::KeepParams::Builder::getIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ExchangeParams::Builder::setIncarnation( ::uint64_t value) {
+inline void Peer::KeepParams::Builder::setIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Peer::ExchangeParams::Reader::getConfigVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Peer::ExchangeParams::Builder::getConfigVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Peer::ExchangeParams::Builder::setConfigVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Peer::ExchangeParams::Reader::hasDemand() const {
+inline bool Peer::KeepParams::Reader::hasAnswers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ExchangeParams::Builder::hasDemand() {
+inline bool Peer::KeepParams::Builder::hasAnswers() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader Peer::ExchangeParams::Reader::getDemand() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>::Reader Peer::KeepParams::Reader::getAnswers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder Peer::ExchangeParams::Builder::getDemand() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>::Builder Peer::KeepParams::Builder::getAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Peer::ExchangeParams::Builder::setDemand( ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Peer::KeepParams::Builder::setAnswers( ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder Peer::ExchangeParams::Builder::initDemand(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>::Builder Peer::KeepParams::Builder::initAnswers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Peer::ExchangeParams::Builder::adoptDemand(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Peer::KeepParams::Builder::adoptAnswers(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>> Peer::ExchangeParams::Builder::disownDemand() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>> Peer::KeepParams::Builder::disownAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::ExchangeParams::Reader::getStopping() const {
+inline  ::uint64_t Peer::HoldsParams::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::HoldsParams::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::HoldsParams::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::HoldsResults::Reader::getHeld() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Peer::ExchangeParams::Builder::getStopping() {
+inline bool Peer::HoldsResults::Builder::getHeld() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ExchangeParams::Builder::setStopping(bool value) {
+inline void Peer::HoldsResults::Builder::setHeld(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::ExchangeParams::Reader::hasHeir() const {
+inline bool Peer::MembersResults::Reader::hasMembers() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ExchangeParams::Builder::hasHeir() {
+inline bool Peer::MembersResults::Builder::hasMembers() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::ExchangeParams::Reader::getHeir() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>::Reader Peer::MembersResults::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::ExchangeParams::Builder::getHeir() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>::Builder Peer::MembersResults::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ExchangeParams::Builder::setHeir( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Peer::MembersResults::Builder::setMembers( ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::ExchangeParams::Builder::initHeir(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>::Builder Peer::MembersResults::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::ExchangeParams::Builder::adoptHeir(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Peer::MembersResults::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::ExchangeParams::Builder::disownHeir() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>> Peer::MembersResults::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Peer::ExchangeResults::Reader::getIncarnation() const {
+inline  ::uint64_t TaskRef::Reader::getJob() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Peer::ExchangeResults::Builder::getIncarnation() {
+inline  ::uint64_t TaskRef::Builder::getJob() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ExchangeResults::Builder::setIncarnation( ::uint64_t value) {
+inline void TaskRef::Builder::setJob( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Peer::ExchangeResults::Reader::getConfigVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t TaskRef::Reader::getOccurrence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Peer::ExchangeResults::Builder::getConfigVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t TaskRef::Builder::getOccurrence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ExchangeResults::Builder::setConfigVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void TaskRef::Builder::setOccurrence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::ExchangeResults::Reader::hasDemand() const {
+inline  ::uint32_t TaskRef::Reader::getStep() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TaskRef::Builder::getStep() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TaskRef::Builder::setStep( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TaskRef::Reader::getIndex() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TaskRef::Builder::getIndex() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void TaskRef::Builder::setIndex( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RunOrder::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ExchangeResults::Builder::hasDemand() {
+inline bool RunOrder::Builder::hasTask() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader Peer::ExchangeResults::Reader::getDemand() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::glenhollow::wire::TaskRef::Reader RunOrder::Reader::getTask() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder Peer::ExchangeResults::Builder::getDemand() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::glenhollow::wire::TaskRef::Builder RunOrder::Builder::getTask() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::TaskRef::Pipeline RunOrder::Pipeline::getTask() {
+  return  ::glenhollow::wire::TaskRef::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RunOrder::Builder::setTask( ::glenhollow::wire::TaskRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::glenhollow::wire::TaskRef::Builder RunOrder::Builder::initTask() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RunOrder::Builder::adoptTask(
+    ::capnp::Orphan< ::glenhollow::wire::TaskRef>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::glenhollow::wire::TaskRef> RunOrder::Builder::disownTask() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ExchangeResults::Builder::setDemand( ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline  ::uint32_t RunOrder::Reader::getRun() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunOrder::Builder::getRun() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RunOrder::Builder::setRun( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RunOrder::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunOrder::Builder::getEpoch() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RunOrder::Builder::setEpoch( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RunOrder::Reader::getCpu() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunOrder::Builder::getCpu() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RunOrder::Builder::setCpu( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RunOrder::Reader::getMemory() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunOrder::Builder::getMemory() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder Peer::ExchangeResults::Builder::initDemand(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void RunOrder::Builder::setMemory( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline void Peer::ExchangeResults::Builder::adoptDemand(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t RunOrder::Reader::getGpu() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>> Peer::ExchangeResults::Builder::disownDemand() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t RunOrder::Builder::getGpu() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RunOrder::Builder::setGpu( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::ExchangeResults::Reader::getStopping() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+inline  ::int64_t RunOrder::Reader::getUrgency() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool Peer::ExchangeResults::Builder::getStopping() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+inline  ::int64_t RunOrder::Builder::getUrgency() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ExchangeResults::Builder::setStopping(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+inline void RunOrder::Builder::setUrgency( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::ExchangeResults::Reader::hasHeir() const {
+inline bool RunOrder::Reader::hasSpec() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ExchangeResults::Builder::hasHeir() {
+inline bool RunOrder::Builder::hasSpec() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::ExchangeResults::Reader::getHeir() const {
+inline  ::capnp::Text::Reader RunOrder::Reader::getSpec() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::ExchangeResults::Builder::getHeir() {
+inline  ::capnp::Text::Builder RunOrder::Builder::getSpec() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Peer::ExchangeResults::Builder::setHeir( ::capnp::Text::Reader value) {
+inline void RunOrder::Builder::setSpec( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::ExchangeResults::Builder::initHeir(unsigned int size) {
+inline  ::capnp::Text::Builder RunOrder::Builder::initSpec(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Peer::ExchangeResults::Builder::adoptHeir(
+inline void RunOrder::Builder::adoptSpec(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::ExchangeResults::Builder::disownHeir() {
+inline ::capnp::Orphan< ::capnp::Text> RunOrder::Builder::disownSpec() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::SubmitParams::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::SubmitParams::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Peer::SubmitParams::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Peer::SubmitParams::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::SubmitParams::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Peer::SubmitParams::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Peer::SubmitParams::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Peer::SubmitParams::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::uint32_t RunOrder::Reader::getEstimateMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline bool Peer::SubmitParams::Reader::hasBody() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::SubmitParams::Builder::hasBody() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader Peer::SubmitParams::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder Peer::SubmitParams::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Peer::SubmitParams::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder Peer::SubmitParams::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Peer::SubmitParams::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::uint32_t RunOrder::Builder::getEstimateMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Data> Peer::SubmitParams::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void RunOrder::Builder::setEstimateMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::SubmitParams::Reader::hasTraceparent() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::SubmitParams::Builder::hasTraceparent() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Peer::SubmitParams::Reader::getTraceparent() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Peer::SubmitParams::Builder::getTraceparent() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Peer::SubmitParams::Builder::setTraceparent( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Peer::SubmitParams::Builder::initTraceparent(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::uint64_t RunOrder::Reader::getPlacer() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Peer::SubmitParams::Builder::adoptTraceparent(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t RunOrder::Builder::getPlacer() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::SubmitParams::Builder::disownTraceparent() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void RunOrder::Builder::setPlacer( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::SubmitParams::Reader::getAdopt() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t RunOrder::Reader::getGrant() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
 
-inline bool Peer::SubmitParams::Builder::getAdopt() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t RunOrder::Builder::getGrant() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
-inline void Peer::SubmitParams::Builder::setAdopt(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void RunOrder::Builder::setGrant( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::SubmitResults::Reader::hasAnswer() const {
+inline bool RunRef::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::SubmitResults::Builder::hasAnswer() {
+inline bool RunRef::Builder::hasTask() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::Answer::Reader Peer::SubmitResults::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_reader.getPointerField(
+inline  ::glenhollow::wire::TaskRef::Reader RunRef::Reader::getTask() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::Answer::Builder Peer::SubmitResults::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_builder.getPointerField(
+inline  ::glenhollow::wire::TaskRef::Builder RunRef::Builder::getTask() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::glenhollow::wire::Answer::Pipeline Peer::SubmitResults::Pipeline::getAnswer() {
-  return  ::glenhollow::wire::Answer::Pipeline(_typeless.getPointerField(0));
+inline  ::glenhollow::wire::TaskRef::Pipeline RunRef::Pipeline::getTask() {
+  return  ::glenhollow::wire::TaskRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::SubmitResults::Builder::setAnswer( ::glenhollow::wire::Answer::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::set(_builder.getPointerField(
+inline void RunRef::Builder::setTask( ::glenhollow::wire::TaskRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::Answer::Builder Peer::SubmitResults::Builder::initAnswer() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Peer::SubmitResults::Builder::adoptAnswer(
-    ::capnp::Orphan< ::glenhollow::wire::Answer>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::glenhollow::wire::Answer> Peer::SubmitResults::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::LookupParams::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::LookupParams::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Peer::LookupParams::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Peer::LookupParams::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::glenhollow::wire::TaskRef::Builder RunRef::Builder::initTask() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::LookupParams::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Peer::LookupParams::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Peer::LookupParams::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void RunRef::Builder::adoptTask(
+    ::capnp::Orphan< ::glenhollow::wire::TaskRef>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::LookupParams::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::glenhollow::wire::TaskRef> RunRef::Builder::disownTask() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::LookupParams::Reader::getAdopt() const {
-  return _reader.getDataField<bool>(
+inline  ::uint32_t RunRef::Reader::getRun() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Peer::LookupParams::Builder::getAdopt() {
-  return _builder.getDataField<bool>(
+inline  ::uint32_t RunRef::Builder::getRun() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::LookupParams::Builder::setAdopt(bool value) {
-  _builder.setDataField<bool>(
+inline void RunRef::Builder::setRun( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::LookupResults::Reader::hasAnswer() const {
+inline bool RunState::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::LookupResults::Builder::hasAnswer() {
+inline bool RunState::Builder::hasTask() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::Answer::Reader Peer::LookupResults::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_reader.getPointerField(
+inline  ::glenhollow::wire::TaskRef::Reader RunState::Reader::getTask() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::Answer::Builder Peer::LookupResults::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_builder.getPointerField(
+inline  ::glenhollow::wire::TaskRef::Builder RunState::Builder::getTask() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::glenhollow::wire::Answer::Pipeline Peer::LookupResults::Pipeline::getAnswer() {
-  return  ::glenhollow::wire::Answer::Pipeline(_typeless.getPointerField(0));
+inline  ::glenhollow::wire::TaskRef::Pipeline RunState::Pipeline::getTask() {
+  return  ::glenhollow::wire::TaskRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::LookupResults::Builder::setAnswer( ::glenhollow::wire::Answer::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::set(_builder.getPointerField(
+inline void RunState::Builder::setTask( ::glenhollow::wire::TaskRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::Answer::Builder Peer::LookupResults::Builder::initAnswer() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::init(_builder.getPointerField(
+inline  ::glenhollow::wire::TaskRef::Builder RunState::Builder::initTask() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::LookupResults::Builder::adoptAnswer(
-    ::capnp::Orphan< ::glenhollow::wire::Answer>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::adopt(_builder.getPointerField(
+inline void RunState::Builder::adoptTask(
+    ::capnp::Orphan< ::glenhollow::wire::TaskRef>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::Answer> Peer::LookupResults::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::glenhollow::wire::TaskRef> RunState::Builder::disownTask() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Peer::ConfigurationParams::Reader::getSince() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t RunState::Reader::getRun() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Peer::ConfigurationParams::Builder::getSince() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t RunState::Builder::getRun() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::ConfigurationParams::Builder::setSince( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void RunState::Builder::setRun( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::ConfigurationResults::Reader::hasConfiguration() const {
+inline  ::uint8_t RunState::Reader::getPhase() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RunState::Builder::getPhase() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RunState::Builder::setPhase( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RunState::Reader::getSized() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+}
+
+inline bool RunState::Builder::getSized() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+}
+inline void RunState::Builder::setSized(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RunEnd::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::ConfigurationResults::Builder::hasConfiguration() {
+inline bool RunEnd::Builder::hasTask() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::Configuration::Reader Peer::ConfigurationResults::Reader::getConfiguration() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::get(_reader.getPointerField(
+inline  ::glenhollow::wire::TaskRef::Reader RunEnd::Reader::getTask() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::Configuration::Builder Peer::ConfigurationResults::Builder::getConfiguration() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::get(_builder.getPointerField(
+inline  ::glenhollow::wire::TaskRef::Builder RunEnd::Builder::getTask() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::glenhollow::wire::Configuration::Pipeline Peer::ConfigurationResults::Pipeline::getConfiguration() {
-  return  ::glenhollow::wire::Configuration::Pipeline(_typeless.getPointerField(0));
+inline  ::glenhollow::wire::TaskRef::Pipeline RunEnd::Pipeline::getTask() {
+  return  ::glenhollow::wire::TaskRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Peer::ConfigurationResults::Builder::setConfiguration( ::glenhollow::wire::Configuration::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::set(_builder.getPointerField(
+inline void RunEnd::Builder::setTask( ::glenhollow::wire::TaskRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::Configuration::Builder Peer::ConfigurationResults::Builder::initConfiguration() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::init(_builder.getPointerField(
+inline  ::glenhollow::wire::TaskRef::Builder RunEnd::Builder::initTask() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::ConfigurationResults::Builder::adoptConfiguration(
-    ::capnp::Orphan< ::glenhollow::wire::Configuration>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::adopt(_builder.getPointerField(
+inline void RunEnd::Builder::adoptTask(
+    ::capnp::Orphan< ::glenhollow::wire::TaskRef>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::Configuration> Peer::ConfigurationResults::Builder::disownConfiguration() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Configuration>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::glenhollow::wire::TaskRef> RunEnd::Builder::disownTask() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::OperateParams::Reader::hasStatement() const {
+inline  ::uint32_t RunEnd::Reader::getRun() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunEnd::Builder::getRun() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RunEnd::Builder::setRun( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t RunEnd::Reader::getHow() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RunEnd::Builder::getHow() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RunEnd::Builder::setHow( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RunEnd::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RunEnd::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RunEnd::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RunEnd::Reader::getMicros() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunEnd::Builder::getMicros() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RunEnd::Builder::setMicros( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RunEnd::Reader::getClaimed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+}
+
+inline bool RunEnd::Builder::getClaimed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+}
+inline void RunEnd::Builder::setClaimed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RunnerState::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::OperateParams::Builder::hasStatement() {
+inline bool RunnerState::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::OperateParams::Reader::getStatement() const {
+inline  ::capnp::Text::Reader RunnerState::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::OperateParams::Builder::getStatement() {
+inline  ::capnp::Text::Builder RunnerState::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::OperateParams::Builder::setStatement( ::capnp::Text::Reader value) {
+inline void RunnerState::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::OperateParams::Builder::initStatement(unsigned int size) {
+inline  ::capnp::Text::Builder RunnerState::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::OperateParams::Builder::adoptStatement(
+inline void RunnerState::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::OperateParams::Builder::disownStatement() {
+inline ::capnp::Orphan< ::capnp::Text> RunnerState::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::OperateParams::Reader::hasBy() const {
+inline bool RunnerState::Reader::hasInstance() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::OperateParams::Builder::hasBy() {
+inline bool RunnerState::Builder::hasInstance() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::OperateParams::Reader::getBy() const {
+inline  ::capnp::Text::Reader RunnerState::Reader::getInstance() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::OperateParams::Builder::getBy() {
+inline  ::capnp::Text::Builder RunnerState::Builder::getInstance() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Peer::OperateParams::Builder::setBy( ::capnp::Text::Reader value) {
+inline void RunnerState::Builder::setInstance( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Peer::OperateParams::Builder::initBy(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Peer::OperateParams::Builder::adoptBy(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Peer::OperateParams::Builder::disownBy() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool Peer::OperateResults::Reader::hasAnswer() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::OperateResults::Builder::hasAnswer() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::glenhollow::wire::Answer::Reader Peer::OperateResults::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::glenhollow::wire::Answer::Builder Peer::OperateResults::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::Answer::Pipeline Peer::OperateResults::Pipeline::getAnswer() {
-  return  ::glenhollow::wire::Answer::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Peer::OperateResults::Builder::setAnswer( ::glenhollow::wire::Answer::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::Answer::Builder Peer::OperateResults::Builder::initAnswer() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder RunnerState::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Peer::OperateResults::Builder::adoptAnswer(
-    ::capnp::Orphan< ::glenhollow::wire::Answer>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void RunnerState::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::Answer> Peer::OperateResults::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::Answer>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RunnerState::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::KeepParams::Reader::hasEntry() const {
+inline bool RunnerState::Reader::hasZone() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::KeepParams::Builder::hasEntry() {
+inline bool RunnerState::Builder::hasZone() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::KeepParams::Reader::getEntry() const {
+inline  ::capnp::Text::Reader RunnerState::Reader::getZone() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::KeepParams::Builder::getEntry() {
+inline  ::capnp::Text::Builder RunnerState::Builder::getZone() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Peer::KeepParams::Builder::setEntry( ::capnp::Text::Reader value) {
+inline void RunnerState::Builder::setZone( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::KeepParams::Builder::initEntry(unsigned int size) {
+inline  ::capnp::Text::Builder RunnerState::Builder::initZone(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Peer::KeepParams::Builder::adoptEntry(
+inline void RunnerState::Builder::adoptZone(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::KeepParams::Builder::disownEntry() {
+inline ::capnp::Orphan< ::capnp::Text> RunnerState::Builder::disownZone() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Peer::KeepParams::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
+inline bool RunnerState::Reader::hasLabels() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool RunnerState::Builder::hasLabels() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader RunnerState::Reader::getLabels() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder RunnerState::Builder::getLabels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void RunnerState::Builder::setLabels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void RunnerState::Builder::setLabels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder RunnerState::Builder::initLabels(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void RunnerState::Builder::adoptLabels(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> RunnerState::Builder::disownLabels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t RunnerState::Reader::getPhase() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Peer::KeepParams::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint8_t RunnerState::Builder::getPhase() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::KeepParams::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void RunnerState::Builder::setPhase( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::KeepParams::Reader::hasAnswers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::KeepParams::Builder::hasAnswers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>::Reader Peer::KeepParams::Reader::getAnswers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::uint32_t RunnerState::Reader::getCpu() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>::Builder Peer::KeepParams::Builder::getAnswers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint32_t RunnerState::Builder::getCpu() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Peer::KeepParams::Builder::setAnswers( ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void RunnerState::Builder::setCpu( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>::Builder Peer::KeepParams::Builder::initAnswers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+
+inline  ::uint32_t RunnerState::Reader::getMemory() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Peer::KeepParams::Builder::adoptAnswers(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t RunnerState::Builder::getMemory() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>> Peer::KeepParams::Builder::disownAnswers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::KeptAnswer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void RunnerState::Builder::setMemory( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Peer::HoldsParams::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t RunnerState::Reader::getGpu() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Peer::HoldsParams::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t RunnerState::Builder::getGpu() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Peer::HoldsParams::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void RunnerState::Builder::setGpu( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::HoldsResults::Reader::getHeld() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t RunnerState::Reader::getUsedCpu() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline bool Peer::HoldsResults::Builder::getHeld() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t RunnerState::Builder::getUsedCpu() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Peer::HoldsResults::Builder::setHeld(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void RunnerState::Builder::setUsedCpu( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::MembersResults::Reader::hasMembers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t RunnerState::Reader::getUsedMemory() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline bool Peer::MembersResults::Builder::hasMembers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint32_t RunnerState::Builder::getUsedMemory() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>::Reader Peer::MembersResults::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void RunnerState::Builder::setUsedMemory( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>::Builder Peer::MembersResults::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t RunnerState::Reader::getUsedGpu() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Peer::MembersResults::Builder::setMembers( ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline  ::uint32_t RunnerState::Builder::getUsedGpu() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>::Builder Peer::MembersResults::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void RunnerState::Builder::setUsedGpu( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
-inline void Peer::MembersResults::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t RunnerState::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>> Peer::MembersResults::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t RunnerState::Builder::getWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void RunnerState::Builder::setWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t TaskRef::Reader::getJob() const {
+inline  ::uint64_t RunnerState::Reader::getReceived() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t TaskRef::Builder::getJob() {
+inline  ::uint64_t RunnerState::Builder::getReceived() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void TaskRef::Builder::setJob( ::uint64_t value) {
+inline void RunnerState::Builder::setReceived( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t TaskRef::Reader::getOccurrence() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool RunnerState::Reader::getWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t TaskRef::Builder::getOccurrence() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool RunnerState::Builder::getWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void TaskRef::Builder::setOccurrence( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void RunnerState::Builder::setWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t TaskRef::Reader::getStep() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint16_t PartEpoch::Reader::getPart() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t TaskRef::Builder::getStep() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint16_t PartEpoch::Builder::getPart() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TaskRef::Builder::setStep( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void PartEpoch::Builder::setPart( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t TaskRef::Reader::getIndex() const {
+inline  ::uint32_t PartEpoch::Reader::getEpoch() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t TaskRef::Builder::getIndex() {
+inline  ::uint32_t PartEpoch::Builder::getEpoch() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void TaskRef::Builder::setIndex( ::uint32_t value) {
+inline void PartEpoch::Builder::setEpoch( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RunOrder::Reader::hasTask() const {
+inline bool RunReport::Reader::hasState() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunOrder::Builder::hasTask() {
+inline bool RunReport::Builder::hasState() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::TaskRef::Reader RunOrder::Reader::getTask() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_reader.getPointerField(
+inline  ::glenhollow::wire::RunnerState::Reader RunReport::Reader::getState() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::TaskRef::Builder RunOrder::Builder::getTask() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_builder.getPointerField(
+inline  ::glenhollow::wire::RunnerState::Builder RunReport::Builder::getState() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::glenhollow::wire::TaskRef::Pipeline RunOrder::Pipeline::getTask() {
-  return  ::glenhollow::wire::TaskRef::Pipeline(_typeless.getPointerField(0));
+inline  ::glenhollow::wire::RunnerState::Pipeline RunReport::Pipeline::getState() {
+  return  ::glenhollow::wire::RunnerState::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void RunOrder::Builder::setTask( ::glenhollow::wire::TaskRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::set(_builder.getPointerField(
+inline void RunReport::Builder::setState( ::glenhollow::wire::RunnerState::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::TaskRef::Builder RunOrder::Builder::initTask() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::init(_builder.getPointerField(
+inline  ::glenhollow::wire::RunnerState::Builder RunReport::Builder::initState() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RunOrder::Builder::adoptTask(
-    ::capnp::Orphan< ::glenhollow::wire::TaskRef>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::adopt(_builder.getPointerField(
+inline void RunReport::Builder::adoptState(
+    ::capnp::Orphan< ::glenhollow::wire::RunnerState>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::TaskRef> RunOrder::Builder::disownTask() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::glenhollow::wire::RunnerState> RunReport::Builder::disownState() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t RunOrder::Reader::getRun() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RunReport::Reader::hasEnds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t RunOrder::Builder::getRun() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RunReport::Builder::hasEnds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void RunOrder::Builder::setRun( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader RunReport::Reader::getEnds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t RunOrder::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder RunReport::Builder::getEnds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t RunOrder::Builder::getEpoch() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void RunReport::Builder::setEnds( ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void RunOrder::Builder::setEpoch( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder RunReport::Builder::initEnds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t RunOrder::Reader::getCpu() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void RunReport::Builder::adoptEnds(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>> RunReport::Builder::disownEnds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t RunOrder::Builder::getCpu() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool RunReport::Reader::hasStarted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void RunOrder::Builder::setCpu( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline bool RunReport::Builder::hasStarted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t RunOrder::Reader::getMemory() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader RunReport::Reader::getStarted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t RunOrder::Builder::getMemory() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder RunReport::Builder::getStarted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void RunOrder::Builder::setMemory( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void RunReport::Builder::setStarted( ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t RunOrder::Reader::getGpu() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder RunReport::Builder::initStarted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t RunOrder::Builder::getGpu() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void RunReport::Builder::adoptStarted(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void RunOrder::Builder::setGpu( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>> RunReport::Builder::disownStarted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t RunOrder::Reader::getUrgency() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool RunReport::Reader::hasGranted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool RunReport::Builder::hasGranted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader RunReport::Reader::getGranted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder RunReport::Builder::getGranted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void RunReport::Builder::setGranted( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void RunReport::Builder::setGranted(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder RunReport::Builder::initGranted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void RunReport::Builder::adoptGranted(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> RunReport::Builder::disownGranted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t RunOrder::Builder::getUrgency() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline RunReports::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline RunReports::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline RunReports::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline RunReports::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline RunReports::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::glenhollow::wire::RunReports::Client& RunReports::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
 }
-inline void RunOrder::Builder::setUrgency( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline  ::glenhollow::wire::RunReports::Client& RunReports::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
 }
 
-inline bool RunOrder::Reader::hasSpec() const {
+#endif  // !CAPNP_LITE
+inline bool RunReports::ReportParams::Reader::hasReport() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunOrder::Builder::hasSpec() {
+inline bool RunReports::ReportParams::Builder::hasReport() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader RunOrder::Reader::getSpec() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder RunOrder::Builder::getSpec() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void RunOrder::Builder::setSpec( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Builder RunOrder::Builder::initSpec(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::glenhollow::wire::RunReport::Reader RunReports::ReportParams::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RunOrder::Builder::adoptSpec(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::glenhollow::wire::RunReport::Builder RunReports::ReportParams::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> RunOrder::Builder::disownSpec() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::RunReport::Pipeline RunReports::ReportParams::Pipeline::getReport() {
+  return  ::glenhollow::wire::RunReport::Pipeline(_typeless.getPointerField(0));
 }
-
-inline  ::uint32_t RunOrder::Reader::getEstimateMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+#endif  // !CAPNP_LITE
+inline void RunReports::ReportParams::Builder::setReport( ::glenhollow::wire::RunReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t RunOrder::Builder::getEstimateMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::glenhollow::wire::RunReport::Builder RunReports::ReportParams::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RunOrder::Builder::setEstimateMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void RunReports::ReportParams::Builder::adoptReport(
+    ::capnp::Orphan< ::glenhollow::wire::RunReport>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::glenhollow::wire::RunReport> RunReports::ReportParams::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RunRef::Reader::hasTask() const {
+inline bool RunReports::ReportResults::Reader::hasRenewed() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunRef::Builder::hasTask() {
+inline bool RunReports::ReportResults::Builder::hasRenewed() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::TaskRef::Reader RunRef::Reader::getTask() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_reader.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader RunReports::ReportResults::Reader::getRenewed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::TaskRef::Builder RunRef::Builder::getTask() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder RunReports::ReportResults::Builder::getRenewed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::TaskRef::Pipeline RunRef::Pipeline::getTask() {
-  return  ::glenhollow::wire::TaskRef::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void RunRef::Builder::setTask( ::glenhollow::wire::TaskRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::set(_builder.getPointerField(
+inline void RunReports::ReportResults::Builder::setRenewed( ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::TaskRef::Builder RunRef::Builder::initTask() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder RunReports::ReportResults::Builder::initRenewed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RunRef::Builder::adoptTask(
-    ::capnp::Orphan< ::glenhollow::wire::TaskRef>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::adopt(_builder.getPointerField(
+inline void RunReports::ReportResults::Builder::adoptRenewed(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::TaskRef> RunRef::Builder::disownTask() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>> RunReports::ReportResults::Builder::disownRenewed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t RunRef::Reader::getRun() const {
+inline  ::uint32_t RunReports::ReportResults::Reader::getRoomGapMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t RunRef::Builder::getRun() {
+inline  ::uint32_t RunReports::ReportResults::Builder::getRoomGapMs() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RunRef::Builder::setRun( ::uint32_t value) {
+inline void RunReports::ReportResults::Builder::setRoomGapMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RunState::Reader::hasTask() const {
+inline bool RunReports::ReportResults::Reader::getPlaces() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool RunReports::ReportResults::Builder::getPlaces() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void RunReports::ReportResults::Builder::setPlaces(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+#if !CAPNP_LITE
+inline RunAgent::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline RunAgent::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline RunAgent::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline RunAgent::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline RunAgent::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::glenhollow::wire::RunAgent::Client& RunAgent::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::glenhollow::wire::RunAgent::Client& RunAgent::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool RunAgent::AttachParams::Reader::hasEntry() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunState::Builder::hasTask() {
+inline bool RunAgent::AttachParams::Builder::hasEntry() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::TaskRef::Reader RunState::Reader::getTask() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader RunAgent::AttachParams::Reader::getEntry() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::TaskRef::Builder RunState::Builder::getTask() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder RunAgent::AttachParams::Builder::getEntry() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::TaskRef::Pipeline RunState::Pipeline::getTask() {
-  return  ::glenhollow::wire::TaskRef::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void RunState::Builder::setTask( ::glenhollow::wire::TaskRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::set(_builder.getPointerField(
+inline void RunAgent::AttachParams::Builder::setEntry( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::TaskRef::Builder RunState::Builder::initTask() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder RunAgent::AttachParams::Builder::initEntry(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RunState::Builder::adoptTask(
-    ::capnp::Orphan< ::glenhollow::wire::TaskRef>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::adopt(_builder.getPointerField(
+inline void RunAgent::AttachParams::Builder::adoptEntry(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::TaskRef> RunState::Builder::disownTask() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> RunAgent::AttachParams::Builder::disownEntry() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t RunState::Reader::getRun() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t RunAgent::AttachParams::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t RunState::Builder::getRun() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t RunAgent::AttachParams::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RunState::Builder::setRun( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void RunAgent::AttachParams::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t RunState::Reader::getPhase() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool RunAgent::AttachParams::Reader::hasReports() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint8_t RunState::Builder::getPhase() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool RunAgent::AttachParams::Builder::hasReports() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void RunState::Builder::setPhase( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::RunReports::Client RunAgent::AttachParams::Reader::getReports() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline bool RunState::Reader::getSized() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+inline  ::glenhollow::wire::RunReports::Client RunAgent::AttachParams::Builder::getReports() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline bool RunState::Builder::getSized() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+inline  ::glenhollow::wire::RunReports::Client RunAgent::AttachParams::Pipeline::getReports() {
+  return  ::glenhollow::wire::RunReports::Client(_typeless.getPointerField(1).asCap());
 }
-inline void RunState::Builder::setSized(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<40>() * ::capnp::ELEMENTS, value);
+inline void RunAgent::AttachParams::Builder::setReports( ::glenhollow::wire::RunReports::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
 }
+inline void RunAgent::AttachParams::Builder::setReports( ::glenhollow::wire::RunReports::Client& cap) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+}
+inline void RunAgent::AttachParams::Builder::adoptReports(
+    ::capnp::Orphan< ::glenhollow::wire::RunReports>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::glenhollow::wire::RunReports> RunAgent::AttachParams::Builder::disownReports() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#endif  // !CAPNP_LITE
 
-inline bool RunEnd::Reader::hasTask() const {
+inline bool RunAgent::AttachResults::Reader::hasSession() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunEnd::Builder::hasTask() {
+inline bool RunAgent::AttachResults::Builder::hasSession() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::TaskRef::Reader RunEnd::Reader::getTask() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_reader.getPointerField(
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::RunSession::Client RunAgent::AttachResults::Reader::getSession() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::TaskRef::Builder RunEnd::Builder::getTask() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_builder.getPointerField(
+inline  ::glenhollow::wire::RunSession::Client RunAgent::AttachResults::Builder::getSession() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::TaskRef::Pipeline RunEnd::Pipeline::getTask() {
-  return  ::glenhollow::wire::TaskRef::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void RunEnd::Builder::setTask( ::glenhollow::wire::TaskRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::glenhollow::wire::RunSession::Client RunAgent::AttachResults::Pipeline::getSession() {
+  return  ::glenhollow::wire::RunSession::Client(_typeless.getPointerField(0).asCap());
 }
-inline  ::glenhollow::wire::TaskRef::Builder RunEnd::Builder::initTask() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void RunAgent::AttachResults::Builder::setSession( ::glenhollow::wire::RunSession::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
 }
-inline void RunEnd::Builder::adoptTask(
-    ::capnp::Orphan< ::glenhollow::wire::TaskRef>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::adopt(_builder.getPointerField(
+inline void RunAgent::AttachResults::Builder::setSession( ::glenhollow::wire::RunSession::Client& cap) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+}
+inline void RunAgent::AttachResults::Builder::adoptSession(
+    ::capnp::Orphan< ::glenhollow::wire::RunSession>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::TaskRef> RunEnd::Builder::disownTask() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::glenhollow::wire::RunSession> RunAgent::AttachResults::Builder::disownSession() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
+#endif  // !CAPNP_LITE
 
-inline  ::uint32_t RunEnd::Reader::getRun() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t RunAgent::AttachResults::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t RunEnd::Builder::getRun() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t RunAgent::AttachResults::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RunEnd::Builder::setRun( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void RunAgent::AttachResults::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t RunEnd::Reader::getHow() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t RunEnd::Builder::getHow() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void RunEnd::Builder::setHow( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t RunEnd::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool RunAgent::AttachResults::Reader::hasState() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t RunEnd::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool RunAgent::AttachResults::Builder::hasState() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void RunEnd::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::glenhollow::wire::RunnerState::Reader RunAgent::AttachResults::Reader::getState() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t RunEnd::Reader::getMicros() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::glenhollow::wire::RunnerState::Builder RunAgent::AttachResults::Builder::getState() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t RunEnd::Builder::getMicros() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::RunnerState::Pipeline RunAgent::AttachResults::Pipeline::getState() {
+  return  ::glenhollow::wire::RunnerState::Pipeline(_typeless.getPointerField(1));
 }
-inline void RunEnd::Builder::setMicros( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void RunAgent::AttachResults::Builder::setState( ::glenhollow::wire::RunnerState::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline bool RunEnd::Reader::getClaimed() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+inline  ::glenhollow::wire::RunnerState::Builder RunAgent::AttachResults::Builder::initState() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline bool RunEnd::Builder::getClaimed() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+inline void RunAgent::AttachResults::Builder::adoptState(
+    ::capnp::Orphan< ::glenhollow::wire::RunnerState>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void RunEnd::Builder::setClaimed(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<40>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::glenhollow::wire::RunnerState> RunAgent::AttachResults::Builder::disownState() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool RunnerState::Reader::hasService() const {
+inline bool OrderBatch::Reader::hasStarts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunnerState::Builder::hasService() {
+inline bool OrderBatch::Builder::hasStarts() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RunnerState::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader OrderBatch::Reader::getStarts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RunnerState::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::getStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RunnerState::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void OrderBatch::Builder::setStarts( ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RunnerState::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::initStarts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RunnerState::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void OrderBatch::Builder::adoptStarts(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RunnerState::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>> OrderBatch::Builder::disownStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RunnerState::Reader::hasInstance() const {
+inline bool OrderBatch::Reader::hasStops() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunnerState::Builder::hasInstance() {
+inline bool OrderBatch::Builder::hasStops() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RunnerState::Reader::getInstance() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader OrderBatch::Reader::getStops() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RunnerState::Builder::getInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::getStops() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RunnerState::Builder::setInstance( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void OrderBatch::Builder::setStops( ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RunnerState::Builder::initInstance(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::initStops(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RunnerState::Builder::adoptInstance(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void OrderBatch::Builder::adoptStops(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RunnerState::Builder::disownInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>> OrderBatch::Builder::disownStops() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool RunnerState::Reader::hasZone() const {
+inline bool OrderBatch::Reader::hasSizes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunnerState::Builder::hasZone() {
+inline bool OrderBatch::Builder::hasSizes() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RunnerState::Reader::getZone() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader OrderBatch::Reader::getSizes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RunnerState::Builder::getZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::getSizes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void RunnerState::Builder::setZone( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void OrderBatch::Builder::setSizes( ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RunnerState::Builder::initZone(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::initSizes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void RunnerState::Builder::adoptZone(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void OrderBatch::Builder::adoptSizes(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RunnerState::Builder::disownZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>> OrderBatch::Builder::disownSizes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool RunnerState::Reader::hasLabels() const {
+inline bool OrderBatch::Reader::hasConfirmed() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunnerState::Builder::hasLabels() {
+inline bool OrderBatch::Builder::hasConfirmed() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader RunnerState::Reader::getLabels() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader OrderBatch::Reader::getConfirmed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder RunnerState::Builder::getLabels() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::getConfirmed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void RunnerState::Builder::setLabels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+inline void OrderBatch::Builder::setConfirmed( ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void RunnerState::Builder::setLabels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::initConfirmed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void OrderBatch::Builder::adoptConfirmed(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>> OrderBatch::Builder::disownConfirmed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+#if !CAPNP_LITE
+inline RunSession::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline RunSession::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline RunSession::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline RunSession::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline RunSession::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::glenhollow::wire::RunSession::Client& RunSession::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::glenhollow::wire::RunSession::Client& RunSession::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool RunSession::AdoptParams::Reader::hasPart() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RunSession::AdoptParams::Builder::hasPart() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::glenhollow::wire::PartEpoch::Reader RunSession::AdoptParams::Reader::getPart() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::PartEpoch>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::glenhollow::wire::PartEpoch::Builder RunSession::AdoptParams::Builder::getPart() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::PartEpoch>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::PartEpoch::Pipeline RunSession::AdoptParams::Pipeline::getPart() {
+  return  ::glenhollow::wire::PartEpoch::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder RunnerState::Builder::initLabels(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void RunSession::AdoptParams::Builder::setPart( ::glenhollow::wire::PartEpoch::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::PartEpoch>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void RunnerState::Builder::adoptLabels(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::glenhollow::wire::PartEpoch::Builder RunSession::AdoptParams::Builder::initPart() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::PartEpoch>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> RunnerState::Builder::disownLabels() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void RunSession::AdoptParams::Builder::adoptPart(
+    ::capnp::Orphan< ::glenhollow::wire::PartEpoch>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::PartEpoch>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::glenhollow::wire::PartEpoch> RunSession::AdoptParams::Builder::disownPart() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::PartEpoch>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t RunnerState::Reader::getPhase() const {
-  return _reader.getDataField< ::uint8_t>(
+inline bool RunSession::AdoptResults::Reader::getDeclined() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t RunnerState::Builder::getPhase() {
-  return _builder.getDataField< ::uint8_t>(
+inline bool RunSession::AdoptResults::Builder::getDeclined() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RunnerState::Builder::setPhase( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
+inline void RunSession::AdoptResults::Builder::setDeclined(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t RunnerState::Reader::getCpu() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool RunSession::AdoptResults::Reader::hasRuns() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t RunnerState::Builder::getCpu() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool RunSession::AdoptResults::Builder::hasRuns() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void RunnerState::Builder::setCpu( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>::Reader RunSession::AdoptResults::Reader::getRuns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t RunnerState::Reader::getMemory() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>::Builder RunSession::AdoptResults::Builder::getRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t RunnerState::Builder::getMemory() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void RunSession::AdoptResults::Builder::setRuns( ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void RunnerState::Builder::setMemory( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>::Builder RunSession::AdoptResults::Builder::initRuns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t RunnerState::Reader::getGpu() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void RunSession::AdoptResults::Builder::adoptRuns(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>> RunSession::AdoptResults::Builder::disownRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t RunnerState::Builder::getGpu() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool RunSession::AdoptResults::Reader::hasEnds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void RunnerState::Builder::setGpu( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline bool RunSession::AdoptResults::Builder::hasEnds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t RunnerState::Reader::getUsedCpu() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader RunSession::AdoptResults::Reader::getEnds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t RunnerState::Builder::getUsedCpu() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder RunSession::AdoptResults::Builder::getEnds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RunnerState::Builder::setUsedCpu( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void RunSession::AdoptResults::Builder::setEnds( ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t RunnerState::Reader::getUsedMemory() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder RunSession::AdoptResults::Builder::initEnds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t RunnerState::Builder::getUsedMemory() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline void RunSession::AdoptResults::Builder::adoptEnds(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void RunnerState::Builder::setUsedMemory( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>> RunSession::AdoptResults::Builder::disownEnds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t RunnerState::Reader::getUsedGpu() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool RunSession::OrderParams::Reader::hasBatch() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t RunnerState::Builder::getUsedGpu() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool RunSession::OrderParams::Builder::hasBatch() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void RunnerState::Builder::setUsedGpu( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline  ::glenhollow::wire::OrderBatch::Reader RunSession::OrderParams::Reader::getBatch() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::OrderBatch>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t RunnerState::Reader::getWaiting() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::glenhollow::wire::OrderBatch::Builder RunSession::OrderParams::Builder::getBatch() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::OrderBatch>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t RunnerState::Builder::getWaiting() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::OrderBatch::Pipeline RunSession::OrderParams::Pipeline::getBatch() {
+  return  ::glenhollow::wire::OrderBatch::Pipeline(_typeless.getPointerField(0));
 }
-inline void RunnerState::Builder::setWaiting( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void RunSession::OrderParams::Builder::setBatch( ::glenhollow::wire::OrderBatch::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::OrderBatch>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t RunnerState::Reader::getReceived() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::glenhollow::wire::OrderBatch::Builder RunSession::OrderParams::Builder::initBatch() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::OrderBatch>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t RunnerState::Builder::getReceived() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void RunSession::OrderParams::Builder::adoptBatch(
+    ::capnp::Orphan< ::glenhollow::wire::OrderBatch>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::OrderBatch>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void RunnerState::Builder::setReceived( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::glenhollow::wire::OrderBatch> RunSession::OrderParams::Builder::disownBatch() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::OrderBatch>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RunnerState::Reader::getWhole() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool QueueCount::Reader::hasQueue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool RunnerState::Builder::getWhole() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool QueueCount::Builder::hasQueue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void RunnerState::Builder::setWhole(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader QueueCount::Reader::getQueue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QueueCount::Builder::getQueue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QueueCount::Builder::setQueue( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QueueCount::Builder::initQueue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QueueCount::Builder::adoptQueue(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QueueCount::Builder::disownQueue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t PartEpoch::Reader::getPart() const {
+inline  ::uint16_t QueueCount::Reader::getPart() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t PartEpoch::Builder::getPart() {
+inline  ::uint16_t QueueCount::Builder::getPart() {
   return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PartEpoch::Builder::setPart( ::uint16_t value) {
+inline void QueueCount::Builder::setPart( ::uint16_t value) {
   _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PartEpoch::Reader::getEpoch() const {
+inline  ::uint32_t QueueCount::Reader::getPending() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PartEpoch::Builder::getEpoch() {
+inline  ::uint32_t QueueCount::Builder::getPending() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PartEpoch::Builder::setEpoch( ::uint32_t value) {
+inline void QueueCount::Builder::setPending( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RunReport::Reader::hasState() const {
+inline bool EntryView::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunReport::Builder::hasState() {
+inline bool EntryView::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::RunnerState::Reader RunReport::Reader::getState() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader EntryView::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::RunnerState::Builder RunReport::Builder::getState() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder EntryView::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::RunnerState::Pipeline RunReport::Pipeline::getState() {
-  return  ::glenhollow::wire::RunnerState::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void RunReport::Builder::setState( ::glenhollow::wire::RunnerState::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::set(_builder.getPointerField(
+inline void EntryView::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::RunnerState::Builder RunReport::Builder::initState() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder EntryView::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RunReport::Builder::adoptState(
-    ::capnp::Orphan< ::glenhollow::wire::RunnerState>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::adopt(_builder.getPointerField(
+inline void EntryView::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::RunnerState> RunReport::Builder::disownState() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> EntryView::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RunReport::Reader::hasEnds() const {
+inline  ::uint64_t EntryView::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryView::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EntryView::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EntryView::Reader::hasParts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunReport::Builder::hasEnds() {
+inline bool EntryView::Builder::hasParts() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader RunReport::Reader::getEnds() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader EntryView::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder RunReport::Builder::getEnds() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RunReport::Builder::setEnds( ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void EntryView::Builder::setParts( ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder RunReport::Builder::initEnds(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RunReport::Builder::adoptEnds(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void EntryView::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>> RunReport::Builder::disownEnds() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>> EntryView::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool RunReport::Reader::hasStarted() const {
+inline bool EntryView::Reader::getStoreReachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool EntryView::Builder::getStoreReachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void EntryView::Builder::setStoreReachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EntryView::Reader::getStopping() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool EntryView::Builder::getStopping() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void EntryView::Builder::setStopping(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t EntryView::Reader::getCatalogVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryView::Builder::getCatalogVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EntryView::Builder::setCatalogVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EntryView::Reader::hasPending() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunReport::Builder::hasStarted() {
+inline bool EntryView::Builder::hasPending() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader RunReport::Reader::getStarted() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Reader EntryView::Reader::getPending() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder RunReport::Builder::getStarted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::getPending() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void RunReport::Builder::setStarted( ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void EntryView::Builder::setPending( ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder RunReport::Builder::initStarted(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::initPending(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void RunReport::Builder::adoptStarted(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void EntryView::Builder::adoptPending(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>> RunReport::Builder::disownStarted() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>> EntryView::Builder::disownPending() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-#if !CAPNP_LITE
-inline RunReports::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline RunReports::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline RunReports::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline RunReports::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline RunReports::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::glenhollow::wire::RunReports::Client& RunReports::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::glenhollow::wire::RunReports::Client& RunReports::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
-
-#endif  // !CAPNP_LITE
-inline bool RunReports::ReportParams::Reader::hasReport() const {
+inline bool EntryView::Reader::hasReleased() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunReports::ReportParams::Builder::hasReport() {
+inline bool EntryView::Builder::hasReleased() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::glenhollow::wire::RunReport::Reader RunReports::ReportParams::Reader::getReport() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReport>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::RunReport::Builder RunReports::ReportParams::Builder::getReport() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReport>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader EntryView::Reader::getReleased() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::RunReport::Pipeline RunReports::ReportParams::Pipeline::getReport() {
-  return  ::glenhollow::wire::RunReport::Pipeline(_typeless.getPointerField(0));
+inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::getReleased() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void RunReports::ReportParams::Builder::setReport( ::glenhollow::wire::RunReport::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReport>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void EntryView::Builder::setReleased( ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::RunReport::Builder RunReports::ReportParams::Builder::initReport() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReport>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::initReleased(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void RunReports::ReportParams::Builder::adoptReport(
-    ::capnp::Orphan< ::glenhollow::wire::RunReport>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReport>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void EntryView::Builder::adoptReleased(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::RunReport> RunReports::ReportParams::Builder::disownReport() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReport>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>> EntryView::Builder::disownReleased() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool RunReports::ReportResults::Reader::hasRenewed() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool RunReports::ReportResults::Builder::hasRenewed() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader RunReports::ReportResults::Reader::getRenewed() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::uint32_t EntryView::Reader::getPower() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder RunReports::ReportResults::Builder::getRenewed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t EntryView::Builder::getPower() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void RunReports::ReportResults::Builder::setRenewed( ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void EntryView::Builder::setPower( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder RunReports::ReportResults::Builder::initRenewed(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+
+inline bool EntryView::Reader::getTimely() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
 }
-inline void RunReports::ReportResults::Builder::adoptRenewed(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline bool EntryView::Builder::getTimely() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>> RunReports::ReportResults::Builder::disownRenewed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void EntryView::Builder::setTimely(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t RunReports::ReportResults::Reader::getRoomGapMs() const {
+inline  ::uint32_t EntryView::Reader::getAgents() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t RunReports::ReportResults::Builder::getRoomGapMs() {
+inline  ::uint32_t EntryView::Builder::getAgents() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void RunReports::ReportResults::Builder::setRoomGapMs( ::uint32_t value) {
+inline void EntryView::Builder::setAgents( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t JobCall::Reader::getVerb() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t JobCall::Builder::getVerb() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void JobCall::Builder::setVerb( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-#if !CAPNP_LITE
-inline RunAgent::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline RunAgent::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline RunAgent::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline RunAgent::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline RunAgent::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::glenhollow::wire::RunAgent::Client& RunAgent::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
+inline  ::uint64_t JobCall::Reader::getJob() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::glenhollow::wire::RunAgent::Client& RunAgent::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+
+inline  ::uint64_t JobCall::Builder::getJob() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void JobCall::Builder::setJob( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-#endif  // !CAPNP_LITE
-inline bool RunAgent::AttachParams::Reader::hasEntry() const {
+inline  ::uint64_t JobCall::Reader::getCatalogVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t JobCall::Builder::getCatalogVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void JobCall::Builder::setCatalogVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool JobCall::Reader::hasBody() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunAgent::AttachParams::Builder::hasEntry() {
+inline bool JobCall::Builder::hasBody() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RunAgent::AttachParams::Reader::getEntry() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader JobCall::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RunAgent::AttachParams::Builder::getEntry() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder JobCall::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RunAgent::AttachParams::Builder::setEntry( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void JobCall::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RunAgent::AttachParams::Builder::initEntry(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::Data::Builder JobCall::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RunAgent::AttachParams::Builder::adoptEntry(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void JobCall::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RunAgent::AttachParams::Builder::disownEntry() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> JobCall::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RunAgent::AttachParams::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint8_t JobAnswer::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RunAgent::AttachParams::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint8_t JobAnswer::Builder::getOutcome() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RunAgent::AttachParams::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void JobAnswer::Builder::setOutcome( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RunAgent::AttachParams::Reader::hasReports() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool RunAgent::AttachParams::Builder::hasReports() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::RunReports::Client RunAgent::AttachParams::Reader::getReports() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::glenhollow::wire::RunReports::Client RunAgent::AttachParams::Builder::getReports() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::glenhollow::wire::RunReports::Client RunAgent::AttachParams::Pipeline::getReports() {
-  return  ::glenhollow::wire::RunReports::Client(_typeless.getPointerField(1).asCap());
-}
-inline void RunAgent::AttachParams::Builder::setReports( ::glenhollow::wire::RunReports::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
-}
-inline void RunAgent::AttachParams::Builder::setReports( ::glenhollow::wire::RunReports::Client& cap) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
-}
-inline void RunAgent::AttachParams::Builder::adoptReports(
-    ::capnp::Orphan< ::glenhollow::wire::RunReports>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::glenhollow::wire::RunReports> RunAgent::AttachParams::Builder::disownReports() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::uint8_t JobAnswer::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-#endif  // !CAPNP_LITE
 
-inline bool RunAgent::AttachResults::Reader::hasSession() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool RunAgent::AttachResults::Builder::hasSession() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::RunSession::Client RunAgent::AttachResults::Reader::getSession() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::glenhollow::wire::RunSession::Client RunAgent::AttachResults::Builder::getSession() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::glenhollow::wire::RunSession::Client RunAgent::AttachResults::Pipeline::getSession() {
-  return  ::glenhollow::wire::RunSession::Client(_typeless.getPointerField(0).asCap());
+inline  ::uint8_t JobAnswer::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void RunAgent::AttachResults::Builder::setSession( ::glenhollow::wire::RunSession::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
+inline void JobAnswer::Builder::setState( ::uint8_t value) {
