+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline void RunAgent::AttachResults::Builder::setSession( ::glenhollow::wire::RunSession::Client& cap) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+
+inline  ::uint32_t JobAnswer::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void RunAgent::AttachResults::Builder::adoptSession(
-    ::capnp::Orphan< ::glenhollow::wire::RunSession>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t JobAnswer::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::glenhollow::wire::RunSession> RunAgent::AttachResults::Builder::disownSession() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void JobAnswer::Builder::setRetryAfterMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-#endif  // !CAPNP_LITE
 
-inline  ::uint64_t RunAgent::AttachResults::Reader::getIncarnation() const {
+inline  ::uint64_t WantedTasks::Reader::getJob() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RunAgent::AttachResults::Builder::getIncarnation() {
+inline  ::uint64_t WantedTasks::Builder::getJob() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RunAgent::AttachResults::Builder::setIncarnation( ::uint64_t value) {
+inline void WantedTasks::Builder::setJob( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RunAgent::AttachResults::Reader::hasState() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool RunAgent::AttachResults::Builder::hasState() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::glenhollow::wire::RunnerState::Reader RunAgent::AttachResults::Reader::getState() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::glenhollow::wire::RunnerState::Builder RunAgent::AttachResults::Builder::getState() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::RunnerState::Pipeline RunAgent::AttachResults::Pipeline::getState() {
-  return  ::glenhollow::wire::RunnerState::Pipeline(_typeless.getPointerField(1));
+inline  ::uint32_t WantedTasks::Reader::getOccurrence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-#endif  // !CAPNP_LITE
-inline void RunAgent::AttachResults::Builder::setState( ::glenhollow::wire::RunnerState::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+
+inline  ::uint32_t WantedTasks::Builder::getOccurrence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline  ::glenhollow::wire::RunnerState::Builder RunAgent::AttachResults::Builder::initState() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void WantedTasks::Builder::setOccurrence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline void RunAgent::AttachResults::Builder::adoptState(
-    ::capnp::Orphan< ::glenhollow::wire::RunnerState>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t WantedTasks::Reader::getStep() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::glenhollow::wire::RunnerState> RunAgent::AttachResults::Builder::disownState() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint32_t WantedTasks::Builder::getStep() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void WantedTasks::Builder::setStep( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool OrderBatch::Reader::hasStarts() const {
+inline bool WantedTasks::Reader::hasIndices() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool OrderBatch::Builder::hasStarts() {
+inline bool WantedTasks::Builder::hasIndices() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader OrderBatch::Reader::getStarts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader WantedTasks::Reader::getIndices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::getStarts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder WantedTasks::Builder::getIndices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void OrderBatch::Builder::setStarts( ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void WantedTasks::Builder::setIndices( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::initStarts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline void WantedTasks::Builder::setIndices(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder WantedTasks::Builder::initIndices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void OrderBatch::Builder::adoptStarts(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void WantedTasks::Builder::adoptIndices(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>> OrderBatch::Builder::disownStarts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> WantedTasks::Builder::disownIndices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool OrderBatch::Reader::hasStops() const {
+inline bool WantedTasks::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool OrderBatch::Builder::hasStops() {
+inline bool WantedTasks::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader OrderBatch::Reader::getStops() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader WantedTasks::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::getStops() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder WantedTasks::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void OrderBatch::Builder::setStops( ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void WantedTasks::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::initStops(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder WantedTasks::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void OrderBatch::Builder::adoptStops(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void WantedTasks::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>> OrderBatch::Builder::disownStops() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> WantedTasks::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool OrderBatch::Reader::hasSizes() const {
+inline bool WantedTasks::Reader::hasLabel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool OrderBatch::Builder::hasSizes() {
+inline bool WantedTasks::Builder::hasLabel() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader OrderBatch::Reader::getSizes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader WantedTasks::Reader::getLabel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::getSizes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder WantedTasks::Builder::getLabel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void OrderBatch::Builder::setSizes( ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void WantedTasks::Builder::setLabel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::initSizes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder WantedTasks::Builder::initLabel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void OrderBatch::Builder::adoptSizes(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void WantedTasks::Builder::adoptLabel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>> OrderBatch::Builder::disownSizes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> WantedTasks::Builder::disownLabel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool OrderBatch::Reader::hasConfirmed() const {
+inline bool WantedTasks::Reader::hasPreferredLabel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool OrderBatch::Builder::hasConfirmed() {
+inline bool WantedTasks::Builder::hasPreferredLabel() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader OrderBatch::Reader::getConfirmed() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader WantedTasks::Reader::getPreferredLabel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::getConfirmed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder WantedTasks::Builder::getPreferredLabel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void OrderBatch::Builder::setConfirmed( ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void WantedTasks::Builder::setPreferredLabel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::initConfirmed(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder WantedTasks::Builder::initPreferredLabel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void OrderBatch::Builder::adoptConfirmed(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void WantedTasks::Builder::adoptPreferredLabel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>> OrderBatch::Builder::disownConfirmed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> WantedTasks::Builder::disownPreferredLabel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-#if !CAPNP_LITE
-inline RunSession::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline RunSession::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline RunSession::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline RunSession::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline RunSession::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::glenhollow::wire::RunSession::Client& RunSession::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::glenhollow::wire::RunSession::Client& RunSession::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+inline  ::uint32_t WantedTasks::Reader::getCpu() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-#endif  // !CAPNP_LITE
-inline bool RunSession::AdoptParams::Reader::hasPart() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool RunSession::AdoptParams::Builder::hasPart() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::glenhollow::wire::PartEpoch::Reader RunSession::AdoptParams::Reader::getPart() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::PartEpoch>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::glenhollow::wire::PartEpoch::Builder RunSession::AdoptParams::Builder::getPart() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::PartEpoch>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::PartEpoch::Pipeline RunSession::AdoptParams::Pipeline::getPart() {
-  return  ::glenhollow::wire::PartEpoch::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void RunSession::AdoptParams::Builder::setPart( ::glenhollow::wire::PartEpoch::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::PartEpoch>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::glenhollow::wire::PartEpoch::Builder RunSession::AdoptParams::Builder::initPart() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::PartEpoch>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void RunSession::AdoptParams::Builder::adoptPart(
-    ::capnp::Orphan< ::glenhollow::wire::PartEpoch>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::PartEpoch>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::uint32_t WantedTasks::Builder::getCpu() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::glenhollow::wire::PartEpoch> RunSession::AdoptParams::Builder::disownPart() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::PartEpoch>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void WantedTasks::Builder::setCpu( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RunSession::AdoptResults::Reader::getDeclined() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t WantedTasks::Reader::getMemory() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline bool RunSession::AdoptResults::Builder::getDeclined() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t WantedTasks::Builder::getMemory() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void RunSession::AdoptResults::Builder::setDeclined(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void WantedTasks::Builder::setMemory( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RunSession::AdoptResults::Reader::hasRuns() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool RunSession::AdoptResults::Builder::hasRuns() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>::Reader RunSession::AdoptResults::Reader::getRuns() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>::Builder RunSession::AdoptResults::Builder::getRuns() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void RunSession::AdoptResults::Builder::setRuns( ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>::Builder RunSession::AdoptResults::Builder::initRuns(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void RunSession::AdoptResults::Builder::adoptRuns(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>> RunSession::AdoptResults::Builder::disownRuns() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::uint32_t WantedTasks::Reader::getGpu() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline bool RunSession::AdoptResults::Reader::hasEnds() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool RunSession::AdoptResults::Builder::hasEnds() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader RunSession::AdoptResults::Reader::getEnds() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder RunSession::AdoptResults::Builder::getEnds() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void RunSession::AdoptResults::Builder::setEnds( ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder RunSession::AdoptResults::Builder::initEnds(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void RunSession::AdoptResults::Builder::adoptEnds(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::uint32_t WantedTasks::Builder::getGpu() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>> RunSession::AdoptResults::Builder::disownEnds() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void WantedTasks::Builder::setGpu( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RunSession::OrderParams::Reader::hasBatch() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t WantedTasks::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline bool RunSession::OrderParams::Builder::hasBatch() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint32_t WantedTasks::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline  ::glenhollow::wire::OrderBatch::Reader RunSession::OrderParams::Reader::getBatch() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::OrderBatch>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void WantedTasks::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
-inline  ::glenhollow::wire::OrderBatch::Builder RunSession::OrderParams::Builder::getBatch() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::OrderBatch>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::int64_t WantedTasks::Reader::getSlackMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::OrderBatch::Pipeline RunSession::OrderParams::Pipeline::getBatch() {
-  return  ::glenhollow::wire::OrderBatch::Pipeline(_typeless.getPointerField(0));
+
+inline  ::int64_t WantedTasks::Builder::getSlackMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-#endif  // !CAPNP_LITE
-inline void RunSession::OrderParams::Builder::setBatch( ::glenhollow::wire::OrderBatch::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::OrderBatch>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void WantedTasks::Builder::setSlackMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-inline  ::glenhollow::wire::OrderBatch::Builder RunSession::OrderParams::Builder::initBatch() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::OrderBatch>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t WantedTasks::Reader::getEstimateMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
-inline void RunSession::OrderParams::Builder::adoptBatch(
-    ::capnp::Orphan< ::glenhollow::wire::OrderBatch>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::OrderBatch>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t WantedTasks::Builder::getEstimateMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::glenhollow::wire::OrderBatch> RunSession::OrderParams::Builder::disownBatch() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::OrderBatch>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void WantedTasks::Builder::setEstimateMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool QueueCount::Reader::hasQueue() const {
+inline bool WantedTasks::Reader::hasAvoid() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool QueueCount::Builder::hasQueue() {
+inline bool WantedTasks::Builder::hasAvoid() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader QueueCount::Reader::getQueue() const {
+inline  ::capnp::Text::Reader WantedTasks::Reader::getAvoid() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder QueueCount::Builder::getQueue() {
+inline  ::capnp::Text::Builder WantedTasks::Builder::getAvoid() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void QueueCount::Builder::setQueue( ::capnp::Text::Reader value) {
+inline void WantedTasks::Builder::setAvoid( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder QueueCount::Builder::initQueue(unsigned int size) {
+inline  ::capnp::Text::Builder WantedTasks::Builder::initAvoid(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void QueueCount::Builder::adoptQueue(
+inline void WantedTasks::Builder::adoptAvoid(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> QueueCount::Builder::disownQueue() {
+inline ::capnp::Orphan< ::capnp::Text> WantedTasks::Builder::disownAvoid() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint16_t QueueCount::Reader::getPart() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t QueueCount::Builder::getPart() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void QueueCount::Builder::setPart( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t QueueCount::Reader::getPending() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool WantedTasks::Reader::getBegun() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<352>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t QueueCount::Builder::getPending() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool WantedTasks::Builder::getBegun() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<352>() * ::capnp::ELEMENTS);
 }
-inline void QueueCount::Builder::setPending( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void WantedTasks::Builder::setBegun(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<352>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EntryView::Reader::hasName() const {
+inline bool TaskGrant::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryView::Builder::hasName() {
+inline bool TaskGrant::Builder::hasTask() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EntryView::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::glenhollow::wire::TaskRef::Reader TaskGrant::Reader::getTask() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EntryView::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::glenhollow::wire::TaskRef::Builder TaskGrant::Builder::getTask() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EntryView::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::TaskRef::Pipeline TaskGrant::Pipeline::getTask() {
+  return  ::glenhollow::wire::TaskRef::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void TaskGrant::Builder::setTask( ::glenhollow::wire::TaskRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EntryView::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::glenhollow::wire::TaskRef::Builder TaskGrant::Builder::initTask() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EntryView::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void TaskGrant::Builder::adoptTask(
+    ::capnp::Orphan< ::glenhollow::wire::TaskRef>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EntryView::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::glenhollow::wire::TaskRef> TaskGrant::Builder::disownTask() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::TaskRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t EntryView::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t EntryView::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void EntryView::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool EntryView::Reader::hasParts() const {
+inline bool TaskGrant::Reader::hasAgent() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryView::Builder::hasParts() {
+inline bool TaskGrant::Builder::hasAgent() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader EntryView::Reader::getParts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader TaskGrant::Reader::getAgent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::getParts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder TaskGrant::Builder::getAgent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void EntryView::Builder::setParts( ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void TaskGrant::Builder::setAgent( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::initParts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder TaskGrant::Builder::initAgent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void EntryView::Builder::adoptParts(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void TaskGrant::Builder::adoptAgent(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>> EntryView::Builder::disownParts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> TaskGrant::Builder::disownAgent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool EntryView::Reader::getStoreReachable() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool EntryView::Builder::getStoreReachable() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void EntryView::Builder::setStoreReachable(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool EntryView::Reader::getStopping() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
-}
-
-inline bool EntryView::Builder::getStopping() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
-}
-inline void EntryView::Builder::setStopping(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t EntryView::Reader::getCatalogVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t EntryView::Builder::getCatalogVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void EntryView::Builder::setCatalogVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::uint32_t TaskGrant::Reader::getNumber() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool EntryView::Reader::hasPending() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool EntryView::Builder::hasPending() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Reader EntryView::Reader::getPending() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::getPending() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void EntryView::Builder::setPending( ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::initPending(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void EntryView::Builder::adoptPending(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::uint32_t TaskGrant::Builder::getNumber() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>> EntryView::Builder::disownPending() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void TaskGrant::Builder::setNumber( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EntryView::Reader::hasReleased() const {
+inline bool DeclinedGrant::Reader::hasAgent() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryView::Builder::hasReleased() {
+inline bool DeclinedGrant::Builder::hasAgent() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader EntryView::Reader::getReleased() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::getReleased() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader DeclinedGrant::Reader::getAgent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EntryView::Builder::setReleased( ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder DeclinedGrant::Builder::getAgent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder EntryView::Builder::initReleased(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline void DeclinedGrant::Builder::setAgent( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void EntryView::Builder::adoptReleased(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::Text::Builder DeclinedGrant::Builder::initAgent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>> EntryView::Builder::disownReleased() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void DeclinedGrant::Builder::adoptAgent(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> DeclinedGrant::Builder::disownAgent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t JobCall::Reader::getVerb() const {
-  return _reader.getDataField< ::uint8_t>(
+inline  ::uint32_t DeclinedGrant::Reader::getNumber() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t JobCall::Builder::getVerb() {
-  return _builder.getDataField< ::uint8_t>(
+inline  ::uint32_t DeclinedGrant::Builder::getNumber() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void JobCall::Builder::setVerb( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
+inline void DeclinedGrant::Builder::setNumber( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t JobCall::Reader::getJob() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool DeclinedGrant::Reader::getUnreachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t JobCall::Builder::getJob() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void JobCall::Builder::setJob( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool DeclinedGrant::Builder::getUnreachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-
-inline  ::uint64_t JobCall::Reader::getCatalogVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void DeclinedGrant::Builder::setUnreachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t JobCall::Builder::getCatalogVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline PlacementGrants::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline PlacementGrants::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline PlacementGrants::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline PlacementGrants::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline PlacementGrants::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::glenhollow::wire::PlacementGrants::Client& PlacementGrants::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
 }
-inline void JobCall::Builder::setCatalogVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::glenhollow::wire::PlacementGrants::Client& PlacementGrants::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
 }
 
-inline bool JobCall::Reader::hasBody() const {
+#endif  // !CAPNP_LITE
+inline bool PlacementGrants::GrantParams::Reader::hasGrants() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobCall::Builder::hasBody() {
+inline bool PlacementGrants::GrantParams::Builder::hasGrants() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader JobCall::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>::Reader PlacementGrants::GrantParams::Reader::getGrants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder JobCall::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>::Builder PlacementGrants::GrantParams::Builder::getGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void JobCall::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void PlacementGrants::GrantParams::Builder::setGrants( ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder JobCall::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline  ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>::Builder PlacementGrants::GrantParams::Builder::initGrants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void JobCall::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void PlacementGrants::GrantParams::Builder::adoptGrants(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> JobCall::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>> PlacementGrants::GrantParams::Builder::disownGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t JobAnswer::Reader::getOutcome() const {
-  return _reader.getDataField< ::uint8_t>(
+#if !CAPNP_LITE
+inline PlacementSession::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline PlacementSession::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline PlacementSession::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline PlacementSession::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline PlacementSession::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::glenhollow::wire::PlacementSession::Client& PlacementSession::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::glenhollow::wire::PlacementSession::Client& PlacementSession::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool PlacementSession::WantParams::Reader::getRestart() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t JobAnswer::Builder::getOutcome() {
-  return _builder.getDataField< ::uint8_t>(
+inline bool PlacementSession::WantParams::Builder::getRestart() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void JobAnswer::Builder::setOutcome( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
+inline void PlacementSession::WantParams::Builder::setRestart(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t JobAnswer::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool PlacementSession::WantParams::Reader::hasTasks() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint8_t JobAnswer::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool PlacementSession::WantParams::Builder::hasTasks() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void JobAnswer::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>::Reader PlacementSession::WantParams::Reader::getTasks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>::Builder PlacementSession::WantParams::Builder::getTasks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PlacementSession::WantParams::Builder::setTasks( ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>::Builder PlacementSession::WantParams::Builder::initTasks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PlacementSession::WantParams::Builder::adoptTasks(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>> PlacementSession::WantParams::Builder::disownTasks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t JobAnswer::Reader::getRetryAfterMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool PlacementSession::WantParams::Reader::hasWithdrawn() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacementSession::WantParams::Builder::hasWithdrawn() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>::Reader PlacementSession::WantParams::Reader::getWithdrawn() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>::Builder PlacementSession::WantParams::Builder::getWithdrawn() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PlacementSession::WantParams::Builder::setWithdrawn( ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>::Builder PlacementSession::WantParams::Builder::initWithdrawn(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PlacementSession::WantParams::Builder::adoptWithdrawn(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>> PlacementSession::WantParams::Builder::disownWithdrawn() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t JobAnswer::Builder::getRetryAfterMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool PlacementSession::WantParams::Reader::hasDeclined() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void JobAnswer::Builder::setRetryAfterMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool PlacementSession::WantParams::Builder::hasDeclined() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>::Reader PlacementSession::WantParams::Reader::getDeclined() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>::Builder PlacementSession::WantParams::Builder::getDeclined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PlacementSession::WantParams::Builder::setDeclined( ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>::Builder PlacementSession::WantParams::Builder::initDeclined(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void PlacementSession::WantParams::Builder::adoptDeclined(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>> PlacementSession::WantParams::Builder::disownDeclined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
@@ -12972,6 +14975,146 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool EntryPeer::PlaceParams::Reader::hasEntry() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::PlaceParams::Builder::hasEntry() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EntryPeer::PlaceParams::Reader::getEntry() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EntryPeer::PlaceParams::Builder::getEntry() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::PlaceParams::Builder::setEntry( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EntryPeer::PlaceParams::Builder::initEntry(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EntryPeer::PlaceParams::Builder::adoptEntry(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EntryPeer::PlaceParams::Builder::disownEntry() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t EntryPeer::PlaceParams::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryPeer::PlaceParams::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EntryPeer::PlaceParams::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EntryPeer::PlaceParams::Reader::hasGrants() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::PlaceParams::Builder::hasGrants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::PlacementGrants::Client EntryPeer::PlaceParams::Reader::getGrants() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::PlacementGrants>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::glenhollow::wire::PlacementGrants::Client EntryPeer::PlaceParams::Builder::getGrants() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::PlacementGrants>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::glenhollow::wire::PlacementGrants::Client EntryPeer::PlaceParams::Pipeline::getGrants() {
+  return  ::glenhollow::wire::PlacementGrants::Client(_typeless.getPointerField(1).asCap());
+}
+inline void EntryPeer::PlaceParams::Builder::setGrants( ::glenhollow::wire::PlacementGrants::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::PlacementGrants>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void EntryPeer::PlaceParams::Builder::setGrants( ::glenhollow::wire::PlacementGrants::Client& cap) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::PlacementGrants>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+}
+inline void EntryPeer::PlaceParams::Builder::adoptGrants(
+    ::capnp::Orphan< ::glenhollow::wire::PlacementGrants>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::PlacementGrants>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::glenhollow::wire::PlacementGrants> EntryPeer::PlaceParams::Builder::disownGrants() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::PlacementGrants>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#endif  // !CAPNP_LITE
+
+inline bool EntryPeer::PlaceResults::Reader::hasSession() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::PlaceResults::Builder::hasSession() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::PlacementSession::Client EntryPeer::PlaceResults::Reader::getSession() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::PlacementSession>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::glenhollow::wire::PlacementSession::Client EntryPeer::PlaceResults::Builder::getSession() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::PlacementSession>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::glenhollow::wire::PlacementSession::Client EntryPeer::PlaceResults::Pipeline::getSession() {
+  return  ::glenhollow::wire::PlacementSession::Client(_typeless.getPointerField(0).asCap());
+}
+inline void EntryPeer::PlaceResults::Builder::setSession( ::glenhollow::wire::PlacementSession::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::PlacementSession>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void EntryPeer::PlaceResults::Builder::setSession( ::glenhollow::wire::PlacementSession::Client& cap) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::PlacementSession>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+}
+inline void EntryPeer::PlaceResults::Builder::adoptSession(
+    ::capnp::Orphan< ::glenhollow::wire::PlacementSession>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::PlacementSession>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::glenhollow::wire::PlacementSession> EntryPeer::PlaceResults::Builder::disownSession() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::PlacementSession>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#endif  // !CAPNP_LITE
+
+inline  ::uint64_t EntryPeer::PlaceResults::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryPeer::PlaceResults::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EntryPeer::PlaceResults::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/tests/unit/durable/dispatcher_tests.cpp
+++ b/tests/unit/durable/dispatcher_tests.cpp
@@ -11,7 +11,7 @@
 {
 
 /// A dispatcher over runners of two racks that do as they are told.
-struct placement_world : order_sender, task_source
+struct placement_world : order_sender, task_source, grant_sender
 {
     explicit placement_world(double far_factor = 3, std::uint64_t seed = 1)
         : placing(loop.clock, *this, *this, settings(far_factor, seed))
@@ -57,7 +57,6 @@
         out.needs = {1600, 64, 0};
         out.estimate_ms = 60;
         out.start_by = loop.clock.now() + slack;
-        out.urgency = out.start_by.count() / 1'000'000;
         return out;
     }
 
@@ -80,6 +79,21 @@
     void send(const std::string& agent, order_batch batch) override
     {
         starts.insert(starts.end(), batch.starts.size(), agent);
+        orders.insert(orders.end(), batch.starts.begin(), batch.starts.end());
+    }
+
+    void grant(entry_number entry, std::vector<task_grant> grants) override
+    {
+        for (auto& one : grants)
+            granted.emplace_back(entry, std::move(one));
+    }
+
+    /// A task that waits at another entry.
+    ready_task task_of(entry_number entry, duration slack)
+    {
+        auto out = task("", slack);
+        out.entry = entry;
+        return out;
     }
 
     std::optional<run_order> assign(const ready_task& wanted,
@@ -95,6 +109,8 @@
     manual_loop loop;
     dispatcher placing;
     std::vector<std::string> starts;
+    std::vector<run_order> orders;
+    std::vector<std::pair<entry_number, task_grant>> granted;
     std::vector<job_id> placed;
     job_id jobs = 0;
 };
@@ -251,3 +267,176 @@
         world.placing.note_end("a", end, step);
     CHECK(world.placing.agents().at("a").pace() == Approx(1.0));
 }
+
+// One queue for the tasks of all entries.
+
+TEST_CASE("tasks of several entries start in the order of their urgency")
+{
+    placement_world world(1);
+    world.placing.serve(&world);
+    world.runner("a", "rack-1", 16000);
+    const auto own = world.task("", milliseconds{50});
+    const auto first = world.task_of(1, milliseconds{40});
+    const auto last = world.task_of(2, milliseconds{60});
+    world.placing.enqueue(last);
+    world.placing.enqueue(own);
+    world.placing.enqueue(first);
+    std::vector<job_id> order;
+    for (int i = 0; i < 3; ++i)
+    {
+        auto free = placement_world::report("rack-1", 14400); // Room for one.
+        for (const auto& [entry, grant] : world.granted)
+            free.granted.push_back(grant.number);
+        const auto grants = world.granted.size();
+        world.placing.reported("a", free);
+        world.placing.dispatch();
+        order.push_back(world.granted.size() > grants
+                            ? world.granted.back().second.task.job
+                            : world.placed.back());
+    }
+    CHECK(order ==
+          std::vector<job_id>{first.task.job, own.task.job, last.task.job});
+}
+
+TEST_CASE("a late task takes no room from another entry's task in time")
+{
+    placement_world world(1);
+    world.placing.serve(&world);
+    world.runner("a", "rack-1", 16000);
+    world.placing.enqueue(world.task("", milliseconds{10}));
+    world.loop.advance(milliseconds{20});
+    const auto in_time = world.task_of(1, milliseconds{90});
+    world.placing.enqueue(in_time);
+    world.placing.reported("a", placement_world::report("rack-1", 14400));
+    world.placing.dispatch();
+    CHECK(world.placed.empty());
+    REQUIRE(world.granted.size() == 1);
+    CHECK(world.granted[0].first == 1);
+    CHECK(world.granted[0].second.task == in_time.task);
+}
+
+TEST_CASE("granted room is taken until its order has come or cannot come")
+{
+    placement_world world(1);
+    world.placing.serve(&world);
+    world.runner("a", "rack-1", 14400); // Room for one.
+    world.placing.enqueue(world.task_of(1, slack));
+    world.placing.dispatch();
+    REQUIRE(world.granted.size() == 1);
+    CHECK(world.place(world.task("", slack)).empty());
+    const auto number = world.granted[0].second.number;
+    SECTION("the agent tells that it has come")
+    {
+        auto report = placement_world::report("rack-1", 14400);
+        report.granted = {number};
+        world.placing.reported("a", report);
+        CHECK(world.place_again() == "a");
+    }
+    SECTION("its entry declines it")
+    {
+        world.placing.declined(1, {"a", number, false});
+        CHECK(world.place_again() == "a");
+        CHECK(world.placing.stats().declined == 1);
+    }
+    SECTION("its entry is lost")
+    {
+        world.loop.advance(milliseconds{160});
+        CHECK(world.place_again() == "a");
+    }
+}
+
+TEST_CASE("an entry without a session with an agent gets no grants there")
+{
+    placement_world world(1);
+    world.placing.serve(&world);
+    world.runner("a", "rack-1");
+    world.placing.enqueue(world.task_of(1, slack));
+    world.placing.dispatch();
+    REQUIRE(world.granted.size() == 1);
+    world.placing.declined(1, {"a", world.granted[0].second.number, true});
+    world.placing.enqueue(world.task_of(1, slack));
+    world.placing.enqueue(world.task_of(2, slack));
+    world.placing.dispatch();
+    REQUIRE(world.granted.size() == 2);
+    CHECK(world.granted[1].first == 2);
+    world.loop.advance(milliseconds{310});
+    world.placing.dispatch();
+    REQUIRE(world.granted.size() == 3);
+    CHECK(world.granted[2].first == 1);
+}
+
+TEST_CASE("a job that waits at two entries is placed for both")
+{
+    // Its caller has sent it again to another entry.
+    placement_world world(1);
+    world.placing.serve(&world);
+    world.runner("a", "rack-1");
+    auto again = world.task("", slack);
+    world.placing.enqueue(again);
+    again.entry = 1;
+    world.placing.enqueue(again);
+    world.placing.dispatch();
+    CHECK(world.placed.size() == 1);
+    CHECK(world.granted.size() == 1);
+}
+
+TEST_CASE("tasks of an entry that is lost are dropped, and no others")
+{
+    placement_world world(1);
+    world.placing.serve(&world);
+    world.placing.enqueue(world.task_of(1, slack));
+    world.placing.enqueue(world.task_of(2, slack));
+    world.placing.enqueue(world.task("", slack));
+    world.placing.drop_entry(1);
+    CHECK(world.placing.waiting() == 2);
+    world.runner("a", "rack-1");
+    world.placing.dispatch();
+    CHECK(world.granted.size() == 1);
+    CHECK(world.placed.size() == 1);
+}
+
+TEST_CASE("an entry whose tasks are placed elsewhere orders them on a grant")
+{
+    placement_world world(1);
+    world.runner("a", "rack-1");
+    world.placing.delegate(true);
+    const auto wanted = world.task("", slack);
+    world.placing.enqueue(wanted);
+    world.placing.dispatch();
+    CHECK(world.placed.empty());
+    REQUIRE(world.placing.take_changes().added.size() == 1);
+    SECTION("the order names the grant")
+    {
+        CHECK(world.placing.use({wanted.task, "a", 7}, 99) ==
+              grant_verdict::used);
+        world.placing.dispatch();
+        REQUIRE(world.orders.size() == 1);
+        CHECK(world.orders[0].placer == 99);
+        CHECK(world.orders[0].grant == 7);
+        CHECK(world.placing.take_changes().empty()); // Its placer knows.
+        CHECK(world.placing.use({wanted.task, "a", 8}, 99) ==
+              grant_verdict::not_wanted);
+    }
+    SECTION("an agent out of reach: the task is wanted again")
+    {
+        CHECK(world.placing.use({wanted.task, "b", 7}, 99) ==
+              grant_verdict::unreachable);
+        CHECK(world.placing.take_changes().added.size() == 1);
+        CHECK(world.placing.waiting() == 1);
+    }
+    SECTION("its caller has left: the grant is not used")
+    {
+        world.placing.withdraw(wanted.task);
+        CHECK(world.placing.take_changes().withdrawn.size() == 1);
+        CHECK(world.placing.use({wanted.task, "a", 7}, 99) ==
+              grant_verdict::not_wanted);
+    }
+    SECTION("without its placer the entry places by itself")
+    {
+        world.placing.delegate(false);
+        CHECK(world.place_again() == "a");
+        CHECK(world.placing.use({wanted.task, "a", 7}, 99) ==
+              grant_verdict::not_wanted);
+        CHECK(world.placed.size() == 1);
+    }
+}
--- a/tests/unit/durable/durable_service_tests.cpp
+++ b/tests/unit/durable/durable_service_tests.cpp
@@ -1,5 +1,5 @@
-#include "glenhollow/durable/durable_service.hpp"
 #include "glenhollow/core/run_after.hpp"
+#include "glenhollow/durable/durable_service.hpp"
 #include "glenhollow/rpc/rpc_listener.hpp"
 #include "unit/support/fake_row_store.hpp"
 
