Under overload: plans four times as often, room kept from late jobs, refusals by half time

Hypothesis: a plan each 40 ms is coarse beside a slack of 96 ms. Hypothesis: late tasks, worth a fifth, block room for as long as they run. Hypothesis: jobs that are late and have not begun are held for nothing.

The tests of the order among late tasks and of the last moment to begin now say which limits they play with, and keep their assertions.

--- a/programs/durable_entry.cpp
+++ b/programs/durable_entry.cpp
@@ -100,6 +100,9 @@
         out.where = {settings_.address, settings_.rpc_port};
         out.parts = settings_.parts;
         out.share_placement = !settings_.own_placement;
+        out.memory.begin_by = settings_.begin_by;
+        out.dispatch.review_interval = milliseconds{settings_.review_ms};
+        out.dispatch.late_reserve = settings_.late_reserve;
         out.power = settings_.cpu_share * settings_.cores;
         out.dispatch.far_factor = settings_.far_factor;
         out.catalog = platform::operator_configuration();
--- a/programs/durable_entry_main.cpp
+++ b/programs/durable_entry_main.cpp
@@ -47,6 +47,14 @@
                           "from SIGTERM to the end of the process");
     line.flag("own-placement", settings.own_placement,
               "place this entry's tasks here, never at the placer of all");
+    line.number<unsigned>("review", settings.review_ms, 1, 1000, "ms",
+                          "between two plans under overload");
+    line.number<double>("begin-by", settings.begin_by, 0, 1, "",
+                        "share of its caller's patience by which a job that "
+                        "will be late must have begun");
+    line.number<double>("late-reserve", settings.late_reserve, 0, 1, "",
+                        "share of a service's cores that must be free before "
+                        "a task of a late job starts");
     line.number<double>("cpu-share", settings.cpu_share, 0.01, 1024, "cores",
                         "share of a core that this process may use");
     line.number<double>("cores", settings.cores, 0.1, 1024, "",
--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -15,7 +15,6 @@
 constexpr double micros_a_ms = 1000.0;
 constexpr double classes_of_pace = 2.0;
 constexpr double quarters = 4.0;
-constexpr duration review_interval = milliseconds{40};
 constexpr double least_backlog = 1.0; // Core-milliseconds.
 
 double work_of(const ready_task& task)
@@ -209,11 +208,9 @@
 void dispatcher::review()
 {
     const auto now = clock_.now();
-    if (now - reviewed_ < review_interval)
+    if (now - reviewed_ < settings_.review_interval)
         return;
     reviewed_ = now;
-    for (auto& [name, agent] : agents_)
-        agent.expire_grants(now);
     mark_hot();
     for (auto& [service, queue] : queues_)
     {
@@ -399,6 +396,16 @@
            task.preferred_label == unplaced.preferred_label;
 }
 
+/// A late job earns little; what it takes is missing for as long as its tasks
+/// run when tasks come that can still be in time.
+bool dispatcher::may_place_late(const ready_task& task) const
+{
+    if (settings_.late_reserve <= 0)
+        return true;
+    const double least = settings_.late_reserve * ready_cores(task.service);
+    return free_cores(task.service) - task.needs.cpu / per_core >= least;
+}
+
 void dispatcher::place(service_queue& queue)
 {
     put_late_last(queue);
@@ -410,6 +417,9 @@
         const auto& waiting = here->second;
         if (delegated_ && waiting.entry == 0)
             continue;
+        if (here->first.rank != queue_class::in_time &&
+            !may_place_late(waiting))
+            break; // Nor may those behind it.
         if (std::any_of(unplaced.begin(), unplaced.end(),
                         [&waiting](const ready_task& one)
                         { return alike(waiting, one); }))
@@ -544,6 +554,8 @@
 
 void dispatcher::dispatch()
 {
+    for (auto& [name, agent] : agents_)
+        agent.expire_grants(clock_.now());
     review();
     for (auto& [service, queue] : queues_)
         place(queue);
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -116,7 +116,12 @@
                            ///< preferred label, over that with it.
     double hot = 0.5;      ///< Runners whose label is preferred by more than
                            ///< this share of their cores are left to it.
-    std::size_t scan = 64; ///< Tasks looked at past one that fits nowhere.
+    duration review_interval =
+        milliseconds{10};       ///< Between two plans under
+                                ///< overload; a tenth of a short task's slack.
+    double late_reserve = 0.15; ///< Share of a service's cores that must be
+                                ///< free before a task of a late job starts.
+    std::size_t scan = 64;      ///< Tasks looked at past one that fits nowhere.
     health_view_settings health; ///< Judgement on runners.
     std::uint64_t seed = 1;      ///< Of this entry's order of like runners.
     duration grant_time = milliseconds{150}; ///< A grant's order must have
@@ -324,6 +329,7 @@
     void place(service_queue& queue);
     void remove(const std::string& service, const queue_key& key);
     void put_late_last(service_queue& queue);
+    bool may_place_late(const ready_task& task) const;
     void put_back(service_queue& queue);
     void move_to_late(service_queue& queue, const std::vector<queue_key>& keys);
     void raise_begun(service_queue& queue);
--- a/src/glenhollow/durable/job_board.cpp
+++ b/src/glenhollow/durable/job_board.cpp
@@ -189,12 +189,27 @@
     record.give_up =
         around_.clock.now() + milliseconds{job.give_up_ms - job.accepted_ms};
     record.end_waiters.push_back(std::move(done));
-    // Begun any later it could not end in time for its caller.
-    record.review_at = record.give_up - milliseconds{job.longest_chain_ms()};
+    record.review_at = latest_begin(record);
     reviews_.emplace(record.review_at, job.id);
     make_ready(jobs_.emplace(job.id, std::move(record)).first->second);
 }
 
+/// Begun any later a job could not end before its caller gives up. One that is
+/// late anyway is worth little, and the sooner its caller knows that it was
+/// not run the more it can do about it.
+instant job_board::latest_begin(const job_record& record) const
+{
+    const auto& job = record.job;
+    const auto chain = milliseconds{job.longest_chain_ms()};
+    const auto patience = milliseconds{job.give_up_ms - job.accepted_ms};
+    const auto in_time = milliseconds{job.objective_ms - job.accepted_ms};
+    const auto share =
+        std::chrono::duration_cast<duration>(patience * settings_.begin_by);
+    const auto latest = std::min<duration>(
+        patience - chain, std::max<duration>(share, in_time - chain));
+    return around_.clock.now() + latest;
+}
+
 void job_board::withdraw(job_id id)
 {
     const auto known = jobs_.find(id);
--- a/src/glenhollow/durable/job_board.hpp
+++ b/src/glenhollow/durable/job_board.hpp
@@ -61,9 +61,12 @@
                                                  ///< runs have surely ended.
     duration near_end = milliseconds{25}; ///< A question about a job that
                                           ///< has begun waits so long.
-    double hopeless = 2.2;                ///< Refuse when the wait alone takes
-                                          ///< this share of the objective.
-    journal_chain_settings chain;         ///< Limits of the journal.
+    double begin_by = 0.45; ///< Share of its caller's patience by which a job
+                            ///< in memory that will be late must have begun,
+                            ///< or its caller is told to come back.
+    double hopeless = 2.2;  ///< Refuse when the wait alone takes
+                            ///< this share of the objective.
+    journal_chain_settings chain; ///< Limits of the journal.
 };
 
 /// Counters of a part's jobs.
@@ -251,6 +254,7 @@
     void state_after_wait(job_id id, const job_reply_handler& done);
     std::optional<refusal> refusal_of(const job_definition& job) const;
     void accept_in_memory(const job_definition& job, job_reply_handler done);
+    instant latest_begin(const job_record& record) const;
     void give_up_late();
     void give_up(job_record& record);
     void drop(job_record& record);
--- a/tests/unit/durable/dispatcher_tests.cpp
+++ b/tests/unit/durable/dispatcher_tests.cpp
@@ -13,14 +13,18 @@
 /// A dispatcher over runners of two racks that do as they are told.
 struct placement_world : order_sender, task_source, grant_sender
 {
-    explicit placement_world(double far_factor = 3, std::uint64_t seed = 1)
-        : placing(loop.clock, *this, *this, settings(far_factor, seed))
+    explicit placement_world(double far_factor = 3, std::uint64_t seed = 1,
+                             double late_reserve = 0)
+        : placing(loop.clock, *this, *this,
+                  settings(far_factor, seed, late_reserve))
     {
     }
 
-    static dispatcher_settings settings(double far_factor, std::uint64_t seed)
+    static dispatcher_settings settings(double far_factor, std::uint64_t seed,
+                                        double late_reserve)
     {
         dispatcher_settings out;
+        out.late_reserve = late_reserve;
         out.seed = seed;
         out.far_factor = far_factor;
         return out;
@@ -315,6 +319,26 @@
     CHECK(world.granted[0].second.task == in_time.task);
 }
 
+TEST_CASE("late tasks leave a share of the cores to those that will come")
+{
+    placement_world world(1, 1, 0.25);
+    world.runner("a", "rack-1", 11000); // 5 of 16 cores are free.
+    const auto late = world.task("", milliseconds{10});
+    auto also_late = late;
+    also_late.task.index = 1;
+    world.placing.enqueue(late);
+    world.placing.enqueue(also_late);
+    world.loop.advance(milliseconds{20});
+    world.placing.dispatch();
+    CHECK(world.placed.empty()); // 3.4 would be left of the 4 kept free.
+    CHECK(world.place(world.task("", slack)) == "a");
+    world.placing.reported("a", placement_world::report("rack-1", 10000));
+    world.placing.dispatch();
+    REQUIRE(world.placed.size() == 2);
+    CHECK(world.placed.back() == late.task.job);
+    CHECK(world.placing.waiting() == 1);
+}
+
 TEST_CASE("granted room is taken until its order has come or cannot come")
 {
     placement_world world(1);
--- a/tests/unit/durable/job_board_tests.cpp
+++ b/tests/unit/durable/job_board_tests.cpp
@@ -43,9 +43,12 @@
                 store, placing, loop.delay()};
     }
 
-    void in_memory()
+    /// @param begin_by Share of a caller's patience; see job_board_settings.
+    void in_memory(double begin_by = 1.0)
     {
-        board = std::make_unique<job_board>(around(), settings());
+        auto limits = settings();
+        limits.begin_by = begin_by;
+        board = std::make_unique<job_board>(around(), limits);
         adopt(memory_part);
     }
 
@@ -388,6 +391,30 @@
     CHECK(world.started.empty());
 }
 
+TEST_CASE("a job that will be late and has not begun by half time is refused")
+{
+    // Found on a saturated deployment: callers heard after all their time that
+    // their jobs had not run.
+    board_world world;
+    world.in_memory(0.5);
+    auto fills = board_world::memory_job(1, 16); // All runners.
+    fills.give_up_ms += 3000;
+    world.submit(fills);
+    world.submit(board_world::memory_job(2)); // Late after 0.9 s.
+    auto patient = board_world::memory_job(3);
+    patient.objective_ms += 1500; // In time until 2.4 s.
+    world.submit(patient);
+    world.loop.advance(milliseconds{1200});
+    world.settle();
+    CHECK(world.replies.empty());
+    world.loop.advance(milliseconds{400});
+    world.settle();
+    CHECK(world.replies.at(2).outcome == job_outcome::refused);
+    CHECK(world.replies.at(2).retry_after > duration{});
+    CHECK_FALSE(world.replies.contains(1)); // It has begun and goes on.
+    CHECK_FALSE(world.replies.contains(3)); // It may still be in time.
+}
+
 TEST_CASE("a caller that leaves takes its job in memory along")
 {
     board_world world;
