Placing costs less with many agents, and plans for the time that an order takes

The placer learns that time from its grants and counts a task as late so much earlier (30 ms at most). Room is checked before agents are ranked, what is pending at an agent is summed once, and tasks of several entries that fit nowhere are looked at once for all.

--- a/src/glenhollow/durable/agent_view.cpp
+++ b/src/glenhollow/durable/agent_view.cpp
@@ -20,6 +20,7 @@
     report_ = report;
     flying_.clear();
     granted_.clear();
+    pending_ = {};
     reserved_ = {};
     batches_ = 0;
     adopted.clear();
@@ -34,6 +35,7 @@
     reserved_ = {};
     flying_.clear();
     granted_.clear();
+    pending_ = {};
 }
 
 void agent_view::reported(const runner_report& report)
@@ -46,21 +48,44 @@
         report_.account = std::move(account);
     }
     while (!flying_.empty() && flying_.front().number <= report.received)
+    {
+        pending_.subtract(flying_.front().needs);
         flying_.pop_front();
+    }
     for (const auto number : report.granted)
-        granted_.erase(number);
+        revoke(number);
 }
 
 void agent_view::grant(std::uint32_t number, const resources& needs,
-                       instant until)
+                       instant now, duration length)
+{
+    granted_[number] = {needs, now, now + length};
+    pending_.add(needs);
+}
+
+void agent_view::revoke(std::uint32_t number)
+{
+    const auto known = granted_.find(number);
+    if (known == granted_.end())
+        return;
+    pending_.subtract(known->second.needs);
+    granted_.erase(known);
+}
+
+std::optional<duration> agent_view::grant_age(std::uint32_t number,
+                                              instant now) const
 {
-    granted_[number] = {needs, until};
+    const auto known = granted_.find(number);
+    if (known == granted_.end())
+        return std::nullopt;
+    return now - known->second.made;
 }
 
+/// Numbers rise with time, so the oldest grants come first.
 void agent_view::expire_grants(instant now)
 {
-    std::erase_if(granted_,
-                  [now](const auto& one) { return one.second.until <= now; });
+    while (!granted_.empty() && granted_.begin()->second.until <= now)
+        revoke(granted_.begin()->first);
 }
 
 bool agent_view::blocked(entry_number entry, instant now) const
@@ -78,11 +103,7 @@
 resources agent_view::used() const
 {
     auto total = report_.room.used;
-    total.add(reserved_);
-    for (const auto& batch : flying_)
-        total.add(batch.needs);
-    for (const auto& [number, room] : granted_)
-        total.add(room.needs);
+    total.add(pending_);
     return total;
 }
 
--- a/src/glenhollow/durable/agent_view.hpp
+++ b/src/glenhollow/durable/agent_view.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -60,16 +61,27 @@
 
     /// A start joins the batch that will leave next.
     /// @param needs What it takes.
-    void reserve(const resources& needs) { reserved_.add(needs); }
+    void reserve(const resources& needs)
+    {
+        reserved_.add(needs);
+        pending_.add(needs);
+    }
 
     /// Room was granted to a task of another entry, whose order is on its way.
     /// @param number Of the grant.
     /// @param needs What the task takes.
-    /// @param until When the room is free again if no order has come.
-    void grant(std::uint32_t number, const resources& needs, instant until);
+    /// @param now The time.
+    /// @param length The room is free again then if no order has come.
+    void grant(std::uint32_t number, const resources& needs, instant now,
+               duration length);
 
     /// @param number Of a grant that will not be used.
-    void revoke(std::uint32_t number) { granted_.erase(number); }
+    void revoke(std::uint32_t number);
+
+    /// @param number Of a grant.
+    /// @param now The time.
+    /// @return How long ago it was made; nothing where it is not known.
+    std::optional<duration> grant_age(std::uint32_t number, instant now) const;
 
     /// Frees the room of grants whose orders never came.
     /// @param now The time.
@@ -133,15 +145,17 @@
     struct granted_room
     {
         resources needs; ///< Of the task.
+        instant made{};  ///< When.
         instant until{}; ///< Free again, if no order has come.
     };
 
-    std::string name_;                              ///< Of the agent.
-    std::uint64_t lot_;                             ///< Order among like ones.
-    bool linked_ = false;                           ///< Its session is open.
-    runner_report report_;                          ///< Its latest word.
-    std::deque<flying_batch> flying_;               ///< On their way.
-    resources reserved_;                            ///< In the outbox.
+    std::string name_;                ///< Of the agent.
+    std::uint64_t lot_;               ///< Order among like ones.
+    bool linked_ = false;             ///< Its session is open.
+    runner_report report_;            ///< Its latest word.
+    std::deque<flying_batch> flying_; ///< On their way.
+    resources reserved_;              ///< In the outbox.
+    resources pending_; ///< In the outbox, flying or granted: these together.
     std::map<std::uint32_t, granted_room> granted_; ///< By number.
     std::map<entry_number, instant> blocked_; ///< Entries without a session.
     std::uint64_t batches_ = 0;               ///< Sent in this session.
--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -80,8 +80,10 @@
 void dispatcher::reported(const std::string& agent, const runner_report& report)
 {
     const auto known = agents_.find(agent);
-    if (known != agents_.end() && known->second.linked())
-        known->second.reported(report);
+    if (known == agents_.end() || !known->second.linked())
+        return;
+    note_grant_time(known->second, report.granted);
+    known->second.reported(report);
 }
 
 void dispatcher::note_end(const std::string& agent, const run_end& end,
@@ -141,7 +143,7 @@
     std::vector<queue_key> late;
     for (const auto& [key, task] : queue.tasks)
     {
-        if (key.rank != queue_class::in_time || task.start_by >= now)
+        if (key.rank != queue_class::in_time || last_moment(task) >= now)
             break; // The most urgent come first.
         late.push_back(key);
     }
@@ -158,7 +160,7 @@
         if (key.rank != queue_class::in_time)
             break;
         const auto job = job_key(task);
-        tasks.push_back({job, task.priority, task.start_by, work_of(task),
+        tasks.push_back({job, task.priority, last_moment(task), work_of(task),
                          queue.jobs.at(job).begun});
     }
     const auto back = jobs_to_put_back(tasks, queue.rate.cores(), clock_.now());
@@ -326,11 +328,13 @@
     bool near_ones = false;
     for (auto& [name, agent] : agents_)
     {
-        if (!suits(agent, task))
+        // Most have no room when it matters, and ranks cost more to make.
+        const bool room = agent.has_room(task.needs);
+        if ((!room && task.preferred_label.empty()) || !suits(agent, task))
             continue;
         const auto own = rank_of(agent, task);
         near_ones |= !own.far && !own.ejected;
-        if (!agent.has_room(task.needs))
+        if (!room)
             continue;
         if (best == nullptr || own < best_rank)
         {
@@ -375,9 +379,12 @@
     }
 }
 
-bool dispatcher::alike(const ready_task& task, const ready_task& unplaced)
+bool dispatcher::alike(const ready_task& task, const ready_task& unplaced) const
 {
-    return task.part == unplaced.part && task.entry == unplaced.entry &&
+    const bool both_foreign = task.entry != 0 && unplaced.entry != 0;
+    const bool same_reach = task.entry == unplaced.entry ||
+                            (both_foreign && clock_.now() >= blocked_until_);
+    return task.part == unplaced.part && same_reach &&
            task.needs.cpu >= unplaced.needs.cpu &&
            task.label == unplaced.label &&
            task.preferred_label == unplaced.preferred_label;
@@ -408,7 +415,7 @@
             !may_place_late(waiting))
             break; // Nor may those behind it.
         if (std::any_of(unplaced.begin(), unplaced.end(),
-                        [&waiting](const ready_task& one)
+                        [this, &waiting](const ready_task& one)
                         { return alike(waiting, one); }))
             continue;
         auto* agent = choose(waiting);
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -127,7 +127,11 @@
     duration grant_time = milliseconds{150}; ///< A grant's order must have
                                              ///< come by then: some ten times
                                              ///< of what it takes when idle.
-    duration block_time = milliseconds{300}; ///< An entry without a session
+    duration most_grant_lag = milliseconds{30}; ///< Of the time that an order
+                                                ///< takes, this much at most
+                                                ///< is planned for: a third of
+                                                ///< a short task's slack.
+    duration block_time = milliseconds{300};    ///< An entry without a session
                                              ///< gets no grants there so long;
                                              ///< about one try to connect.
 };
@@ -320,7 +324,13 @@
                          const ready_task& task) const;
     agent_view* choose(const ready_task& task);
     void mark_hot();
-    static bool alike(const ready_task& task, const ready_task& unplaced);
+    bool alike(const ready_task& task, const ready_task& unplaced) const;
+    void note_grant_time(const agent_view& agent,
+                         const std::vector<std::uint32_t>& granted);
+    instant last_moment(const ready_task& task) const
+    {
+        return task.start_by - grant_lag_;
+    }
     static job_id job_key(const ready_task& task);
     bool begin_at(const ready_task& task, agent_view& agent,
                   std::uint64_t placer, std::uint32_t grant);
@@ -353,6 +363,8 @@
     grant_sender* grants_ = nullptr; ///< Tells other entries.
     std::map<entry_number, std::vector<task_grant>> granted_; ///< To be told.
     std::uint32_t grant_numbers_ = 0; ///< Of grants so far.
+    duration grant_lag_{};            ///< Until an order has come, on average.
+    instant blocked_until_{};         ///< Some entry lacks some agent.
     std::size_t foreign_ = 0;         ///< Waiting tasks of other entries.
     bool delegated_ = false;          ///< Another entry places ours.
     queue_changes changes_;           ///< To be told to it.
--- a/src/glenhollow/durable/dispatcher_sharing.cpp
+++ b/src/glenhollow/durable/dispatcher_sharing.cpp
@@ -1,6 +1,7 @@
 // One queue for several entries: tasks of others here, ours at their placer.
 #include "glenhollow/durable/dispatcher.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace glenhollow
@@ -29,7 +30,7 @@
 void dispatcher::grant(const ready_task& task, agent_view& agent)
 {
     const auto number = ++grant_numbers_;
-    agent.grant(number, task.needs, clock_.now() + settings_.grant_time);
+    agent.grant(number, task.needs, clock_.now(), settings_.grant_time);
     granted_[task.entry].push_back({task.task, agent.name(), number});
     ++stats_.granted;
 }
@@ -57,8 +58,26 @@
     if (known == agents_.end())
         return;
     known->second.revoke(grant.number);
-    if (grant.unreachable)
-        known->second.block(entry, clock_.now() + settings_.block_time);
+    if (!grant.unreachable)
+        return;
+    blocked_until_ = clock_.now() + settings_.block_time;
+    known->second.block(entry, blocked_until_);
+}
+
+/// Under overload every task starts at its last moment, and what its order
+/// takes on the way makes it late.
+void dispatcher::note_grant_time(const agent_view& agent,
+                                 const std::vector<std::uint32_t>& granted)
+{
+    constexpr int weight = 16; // Of the newest: one sixteenth.
+    for (const auto number : granted)
+    {
+        const auto age = agent.grant_age(number, clock_.now());
+        if (age)
+            grant_lag_ +=
+                (std::min(*age, settings_.most_grant_lag) - grant_lag_) /
+                weight;
+    }
 }
 
 void dispatcher::delegate(bool on)
