The rest of a job that has begun goes before others in time; counters of shared placement

Hypothesis: under overload a wide job gets room for some tasks, then more urgent ones come, and what it has done is lost when the rest starts late.

--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -122,7 +122,7 @@
 void dispatcher::insert(const queue_key& key, ready_task task)
 {
     auto& queue = queues_[task.service];
-    if (key.rank == queue_class::in_time)
+    if (is_in_time(key.rank))
     {
         queue.work += work_of(task);
         queue.own_work += task.entry == 0 ? work_of(task) : 0;
@@ -141,11 +141,14 @@
 {
     const auto now = clock_.now();
     std::vector<queue_key> late;
-    for (const auto& [key, task] : queue.tasks)
+    for (const auto rank : {queue_class::begun, queue_class::in_time})
     {
-        if (key.rank != queue_class::in_time || last_moment(task) >= now)
-            break; // The most urgent come first.
-        late.push_back(key);
+        auto at = queue.tasks.lower_bound({rank, instant::min(), 0});
+        // The most urgent come first.
+        for (; at != queue.tasks.end() && at->first.rank == rank &&
+               last_moment(at->second) < now;
+             ++at)
+            late.push_back(at->first);
     }
     stats_.late += late.size();
     move_to_late(queue, late);
@@ -157,7 +160,7 @@
     std::vector<waiting_task> tasks;
     for (const auto& [key, task] : queue.tasks)
     {
-        if (key.rank != queue_class::in_time)
+        if (!is_in_time(key.rank))
             break;
         const auto job = job_key(task);
         tasks.push_back({job, task.priority, last_moment(task), work_of(task),
@@ -169,7 +172,7 @@
     std::vector<queue_key> keys;
     for (const auto& [key, task] : queue.tasks)
     {
-        if (key.rank == queue_class::in_time && back.contains(job_key(task)))
+        if (is_in_time(key.rank) && back.contains(job_key(task)))
             keys.push_back(key);
     }
     stats_.put_back += back.size();
@@ -227,7 +230,7 @@
     auto& queue = queues_[service];
     const auto known = queue.tasks.find(key);
     const auto& task = known->second;
-    if (key.rank == queue_class::in_time)
+    if (is_in_time(key.rank))
     {
         queue.work -= work_of(task);
         queue.own_work -= task.entry == 0 ? work_of(task) : 0;
@@ -404,6 +407,7 @@
 {
     put_late_last(queue);
     std::vector<ready_task> unplaced; // A task of each kind that fits nowhere.
+    std::vector<queue_key> stuck;     // Of jobs that have begun.
     auto at = queue.tasks.begin();
     while (at != queue.tasks.end() && unplaced.size() < settings_.scan)
     {
@@ -411,9 +415,11 @@
         const auto& waiting = here->second;
         if (delegated_ && waiting.entry == 0)
             continue;
-        if (here->first.rank != queue_class::in_time &&
-            !may_place_late(waiting))
+        if (!is_in_time(here->first.rank) && !may_place_late(waiting))
             break; // Nor may those behind it.
+        if (here->first.rank == queue_class::in_time &&
+            queue.jobs.at(job_key(waiting)).begun)
+            stuck.push_back(here->first); // Unless it is placed below.
         if (std::any_of(unplaced.begin(), unplaced.end(),
                         [this, &waiting](const ready_task& one)
                         { return alike(waiting, one); }))
@@ -426,6 +432,8 @@
         }
         const auto key = here->first;
         const auto task = waiting;
+        if (!stuck.empty() && stuck.back() == key)
+            stuck.pop_back();
         queue.jobs.at(job_key(task)).begun = true;
         queue.rate.placed(work_of(task));
         note_removed(task);
@@ -435,10 +443,24 @@
         else
             begin_at(task, *agent, 0, 0);
     }
+    raise(queue, stuck);
     if (!unplaced.empty())
         ++stats_.no_place;
 }
 
+/// The rest of a job that has begun goes before others in time.
+void dispatcher::raise(service_queue& queue, const std::vector<queue_key>& keys)
+{
+    for (const auto& key : keys)
+    {
+        auto task = queue.tasks.at(key);
+        remove(task.service, key);
+        task.begun = true;
+        insert({queue_class::begun, key.start_by, key.sequence},
+               std::move(task));
+    }
+}
+
 /// @param grant Number of the placer's grant; 0: this entry chose the agent.
 /// @return Whether the task was still to be run.
 bool dispatcher::begin_at(const ready_task& task, agent_view& agent,
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -271,6 +271,8 @@
     /// Which tasks of a queue go first.
     enum class queue_class : std::uint8_t
     {
+        begun,      ///< In time, of jobs that have begun: what they did is
+                    ///< lost if the rest does not start in time as well.
         in_time,    ///< Their jobs can meet their objectives.
         late_begun, ///< Late, of jobs that have begun: what they did counts.
         late        ///< Late, or standing back.
@@ -338,7 +340,12 @@
     void note_removed(const ready_task& task);
     void place(service_queue& queue);
     void remove(const std::string& service, const queue_key& key);
+    static bool is_in_time(queue_class rank)
+    {
+        return rank <= queue_class::in_time;
+    }
     void put_late_last(service_queue& queue);
+    void raise(service_queue& queue, const std::vector<queue_key>& keys);
     bool may_place_late(const ready_task& task) const;
     void put_back(service_queue& queue);
     void move_to_late(service_queue& queue, const std::vector<queue_key>& keys);
--- a/src/glenhollow/durable/durable_metrics.cpp
+++ b/src/glenhollow/durable/durable_metrics.cpp
@@ -93,6 +93,23 @@
     count("tasks_placed_total", "Orders to start", placed.placed);
     count("tasks_stopped_total", "Orders to stop", placed.stopped);
     count("order_batches_total", "Messages to agents", placed.batches);
+    count("tasks_late_total", "Tasks put behind those in time", placed.late);
+    count("jobs_demoted_total", "Jobs put behind others under overload",
+          placed.put_back);
+    count("tasks_far_total", "Placed without the preferred label", placed.far);
+    count("rounds_without_room_total", "Rounds that left tasks waiting",
+          placed.no_place);
+    count("grants_given_total", "Places for tasks of other entries",
+          placed.granted);
+    count("grants_declined_total", "Of these, not used", placed.declined);
+    const auto& placer = placer_.stats();
+    count("placer_messages_total", "Messages to placers", placer.messages);
+    count("placer_grants_total", "Places found by placers", placer.grants);
+    count("placer_grants_unused_total", "Of these, declined", placer.unused);
+    count("placer_failures_total", "Times a placer was silent",
+          placer.failures);
+    page.gauge("places_for_others", "1 while other entries' tasks wait here",
+               placements_.active() ? 1 : 0);
     page.gauge("parts_owned", "Parts of the journal owned here",
                static_cast<double>(ownership_.owned().size()));
     page.gauge("room_reports_wanted", "Reports of room a second",
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -407,6 +407,8 @@
     count("runs_vanished_total", "Runs that the runner no longer showed",
           stats.vanished, {});
     count("runner_looks_total", "Looks at the runner", stats.looks, {});
+    count("runner_looks_lost_total", "Looks given up without an answer",
+          stats.looks_lost, {});
     count("hold_lapses_total", "Times the hold was left to lapse", stats.lapses,
           {});
     for (std::size_t i = 0; i < stats.ends.size(); ++i)
