--- /dev/null
+++ b/tests/unit/durable/shared_placement_tests.cpp
@@ -0,0 +1,239 @@
+// An entry and its placer over a real link.
+#include "glenhollow/core/run_after.hpp"
+#include "glenhollow/durable/placement_client.hpp"
+#include "glenhollow/durable/placement_server.hpp"
+#include "glenhollow/rpc/rpc_listener.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace glenhollow;
+
+namespace
+{
+
+constexpr std::uint64_t placer_incarnation = 77;
+
+/// A queue, with agents that take what they are told.
+struct queue_side : order_sender, task_source
+{
+    queue_side() : placing(process_clock(), *this, *this, {})
+    {
+        runner_report report;
+        report.account.service = "service-1";
+        report.account.capacity = {4000, 1000, 0};
+        report.account.phase = runner_phase::ready;
+        placing.attached("agent-1", report);
+        placing.adopted("agent-1", memory_part);
+    }
+
+    void send(const std::string&, order_batch batch) override
+    {
+        orders.insert(orders.end(), batch.starts.begin(), batch.starts.end());
+    }
+
+    std::optional<run_order> assign(const ready_task& task,
+                                    const std::string&) override
+    {
+        run_order order;
+        order.run = {task.task, first_memory_run + 1};
+        order.needs = task.needs;
+        return order;
+    }
+
+    static ready_task task(job_id job)
+    {
+        ready_task out;
+        out.task.job = job;
+        out.part = memory_part;
+        out.service = "service-1";
+        out.needs = {1000, 10, 0};
+        out.estimate_ms = 60;
+        out.start_by = process_clock().now() + seconds{600};
+        return out;
+    }
+
+    std::vector<run_order> orders;
+    dispatcher placing;
+};
+
+/// Whether the placer answers what it is told.
+enum class placer_manner
+{
+    answers,
+    silent
+};
+
+/// A session that never answers, as that of a frozen process.
+class silent_session final : public wire::PlacementSession::Server
+{
+    kj::Promise<void> want(WantContext) override { return kj::NEVER_DONE; }
+};
+
+/// The placer as the entry's link sees it.
+class placer_peer final : public wire::EntryPeer::Server
+{
+public:
+    placer_peer(placement_server& placements, placer_manner manner)
+        : placements_(placements), manner_(manner)
+    {
+    }
+
+    kj::Promise<void> exchange(ExchangeContext context) override
+    {
+        context.getResults().initView().setName("placer");
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> place(PlaceContext context) override
+    {
+        auto params = context.getParams();
+        auto out = context.getResults();
+        out.setIncarnation(placer_incarnation);
+        if (manner_ == placer_manner::silent)
+            out.setSession(kj::heap<silent_session>());
+        else
+            out.setSession(
+                placements_.open(params.getEntry(), params.getGrants()));
+        return kj::READY_NOW;
+    }
+
+private:
+    placement_server& placements_; ///< Outlives the peer.
+    placer_manner manner_;         ///< How it behaves.
+};
+
+/// Answers nothing that the tests ask for.
+struct idle_handler : entry_peer_handler
+{
+    entry_view own_view() override
+    {
+        entry_view view;
+        view.name = "entry";
+        return view;
+    }
+    void peer_seen(const entry_view&) override {}
+    void serve(const job_call&, job_reply_handler done) override { done({}); }
+    std::string catalog_document() override { return {}; }
+    wire::PlacementSession::Client
+    open_placement(const std::string&, wire::PlacementGrants::Client) override
+    {
+        return kj::heap<silent_session>();
+    }
+};
+
+/// Plays until a condition holds; a deadlock is left to the test's timeout.
+struct placement_play
+{
+    explicit placement_play(placer_manner manner) : manner(manner)
+    {
+        placement_client_settings limits;
+        limits.entry = "entry";
+        client = std::make_unique<placement_client>(
+            process_clock(), peers, entry.placing, [] {}, limits);
+    }
+
+    void until(
+        const std::function<bool()>& holds,
+        const std::function<void()>& at_each_step = [] {})
+    {
+        auto listener = rpc_listener::create(loop.io(), "127.0.0.1", 0);
+        REQUIRE(listener);
+        auto& links = *listener.value();
+        std::function<void()> step = [&]
+        {
+            if (holds())
+                return loop.stop();
+            peers.tick();
+            client->follow("placer");
+            at_each_step();
+            placer.placing.dispatch();
+            entry.placing.dispatch();
+            client->flush();
+            run_after(loop.io(), milliseconds{2}, step);
+        };
+        loop.run(
+            [&]
+            {
+                links.serve(kj::heap<placer_peer>(placements, manner));
+                peers.add("placer", {"127.0.0.1", links.port()});
+                step();
+            },
+            [&]
+            {
+                client->close();
+                placements.close();
+                peers.close();
+                links.close();
+            });
+    }
+
+    placer_manner manner;
+    rpc_loop loop;
+    idle_handler handler;
+    queue_side entry;
+    queue_side placer;
+    placement_server placements{process_clock(), placer.placing, [] {}};
+    entry_peers peers{loop.io(), process_clock(), handler, {}};
+    std::unique_ptr<placement_client> client;
+};
+
+} // namespace
+
+TEST_CASE("a task waits at the placer and is ordered by its own entry, once")
+{
+    placement_play play(placer_manner::answers);
+    bool enqueued = false;
+    play.until([&] { return !play.entry.orders.empty(); },
+               [&]
+               {
+                   if (play.client->placer().empty() ||
+                       std::exchange(enqueued, true))
+                       return;
+                   play.entry.placing.enqueue(queue_side::task(1));
+               });
+    REQUIRE(play.entry.orders.size() == 1);
+    CHECK(play.entry.orders[0].placer == placer_incarnation);
+    CHECK(play.entry.orders[0].grant != 0);
+    CHECK(play.placer.orders.empty());
+    CHECK(play.placer.placing.stats().granted == 1);
+    CHECK(play.client->stats().unused == 0);
+}
+
+TEST_CASE("without an answer of its placer an entry places by itself")
+{
+    placement_play play(placer_manner::silent);
+    bool enqueued = false;
+    play.until([&] { return !play.entry.orders.empty(); },
+               [&]
+               {
+                   if (!play.entry.placing.delegated() ||
+                       std::exchange(enqueued, true))
+                       return;
+                   play.entry.placing.enqueue(queue_side::task(1));
+               });
+    REQUIRE(play.entry.orders.size() == 1);
+    CHECK(play.entry.orders[0].grant == 0);
+    CHECK(play.client->stats().failures >= 1);
+}
+
+TEST_CASE("a session takes its waiting tasks along")
+{
+    placement_play play(placer_manner::answers);
+    runner_report full;
+    full.account.service = "service-1";
+    full.account.capacity = {4000, 1000, 0};
+    full.account.phase = runner_phase::ready;
+    full.room.used = full.account.capacity;
+    play.placer.placing.reported("agent-1", full);
+    bool enqueued = false;
+    play.until([&] { return play.placer.placing.waiting() == 1; },
+               [&]
+               {
+                   if (play.client->placer().empty() ||
+                       std::exchange(enqueued, true))
+                       return;
+                   play.entry.placing.enqueue(queue_side::task(1));
+               });
+    CHECK(play.placer.placing.waiting() == 0); // The link has been closed.
+    CHECK(play.entry.placing.waiting() == 1);  // Its entry still has it.
+}
