--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -208,6 +208,7 @@
   ends @1 :List(RunEnd);
   started @2 :List(RunRef);
   granted @3 :List(UInt32);  # grants of the receiver whose orders have come
+  nextWithinMs @4 :UInt32;   # the next report leaves within this time
 }
 
 interface RunReports {
@@ -234,6 +235,8 @@
   adopt @0 (part :PartEpoch)
         -> (declined :Bool, runs :List(RunState), ends :List(RunEnd));
   order @1 (batch :OrderBatch) -> ();
+  # The entry's wishes have changed; the agent reports at once.
+  pace @2 (roomGapMs :UInt32, places :Bool) -> ();
 }
 
 # Durable jobs: entry <-> entry.
--- a/src/glenhollow/durable/agent_sessions.cpp
+++ b/src/glenhollow/durable/agent_sessions.cpp
@@ -15,7 +15,7 @@
     kj::Maybe<wire::RunSession::Client> orders; ///< Open while attached.
     std::uint64_t number = 0;                   ///< Of the session, rising.
     bool attached = false;                      ///< It has been opened.
-    instant heard{};                            ///< Its last word.
+    instant silent_since{};                     ///< Unless it reports.
 };
 
 /// The ear that an agent reports to.
@@ -96,7 +96,8 @@
 {
     auto& to = *sessions_.at(agent);
     to.number = ++numbers_;
-    to.heard = clock_.now();
+    to.silent_since =
+        clock_.now() + settings_.attach_patience - settings_.silence;
     auto request = interface.attachRequest();
     request.setEntry(settings_.entry);
     request.setIncarnation(settings_.incarnation);
@@ -117,7 +118,7 @@
 {
     to.orders = kj::mv(opened);
     to.attached = true;
-    to.heard = clock_.now();
+    to.silent_since = clock_.now();
     log_change(log_level::info, "agent_attached",
                {{"agent", to.agent},
                 {"runner", report.account.instance},
@@ -176,7 +177,6 @@
     const auto known = sessions_.find(agent);
     if (known == sessions_.end() || known->second->number != number)
         return;
-    known->second->heard = clock_.now();
     std::vector<run_end> ends;
     for (auto end : report.getEnds())
         ends.push_back(from_wire(end));
@@ -186,6 +186,9 @@
     auto state = from_wire(report.getState());
     for (auto grant : report.getGranted())
         state.granted.push_back(grant);
+    state.next_within = milliseconds{report.getNextWithinMs()};
+    known->second->silent_since =
+        glenhollow::silent_since(clock_.now(), state.next_within);
     listener_.agent_reported(agent, state, ends, begun);
 }
 
@@ -196,6 +199,9 @@
         return;
     KJ_IF_MAYBE (orders, known->second->orders)
     {
+        auto& since = known->second->silent_since;
+        since = std::min(since, clock_.now());
+        listener_.agent_ordered(agent);
         auto request = orders->orderRequest();
         fill(request.initBatch(), batch);
         known->second->link->add(
@@ -203,6 +209,23 @@
     }
 }
 
+void agent_sessions::tell_pace()
+{
+    for (auto& [agent, one] : sessions_)
+    {
+        KJ_IF_MAYBE (orders, one->orders)
+        {
+            const auto gap = listener_.room_gap(attached_);
+            auto request = orders->paceRequest();
+            request.setRoomGapMs(static_cast<std::uint32_t>(
+                std::chrono::duration_cast<milliseconds>(gap).count()));
+            request.setPlaces(listener_.places_for_others());
+            one->link->add(
+                request.send().then([](auto&&) {}, [](kj::Exception&&) {}));
+        }
+    }
+}
+
 void agent_sessions::tick()
 {
     std::vector<rpc_link*> silent;
@@ -211,7 +234,8 @@
     {
         one->link->tick();
         attached_ += one->attached ? 1 : 0;
-        if (one->link->up() && clock_.now() - one->heard > settings_.silence)
+        if (one->link->up() &&
+            clock_.now() - one->silent_since > settings_.silence)
             silent.push_back(one->link.get());
     }
     for (auto* link : silent)
--- a/src/glenhollow/durable/agent_sessions.hpp
+++ b/src/glenhollow/durable/agent_sessions.hpp
@@ -5,6 +5,7 @@
 #include "glenhollow/rpc/rpc_link.hpp"
 #include "glenhollow/runs/run_wire.hpp"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -27,6 +28,9 @@
     /// @param agent Its session is gone.
     virtual void agent_detached(const std::string& agent) = 0;
 
+    /// @param agent An order has left for it, to which it will report.
+    virtual void agent_ordered(const std::string& agent) = 0;
+
     /// @param agent It has adopted a part.
     /// @param part Which, and under which epoch.
     /// @param account What it knows of it.
@@ -53,12 +57,29 @@
     virtual bool places_for_others() const = 0;
 };
 
+/// Between two reports of an agent that has runs of the entry, at most.
+inline constexpr duration busy_heartbeat = milliseconds{200};
+
+/// From when on an agent counts as silent: one that has announced its next
+/// report for later is not missed before.
+/// @param heard When it reported.
+/// @param next_within What it announced.
+/// @return The begin of its silence, unless it reports again.
+constexpr instant silent_since(instant heard, duration next_within)
+{
+    return heard + std::max(duration{0}, next_within - busy_heartbeat);
+}
+
 /// Limits of the sessions.
 struct agent_sessions_settings
 {
     std::string entry;                     ///< Name of this entry.
     std::uint64_t incarnation = 0;         ///< Of this entry.
-    duration silence = milliseconds{1200}; ///< Without a report: gone.
+    duration silence = milliseconds{1200}; ///< Without a report that is due:
+                                           ///< gone.
+    duration attach_patience = seconds{3}; ///< For the answer of a new link;
+                                           ///< all attach at once when all
+                                           ///< have started.
     rpc_link_settings link;                ///< Limits of the connections.
 };
 
@@ -87,6 +108,9 @@
 
     void send(const std::string& agent, order_batch batch) override;
 
+    /// Tells all agents how often this entry wishes reports from now on.
+    void tell_pace();
+
     /// Connects, and drops what is silent.
     void tick();
 
--- a/src/glenhollow/durable/agent_view.cpp
+++ b/src/glenhollow/durable/agent_view.cpp
@@ -57,9 +57,9 @@
 }
 
 void agent_view::grant(std::uint32_t number, const resources& needs,
-                       instant now, duration length)
+                       instant now)
 {
-    granted_[number] = {needs, now, now + length};
+    granted_[number] = {needs, now};
     pending_.add(needs);
 }
 
@@ -81,13 +81,6 @@
     return now - known->second.made;
 }
 
-/// Numbers rise with time, so the oldest grants come first.
-void agent_view::expire_grants(instant now)
-{
-    while (!granted_.empty() && granted_.begin()->second.until <= now)
-        revoke(granted_.begin()->first);
-}
-
 bool agent_view::blocked(entry_number entry, instant now) const
 {
     const auto known = blocked_.find(entry);
--- a/src/glenhollow/durable/agent_view.hpp
+++ b/src/glenhollow/durable/agent_view.hpp
@@ -71,9 +71,7 @@
     /// @param number Of the grant.
     /// @param needs What the task takes.
     /// @param now The time.
-    /// @param length The room is free again then if no order has come.
-    void grant(std::uint32_t number, const resources& needs, instant now,
-               duration length);
+    void grant(std::uint32_t number, const resources& needs, instant now);
 
     /// @param number Of a grant that will not be used.
     void revoke(std::uint32_t number);
@@ -83,10 +81,6 @@
     /// @return How long ago it was made; nothing where it is not known.
     std::optional<duration> grant_age(std::uint32_t number, instant now) const;
 
-    /// Frees the room of grants whose orders never came.
-    /// @param now The time.
-    void expire_grants(instant now);
-
     /// @param entry Another entry, which has no session with this agent.
     /// @param until When it may have one again.
     void block(entry_number entry, instant until) { blocked_[entry] = until; }
@@ -146,7 +140,6 @@
     {
         resources needs; ///< Of the task.
         instant made{};  ///< When.
-        instant until{}; ///< Free again, if no order has come.
     };
 
     std::string name_;                ///< Of the agent.
--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -254,27 +254,41 @@
     remove(service, key);
 }
 
-void dispatcher::stop(const std::string& agent, const run_ref& run)
+agent_view* dispatcher::linked_agent(const std::string& name)
 {
-    const auto known = agents_.find(agent);
+    const auto known = agents_.find(name);
     if (known == agents_.end() || !known->second.linked())
+        return nullptr;
+    return &known->second;
+}
+
+/// What is put there leaves with the next flush.
+order_batch& dispatcher::outbox_of(agent_view& agent)
+{
+    if (agent.outbox.empty())
+        unsent_.insert(agent.name());
+    return agent.outbox;
+}
+
+void dispatcher::stop(const std::string& agent, const run_ref& run)
+{
+    auto* known = linked_agent(agent);
+    if (known == nullptr)
         return;
-    known->second.outbox.stops.push_back(run);
+    outbox_of(*known).stops.push_back(run);
     ++stats_.stopped;
 }
 
 void dispatcher::size(const std::string& agent, const run_order& order)
 {
-    const auto known = agents_.find(agent);
-    if (known != agents_.end() && known->second.linked())
-        known->second.outbox.sizes.push_back(order);
+    if (auto* known = linked_agent(agent))
+        outbox_of(*known).sizes.push_back(order);
 }
 
 void dispatcher::confirm(const std::string& agent, const run_end& end)
 {
-    const auto known = agents_.find(agent);
-    if (known != agents_.end() && known->second.linked())
-        known->second.outbox.confirmed.push_back(end);
+    if (auto* known = linked_agent(agent))
+        outbox_of(*known).confirmed.push_back(end);
 }
 
 bool dispatcher::suits(const agent_view& agent, const ready_task& task) const
@@ -472,28 +486,36 @@
     order->placer = placer;
     order->grant = grant;
     agent.reserve(order->needs);
-    agent.outbox.starts.push_back(std::move(*order));
+    outbox_of(agent).starts.push_back(std::move(*order));
     ++stats_.placed;
     return true;
 }
 
 void dispatcher::dispatch()
 {
-    for (auto& [name, agent] : agents_)
-        agent.expire_grants(clock_.now());
+    expire_grants();
     review();
     for (auto& [service, queue] : queues_)
         place(queue);
     for (auto& [entry, grants] : std::exchange(granted_, {}))
         grants_->grant(entry, std::move(grants));
-    for (auto& [name, agent] : agents_)
-        flush(agent);
+    flush();
 }
 
-void dispatcher::flush(agent_view& agent)
+/// Only agents that have something to be told are looked at: an event costs
+/// the same however many agents there are.
+void dispatcher::flush()
+{
+    for (const auto& name : std::exchange(unsent_, {}))
+    {
+        auto* agent = linked_agent(name);
+        if (agent != nullptr && !agent->outbox.empty())
+            send(*agent);
+    }
+}
+
+void dispatcher::send(agent_view& agent)
 {
-    if (agent.outbox.empty())
-        return;
     resources needs;
     for (const auto& start : agent.outbox.starts)
         needs.add(start.needs);
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -11,6 +11,7 @@
 #include "glenhollow/runs/run_wire.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -305,6 +306,14 @@
         placement_rate rate; ///< At which work finds a place.
     };
 
+    /// A grant whose order may be on its way.
+    struct open_grant
+    {
+        std::string agent;        ///< Where.
+        std::uint32_t number = 0; ///< Of the grant.
+        instant until{};          ///< Its room is free again then.
+    };
+
     /// How well a runner suits a task; smaller is better.
     struct rank
     {
@@ -352,7 +361,11 @@
     void raise_begun(service_queue& queue);
     void review();
     void insert(const queue_key& key, ready_task task);
-    void flush(agent_view& agent);
+    agent_view* linked_agent(const std::string& name);
+    order_batch& outbox_of(agent_view& agent);
+    void expire_grants();
+    void flush();
+    void send(agent_view& agent);
 
     const clock_source& clock_;                   ///< This entry's.
     order_sender& sender_;                        ///< Sends the orders.
@@ -369,14 +382,16 @@
     std::uint64_t sequence_ = 0;     ///< Of queue places.
     grant_sender* grants_ = nullptr; ///< Tells other entries.
     std::map<entry_number, std::vector<task_grant>> granted_; ///< To be told.
-    std::uint32_t grant_numbers_ = 0; ///< Of grants so far.
-    duration grant_lag_{};            ///< Until an order has come, on average.
-    instant blocked_until_{};         ///< Some entry lacks some agent.
-    std::size_t foreign_ = 0;         ///< Waiting tasks of other entries.
-    bool delegated_ = false;          ///< Another entry places ours.
-    queue_changes changes_;           ///< To be told to it.
-    std::size_t owners_ = 1;          ///< Entries that own parts.
-    dispatcher_stats stats_;          ///< Counters.
+    std::uint32_t grant_numbers_ = 0;    ///< Of grants so far.
+    std::deque<open_grant> open_grants_; ///< In order of their ends.
+    std::set<std::string> unsent_;       ///< Agents with orders to be sent.
+    duration grant_lag_{};    ///< Until an order has come, on average.
+    instant blocked_until_{}; ///< Some entry lacks some agent.
+    std::size_t foreign_ = 0; ///< Waiting tasks of other entries.
+    bool delegated_ = false;  ///< Another entry places ours.
+    queue_changes changes_;   ///< To be told to it.
+    std::size_t owners_ = 1;  ///< Entries that own parts.
+    dispatcher_stats stats_;  ///< Counters.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/dispatcher_sharing.cpp
+++ b/src/glenhollow/durable/dispatcher_sharing.cpp
@@ -30,11 +30,26 @@
 void dispatcher::grant(const ready_task& task, agent_view& agent)
 {
     const auto number = ++grant_numbers_;
-    agent.grant(number, task.needs, clock_.now(), settings_.grant_time);
+    const auto now = clock_.now();
+    agent.grant(number, task.needs, now);
+    open_grants_.push_back({agent.name(), number, now + settings_.grant_time});
     granted_[task.entry].push_back({task.task, agent.name(), number});
     ++stats_.granted;
 }
 
+/// Frees the room of grants whose orders never came.
+void dispatcher::expire_grants()
+{
+    const auto now = clock_.now();
+    while (!open_grants_.empty() && open_grants_.front().until <= now)
+    {
+        const auto known = agents_.find(open_grants_.front().agent);
+        if (known != agents_.end())
+            known->second.revoke(open_grants_.front().number);
+        open_grants_.pop_front();
+    }
+}
+
 void dispatcher::drop_entry(entry_number entry)
 {
     std::vector<task_ref> dropped;
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -19,8 +19,9 @@
 constexpr duration load_log_interval = seconds{2};
 
 /// While room is told to another entry that places, this one needs it only to
-/// be ready to place by itself.
+/// be ready to place by itself; so many reports a second in all.
 constexpr duration idle_room_gap = milliseconds{150};
+constexpr std::int64_t idle_room_reports = 150;
 
 /// Timers this late on average make an entry a bad placer; much of a short
 /// task's slack would go by. They must be well below it again to come back.
@@ -187,7 +188,11 @@
     if (placements_.active())
         return placer_reports_.gap(agents);
     const auto gap = reports_.gap(agents);
-    return dispatcher_.delegated() ? std::max(gap, idle_room_gap) : gap;
+    if (!dispatcher_.delegated())
+        return gap;
+    const duration share =
+        seconds{static_cast<std::int64_t>(agents)} / idle_room_reports;
+    return std::max({gap, idle_room_gap, share});
 }
 
 /// One entry places for all, so that the most urgent task of all is the first
@@ -209,6 +214,10 @@
     const auto chosen = glenhollow::choose_placer(candidates, settings_.placer);
     placer_.follow(chosen == settings_.entry ? std::string{} : chosen);
     placer_.flush();
+    // Agents know this entry as one that hardly needs their room.
+    const bool placed_before = std::exchange(placing_, placements_.active());
+    if (placing_ && !placed_before)
+        agents_.tell_pace();
 }
 
 wire::PlacementSession::Client
@@ -223,9 +232,9 @@
 {
     const auto now = clock_.now();
     const auto limit = settings_.ownership.jobs.agent_silence;
-    for (auto& [agent, silence] : agent_heard_)
+    for (auto& [agent, silence] : agent_silence_)
     {
-        const auto length = now - silence.heard;
+        const auto length = now - silence.since;
         if (!silence.memory_ended && length > memory_agent_silence)
         {
             silence.memory_ended = true;
@@ -394,7 +403,7 @@
                                      const runner_report& report)
 {
     dispatcher_.attached(agent, report);
-    agent_heard_[agent] = {clock_.now(), false, false};
+    agent_silence_[agent] = {clock_.now(), false, false};
 }
 
 void durable_service::agent_detached(const std::string& agent)
@@ -402,6 +411,14 @@
     dispatcher_.detached(agent);
 }
 
+/// What it may run by this order is not given up before its time, nor later
+/// than that of an agent which is always busy.
+void durable_service::agent_ordered(const std::string& agent)
+{
+    auto& since = agent_silence_[agent].since;
+    since = std::min(since, clock_.now());
+}
+
 void durable_service::agent_adopted(const std::string& agent, part_epoch part,
                                     const lease_account& account)
 {
@@ -426,7 +443,8 @@
                                      const std::vector<run_end>& ends,
                                      const std::vector<run_ref>& begun)
 {
-    agent_heard_[agent] = {clock_.now(), false, false};
+    agent_silence_[agent] = {silent_since(clock_.now(), report.next_within),
+                             false, false};
     dispatcher_.reported(agent, report);
     for (const auto& run : begun)
     {
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -119,6 +119,7 @@
     void agent_attached(const std::string& agent,
                         const runner_report& report) override;
     void agent_detached(const std::string& agent) override;
+    void agent_ordered(const std::string& agent) override;
     void agent_adopted(const std::string& agent, part_epoch part,
                        const lease_account& account) override;
     void agent_reported(const std::string& agent, const runner_report& report,
@@ -186,16 +187,17 @@
     /// How long an agent has been silent.
     struct agent_silence
     {
-        instant heard{};           ///< Its last word.
+        instant since{};           ///< Unless it reports.
         bool memory_ended = false; ///< Its runs in memory are given up.
         bool parts_ended = false;  ///< All its runs are given up.
     };
 
-    std::map<std::string, agent_silence> agent_heard_; ///< By agent.
+    std::map<std::string, agent_silence> agent_silence_; ///< By agent.
     instant tick_due_{};       ///< When the next tick should come.
     instant probed_{};         ///< Last probe of the store.
     instant load_logged_{};    ///< Last line on the load.
     bool dispatching_ = false; ///< A dispatch is on its way.
+    bool placing_ = false;     ///< It places for others.
     bool stopping_ = false;    ///< A planned stop.
 };
 
--- a/src/glenhollow/durable/entry_peers.cpp
+++ b/src/glenhollow/durable/entry_peers.cpp
@@ -176,7 +176,8 @@
 entry_peers::entry_peers(boost::asio::io_context& io, const clock_source& clock,
                          entry_peer_handler& handler,
                          const entry_peers_settings& settings)
-    : io_(io), clock_(clock), handler_(handler), settings_(settings)
+    : io_(io), clock_(clock), handler_(handler), settings_(settings),
+      pacing_(settings.exchange)
 {
 }
 
@@ -292,10 +293,20 @@
                       });
 }
 
+bool entry_peers::is_due(const peer& one) const
+{
+    if (one.exchanging)
+        return false;
+    return pacing_.is_due(own_name_ < one.name,
+                          std::max(one.sent, one.answered), peers_.size(),
+                          clock_.now());
+}
+
 bool entry_peers::is_live(const peer& one) const
 {
     const auto now = clock_.now();
-    if (one.answered.count() == 0 || now - one.answered > settings_.silence)
+    if (one.answered.count() == 0 ||
+        now - one.answered > pacing_.silence(peers_.size()))
         return false;
     return one.down_since.count() == 0 ||
            now - one.down_since < settings_.down_grace;
@@ -304,14 +315,16 @@
 void entry_peers::tick()
 {
     std::vector<peer*> silent;
+    if (own_name_.empty())
+        own_name_ = handler_.own_view().name;
     for (auto& [name, one] : peers_)
     {
         one->link->tick();
         const auto now = clock_.now();
         if (one->link->up() && one->exchanging &&
-            now - one->sent > settings_.silence)
+            now - one->sent > pacing_.silence(peers_.size()))
             silent.push_back(one.get());
-        else if (now - one->sent >= settings_.exchange && !one->exchanging)
+        else if (is_due(*one))
             exchange(*one);
         if (one->was_live && !is_live(*one))
         {
--- a/src/glenhollow/durable/entry_peers.hpp
+++ b/src/glenhollow/durable/entry_peers.hpp
@@ -1,6 +1,7 @@
 #ifndef GLENHOLLOW_DURABLE_ENTRY_PEERS_HPP
 #define GLENHOLLOW_DURABLE_ENTRY_PEERS_HPP
 
+#include "glenhollow/durable/exchange_pacing.hpp"
 #include "glenhollow/durable/job_board.hpp"
 #include "glenhollow/rpc/rpc_link.hpp"
 #include "glenhollow/wire/glenhollow.capnp.h"
@@ -96,8 +97,7 @@
 /// Limits of the links between entries.
 struct entry_peers_settings
 {
-    duration exchange = milliseconds{250};   ///< Between exchanges.
-    duration silence = milliseconds{1000};   ///< Without one: not live.
+    exchange_pacing_settings exchange;       ///< How often views go round.
     duration down_grace = milliseconds{150}; ///< A lost link may come back.
     rpc_link_settings link;                  ///< Limits of the connections.
 };
@@ -190,12 +190,15 @@
     void seen(const std::string& name, const entry_view& view);
     void rename(const std::string& from, const std::string& to);
     bool is_live(const peer& one) const;
+    bool is_due(const peer& one) const;
 
     boost::asio::io_context& io_;                        ///< Runs them.
     const clock_source& clock_;                          ///< This entry's.
     entry_peer_handler& handler_;                        ///< Answers.
     entry_peers_settings settings_;                      ///< Limits.
+    exchange_pacing pacing_;                             ///< Of exchanges.
     std::map<std::string, std::unique_ptr<peer>> peers_; ///< By name.
+    std::string own_name_;                               ///< Of this entry.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/runs/report_pacing.hpp
+++ b/src/glenhollow/runs/report_pacing.hpp
@@ -12,11 +12,16 @@
 /// How often an agent reports.
 struct report_pacing_settings
 {
-    duration heartbeat = milliseconds{200}; ///< Between reports, at most.
-    duration room_gap = milliseconds{4};    ///< Of reports of room alone, for
-                                            ///< each open session.
-    duration placer_gap = milliseconds{1};  ///< Of those to an entry that
-                                            ///< places for all others.
+    duration heartbeat = milliseconds{200}; ///< Between reports to an entry
+                                            ///< that has runs here, at most.
+    duration idle_heartbeat = milliseconds{40}; ///< To one that has none, for
+                                                ///< each open session: 25
+                                                ///< reports a second in all.
+    duration longest_heartbeat = seconds{4};    ///< However many there are.
+    duration room_gap = milliseconds{4};   ///< Of reports of room alone, for
+                                           ///< each open session.
+    duration placer_gap = milliseconds{1}; ///< Of those to an entry that
+                                           ///< places for all others.
 };
 
 /// What one session has to be told.
@@ -27,6 +32,7 @@
     instant reported{};  ///< When the last report left.
     duration wished{};   ///< Gap of reports of room that the entry asks for.
     bool places = false; ///< The entry places for all others.
+    bool busy = false;   ///< The entry has runs, ends or parts here.
 };
 
 /// Decides when a session is told. Runs begin and end at an agent as often
@@ -58,6 +64,20 @@
         return std::max(least, marks.wished);
     }
 
+    /// @param marks What a session has to be told.
+    /// @param open Open sessions.
+    /// @return The most time between two reports to this session. One without
+    /// runs here need only learn in the end that this agent has gone.
+    duration heartbeat(const report_marks& marks, std::size_t open) const
+    {
+        if (marks.busy || marks.places)
+            return settings_.heartbeat;
+        const auto share =
+            settings_.idle_heartbeat * static_cast<duration::rep>(open);
+        return std::clamp(share, settings_.heartbeat,
+                          settings_.longest_heartbeat);
+    }
+
     /// @param marks What a session has to be told.
     /// @param open Open sessions.
     /// @param now The time.
@@ -66,7 +86,7 @@
     {
         const auto since = now - marks.reported;
         return marks.urgent || (marks.room && since >= room_gap(marks, open)) ||
-               since >= settings_.heartbeat;
+               since >= heartbeat(marks, open);
     }
 
 private:
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -61,7 +61,15 @@
             service_.note_grant(start);
             keeper.order(std::move(start), session->memory);
         }
-        service_.schedule_room();
+        service_.ordered(*session);
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> pace(PaceContext context) override
+    {
+        auto params = context.getParams();
+        service_.pace(number_, milliseconds{params.getRoomGapMs()},
+                      params.getPlaces());
         return kj::READY_NOW;
     }
 
@@ -135,7 +143,9 @@
 {
     auto& opened = sessions_[entry];
     const bool same = opened.incarnation == incarnation;
-    if (!same && opened.incarnation != 0)
+    if (same)
+        keeper_.refuse_waiting(opened.memory);
+    else if (opened.incarnation != 0)
         keeper_.expire(opened.memory);
     const auto memory = same ? opened.memory : memory_lease(processes_++);
     opened = {};
@@ -168,6 +178,28 @@
     schedule_now();
 }
 
+/// An entry that had nothing here holds no lease any more: the answer to a
+/// report renews it, and its runs wait for that.
+void run_agent_service::ordered(session& by)
+{
+    if (keeper_.leased(by.memory))
+        return schedule_room();
+    by.marks.urgent = true;
+    schedule_now();
+}
+
+/// An entry begins to place, or places no more: it needs the room as it is.
+void run_agent_service::pace(std::uint64_t number, duration wished, bool places)
+{
+    auto* from = find(number);
+    if (from == nullptr)
+        return;
+    from->marks.wished = wished;
+    from->marks.places = places;
+    from->marks.urgent = true;
+    schedule_now();
+}
+
 run_agent_service::session* run_agent_service::owner_of(lease_id lease)
 {
     const auto known = owners_.find(lease);
@@ -282,19 +314,39 @@
     flush();
 }
 
-bool run_agent_service::is_due(const session& to) const
+/// Parts have an owner that must not lose its lease, whether or not they run.
+void run_agent_service::mark_busy()
+{
+    auto leases = keeper_.leases_in_use();
+    for (const auto& [lease, owner] : owners_)
+    {
+        if (is_part_lease(lease))
+            leases.insert(lease);
+    }
+    for (auto& [entry, one] : sessions_)
+        one.marks.busy = false;
+    for (const auto lease : leases)
+    {
+        if (auto* owner = owner_of(lease))
+            owner->marks.busy = true;
+    }
+}
+
+bool run_agent_service::is_due(const session& to, std::size_t open) const
 {
     if (to.reporting || to.reports == nullptr)
         return false;
-    return pacing_.is_due(to.marks, open_sessions(), clock_.now());
+    return pacing_.is_due(to.marks, open, clock_.now());
 }
 
 void run_agent_service::flush()
 {
+    mark_busy();
+    const auto open = open_sessions();
     for (auto& [entry, one] : sessions_)
     {
-        if (is_due(one))
-            report(one);
+        if (is_due(one, open))
+            report(one, open);
     }
 }
 
@@ -324,7 +376,7 @@
         fill(list[i], begun[i]);
 }
 
-void run_agent_service::report(session& to)
+void run_agent_service::report(session& to, std::size_t open)
 {
     KJ_IF_MAYBE (reports, to.reports)
     {
@@ -341,11 +393,15 @@
         for (unsigned i = 0; i < granted.size(); ++i)
             granted.set(i, to.granted[i]);
         to.granted.clear();
+        const auto next = pacing_.heartbeat(to.marks, open);
+        out.setNextWithinMs(static_cast<std::uint32_t>(
+            std::chrono::duration_cast<milliseconds>(next).count()));
         const auto sent = clock_.now();
         const auto number = to.number;
         to.reporting = true;
         to.told_life = account.instance;
-        to.marks = {false, false, sent, to.marks.wished, to.marks.places};
+        to.marks.urgent = to.marks.room = false;
+        to.marks.reported = sent;
         ++reports_;
         calls_.add(request.send().then(
             [this, number, sent](auto&& answer)
--- a/src/glenhollow/runs/run_agent_service.hpp
+++ b/src/glenhollow/runs/run_agent_service.hpp
@@ -70,8 +70,9 @@
     void note_grant(const run_order& order);
     std::size_t open_sessions() const;
     void flush();
-    bool is_due(const session& to) const;
-    void report(session& to);
+    void mark_busy();
+    bool is_due(const session& to, std::size_t open) const;
+    void report(session& to, std::size_t open);
     void fill_ends(session& to, wire::RunReport::Builder out);
     void fill_begun(session& to, wire::RunReport::Builder out);
     void report_answered(std::uint64_t number, instant sent,
@@ -79,6 +80,8 @@
                          duration wished, bool places);
     void report_failed(std::uint64_t number);
     void adopted(std::uint64_t number, lease_id lease);
+    void ordered(session& by);
+    void pace(std::uint64_t number, duration wished, bool places);
     void open(const std::string& entry, std::uint64_t incarnation,
               wire::RunReports::Client reports);
     std::vector<lease_id> leases_of(const session& of) const;
--- a/src/glenhollow/runs/run_keeper.hpp
+++ b/src/glenhollow/runs/run_keeper.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -128,26 +129,27 @@
     duration part_lease = milliseconds{1800};  ///< From an owner's
                                                ///< confirmation.
     duration memory_lease = milliseconds{800}; ///< From an entry's.
-    duration claim_time = milliseconds{600};   ///< For runs that were found.
-    duration stop_time = milliseconds{350};    ///< For runs without a lease,
-                                               ///< before the hold lapses.
-    duration hold = milliseconds{1000};        ///< Longest hold of the runner.
-    duration look_wait = milliseconds{100};    ///< Of one look, at most.
-    duration look_gap = milliseconds{8};       ///< While ends are unconfirmed.
-    duration patience = milliseconds{30};      ///< For an answer past its
-                                               ///< wait; some thirty times
-                                               ///< what a call takes on one
-                                               ///< VM.
-    duration own_lag = milliseconds{5};        ///< Timers of this process that
-                                               ///< come later say that it is
-                                               ///< slow, not the runner.
-    std::uint32_t looks_out = 3;               ///< Unanswered at once, at most.
-    duration stall = milliseconds{900};        ///< A run without progress,
-                                               ///< where no time is guessed.
-    double stall_share = 0.35;                 ///< Of the guessed time.
-    duration least_stall = milliseconds{200};  ///< Whatever is guessed.
-    runner_breaker_settings breaker;           ///< Judgement on the runner.
-    duration keep_unwanted = seconds{10};      ///< Ends of entries that went.
+    duration claim_time = milliseconds{600};  ///< For runs that were found, and
+                                              ///< orders without a lease yet.
+    duration stop_time = milliseconds{350};   ///< For runs without a lease,
+                                              ///< before the hold lapses.
+    duration hold = milliseconds{1000};       ///< Longest hold of the runner.
+    duration look_wait = milliseconds{100};   ///< Of one look, at most.
+    duration look_gap = milliseconds{8};      ///< While ends are unconfirmed.
+    duration patience = milliseconds{30};     ///< For an answer past its
+                                              ///< wait; some thirty times
+                                              ///< what a call takes on one
+                                              ///< VM.
+    duration own_lag = milliseconds{5};       ///< Timers of this process that
+                                              ///< come later say that it is
+                                              ///< slow, not the runner.
+    std::uint32_t looks_out = 3;              ///< Unanswered at once, at most.
+    duration stall = milliseconds{900};       ///< A run without progress,
+                                              ///< where no time is guessed.
+    double stall_share = 0.35;                ///< Of the guessed time.
+    duration least_stall = milliseconds{200}; ///< Whatever is guessed.
+    runner_breaker_settings breaker;          ///< Judgement on the runner.
+    duration keep_unwanted = seconds{10};     ///< Ends of entries that went.
     duration first_refusal = milliseconds{200}; ///< After a refused start the
                                                 ///< runner is left alone.
     duration longest_refusal = milliseconds{1600}; ///< After repeated ones.
@@ -233,6 +235,18 @@
     /// @param confirmed When this agent sent what the holder has confirmed.
     void renew(lease_id lease, std::uint32_t epoch, instant confirmed);
 
+    /// @param lease A part's, or an entry's.
+    /// @return Whether runs may start under it now.
+    bool leased(lease_id lease) const;
+
+    /// A new session of the holder begins: orders of the last one that have not
+    /// begun come back, for the holder may have ordered them elsewhere.
+    /// @param lease An entry's.
+    void refuse_waiting(lease_id lease);
+
+    /// @return Leases with runs here, or with ends that wait for an owner.
+    std::set<lease_id> leases_in_use() const;
+
     /// @param lease Its holder's process has ended.
     void expire(lease_id lease);
 
--- a/src/glenhollow/runs/run_keeper_leases.cpp
+++ b/src/glenhollow/runs/run_keeper_leases.cpp
@@ -80,6 +80,34 @@
         ledger_.confirm(end);
 }
 
+bool run_keeper::leased(lease_id lease) const
+{
+    const auto known = leases_.find(lease);
+    return known != leases_.end() && clock_.now() < known->second.until;
+}
+
+void run_keeper::refuse_waiting(lease_id lease)
+{
+    std::vector<run_ref> refused;
+    for (const auto& [ref, run] : runs_)
+    {
+        if (run.lease == lease && run.phase == run_phase::waiting)
+            refused.push_back(ref);
+    }
+    for (const auto& ref : refused)
+        end_run(ref, run_outcome::not_begun, 0);
+}
+
+std::set<lease_id> run_keeper::leases_in_use() const
+{
+    std::set<lease_id> used;
+    for (const auto& [ref, run] : runs_)
+        used.insert(run.lease);
+    for (const auto& [ref, kept] : ledger_.ends())
+        used.insert(kept.lease);
+    return used;
+}
+
 bool run_keeper::expired(lease_id lease, instant found) const
 {
     const auto now = clock_.now();
@@ -125,6 +153,9 @@
                 let_hold_lapse("part_lease", run.lease);
             continue;
         }
+        if (run.phase == run_phase::waiting &&
+            now - run.changed < settings_.claim_time)
+            continue; // Its entry had nothing here: the lease is on its way.
         if (run.orphaned.count() == 0)
         {
             run.orphaned = now;
--- a/src/glenhollow/runs/run_wire.hpp
+++ b/src/glenhollow/runs/run_wire.hpp
@@ -56,6 +56,7 @@
     bool whole = true;          ///< All of the account, not its phase alone.
     std::vector<std::uint32_t> granted; ///< Grants of the receiver whose
                                         ///< orders have come since.
+    duration next_within{}; ///< The next report leaves within this time.
 };
 
 /// @param out Gets the report.
--- a/src/glenhollow/wire/glenhollow.capnp.cpp
+++ b/src/glenhollow/wire/glenhollow.capnp.cpp
@@ -4195,17 +4195,17 @@
   0, 2, i_da208cfa94747e66, nullptr, nullptr, { &s_da208cfa94747e66, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<90> b_ec87597cb817e74a = {
+static const ::capnp::_::AlignedData<106> b_ec87597cb817e74a = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      74, 231,  23, 184, 124,  89, 135, 236,
-     17,   0,   0,   0,   1,   0,   0,   0,
+     17,   0,   0,   0,   1,   0,   1,   0,
     145, 115, 110,  79, 176, 168, 193, 210,
       4,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 218,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 231,   0,   0,   0,
+     29,   0,   0,   0,  31,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     103, 108, 101, 110, 104, 111, 108, 108,
@@ -4213,35 +4213,42 @@
      58,  82, 117, 110,  82, 101, 112, 111,
     114, 116,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   4,   0,
+     20,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0,  50,   0,   0,   0,
+    125,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     92,   0,   0,   0,   3,   0,   1,   0,
-    104,   0,   0,   0,   2,   0,   1,   0,
+    120,   0,   0,   0,   3,   0,   1,   0,
+    132,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,  42,   0,   0,   0,
+    129,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     96,   0,   0,   0,   3,   0,   1,   0,
-    124,   0,   0,   0,   2,   0,   1,   0,
+    124,   0,   0,   0,   3,   0,   1,   0,
+    152,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    121,   0,   0,   0,  66,   0,   0,   0,
+    149,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    116,   0,   0,   0,   3,   0,   1,   0,
-    144,   0,   0,   0,   2,   0,   1,   0,
+    144,   0,   0,   0,   3,   0,   1,   0,
+    172,   0,   0,   0,   2,   0,   1,   0,
       3,   0,   0,   0,   3,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    141,   0,   0,   0,  66,   0,   0,   0,
+    169,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    136,   0,   0,   0,   3,   0,   1,   0,
-    164,   0,   0,   0,   2,   0,   1,   0,
+    164,   0,   0,   0,   3,   0,   1,   0,
+    192,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    189,   0,   0,   0, 106,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    188,   0,   0,   0,   3,   0,   1,   0,
+    200,   0,   0,   0,   2,   0,   1,   0,
     115, 116,  97, 116, 101,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
     220,  63, 137,  97, 161,   1,  82, 178,
@@ -4284,6 +4291,15 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    110, 101, 120, 116,  87, 105, 116, 104,
+    105, 110,  77, 115,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -4294,11 +4310,11 @@
   &s_c4051622da7e9aec,
   &s_c84efe0fb0a18373,
 };
-static const uint16_t m_ec87597cb817e74a[] = {1, 3, 2, 0};
-static const uint16_t i_ec87597cb817e74a[] = {0, 1, 2, 3};
+static const uint16_t m_ec87597cb817e74a[] = {1, 3, 4, 2, 0};
+static const uint16_t i_ec87597cb817e74a[] = {0, 1, 2, 3, 4};
 const ::capnp::_::RawSchema s_ec87597cb817e74a = {
-  0xec87597cb817e74a, b_ec87597cb817e74a.words, 90, d_ec87597cb817e74a, m_ec87597cb817e74a,
-  3, 4, i_ec87597cb817e74a, nullptr, nullptr, { &s_ec87597cb817e74a, nullptr, nullptr, 0, 0, nullptr }
+  0xec87597cb817e74a, b_ec87597cb817e74a.words, 106, d_ec87597cb817e74a, m_ec87597cb817e74a,
+  3, 5, i_ec87597cb817e74a, nullptr, nullptr, { &s_ec87597cb817e74a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<29> b_ce783e266ee53706 = {
@@ -4787,7 +4803,7 @@
   3, 4, i_bdbfdb43860107db, nullptr, nullptr, { &s_bdbfdb43860107db, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<39> b_fd92f3e1395e0247 = {
+static const ::capnp::_::AlignedData<49> b_fd92f3e1395e0247 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      71,   2,  94,  57, 225, 243, 146, 253,
      17,   0,   0,   0,   3,   0,   0,   0,
@@ -4797,35 +4813,45 @@
      21,   0,   0,   0, 226,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 135,   0,   0,   0,
-    109,   0,   0,   0,   7,   0,   0,   0,
+     29,   0,   0,   0, 199,   0,   0,   0,
+    149,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     103, 108, 101, 110, 104, 111, 108, 108,
     111, 119,  46,  99,  97, 112, 110, 112,
      58,  82, 117, 110,  83, 101, 115, 115,
     105, 111, 110,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   5,   0,
+     12,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     175,  23,  85, 202,  19, 160, 227, 184,
     248,   3,  44, 141, 249, 101, 147, 202,
-     49,   0,   0,   0,  50,   0,   0,   0,
+     81,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   0,   0,   0,   7,   0,   0,   0,
+     69,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     200,  19,   7, 235,  55, 147, 204, 246,
     206,  80, 155, 223, 250, 190, 236, 149,
-     25,   0,   0,   0,  50,   0,   0,   0,
+     57,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,   7,   0,   0,   0,
+     45,   0,   0,   0,   7,   0,   0,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+     67,  76,  93,  74, 105,  92, 151, 245,
+    178,  78, 192, 201,  26,  34, 165, 212,
+     33,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,   7,   0,   0,   0,
      97, 100, 111, 112, 116,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     111, 114, 100, 101, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    112,  97,  99, 101,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_fd92f3e1395e0247 = b_fd92f3e1395e0247.words;
@@ -4834,12 +4860,14 @@
   &s_95ecbefadf9b50ce,
   &s_b8e3a013ca5517af,
   &s_ca9365f98d2c03f8,
+  &s_d4a5221ac9c04eb2,
+  &s_f5975c694a5d4c43,
   &s_f6cc9337eb0713c8,
 };
-static const uint16_t m_fd92f3e1395e0247[] = {0, 1};
+static const uint16_t m_fd92f3e1395e0247[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_fd92f3e1395e0247 = {
-  0xfd92f3e1395e0247, b_fd92f3e1395e0247.words, 39, d_fd92f3e1395e0247, m_fd92f3e1395e0247,
-  4, 2, nullptr, nullptr, nullptr, { &s_fd92f3e1395e0247, nullptr, nullptr, 0, 0, nullptr }
+  0xfd92f3e1395e0247, b_fd92f3e1395e0247.words, 49, d_fd92f3e1395e0247, m_fd92f3e1395e0247,
+  6, 3, nullptr, nullptr, nullptr, { &s_fd92f3e1395e0247, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<34> b_b8e3a013ca5517af = {
@@ -5053,6 +5081,93 @@
   0, 0, nullptr, nullptr, nullptr, { &s_95ecbefadf9b50ce, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<49> b_f5975c694a5d4c43 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     67,  76,  93,  74, 105,  92, 151, 245,
+     28,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  66,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    103, 108, 101, 110, 104, 111, 108, 108,
+    111, 119,  46,  99,  97, 112, 110, 112,
+     58,  82, 117, 110,  83, 101, 115, 115,
+    105, 111, 110,  46, 112,  97,  99, 101,
+     36,  80,  97, 114,  97, 109, 115,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,  32,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     49,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     44,   0,   0,   0,   3,   0,   1,   0,
+     56,   0,   0,   0,   2,   0,   1,   0,
+    114, 111, 111, 109,  71,  97, 112,  77,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 108,  97,  99, 101, 115,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_f5975c694a5d4c43 = b_f5975c694a5d4c43.words;
+#if !CAPNP_LITE
+static const uint16_t m_f5975c694a5d4c43[] = {1, 0};
+static const uint16_t i_f5975c694a5d4c43[] = {0, 1};
+const ::capnp::_::RawSchema s_f5975c694a5d4c43 = {
+  0xf5975c694a5d4c43, b_f5975c694a5d4c43.words, 49, nullptr, m_f5975c694a5d4c43,
+  0, 2, i_f5975c694a5d4c43, nullptr, nullptr, { &s_f5975c694a5d4c43, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<18> b_d4a5221ac9c04eb2 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    178,  78, 192, 201,  26,  34, 165, 212,
+     28,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  74,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    103, 108, 101, 110, 104, 111, 108, 108,
+    111, 119,  46,  99,  97, 112, 110, 112,
+     58,  82, 117, 110,  83, 101, 115, 115,
+    105, 111, 110,  46, 112,  97,  99, 101,
+     36,  82, 101, 115, 117, 108, 116, 115,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d4a5221ac9c04eb2 = b_d4a5221ac9c04eb2.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_d4a5221ac9c04eb2 = {
+  0xd4a5221ac9c04eb2, b_d4a5221ac9c04eb2.words, 18, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_d4a5221ac9c04eb2, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<63> b_a09400c78ece9a6f = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     111, 154, 206, 142, 199,   0, 148, 160,
@@ -7632,6 +7747,16 @@
       "glenhollow.capnp:RunSession", "order",
       0xfd92f3e1395e0247ull, 1);
 }
+::capnp::Request< ::glenhollow::wire::RunSession::PaceParams,  ::glenhollow::wire::RunSession::PaceResults>
+RunSession::Client::paceRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::glenhollow::wire::RunSession::PaceParams,  ::glenhollow::wire::RunSession::PaceResults>(
+      0xfd92f3e1395e0247ull, 2, sizeHint);
+}
+::kj::Promise<void> RunSession::Server::pace(PaceContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "glenhollow.capnp:RunSession", "pace",
+      0xfd92f3e1395e0247ull, 2);
+}
 ::capnp::Capability::Server::DispatchCallResult RunSession::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -7658,6 +7783,12 @@
              ::glenhollow::wire::RunSession::OrderParams,  ::glenhollow::wire::RunSession::OrderResults>(context)),
         false
       };
+    case 2:
+      return {
+        pace(::capnp::Capability::Server::internalGetTypedContext<
+             ::glenhollow::wire::RunSession::PaceParams,  ::glenhollow::wire::RunSession::PaceResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -7705,6 +7836,22 @@
 constexpr ::capnp::_::RawSchema const* RunSession::OrderResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// RunSession::PaceParams
+constexpr uint16_t RunSession::PaceParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t RunSession::PaceParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind RunSession::PaceParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* RunSession::PaceParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// RunSession::PaceResults
+constexpr uint16_t RunSession::PaceResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t RunSession::PaceResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind RunSession::PaceResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* RunSession::PaceResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // QueueCount
 constexpr uint16_t QueueCount::_capnpPrivate::dataWordSize;
 constexpr uint16_t QueueCount::_capnpPrivate::pointerCount;
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -91,6 +91,8 @@
 CAPNP_DECLARE_SCHEMA(ca9365f98d2c03f8);
 CAPNP_DECLARE_SCHEMA(f6cc9337eb0713c8);
 CAPNP_DECLARE_SCHEMA(95ecbefadf9b50ce);
+CAPNP_DECLARE_SCHEMA(f5975c694a5d4c43);
+CAPNP_DECLARE_SCHEMA(d4a5221ac9c04eb2);
 CAPNP_DECLARE_SCHEMA(a09400c78ece9a6f);
 CAPNP_DECLARE_SCHEMA(f07b90f43f6a30a9);
 CAPNP_DECLARE_SCHEMA(ac863c02ed76ebc2);
@@ -946,7 +948,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ec87597cb817e74a, 0, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(ec87597cb817e74a, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1078,6 +1080,8 @@
   struct AdoptResults;
   struct OrderParams;
   struct OrderResults;
+  struct PaceParams;
+  struct PaceResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -1147,6 +1151,36 @@
   };
 };
 
+struct RunSession::PaceParams {
+  PaceParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f5975c694a5d4c43, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RunSession::PaceResults {
+  PaceResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d4a5221ac9c04eb2, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct QueueCount {
   QueueCount() = delete;
 
@@ -6329,6 +6363,8 @@
   inline bool hasGranted() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getGranted() const;
 
+  inline  ::uint32_t getNextWithinMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6386,6 +6422,9 @@
   inline void adoptGranted(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownGranted();
 
+  inline  ::uint32_t getNextWithinMs();
+  inline void setNextWithinMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7029,6 +7068,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::glenhollow::wire::RunSession::OrderParams,  ::glenhollow::wire::RunSession::OrderResults> orderRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::RunSession::PaceParams,  ::glenhollow::wire::RunSession::PaceResults> paceRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -7053,6 +7094,10 @@
   typedef  ::glenhollow::wire::RunSession::OrderResults OrderResults;
   typedef ::capnp::CallContext<OrderParams, OrderResults> OrderContext;
   virtual ::kj::Promise<void> order(OrderContext context);
+  typedef  ::glenhollow::wire::RunSession::PaceParams PaceParams;
+  typedef  ::glenhollow::wire::RunSession::PaceResults PaceResults;
+  typedef ::capnp::CallContext<PaceParams, PaceResults> PaceContext;
+  virtual ::kj::Promise<void> pace(PaceContext context);
 
   inline  ::glenhollow::wire::RunSession::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -7396,6 +7441,158 @@
 };
 #endif  // !CAPNP_LITE
 
+class RunSession::PaceParams::Reader {
+public:
+  typedef PaceParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getRoomGapMs() const;
+
+  inline bool getPlaces() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RunSession::PaceParams::Builder {
+public:
+  typedef PaceParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getRoomGapMs();
+  inline void setRoomGapMs( ::uint32_t value);
+
+  inline bool getPlaces();
+  inline void setPlaces(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RunSession::PaceParams::Pipeline {
+public:
+  typedef PaceParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RunSession::PaceResults::Reader {
+public:
+  typedef PaceResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RunSession::PaceResults::Builder {
+public:
+  typedef PaceResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RunSession::PaceResults::Pipeline {
+public:
+  typedef PaceResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class QueueCount::Reader {
 public:
   typedef QueueCount Reads;
@@ -13024,6 +13221,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t RunReport::Reader::getNextWithinMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunReport::Builder::getNextWithinMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RunReport::Builder::setNextWithinMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline RunReports::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -13672,6 +13883,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t RunSession::PaceParams::Reader::getRoomGapMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunSession::PaceParams::Builder::getRoomGapMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RunSession::PaceParams::Builder::setRoomGapMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RunSession::PaceParams::Reader::getPlaces() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool RunSession::PaceParams::Builder::getPlaces() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void RunSession::PaceParams::Builder::setPlaces(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool QueueCount::Reader::hasQueue() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
