An order carries the lease of its entry's jobs in memory

Cause: an entry with nothing at an agent holds no lease there, so each of its orders waited for a report and its answer, at 55 entries nearly every order: one round trip and one report a start.

Change: reports carry the agent's clock; an order names the least that this clock can have shown when silence began to count (never later than the order left), and the lease runs from there. However late the order arrives, the lease ends before the entry gives the agent up. Without such a time the run waits for the answer to a report, as before.

Ruled out: leases that outlast the heartbeat of idle sessions (a lost agent's tasks would start again that much later).

--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -209,6 +209,7 @@
   started @2 :List(RunRef);
   granted @3 :List(UInt32);  # grants of the receiver whose orders have come
   nextWithinMs @4 :UInt32;   # the next report leaves within this time
+  sentAt @5 :Int64;          # by the agent's clock, in nanoseconds
 }
 
 interface RunReports {
@@ -229,6 +230,8 @@
   stops @1 :List(RunRef);
   sizes @2 :List(RunOrder);       # of runs that the agent found running
   confirmed @3 :List(RunEnd);     # ends that are in the journal
+  leasedAt @4 :Int64;             # the lease of the entry's jobs in memory
+                                  # begins then by the agent's clock; 0: not
 }
 
 interface RunSession {
--- a/src/glenhollow/durable/agent_sessions.cpp
+++ b/src/glenhollow/durable/agent_sessions.cpp
@@ -16,6 +16,7 @@
     std::uint64_t number = 0;                   ///< Of the session, rising.
     bool attached = false;                      ///< It has been opened.
     instant silent_since{};                     ///< Unless it reports.
+    agent_clock clock;                          ///< As far as it is known.
 };
 
 /// The ear that an agent reports to.
@@ -97,6 +98,7 @@
 {
     auto& to = *sessions_.at(agent);
     to.number = ++numbers_;
+    to.clock.forget();
     to.silent_since =
         clock_.now() + settings_.attach_patience - settings_.silence;
     auto request = interface.attachRequest();
@@ -188,6 +190,7 @@
     for (auto grant : report.getGranted())
         state.granted.push_back(grant);
     state.next_within = milliseconds{report.getNextWithinMs()};
+    known->second->clock.heard(instant{report.getSentAt()}, clock_.now());
     known->second->silent_since =
         glenhollow::silent_since(clock_.now(), state.next_within);
     listener_.agent_reported(agent, state, ends, begun);
@@ -203,6 +206,11 @@
         auto& since = known->second->silent_since;
         since = std::min(since, clock_.now());
         listener_.agent_ordered(agent);
+        // No later than silence counts from: what runs under this lease has
+        // ended by the time at which a silent agent is given up.
+        if (!batch.starts.empty())
+            batch.leased_at =
+                known->second->clock.at(since).value_or(instant{});
         auto request = orders->orderRequest();
         fill(request.initBatch(), batch);
         known->second->link->add(
--- a/src/glenhollow/durable/agent_sessions.hpp
+++ b/src/glenhollow/durable/agent_sessions.hpp
@@ -1,6 +1,7 @@
 #ifndef GLENHOLLOW_DURABLE_AGENT_SESSIONS_HPP
 #define GLENHOLLOW_DURABLE_AGENT_SESSIONS_HPP
 
+#include "glenhollow/durable/agent_clock.hpp"
 #include "glenhollow/durable/dispatcher.hpp"
 #include "glenhollow/rpc/rpc_link.hpp"
 #include "glenhollow/runs/run_wire.hpp"
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -50,6 +50,9 @@
         session->marks.room = true;
         auto batch = from_wire(context.getParams().getBatch());
         auto& keeper = service_.keeper_;
+        if (batch.leased_at.count() != 0)
+            keeper.renew(session->memory, 0,
+                         std::min(batch.leased_at, service_.clock_.now()));
         for (const auto& end : batch.confirmed)
             keeper.confirm(end);
         for (const auto& size : batch.sizes)
@@ -397,6 +400,7 @@
         out.setNextWithinMs(static_cast<std::uint32_t>(
             std::chrono::duration_cast<milliseconds>(next).count()));
         const auto sent = clock_.now();
+        out.setSentAt(sent.count());
         const auto number = to.number;
         to.reporting = true;
         to.told_life = account.instance;
--- a/src/glenhollow/runs/run_wire.cpp
+++ b/src/glenhollow/runs/run_wire.cpp
@@ -190,6 +190,7 @@
     fill_all(out.initStops(size(batch.stops)), batch.stops);
     fill_all(out.initSizes(size(batch.sizes)), batch.sizes);
     fill_all(out.initConfirmed(size(batch.confirmed)), batch.confirmed);
+    out.setLeasedAt(batch.leased_at.count());
 }
 
 order_batch from_wire(wire::OrderBatch::Reader in)
@@ -197,7 +198,7 @@
     return {all_from<run_order>(in.getStarts()),
             all_from<run_ref>(in.getStops()),
             all_from<run_order>(in.getSizes()),
-            all_from<run_end>(in.getConfirmed())};
+            all_from<run_end>(in.getConfirmed()), instant{in.getLeasedAt()}};
 }
 
 } // namespace glenhollow
--- a/src/glenhollow/runs/run_wire.hpp
+++ b/src/glenhollow/runs/run_wire.hpp
@@ -57,6 +57,7 @@
     std::vector<std::uint32_t> granted; ///< Grants of the receiver whose
                                         ///< orders have come since.
     duration next_within{}; ///< The next report leaves within this time.
+    instant sent_at{};      ///< By the agent's clock.
 };
 
 /// @param out Gets the report.
@@ -91,6 +92,8 @@
     std::vector<run_ref> stops;     ///< To stop.
     std::vector<run_order> sizes;   ///< What found runs take.
     std::vector<run_end> confirmed; ///< Ends that are in the journal.
+    instant leased_at{}; ///< The lease of the entry's jobs in memory begins
+                         ///< then by the agent's clock; 0: not.
 
     /// @return Whether there is nothing to say.
     bool empty() const
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -949,7 +949,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ec87597cb817e74a, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(ec87597cb817e74a, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1062,7 +1062,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bdbfdb43860107db, 0, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(bdbfdb43860107db, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -6381,6 +6381,8 @@
 
   inline  ::uint32_t getNextWithinMs() const;
 
+  inline  ::int64_t getSentAt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6441,6 +6443,9 @@
   inline  ::uint32_t getNextWithinMs();
   inline void setNextWithinMs( ::uint32_t value);
 
+  inline  ::int64_t getSentAt();
+  inline void setSentAt( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6979,6 +6984,8 @@
   inline bool hasConfirmed() const;
   inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader getConfirmed() const;
 
+  inline  ::int64_t getLeasedAt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -7035,6 +7042,9 @@
   inline void adoptConfirmed(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>> disownConfirmed();
 
+  inline  ::int64_t getLeasedAt();
+  inline void setLeasedAt( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -13362,6 +13372,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t RunReport::Reader::getSentAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RunReport::Builder::getSentAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RunReport::Builder::setSentAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline RunReports::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -13826,6 +13850,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t OrderBatch::Reader::getLeasedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t OrderBatch::Builder::getLeasedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void OrderBatch::Builder::setLeasedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline RunSession::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/tests/unit/runs/report_pacing_tests.cpp
+++ b/tests/unit/runs/report_pacing_tests.cpp
@@ -87,6 +87,22 @@
     CHECK(silent_since(begin, {}) == begin); // One that announces nothing.
 }
 
+TEST_CASE("an agent's clock is never thought to be ahead of what it shows")
+{
+    agent_clock clock;
+    CHECK_FALSE(clock.at(begin).has_value());
+    clock.heard(seconds{500}, begin);
+    CHECK(clock.at(begin) == instant{seconds{500}});
+    // Two seconds later by this entry's clock, which may be the quicker one.
+    const auto later = clock.at(begin + seconds{2});
+    REQUIRE(later.has_value());
+    CHECK(*later <= seconds{500} + milliseconds{1960});
+    CHECK(*later >= seconds{500} + milliseconds{1900});
+    CHECK(clock.at(begin - seconds{1}) == instant{seconds{500}});
+    clock.forget();
+    CHECK_FALSE(clock.at(begin).has_value());
+}
+
 TEST_CASE("exchanges between entries do not grow with their number")
 {
     const exchange_pacing pacing({});
