--- a/src/glenhollow/durable/placer_choice.cpp
+++ b/src/glenhollow/durable/placer_choice.cpp
@@ -49,8 +49,9 @@
 {
     auto left = eligible(candidates, settings);
     const auto agents = most_agents(candidates);
-    const auto wanted =
-        (agents + settings.group_agents - 1) / settings.group_agents;
+    // Rounded: a full number of groups does not change with a few agents.
+    const auto wanted = std::max<std::size_t>(
+        1, (agents + settings.group_agents / 2) / settings.group_agents);
     std::vector<std::string> placers;
     while (!left.empty() && placers.size() < wanted)
     {
--- a/src/glenhollow/durable/placer_choice.hpp
+++ b/src/glenhollow/durable/placer_choice.hpp
@@ -22,10 +22,13 @@
 /// Limits of the choice.
 struct placer_choice_settings
 {
-    double least_agents = 0.9;     ///< Of the most that any entry has a session
+    double least_agents = 0.6;     ///< Of the most that any entry has a session
                                    ///< with: one that is cut from more would
                                    ///< leave their room unused for everybody.
-    std::size_t group_agents = 80; ///< Agents of one group, at most: their
+                                   ///< Where agents go, those that place
+                                   ///< notice it first, seconds before others:
+                                   ///< that must not cost them the queue.
+    std::size_t group_agents = 80; ///< Agents of one group, about: their
                                    ///< placer spends 0.15 of its 0.5 cores on
                                    ///< the busiest day that was measured (67
                                    ///< agents, 3,000 starts a second).
@@ -34,7 +37,7 @@
 };
 
 /// Chooses the entries that place the tasks of all, one for each group of
-/// agents: of those that reach nearly all agents the most powerful ones; among
+/// agents: of those that reach most agents the most powerful ones; among
 /// like ones those that have run for longest, so that an entry that comes back
 /// does not take a queue away; then in an order that each group has for itself,
 /// so that the loss of one placer moves one group. All entries choose alike
