--- a/programs/durable_agent.cpp
+++ b/programs/durable_agent.cpp
@@ -41,9 +41,9 @@
           signals_(loop_.io(), SIGTERM, SIGINT, SIGHUP),
           store_(loop_.io(), settings.store),
           runner_(loop_.io(), settings.runner),
-          keeper_(process_clock(), runner_, delay(), first_token(),
-                  settings.keeper),
-          registration_(keeper_),
+          manager_(process_clock(), runner_, delay(), first_token(),
+                   settings.manager),
+          registration_(manager_),
           announcer_(store_, delay(),
                      {settings.name,
                       member_role::agent,
@@ -85,11 +85,11 @@
             [this]
             {
                 service_ = std::make_unique<run_agent_service>(
-                    loop_.io(), process_clock(), keeper_, random_incarnation(),
+                    loop_.io(), process_clock(), manager_, random_incarnation(),
                     settings_.service);
                 links_->serve(service_->bootstrap());
                 announcer_.begin();
-                keeper_.begin();
+                manager_.begin();
                 tick();
                 log_change(log_level::info, "agent_started",
                            {{"agent", settings_.name},
@@ -107,7 +107,7 @@
     }
 
 private:
-    run_keeper::delay delay()
+    run_manager::delay delay()
     {
         return [&io = loop_.io()](duration wait, std::function<void()> work)
         { run_after(io, wait, std::move(work)); };
@@ -115,7 +115,7 @@
 
     void tick()
     {
-        keeper_.tick();
+        manager_.tick();
         service_->tick();
         run_after(loop_.io(), tick_interval,
                   [this]
@@ -170,14 +170,14 @@
         if (std::exchange(stopping_, true))
             return;
         log_change(log_level::info, "stop_begun", {{"agent", settings_.name}});
-        keeper_.drain();
+        manager_.drain();
         stop_at_ = process_clock().now() + settings_.grace - stop_reserve;
         wait_for_idle();
     }
 
     void wait_for_idle()
     {
-        if (keeper_.idle() || process_clock().now() >= stop_at_)
+        if (manager_.idle() || process_clock().now() >= stop_at_)
             return loop_.stop();
         run_after(loop_.io(), stop_check, [this] { wait_for_idle(); });
     }
@@ -188,7 +188,7 @@
     boost::asio::signal_set signals_;            ///< Stop and reload.
     platform::http_row_store store_;             ///< The store.
     platform::http_runner runner_;               ///< The runner.
-    run_keeper keeper_;                          ///< The product.
+    run_manager manager_;                        ///< The product.
     platform::runner_registration registration_; ///< Its accounts.
     member_announcer announcer_;                 ///< Its row.
     std::unique_ptr<run_agent_service> service_; ///< For entries.
--- a/programs/durable_agent.hpp
+++ b/programs/durable_agent.hpp
@@ -23,7 +23,7 @@
     host_port registration;                ///< Where the runner registers.
     platform::http_runner_settings runner; ///< The runner.
     platform::row_store_settings store;    ///< The store.
-    run_keeper_settings keeper;            ///< Limits.
+    run_manager_settings manager;          ///< Limits.
     report_pacing_settings service;        ///< Limits.
     duration grace = seconds{6};           ///< From SIGTERM to the end.
 };
--- a/programs/durable_agent_main.cpp
+++ b/programs/durable_agent_main.cpp
@@ -39,7 +39,7 @@
               "IP:PORT where the runner registers", true);
     line.text("runner", given.runner, "IP:PORT of the runner", true);
     line.text("store", given.store, "IP:PORT of the platform's store", true);
-    line.number<std::size_t>("parts", settings.keeper.parts, 1, 4096, "parts",
+    line.number<std::size_t>("parts", settings.manager.parts, 1, 4096, "parts",
                              "of the journal; alike in all processes");
     line.number<unsigned>("hold", given.hold_ms, 200, 60'000, "ms",
                           "longest time that the runner holds runs unrenewed");
@@ -56,7 +56,7 @@
                       host_port::parse(given.registration));
     BOOST_OUTCOME_TRY(settings.runner.server, host_port::parse(given.runner));
     BOOST_OUTCOME_TRY(settings.store.server, host_port::parse(given.store));
-    settings.keeper.hold = milliseconds{given.hold_ms};
+    settings.manager.hold = milliseconds{given.hold_ms};
     settings.grace = seconds{given.grace_s};
     return settings;
 }
--- a/programs/durable_entry.hpp
+++ b/programs/durable_entry.hpp
@@ -25,7 +25,7 @@
     std::vector<host_port> seeds;       ///< Entries that may be live.
     std::size_t parts = 3;              ///< Of the journal.
     duration grace = seconds{6};        ///< From SIGTERM to the end.
-    double begin_by = 0.45;             ///< See job_board_settings.
+    double begin_by = 0.45;             ///< See job_coordinator_settings.
     unsigned review_ms = 10;            ///< See dispatcher_settings.
     double late_reserve = 0.15;         ///< See dispatcher_settings.
     bool own_placement = false;         ///< Never placed by another entry.
--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -216,8 +216,10 @@
   # An entry's ear for one agent.
   # `roomGapMs`: the least time until the next report of room alone.
   # `places`: the entry places the tasks of others too and is told first.
+  # `confirmed`: ends that the entry has dealt with.
   report @0 (report :RunReport)
-         -> (renewed :List(PartEpoch), roomGapMs :UInt32, places :Bool);
+         -> (renewed :List(PartEpoch), roomGapMs :UInt32, places :Bool,
+             confirmed :List(RunEnd));
 }
 
 interface RunAgent {
--- a/src/glenhollow/decision/queue_order.cpp
+++ b/src/glenhollow/decision/queue_order.cpp
@@ -57,7 +57,7 @@
     insert(job);
 }
 
-void job_queue::put_back(const queued_job& job)
+void job_queue::demote(const queued_job& job)
 {
     const auto known = jobs_.find(job.sequence);
     if (known == jobs_.end())
--- a/src/glenhollow/decision/queue_order.hpp
+++ b/src/glenhollow/decision/queue_order.hpp
@@ -73,7 +73,7 @@
 
     /// Puts a task of a job back, such as one that was refused not_run.
     /// @param job The job as it was pushed; its tasks_left is 1.
-    void put_back(const queued_job& job);
+    void demote(const queued_job& job);
 
     /// @param sequence A job that may be in the queue; all of it is taken out.
     void remove(std::uint64_t sequence);
--- a/src/glenhollow/durable/agent_sessions.cpp
+++ b/src/glenhollow/durable/agent_sessions.cpp
@@ -42,6 +42,8 @@
         auto renewed = results.initRenewed(static_cast<unsigned>(owned.size()));
         for (unsigned i = 0; i < renewed.size(); ++i)
             fill(renewed[i], owned[i]);
+        const auto ends = sessions_.listener_.take_confirmed(agent_);
+        fill(results.initConfirmed(static_cast<unsigned>(ends.size())), ends);
         return kj::READY_NOW;
     }
 
--- a/src/glenhollow/durable/agent_sessions.hpp
+++ b/src/glenhollow/durable/agent_sessions.hpp
@@ -47,6 +47,10 @@
                                 const std::vector<run_end>& ends,
                                 const std::vector<run_ref>& begun) = 0;
 
+    /// @param agent It waits for the answer to its report.
+    /// @return Ends that it need not keep any more.
+    virtual std::vector<run_end> take_confirmed(const std::string& agent) = 0;
+
     /// @return The parts whose leases a report renews.
     virtual std::vector<part_epoch> owned_parts() const = 0;
 
--- a/src/glenhollow/durable/agent_view.hpp
+++ b/src/glenhollow/durable/agent_view.hpp
@@ -31,17 +31,17 @@
 {
 public:
     /// @param name Of the agent.
-    /// @param lot Orders it among agents that are alike.
-    explicit agent_view(std::string name, std::uint64_t lot = 0)
-        : name_(std::move(name)), lot_(lot)
+    /// @param tie_breaker Random, for agents that rank alike.
+    explicit agent_view(std::string name, std::uint64_t tie_breaker = 0)
+        : name_(std::move(name)), tie_breaker_(tie_breaker)
     {
     }
 
     /// @return The agent's name.
     const std::string& name() const { return name_; }
 
-    /// @return Orders it among agents that are alike.
-    std::uint64_t lot() const { return lot_; }
+    /// @return Random; orders agents that rank alike.
+    std::uint64_t tie_breaker() const { return tie_breaker_; }
 
     /// A session is open.
     /// @param report What it said then.
@@ -142,7 +142,7 @@
     };
 
     std::string name_;                ///< Of the agent.
-    std::uint64_t lot_;               ///< Order among like ones.
+    std::uint64_t tie_breaker_;       ///< Order among like ones.
     bool linked_ = false;             ///< Its session is open.
     runner_report report_;            ///< Its latest word.
     std::deque<flying_batch> flying_; ///< On their way.
--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -27,13 +27,14 @@
 dispatcher::dispatcher(const clock_source& clock, order_sender& sender,
                        task_source& tasks, const dispatcher_settings& settings)
     : clock_(clock), sender_(sender), tasks_(tasks), settings_(settings),
-      lots_(settings.seed)
+      tie_breakers_(settings.seed)
 {
 }
 
 void dispatcher::attached(const std::string& agent, const runner_report& report)
 {
-    const auto [known, is_new] = agents_.try_emplace(agent, agent, lots_());
+    const auto [known, is_new] =
+        agents_.try_emplace(agent, agent, tie_breakers_());
     if (is_new && takes_)
         known->second.ours = takes_(agent);
     known->second.attached(report);
@@ -174,6 +175,14 @@
     remove(service, key);
 }
 
+std::vector<run_end> dispatcher::take_confirmed(const std::string& agent)
+{
+    auto* known = linked_agent(agent);
+    if (known == nullptr)
+        return {};
+    return std::exchange(known->outbox.confirmed, {});
+}
+
 agent_view* dispatcher::linked_agent(const std::string& name)
 {
     const auto known = agents_.find(name);
@@ -237,7 +246,7 @@
     out.crowded = taken > settings_.crowded;
     out.slowness = static_cast<int>(agent.pace() * classes_of_pace);
     out.taken = static_cast<int>(taken * quarters);
-    out.lot = agent.lot();
+    out.tie_breaker = agent.tie_breaker();
     return out;
 }
 
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -148,7 +148,7 @@
     std::uint64_t late = 0;     ///< Tasks put behind those in time.
     std::uint64_t no_place = 0; ///< Rounds that ended for want of room.
     std::uint64_t far = 0;      ///< Placed without the preferred label.
-    std::uint64_t put_back = 0; ///< Jobs put behind others under overload.
+    std::uint64_t demoted = 0;  ///< Jobs put behind others under overload.
     std::uint64_t granted = 0;  ///< Places for tasks of other entries.
     std::uint64_t declined = 0; ///< Of these, not used.
 };
@@ -251,6 +251,10 @@
     /// @param end An end that is in the journal.
     void confirm(const std::string& agent, const run_end& end);
 
+    /// @param agent It is being answered, so that they need no message.
+    /// @return Ends there that were confirmed and not yet told.
+    std::vector<run_end> take_confirmed(const std::string& agent);
+
     /// Places what can be placed and sends all orders.
     void dispatch();
 
@@ -289,7 +293,7 @@
                     ///< lost if the rest does not start in time as well.
         in_time,    ///< Their jobs can meet their objectives.
         late_begun, ///< Late, of jobs that have begun: what they did counts.
-        late        ///< Late, or standing back.
+        late        ///< Late, or demoted under overload.
     };
 
     /// Place in the queue.
@@ -331,14 +335,14 @@
     /// How well a runner suits a task; smaller is better.
     struct rank
     {
-        bool ejected = false;  ///< Its runs ended badly.
-        bool avoid = false;    ///< The task failed there.
-        bool far = false;      ///< It lacks the preferred label.
-        bool hot = false;      ///< Others prefer it.
-        bool crowded = false;  ///< Little room is left.
-        int slowness = 0;      ///< Class of its pace.
-        int taken = 0;         ///< Quarters of its cores.
-        std::uint64_t lot = 0; ///< Drawn by this entry for this runner.
+        bool ejected = false;          ///< Its runs ended badly.
+        bool avoid = false;            ///< The task failed there.
+        bool far = false;              ///< It lacks the preferred label.
+        bool hot = false;              ///< Others prefer it.
+        bool crowded = false;          ///< Little room is left.
+        int slowness = 0;              ///< Class of its pace.
+        int taken = 0;                 ///< Quarters of its cores.
+        std::uint64_t tie_breaker = 0; ///< Drawn by this entry for this runner.
 
         auto operator<=>(const rank&) const = default;
     };
@@ -376,7 +380,7 @@
     void put_late_last(service_queue& queue);
     void raise(service_queue& queue, const std::vector<queue_key>& keys);
     double cores_for_late(const std::string& service) const;
-    void put_back(service_queue& queue);
+    void demote(service_queue& queue);
     void move_to_late(service_queue& queue, const std::vector<queue_key>& keys);
     void raise_begun(service_queue& queue);
     void review();
@@ -398,7 +402,7 @@
         by_task_;         ///< Place of a task; its run is its entry's number.
     label_demand demand_; ///< Work by preferred label.
     instant reviewed_{};  ///< When the queues were last looked over.
-    random_engine lots_;  ///< Draws an order among like runners.
+    random_engine tie_breakers_;     ///< Draws an order among like runners.
     std::uint64_t sequence_ = 0;     ///< Of queue places.
     grant_sender* grants_ = nullptr; ///< Tells other entries.
     std::map<entry_number, std::vector<task_grant>> granted_; ///< To be told.
--- a/src/glenhollow/durable/dispatcher_overload.cpp
+++ b/src/glenhollow/durable/dispatcher_overload.cpp
@@ -33,7 +33,7 @@
 }
 
 /// Under overload some jobs go behind all others before they are late.
-void dispatcher::put_back(service_queue& queue)
+void dispatcher::demote(service_queue& queue)
 {
     std::vector<waiting_task> tasks;
     for (const auto& [key, task] : queue.tasks)
@@ -44,16 +44,17 @@
         tasks.push_back({job, task.priority, last_moment(task), work_of(task),
                          queue.jobs.at(job).begun});
     }
-    const auto back = jobs_to_put_back(tasks, queue.rate.cores(), clock_.now());
-    if (back.empty())
+    const auto demoted =
+        jobs_to_demote(tasks, queue.rate.cores(), clock_.now());
+    if (demoted.empty())
         return;
     std::vector<queue_key> keys;
     for (const auto& [key, task] : queue.tasks)
     {
-        if (is_in_time(key.rank) && back.contains(job_key(task)))
+        if (is_in_time(key.rank) && demoted.contains(job_key(task)))
             keys.push_back(key);
     }
-    stats_.put_back += back.size();
+    stats_.demoted += demoted.size();
     move_to_late(queue, keys);
 }
 
@@ -98,7 +99,7 @@
     for (auto& [service, queue] : queues_)
     {
         queue.rate.review(now, queue.work >= least_backlog);
-        put_back(queue);
+        demote(queue);
         raise_begun(queue);
     }
 }
--- a/src/glenhollow/durable/durable_jobs.hpp
+++ b/src/glenhollow/durable/durable_jobs.hpp
@@ -1,7 +1,7 @@
 #ifndef GLENHOLLOW_DURABLE_DURABLE_JOBS_HPP
 #define GLENHOLLOW_DURABLE_DURABLE_JOBS_HPP
 
-#include "glenhollow/durable/job_board.hpp"
+#include "glenhollow/durable/job_coordinator.hpp"
 #include "glenhollow/durable/queue_catalog.hpp"
 
 #include <functional>
--- a/src/glenhollow/durable/durable_metrics.cpp
+++ b/src/glenhollow/durable/durable_metrics.cpp
@@ -6,10 +6,10 @@
 
 void durable_service::collect_parts(metric_page& page)
 {
-    job_board_stats jobs;
+    job_coordinator_stats jobs;
     journal_chain_stats journal;
     double open = 0;
-    const auto add = [&](job_board& part)
+    const auto add = [&](job_coordinator& part)
     {
         const auto& one = part.stats();
         jobs.accepted += one.accepted;
@@ -95,7 +95,7 @@
     count("order_batches_total", "Messages to agents", placed.batches);
     count("tasks_late_total", "Tasks put behind those in time", placed.late);
     count("jobs_demoted_total", "Jobs put behind others under overload",
-          placed.put_back);
+          placed.demoted);
     count("tasks_far_total", "Placed without the preferred label", placed.far);
     count("rounds_without_room_total", "Rounds that left tasks waiting",
           placed.no_place);
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -60,7 +60,7 @@
     return settings;
 }
 
-job_board_settings memory_of(const durable_service_settings& of)
+job_coordinator_settings memory_of(const durable_service_settings& of)
 {
     auto settings = of.memory;
     settings.entry = of.entry;
@@ -141,7 +141,7 @@
     };
 }
 
-job_board::surroundings durable_service::surroundings()
+job_coordinator::surroundings durable_service::surroundings()
 {
     return {clock_, wall_milliseconds, store_, dispatcher_, delay()};
 }
@@ -253,7 +253,7 @@
             continue;
         silence.parts_ended = true;
         log_change(log_level::warning, "agent_given_up", {{"agent", agent}});
-        ownership_.for_each([&agent = agent](job_board& part)
+        ownership_.for_each([&agent = agent](job_coordinator& part)
                             { part.agent_gone(agent); });
     }
 }
@@ -458,12 +458,12 @@
     dispatcher_.reported(agent, report);
     for (const auto& run : begun)
     {
-        if (auto* jobs = board_of(run))
+        if (auto* jobs = coordinator_of(run))
             jobs->began(run);
     }
     for (const auto& end : ends)
     {
-        if (auto* jobs = board_of(end.run))
+        if (auto* jobs = coordinator_of(end.run))
             jobs->ended(agent, end);
     }
     schedule_dispatch();
@@ -476,7 +476,7 @@
     return parts;
 }
 
-job_board* durable_service::board_of(const run_ref& run)
+job_coordinator* durable_service::coordinator_of(const run_ref& run)
 {
     if (run.in_memory())
         return &memory_;
@@ -500,7 +500,7 @@
     view.agents = static_cast<std::uint32_t>(agents_.attached());
     view.started = started_;
     ownership_.for_each(
-        [&view](job_board& part)
+        [&view](job_coordinator& part)
         {
             for (const auto& [queue, count] : part.pending())
                 view.pending.push_back({queue, part.epoch().part, count});
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -40,7 +40,7 @@
     duration store_patience = milliseconds{500}; ///< Failing for so long, the
                                                  ///< store is unreachable.
     part_ownership_settings ownership;           ///< Limits.
-    job_board_settings memory;                   ///< Limits of jobs in memory.
+    job_coordinator_settings memory;             ///< Limits of jobs in memory.
     agent_sessions_settings agents;              ///< Limits.
     entry_peers_settings peers;                  ///< Limits.
     job_router_settings router;                  ///< Limits.
@@ -123,6 +123,10 @@
     void agent_reported(const std::string& agent, const runner_report& report,
                         const std::vector<run_end>& ends,
                         const std::vector<run_ref>& begun) override;
+    std::vector<run_end> take_confirmed(const std::string& agent) override
+    {
+        return dispatcher_.take_confirmed(agent);
+    }
     std::vector<part_epoch> owned_parts() const override;
     duration room_gap(const std::string& agent,
                       std::size_t agents) const override;
@@ -146,7 +150,7 @@
     std::optional<run_order> assign(const ready_task& task,
                                     const std::string& agent) override;
 
-    job_board* board_of(const run_ref& run);
+    job_coordinator* coordinator_of(const run_ref& run);
     void take_member(const stored_row& row);
     void take_catalog_row(const stored_row& row);
     void take_document(const std::string& document, std::string_view source);
@@ -159,7 +163,7 @@
     void schedule_dispatch();
     void collect_parts(metric_page& page);
     void collect_router(metric_page& page) const;
-    job_board::surroundings surroundings();
+    job_coordinator::surroundings surroundings();
     journal_chain::delay delay();
 
     /// Guards delayed work; first, since the others' delays hold it.
@@ -182,7 +186,7 @@
     duration lag_{};               ///< Of timers, on average.
     bool timely_ = true;           ///< They come in time.
     part_ownership ownership_;     ///< This entry's parts.
-    job_board memory_;             ///< Jobs kept in memory alone.
+    job_coordinator memory_;       ///< Jobs kept in memory alone.
     job_router router_;            ///< Brings calls to owners.
     table_follower members_;       ///< Rows of processes.
     table_follower configuration_; ///< Rows of the operator.
--- a/src/glenhollow/durable/entry_peers.hpp
+++ b/src/glenhollow/durable/entry_peers.hpp
@@ -2,7 +2,7 @@
 #define GLENHOLLOW_DURABLE_ENTRY_PEERS_HPP
 
 #include "glenhollow/durable/exchange_pacing.hpp"
-#include "glenhollow/durable/job_board.hpp"
+#include "glenhollow/durable/job_coordinator.hpp"
 #include "glenhollow/rpc/rpc_link.hpp"
 #include "glenhollow/wire/glenhollow.capnp.h"
 
--- a/src/glenhollow/durable/job_board.cpp
+++ b/src/glenhollow/durable/job_coordinator.cpp
@@ -1,4 +1,4 @@
-#include "glenhollow/durable/job_board.hpp"
+#include "glenhollow/durable/job_coordinator.hpp"
 
 #include "glenhollow/telemetry/log.hpp"
 
@@ -28,11 +28,11 @@
 
 } // namespace
 
-job_board::job_board(surroundings around, part_number part,
-                     const chain_head& head, loaded_part loaded,
-                     std::set<std::string> awaited,
-                     const job_board_settings& settings,
-                     std::function<void()> on_lost)
+job_coordinator::job_coordinator(surroundings around, part_number part,
+                                 const chain_head& head, loaded_part loaded,
+                                 std::set<std::string> awaited,
+                                 const job_coordinator_settings& settings,
+                                 std::function<void()> on_lost)
     : around_(std::move(around)), part_(part), epoch_(head.epoch),
       settings_(settings),
       chain_(std::make_unique<journal_chain>(around_.store, around_.later, part,
@@ -72,24 +72,25 @@
         all_agents_told();
 }
 
-job_board::job_board(surroundings around, const job_board_settings& settings)
+job_coordinator::job_coordinator(surroundings around,
+                                 const job_coordinator_settings& settings)
     : around_(std::move(around)), part_(memory_part), epoch_(0),
       settings_(settings), claimed_(around_.clock.now())
 {
 }
 
-job_board::~job_board()
+job_coordinator::~job_coordinator()
 {
     *alive_ = false;
 }
 
-row_key job_board::key(std::string_view table, job_id id) const
+row_key job_coordinator::key(std::string_view table, job_id id) const
 {
     return {std::string(table), part_name(part_), to_text(id)};
 }
 
-std::uint32_t job_board::flat_index(const job_definition& job,
-                                    const task_ref& task) const
+std::uint32_t job_coordinator::flat_index(const job_definition& job,
+                                          const task_ref& task) const
 {
     std::uint32_t flat = task.index;
     for (std::uint32_t i = 0; i < task.step && i < job.steps.size(); ++i)
@@ -97,7 +98,8 @@
     return flat;
 }
 
-task_ref job_board::ref_of(const job_definition& job, std::uint32_t flat) const
+task_ref job_coordinator::ref_of(const job_definition& job,
+                                 std::uint32_t flat) const
 {
     task_ref task{job.id, 0, 0, flat};
     while (task.index >= job.steps[task.step].count)
@@ -105,14 +107,14 @@
     return task;
 }
 
-const job_step& job_board::step_of(const job_definition& job,
-                                   std::uint32_t flat) const
+const job_step& job_coordinator::step_of(const job_definition& job,
+                                         std::uint32_t flat) const
 {
     return job.steps[ref_of(job, flat).step];
 }
 
-std::optional<job_board::refusal>
-job_board::refusal_of(const job_definition& job) const
+std::optional<job_coordinator::refusal>
+job_coordinator::refusal_of(const job_definition& job) const
 {
     if (refusing_)
         return refusal{reason::stopping, refusal_wait};
@@ -130,7 +132,7 @@
                    milliseconds{static_cast<std::int64_t>(wait)}};
 }
 
-void job_board::submit(const job_definition& job, job_reply_handler done)
+void job_coordinator::submit(const job_definition& job, job_reply_handler done)
 {
     const auto ended = ended_.find(job.id);
     if (ended != ended_.end())
@@ -178,8 +180,8 @@
     chain_->append(std::move(entry));
 }
 
-void job_board::accept_in_memory(const job_definition& job,
-                                 job_reply_handler done)
+void job_coordinator::accept_in_memory(const job_definition& job,
+                                       job_reply_handler done)
 {
     ++stats_.accepted;
     job_record record;
@@ -197,7 +199,7 @@
 /// Begun any later a job could not end before its caller gives up. One that is
 /// late anyway is worth little, and the sooner its caller knows that it was
 /// not run the more it can do about it.
-instant job_board::latest_begin(const job_record& record) const
+instant job_coordinator::latest_begin(const job_record& record) const
 {
     const auto& job = record.job;
     const auto chain = milliseconds{job.longest_chain_ms()};
@@ -210,7 +212,7 @@
     return around_.clock.now() + latest;
 }
 
-void job_board::withdraw(job_id id)
+void job_coordinator::withdraw(job_id id)
 {
     const auto known = jobs_.find(id);
     if (known == jobs_.end() || known->second.ending)
@@ -219,7 +221,7 @@
     drop(known->second);
 }
 
-void job_board::give_up_late()
+void job_coordinator::give_up_late()
 {
     const auto now = around_.clock.now();
     while (!reviews_.empty() && reviews_.begin()->first <= now)
@@ -236,7 +238,7 @@
     }
 }
 
-void job_board::give_up_all()
+void job_coordinator::give_up_all()
 {
     while (!reviews_.empty())
         give_up(jobs_.at(reviews_.begin()->second));
@@ -245,7 +247,7 @@
 /// Its end would be worth nothing any more. Where no task was ever handed out
 /// the job was surely not run; else nothing is said of how it ended, for it has
 /// not failed by itself.
-void job_board::give_up(job_record& record)
+void job_coordinator::give_up(job_record& record)
 {
     ++stats_.given_up;
     const auto id = record.job.id;
@@ -259,7 +261,7 @@
 }
 
 /// Ends a job in memory that has no end of its own to tell.
-void job_board::drop(job_record& record)
+void job_coordinator::drop(job_record& record)
 {
     const auto id = record.job.id;
     stop_runs(record);
@@ -272,14 +274,14 @@
 }
 
 /// Its time goes with it: the same id may come again.
-void job_board::erase(job_map::iterator job)
+void job_coordinator::erase(job_map::iterator job)
 {
     reviews_.erase({job->second.review_at, job->first});
     jobs_.erase(job);
 }
 
 /// Jobs in memory have nothing to write: it is done at once.
-void job_board::write(journal_entry entry)
+void job_coordinator::write(journal_entry entry)
 {
     if (chain_)
         return chain_->append(std::move(entry));
@@ -287,12 +289,12 @@
         entry.done(journal_verdict::durable);
 }
 
-std::uint32_t job_board::first_run() const
+std::uint32_t job_coordinator::first_run() const
 {
     return chain_ ? (epoch_ - 1) * runs_an_epoch : first_memory_run;
 }
 
-void job_board::accepted(job_id id, journal_verdict verdict)
+void job_coordinator::accepted(job_id id, journal_verdict verdict)
 {
     const auto known = jobs_.find(id);
     if (known == jobs_.end())
@@ -326,7 +328,8 @@
         waiter(reply);
 }
 
-bool job_board::step_done(const job_record& record, std::uint32_t step) const
+bool job_coordinator::step_done(const job_record& record,
+                                std::uint32_t step) const
 {
     std::uint32_t first = 0;
     for (std::uint32_t i = 0; i < step; ++i)
@@ -339,7 +342,7 @@
     return true;
 }
 
-void job_board::make_ready(job_record& record)
+void job_coordinator::make_ready(job_record& record)
 {
     if (record.ending || !record.accepted ||
         (!record.fresh && !awaited_.empty()))
@@ -358,7 +361,7 @@
     }
 }
 
-void job_board::enqueue(job_record& record, std::uint32_t flat)
+void job_coordinator::enqueue(job_record& record, std::uint32_t flat)
 {
     auto& task = record.tasks[flat];
     const auto& step = step_of(record.job, flat);
@@ -379,8 +382,8 @@
     around_.placing.enqueue(std::move(ready));
 }
 
-std::optional<run_order> job_board::assign(const ready_task& task,
-                                           const std::string& agent)
+std::optional<run_order> job_coordinator::assign(const ready_task& task,
+                                                 const std::string& agent)
 {
     const auto known = jobs_.find(task.task.job);
     if (known == jobs_.end() || known->second.ending)
@@ -402,8 +405,9 @@
     return order_of(record, flat, {task.task, placed.run});
 }
 
-run_order job_board::order_of(const job_record& record, std::uint32_t flat,
-                              const run_ref& run) const
+run_order job_coordinator::order_of(const job_record& record,
+                                    std::uint32_t flat,
+                                    const run_ref& run) const
 {
     const auto& step = step_of(record.job, flat);
     run_order order;
@@ -416,7 +420,7 @@
     return order;
 }
 
-void job_board::cancel(job_id id, job_reply_handler done)
+void job_coordinator::cancel(job_id id, job_reply_handler done)
 {
     const auto ended = ended_.find(id);
     if (ended != ended_.end())
@@ -431,7 +435,7 @@
     journal_end(record, job_state::cancelled, nullptr);
 }
 
-void job_board::state(job_id id, job_reply_handler done)
+void job_coordinator::state(job_id id, job_reply_handler done)
 {
     const auto ended = ended_.find(id);
     if (ended != ended_.end())
@@ -454,7 +458,7 @@
                   });
 }
 
-void job_board::tell_state(job_record& record, job_reply_handler done)
+void job_coordinator::tell_state(job_record& record, job_reply_handler done)
 {
     if (record.ending)
     {
@@ -465,7 +469,7 @@
     done({job_outcome::done, state, {}});
 }
 
-void job_board::state_after_wait(job_id id, const job_reply_handler& done)
+void job_coordinator::state_after_wait(job_id id, const job_reply_handler& done)
 {
     const auto ended = ended_.find(id);
     if (ended != ended_.end())
@@ -476,7 +480,7 @@
     tell_state(known->second, done);
 }
 
-std::map<std::string, std::uint32_t> job_board::pending() const
+std::map<std::string, std::uint32_t> job_coordinator::pending() const
 {
     std::map<std::string, std::uint32_t> counts;
     for (const auto& [id, record] : jobs_)
@@ -487,7 +491,7 @@
     return counts;
 }
 
-void job_board::tick()
+void job_coordinator::tick()
 {
     if (!awaited_.empty() &&
         around_.clock.now() - claimed_ > settings_.agent_silence)
@@ -501,7 +505,7 @@
     forget_old();
 }
 
-void job_board::forget_old()
+void job_coordinator::forget_old()
 {
     constexpr std::size_t most = 40;
     const auto limit = around_.wall_ms() - to_ms(settings_.keep_ended);
@@ -519,7 +523,7 @@
         write(std::move(entry));
 }
 
-void job_board::abandon()
+void job_coordinator::abandon()
 {
     if (chain_)
         chain_->abandon();
--- a/src/glenhollow/durable/job_board.hpp
+++ b/src/glenhollow/durable/job_coordinator.hpp
@@ -1,5 +1,5 @@
-#ifndef GLENHOLLOW_DURABLE_JOB_BOARD_HPP
-#define GLENHOLLOW_DURABLE_JOB_BOARD_HPP
+#ifndef GLENHOLLOW_DURABLE_JOB_COORDINATOR_HPP
+#define GLENHOLLOW_DURABLE_JOB_COORDINATOR_HPP
 
 #include "glenhollow/core/clock.hpp"
 #include "glenhollow/core/verdict.hpp"
@@ -52,7 +52,7 @@
 using job_reply_handler = std::function<void(const job_reply&)>;
 
 /// Limits of a part's jobs.
-struct job_board_settings
+struct job_coordinator_settings
 {
     std::string entry;                           ///< Name of this entry.
     std::size_t parts = 3;                       ///< Of the journal.
@@ -70,7 +70,7 @@
 };
 
 /// Counters of a part's jobs.
-struct job_board_stats
+struct job_coordinator_stats
 {
     std::uint64_t accepted = 0;  ///< Jobs taken.
     std::uint64_t repeated = 0;  ///< Submissions of a known job.
@@ -87,7 +87,7 @@
 /// The jobs of one part at its owner, or those that an entry keeps in memory
 /// alone: accepts, journals, hands out tasks, takes their ends, answers for
 /// their state. One thread.
-class job_board final
+class job_coordinator final
 {
 public:
     using wall_clock = std::function<std::int64_t()>;
@@ -109,16 +109,18 @@
     /// @param awaited Agents that may run something of it.
     /// @param settings Limits.
     /// @param on_lost Told when another entry has taken the part.
-    job_board(surroundings around, part_number part, const chain_head& head,
-              loaded_part loaded, std::set<std::string> awaited,
-              const job_board_settings& settings,
-              std::function<void()> on_lost);
+    job_coordinator(surroundings around, part_number part,
+                    const chain_head& head, loaded_part loaded,
+                    std::set<std::string> awaited,
+                    const job_coordinator_settings& settings,
+                    std::function<void()> on_lost);
 
     /// For jobs in memory.
     /// @param around What it needs.
     /// @param settings Limits.
-    job_board(surroundings around, const job_board_settings& settings);
-    ~job_board();
+    job_coordinator(surroundings around,
+                    const job_coordinator_settings& settings);
+    ~job_coordinator();
 
     /// @return The part and the epoch of this ownership.
     part_epoch epoch() const { return {part_, epoch_}; }
@@ -187,7 +189,7 @@
     std::size_t open_jobs() const { return jobs_.size(); }
 
     /// @return Counters.
-    const job_board_stats& stats() const { return stats_; }
+    const job_coordinator_stats& stats() const { return stats_; }
 
     /// @return Counters of the journal.
     journal_chain_stats journal_stats() const
@@ -286,7 +288,7 @@
     surroundings around_;                           ///< Of the entry.
     part_number part_;                              ///< Which part.
     std::uint32_t epoch_;                           ///< Of this ownership.
-    job_board_settings settings_;                   ///< Limits.
+    job_coordinator_settings settings_;             ///< Limits.
     std::unique_ptr<journal_chain> chain_;          ///< Its journal.
     job_map jobs_;                                  ///< Not ended.
     std::unordered_map<job_id, job_epitaph> ended_; ///< Ended.
@@ -295,7 +297,7 @@
     std::set<std::string> awaited_;                ///< Agents not heard yet.
     bool refusing_ = false;                        ///< Takes no more new jobs.
     instant claimed_;                              ///< When the part was taken.
-    job_board_stats stats_;                        ///< Counters.
+    job_coordinator_stats stats_;                  ///< Counters.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
 };
 
--- a/src/glenhollow/durable/job_board_ends.cpp
+++ b/src/glenhollow/durable/job_coordinator_ends.cpp
@@ -1,5 +1,5 @@
 // What agents tell of runs, and how a job ends by it.
-#include "glenhollow/durable/job_board.hpp"
+#include "glenhollow/durable/job_coordinator.hpp"
 
 #include "glenhollow/telemetry/log.hpp"
 
@@ -10,8 +10,8 @@
 namespace glenhollow
 {
 
-void job_board::account_of(const std::string& agent,
-                           const lease_account& account)
+void job_coordinator::account_of(const std::string& agent,
+                                 const lease_account& account)
 {
     requeue_unlisted(agent, account);
     for (const auto& run : account.runs)
@@ -26,7 +26,7 @@
         all_agents_told();
 }
 
-void job_board::listed(const std::string& agent, const listed_run& run)
+void job_coordinator::listed(const std::string& agent, const listed_run& run)
 {
     const auto known = jobs_.find(run.run.task.job);
     if (known == jobs_.end() && !chain_ && !run.sized)
@@ -58,8 +58,8 @@
 }
 
 /// Orders that the agent never got, or lost with its process.
-void job_board::requeue_unlisted(const std::string& agent,
-                                 const lease_account& account)
+void job_coordinator::requeue_unlisted(const std::string& agent,
+                                       const lease_account& account)
 {
     std::unordered_set<run_ref, run_ref_hash> told;
     for (const auto& run : account.runs)
@@ -79,7 +79,7 @@
     }
 }
 
-void job_board::agent_gone(const std::string& agent)
+void job_coordinator::agent_gone(const std::string& agent)
 {
     for (auto& [id, record] : jobs_)
     {
@@ -94,7 +94,7 @@
         all_agents_told();
 }
 
-void job_board::all_agents_told()
+void job_coordinator::all_agents_told()
 {
     for (auto& [id, record] : jobs_)
     {
@@ -104,20 +104,20 @@
     }
 }
 
-void job_board::place_again(job_record& record, std::uint32_t flat)
+void job_coordinator::place_again(job_record& record, std::uint32_t flat)
 {
     record.tasks[flat].phase = task_phase::blocked;
     make_ready(record);
 }
 
-void job_board::began(const run_ref& run)
+void job_coordinator::began(const run_ref& run)
 {
     const auto known = jobs_.find(run.task.job);
     if (known != jobs_.end())
         known->second.begun = true;
 }
 
-void job_board::ended(const std::string& agent, const run_end& end)
+void job_coordinator::ended(const std::string& agent, const run_end& end)
 {
     const auto known = jobs_.find(end.run.task.job);
     if (known == jobs_.end())
@@ -141,8 +141,8 @@
         place_again(record, flat);
 }
 
-void job_board::ended_well(job_record& record, std::uint32_t flat,
-                           const std::string& agent, const run_end& end)
+void job_coordinator::ended_well(job_record& record, std::uint32_t flat,
+                                 const std::string& agent, const run_end& end)
 {
     auto& task = record.tasks[flat];
     if (task.phase == task_phase::placed && task.run != end.run.run)
@@ -166,8 +166,8 @@
                 });
 }
 
-void job_board::ended_badly(job_record& record, std::uint32_t flat,
-                            const std::string& agent, const run_end& end)
+void job_coordinator::ended_badly(job_record& record, std::uint32_t flat,
+                                  const std::string& agent, const run_end& end)
 {
     auto& task = record.tasks[flat];
     const failed_run failure{flat, end.run.run};
@@ -203,8 +203,9 @@
                 });
 }
 
-void job_board::journal_progress(job_record& record, const std::string& agent,
-                                 const run_end& end)
+void job_coordinator::journal_progress(job_record& record,
+                                       const std::string& agent,
+                                       const run_end& end)
 {
     journal_entry entry;
     entry.urgency = journal_urgency::gathered;
@@ -219,8 +220,8 @@
     write(std::move(entry));
 }
 
-void job_board::journal_end(job_record& record, job_state state,
-                            std::function<void(journal_verdict)> also)
+void job_coordinator::journal_end(job_record& record, job_state state,
+                                  std::function<void(journal_verdict)> also)
 {
     record.ending = state;
     stop_runs(record);
@@ -242,7 +243,8 @@
     write(std::move(entry));
 }
 
-void job_board::finish(job_id id, job_state state, journal_verdict verdict)
+void job_coordinator::finish(job_id id, job_state state,
+                             journal_verdict verdict)
 {
     const auto known = jobs_.find(id);
     if (known == jobs_.end())
@@ -268,7 +270,7 @@
         waiter(reply);
 }
 
-void job_board::stop_runs(job_record& record)
+void job_coordinator::stop_runs(job_record& record)
 {
     for (std::uint32_t flat = 0; flat < record.tasks.size(); ++flat)
     {
@@ -281,7 +283,7 @@
     }
 }
 
-void job_board::remember(job_id id, const job_epitaph& end)
+void job_coordinator::remember(job_id id, const job_epitaph& end)
 {
     ended_[id] = end;
     ended_order_.emplace_back(end.ended_ms, id);
--- a/src/glenhollow/durable/overload_plan.cpp
+++ b/src/glenhollow/durable/overload_plan.cpp
@@ -10,14 +10,14 @@
 namespace
 {
 
-/// A job that could stand back; the greatest does first.
+/// A job that could be demoted; the greatest is first.
 struct candidate
 {
     std::uint32_t priority = 0; ///< Of its queue.
     instant start_by{};         ///< Of its tasks.
     job_id job = 0;             ///< Which.
 
-    /// @return Whether another one stands back first.
+    /// @return Whether another one is demoted first.
     bool operator<(const candidate& other) const
     {
         return std::tie(priority, start_by, job) <
@@ -28,18 +28,18 @@
 } // namespace
 
 std::unordered_set<job_id>
-jobs_to_put_back(const std::vector<waiting_task>& tasks, double cores,
-                 instant now)
+jobs_to_demote(const std::vector<waiting_task>& tasks, double cores,
+               instant now)
 {
-    std::unordered_set<job_id> back;
+    std::unordered_set<job_id> demoted;
     if (cores <= 0)
-        return back;
+        return demoted;
     std::unordered_map<job_id, double> work; // Before the task in question.
     std::priority_queue<candidate> candidates;
     double before = 0;
     for (const auto& task : tasks)
     {
-        if (back.contains(task.job))
+        if (demoted.contains(task.job))
             continue;
         if (!work.contains(task.job) && !task.begun)
             candidates.push({task.priority, task.start_by, task.job});
@@ -51,15 +51,15 @@
         {
             const auto victim = candidates.top().job;
             candidates.pop();
-            back.insert(victim);
+            demoted.insert(victim);
             before -= work[victim] - (victim == task.job ? task.core_ms : 0);
             if (victim == task.job)
                 break;
         }
-        if (!back.contains(task.job))
+        if (!demoted.contains(task.job))
             before += task.core_ms;
     }
-    return back;
+    return demoted;
 }
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/overload_plan.hpp
+++ b/src/glenhollow/durable/overload_plan.hpp
@@ -22,7 +22,7 @@
 };
 
 /// When more work waits than can start in time, a queue by urgency alone makes
-/// nearly every job a little late. This names the jobs that must stand back so
+/// nearly every job a little late. This names the jobs that must be demoted so
 /// that the others are in time: of those before the first task that would
 /// start too late, the least important one, and of these the one with most
 /// time left. Jobs that have begun are not named, for that would waste what
@@ -30,12 +30,12 @@
 /// @param tasks In the order in which they would start.
 /// @param cores That start work at the present rate.
 /// @param now The time.
-/// @return The jobs that stand back.
+/// @return The jobs to demote.
 /// @note Moore's rule for the fewest late jobs on one machine, with importance
 /// in place of length: J. M. Moore, Management Science 15 (1968).
 std::unordered_set<job_id>
-jobs_to_put_back(const std::vector<waiting_task>& tasks, double cores,
-                 instant now);
+jobs_to_demote(const std::vector<waiting_task>& tasks, double cores,
+               instant now);
 
 } // namespace glenhollow
 
--- a/src/glenhollow/durable/part_ownership.cpp
+++ b/src/glenhollow/durable/part_ownership.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-part_ownership::part_ownership(job_board::surroundings around,
+part_ownership::part_ownership(job_coordinator::surroundings around,
                                const entry_peers& peers,
                                part_ownership_listener& listener,
                                const part_ownership_settings& settings)
@@ -40,7 +40,7 @@
     *alive_ = false;
 }
 
-job_board* part_ownership::find(part_number part)
+job_coordinator* part_ownership::find(part_number part)
 {
     const auto known = seats_.find(part);
     return known == seats_.end() ? nullptr : known->second.jobs.get();
@@ -57,7 +57,8 @@
     return all;
 }
 
-void part_ownership::for_each(const std::function<void(job_board&)>& visit)
+void part_ownership::for_each(
+    const std::function<void(job_coordinator&)>& visit)
 {
     for (auto& [part, at] : seats_)
     {
@@ -272,19 +273,19 @@
         awaited.clear();
     auto limits = settings_.jobs;
     limits.parts = settings_.parts;
-    at.jobs = std::make_unique<job_board>(around_, part, head, std::move(*rows),
-                                          std::move(awaited), limits,
-                                          [this, alive = alive_, part]
-                                          {
-                                              // The chain that tells of its
-                                              // loss is part of what ends.
-                                              around_.later(duration{0},
-                                                            [this, alive, part]
-                                                            {
-                                                                if (*alive)
-                                                                    lose(part);
-                                                            });
-                                          });
+    at.jobs = std::make_unique<job_coordinator>(
+        around_, part, head, std::move(*rows), std::move(awaited), limits,
+        [this, alive = alive_, part]
+        {
+            // The chain that tells of its
+            // loss is part of what ends.
+            around_.later(duration{0},
+                          [this, alive, part]
+                          {
+                              if (*alive)
+                                  lose(part);
+                          });
+        });
     listener_.part_gained(at.jobs->epoch());
 }
 
--- a/src/glenhollow/durable/part_ownership.hpp
+++ b/src/glenhollow/durable/part_ownership.hpp
@@ -2,7 +2,7 @@
 #define GLENHOLLOW_DURABLE_PART_OWNERSHIP_HPP
 
 #include "glenhollow/durable/entry_peers.hpp"
-#include "glenhollow/durable/job_board.hpp"
+#include "glenhollow/durable/job_coordinator.hpp"
 
 #include <functional>
 #include <map>
@@ -25,7 +25,7 @@
     duration rank_step = milliseconds{250}; ///< Between candidates.
     duration claim_retry = milliseconds{150}; ///< After a claim that failed.
     duration balance_after = seconds{2}; ///< Calm before a part is given away.
-    job_board_settings jobs;             ///< Limits of the parts' jobs.
+    job_coordinator_settings jobs;       ///< Limits of the parts' jobs.
 };
 
 /// Counters of ownership.
@@ -63,8 +63,8 @@
     /// @param peers The other entries; outlive it.
     /// @param listener Told; outlives it.
     /// @param settings Limits.
-    part_ownership(job_board::surroundings around, const entry_peers& peers,
-                   part_ownership_listener& listener,
+    part_ownership(job_coordinator::surroundings around,
+                   const entry_peers& peers, part_ownership_listener& listener,
                    const part_ownership_settings& settings);
     ~part_ownership();
 
@@ -76,7 +76,7 @@
 
     /// @param part A part.
     /// @return Its jobs, or null where this entry does not own it.
-    job_board* find(part_number part);
+    job_coordinator* find(part_number part);
 
     /// @return All parts that this entry owns and has loaded.
     std::vector<part_epoch> owned() const;
@@ -88,18 +88,18 @@
     const part_ownership_stats& stats() const { return stats_; }
 
     /// @param visit Called for each owned part.
-    void for_each(const std::function<void(job_board&)>& visit);
+    void for_each(const std::function<void(job_coordinator&)>& visit);
 
 private:
     /// One part as seen from here.
     struct seat
     {
-        std::unique_ptr<job_board> jobs; ///< While owned and loaded.
-        bool claiming = false;           ///< A claim or a load is under way.
-        instant free_since{};            ///< No live owner; zero: there is one.
-        instant retry_at{};              ///< Next claim not before.
-        chain_head seen;                 ///< Head at the first look.
-        bool looked = false;             ///< There was a first look.
+        std::unique_ptr<job_coordinator> jobs; ///< While owned and loaded.
+        bool claiming = false; ///< A claim or a load is under way.
+        instant free_since{};  ///< No live owner; zero: there is one.
+        instant retry_at{};    ///< Next claim not before.
+        chain_head seen;       ///< Head at the first look.
+        bool looked = false;   ///< There was a first look.
     };
 
     bool has_live_owner(part_number part) const;
@@ -120,17 +120,17 @@
     void balance();
     std::vector<std::string> candidates() const;
 
-    job_board::surroundings around_;    ///< What parts need.
-    const entry_peers& peers_;          ///< The other entries.
-    part_ownership_listener& listener_; ///< Told.
-    part_ownership_settings settings_;  ///< Limits.
-    std::map<part_number, seat> seats_; ///< All parts.
-    bool reachable_ = true;             ///< The store answers this entry.
-    bool stopping_ = false;             ///< Gives all away.
-    instant stopping_since_{};          ///< When that began.
-    instant changed_{};                 ///< Last change of owners.
-    std::vector<part_epoch> released_;  ///< Given away lately.
-    part_ownership_stats stats_;        ///< Counters.
+    job_coordinator::surroundings around_; ///< What parts need.
+    const entry_peers& peers_;             ///< The other entries.
+    part_ownership_listener& listener_;    ///< Told.
+    part_ownership_settings settings_;     ///< Limits.
+    std::map<part_number, seat> seats_;    ///< All parts.
+    bool reachable_ = true;                ///< The store answers this entry.
+    bool stopping_ = false;                ///< Gives all away.
+    instant stopping_since_{};             ///< When that began.
+    instant changed_{};                    ///< Last change of owners.
+    std::vector<part_epoch> released_;     ///< Given away lately.
+    part_ownership_stats stats_;           ///< Counters.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
 };
 
--- a/src/glenhollow/entry/coordinator.cpp
+++ b/src/glenhollow/entry/coordinator.cpp
@@ -686,7 +686,7 @@
         auto& owner = *known->second;
         owner.tasks[key.task].at = task::stage::waiting;
         owner.waiting.push_back(key.task);
-        queue_of(owner).put_back(queue_entry(owner, 1));
+        queue_of(owner).demote(queue_entry(owner, 1));
     }
     for (runner_index i = 0; i < views_.size(); ++i)
     {
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -26,7 +26,7 @@
             return kj::READY_NOW; // Another session has replaced this one.
         const lease_id lease =
             part.part == memory_part ? session->memory : part.part;
-        const auto known = service_.keeper_.adopt(lease, part.epoch);
+        const auto known = service_.manager_.adopt(lease, part.epoch);
         auto out = context.getResults();
         out.setDeclined(known.declined);
         auto runs = out.initRuns(static_cast<unsigned>(known.runs.size()));
@@ -49,20 +49,20 @@
         ++service_.batches_;
         session->marks.room = true;
         auto batch = from_wire(context.getParams().getBatch());
-        auto& keeper = service_.keeper_;
+        auto& manager = service_.manager_;
         if (batch.leased_at.count() != 0)
-            keeper.renew(session->memory, 0,
-                         std::min(batch.leased_at, service_.clock_.now()));
+            manager.renew(session->memory, 0,
+                          std::min(batch.leased_at, service_.clock_.now()));
         for (const auto& end : batch.confirmed)
-            keeper.confirm(end);
+            manager.confirm(end);
         for (const auto& size : batch.sizes)
-            keeper.size(size, session->memory);
+            manager.size(size, session->memory);
         for (const auto& run : batch.stops)
-            keeper.stop(run);
+            manager.stop(run);
         for (auto& start : batch.starts)
         {
             service_.note_grant(start);
-            keeper.order(std::move(start), session->memory);
+            manager.order(std::move(start), session->memory);
         }
         service_.ordered(*session);
         return kj::READY_NOW;
@@ -95,9 +95,11 @@
         auto out = context.getResults();
         out.setSession(kj::heap<session_server>(service_, service_.numbers_));
         out.setIncarnation(service_.incarnation_);
-        fill(
-            out.initState(),
-            {service_.keeper_.account(), service_.keeper_.room(), 0, true, {}});
+        fill(out.initState(), {service_.manager_.account(),
+                               service_.manager_.room(),
+                               0,
+                               true,
+                               {}});
         log_change(log_level::info, "entry_attached", {{"entry", entry}});
         return kj::READY_NOW;
     }
@@ -108,19 +110,19 @@
 
 run_agent_service::run_agent_service(boost::asio::io_context& io,
                                      const clock_source& clock,
-                                     run_keeper& keeper,
+                                     run_manager& manager,
                                      std::uint64_t incarnation,
                                      const report_pacing_settings& settings)
-    : io_(io), clock_(clock), keeper_(keeper), incarnation_(incarnation),
+    : io_(io), clock_(clock), manager_(manager), incarnation_(incarnation),
       pacing_(settings)
 {
-    keeper_.listen(this);
+    manager_.listen(this);
 }
 
 run_agent_service::~run_agent_service() noexcept
 {
     *alive_ = false;
-    keeper_.listen(nullptr);
+    manager_.listen(nullptr);
 }
 
 wire::RunAgent::Client run_agent_service::bootstrap()
@@ -147,9 +149,9 @@
     auto& opened = sessions_[entry];
     const bool same = opened.incarnation == incarnation;
     if (same)
-        keeper_.refuse_waiting(opened.memory);
+        manager_.refuse_waiting(opened.memory);
     else if (opened.incarnation != 0)
-        keeper_.expire(opened.memory);
+        manager_.expire(opened.memory);
     const auto memory = same ? opened.memory : memory_lease(processes_++);
     opened = {};
     opened.entry = entry;
@@ -185,7 +187,7 @@
 /// report renews it, and its runs wait for that.
 void run_agent_service::ordered(session& by)
 {
-    if (keeper_.leased(by.memory))
+    if (manager_.leased(by.memory))
         return schedule_room();
     by.marks.urgent = true;
     schedule_now();
@@ -220,7 +222,9 @@
 
 void run_agent_service::run_began(lease_id lease)
 {
-    auto* owner = owner_of(lease);
+    // Jobs in memory are counted by the next report, which comes soon: the
+    // entry has a run here.
+    auto* owner = is_part_lease(lease) ? owner_of(lease) : nullptr;
     if (owner == nullptr)
         return;
     owner->marks.room = true;
@@ -320,7 +324,7 @@
 /// Parts have an owner that must not lose its lease, whether or not they run.
 void run_agent_service::mark_busy()
 {
-    auto leases = keeper_.leases_in_use();
+    auto leases = manager_.leases_in_use();
     for (const auto& [lease, owner] : owners_)
     {
         if (is_part_lease(lease))
@@ -358,7 +362,7 @@
     std::vector<run_end> ends;
     for (const auto lease : leases_of(to))
     {
-        const auto some = keeper_.take_ends(lease);
+        const auto some = manager_.take_ends(lease);
         ends.insert(ends.end(), some.begin(), some.end());
     }
     auto list = out.initEnds(static_cast<unsigned>(ends.size()));
@@ -371,7 +375,7 @@
     std::vector<run_ref> begun;
     for (const auto lease : leases_of(to))
     {
-        const auto some = keeper_.take_begun(lease);
+        const auto some = manager_.take_begun(lease);
         begun.insert(begun.end(), some.begin(), some.end());
     }
     auto list = out.initStarted(static_cast<unsigned>(begun.size()));
@@ -385,10 +389,10 @@
     {
         auto request = reports->reportRequest();
         auto out = request.initReport();
-        const auto& account = keeper_.account();
+        const auto& account = manager_.account();
         const bool whole = to.told_life != account.instance;
         fill(out.initState(),
-             {account, keeper_.room(), to.received, whole, {}});
+             {account, manager_.room(), to.received, whole, {}});
         fill_ends(to, out);
         fill_begun(to, out);
         auto granted =
@@ -413,6 +417,8 @@
                 std::vector<part_epoch> renewed;
                 for (auto part : answer.getRenewed())
                     renewed.push_back(from_wire(part));
+                for (const auto& end : from_wire(answer.getConfirmed()))
+                    manager_.confirm(end);
                 report_answered(number, sent, renewed,
                                 milliseconds{answer.getRoomGapMs()},
                                 answer.getPlaces());
@@ -431,9 +437,9 @@
     from->reporting = false;
     from->marks.wished = wished;
     from->marks.places = places;
-    keeper_.renew(from->memory, 0, sent);
+    manager_.renew(from->memory, 0, sent);
     for (const auto& part : renewed)
-        keeper_.renew(part.part, part.epoch, sent);
+        manager_.renew(part.part, part.epoch, sent);
     if (from->marks.urgent)
         schedule_now();
     else if (from->marks.room)
@@ -454,7 +460,7 @@
 
 void run_agent_service::collect(metric_page& page) const
 {
-    const auto& stats = keeper_.stats();
+    const auto& stats = manager_.stats();
     const auto count = [&page](std::string_view name, std::string_view help,
                                std::uint64_t value, std::string_view labels)
     { page.counter(name, help, static_cast<double>(value), labels); };
@@ -479,11 +485,11 @@
     }
     count("reports_total", "Reports to entries", reports_, {});
     count("order_batches_total", "Order batches taken", batches_, {});
-    const auto room = keeper_.room();
+    const auto room = manager_.room();
     page.gauge("runner_used_cores", "Cores taken", room.used.cpu / 1000.0);
     page.gauge("runner_waiting_orders", "Orders without room", room.waiting);
     page.gauge("ends_unconfirmed", "Ends that no owner has confirmed",
-               static_cast<double>(keeper_.ledger().ends().size()));
+               static_cast<double>(manager_.ledger().ends().size()));
 }
 
 } // namespace glenhollow
--- a/src/glenhollow/runs/run_agent_service.hpp
+++ b/src/glenhollow/runs/run_agent_service.hpp
@@ -3,7 +3,7 @@
 
 #include "glenhollow/rpc/rpc_loop.hpp"
 #include "glenhollow/runs/report_pacing.hpp"
-#include "glenhollow/runs/run_keeper.hpp"
+#include "glenhollow/runs/run_manager.hpp"
 #include "glenhollow/runs/run_wire.hpp"
 #include "glenhollow/wire/glenhollow.capnp.h"
 
@@ -24,11 +24,11 @@
 public:
     /// @param io Runs delayed work.
     /// @param clock Outlives the service.
-    /// @param keeper Outlives the service.
+    /// @param manager Outlives the service.
     /// @param incarnation Of this process.
     /// @param settings Limits.
     run_agent_service(boost::asio::io_context& io, const clock_source& clock,
-                      run_keeper& keeper, std::uint64_t incarnation,
+                      run_manager& manager, std::uint64_t incarnation,
                       const report_pacing_settings& settings);
     ~run_agent_service() noexcept override;
 
@@ -90,7 +90,7 @@
 
     boost::asio::io_context& io_;              ///< Runs delayed work.
     const clock_source& clock_;                ///< This agent's.
-    run_keeper& keeper_;                       ///< The runs.
+    run_manager& manager_;                     ///< The runs.
     std::uint64_t incarnation_;                ///< Of this process.
     report_pacing pacing_;                     ///< When to report.
     std::map<std::string, session> sessions_;  ///< By entry.
--- a/src/glenhollow/runs/run_keeper.cpp
+++ b/src/glenhollow/runs/run_manager.cpp
@@ -1,6 +1,6 @@
-#include "glenhollow/runs/run_keeper.hpp"
+#include "glenhollow/runs/run_manager.hpp"
 
-#include "glenhollow/runs/run_keeper_timing.hpp"
+#include "glenhollow/runs/run_manager_timing.hpp"
 #include "glenhollow/telemetry/log.hpp"
 
 #include <algorithm>
@@ -9,28 +9,28 @@
 namespace glenhollow
 {
 
-using namespace keeper_timing;
+using namespace manager_timing;
 
-run_keeper::run_keeper(const clock_source& clock, runner_port& runner,
-                       delay later, std::uint64_t fencing_token,
-                       const run_keeper_settings& settings)
+run_manager::run_manager(const clock_source& clock, runner_port& runner,
+                         delay later, std::uint64_t fencing_token,
+                         const run_manager_settings& settings)
     : clock_(clock), runner_(runner), later_(std::move(later)),
       settings_(settings), token_(fencing_token), breaker_(settings.breaker)
 {
     answered_ = clock_.now();
 }
 
-run_keeper::~run_keeper()
+run_manager::~run_manager()
 {
     *alive_ = false;
 }
 
-void run_keeper::begin()
+void run_manager::begin()
 {
     look();
 }
 
-void run_keeper::registered(const runner_account& account)
+void run_manager::registered(const runner_account& account)
 {
     if (account.instance != account_.instance && !account_.instance.empty())
     {
@@ -54,7 +54,7 @@
     start_waiting();
 }
 
-void run_keeper::departed(const std::string& instance)
+void run_manager::departed(const std::string& instance)
 {
     if (instance != account_.instance)
         return;
@@ -69,7 +69,7 @@
     informed_ = false;
 }
 
-void run_keeper::order(run_order order, lease_id memory)
+void run_manager::order(run_order order, lease_id memory)
 {
     const auto ref = order.run;
     if (runs_.contains(ref) || ledger_.contains(ref))
@@ -91,7 +91,7 @@
     start_waiting();
 }
 
-bool run_keeper::may_start(const run_record& run)
+bool run_manager::may_start(const run_record& run)
 {
     const auto& owner = lease_of(run);
     const bool occupied = used_.cpu > 0 || used_.gpu > 0 || used_.memory > 0;
@@ -101,7 +101,7 @@
            used_.leaves_room(run.order.needs, account_.capacity);
 }
 
-void run_keeper::start_waiting()
+void run_manager::start_waiting()
 {
     std::vector<run_record*> waiting;
     for (auto& [ref, run] : runs_)
@@ -119,13 +119,13 @@
     }
 }
 
-order_context run_keeper::context() const
+order_context run_manager::context() const
 {
     return {account_.instance, token_,
             runner_clock_.at(clock_.now(), settings_.hold)};
 }
 
-void run_keeper::send_start(run_record& run)
+void run_manager::send_start(run_record& run)
 {
     run.phase = run_phase::starting;
     run.changed = clock_.now();
@@ -142,7 +142,7 @@
     expect_start(run.order.run);
 }
 
-void run_keeper::start_answered(const run_ref& ref, const order_result& got)
+void run_manager::start_answered(const run_ref& ref, const order_result& got)
 {
     runner_clock_.heard(clock_.now(), got.clock_ms);
     const auto known = runs_.find(ref);
@@ -185,7 +185,7 @@
 }
 
 /// A runner that refuses starts looks empty and would draw all of them.
-void run_keeper::leave_alone()
+void run_manager::leave_alone()
 {
     if (left_alone())
         return;
@@ -195,19 +195,19 @@
     set_phase(runner_phase::absent);
 }
 
-bool run_keeper::left_alone() const
+bool run_manager::left_alone() const
 {
     const auto now = clock_.now();
     return now < refused_until_ || breaker_.state(now) == breaker_state::open;
 }
 
-bool run_keeper::probing() const
+bool run_manager::probing() const
 {
     return breaker_.state(clock_.now()) == breaker_state::probing;
 }
 
 /// @param bad Whether a run failed or stood still.
-void run_keeper::note_health(const run_ref& ref, bool bad)
+void run_manager::note_health(const run_ref& ref, bool bad)
 {
     if (!breaker_.note_end(ref.task.job, bad, clock_.now()))
         return;
@@ -224,7 +224,7 @@
 }
 
 /// A sound runner shows progress of a hundredth of a task at least.
-duration run_keeper::stall_limit(const run_record& run) const
+duration run_manager::stall_limit(const run_record& run) const
 {
     const milliseconds estimate{run.order.estimate_ms};
     if (estimate.count() == 0)
@@ -235,14 +235,14 @@
 }
 
 /// The runner's own word counts while it answers and takes starts.
-void run_keeper::take_told_phase()
+void run_manager::take_told_phase()
 {
     const bool answers = clock_.now() - answered_ < silence_limit();
     if (informed_ && answers && !left_alone())
         set_phase(told_phase_);
 }
 
-void run_keeper::begun(run_record& run)
+void run_manager::begun(run_record& run)
 {
     if (run.phase == run_phase::stopping || run.phase == run_phase::running)
         return;
@@ -254,7 +254,7 @@
         listener_->run_began(run.lease);
 }
 
-void run_keeper::stop(const run_ref& ref)
+void run_manager::stop(const run_ref& ref)
 {
     const auto known = runs_.find(ref);
     if (known == runs_.end())
@@ -267,7 +267,7 @@
     send_stop(run);
 }
 
-void run_keeper::send_stop(run_record& run)
+void run_manager::send_stop(run_record& run)
 {
     constexpr std::uint32_t most_at_once = 3; // Some answers are lost.
     if (run.asked_stop && run.stops >= most_at_once)
@@ -284,7 +284,7 @@
         });
 }
 
-void run_keeper::stop_answered(const run_ref& ref, const order_result& got)
+void run_manager::stop_answered(const run_ref& ref, const order_result& got)
 {
     runner_clock_.heard(clock_.now(), got.clock_ms);
     const auto known = runs_.find(ref);
@@ -306,7 +306,7 @@
     run.stops = 0;
 }
 
-void run_keeper::size(const run_order& order, lease_id memory)
+void run_manager::size(const run_order& order, lease_id memory)
 {
     const auto known = runs_.find(order.run);
     if (known == runs_.end() || known->second.sized)
@@ -323,7 +323,7 @@
 
 /// Ends that are not confirmed make the next look return at once; as soon as
 /// none is left, a look can wait for the next end and tell it without delay.
-void run_keeper::confirm(const run_end& end)
+void run_manager::confirm(const run_end& end)
 {
     const bool waited = ledger_.waits();
     ledger_.confirm(end);
@@ -331,7 +331,7 @@
         look();
 }
 
-void run_keeper::free_run(const run_ref& ref)
+void run_manager::free_run(const run_ref& ref)
 {
     const auto known = runs_.find(ref);
     if (known == runs_.end())
@@ -343,8 +343,8 @@
     runs_.erase(known);
 }
 
-void run_keeper::end_run(const run_ref& ref, run_outcome how,
-                         std::uint64_t number)
+void run_manager::end_run(const run_ref& ref, run_outcome how,
+                          std::uint64_t number)
 {
     run_end end{ref, how, number, 0, true};
     const auto known = runs_.find(ref);
@@ -377,7 +377,7 @@
     start_waiting();
 }
 
-void run_keeper::end_all(run_outcome how)
+void run_manager::end_all(run_outcome how)
 {
     std::vector<run_ref> all;
     for (const auto& [ref, run] : runs_)
@@ -392,7 +392,7 @@
     }
 }
 
-void run_keeper::tick()
+void run_manager::tick()
 {
     check_leases();
     check_silence();
@@ -400,7 +400,7 @@
     start_waiting();
 }
 
-void run_keeper::check_runs()
+void run_manager::check_runs()
 {
     const auto now = clock_.now();
     std::vector<run_ref> to_stop;
@@ -437,13 +437,13 @@
         note_health(ref, true);
 }
 
-void run_keeper::raise_token()
+void run_manager::raise_token()
 {
     token_ += token_step;
     log_change(log_level::warning, "fencing_token_raised", {{"token", token_}});
 }
 
-void run_keeper::set_phase(runner_phase phase)
+void run_manager::set_phase(runner_phase phase)
 {
     if (account_.phase == phase)
         return;
@@ -468,13 +468,13 @@
     tell_room();
 }
 
-void run_keeper::tell_room()
+void run_manager::tell_room()
 {
     if (listener_ != nullptr)
         listener_->room_changed();
 }
 
-void run_keeper::drain()
+void run_manager::drain()
 {
     draining_ = true;
     if (account_.phase == runner_phase::ready)
@@ -482,7 +482,7 @@
     told_phase_ = runner_phase::draining;
 }
 
-runner_room run_keeper::room() const
+runner_room run_manager::room() const
 {
     runner_room out;
     out.used = used_;
@@ -501,14 +501,14 @@
 }
 
 /// A runner on probation looks crowded, with room for one run.
-std::uint32_t run_keeper::probing_used() const
+std::uint32_t run_manager::probing_used() const
 {
     const auto all = account_.capacity.cpu;
     const auto spare = std::max(all / 4, std::min(all, largest_cpu_));
     return runs_.empty() ? all - spare : all;
 }
 
-std::vector<run_end> run_keeper::take_ends(lease_id lease)
+std::vector<run_end> run_manager::take_ends(lease_id lease)
 {
     std::vector<run_end> ends;
     for (auto& [ref, kept] : ledger_.ends())
@@ -519,7 +519,7 @@
     return ends;
 }
 
-std::vector<run_ref> run_keeper::take_begun(lease_id lease)
+std::vector<run_ref> run_manager::take_begun(lease_id lease)
 {
     return std::exchange(leases_[lease].begun, {});
 }
--- a/src/glenhollow/runs/run_keeper.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -1,5 +1,5 @@
-#ifndef GLENHOLLOW_RUNS_RUN_KEEPER_HPP
-#define GLENHOLLOW_RUNS_RUN_KEEPER_HPP
+#ifndef GLENHOLLOW_RUNS_RUN_MANAGER_HPP
+#define GLENHOLLOW_RUNS_RUN_MANAGER_HPP
 
 #include "glenhollow/core/clock.hpp"
 #include "glenhollow/durable/durable_job.hpp"
@@ -122,8 +122,8 @@
     std::vector<run_end> ends;    ///< Not confirmed by an owner.
 };
 
-/// Limits of a keeper.
-struct run_keeper_settings
+/// Limits of a manager.
+struct run_manager_settings
 {
     std::size_t parts = 3;                     ///< Of the journal.
     duration part_lease = milliseconds{1800};  ///< From an owner's
@@ -156,8 +156,8 @@
     std::size_t waiting_limit = 16;                ///< Orders without room.
 };
 
-/// Counters of a keeper.
-struct run_keeper_stats
+/// Counters of a manager.
+struct run_manager_stats
 {
     std::uint64_t started = 0;    ///< Starts that the runner took.
     std::uint64_t not_begun = 0;  ///< Orders that never began.
@@ -192,23 +192,23 @@
 
 /// The one voice that speaks to a runner: keeps its runs, its room, its hold
 /// and the ends that no owner has journalled yet. One thread.
-class run_keeper final
+class run_manager final
 {
 public:
     /// Runs a function after a while.
     using delay = std::function<void(duration, std::function<void()>)>;
 
-    /// @param clock Outlives the keeper.
-    /// @param runner Outlives the keeper.
-    /// @param later Runs delayed work; none after the keeper's end.
+    /// @param clock Outlives the manager.
+    /// @param runner Outlives the manager.
+    /// @param later Runs delayed work; none after the manager's end.
     /// @param fencing_token First token; above those of earlier processes.
     /// @param settings Limits.
-    run_keeper(const clock_source& clock, runner_port& runner, delay later,
-               std::uint64_t fencing_token,
-               const run_keeper_settings& settings);
-    ~run_keeper();
+    run_manager(const clock_source& clock, runner_port& runner, delay later,
+                std::uint64_t fencing_token,
+                const run_manager_settings& settings);
+    ~run_manager();
 
-    /// @param listener Told of changes; outlives the keeper.
+    /// @param listener Told of changes; outlives the manager.
     void listen(run_listener* listener) { listener_ = listener; }
 
     /// Begins to look at the runner.
@@ -291,7 +291,7 @@
     std::vector<run_end> take_ends(lease_id lease);
 
     /// @return Counters.
-    const run_keeper_stats& stats() const { return stats_; }
+    const run_manager_stats& stats() const { return stats_; }
 
 private:
     /// One run that has not ended.
@@ -370,7 +370,7 @@
     const clock_source& clock_;                      ///< This agent's.
     runner_port& runner_;                            ///< The runner.
     delay later_;                                    ///< Delayed work.
-    run_keeper_settings settings_;                   ///< Limits.
+    run_manager_settings settings_;                  ///< Limits.
     run_listener* listener_ = nullptr;               ///< Told of changes.
     std::uint64_t token_;                            ///< Fencing token.
     runner_account account_;                         ///< As last registered.
@@ -396,7 +396,7 @@
     instant refused_until_{};                 ///< The runner is left alone.
     duration refusal_wait_{};                 ///< The last such time.
     instant answered_{};                      ///< Last answer to a look.
-    run_keeper_stats stats_;                  ///< Counters.
+    run_manager_stats stats_;                 ///< Counters.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
 };
 
--- a/src/glenhollow/runs/run_keeper_leases.cpp
+++ b/src/glenhollow/runs/run_manager_leases.cpp
@@ -1,7 +1,7 @@
 // Leases: who may have runs here, and what becomes of them without.
-#include "glenhollow/runs/run_keeper.hpp"
+#include "glenhollow/runs/run_manager.hpp"
 
-#include "glenhollow/runs/run_keeper_timing.hpp"
+#include "glenhollow/runs/run_manager_timing.hpp"
 #include "glenhollow/telemetry/log.hpp"
 
 #include <algorithm>
@@ -10,21 +10,21 @@
 namespace glenhollow
 {
 
-using namespace keeper_timing;
+using namespace manager_timing;
 
-run_keeper::lease_record& run_keeper::lease_of(const run_record& run)
+run_manager::lease_record& run_manager::lease_of(const run_record& run)
 {
     return leases_[run.lease];
 }
 
 /// Of a run that this process did not start.
-lease_id run_keeper::found_lease(const run_ref& run) const
+lease_id run_manager::found_lease(const run_ref& run) const
 {
     return run.in_memory() ? unclaimed_lease
                            : part_of(run.task.job, settings_.parts);
 }
 
-lease_account run_keeper::adopt(lease_id lease, std::uint32_t epoch)
+lease_account run_manager::adopt(lease_id lease, std::uint32_t epoch)
 {
     lease_account out;
     auto& record = leases_[lease];
@@ -57,7 +57,7 @@
     return out;
 }
 
-void run_keeper::renew(lease_id lease, std::uint32_t epoch, instant confirmed)
+void run_manager::renew(lease_id lease, std::uint32_t epoch, instant confirmed)
 {
     auto& record = leases_[lease];
     if (epoch != record.epoch)
@@ -72,7 +72,7 @@
         start_waiting();
 }
 
-void run_keeper::expire(lease_id lease)
+void run_manager::expire(lease_id lease)
 {
     leases_[lease].until = {};
     end_expired_runs();
@@ -80,13 +80,13 @@
         ledger_.confirm(end);
 }
 
-bool run_keeper::leased(lease_id lease) const
+bool run_manager::leased(lease_id lease) const
 {
     const auto known = leases_.find(lease);
     return known != leases_.end() && clock_.now() < known->second.until;
 }
 
-void run_keeper::refuse_waiting(lease_id lease)
+void run_manager::refuse_waiting(lease_id lease)
 {
     std::vector<run_ref> refused;
     for (const auto& [ref, run] : runs_)
@@ -98,7 +98,7 @@
         end_run(ref, run_outcome::not_begun, 0);
 }
 
-std::set<lease_id> run_keeper::leases_in_use() const
+std::set<lease_id> run_manager::leases_in_use() const
 {
     std::set<lease_id> used;
     for (const auto& [ref, run] : runs_)
@@ -108,7 +108,7 @@
     return used;
 }
 
-bool run_keeper::expired(lease_id lease, instant found) const
+bool run_manager::expired(lease_id lease, instant found) const
 {
     const auto now = clock_.now();
     if (lease == unclaimed_lease)
@@ -121,7 +121,7 @@
 /// successor may start it elsewhere, and its ends must not be taken back
 /// later. Both hold once the runner's hold has lapsed. What runs in memory
 /// for a silent entry is stopped, and lapses where that fails.
-void run_keeper::check_leases()
+void run_manager::check_leases()
 {
     if (lapsing_)
     {
@@ -136,7 +136,7 @@
     excuse_expired_ends();
 }
 
-void run_keeper::end_expired_runs()
+void run_manager::end_expired_runs()
 {
     const auto now = clock_.now();
     std::vector<run_ref> orphans;
@@ -173,7 +173,7 @@
         stop(ref);
 }
 
-void run_keeper::excuse_expired_ends()
+void run_manager::excuse_expired_ends()
 {
     std::vector<run_end> unwanted;
     std::vector<run_end> excused;
@@ -196,7 +196,7 @@
         ledger_.confirm(end);
 }
 
-void run_keeper::let_hold_lapse(std::string_view cause, lease_id lease)
+void run_manager::let_hold_lapse(std::string_view cause, lease_id lease)
 {
     if (std::exchange(lapsing_, true))
         return;
--- a/src/glenhollow/runs/run_keeper_looks.cpp
+++ b/src/glenhollow/runs/run_manager_looks.cpp
@@ -1,7 +1,7 @@
 // Looks at the runner: what runs, what has ended, whether it answers.
-#include "glenhollow/runs/run_keeper.hpp"
+#include "glenhollow/runs/run_manager.hpp"
 
-#include "glenhollow/runs/run_keeper_timing.hpp"
+#include "glenhollow/runs/run_manager_timing.hpp"
 #include "glenhollow/telemetry/log.hpp"
 
 #include <algorithm>
@@ -11,14 +11,14 @@
 namespace glenhollow
 {
 
-using namespace keeper_timing;
+using namespace manager_timing;
 
 /// Waits for an answer. A timer that comes late says that this process was
 /// not run meanwhile; the answer may be here, unread.
 /// @param awaited Whether the answer is still missing.
 /// @param missed Called when it has not come in time.
-void run_keeper::expect(duration wait, std::function<bool()> awaited,
-                        std::function<void()> missed)
+void run_manager::expect(duration wait, std::function<bool()> awaited,
+                         std::function<void()> missed)
 {
     const auto due = clock_.now() + wait;
     later_(wait,
@@ -37,7 +37,7 @@
 /// A start without an answer may be carried out seconds later. Unless a look
 /// shows the run, a stop by its number bars that, and the sooner the task can
 /// start elsewhere the better.
-void run_keeper::expect_start(const run_ref& ref)
+void run_manager::expect_start(const run_ref& ref)
 {
     expect(
         settings_.patience,
@@ -57,7 +57,7 @@
 }
 
 /// While a look is not answered nothing is known of ends: another one is sent.
-void run_keeper::expect_look(std::uint64_t number, duration wait)
+void run_manager::expect_look(std::uint64_t number, duration wait)
 {
     expect(
         wait + settings_.patience,
@@ -72,7 +72,7 @@
 }
 
 /// Does not wait for the look that is out.
-void run_keeper::look_now()
+void run_manager::look_now()
 {
     if (looks_out_ >= settings_.looks_out)
         return;
@@ -82,7 +82,7 @@
     look();
 }
 
-void run_keeper::look()
+void run_manager::look()
 {
     if (looking_)
         return;
@@ -115,8 +115,8 @@
     expect_look(number, request.wait);
 }
 
-void run_keeper::look_answered(std::uint64_t number, instant sent,
-                               const hold_result& got)
+void run_manager::look_answered(std::uint64_t number, instant sent,
+                                const hold_result& got)
 {
     --looks_out_;
     if (number != look_number_)
@@ -145,7 +145,7 @@
     look_again(got.outcome == order_outcome::done);
 }
 
-void run_keeper::look_again(bool answered)
+void run_manager::look_again(bool answered)
 {
     const bool at_once = !ledger_.waits() && informed_ && !lapsing_;
     auto gap = at_once ? duration{0} : settings_.look_gap;
@@ -159,7 +159,7 @@
            });
 }
 
-void run_keeper::take_finished(const std::vector<run_end>& finished)
+void run_manager::take_finished(const std::vector<run_end>& finished)
 {
     for (const auto& end : finished)
     {
@@ -169,7 +169,7 @@
     }
 }
 
-void run_keeper::take_running(const std::vector<shown_run>& running)
+void run_manager::take_running(const std::vector<shown_run>& running)
 {
     const auto now = clock_.now();
     for (const auto& shown : running)
@@ -204,8 +204,8 @@
 }
 
 /// Runs that the runner ought to show and does not.
-void run_keeper::settle_absent(instant sent,
-                               const std::vector<shown_run>& running)
+void run_manager::settle_absent(instant sent,
+                                const std::vector<shown_run>& running)
 {
     std::unordered_set<run_ref, run_ref_hash> shown;
     for (const auto& one : running)
@@ -242,18 +242,18 @@
     }
 }
 
-duration run_keeper::silence_limit() const
+duration run_manager::silence_limit() const
 {
     return with_drift(settings_.hold) + lapse_slack;
 }
 
-instant run_keeper::latest_hold() const
+instant run_manager::latest_hold() const
 {
     return std::max(held_until_, hold_out_);
 }
 
 /// A runner that answers nothing has let go of everything by now.
-void run_keeper::check_silence()
+void run_manager::check_silence()
 {
     const auto now = clock_.now();
     if (now - answered_ < silence_limit())
--- a/src/glenhollow/runs/run_keeper_timing.hpp
+++ b/src/glenhollow/runs/run_manager_timing.hpp
@@ -1,11 +1,11 @@
-#ifndef GLENHOLLOW_RUNS_RUN_KEEPER_TIMING_HPP
-#define GLENHOLLOW_RUNS_RUN_KEEPER_TIMING_HPP
+#ifndef GLENHOLLOW_RUNS_RUN_MANAGER_TIMING_HPP
+#define GLENHOLLOW_RUNS_RUN_MANAGER_TIMING_HPP
 
 #include "glenhollow/core/clock.hpp"
-#include "glenhollow/runs/run_keeper.hpp"
+#include "glenhollow/runs/run_manager.hpp"
 
-/// What the parts of run_keeper share; nothing else includes it.
-namespace glenhollow::keeper_timing
+/// What the parts of run_manager share; nothing else includes it.
+namespace glenhollow::manager_timing
 {
 
 /// Steady clocks may differ by this share.
@@ -35,6 +35,6 @@
     return phase != run_phase::waiting;
 }
 
-} // namespace glenhollow::keeper_timing
+} // namespace glenhollow::manager_timing
 
 #endif
--- a/src/glenhollow/runs/run_wire.cpp
+++ b/src/glenhollow/runs/run_wire.cpp
@@ -182,6 +182,17 @@
     return {in.getPart(), in.getEpoch()};
 }
 
+void fill(capnp::List<wire::RunEnd>::Builder out,
+          const std::vector<run_end>& ends)
+{
+    fill_all(out, ends);
+}
+
+std::vector<run_end> from_wire(capnp::List<wire::RunEnd>::Reader in)
+{
+    return all_from<run_end>(in);
+}
+
 void fill(wire::OrderBatch::Builder out, const order_batch& batch)
 {
     const auto size = [](const auto& items)
--- a/src/glenhollow/runs/run_wire.hpp
+++ b/src/glenhollow/runs/run_wire.hpp
@@ -1,7 +1,7 @@
 #ifndef GLENHOLLOW_RUNS_RUN_WIRE_HPP
 #define GLENHOLLOW_RUNS_RUN_WIRE_HPP
 
-#include "glenhollow/runs/run_keeper.hpp"
+#include "glenhollow/runs/run_manager.hpp"
 #include "glenhollow/wire/glenhollow.capnp.h"
 
 namespace glenhollow
@@ -103,6 +103,15 @@
     }
 };
 
+/// @param out Gets the ends.
+/// @param ends Ends of runs.
+void fill(capnp::List<wire::RunEnd>::Builder out,
+          const std::vector<run_end>& ends);
+
+/// @param in Ends on the wire.
+/// @return The ends.
+std::vector<run_end> from_wire(capnp::List<wire::RunEnd>::Reader in);
+
 /// @param out Gets the batch.
 /// @param batch Orders.
 void fill(wire::OrderBatch::Builder out, const order_batch& batch);
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -998,7 +998,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(edd9b51c9f1e0ec6, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(edd9b51c9f1e0ec6, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -6632,6 +6632,9 @@
 
   inline bool getPlaces() const;
 
+  inline bool hasConfirmed() const;
+  inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader getConfirmed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6673,6 +6676,13 @@
   inline bool getPlaces();
   inline void setPlaces(bool value);
 
+  inline bool hasConfirmed();
+  inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder getConfirmed();
+  inline void setConfirmed( ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder initConfirmed(unsigned int size);
+  inline void adoptConfirmed(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>> disownConfirmed();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -13511,6 +13521,40 @@
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RunReports::ReportResults::Reader::hasConfirmed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool RunReports::ReportResults::Builder::hasConfirmed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader RunReports::ReportResults::Reader::getConfirmed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder RunReports::ReportResults::Builder::getConfirmed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RunReports::ReportResults::Builder::setConfirmed( ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder RunReports::ReportResults::Builder::initConfirmed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RunReports::ReportResults::Builder::adoptConfirmed(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>> RunReports::ReportResults::Builder::disownConfirmed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline RunAgent::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/tests/unit/decision/queue_order_tests.cpp
+++ b/tests/unit/decision/queue_order_tests.cpp
@@ -114,7 +114,7 @@
     queue.push(job(1, 3));
     queue.push(job(2, 2));
     take(queue);
-    queue.put_back(job(2, 1));
+    queue.demote(job(2, 1));
     REQUIRE(queue.tasks() == 5);
     REQUIRE(queue.seconds_of_work() == Approx(0.5));
     queue.remove(1);
@@ -122,6 +122,6 @@
     take(queue);
     take(queue);
     REQUIRE(queue.empty());
-    queue.put_back(job(2, 1));
+    queue.demote(job(2, 1));
     REQUIRE(queue.front() == 2U);
 }
--- a/tests/unit/durable/dispatcher_tests.cpp
+++ b/tests/unit/durable/dispatcher_tests.cpp
@@ -226,7 +226,7 @@
         world.placing.dispatch();
     }
     REQUIRE(world.placing.stats().placed == 10);
-    CHECK(world.placing.stats().put_back > 0);
+    CHECK(world.placing.stats().demoted > 0);
     CHECK(world.placing.stats().late == 0);
     for (const auto job : world.placed)
         priorities.erase(job);
@@ -495,6 +495,19 @@
     }
 }
 
+TEST_CASE("what an agent is told with an answer is not sent again")
+{
+    placement_world world(1);
+    world.runner("a", "rack-1");
+    const run_end end{{{7, 0, 0, 0}, first_memory_run + 1}, run_outcome::done};
+    world.placing.confirm("a", end);
+    CHECK(world.placing.take_confirmed("a").size() == 1);
+    CHECK(world.placing.take_confirmed("a").empty());
+    world.placing.dispatch();
+    CHECK(world.placing.stats().batches == 0);
+    CHECK(world.placing.take_confirmed("nobody").empty());
+}
+
 TEST_CASE("tasks that wait here move to a placer that can be chosen")
 {
     placement_world world(1);
--- a/tests/unit/durable/job_board_tests.cpp
+++ b/tests/unit/durable/job_coordinator_tests.cpp
@@ -1,4 +1,4 @@
-#include "glenhollow/durable/job_board.hpp"
+#include "glenhollow/durable/job_coordinator.hpp"
 #include "unit/support/fake_row_store.hpp"
 
 #include <catch2/catch.hpp>
@@ -31,7 +31,7 @@
         placing.attached(name, report);
     }
 
-    job_board::surroundings around()
+    job_coordinator::surroundings around()
     {
         return {loop.clock,
                 [this]
@@ -43,12 +43,13 @@
                 store, placing, loop.delay()};
     }
 
-    /// @param begin_by Share of a caller's patience; see job_board_settings.
+    /// @param begin_by Share of a caller's patience; see
+    /// job_coordinator_settings.
     void in_memory(double begin_by = 1.0)
     {
         auto limits = settings();
         limits.begin_by = begin_by;
-        board = std::make_unique<job_board>(around(), limits);
+        board = std::make_unique<job_coordinator>(around(), limits);
         adopt(memory_part);
     }
 
@@ -60,9 +61,9 @@
         head.incarnation = epoch;
         head.epoch = epoch;
         head.version = store.put(head_key(0), encode_head(head));
-        board = std::make_unique<job_board>(around(), 0, head,
-                                            std::move(loaded), awaited,
-                                            settings(), [this] { ++lost; });
+        board = std::make_unique<job_coordinator>(
+            around(), 0, head, std::move(loaded), awaited, settings(),
+            [this] { ++lost; });
         adopt(0);
     }
 
@@ -72,9 +73,9 @@
         placing.adopted("agent-2", part);
     }
 
-    static job_board_settings settings()
+    static job_coordinator_settings settings()
     {
-        job_board_settings out;
+        job_coordinator_settings out;
         out.parts = 1;
         return out;
     }
@@ -162,7 +163,7 @@
     manual_loop loop;
     fake_row_store store{loop};
     dispatcher placing;
-    std::unique_ptr<job_board> board;
+    std::unique_ptr<job_coordinator> board;
     std::map<job_id, job_reply> replies;
     std::vector<std::pair<std::string, run_ref>> started;
     std::vector<std::pair<std::string, run_ref>> stopped;
@@ -268,7 +269,7 @@
     world.board->account_of("agent-1", account);
     world.settle();
     CHECK(world.started.empty());
-    world.loop.advance(job_board_settings{}.agent_silence);
+    world.loop.advance(job_coordinator_settings{}.agent_silence);
     world.settle();
     CHECK(world.started.size() == first.size() - account.runs.size());
     for (const auto& [agent, run] : world.started)
--- a/tests/unit/durable/overload_plan_tests.cpp
+++ b/tests/unit/durable/overload_plan_tests.cpp
@@ -21,12 +21,12 @@
 
 TEST_CASE("while all can be in time nobody stands back")
 {
-    CHECK(jobs_to_put_back({task(1, milliseconds{0}), task(2, milliseconds{50}),
-                            task(3, milliseconds{100})},
-                           2, now)
+    CHECK(jobs_to_demote({task(1, milliseconds{0}), task(2, milliseconds{50}),
+                          task(3, milliseconds{100})},
+                         2, now)
               .empty());
-    CHECK(jobs_to_put_back({}, 2, now).empty());
-    CHECK(jobs_to_put_back({task(1, milliseconds{-1})}, 0, now).empty());
+    CHECK(jobs_to_demote({}, 2, now).empty());
+    CHECK(jobs_to_demote({task(1, milliseconds{-1})}, 0, now).empty());
 }
 
 TEST_CASE("under overload some jobs stand back so that the rest are in time")
@@ -35,30 +35,30 @@
     std::vector<waiting_task> tasks;
     for (job_id job = 1; job <= 6; ++job)
         tasks.push_back(task(job, milliseconds{40}));
-    const auto back = jobs_to_put_back(tasks, 2, now);
+    const auto back = jobs_to_demote(tasks, 2, now);
     CHECK(back.size() == 5);
 }
 
 TEST_CASE("what is least important stands back first")
 {
-    CHECK(jobs_to_put_back({task(1, milliseconds{10}),
-                            task(2, milliseconds{20}, 2),
-                            task(3, milliseconds{60})},
-                           2, now) == jobs{2});
+    CHECK(
+        jobs_to_demote({task(1, milliseconds{10}), task(2, milliseconds{20}, 2),
+                        task(3, milliseconds{60})},
+                       2, now) == jobs{2});
 }
 
 TEST_CASE("a job that has begun goes on")
 {
     auto begun = task(1, milliseconds{10}, 2);
     begun.begun = true;
-    CHECK(jobs_to_put_back({begun, task(2, milliseconds{20})}, 2, now) ==
+    CHECK(jobs_to_demote({begun, task(2, milliseconds{20})}, 2, now) ==
           jobs{2});
 }
 
 TEST_CASE("a job stands back with all its tasks")
 {
-    CHECK(jobs_to_put_back({task(1, milliseconds{10}, 1),
-                            task(1, milliseconds{10}, 1),
-                            task(2, milliseconds{60})},
-                           2, now) == jobs{1});
+    CHECK(jobs_to_demote({task(1, milliseconds{10}, 1),
+                          task(1, milliseconds{10}, 1),
+                          task(2, milliseconds{60})},
+                         2, now) == jobs{1});
 }
