--- a/src/glenhollow/entry/entry_node.cpp
+++ b/src/glenhollow/entry/entry_node.cpp
@@ -4,7 +4,7 @@
 #include "glenhollow/core/random.hpp"
 #include "glenhollow/core/run_after.hpp"
 #include "glenhollow/entry/control_plane.hpp"
-#include "glenhollow/entry/operator_desk.hpp"
+#include "glenhollow/entry/operator_service.hpp"
 #include "glenhollow/entry/peer_service.hpp"
 #include "glenhollow/entry/shard_group.hpp"
 #include "glenhollow/rpc/rpc_listener.hpp"
@@ -75,13 +75,13 @@
     std::uint64_t incarnation = random_incarnation(); ///< Of this start.
     rpc_loop control;                                 ///< The control thread.
     asio::signal_set signals;                         ///< SIGTERM and SIGINT.
-    supervisor root;                        ///< Of the supervisor tree.
-    std::unique_ptr<span_exporter> spans;   ///< May be null.
-    std::unique_ptr<rpc_listener> listener; ///< Links from other entries.
-    std::unique_ptr<shard_group> shards;    ///< The traffic threads.
-    std::unique_ptr<control_plane> plane;   ///< On the control thread.
-    std::unique_ptr<operator_desk> desk;    ///< On the control thread.
-    std::atomic<bool> is_stopping{false};   ///< A planned stop has begun.
+    supervisor root;                             ///< Of the supervisor tree.
+    std::unique_ptr<span_exporter> spans;        ///< May be null.
+    std::unique_ptr<rpc_listener> listener;      ///< Links from other entries.
+    std::unique_ptr<shard_group> shards;         ///< The traffic threads.
+    std::unique_ptr<control_plane> plane;        ///< On the control thread.
+    std::unique_ptr<operator_service> operators; ///< On the control thread.
+    std::atomic<bool> is_stopping{false};        ///< A planned stop has begun.
     std::atomic<std::shared_ptr<const caller_rules>> rules{
         std::make_shared<const caller_rules>()}; ///< For traffic threads.
     int exit_status = 0;                         ///< Of the process.
@@ -123,7 +123,7 @@
         plane = std::make_unique<control_plane>(control.io(), *shards, limits);
         plane->on_configured([this](const configuration& newer)
                              { take_rules(newer); });
-        desk = std::make_unique<operator_desk>(*plane, *this);
+        operators = std::make_unique<operator_service>(*plane, *this);
         return write_port_file(settings.port_file, {port, listener->port()});
     }
 
@@ -241,10 +241,12 @@
     void operate(std::string statement, std::string by,
                  answer_sink done) override
     {
-        asio::post(
-            control.io(), [this, statement = std::move(statement),
-                           by = std::move(by), done = std::move(done)]
-            { desk->run(statement, by, statement_scope::everyone, done); });
+        asio::post(control.io(),
+                   [this, statement = std::move(statement), by = std::move(by),
+                    done = std::move(done)] {
+                       operators->run(statement, by, statement_scope::everyone,
+                                      done);
+                   });
     }
 
     void metrics(std::function<void(std::string)> done) override
@@ -389,7 +391,8 @@
         control.run(
             [this]
             {
-                listener->serve(kj::heap<peer_service>(*plane, *this, *desk));
+                listener->serve(
+                    kj::heap<peer_service>(*plane, *this, *operators));
                 root.start(
                     [this](const std::string& why)
                     {
--- a/src/glenhollow/entry/operator_desk.cpp
+++ b/src/glenhollow/entry/operator_service.cpp
@@ -1,5 +1,6 @@
-#include "glenhollow/entry/operator_desk.hpp"
+#include "glenhollow/entry/operator_service.hpp"
 
+#include "glenhollow/entry/operator_service_context.hpp"
 #include "glenhollow/language/parser.hpp"
 #include "glenhollow/security/token.hpp"
 #include "glenhollow/telemetry/log.hpp"
@@ -26,29 +27,12 @@
 
 constexpr std::size_t most_job_rows = 1000;
 
-/// Objects read for one question, newest last.
-constexpr std::size_t most_report_objects = 200;
-
 constexpr double least_quota = 0;
 constexpr double most_quota = 1e6;
 constexpr double least_weight = 0.01;
 constexpr double most_weight = 1000;
 constexpr std::size_t most_created_tasks = 1000;
 
-std::string wall_text(std::int64_t nanoseconds)
-{
-    constexpr std::int64_t per_second = 1'000'000'000;
-    const std::time_t whole = nanoseconds / per_second;
-    std::tm parts{};
-    ::gmtime_r(&whole, &parts);
-    std::array<char, 32> text{};
-    std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-    std::array<char, 8> fraction{};
-    std::snprintf(fraction.data(), fraction.size(), ".%03dZ",
-                  static_cast<int>(nanoseconds % per_second / 1'000'000));
-    return std::string(text.data()) + fraction.data();
-}
-
 std::string hex_text(std::uint64_t number)
 {
     std::array<char, 20> hex{};
@@ -67,125 +51,24 @@
     return {400, reason::malformed, field + " must be " + range};
 }
 
-json::object to_row(const report_line& line)
-{
-    json::object row{{"at", wall_text(line.wall)},
-                     {"entry", line.entry},
-                     {"decision", to_name(line.kind)},
-                     {"reason", to_name(line.why)},
-                     {"verdict", to_name(line.what)}};
-    row["submission"] = line.submission;
-    row["runner"] = line.runner;
-    row["by"] = line.by;
-    row["detail"] = line.detail;
-    return row;
-}
-
-/// One decision of a ring in words.
-std::string sentence(const decision_record& record, const std::string& runner)
-{
-    const std::string why(to_name(record.why));
-    const std::string ms = std::to_string(record.micros / 1000) + "." +
-                           std::to_string(record.micros % 1000 / 100) + " ms";
-    switch (record.kind)
-    {
-    case decision_kind::admitted:
-        return "admitted with " + std::to_string(record.task) + " tasks";
-    case decision_kind::refused:
-        return "refused because " + why + "; come back in " + ms;
-    case decision_kind::joined:
-        return "a resubmission joined the job";
-    case decision_kind::placed:
-        return "waited " + ms + ", then placed on " + runner + " because " +
-               why;
-    case decision_kind::ended:
-        return std::string(to_name(record.what)) + " on " + runner + " after " +
-               ms + (record.why == reason::none ? "" : ": " + why);
-    case decision_kind::retried:
-        return "to be sent again in " + ms + " because " + runner + " said " +
-               why;
-    case decision_kind::completed:
-        return "answered complete after " + ms;
-    case decision_kind::failed:
-        return "marked failed, " + std::string(to_name(record.what)) +
-               ", because " + why + " after " + ms;
-    default:
-        break;
-    }
-    return std::string(to_name(record.kind)) + " " + runner + " because " + why;
-}
-
-/// Records of one shard with the names of their runners.
-struct named_record
-{
-    decision_record record; ///< The decision.
-    std::string runner;     ///< May be empty.
-};
-
-using named_records = std::vector<named_record>;
-
-/// @return Decisions about a submission, or about runners for sequence 0.
-named_records records_of(shard& one, std::uint64_t sequence)
-{
-    named_records found;
-    one.jobs().ring().for_each(
-        [&](const decision_record& record)
-        {
-            if (record.sequence == sequence)
-                found.push_back(
-                    {record, record.runner == 0
-                                 ? ""
-                                 : one.links().name_of(record.runner - 1)});
-        });
-    return found;
-}
-
-/// Whether a decision belongs to a question.
-bool belongs(const decision_record& record, const why_statement& why)
-{
-    const bool of_task = record.kind == decision_kind::placed ||
-                         record.kind == decision_kind::ended ||
-                         record.kind == decision_kind::retried;
-    switch (why.target)
-    {
-    case why_target::task:
-        return !of_task || record.task == why.task;
-    case why_target::refused:
-        return record.kind == decision_kind::refused;
-    case why_target::failed:
-    case why_target::drained:
-        break;
-    }
-    // A failure is explained by all that ended badly.
-    return !of_task || record.what != verdict::ran ||
-           record.kind == decision_kind::retried;
-}
-
-json::object to_row(const named_record& one)
-{
-    return {{"at", wall_text(one.record.wall)},
-            {"decision", to_name(one.record.kind)},
-            {"reason", to_name(one.record.why)},
-            {"verdict", to_name(one.record.what)},
-            {"runner", one.runner},
-            {"text", sentence(one.record, one.runner)}};
-}
-
 } // namespace
 
-/// One statement on its way.
-struct operator_desk::context
+std::string wall_text(std::int64_t nanoseconds)
 {
-    std::string text;      ///< As written.
-    std::string by;        ///< Which operator.
-    statement_scope scope; ///< Whom it asks.
-    answer_sink done;      ///< Told the answer.
-
-    void refuse(const api_problem& problem) const { done(problem.to_answer()); }
-};
+    constexpr std::int64_t per_second = 1'000'000'000;
+    const std::time_t whole = nanoseconds / per_second;
+    std::tm parts{};
+    ::gmtime_r(&whole, &parts);
+    std::array<char, 32> text{};
+    std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::array<char, 8> fraction{};
+    std::snprintf(fraction.data(), fraction.size(), ".%03dZ",
+                  static_cast<int>(nanoseconds % per_second / 1'000'000));
+    return std::string(text.data()) + fraction.data();
+}
 
-void operator_desk::run(const std::string& text, const std::string& by,
-                        statement_scope scope, answer_sink done)
+void operator_service::run(const std::string& text, const std::string& by,
+                           statement_scope scope, answer_sink done)
 {
     auto on =
         std::make_shared<context>(context{text, by, scope, std::move(done)});
@@ -202,7 +85,7 @@
         parsed.value());
 }
 
-void operator_desk::execute(const help_statement&, const context_ptr& on)
+void operator_service::execute(const help_statement&, const context_ptr& on)
 {
     row_table rows;
     std::istringstream lines{std::string(statement_help())};
@@ -212,7 +95,8 @@
     on->done(rows.to_answer());
 }
 
-void operator_desk::execute(const show_statement& show, const context_ptr& on)
+void operator_service::execute(const show_statement& show,
+                               const context_ptr& on)
 {
     static const std::map<show_target, row_merge> merges{
         {show_target::runners, {"name", {"in_flight", "started", "refused"}}},
@@ -236,9 +120,9 @@
                });
 }
 
-void operator_desk::join_peers(const context_ptr& on, row_table own,
-                               const row_merge& how,
-                               std::function<void(row_table)> done)
+void operator_service::join_peers(const context_ptr& on, row_table own,
+                                  const row_merge& how,
+                                  std::function<void(row_table)> done)
 {
     const auto peers = plane_.peers().reachable();
     if (on->scope == statement_scope::this_entry || peers.empty())
@@ -269,8 +153,8 @@
     }
 }
 
-void operator_desk::local_rows(show_target target,
-                               std::function<void(row_table)> done)
+void operator_service::local_rows(show_target target,
+                                  std::function<void(row_table)> done)
 {
     switch (target)
     {
@@ -311,7 +195,7 @@
     done(std::move(rows));
 }
 
-void operator_desk::show_runners(std::function<void(row_table)> done)
+void operator_service::show_runners(std::function<void(row_table)> done)
 {
     using runner_rows = std::vector<runner_row>;
     plane_.shards().gather<runner_rows>(
@@ -345,7 +229,7 @@
         });
 }
 
-void operator_desk::show_entries(std::function<void(row_table)> done)
+void operator_service::show_entries(std::function<void(row_table)> done)
 {
     struct entry_counts
     {
@@ -386,7 +270,7 @@
         });
 }
 
-void operator_desk::show_teams(std::function<void(row_table)> done)
+void operator_service::show_teams(std::function<void(row_table)> done)
 {
     std::vector<std::string> names;
     const auto& config = plane_.store().current();
@@ -443,7 +327,7 @@
         });
 }
 
-void operator_desk::show_jobs(std::function<void(row_table)> done)
+void operator_service::show_jobs(std::function<void(row_table)> done)
 {
     using job_rows = std::vector<job_row>;
     plane_.shards().gather<job_rows>(
@@ -466,8 +350,8 @@
         });
 }
 
-void operator_desk::change(std::map<std::string, std::string> rows,
-                           const context_ptr& on)
+void operator_service::change(std::map<std::string, std::string> rows,
+                              const context_ptr& on)
 {
     std::string told = on->text;
     // A secret is neither logged nor kept.
@@ -499,8 +383,8 @@
         });
 }
 
-void operator_desk::execute(const show_change_statement& show,
-                            const context_ptr& on)
+void operator_service::execute(const show_change_statement& show,
+                               const context_ptr& on)
 {
     // The entry that took the change knows most about it.
     const auto owner = show.id.substr(0, show.id.find('.'));
@@ -529,8 +413,8 @@
                        });
 }
 
-void operator_desk::execute(const set_quota_statement& set,
-                            const context_ptr& on)
+void operator_service::execute(const set_quota_statement& set,
+                               const context_ptr& on)
 {
     if (set.quota < least_quota || set.quota > most_quota)
         return on->refuse(bad_range("quota", "a number in 0..1000000 tasks/s"));
@@ -539,8 +423,8 @@
     change({{row_key(row_kind::quota, set.team), text.str()}}, on);
 }
 
-void operator_desk::execute(const set_weight_statement& set,
-                            const context_ptr& on)
+void operator_service::execute(const set_weight_statement& set,
+                               const context_ptr& on)
 {
     if (set.weight < least_weight || set.weight > most_weight)
         return on->refuse(bad_range("weight", "a number in 0.01..1000"));
@@ -549,8 +433,8 @@
     change({{row_key(row_kind::weight, set.team), text.str()}}, on);
 }
 
-void operator_desk::execute(const set_token_statement& set,
-                            const context_ptr& on)
+void operator_service::execute(const set_token_statement& set,
+                               const context_ptr& on)
 {
     constexpr std::size_t least_length = 8;
     if (set.token.size() < least_length)
@@ -558,8 +442,8 @@
     change({{row_key(row_kind::token, set.team), hash_token(set.token)}}, on);
 }
 
-void operator_desk::execute(const unset_team_statement& unset,
-                            const context_ptr& on)
+void operator_service::execute(const unset_team_statement& unset,
+                               const context_ptr& on)
 {
     std::map<std::string, std::string> rows;
     for (const auto kind : {row_kind::quota, row_kind::weight, row_kind::token})
@@ -574,7 +458,7 @@
     change(std::move(rows), on);
 }
 
-void operator_desk::execute(const set_statement& set, const context_ptr& on)
+void operator_service::execute(const set_statement& set, const context_ptr& on)
 {
     const auto* setting = find_setting(set.key);
     if (!setting)
@@ -593,7 +477,8 @@
     change({{row_key(row_kind::setting, set.key), set.value}}, on);
 }
 
-void operator_desk::execute(const drain_statement& drain, const context_ptr& on)
+void operator_service::execute(const drain_statement& drain,
+                               const context_ptr& on)
 {
     const auto* runner = plane_.members().find(drain.runner);
     const auto key = row_key(row_kind::drain, drain.runner);
@@ -605,8 +490,8 @@
     change({{key, drain.on ? on->by : ""}}, on);
 }
 
-void operator_desk::execute(const create_job_statement& create,
-                            const context_ptr& on)
+void operator_service::execute(const create_job_statement& create,
+                               const context_ptr& on)
 {
     if (create.tasks < 1 || create.tasks > most_created_tasks)
         return on->refuse(bad_range("tasks", "a whole number in 1..1000"));
@@ -630,8 +515,8 @@
                                { run_created(job, on); });
 }
 
-void operator_desk::run_created(const std::shared_ptr<routed_job>& job,
-                                const context_ptr& on)
+void operator_service::run_created(const std::shared_ptr<routed_job>& job,
+                                   const context_ptr& on)
 {
     job->id = backend_.mint_ids(1).front();
     const auto id = job->id;
@@ -656,7 +541,7 @@
         });
 }
 
-bool operator_desk::to_minter(const submission_id& id, const context_ptr& on)
+bool operator_service::to_minter(const submission_id& id, const context_ptr& on)
 {
     const auto* report = plane_.peers().report_of(id.entry);
     const bool elsewhere = id.incarnation != plane_.incarnation() && report &&
@@ -676,8 +561,8 @@
     return true;
 }
 
-void operator_desk::execute(const cancel_statement& cancel,
-                            const context_ptr& on)
+void operator_service::execute(const cancel_statement& cancel,
+                               const context_ptr& on)
 {
     const auto id = submission_id::parse(cancel.id);
     if (!id)
@@ -704,153 +589,4 @@
             });
 }
 
-void operator_desk::execute(const why_statement& why, const context_ptr& on)
-{
-    if (why.target == why_target::drained)
-        return explain_drain(why.subject, on);
-    const auto id = submission_id::parse(why.subject);
-    if (!id)
-        return on->refuse({400, reason::malformed,
-                           "'" + why.subject + "' is not a submission id"});
-    if (to_minter(*id, on))
-        return;
-    if (id->incarnation == plane_.incarnation())
-        return explain_here(why, *id, on);
-    // The entry is no more; what it decided against callers is kept.
-    const auto subject = why.subject;
-    explain_from_reports(
-        control_plane::report_prefix(id->entry, id->incarnation), on, {},
-        [subject](const report_line& line)
-        { return line.submission == subject; });
-}
-
-void operator_desk::explain_here(const why_statement& why,
-                                 const submission_id& id, const context_ptr& on)
-{
-    plane_.shards()
-        .owner_of(id.sequence)
-        .post(
-            [why, id, on](shard& one)
-            {
-                row_table rows;
-                for (const auto& record : records_of(one, id.sequence))
-                {
-                    if (belongs(record.record, why))
-                        rows.add(to_row(record));
-                }
-                if (rows.size() == 0)
-                    return on->refuse(
-                        {404, reason::unknown_submission,
-                         "nothing is kept about that submission"});
-                on->done(rows.to_answer());
-            });
-}
-
-void operator_desk::explain_drain(const std::string& runner,
-                                  const context_ptr& on)
-{
-    row_table rows;
-    const auto* row =
-        plane_.store().current().find(row_key(row_kind::drain, runner));
-    if (row)
-        rows.add({{"at", wall_text(row->when * 1'000'000'000)},
-                  {"decision", "drained"},
-                  {"reason", to_name(reason::operator_command)},
-                  {"runner", runner},
-                  {"by", row->by},
-                  {"detail",
-                   "configuration version " + std::to_string(row->version)}});
-    const auto* member = plane_.members().find(runner);
-    if (member && member->state == member_state::leaving)
-        rows.add({{"at", wall_text(wall_nanoseconds())},
-                  {"decision", "drained"},
-                  {"reason", to_name(reason::leaving)},
-                  {"runner", runner},
-                  {"by", "platform list"},
-                  {"detail", "the VM is leaving"}});
-    plane_.report().for_each(
-        [&](const report_line& line)
-        {
-            if (line.runner == runner)
-                rows.add(to_row(line));
-        });
-    explain_from_reports("night/", on, std::move(rows),
-                         [runner](const report_line& line) {
-                             return line.runner == runner &&
-                                    line.kind != decision_kind::refused;
-                         });
-}
-
-void operator_desk::explain_from_reports(
-    const std::string& prefix, const context_ptr& on, row_table found,
-    std::function<bool(const report_line&)> wanted)
-{
-    auto rows = std::make_shared<row_table>(std::move(found));
-    plane_.platform().list_objects(
-        prefix,
-        [this, on, rows, wanted = std::move(wanted)](
-            platform_outcome outcome, std::vector<std::string> names)
-        {
-            if (outcome != platform_outcome::done && rows->size() == 0)
-                return on->refuse({503, reason::entry_unreachable,
-                                   "the object store with the kept decisions "
-                                   "is away",
-                                   verdict::not_run, seconds{5}});
-            if (names.size() > most_report_objects)
-                names.erase(names.begin(), names.end() - most_report_objects);
-            read_reports(std::move(names), on, rows, wanted);
-        });
-}
-
-void operator_desk::read_reports(std::vector<std::string> names,
-                                 const context_ptr& on,
-                                 std::shared_ptr<row_table> found,
-                                 std::function<bool(const report_line&)> wanted)
-{
-    if (names.empty())
-    {
-        if (found->size() == 0)
-            return on->refuse({404, reason::unknown_submission,
-                               "nothing is kept about that"});
-        found->sort_by("at");
-        return on->done(found->to_answer());
-    }
-    const auto name = names.back();
-    names.pop_back();
-    plane_.platform().read_object(
-        name,
-        [this, names = std::move(names), on, found,
-         wanted = std::move(wanted)](platform_outcome, std::string content)
-        {
-            std::istringstream lines(content);
-            std::string text;
-            while (std::getline(lines, text))
-            {
-                const auto line = report_line::from_json(text);
-                if (line && wanted(*line))
-                    found->add(to_row(*line));
-            }
-            read_reports(names, on, found, wanted);
-        });
-}
-
-void operator_desk::execute(const why_waste_statement& why,
-                            const context_ptr& on)
-{
-    const auto counts = plane_.waste().within(process_clock().now(), why.since);
-    row_table rows;
-    for (std::size_t i = 0; i < counts.by_kind.size(); ++i)
-    {
-        const double messages = static_cast<double>(counts.by_kind[i]);
-        const double tasks = static_cast<double>(counts.tasks);
-        const double share = counts.tasks == 0 ? 0 : messages * 1000 / tasks;
-        rows.add({{"name", to_name(static_cast<waste_kind>(i))},
-                  {"messages", counts.by_kind[i]},
-                  {"per_1000_tasks", rounded(share, 2)},
-                  {"cause", waste_causes[i]}});
-    }
-    join_peers(on, std::move(rows), {"name", {"messages", "per_1000_tasks"}},
-               [on](const row_table& all) { on->done(all.to_answer()); });
-}
-
 } // namespace glenhollow
--- a/src/glenhollow/entry/operator_desk.hpp
+++ b/src/glenhollow/entry/operator_service.hpp
@@ -1,5 +1,5 @@
-#ifndef GLENHOLLOW_ENTRY_OPERATOR_DESK_HPP
-#define GLENHOLLOW_ENTRY_OPERATOR_DESK_HPP
+#ifndef GLENHOLLOW_ENTRY_OPERATOR_SERVICE_HPP
+#define GLENHOLLOW_ENTRY_OPERATOR_SERVICE_HPP
 
 #include "glenhollow/entry/caller_api.hpp"
 #include "glenhollow/entry/control_plane.hpp"
@@ -21,12 +21,12 @@
 };
 
 /// Answers the operators' statements of one entry, on its control thread.
-class operator_desk final
+class operator_service final
 {
 public:
-    /// @param plane The entry's control thread; outlives the desk.
-    /// @param backend Runs jobs; outlives the desk.
-    operator_desk(control_plane& plane, entry_backend& backend)
+    /// @param plane The entry's control thread; outlives the service.
+    /// @param backend Runs jobs; outlives the service.
+    operator_service(control_plane& plane, entry_backend& backend)
         : plane_(plane), backend_(backend)
     {
     }
--- a/src/glenhollow/entry/peer_service.cpp
+++ b/src/glenhollow/entry/peer_service.cpp
@@ -141,8 +141,8 @@
 {
     const auto params = context.getParams();
     answer_promise answer(plane_.io());
-    desk_.run(params.getStatement().cStr(), params.getBy().cStr(),
-              statement_scope::this_entry, answer.sink());
+    operators_.run(params.getStatement().cStr(), params.getBy().cStr(),
+                   statement_scope::this_entry, answer.sink());
     return answer.take().then(
         [context](const job_answer& told) mutable
         { fill(context.getResults().initAnswer(), told); });
--- a/src/glenhollow/entry/peer_service.hpp
+++ b/src/glenhollow/entry/peer_service.hpp
@@ -3,7 +3,7 @@
 
 #include "glenhollow/entry/caller_api.hpp"
 #include "glenhollow/entry/control_plane.hpp"
-#include "glenhollow/entry/operator_desk.hpp"
+#include "glenhollow/entry/operator_service.hpp"
 #include "glenhollow/wire/glenhollow.capnp.h"
 
 namespace glenhollow
@@ -16,10 +16,10 @@
 public:
     /// @param plane The entry's control thread; outlives the service.
     /// @param backend Runs jobs; outlives the service.
-    /// @param desk Answers statements; outlives the service.
+    /// @param operators Answers statements; outlives the service.
     peer_service(control_plane& plane, entry_backend& backend,
-                 operator_desk& desk)
-        : plane_(plane), backend_(backend), desk_(desk)
+                 operator_service& operators)
+        : plane_(plane), backend_(backend), operators_(operators)
     {
     }
 
@@ -33,9 +33,9 @@
     kj::Promise<void> members(MembersContext context) override;
 
 private:
-    control_plane& plane_;   ///< The entry's control thread.
-    entry_backend& backend_; ///< Runs jobs.
-    operator_desk& desk_;    ///< Answers statements.
+    control_plane& plane_;        ///< The entry's control thread.
+    entry_backend& backend_;      ///< Runs jobs.
+    operator_service& operators_; ///< Answers statements.
 };
 
 } // namespace glenhollow
