--- a/tests/unit/durable/shared_placement_tests.cpp
+++ b/tests/unit/durable/shared_placement_tests.cpp
@@ -6,6 +6,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace glenhollow;
 
 namespace
@@ -73,14 +75,15 @@
 class placer_peer final : public wire::EntryPeer::Server
 {
 public:
-    placer_peer(placement_server& placements, placer_manner manner)
-        : placements_(placements), manner_(manner)
+    placer_peer(placement_server& placements, placer_manner manner,
+                std::string name = "placer")
+        : placements_(placements), manner_(manner), name_(std::move(name))
     {
     }
 
     kj::Promise<void> exchange(ExchangeContext context) override
     {
-        context.getResults().initView().setName("placer");
+        context.getResults().initView().setName(name_);
         return kj::READY_NOW;
     }
 
@@ -100,6 +103,7 @@
 private:
     placement_server& placements_; ///< Outlives the peer.
     placer_manner manner_;         ///< How it behaves.
+    std::string name_;             ///< As it tells it.
 };
 
 /// Answers nothing that the tests ask for.
@@ -237,3 +241,109 @@
     CHECK(play.placer.placing.waiting() == 0); // The link has been closed.
     CHECK(play.entry.placing.waiting() == 1);  // Its entry still has it.
 }
+
+namespace
+{
+
+/// An entry with two placers, one of which is silent.
+struct two_placers_play
+{
+    two_placers_play()
+    {
+        placement_groups_settings limits;
+        limits.client.entry = "entry";
+        limits.choice.group_agents = 1;
+        client = std::make_unique<placement_groups>(
+            process_clock(), peers, entry.placing, [] {}, limits);
+    }
+
+    /// @param agents That each placer reaches: one for each group.
+    void until(std::size_t agents, const std::function<bool()>& holds,
+               const std::function<void()>& at_each_step)
+    {
+        auto silent_links = rpc_listener::create(loop.io(), "127.0.0.1", 0);
+        auto links = rpc_listener::create(loop.io(), "127.0.0.1", 0);
+        REQUIRE(silent_links);
+        REQUIRE(links);
+        std::function<void()> step = [&]
+        {
+            if (holds())
+                return loop.stop();
+            peers.tick();
+            // The silent one is the most powerful, so it is the first choice.
+            client->choose({{"silent", 500, agents, true, 0},
+                            {"placer", 250, agents, true, 0}});
+            at_each_step();
+            placer.placing.dispatch();
+            entry.placing.dispatch();
+            client->flush();
+            run_after(loop.io(), milliseconds{2}, step);
+        };
+        loop.run(
+            [&]
+            {
+                silent_links.value()->serve(kj::heap<placer_peer>(
+                    placements, placer_manner::silent, "silent"));
+                links.value()->serve(kj::heap<placer_peer>(
+                    placements, placer_manner::answers, "placer"));
+                peers.add("silent",
+                          {"127.0.0.1", silent_links.value()->port()});
+                peers.add("placer", {"127.0.0.1", links.value()->port()});
+                step();
+            },
+            [&]
+            {
+                client->close();
+                placements.close();
+                peers.close();
+                silent_links.value()->close();
+                links.value()->close();
+            });
+    }
+
+    /// Wants a task placed as soon as the silent placer could be asked.
+    void enqueue_once()
+    {
+        if (client->placers().find("silent") == std::string::npos ||
+            std::exchange(enqueued, true))
+            return;
+        for (job_id job = 1; job <= jobs; ++job)
+            entry.placing.enqueue(queue_side::task(job));
+    }
+
+    static constexpr job_id jobs = 4;
+    bool enqueued = false;
+    rpc_loop loop;
+    idle_handler handler;
+    queue_side entry;
+    queue_side placer;
+    placement_server placements{process_clock(), placer.placing, [] {}};
+    entry_peers peers{loop.io(), process_clock(), handler, {}};
+    std::unique_ptr<placement_groups> client;
+};
+
+} // namespace
+
+TEST_CASE("tasks of a group whose placer is silent go to the other group")
+{
+    two_placers_play play;
+    play.until(
+        2, [&] { return play.entry.orders.size() == two_placers_play::jobs; },
+        [&] { play.enqueue_once(); });
+    CHECK(play.client->groups() == 2);
+    CHECK(play.entry.placing.waiting() == 0);
+    std::set<job_id> ordered;
+    for (const auto& order : play.entry.orders)
+        ordered.insert(order.run.task.job);
+    CHECK(ordered.size() == two_placers_play::jobs); // Each of them once.
+}
+
+TEST_CASE("with one group the next placer takes over from a silent one")
+{
+    two_placers_play play;
+    play.until(
+        1, [&] { return play.client->placers() == "placer"; },
+        [&] { play.enqueue_once(); });
+    CHECK(play.client->groups() == 1);
+    CHECK(play.client->stats().failures >= 1);
+}
