--- a/tests/unit/durable/dispatcher_tests.cpp
+++ b/tests/unit/durable/dispatcher_tests.cpp
@@ -564,6 +564,28 @@
     CHECK(world.placing.ready_cores("service-1") == 32);
 }
 
+TEST_CASE("an agent that moves to another group loses no room and no grant")
+{
+    placement_world world(1);
+    world.placing.serve(&world);
+    world.runner("a", "rack-1");
+    world.placing.enqueue(world.task_of(1, slack));
+    world.placing.dispatch();
+    REQUIRE(world.granted.size() == 1);
+    world.placing.place_only_at([](const std::string&) { return false; });
+    // Nothing more is placed there; what was granted may still be used.
+    world.placing.enqueue(world.task_of(1, slack));
+    world.placing.dispatch();
+    CHECK(world.granted.size() == 1);
+    world.loop.advance(milliseconds{200});
+    world.placing.dispatch();
+    // It comes back: the grant that nobody used has freed its room.
+    world.placing.place_only_at(nullptr);
+    CHECK(world.placing.free_cores("service-1") == Approx(16));
+    world.placing.dispatch();
+    CHECK(world.granted.size() == 2);
+}
+
 TEST_CASE("an entry orders at agents of other groups what their placers grant")
 {
     placement_world world(1);
--- a/tests/unit/runs/run_manager_tests.cpp
+++ b/tests/unit/runs/run_manager_tests.cpp
@@ -256,6 +256,35 @@
     CHECK(world.runner.running.size() == 1);
 }
 
+TEST_CASE("an order that was long on its way brings no lease with it")
+{
+    // Its entry froze, or the link held it up, for longer than the lease that
+    // it carries; the entry may have given this agent up meanwhile.
+    manager_world world;
+    world.run(milliseconds{2000}, false);
+    const auto now = world.loop.clock.now();
+    world.manager->renew(entry_lease, 0, now - milliseconds{900});
+    world.order(manager_world::ref(0));
+    world.run(milliseconds{700}, false);
+    CHECK(world.runner.running.empty());
+    const auto told = world.ends();
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].how == run_outcome::not_begun);
+}
+
+TEST_CASE("an order that brings a lease starts at once, for as long as that is")
+{
+    manager_world world;
+    world.run(milliseconds{2000}, false);
+    const auto now = world.loop.clock.now();
+    world.manager->renew(entry_lease, 0, now - milliseconds{2});
+    world.order(manager_world::ref(0));
+    world.run(milliseconds{50}, false);
+    CHECK(world.runner.running.size() == 1);
+    world.run(milliseconds{1300}, false);
+    CHECK(world.runner.running.empty());
+}
+
 TEST_CASE("an order of an earlier session never starts in the next one")
 {
     // The entry may have given the session up and ordered the task elsewhere.
