--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -18,17 +18,6 @@
 constexpr duration probe_interval = milliseconds{300};
 constexpr duration load_log_interval = seconds{2};
 
-/// While room is told to another entry that places, this one needs it only to
-/// be ready to place by itself; so many reports a second in all.
-constexpr duration idle_room_gap = milliseconds{150};
-constexpr std::int64_t idle_room_reports = 150;
-
-/// Timers this late on average make an entry a bad placer; much of a short
-/// task's slack would go by. They must be well below it again to come back.
-constexpr duration untimely_lag = milliseconds{12};
-constexpr duration timely_lag = milliseconds{5};
-constexpr int lag_weight = 8; // Newest tick: one eighth.
-
 constexpr double per_core = 1000.0;
 
 /// A job in memory that is sent again soon after its end is not run anew.
@@ -182,60 +171,6 @@
     delay()(tick_interval, [this] { tick(); });
 }
 
-void durable_service::note_lag(duration lag)
-{
-    auto& budget = placements_.active() ? placer_reports_ : reports_;
-    budget.note_tick(lag);
-    lag_ += (lag - lag_) / lag_weight;
-    timely_ = lag_ < (timely_ ? untimely_lag : timely_lag);
-}
-
-duration durable_service::room_gap(const std::string& agent,
-                                   std::size_t agents) const
-{
-    if (places_for_others(agent))
-        return placer_reports_.gap(agents /
-                                   std::max<std::size_t>(1, groups_.groups()));
-    const auto gap = reports_.gap(agents);
-    if (!groups_.delegates() && !placements_.active())
-        return gap;
-    const duration share =
-        seconds{static_cast<std::int64_t>(agents)} / idle_room_reports;
-    return std::max({gap, idle_room_gap, share});
-}
-
-/// One entry places all tasks of a group of agents, so that the most urgent one
-/// of all is the first to get room, wherever its caller's connection ended up.
-void durable_service::choose_placer()
-{
-    if (!settings_.share_placement)
-        return;
-    std::vector<placer_candidate> candidates;
-    const auto add = [&candidates](const entry_view& view)
-    {
-        candidates.push_back(
-            {view.name, view.power, view.agents,
-             view.timely && !view.stopping && view.catalog_version != 0,
-             view.started});
-    };
-    add(own_view());
-    for (const auto& view : peers_.live())
-        add(view);
-    groups_.choose(candidates);
-    groups_.flush();
-    // Agents know this entry as one that hardly needs their room.
-    const bool placed_before = std::exchange(placing_, placements_.active());
-    if (placing_ && !placed_before)
-        agents_.tell_pace();
-}
-
-wire::PlacementSession::Client
-durable_service::open_placement(const std::string& entry,
-                                wire::PlacementGrants::Client grants)
-{
-    return placements_.open(entry, kj::mv(grants));
-}
-
 /// What a silent agent ran has lapsed after a while, for all parts alike.
 void durable_service::check_agents()
 {
