A row that was removed in history that the store forgot is told as gone

Cause: after the history was gone, or the store away, the table was read anew, and rows that were missing then were never told. An evacuation that ended meanwhile would have kept its hall without work for good. The follower also tells the version up to which all changes have been told.

--- a/src/glenhollow/durable/table_follower.hpp
+++ b/src/glenhollow/durable/table_follower.hpp
@@ -29,10 +29,14 @@
     /// @param later Runs delayed work.
     /// @param table Kind of row; rows without a part.
     /// @param settings Limits.
-    /// @param on_row Told each row as read or changed.
+    /// @param on_row Told each row as read or changed, and as gone when it was
+    /// removed, be it in history that the store forgot.
+    /// @param on_current Told, after its rows, that all changes up to a version
+    /// have been told; may be empty.
     table_follower(row_store& store, journal_chain::delay later,
                    std::string table, const table_follower_settings& settings,
-                   std::function<void(const stored_row&)> on_row);
+                   std::function<void(const stored_row&)> on_row,
+                   std::function<void(std::uint64_t)> on_current = {});
     ~table_follower();
 
     /// Begins to read.
