Connections of the HTTP client that go silent for good end after 3 s

Cause: a long wait for changes of the configuration has no other sign that its connection is silent; it was noticed after 21 s, where a configuration has to be in force after 2 to 3 s. Keep-alive probes of the kernel cost no call to the store; a shorter wait (weighed) would cost one a second for each table and entry.

--- a/src/glenhollow/http/client.cpp
+++ b/src/glenhollow/http/client.cpp
@@ -1,5 +1,7 @@
 #include "glenhollow/http/client.hpp"
 
+#include "glenhollow/telemetry/log.hpp"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -11,7 +13,9 @@
 
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <charconv>
+#include <cstring>
 #include <deque>
 #include <sstream>
 #include <vector>
@@ -192,6 +196,11 @@
         if (ec)
             co_return "connect: " + ec.message();
         link.stream.socket().set_option(tcp::no_delay(true), ec);
+        if (!keep_alive(link.stream.socket().native_handle(),
+                        self.settings.silence))
+            log_change(log_level::warning, "keep_alive_refused",
+                       {{"server", self.settings.server.to_string()},
+                        {"cause", std::strerror(errno)}});
         co_return std::string{};
     }
 
--- a/src/glenhollow/http/client.hpp
+++ b/src/glenhollow/http/client.hpp
@@ -3,6 +3,7 @@
 
 #include "glenhollow/core/clock.hpp"
 #include "glenhollow/core/result.hpp"
+#include "glenhollow/http/keep_alive.hpp"
 #include "glenhollow/http/message.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -44,6 +45,7 @@
     duration connect_timeout = seconds{2};   ///< To get a connection.
     duration call_timeout = seconds{60};     ///< From first byte to answer.
     std::size_t max_body_bytes = 64UL << 20; ///< Larger answers fail.
+    keep_alive_settings silence;             ///< Of connections.
 };
 
 /// Calls one HTTP/1.1 server over keep-alive connections, on one io_context.
