Evacuated halls get no new work; a late heartbeat ends no life; fewer reports

Evacuations: entries follow the operator's rows, tell each other and answer each report of an agent with what they know of its hall; the newest version counts, and the agent, which is the authority on starts, takes nothing while its hall is evacuated.

Lives: a heartbeat that was held back by a cut replaced the life that runs, and with it all its runs were told as lapsed. The backend server now tells which life it is, by refusing or answering a look that expects the registered one.

Reports: entries that do not place get room from agents 50 times a second in all instead of once in 150 ms from each (466 a second at 70 agents); those that lose their placer ask for it at once. Idle heartbeats 25 -> 12.5 a second an agent. Walks over all agents go over those that this entry places at.

--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -219,7 +219,9 @@
   # `confirmed`: ends that the entry has dealt with.
   report @0 (report :RunReport)
          -> (renewed :List(PartEpoch), roomGapMs :UInt32, places :Bool,
-             confirmed :List(RunEnd));
+             confirmed :List(RunEnd), evacuated :Bool, evacuatedAt :UInt64);
+  # evacuated: the agent's hall gets no new work, as of the store's version
+  # evacuatedAt; a later version replaces an earlier one.
 }
 
 interface RunAgent {
@@ -265,6 +267,8 @@
   timely @9 :Bool;                # its own timers come in time
   agents @10 :UInt32;             # with which it has a session
   started @11 :Int64;             # its time of day then, in seconds
+  evacuated @12 :List(Text);      # halls that get no new work
+  evacuatedAt @13 :UInt64;        # the store's version when it was so
 }
 
 struct JobCall {
--- a/src/glenhollow/durable/agent_sessions.cpp
+++ b/src/glenhollow/durable/agent_sessions.cpp
@@ -34,11 +34,11 @@
         sessions_.heard(agent_, number_, context.getParams().getReport());
         const auto owned = sessions_.listener_.owned_parts();
         auto results = context.getResults();
-        const auto gap =
-            sessions_.listener_.room_gap(agent_, sessions_.attached_);
-        results.setRoomGapMs(static_cast<std::uint32_t>(
-            std::chrono::duration_cast<milliseconds>(gap).count()));
+        results.setRoomGapMs(sessions_.room_gap_ms(agent_));
         results.setPlaces(sessions_.listener_.places_for_others(agent_));
+        const auto hall = sessions_.listener_.evacuation_of(agent_);
+        results.setEvacuated(hall.evacuated);
+        results.setEvacuatedAt(hall.version);
         auto renewed = results.initRenewed(static_cast<unsigned>(owned.size()));
         for (unsigned i = 0; i < renewed.size(); ++i)
             fill(renewed[i], owned[i]);
@@ -220,18 +220,23 @@
     }
 }
 
+std::uint32_t agent_sessions::room_gap_ms(const std::string& agent) const
+{
+    const auto gap = listener_.room_gap(agent, attached_);
+    return static_cast<std::uint32_t>(
+        std::chrono::duration_cast<milliseconds>(gap).count());
+}
+
 void agent_sessions::tell_pace()
 {
     for (auto& [agent, one] : sessions_)
     {
-        if (!listener_.places_for_others(agent))
+        if (!listener_.places_at(agent))
             continue; // Its next report is answered with what is wished.
         KJ_IF_MAYBE (orders, one->orders)
         {
-            const auto gap = listener_.room_gap(agent, attached_);
             auto request = orders->paceRequest();
-            request.setRoomGapMs(static_cast<std::uint32_t>(
-                std::chrono::duration_cast<milliseconds>(gap).count()));
+            request.setRoomGapMs(room_gap_ms(agent));
             request.setPlaces(listener_.places_for_others(agent));
             one->link->add(
                 request.send().then([](auto&&) {}, [](kj::Exception&&) {}));
--- a/src/glenhollow/durable/agent_sessions.hpp
+++ b/src/glenhollow/durable/agent_sessions.hpp
@@ -15,6 +15,13 @@
 namespace glenhollow
 {
 
+/// Whether a hall gets no new work.
+struct hall_evacuation
+{
+    bool evacuated = false;    ///< It gets none.
+    std::uint64_t version = 0; ///< Of the store, when it was so; 0: unknown.
+};
+
 /// Told what agents say.
 class agent_session_listener
 {
@@ -63,6 +70,14 @@
     /// @param agent One that reports.
     /// @return Whether this entry places the tasks of others there.
     virtual bool places_for_others(const std::string& agent) const = 0;
+
+    /// @param agent One that reports.
+    /// @return Whether this entry places any tasks there by itself.
+    virtual bool places_at(const std::string& agent) const = 0;
+
+    /// @param agent One that reports.
+    /// @return Whether its hall is evacuated, as far as this entry knows.
+    virtual hall_evacuation evacuation_of(const std::string& agent) const = 0;
 };
 
 /// Between two reports of an agent that has runs of the entry, at most.
@@ -141,6 +156,7 @@
                   const runner_report& report);
     void down(const std::string& agent);
     void adopt_at(session& at, part_epoch part);
+    std::uint32_t room_gap_ms(const std::string& agent) const;
     void heard(const std::string& agent, std::uint64_t number,
                wire::RunReport::Reader report);
 
--- a/src/glenhollow/durable/agent_view.hpp
+++ b/src/glenhollow/durable/agent_view.hpp
@@ -6,6 +6,7 @@
 #include "glenhollow/durable/ready_task.hpp"
 #include "glenhollow/runs/run_wire.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -97,6 +98,16 @@
     /// @return Taken, by the agent's account and what is on its way.
     resources used() const;
 
+    /// @return All its cores.
+    double cores() const { return account().capacity.cpu / per_core; }
+
+    /// @return Those of them that nothing takes.
+    double free_cores() const
+    {
+        const auto all = account().capacity.cpu;
+        return (all - std::min(used().cpu, all)) / per_core;
+    }
+
     /// @param needs What a task takes.
     /// @return Whether there is room for it.
     bool has_room(const resources& needs) const;
--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -12,7 +12,6 @@
 namespace
 {
 
-constexpr double per_core = 1000.0;
 constexpr double micros_a_ms = 1000.0;
 constexpr double classes_of_pace = 2.0;
 constexpr double quarters = 4.0;
@@ -35,11 +34,25 @@
 {
     const auto [known, is_new] =
         agents_.try_emplace(agent, agent, tie_breakers_());
-    if (is_new && takes_)
-        known->second.ours = takes_(agent);
+    if (is_new)
+    {
+        known->second.ours = !takes_ || takes_(agent);
+        list_own_agents();
+    }
     known->second.attached(report);
 }
 
+/// The placing of each task walks over these alone.
+void dispatcher::list_own_agents()
+{
+    own_agents_.clear();
+    for (auto& [name, agent] : agents_)
+    {
+        if (agent.ours)
+            own_agents_.push_back(&agent);
+    }
+}
+
 void dispatcher::detached(const std::string& agent)
 {
     const auto known = agents_.find(agent);
@@ -50,6 +63,7 @@
 void dispatcher::forget(const std::string& agent)
 {
     agents_.erase(agent);
+    list_own_agents();
 }
 
 void dispatcher::adopted(const std::string& agent, part_number part)
@@ -275,10 +289,10 @@
     if (queue.cpu_needs.empty())
         return roomy;
     const resources least{*queue.cpu_needs.begin(), 0, 0};
-    for (auto& [name, agent] : agents_)
+    for (auto* agent : own_agents_)
     {
-        if (agent.ours && agent.linked() && agent.has_room(least))
-            roomy.push_back(&agent);
+        if (agent->linked() && agent->has_room(least))
+            roomy.push_back(agent);
     }
     return roomy;
 }
@@ -332,9 +346,12 @@
 {
     const auto now = clock_.now();
     demand_.forget_old(now);
+    if (demand_.empty() && !some_hot_)
+        return;
+    some_hot_ = !demand_.empty();
     for (auto& [name, agent] : agents_)
         agent.hot = false;
-    if (demand_.empty())
+    if (!some_hot_)
         return;
     // Every owner sees its own share of the work, but for a placer.
     const double share = foreign_ > 0 ? 1.0 : owners();
@@ -344,7 +361,7 @@
         if (!agent.ours)
             continue;
         for (const auto& label : agent.account().labels)
-            cores[label] += agent.account().capacity.cpu / per_core;
+            cores[label] += agent.cores();
     }
     for (auto& [name, agent] : agents_)
     {
@@ -501,10 +518,10 @@
 double dispatcher::ready_cores(const std::string& service) const
 {
     double cores = 0;
-    for (const auto& [name, agent] : agents_)
+    for (const auto* agent : own_agents_)
     {
-        if (takes_work(agent, service))
-            cores += agent.account().capacity.cpu / per_core;
+        if (takes_work(*agent, service))
+            cores += agent->cores();
     }
     return cores;
 }
@@ -512,12 +529,10 @@
 double dispatcher::free_cores(const std::string& service) const
 {
     double cores = 0;
-    for (const auto& [name, agent] : agents_)
+    for (const auto* agent : own_agents_)
     {
-        if (!takes_work(agent, service))
-            continue;
-        const auto all = agent.account().capacity.cpu;
-        cores += (all - std::min(agent.used().cpu, all)) / per_core;
+        if (takes_work(*agent, service))
+            cores += agent->free_cores();
     }
     return cores;
 }
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -356,6 +356,7 @@
                        const std::vector<agent_view*>& roomy);
     bool has_near_agent(const ready_task& task) const;
     void mark_hot();
+    void list_own_agents();
     bool alike(const ready_task& task, const ready_task& unplaced) const;
     void note_grant_time(const agent_view& agent,
                          const std::vector<std::uint32_t>& granted);
@@ -391,11 +392,13 @@
     void flush();
     void send(agent_view& agent);
 
-    const clock_source& clock_;                   ///< This entry's.
-    order_sender& sender_;                        ///< Sends the orders.
-    task_source& tasks_;                          ///< Owns the tasks.
-    dispatcher_settings settings_;                ///< Limits.
-    std::map<std::string, agent_view> agents_;    ///< By name.
+    const clock_source& clock_;                ///< This entry's.
+    order_sender& sender_;                     ///< Sends the orders.
+    task_source& tasks_;                       ///< Owns the tasks.
+    dispatcher_settings settings_;             ///< Limits.
+    std::map<std::string, agent_view> agents_; ///< By name.
+    std::vector<agent_view*> own_agents_; ///< Those that this entry places at.
+    bool some_hot_ = false;               ///< An agent is marked so.
     std::map<std::string, service_queue> queues_; ///< By service.
     std::unordered_map<run_ref, std::pair<std::string, queue_key>,
                        run_ref_hash>
--- a/src/glenhollow/durable/dispatcher_sharing.cpp
+++ b/src/glenhollow/durable/dispatcher_sharing.cpp
@@ -7,13 +7,6 @@
 namespace glenhollow
 {
 
-namespace
-{
-
-constexpr double per_core = 1000.0;
-
-} // namespace
-
 /// The same job may wait at two entries: its caller has sent it again.
 job_id dispatcher::job_key(const ready_task& task)
 {
@@ -133,20 +126,20 @@
     takes_ = std::move(takes);
     for (auto& [name, agent] : agents_)
         agent.ours = !takes_ || takes_(name);
+    list_own_agents();
 }
 
 std::map<std::string, placement_load> dispatcher::loads() const
 {
     std::map<std::string, placement_load> out;
-    for (const auto& [name, agent] : agents_)
+    for (const auto* agent : own_agents_)
     {
-        const auto& account = agent.account();
-        if (!takes_work(agent, account.service))
+        const auto& account = agent->account();
+        if (!takes_work(*agent, account.service))
             continue;
         auto& load = out[account.service];
-        const auto all = account.capacity.cpu;
-        load.ready_cores += all / per_core;
-        load.free_cores += (all - std::min(agent.used().cpu, all)) / per_core;
+        load.ready_cores += agent->cores();
+        load.free_cores += agent->free_cores();
     }
     for (auto& [service, load] : out)
     {
--- a/src/glenhollow/durable/durable_placement.cpp
+++ b/src/glenhollow/durable/durable_placement.cpp
@@ -13,7 +13,8 @@
 /// While room is told to another entry that places, this one needs it only to
 /// be ready to place by itself; so many reports a second in all.
 constexpr duration idle_room_gap = milliseconds{150};
-constexpr std::int64_t idle_room_reports = 150;
+constexpr duration longest_idle_room_gap = seconds{2};
+constexpr double idle_room_reports = 50;
 
 /// Timers this late on average make an entry a bad placer; much of a short
 /// task's slack would go by. They must be well below it again to come back.
@@ -40,9 +41,10 @@
     const auto gap = reports_.gap(agents);
     if (!groups_.delegates() && !placements_.active())
         return gap;
-    const duration share =
-        seconds{static_cast<std::int64_t>(agents)} / idle_room_reports;
-    return std::max({gap, idle_room_gap, share});
+    const std::chrono::duration<double> share{static_cast<double>(agents) /
+                                              idle_room_reports};
+    return std::max(gap, std::clamp(std::chrono::duration_cast<duration>(share),
+                                    idle_room_gap, longest_idle_room_gap));
 }
 
 /// One entry places all tasks of a group of agents, so that the most urgent one
@@ -65,9 +67,10 @@
     groups_.choose(candidates);
     groups_.flush();
     // Agents know this entry as one that hardly needs their room.
-    const bool placed_before = std::exchange(placing_, placements_.active());
-    if (placing_ && !placed_before)
+    const bool places = placements_.active() || !groups_.delegates();
+    if (places && !std::exchange(placing_, places))
         agents_.tell_pace();
+    placing_ = places;
 }
 
 wire::PlacementSession::Client
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -18,8 +18,6 @@
 constexpr duration probe_interval = milliseconds{300};
 constexpr duration load_log_interval = seconds{2};
 
-constexpr double per_core = 1000.0;
-
 /// A job in memory that is sent again soon after its end is not run anew.
 constexpr duration memory_of_ends = seconds{10};
 
@@ -101,8 +99,10 @@
       router_(clock, delay(), ownership_, peers_, router_of(settings)),
       members_(store_, delay(), std::string(members_table), settings.follower,
                [this](const stored_row& row) { take_member(row); }),
-      configuration_(store_, delay(), settings.catalog.table, settings.follower,
-                     [this](const stored_row& row) { take_catalog_row(row); }),
+      configuration_(
+          store_, delay(), settings.catalog.table, settings.follower,
+          [this](const stored_row& row) { take_operator_row(row); },
+          [this](std::uint64_t version) { operator_rows_current(version); }),
       announcer_(store_, delay(),
                  {settings.entry, member_role::entry, settings.where})
 {
@@ -211,9 +211,7 @@
             continue;
         ++ready;
         ejected += agent.ejected(now) ? 1 : 0;
-        const auto& capacity = agent.account().capacity;
-        free_cores +=
-            (capacity.cpu - std::min(capacity.cpu, agent.used().cpu)) / 1000.0;
+        free_cores += agent.free_cores();
     }
     log_change(log_level::info, "placement_load",
                {{"jobs", memory_.open_jobs()},
@@ -241,7 +239,7 @@
                     if (!*alive || !got.answered)
                         return;
                     for (const auto& row : got.rows)
-                        take_catalog_row(row);
+                        take_operator_row(row);
                 });
 }
 
@@ -315,10 +313,43 @@
         peers_.add(known.name, known.where);
 }
 
-void durable_service::take_catalog_row(const stored_row& row)
+void durable_service::take_operator_row(const stored_row& row)
+{
+    const auto& place = settings_.catalog;
+    if (row.key.key == place.key && !row.gone)
+        return take_document(row.value, "store");
+    const auto& prefix = place.evacuation_prefix;
+    if (!prefix.empty() && row.key.key.starts_with(prefix))
+        evacuated_.note(row.key.key.substr(prefix.size()), !row.gone);
+}
+
+void durable_service::operator_rows_current(std::uint64_t version)
+{
+    if (evacuated_.complete(version))
+        log_evacuations("store");
+}
+
+/// Agents learn it with the answers to their reports; an entry that the store
+/// turns away, from the others.
+void durable_service::log_evacuations(std::string_view source)
+{
+    std::string halls;
+    for (const auto& hall : evacuated_.halls())
+        halls += (halls.empty() ? "" : ",") + hall;
+    log_change(log_level::warning, "halls_evacuated",
+               {{"halls", halls},
+                {"version", evacuated_.version()},
+                {"source", source}});
+    peers_.push();
+}
+
+hall_evacuation durable_service::evacuation_of(const std::string& agent) const
 {
-    if (row.key.key == settings_.catalog.key && !row.gone)
-        take_document(row.value, "store");
+    const auto known = dispatcher_.agents().find(agent);
+    if (known == dispatcher_.agents().end())
+        return {};
+    return {evacuated_.contains(known->second.account().zone),
+            evacuated_.version()};
 }
 
 void durable_service::take_document(const std::string& document,
@@ -434,6 +465,7 @@
     view.timely = timely_;
     view.agents = static_cast<std::uint32_t>(agents_.attached());
     view.started = started_;
+    view.evacuated = evacuated_;
     ownership_.for_each(
         [&view](job_coordinator& part)
         {
@@ -445,6 +477,8 @@
 
 void durable_service::peer_seen(const entry_view& view)
 {
+    if (evacuated_.take(view.evacuated))
+        log_evacuations("peer");
     if (view.catalog_version <= catalog_.version)
         return;
     peers_.fetch_catalog(
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -25,8 +25,11 @@
 /// Where the configuration's document lies in the store.
 struct catalog_place
 {
-    std::string table; ///< Kind of row; no part.
-    std::string key;   ///< Of the row.
+    std::string table;             ///< Kind of row; no part.
+    std::string key;               ///< Of the configuration's row.
+    std::string evacuation_prefix; ///< Of the keys, each ending in a hall, of
+                                   ///< rows that are there while the hall's
+                                   ///< backend servers get no new work.
 };
 
 /// Settings of the durable jobs of one entry.
@@ -134,6 +137,12 @@
     {
         return placements_.active() && groups_.takes(agent);
     }
+    bool places_at(const std::string& agent) const override
+    {
+        return placements_.active() ? groups_.takes(agent)
+                                    : !groups_.delegates();
+    }
+    hall_evacuation evacuation_of(const std::string& agent) const override;
     wire::PlacementSession::Client
     open_placement(const std::string& entry,
                    wire::PlacementGrants::Client grants) override;
@@ -152,7 +161,9 @@
 
     job_coordinator* coordinator_of(const run_ref& run);
     void take_member(const stored_row& row);
-    void take_catalog_row(const stored_row& row);
+    void take_operator_row(const stored_row& row);
+    void operator_rows_current(std::uint64_t version);
+    void log_evacuations(std::string_view source);
     void take_document(const std::string& document, std::string_view source);
     void tick();
     void check_agents();
@@ -175,6 +186,7 @@
     watched_store store_;               ///< Where rows lie.
     queue_catalog catalog_;             ///< Newest.
     std::string document_;              ///< Its source.
+    evacuated_halls evacuated_;         ///< Halls that get no new work.
     agent_sessions agents_;             ///< Links to agents.
     entry_peers peers_;                 ///< Links to entries.
     dispatcher dispatcher_;             ///< Places tasks.
@@ -204,7 +216,7 @@
     instant probed_{};         ///< Last probe of the store.
     instant load_logged_{};    ///< Last line on the load.
     bool dispatching_ = false; ///< A dispatch is on its way.
-    bool placing_ = false;     ///< It places for others.
+    bool placing_ = false;     ///< It places, for others or by itself.
     bool stopping_ = false;    ///< A planned stop.
 };
 
--- a/src/glenhollow/durable/entry_peers.cpp
+++ b/src/glenhollow/durable/entry_peers.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace glenhollow
@@ -37,6 +38,12 @@
     out.setTimely(view.timely);
     out.setAgents(view.agents);
     out.setStarted(view.started);
+    const auto& halls = view.evacuated.halls();
+    auto evacuated = out.initEvacuated(static_cast<unsigned>(halls.size()));
+    unsigned at = 0;
+    for (const auto& hall : halls)
+        evacuated.set(at++, hall);
+    out.setEvacuatedAt(view.evacuated.version());
 }
 
 entry_view view_from(wire::EntryView::Reader in)
@@ -58,6 +65,10 @@
     view.timely = in.getTimely();
     view.agents = in.getAgents();
     view.started = in.getStarted();
+    std::set<std::string> halls;
+    for (auto hall : in.getEvacuated())
+        halls.insert(hall);
+    view.evacuated.take(in.getEvacuatedAt(), halls);
     return view;
 }
 
--- a/src/glenhollow/durable/entry_peers.hpp
+++ b/src/glenhollow/durable/entry_peers.hpp
@@ -1,6 +1,7 @@
 #ifndef GLENHOLLOW_DURABLE_ENTRY_PEERS_HPP
 #define GLENHOLLOW_DURABLE_ENTRY_PEERS_HPP
 
+#include "glenhollow/durable/evacuated_halls.hpp"
 #include "glenhollow/durable/exchange_pacing.hpp"
 #include "glenhollow/durable/job_coordinator.hpp"
 #include "glenhollow/rpc/rpc_link.hpp"
@@ -35,10 +36,11 @@
     std::uint64_t catalog_version = 0; ///< Newest it has.
     std::vector<queue_count> pending;  ///< Of its parts.
     std::vector<part_epoch> released;  ///< Given away, free to take.
-    std::uint32_t power = 0;  ///< Thousandths of a core that it may use.
-    bool timely = false;      ///< Its own timers come in time.
-    std::uint32_t agents = 0; ///< With which it has a session.
-    std::int64_t started = 0; ///< By its time of day, in seconds.
+    std::uint32_t power = 0;   ///< Thousandths of a core that it may use.
+    bool timely = false;       ///< Its own timers come in time.
+    std::uint32_t agents = 0;  ///< With which it has a session.
+    std::int64_t started = 0;  ///< By its time of day, in seconds.
+    evacuated_halls evacuated; ///< Halls that get no new work.
 
     /// @param part A part.
     /// @return Whether this entry owns it.
--- a/src/glenhollow/durable/ready_task.hpp
+++ b/src/glenhollow/durable/ready_task.hpp
@@ -44,11 +44,13 @@
     bool empty() const { return added.empty() && withdrawn.empty(); }
 };
 
+/// Needs are told in thousandths of a core.
+inline constexpr double per_core = 1000.0;
+
 /// @param task A task.
 /// @return Its core-milliseconds, by its caller's guess.
 inline double work_of(const ready_task& task)
 {
-    constexpr double per_core = 1000.0;
     return task.estimate_ms * (task.needs.cpu / per_core);
 }
 
--- a/src/glenhollow/runs/report_pacing.hpp
+++ b/src/glenhollow/runs/report_pacing.hpp
@@ -14,8 +14,8 @@
 {
     duration heartbeat = milliseconds{200}; ///< Between reports to an entry
                                             ///< that has runs here, at most.
-    duration idle_heartbeat = milliseconds{40}; ///< To one that has none, for
-                                                ///< each open session: 25
+    duration idle_heartbeat = milliseconds{80}; ///< To one that has none, for
+                                                ///< each open session: 12
                                                 ///< reports a second in all.
     duration longest_heartbeat = seconds{4};    ///< However many there are.
     duration room_gap = milliseconds{4};   ///< Of reports of room alone, for
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -132,12 +132,8 @@
 
 run_agent_service::session* run_agent_service::find(std::uint64_t number)
 {
-    for (auto& [entry, one] : sessions_)
-    {
-        if (one.number == number)
-            return &one;
-    }
-    return nullptr;
+    const auto known = by_number_.find(number);
+    return known == by_number_.end() ? nullptr : known->second;
 }
 
 /// An entry attaches, again or with another process: what an ended process
@@ -153,11 +149,13 @@
     else if (opened.incarnation != 0)
         manager_.expire(opened.memory);
     const auto memory = same ? opened.memory : memory_lease(processes_++);
+    by_number_.erase(opened.number);
     opened = {};
     opened.entry = entry;
     opened.incarnation = incarnation;
     opened.memory = memory;
     opened.number = ++numbers_;
+    by_number_[opened.number] = &opened;
     opened.reports = kj::mv(reports);
 }
 
@@ -357,10 +355,11 @@
     }
 }
 
-void run_agent_service::fill_ends(session& to, wire::RunReport::Builder out)
+void run_agent_service::fill_ends(const std::vector<lease_id>& leases,
+                                  wire::RunReport::Builder out)
 {
     std::vector<run_end> ends;
-    for (const auto lease : leases_of(to))
+    for (const auto lease : leases)
     {
         const auto some = manager_.take_ends(lease);
         ends.insert(ends.end(), some.begin(), some.end());
@@ -370,10 +369,11 @@
         fill(list[i], ends[i]);
 }
 
-void run_agent_service::fill_begun(session& to, wire::RunReport::Builder out)
+void run_agent_service::fill_begun(const std::vector<lease_id>& leases,
+                                   wire::RunReport::Builder out)
 {
     std::vector<run_ref> begun;
-    for (const auto lease : leases_of(to))
+    for (const auto lease : leases)
     {
         const auto some = manager_.take_begun(lease);
         begun.insert(begun.end(), some.begin(), some.end());
@@ -393,8 +393,9 @@
         const bool whole = to.told_life != account.instance;
         fill(out.initState(),
              {account, manager_.room(), to.received, whole, {}});
-        fill_ends(to, out);
-        fill_begun(to, out);
+        const auto leases = leases_of(to);
+        fill_ends(leases, out);
+        fill_begun(leases, out);
         auto granted =
             out.initGranted(static_cast<unsigned>(to.granted.size()));
         for (unsigned i = 0; i < granted.size(); ++i)
@@ -419,6 +420,7 @@
                     renewed.push_back(from_wire(part));
                 for (const auto& end : from_wire(answer.getConfirmed()))
                     manager_.confirm(end);
+                hall_told(answer.getEvacuated(), answer.getEvacuatedAt());
                 report_answered(number, sent, renewed,
                                 milliseconds{answer.getRoomGapMs()},
                                 answer.getPlaces());
@@ -446,6 +448,15 @@
         schedule_room();
 }
 
+/// Entries learn of evacuations at different times: the newest word counts.
+void run_agent_service::hall_told(bool evacuated, std::uint64_t version)
+{
+    if (version <= hall_version_)
+        return;
+    hall_version_ = version;
+    manager_.evacuate(evacuated);
+}
+
 /// The link is gone; its entry attaches and adopts again, and is then told of
 /// all ends.
 void run_agent_service::report_failed(std::uint64_t number)
@@ -475,6 +486,9 @@
     count("runner_looks_total", "Looks at the runner", stats.looks, {});
     count("runner_looks_lost_total", "Looks given up without an answer",
           stats.looks_lost, {});
+    count("runner_registrations_stale_total",
+          "Registrations of lives that had ended", stats.stale_registrations,
+          {});
     count("hold_lapses_total", "Times the hold was left to lapse", stats.lapses,
           {});
     for (std::size_t i = 0; i < stats.ends.size(); ++i)
@@ -488,6 +502,8 @@
     const auto room = manager_.room();
     page.gauge("runner_used_cores", "Cores taken", room.used.cpu / 1000.0);
     page.gauge("runner_waiting_orders", "Orders without room", room.waiting);
+    page.gauge("hall_evacuated", "Whether the hall gets no new work",
+               manager_.evacuated() ? 1 : 0);
     page.gauge("ends_unconfirmed", "Ends that no owner has confirmed",
                static_cast<double>(manager_.ledger().ends().size()));
 }
--- a/src/glenhollow/runs/run_agent_service.hpp
+++ b/src/glenhollow/runs/run_agent_service.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 namespace glenhollow
 {
@@ -73,11 +74,14 @@
     void mark_busy();
     bool is_due(const session& to, std::size_t open) const;
     void report(session& to, std::size_t open);
-    void fill_ends(session& to, wire::RunReport::Builder out);
-    void fill_begun(session& to, wire::RunReport::Builder out);
+    void fill_ends(const std::vector<lease_id>& leases,
+                   wire::RunReport::Builder out);
+    void fill_begun(const std::vector<lease_id>& leases,
+                    wire::RunReport::Builder out);
     void report_answered(std::uint64_t number, instant sent,
                          const std::vector<part_epoch>& renewed,
                          duration wished, bool places);
+    void hall_told(bool evacuated, std::uint64_t version);
     void report_failed(std::uint64_t number);
     void adopted(std::uint64_t number, lease_id lease);
     void ordered(session& by);
@@ -88,20 +92,22 @@
     session* owner_of(lease_id lease);
     session* find(std::uint64_t number);
 
-    boost::asio::io_context& io_;              ///< Runs delayed work.
-    const clock_source& clock_;                ///< This agent's.
-    run_manager& manager_;                     ///< The runs.
-    std::uint64_t incarnation_;                ///< Of this process.
-    report_pacing pacing_;                     ///< When to report.
-    std::map<std::string, session> sessions_;  ///< By entry.
+    boost::asio::io_context& io_;             ///< Runs delayed work.
+    const clock_source& clock_;               ///< This agent's.
+    run_manager& manager_;                    ///< The runs.
+    std::uint64_t incarnation_;               ///< Of this process.
+    report_pacing pacing_;                    ///< When to report.
+    std::map<std::string, session> sessions_; ///< By entry.
+    std::unordered_map<std::uint64_t, session*> by_number_; ///< The same.
     std::map<lease_id, std::uint64_t> owners_; ///< Session by lease.
     std::uint32_t processes_ = 0;              ///< Entries' processes so far.
     std::uint64_t numbers_ = 0;                ///< Of sessions.
     std::uint64_t reports_ = 0;                ///< Sent.
     std::uint64_t batches_ = 0;                ///< Order batches taken.
-    bool scheduled_ = false;                   ///< A flush is on its way.
-    bool room_scheduled_ = false;              ///< One for room alone, too.
-    background_tasks calls_;                   ///< Reports that are out.
+    std::uint64_t hall_version_ = 0; ///< Of what is known of the hall.
+    bool scheduled_ = false;         ///< A flush is on its way.
+    bool room_scheduled_ = false;    ///< One for room alone, too.
+    background_tasks calls_;         ///< Reports that are out.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
 };
 
--- a/src/glenhollow/runs/run_manager.cpp
+++ b/src/glenhollow/runs/run_manager.cpp
@@ -30,45 +30,6 @@
     look();
 }
 
-void run_manager::registered(const runner_account& account)
-{
-    if (account.instance != account_.instance && !account_.instance.empty())
-    {
-        log_change(log_level::warning, "runner_replaced",
-                   {{"from", account_.instance}, {"to", account.instance}});
-        departed(account_.instance);
-    }
-    const bool news = account_.instance != account.instance;
-    const auto phase = account_.phase;
-    account_ = account;
-    account_.phase = phase;
-    told_phase_ = account.phase;
-    if (news)
-        log_change(log_level::info, "runner_registered",
-                   {{"instance", account.instance},
-                    {"service", account.service},
-                    {"cpu", account.capacity.cpu}});
-    take_told_phase();
-    if (news)
-        tell_room();
-    start_waiting();
-}
-
-void run_manager::departed(const std::string& instance)
-{
-    if (instance != account_.instance)
-        return;
-    log_change(log_level::info, "runner_departed", {{"instance", instance}});
-    account_.instance.clear();
-    told_phase_ = runner_phase::absent;
-    set_phase(runner_phase::absent);
-    end_all(run_outcome::lapsed);
-    ledger_.new_life();
-    runner_clock_.reset();
-    breaker_.reset();
-    informed_ = false;
-}
-
 void run_manager::order(run_order order, lease_id memory)
 {
     const auto ref = order.run;
@@ -234,14 +195,6 @@
     return std::clamp<duration>(share, settings_.least_stall, settings_.stall);
 }
 
-/// The runner's own word counts while it answers and takes starts.
-void run_manager::take_told_phase()
-{
-    const bool answers = clock_.now() - answered_ < silence_limit();
-    if (informed_ && answers && !left_alone())
-        set_phase(told_phase_);
-}
-
 void run_manager::begun(run_record& run)
 {
     if (run.phase == run_phase::stopping || run.phase == run_phase::running)
@@ -474,14 +427,6 @@
         listener_->room_changed();
 }
 
-void run_manager::drain()
-{
-    draining_ = true;
-    if (account_.phase == runner_phase::ready)
-        set_phase(runner_phase::draining);
-    told_phase_ = runner_phase::draining;
-}
-
 runner_room run_manager::room() const
 {
     runner_room out;
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -167,6 +168,7 @@
     std::uint64_t lapses = 0;     ///< Times the hold was left to lapse.
     std::uint64_t stalled = 0;    ///< Runs stopped for want of progress.
     std::uint64_t vanished = 0;   ///< Runs that the runner no longer showed.
+    std::uint64_t stale_registrations = 0; ///< Of lives that had ended.
     std::array<std::uint64_t, name_table<run_outcome>::names.size()>
         ends{}; ///< By outcome.
 };
@@ -190,8 +192,8 @@
     virtual void phase_changed() = 0;
 };
 
-/// The one voice that speaks to a runner: keeps its runs, its room, its hold
-/// and the ends that no owner has journalled yet. One thread.
+/// The only caller of a backend server: keeps its runs, its room, its hold and
+/// the ends that no owner has journalled yet. One thread.
 class run_manager final
 {
 public:
@@ -264,6 +266,12 @@
     /// @param end An end that is in the journal.
     void confirm(const run_end& end);
 
+    /// @param evacuated Whether the hall gets no new work; what runs goes on.
+    void evacuate(bool evacuated);
+
+    /// @return Whether the hall gets no new work.
+    bool evacuated() const { return evacuated_; }
+
     /// Does what is due.
     void tick();
 
@@ -320,8 +328,20 @@
         std::vector<run_ref> begun;    ///< Not yet told.
     };
 
+    /// A look that is out.
+    struct sent_look
+    {
+        std::uint64_t number = 0; ///< Of the look.
+        instant sent{};           ///< When it left.
+        std::string life;         ///< That it expects; empty: any.
+    };
+
     using runs = std::unordered_map<run_ref, run_record, run_ref_hash>;
 
+    void take_account(const runner_account& account);
+    void replace_life(const runner_account& next);
+    void verify_life(instant sent);
+    void life_is_over();
     lease_record& lease_of(const run_record& run);
     lease_id found_lease(const run_ref& run) const;
     bool expired(lease_id lease, instant found) const;
@@ -339,8 +359,7 @@
     void free_run(const run_ref& ref);
     void look();
     void look_now();
-    void look_answered(std::uint64_t number, instant sent,
-                       const hold_result& got);
+    void look_answered(const sent_look& asked, const hold_result& got);
     void expect_look(std::uint64_t number, duration wait);
     void expect_start(const run_ref& ref);
     void expect(duration wait, std::function<bool()> awaited,
@@ -375,6 +394,11 @@
     std::uint64_t token_;                            ///< Fencing token.
     runner_account account_;                         ///< As last registered.
     runner_phase told_phase_ = runner_phase::absent; ///< By the runner.
+    std::optional<runner_account> candidate_; ///< A life that has registered
+                                              ///< while another answers.
+    instant candidate_since_{};               ///< When it did.
+    bool verified_ = false;     ///< The registered life has answered.
+    bool evacuated_ = false;    ///< The hall gets no new work.
     runner_clock runner_clock_; ///< The runner's clock as seen here.
     runner_breaker breaker_;    ///< Judges it by the ends of its runs.
     runs runs_;                 ///< Not ended.
--- a/src/glenhollow/runs/run_manager_looks.cpp
+++ b/src/glenhollow/runs/run_manager_looks.cpp
@@ -101,26 +101,30 @@
         request.context.deadline_ms = 0;
     else if (runner_clock_.known())
         hold_out_ = clock_.now() + with_drift(settings_.hold);
+    // A life that has just registered is met without delay.
+    const bool known_life = verified_ || account_.instance.empty();
     const bool hurried = std::exchange(hurried_, false);
     if (!ledger_.waits() && runner_clock_.known() && informed_ && !lapsing_ &&
-        !hurried)
+        known_life && !hurried)
         request.wait = settings_.look_wait;
     runner_.hold(request,
-                 [this, alive = alive_, number,
-                  sent = clock_.now()](const hold_result& got)
+                 [this, alive = alive_,
+                  sent = sent_look{number, clock_.now(), account_.instance}](
+                     const hold_result& got)
                  {
                      if (*alive)
-                         look_answered(number, sent, got);
+                         look_answered(sent, got);
                  });
     expect_look(number, request.wait);
 }
 
-void run_manager::look_answered(std::uint64_t number, instant sent,
-                                const hold_result& got)
+void run_manager::look_answered(const sent_look& asked, const hold_result& got)
 {
     --looks_out_;
-    if (number != look_number_)
+    if (asked.number != look_number_)
         return; // Given up: a later one tells more.
+    const bool expected =
+        !asked.life.empty() && asked.life == account_.instance;
     looking_ = false;
     if (got.outcome != order_outcome::unhealthy)
         held_until_ = std::max(held_until_, hold_out_);
@@ -129,20 +133,29 @@
     runner_clock_.heard(clock_.now(), got.clock_ms);
     if (got.outcome == order_outcome::fenced)
         raise_token();
-    if (got.outcome == order_outcome::done)
+    if (got.outcome == order_outcome::wrong_life && expected)
     {
+        life_is_over();
+        return look();
+    }
+    const bool done =
+        got.outcome == order_outcome::done && (expected || asked.life.empty());
+    if (done)
+    {
+        if (expected)
+            verify_life(asked.sent);
         answered_ = clock_.now();
         const bool first = !informed_;
         informed_ = true;
         take_finished(got.finished);
         take_running(got.running);
-        settle_absent(sent, got.running);
+        settle_absent(asked.sent, got.running);
         if (first || account_.phase == runner_phase::absent)
             take_told_phase();
     }
     if (!knew_clock && runner_clock_.known())
         return look();
-    look_again(got.outcome == order_outcome::done);
+    look_again(done);
 }
 
 void run_manager::look_again(bool answered)
@@ -261,6 +274,8 @@
     set_phase(runner_phase::absent);
     if (!runs_.empty() && now >= latest_hold() + lapse_slack)
         end_all(run_outcome::lapsed);
+    if (candidate_ && runs_.empty())
+        replace_life(*candidate_); // Nobody speaks against it any more.
 }
 
 } // namespace glenhollow
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -998,7 +998,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(edd9b51c9f1e0ec6, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(edd9b51c9f1e0ec6, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1205,7 +1205,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f07b90f43f6a30a9, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f07b90f43f6a30a9, 6, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -6635,6 +6635,10 @@
   inline bool hasConfirmed() const;
   inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader getConfirmed() const;
 
+  inline bool getEvacuated() const;
+
+  inline  ::uint64_t getEvacuatedAt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6683,6 +6687,12 @@
   inline void adoptConfirmed(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>> disownConfirmed();
 
+  inline bool getEvacuated();
+  inline void setEvacuated(bool value);
+
+  inline  ::uint64_t getEvacuatedAt();
+  inline void setEvacuatedAt( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7765,6 +7775,11 @@
 
   inline  ::int64_t getStarted() const;
 
+  inline bool hasEvacuated() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEvacuated() const;
+
+  inline  ::uint64_t getEvacuatedAt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -7845,6 +7860,17 @@
   inline  ::int64_t getStarted();
   inline void setStarted( ::int64_t value);
 
+  inline bool hasEvacuated();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEvacuated();
+  inline void setEvacuated( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEvacuated(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEvacuated(unsigned int size);
+  inline void adoptEvacuated(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEvacuated();
+
+  inline  ::uint64_t getEvacuatedAt();
+  inline void setEvacuatedAt( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -13555,6 +13581,34 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool RunReports::ReportResults::Reader::getEvacuated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+
+inline bool RunReports::ReportResults::Builder::getEvacuated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+inline void RunReports::ReportResults::Builder::setEvacuated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RunReports::ReportResults::Reader::getEvacuatedAt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RunReports::ReportResults::Builder::getEvacuatedAt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RunReports::ReportResults::Builder::setEvacuatedAt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline RunAgent::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -14430,6 +14484,58 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool EntryView::Reader::hasEvacuated() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryView::Builder::hasEvacuated() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader EntryView::Reader::getEvacuated() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder EntryView::Builder::getEvacuated() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void EntryView::Builder::setEvacuated( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void EntryView::Builder::setEvacuated(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder EntryView::Builder::initEvacuated(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void EntryView::Builder::adoptEvacuated(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> EntryView::Builder::disownEvacuated() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t EntryView::Reader::getEvacuatedAt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryView::Builder::getEvacuatedAt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void EntryView::Builder::setEvacuatedAt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t JobCall::Reader::getVerb() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- /dev/null
+++ b/tests/unit/durable/evacuation_tests.cpp
@@ -0,0 +1,202 @@
+// How evacuations of halls reach the agents.
+#include "glenhollow/core/run_after.hpp"
+#include "glenhollow/durable/agent_sessions.hpp"
+#include "glenhollow/durable/entry_peers.hpp"
+#include "glenhollow/rpc/rpc_listener.hpp"
+#include "glenhollow/runs/run_agent_service.hpp"
+#include "platform/catalog_format.hpp"
+#include "unit/support/fake_runner_port.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace glenhollow;
+
+namespace
+{
+
+/// An entry that tells agents what it knows of their hall.
+struct telling_entry : agent_session_listener
+{
+    void agent_attached(const std::string&, const runner_report&) override {}
+    void agent_detached(const std::string&) override {}
+    void agent_ordered(const std::string&) override {}
+    void agent_adopted(const std::string&, part_epoch,
+                       const lease_account&) override
+    {
+    }
+    void agent_reported(const std::string&, const runner_report& report,
+                        const std::vector<run_end>&,
+                        const std::vector<run_ref>&) override
+    {
+        phase = report.account.phase;
+    }
+    std::vector<run_end> take_confirmed(const std::string&) override
+    {
+        return {};
+    }
+    std::vector<part_epoch> owned_parts() const override { return {}; }
+    duration room_gap(const std::string&, std::size_t) const override
+    {
+        return milliseconds{1};
+    }
+    bool places_for_others(const std::string&) const override { return false; }
+    bool places_at(const std::string&) const override { return true; }
+    hall_evacuation evacuation_of(const std::string&) const override
+    {
+        return told;
+    }
+
+    hall_evacuation told;
+    runner_phase phase = runner_phase::absent;
+};
+
+/// An entry's exchanges with others.
+struct viewing_entry : entry_peer_handler
+{
+    explicit viewing_entry(std::string name) { view.name = std::move(name); }
+
+    entry_view own_view() override { return view; }
+    void peer_seen(const entry_view& other) override
+    {
+        view.evacuated.take(other.evacuated);
+        ++met;
+    }
+    void serve(const job_call&, job_reply_handler done) override { done({}); }
+    std::string catalog_document() override { return {}; }
+    wire::PlacementSession::Client
+    open_placement(const std::string&, wire::PlacementGrants::Client) override
+    {
+        return nullptr;
+    }
+
+    entry_view view;
+    int met = 0;
+};
+
+} // namespace
+
+TEST_CASE("what is known of halls is replaced by later versions alone")
+{
+    evacuated_halls halls;
+    halls.note("hall-1", true);
+    CHECK_FALSE(halls.contains("hall-1")); // Not all rows were told yet.
+    CHECK(halls.complete(7));
+    CHECK(halls.contains("hall-1"));
+    CHECK_FALSE(halls.take(6, {"hall-2"})); // An entry that is behind.
+    CHECK_FALSE(halls.contains("hall-2"));
+    CHECK(halls.take(9, {})); // Taken back, as another entry has read.
+    CHECK_FALSE(halls.contains("hall-1"));
+    CHECK_FALSE(halls.complete(8)); // This entry's feed comes later.
+    CHECK_FALSE(halls.contains("hall-1"));
+    halls.note("hall-1", false);
+    CHECK_FALSE(halls.complete(9));
+    CHECK(halls.version() == 9);
+}
+
+TEST_CASE("the operator's rows of evacuations have a place of their own")
+{
+    const auto place = platform::operator_configuration();
+    CHECK(place.table == "op");
+    CHECK(place.evacuation_prefix + "olten-a" == "evacuate/olten-a");
+}
+
+TEST_CASE("an agent in an evacuated hall takes nothing, until it is taken back")
+{
+    rpc_loop loop;
+    manual_loop runner_loop;
+    fake_runner_port runner(runner_loop);
+    run_manager manager(runner_loop.clock, runner, runner_loop.delay(), 1000,
+                        {});
+    runner_account account;
+    account.service = "service-1";
+    account.instance = "life-1";
+    account.zone = "hall-1";
+    account.capacity = {4000, 1000, 0};
+    account.phase = runner_phase::ready;
+    manager.registered(account);
+    manager.begin();
+    runner_loop.advance(milliseconds{20});
+    REQUIRE(manager.account().phase == runner_phase::ready);
+    auto agent = std::make_unique<run_agent_service>(
+        loop.io(), process_clock(), manager, 1, report_pacing_settings{});
+    telling_entry entry;
+    agent_sessions_settings limits;
+    limits.entry = "entry";
+    agent_sessions sessions(loop.io(), process_clock(), entry, limits);
+    auto listener = rpc_listener::create(loop.io(), "127.0.0.1", 0);
+    REQUIRE(listener);
+    auto& links = *listener.value();
+    std::vector<runner_phase> phases;
+    std::function<void()> step = [&]
+    {
+        sessions.tick();
+        agent->tick();
+        if (entry.phase == runner_phase::ready && phases.empty())
+        {
+            phases.push_back(entry.phase);
+            entry.told = {true, 7};
+        }
+        if (entry.phase == runner_phase::draining && phases.size() == 1)
+        {
+            phases.push_back(entry.phase);
+            entry.told = {true, 6}; // An entry that is behind.
+            entry.told = {false, 8};
+        }
+        if (entry.phase == runner_phase::ready && phases.size() == 2)
+        {
+            phases.push_back(entry.phase);
+            return loop.stop();
+        }
+        run_after(loop.io(), milliseconds{2}, step);
+    };
+    loop.run(
+        [&]
+        {
+            links.serve(agent->bootstrap());
+            sessions.add("agent", {"127.0.0.1", links.port()});
+            step();
+        },
+        [&]
+        {
+            sessions.close();
+            agent.reset();
+            links.close();
+        });
+    CHECK(phases.size() == 3);
+    CHECK_FALSE(manager.evacuated());
+}
+
+TEST_CASE("an entry that the store turns away learns evacuations from others")
+{
+    rpc_loop loop;
+    viewing_entry informed("informed");
+    informed.view.evacuated.take(7, {"hall-1", "hall-2"});
+    viewing_entry turned_away("turned-away");
+    entry_peers server(loop.io(), process_clock(), informed, {});
+    entry_peers client(loop.io(), process_clock(), turned_away, {});
+    auto listener = rpc_listener::create(loop.io(), "127.0.0.1", 0);
+    REQUIRE(listener);
+    auto& links = *listener.value();
+    std::function<void()> step = [&]
+    {
+        client.tick();
+        if (turned_away.met > 0)
+            return loop.stop();
+        run_after(loop.io(), milliseconds{2}, step);
+    };
+    loop.run(
+        [&]
+        {
+            links.serve(server.bootstrap());
+            client.add("informed", {"127.0.0.1", links.port()});
+            step();
+        },
+        [&]
+        {
+            client.close();
+            links.close();
+        });
+    CHECK(turned_away.view.evacuated.version() == 7);
+    CHECK(turned_away.view.evacuated.halls() ==
+          std::set<std::string>{"hall-1", "hall-2"});
+}
--- a/tests/unit/runs/run_manager_tests.cpp
+++ b/tests/unit/runs/run_manager_tests.cpp
@@ -410,7 +410,9 @@
     auto next = world.account;
     next.instance = "life-2";
     world.runner.running.clear();
+    world.runner.life = "life-2";
     world.manager->registered(next);
+    world.run(milliseconds{10}); // Until a look has met the new life.
     const auto told = world.ends();
     REQUIRE(told.size() == 1);
     CHECK(told[0].how == run_outcome::lapsed);
--- a/tests/unit/support/fake_runner_port.hpp
+++ b/tests/unit/support/fake_runner_port.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -29,6 +30,8 @@
             late_starts.emplace_back(start.run, context);
             return answer(std::move(done), order_outcome::unanswered);
         }
+        if (is_other_life(context))
+            return answer(std::move(done), order_outcome::wrong_life);
         if (refuse)
         {
             ++refusals;
@@ -66,6 +69,17 @@
                           [done = std::move(done)] { done({}); });
             return;
         }
+        if (is_other_life(request.context))
+        {
+            loop_.delay()(milliseconds{1},
+                          [done = std::move(done)]
+                          {
+                              hold_result end;
+                              end.outcome = order_outcome::wrong_life;
+                              done(std::move(end));
+                          });
+            return;
+        }
         if (request.context.deadline_ms > 0)
             held_until = std::max(held_until, request.context.deadline_ms);
         confirmed = std::max(confirmed, request.confirmed);
@@ -145,8 +159,15 @@
     bool drop_look = false;      ///< The next look gets no answer.
     bool silent = false;         ///< Looks get no answer.
     bool stands_still = false;   ///< Its runs make no progress.
+    std::string life; ///< Calls that expect another are refused; empty: none.
 
 private:
+    bool is_other_life(const order_context& context) const
+    {
+        return !life.empty() && !context.instance.empty() &&
+               context.instance != life;
+    }
+
     void answer(order_handler done, order_outcome outcome)
     {
         const auto wait = outcome == order_outcome::unanswered
