A job whose orders all came back has not run, and its caller hears so in time

Such a job is now refused as others that have not begun; an order lost with its agent still may have run. The answer leaves at the moment itself, not with the next tick 50 ms later.

--- a/src/glenhollow/durable/job_coordinator.cpp
+++ b/src/glenhollow/durable/job_coordinator.cpp
@@ -191,8 +191,9 @@
     record.give_up =
         around_.clock.now() + milliseconds{job.give_up_ms - job.accepted_ms};
     record.end_waiters.push_back(std::move(done));
-    record.review_at = latest_begin(record);
+    record.begin_by = record.review_at = latest_begin(record);
     reviews_.emplace(record.review_at, job.id);
+    await_review();
     make_ready(jobs_.emplace(job.id, std::move(record)).first->second);
 }
 
@@ -227,36 +228,82 @@
     while (!reviews_.empty() && reviews_.begin()->first <= now)
     {
         auto& record = jobs_.at(reviews_.begin()->second);
-        if (!record.handed_out || record.give_up <= now)
-        {
+        if (record.give_up <= now || !may_have_run(record))
             give_up(record);
-            continue;
-        }
-        reviews_.erase(reviews_.begin());
-        record.review_at = record.give_up;
-        reviews_.emplace(record.review_at, record.job.id);
+        else
+            review_again(record, record.give_up);
     }
 }
 
+void job_coordinator::review_again(job_record& record, instant at)
+{
+    reviews_.erase({record.review_at, record.job.id});
+    record.review_at = at;
+    reviews_.emplace(at, record.job.id);
+    await_review();
+}
+
+/// Callers are told at the moment itself: a tick later more of the time in
+/// which they could try elsewhere has gone by.
+void job_coordinator::await_review()
+{
+    if (reviews_.empty())
+        return;
+    const auto next = reviews_.begin()->first;
+    if (review_awaited_ && *review_awaited_ <= next)
+        return;
+    review_awaited_ = next;
+    const auto wait = std::max(duration{0}, next - around_.clock.now());
+    around_.later(wait,
+                  [this, alive = alive_, next]
+                  {
+                      if (!*alive || review_awaited_ != next)
+                          return;
+                      review_awaited_.reset();
+                      give_up_late();
+                      await_review();
+                  });
+}
+
+/// An order that its agent has sent back as not begun has not run; one that is
+/// out, or was lost with its agent, may have.
+bool job_coordinator::may_have_run(const job_record& record)
+{
+    return record.begun || record.order_lost ||
+           std::any_of(record.tasks.begin(), record.tasks.end(),
+                       [](const task_record& task)
+                       { return task.phase == task_phase::placed; });
+}
+
 void job_coordinator::give_up_all()
 {
     while (!reviews_.empty())
         give_up(jobs_.at(reviews_.begin()->second));
 }
 
-/// Its end would be worth nothing any more. Where no task was ever handed out
-/// the job was surely not run; else nothing is said of how it ended, for it has
-/// not failed by itself.
+/// Its end would be worth nothing any more. Where surely no task has begun the
+/// job was not run; else nothing is said of how it ended, for it has not failed
+/// by itself.
 void job_coordinator::give_up(job_record& record)
 {
     ++stats_.given_up;
     const auto id = record.job.id;
-    log_change(log_level::info, "job_given_up",
-               {{"job", to_text(id)},
-                {"queue", record.job.queue},
-                {"tasks_done", record.done},
-                {"tasks", record.tasks.size()},
-                {"verdict", record.handed_out ? "may_have_run" : "not_run"}});
+    const auto placed =
+        std::count_if(record.tasks.begin(), record.tasks.end(),
+                      [](const task_record& task)
+                      { return task.phase == task_phase::placed; });
+    const milliseconds patience{record.job.give_up_ms - record.job.accepted_ms};
+    log_change(
+        log_level::info, "job_given_up",
+        {{"job", to_text(id)},
+         {"queue", record.job.queue},
+         {"tasks_done", record.done},
+         {"tasks_placed", placed},
+         {"tasks", record.tasks.size()},
+         {"begun", record.begun},
+         {"waited_ms",
+          to_ms(around_.clock.now() - (record.give_up - patience))},
+         {"verdict", may_have_run(record) ? "may_have_run" : "not_run"}});
     drop(record);
 }
 
@@ -264,9 +311,9 @@
 void job_coordinator::drop(job_record& record)
 {
     const auto id = record.job.id;
-    stop_runs(record);
     const auto outcome =
-        record.handed_out ? job_outcome::unknown : job_outcome::refused;
+        may_have_run(record) ? job_outcome::unknown : job_outcome::refused;
+    stop_runs(record);
     const auto waiters = std::exchange(record.end_waiters, {});
     erase(jobs_.find(id));
     for (const auto& waiter : waiters)
@@ -401,7 +448,6 @@
     placed.run = std::max(placed.run, least) + 1;
     placed.phase = task_phase::placed;
     placed.agent = agent;
-    record.handed_out = true;
     return order_of(record, flat, {task.task, placed.run});
 }
 
--- a/src/glenhollow/durable/job_coordinator.hpp
+++ b/src/glenhollow/durable/job_coordinator.hpp
@@ -231,12 +231,13 @@
         job_progress progress;          ///< As journalled or on its way.
         std::size_t done = 0;           ///< Tasks that are done.
         bool begun = false;             ///< A task has begun.
-        bool handed_out = false;        ///< A task was sent to an agent.
+        bool order_lost = false;        ///< An agent was lost with an order
+                                        ///< that it may have carried out.
         bool accepted = false;          ///< Its row is durable.
         bool fresh = true;              ///< Accepted by this owner.
         instant give_up{};              ///< Of one in memory.
-        instant review_at{}; ///< When it is looked at: at the time of giving
-                             ///< up, or earlier if nothing was handed out.
+        instant begin_by{};  ///< It is given up then if it has surely not run.
+        instant review_at{}; ///< When it is looked at next.
         std::optional<job_state> ending;            ///< Its end is on its way.
         std::vector<job_reply_handler> acceptance;  ///< Wait for its row.
         std::vector<job_reply_handler> end_waiters; ///< Wait for its end.
@@ -259,6 +260,9 @@
     instant latest_begin(const job_record& record) const;
     void give_up_late();
     void give_up(job_record& record);
+    void review_again(job_record& record, instant at);
+    void await_review();
+    static bool may_have_run(const job_record& record);
     void drop(job_record& record);
     void erase(job_map::iterator job);
     void write(journal_entry entry);
@@ -294,10 +298,11 @@
     std::unordered_map<job_id, job_epitaph> ended_; ///< Ended.
     std::deque<std::pair<std::int64_t, job_id>> ended_order_; ///< By time.
     std::set<std::pair<instant, job_id>> reviews_; ///< Open jobs in memory.
-    std::set<std::string> awaited_;                ///< Agents not heard yet.
-    bool refusing_ = false;                        ///< Takes no more new jobs.
-    instant claimed_;                              ///< When the part was taken.
-    job_coordinator_stats stats_;                  ///< Counters.
+    std::optional<instant> review_awaited_; ///< A timer will look at them.
+    std::set<std::string> awaited_;         ///< Agents not heard yet.
+    bool refusing_ = false;                 ///< Takes no more new jobs.
+    instant claimed_;                       ///< When the part was taken.
+    job_coordinator_stats stats_;           ///< Counters.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
 };
 
--- a/src/glenhollow/durable/job_coordinator_ends.cpp
+++ b/src/glenhollow/durable/job_coordinator_ends.cpp
@@ -73,8 +73,10 @@
             const auto& task = record.tasks[flat];
             if (task.phase != task_phase::placed || task.agent != agent)
                 continue;
-            if (!told.contains({ref_of(record.job, flat), task.run}))
-                place_again(record, flat);
+            if (told.contains({ref_of(record.job, flat), task.run}))
+                continue;
+            record.order_lost = true;
+            place_again(record, flat);
         }
     }
 }
@@ -86,8 +88,10 @@
         for (std::uint32_t flat = 0; flat < record.tasks.size(); ++flat)
         {
             const auto& task = record.tasks[flat];
-            if (task.phase == task_phase::placed && task.agent == agent)
-                place_again(record, flat);
+            if (task.phase != task_phase::placed || task.agent != agent)
+                continue;
+            record.order_lost = true;
+            place_again(record, flat);
         }
     }
     if (awaited_.erase(agent) > 0 && awaited_.empty())
@@ -136,9 +140,12 @@
         return ended_badly(record, flat, agent, end);
     around_.placing.confirm(agent, end);
     const auto& task = record.tasks[flat];
-    if (task.phase == task_phase::placed && task.run == end.run.run &&
-        task.agent == agent)
-        place_again(record, flat);
+    if (task.phase != task_phase::placed || task.run != end.run.run ||
+        task.agent != agent)
+        return;
+    place_again(record, flat);
+    if (!chain_ && !may_have_run(record))
+        review_again(record, record.begin_by);
 }
 
 void job_coordinator::ended_well(job_record& record, std::uint32_t flat,
--- a/tests/unit/durable/job_coordinator_tests.cpp
+++ b/tests/unit/durable/job_coordinator_tests.cpp
@@ -22,13 +22,24 @@
     }
 
     void attach(const std::string& name)
+    {
+        placing.attached(name, report(name, runner_phase::ready));
+    }
+
+    static runner_report report(const std::string& name, runner_phase phase)
     {
         runner_report report;
         report.account.service = "service-1";
         report.account.instance = name + "-life";
         report.account.capacity = {8000, 1000, 0};
-        report.account.phase = runner_phase::ready;
-        placing.attached(name, report);
+        report.account.phase = phase;
+        return report;
+    }
+
+    void drain_all()
+    {
+        for (const auto* name : {"agent-1", "agent-2"})
+            placing.reported(name, report(name, runner_phase::draining));
     }
 
     job_coordinator::surroundings around()
@@ -416,6 +427,73 @@
     CHECK_FALSE(world.replies.contains(3)); // It may still be in time.
 }
 
+TEST_CASE("orders that all came back have not run, and their caller hears so")
+{
+    // Found on saturated deployments: such callers were held to the end of
+    // their time, and then told that their jobs may have run.
+    board_world world;
+    world.in_memory(0.5);
+    world.submit(board_world::memory_job(1));
+    REQUIRE(world.started.size() == 2);
+    world.drain_all();
+    world.end_all(run_outcome::not_begun);
+    REQUIRE(world.started.empty());
+    world.loop.advance(milliseconds{1300});
+    CHECK(world.replies.empty());
+    world.loop.advance(milliseconds{100}); // No tick is needed.
+    REQUIRE(world.replies.contains(1));
+    CHECK(world.replies.at(1).outcome == job_outcome::refused);
+}
+
+TEST_CASE("orders that come back after the latest begin are answered at once")
+{
+    board_world world;
+    world.in_memory(0.5);
+    world.submit(board_world::memory_job(1));
+    REQUIRE(world.started.size() == 2);
+    world.drain_all();
+    world.loop.advance(milliseconds{2000});
+    CHECK(world.replies.empty()); // What was ordered may run.
+    const auto orders = std::exchange(world.started, {});
+    world.end(orders[0].first, orders[0].second, run_outcome::not_begun);
+    CHECK(world.replies.empty());
+    world.end(orders[1].first, orders[1].second, run_outcome::not_begun);
+    REQUIRE(world.replies.contains(1));
+    CHECK(world.replies.at(1).outcome == job_outcome::refused);
+}
+
+TEST_CASE("a job with one task that has run is never said not to have run")
+{
+    board_world world;
+    world.in_memory(0.5);
+    world.submit(board_world::memory_job(1));
+    REQUIRE(world.started.size() == 2);
+    world.drain_all();
+    const auto orders = std::exchange(world.started, {});
+    world.end(orders[0].first, orders[0].second, run_outcome::lapsed);
+    world.end(orders[1].first, orders[1].second, run_outcome::not_begun);
+    world.loop.advance(milliseconds{2500});
+    CHECK(world.replies.empty());
+    world.loop.advance(milliseconds{1000});
+    CHECK(world.replies.at(1).outcome == job_outcome::unknown);
+}
+
+TEST_CASE("an order that was lost with its agent may have run")
+{
+    board_world world;
+    world.in_memory(0.5);
+    world.submit(board_world::memory_job(1));
+    REQUIRE(world.started.size() == 2);
+    world.drain_all();
+    world.board->agent_gone("agent-1");
+    world.board->agent_gone("agent-2");
+    world.loop.advance(milliseconds{2500});
+    world.settle();
+    CHECK(world.replies.empty());
+    world.loop.advance(milliseconds{1000});
+    CHECK(world.replies.at(1).outcome == job_outcome::unknown);
+}
+
 TEST_CASE("a caller that leaves takes its job in memory along")
 {
     board_world world;
