--- a/src/glenhollow/durable/agent_sessions.hpp
+++ b/src/glenhollow/durable/agent_sessions.hpp
@@ -3,6 +3,7 @@
 
 #include "glenhollow/durable/agent_clock.hpp"
 #include "glenhollow/durable/dispatcher.hpp"
+#include "glenhollow/durable/evacuated_halls.hpp"
 #include "glenhollow/rpc/rpc_link.hpp"
 #include "glenhollow/runs/run_wire.hpp"
 
@@ -15,13 +16,6 @@
 namespace glenhollow
 {
 
-/// Whether a hall gets no new work.
-struct hall_evacuation
-{
-    bool evacuated = false;    ///< It gets none.
-    std::uint64_t version = 0; ///< Of the store, when it was so; 0: unknown.
-};
-
 /// Told what agents say.
 class agent_session_listener
 {
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -348,8 +348,7 @@
     const auto known = dispatcher_.agents().find(agent);
     if (known == dispatcher_.agents().end())
         return {};
-    return {evacuated_.contains(known->second.account().zone),
-            evacuated_.version()};
+    return evacuated_.of(known->second.account().zone);
 }
 
 void durable_service::take_document(const std::string& document,
--- a/src/glenhollow/durable/evacuated_halls.hpp
+++ b/src/glenhollow/durable/evacuated_halls.hpp
@@ -8,6 +8,13 @@
 namespace glenhollow
 {
 
+/// Whether a hall gets no new work.
+struct hall_evacuation
+{
+    bool evacuated = false;    ///< It gets none.
+    std::uint64_t version = 0; ///< Of the store, when it was so; 0: unknown.
+};
+
 /// The halls whose backend servers get no new work, as of one version of the
 /// store. Entries read it there or learn it from each other; a later version
 /// replaces an earlier one, never the reverse.
@@ -57,6 +64,15 @@
     /// @return The evacuated halls.
     const std::set<std::string>& halls() const { return halls_; }
 
+    /// @param hall A hall; empty: not known, and nothing is said of it.
+    /// @return Whether it is evacuated, as of which version.
+    hall_evacuation of(const std::string& hall) const
+    {
+        if (hall.empty())
+            return {};
+        return {contains(hall), version_};
+    }
+
     /// @param hall A hall.
     /// @return Whether it is evacuated.
     bool contains(const std::string& hall) const
--- a/tests/unit/durable/evacuation_tests.cpp
+++ b/tests/unit/durable/evacuation_tests.cpp
@@ -93,6 +93,20 @@
     CHECK(halls.version() == 9);
 }
 
+TEST_CASE("nothing is said of a hall that is not known")
+{
+    // Found on a deployment: agents that had restarted reported before their
+    // backend servers registered, were told of no evacuation as of the newest
+    // version, and did not hear the truth at that same version any more.
+    evacuated_halls halls;
+    halls.take(7, {"hall-1"});
+    CHECK(halls.of("").version == 0);
+    CHECK(halls.of("hall-1").evacuated);
+    CHECK(halls.of("hall-1").version == 7);
+    CHECK_FALSE(halls.of("hall-2").evacuated);
+    CHECK(halls.of("hall-2").version == 7);
+}
+
 TEST_CASE("the operator's rows of evacuations have a place of their own")
 {
     const auto place = platform::operator_configuration();
