A job that has begun in time is finished first, also when its time has gone by

Hypothesis: jobs that lack one of nine tasks when their time has gone by are held behind all others, to the end of their callers' patience, and answered 504: the worst answer to a request that must not be repeated.

--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -384,7 +384,7 @@
 
 /// A late job earns little; what it takes is missing for as long as its tasks
 /// run when tasks come that can still be in time.
-/// @return Cores that late tasks may take now, all together.
+/// @return Cores that late jobs may begin on now, all together.
 double dispatcher::cores_for_late(const std::string& service) const
 {
     if (settings_.late_reserve <= 0)
@@ -409,7 +409,7 @@
     {
         const auto here = at++;
         const auto& waiting = here->second;
-        const bool late = !is_in_time(here->first.rank);
+        const bool late = here->first.rank == queue_class::late;
         if (late && !for_late) // All in time have had their turn.
             for_late = cores_for_late(waiting.service);
         if (late && waiting.needs.cpu / per_core > *for_late)
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -123,7 +123,7 @@
         milliseconds{10};       ///< Between two plans under
                                 ///< overload; a tenth of a short task's slack.
     double late_reserve = 0.15; ///< Share of a service's cores that must be
-                                ///< free before a task of a late job starts.
+                                ///< free before a late job begins.
     std::size_t scan = 64;      ///< Tasks looked at past one that fits nowhere.
     health_view_settings health; ///< Judgement on runners.
     std::uint64_t seed = 1;      ///< Of this entry's order of like runners.
@@ -289,10 +289,11 @@
     /// Which tasks of a queue go first.
     enum class queue_class : std::uint8_t
     {
-        begun,      ///< In time, of jobs that have begun: what they did is
-                    ///< lost if the rest does not start in time as well.
+        begun,      ///< Of jobs that began in time, also when that has gone
+                    ///< by: without its rest a job's caller can't know what
+                    ///< was run, and what was is lost.
         in_time,    ///< Their jobs can meet their objectives.
-        late_begun, ///< Late, of jobs that have begun: what they did counts.
+        late_begun, ///< Of jobs that began late: what they did counts.
         late        ///< Late, or demoted under overload.
     };
 
--- a/src/glenhollow/durable/dispatcher_overload.cpp
+++ b/src/glenhollow/durable/dispatcher_overload.cpp
@@ -14,21 +14,23 @@
 } // namespace
 
 /// A job that will miss its objective is worth the same a while later, so it
-/// must not make others miss theirs.
+/// must not make others miss theirs. One that has begun is finished all the
+/// same: given up, it would leave its caller without an answer.
 void dispatcher::put_late_last(service_queue& queue)
 {
     const auto now = clock_.now();
     std::vector<queue_key> late;
-    for (const auto rank : {queue_class::begun, queue_class::in_time})
-    {
-        auto at = queue.tasks.lower_bound({rank, instant::min(), 0});
-        // The most urgent come first.
-        for (; at != queue.tasks.end() && at->first.rank == rank &&
-               last_moment(at->second) < now;
-             ++at)
-            late.push_back(at->first);
-    }
+    std::vector<queue_key> rest; // Of jobs that have begun.
+    auto at =
+        queue.tasks.lower_bound({queue_class::in_time, instant::min(), 0});
+    // The most urgent come first.
+    for (; at != queue.tasks.end() && at->first.rank == queue_class::in_time &&
+           last_moment(at->second) < now;
+         ++at)
+        (queue.jobs.at(job_key(at->second)).begun ? rest : late)
+            .push_back(at->first);
     stats_.late += late.size();
+    raise(queue, rest);
     move_to_late(queue, late);
 }
 
--- a/tests/unit/durable/dispatcher_tests.cpp
+++ b/tests/unit/durable/dispatcher_tests.cpp
@@ -299,3 +299,40 @@
     CHECK(world.granted.size() == 1);
     CHECK(world.placed.size() == 1);
 }
+
+TEST_CASE("the rest of a job that began in time goes first, also when late")
+{
+    // Found on saturated deployments: jobs that lacked one of nine tasks were
+    // held behind all that was in time, to the end of their callers' patience,
+    // and answered 504 then.
+    placement_world world(3, 1, 0.15);
+    world.runner("a", "rack-1", 14000); // Room for one task.
+    auto first = world.task("", slack);
+    auto rest = first;
+    rest.task.index = 1;
+    world.placing.enqueue(first);
+    world.placing.enqueue(rest);
+    world.placing.dispatch();
+    REQUIRE(world.placed == std::vector<job_id>{first.task.job});
+    world.loop.advance(slack + milliseconds{10});
+    const auto other = world.task("", slack);
+    world.placing.enqueue(other);
+    world.placing.reported("a", placement_world::report("rack-1", 14000));
+    world.placing.dispatch();
+    REQUIRE(world.placed.size() == 2);
+    CHECK(world.placed.back() == rest.task.job);
+    world.placing.reported("a", placement_world::report("rack-1", 14000));
+    world.placing.dispatch();
+    REQUIRE(world.placed.size() == 3);
+    CHECK(world.placed.back() == other.task.job);
+}
+
+TEST_CASE("a late job that has not begun leaves room to those in time")
+{
+    placement_world world(3, 1, 0.15);
+    world.runner("a", "rack-1", 14000); // An eighth is free.
+    const auto late = world.task("", slack);
+    world.loop.advance(slack + milliseconds{10});
+    CHECK(world.place(late).empty());
+    CHECK(world.place(world.task("", slack)) == "a");
+}
