--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -5,7 +5,7 @@
     libboost-program-options1.81-dev libboost-log1.81-dev
     libboost-json1.81-dev libboost-url1.81-dev libcapnp-dev capnproto
     libxxhash-dev libssl-dev libedit-dev catch2 clang-format-14 clang-tidy-14
-    curl jq gnuplot-nox doxygen)
+    curl jq doxygen)
 missing=()
 for package in "${packages[@]}"; do
     dpkg-query -W -f='${Status}' "$package" 2>/dev/null |
