--- a/programs/durable_agent.cpp
+++ b/programs/durable_agent.cpp
@@ -87,6 +87,8 @@
                 service_ = std::make_unique<run_agent_service>(
                     loop_.io(), process_clock(), manager_, random_incarnation(),
                     settings_.service);
+                service_->host_jobs_by([this](const std::string& entry)
+                                       { return open_host(entry); });
                 links_->serve(service_->bootstrap());
                 announcer_.begin();
                 manager_.begin();
@@ -98,6 +100,9 @@
             },
             [this]
             {
+                if (host_)
+                    host_->close();
+                host_server_.reset();
                 service_.reset();
                 links_->close();
             });
@@ -113,10 +118,35 @@
         { run_after(io, wait, std::move(work)); };
     }
 
+    /// Most agents never host: theirs is made when an entry asks.
+    wire::JobHost::Client open_host(const std::string& entry)
+    {
+        if (!host_)
+        {
+            auto limits = settings_.host;
+            limits.name = "host/" + settings_.name;
+            limits.incarnation = random_incarnation();
+            host_ = std::make_unique<job_host>(loop_.io(), process_clock(),
+                                               store_, limits);
+            host_server_ = std::make_unique<job_host_server>(
+                process_clock(), *host_, settings_.host_server);
+            if (stopping_)
+                host_->refuse_new();
+            log_change(log_level::info, "job_host_started",
+                       {{"host", limits.name}});
+        }
+        return host_server_->open(entry);
+    }
+
     void tick()
     {
         manager_.tick();
         service_->tick();
+        if (host_)
+        {
+            host_->tick();
+            host_server_->tick();
+        }
         run_after(loop_.io(), tick_interval,
                   [this]
                   {
@@ -131,6 +161,8 @@
             return done({404, "text/plain", {}, "not found\n"});
         metric_page page;
         service_->collect(page);
+        if (host_)
+            host_->collect(page);
         store_.collect(page);
         links_->collect(page);
         done({200, "text/plain; version=0.0.4", {}, page.render()});
@@ -171,32 +203,44 @@
             return;
         log_change(log_level::info, "stop_begun", {{"agent", settings_.name}});
         manager_.drain();
+        if (host_)
+            host_->refuse_new();
         stop_at_ = process_clock().now() + settings_.grace - stop_reserve;
         wait_for_idle();
     }
 
     void wait_for_idle()
     {
-        if (manager_.idle() || process_clock().now() >= stop_at_)
+        const bool idle =
+            manager_.idle() && (!host_ || host_->open_jobs() == 0);
+        if (idle)
             return loop_.stop();
+        if (process_clock().now() >= stop_at_)
+        {
+            if (host_)
+                host_->give_up_all();
+            return run_after(loop_.io(), stop_check, [this] { loop_.stop(); });
+        }
         run_after(loop_.io(), stop_check, [this] { wait_for_idle(); });
     }
 
     durable_agent_settings settings_;                        ///< Checked.
     std::function<result<durable_agent_settings>()> reload_; ///< On SIGHUP.
-    rpc_loop loop_;                              ///< Runs everything.
-    boost::asio::signal_set signals_;            ///< Stop and reload.
-    platform::http_row_store store_;             ///< The store.
-    platform::http_runner runner_;               ///< The runner.
-    run_manager manager_;                        ///< The product.
-    platform::runner_registration registration_; ///< Its accounts.
-    member_announcer announcer_;                 ///< Its row.
-    std::unique_ptr<run_agent_service> service_; ///< For entries.
-    std::unique_ptr<rpc_listener> links_;        ///< From entries.
-    std::unique_ptr<http_server> accounts_;      ///< From the runner.
-    std::unique_ptr<http_server> metrics_;       ///< On-call people.
-    bool stopping_ = false;                      ///< A planned stop.
-    instant stop_at_{};                          ///< Its latest end.
+    rpc_loop loop_;                                ///< Runs everything.
+    boost::asio::signal_set signals_;              ///< Stop and reload.
+    platform::http_row_store store_;               ///< The store.
+    platform::http_runner runner_;                 ///< The runner.
+    run_manager manager_;                          ///< The product.
+    platform::runner_registration registration_;   ///< Its accounts.
+    member_announcer announcer_;                   ///< Its row.
+    std::unique_ptr<run_agent_service> service_;   ///< For entries.
+    std::unique_ptr<job_host> host_;               ///< Of jobs of entries.
+    std::unique_ptr<job_host_server> host_server_; ///< Their sessions.
+    std::unique_ptr<rpc_listener> links_;          ///< From entries.
+    std::unique_ptr<http_server> accounts_;        ///< From the runner.
+    std::unique_ptr<http_server> metrics_;         ///< On-call people.
+    bool stopping_ = false;                        ///< A planned stop.
+    instant stop_at_{};                            ///< Its latest end.
 };
 
 } // namespace
--- a/programs/durable_agent.hpp
+++ b/programs/durable_agent.hpp
@@ -1,6 +1,7 @@
 #ifndef PROGRAMS_DURABLE_AGENT_HPP
 #define PROGRAMS_DURABLE_AGENT_HPP
 
+#include "glenhollow/hosting/job_host_server.hpp"
 #include "glenhollow/runs/run_agent_service.hpp"
 #include "platform/http_row_store.hpp"
 #include "platform/http_runner.hpp"
@@ -25,6 +26,8 @@
     platform::row_store_settings store;    ///< The store.
     run_manager_settings manager;          ///< Limits.
     report_pacing_settings service;        ///< Limits.
+    job_host_settings host;                ///< Of jobs of entries.
+    job_host_server_settings host_server;  ///< Limits.
     duration grace = seconds{6};           ///< From SIGTERM to the end.
 };
 
--- a/programs/durable_entry.cpp
+++ b/programs/durable_entry.cpp
@@ -106,6 +106,7 @@
         out.power = settings_.cpu_share * settings_.cores;
         out.dispatch.far_factor = settings_.far_factor;
         out.catalog = platform::operator_configuration();
+        out.handover = settings_.handover;
         return out;
     }
 
--- a/programs/durable_entry.hpp
+++ b/programs/durable_entry.hpp
@@ -29,6 +29,7 @@
     unsigned review_ms = 10;            ///< See dispatcher_settings.
     double late_reserve = 0.15;         ///< See dispatcher_settings.
     bool own_placement = false;         ///< Never placed by another entry.
+    job_handover_settings handover;     ///< Of jobs to agents' processes.
     double cpu_share = 1.0;             ///< Of a core, for this process.
     double cores = 1.0;                 ///< How many times as fast it runs.
     double far_factor = 1.0;            ///< Time of a task far from its data,
--- a/programs/durable_entry_main.cpp
+++ b/programs/durable_entry_main.cpp
@@ -47,6 +47,15 @@
                           "from SIGTERM to the end of the process");
     line.flag("own-placement", settings.own_placement,
               "place this entry's tasks here, never at the placer of all");
+    line.choice("job-hosts", settings.handover.mode,
+                "whether agents' processes run whole jobs for entries: "
+                "automatic where no entry has the power to place for all");
+    line.number<std::size_t>("host-agents", settings.handover.group_agents, 1,
+                             10000, "agents", "of one host, about");
+    line.number<std::uint32_t>("strong-entry", settings.handover.strong, 1,
+                               1'000'000, "millicores",
+                               "an entry that may use as much can place for a "
+                               "group of agents");
     line.number<unsigned>("review", settings.review_ms, 1, 1000, "ms",
                           "between two plans under overload");
     line.number<double>("begin-by", settings.begin_by, 0, 1, "",
--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -227,6 +227,54 @@
 interface RunAgent {
   attach @0 (entry :Text, incarnation :UInt64, reports :RunReports)
          -> (session :RunSession, incarnation :UInt64, state :RunnerState);
+  host @1 (entry :Text) -> (session :JobHost);
+  # The agent's process runs whole jobs in memory for the entry, at a group of
+  # agents. What the entry has there ends with the session.
+}
+
+struct AgentAddress {
+  name @0 :Text;
+  where @1 :Text;            # IP:PORT of its links
+}
+
+struct HostLoad {
+  loads @0 :List(PlacementLoad);
+  agents @1 :UInt32;         # of the group, with which the host has a session
+  stopping @2 :Bool;         # the host takes no more jobs
+}
+
+struct HandedStep {
+  count @0 :UInt32;
+  cpu @1 :UInt32;            # thousandths of a core
+  memory @2 :UInt32;         # MiB
+  gpu @3 :UInt32;
+  estimateMs @4 :UInt32;
+  label @5 :Text;            # the backend server must have it, if given
+  preferredLabel @6 :Text;   # others are slower at it
+  after @7 :List(UInt32);    # steps that must be done first
+}
+
+struct HandedJob {
+  # Times are lengths from the sending on, so that clocks need not agree.
+  id @0 :UInt64;
+  queue @1 :Text;
+  service @2 :Text;
+  spec @3 :Text;
+  steps @4 :List(HandedStep);
+  priority @5 :UInt32;
+  maxAttempts @6 :UInt32;
+  objectiveInMs @7 :Int64;   # until it should have ended
+  giveUpInMs @8 :Int64;      # until its caller has left
+}
+
+interface JobHost {
+  submit @0 (job :HandedJob) -> (answer :JobAnswer, load :HostLoad);
+  # Answered at the job's end.
+  withdraw @1 (jobs :List(UInt64)) -> ();
+  cancel @2 (job :UInt64) -> (answer :JobAnswer);
+  check @3 (agents :List(AgentAddress)) -> (load :HostLoad);
+  # Sent each while, so that both sides notice silence; `agents`: the host's
+  # group as the entry knows it; empty where that has not changed.
 }
 
 struct OrderBatch {
--- a/src/glenhollow/durable/agent_sessions.cpp
+++ b/src/glenhollow/durable/agent_sessions.cpp
@@ -10,13 +10,14 @@
 /// One agent's session.
 struct agent_sessions::session
 {
-    std::string agent;                          ///< Its name.
-    std::unique_ptr<rpc_link> link;             ///< The connection.
-    kj::Maybe<wire::RunSession::Client> orders; ///< Open while attached.
-    std::uint64_t number = 0;                   ///< Of the session, rising.
-    bool attached = false;                      ///< It has been opened.
-    instant silent_since{};                     ///< Unless it reports.
-    agent_clock clock;                          ///< As far as it is known.
+    std::string agent;                                 ///< Its name.
+    std::unique_ptr<rpc_link> link;                    ///< The connection.
+    kj::Maybe<wire::RunSession::Client> orders;        ///< Open while attached.
+    kj::Maybe<wire::RunAgent::Client> agent_interface; ///< The same.
+    std::uint64_t number = 0; ///< Of the session, rising.
+    bool attached = false;    ///< It has been opened.
+    instant silent_since{};   ///< Unless it reports.
+    agent_clock clock;        ///< As far as it is known.
 };
 
 /// The ear that an agent reports to.
@@ -104,6 +105,7 @@
     to.silent_since =
         clock_.now() + settings_.attach_patience - settings_.silence;
     auto request = interface.attachRequest();
+    to.agent_interface = kj::mv(interface);
     request.setEntry(settings_.entry);
     request.setIncarnation(settings_.incarnation);
     request.setReports(kj::heap<report_server>(*this, agent, to.number));
@@ -140,6 +142,7 @@
         return;
     auto& gone = *known->second;
     gone.orders = nullptr;
+    gone.agent_interface = nullptr;
     if (!std::exchange(gone.attached, false))
         return;
     log_change(log_level::warning, "agent_detached", {{"agent", agent}});
@@ -260,6 +263,38 @@
         link->drop();
 }
 
+std::vector<agent_address> agent_sessions::addresses() const
+{
+    std::vector<agent_address> all;
+    for (const auto& [agent, one] : sessions_)
+        all.push_back({agent, one->link->where()});
+    return all;
+}
+
+bool agent_sessions::is_attached(const std::string& agent) const
+{
+    const auto known = sessions_.find(agent);
+    return known != sessions_.end() && known->second->attached;
+}
+
+bool agent_sessions::open_host(const std::string& agent, host_handler done)
+{
+    const auto known = sessions_.find(agent);
+    if (known == sessions_.end() || !known->second->attached)
+        return false;
+    KJ_IF_MAYBE (interface, known->second->agent_interface)
+    {
+        auto request = interface->hostRequest();
+        request.setEntry(settings_.entry);
+        known->second->link->add(
+            request.send().then([done = std::move(done)](auto&& answer)
+                                { done(answer.getSession()); },
+                                [](kj::Exception&&) {}));
+        return true;
+    }
+    return false;
+}
+
 std::vector<std::string> agent_sessions::names() const
 {
     std::vector<std::string> all;
--- a/src/glenhollow/durable/agent_sessions.hpp
+++ b/src/glenhollow/durable/agent_sessions.hpp
@@ -8,6 +8,7 @@
 #include "glenhollow/runs/run_wire.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -16,6 +17,19 @@
 namespace glenhollow
 {
 
+/// An agent and its address.
+struct agent_address
+{
+    std::string name; ///< Of the agent.
+    host_port where;  ///< For links.
+
+    bool operator==(const agent_address& other) const
+    {
+        return name == other.name &&
+               where.to_string() == other.where.to_string();
+    }
+};
+
 /// Told what agents say.
 class agent_session_listener
 {
@@ -138,6 +152,22 @@
     /// @return Names of all agents.
     std::vector<std::string> names() const;
 
+    /// @return All agents with their addresses.
+    std::vector<agent_address> addresses() const;
+
+    /// @param agent Its name.
+    /// @return Whether its session is open.
+    bool is_attached(const std::string& agent) const;
+
+    /// Told the session with a host.
+    using host_handler = std::function<void(wire::JobHost::Client)>;
+
+    /// Asks an agent's process to host jobs of this entry.
+    /// @param agent Its name.
+    /// @param done Told the session; never, where the link breaks.
+    /// @return Whether it was asked.
+    bool open_host(const std::string& agent, host_handler done);
+
     /// @return Agents with an open session, by last tick.
     std::size_t attached() const { return attached_; }
 
--- a/src/glenhollow/durable/durable_metrics.cpp
+++ b/src/glenhollow/durable/durable_metrics.cpp
@@ -102,6 +102,7 @@
     count("grants_given_total", "Places for tasks of other entries",
           placed.granted);
     count("grants_declined_total", "Of these, not used", placed.declined);
+    handover_.collect(page);
     const auto placer = groups_.stats();
     count("placer_messages_total", "Messages to placers", placer.messages);
     count("placer_grants_total", "Places found by placers", placer.grants);
--- a/src/glenhollow/durable/durable_placement.cpp
+++ b/src/glenhollow/durable/durable_placement.cpp
@@ -39,7 +39,7 @@
         return placer_reports_.gap(agents /
                                    std::max<std::size_t>(1, groups_.groups()));
     const auto gap = reports_.gap(agents);
-    if (!groups_.delegates() && !placements_.active())
+    if (!groups_.delegates() && !placements_.active() && !hands_all_over())
         return gap;
     const std::chrono::duration<double> share{static_cast<double>(agents) /
                                               idle_room_reports};
@@ -61,13 +61,17 @@
              view.timely && !view.stopping && view.catalog_version != 0,
              view.started});
     };
-    add(own_view());
-    for (const auto& view : peers_.live())
-        add(view);
+    if (!handover_.active())
+    {
+        add(own_view());
+        for (const auto& view : peers_.live())
+            add(view);
+    }
     groups_.choose(candidates);
     groups_.flush();
     // Agents know this entry as one that hardly needs their room.
-    const bool places = placements_.active() || !groups_.delegates();
+    const bool places =
+        placements_.active() || (!groups_.delegates() && !hands_all_over());
     if (places && !std::exchange(placing_, places))
         agents_.tell_pace();
     placing_ = places;
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -18,13 +18,6 @@
 constexpr duration probe_interval = milliseconds{300};
 constexpr duration load_log_interval = seconds{2};
 
-/// A job in memory that is sent again soon after its end is not run anew.
-constexpr duration memory_of_ends = seconds{10};
-
-/// An agent's lease for jobs in memory, its time to notice, the longest hold
-/// of its runner and some slack.
-constexpr duration memory_agent_silence = milliseconds{2000};
-
 std::int64_t wall_milliseconds()
 {
     return wall_nanoseconds() / 1'000'000;
@@ -49,11 +42,9 @@
 
 job_coordinator_settings memory_of(const durable_service_settings& of)
 {
-    auto settings = of.memory;
+    auto settings = for_jobs_in_memory(of.memory);
     settings.entry = of.entry;
     settings.parts = of.parts;
-    settings.keep_ended = memory_of_ends;
-    settings.agent_silence = memory_agent_silence;
     return settings;
 }
 
@@ -71,6 +62,11 @@
     return settings;
 }
 
+std::uint32_t power_of(const durable_service_settings& of)
+{
+    return static_cast<std::uint32_t>(of.power * per_core);
+}
+
 job_router_settings router_of(const durable_service_settings& of)
 {
     auto settings = of.router;
@@ -96,6 +92,7 @@
           groups_of(settings)),
       ownership_(surroundings(), peers_, *this, ownership_of(settings)),
       memory_(surroundings(), memory_of(settings)),
+      handover_(handover_surroundings(), settings.handover),
       router_(clock, delay(), ownership_, peers_, router_of(settings)),
       members_(store_, delay(), std::string(members_table), settings.follower,
                [this](const stored_row& row) { take_member(row); }),
@@ -104,7 +101,8 @@
           [this](const stored_row& row) { take_operator_row(row); },
           [this](std::uint64_t version) { operator_rows_current(version); }),
       announcer_(store_, delay(),
-                 {settings.entry, member_role::entry, settings.where})
+                 {settings.entry, member_role::entry, settings.where,
+                  power_of(settings)})
 {
 }
 
@@ -135,6 +133,19 @@
     return {clock_, wall_milliseconds, store_, dispatcher_, delay()};
 }
 
+job_handover::surroundings durable_service::handover_surroundings()
+{
+    return {clock_, wall_milliseconds, agents_,
+            [later = delay()](std::function<void()> work)
+            { later(duration{0}, std::move(work)); },
+            [this](const std::string& agent, const std::string& label)
+            {
+                const auto known = dispatcher_.agents().find(agent);
+                return label.empty() || (known != dispatcher_.agents().end() &&
+                                         known->second.has_label(label));
+            }};
+}
+
 void durable_service::begin()
 {
     announcer_.begin();
@@ -166,6 +177,7 @@
     log_load();
     memory_.tick();
     dispatcher_.set_owners(peers_.live().size() + 1);
+    handover_.tick(std::max(strongest_, power_of(settings_)));
     choose_placer();
     schedule_dispatch();
     delay()(tick_interval, [this] { tick(); });
@@ -265,6 +277,7 @@
 
 void durable_service::give_up_all()
 {
+    handover_.give_up_all();
     memory_.give_up_all();
     dispatcher_.dispatch();
 }
@@ -274,6 +287,7 @@
     *alive_ = false;
     groups_.close();
     placements_.close();
+    handover_.close();
     agents_.close();
     peers_.close();
 }
@@ -308,9 +322,9 @@
                 {"where", known.where.to_string()},
                 {"version", row.version}});
     if (known.role == member_role::agent)
-        agents_.add(known.name, known.where);
-    else
-        peers_.add(known.name, known.where);
+        return agents_.add(known.name, known.where);
+    strongest_ = std::max(strongest_, known.power);
+    peers_.add(known.name, known.where);
 }
 
 void durable_service::take_operator_row(const stored_row& row)
@@ -460,7 +474,7 @@
     view.store_reachable = store_.reachable();
     view.stopping = stopping_;
     view.catalog_version = catalog_.version;
-    view.power = static_cast<std::uint32_t>(settings_.power * per_core);
+    view.power = power_of(settings_);
     view.timely = timely_;
     view.agents = static_cast<std::uint32_t>(agents_.attached());
     view.started = started_;
@@ -532,12 +546,16 @@
 {
     if (job.lasts == durability::in_memory)
     {
-        memory_.submit(job, std::move(done));
-        schedule_dispatch();
+        const auto here =
+            [this](const job_definition& taken, job_reply_handler told)
+        { submit_here(taken, std::move(told)); };
+        if (refusing_ || !handover_.submit(job, done, here))
+            submit_here(job, std::move(done));
         return [this, alive = alive_, id = job.id]
         {
             if (!*alive)
                 return;
+            handover_.withdraw(id);
             memory_.withdraw(id);
             schedule_dispatch();
         };
@@ -547,6 +565,20 @@
     return {};
 }
 
+void durable_service::submit_here(const job_definition& job,
+                                  job_reply_handler done)
+{
+    memory_.submit(job, std::move(done));
+    schedule_dispatch();
+}
+
+/// Then agents need hardly tell this entry of their room: hosts place. Jobs of
+/// the journal are placed here.
+bool durable_service::hands_all_over() const
+{
+    return handover_.active() && dispatcher_.waiting() == 0;
+}
+
 void durable_service::cancel(job_id id, job_reply_handler done)
 {
     router_.route({job_verb::cancel, id, {}}, std::move(done));
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -10,6 +10,7 @@
 #include "glenhollow/durable/placement_groups.hpp"
 #include "glenhollow/durable/placement_server.hpp"
 #include "glenhollow/durable/report_budget.hpp"
+#include "glenhollow/hosting/job_handover.hpp"
 #include "glenhollow/journal/watched_store.hpp"
 #include "glenhollow/telemetry/metrics.hpp"
 
@@ -55,6 +56,7 @@
     double power = 1.0;          ///< Of a core that this process may use.
     bool share_placement = true; ///< A group's placer places for all.
     placement_groups_settings placement; ///< Limits of the groups.
+    job_handover_settings handover;      ///< Of jobs to agents' processes.
     table_follower_settings follower;    ///< Limits.
 };
 
@@ -90,7 +92,11 @@
     void stop();
 
     /// Takes no more jobs in memory.
-    void refuse_new() { memory_.refuse_new(); }
+    void refuse_new()
+    {
+        refusing_ = true;
+        memory_.refuse_new();
+    }
 
     /// Answers for all jobs in memory at once.
     void give_up_all();
@@ -140,7 +146,7 @@
     bool places_at(const std::string& agent) const override
     {
         return placements_.active() ? groups_.takes(agent)
-                                    : !groups_.delegates();
+                                    : !groups_.delegates() && !hands_all_over();
     }
     hall_evacuation evacuation_of(const std::string& agent) const override;
     wire::PlacementSession::Client
@@ -160,6 +166,9 @@
                                     const std::string& agent) override;
 
     job_coordinator* coordinator_of(const run_ref& run);
+    job_handover::surroundings handover_surroundings();
+    void submit_here(const job_definition& job, job_reply_handler done);
+    bool hands_all_over() const;
     void take_member(const stored_row& row);
     void take_operator_row(const stored_row& row);
     void operator_rows_current(std::uint64_t version);
@@ -199,6 +208,7 @@
     bool timely_ = true;           ///< They come in time.
     part_ownership ownership_;     ///< This entry's parts.
     job_coordinator memory_;       ///< Jobs kept in memory alone.
+    job_handover handover_;        ///< Of these, to agents' processes.
     job_router router_;            ///< Brings calls to owners.
     table_follower members_;       ///< Rows of processes.
     table_follower configuration_; ///< Rows of the operator.
@@ -212,12 +222,15 @@
     };
 
     std::map<std::string, agent_silence> agent_silence_; ///< By agent.
-    instant tick_due_{};       ///< When the next tick should come.
-    instant probed_{};         ///< Last probe of the store.
-    instant load_logged_{};    ///< Last line on the load.
-    bool dispatching_ = false; ///< A dispatch is on its way.
-    bool placing_ = false;     ///< It places, for others or by itself.
-    bool stopping_ = false;    ///< A planned stop.
+    instant tick_due_{};          ///< When the next tick should come.
+    instant probed_{};            ///< Last probe of the store.
+    instant load_logged_{};       ///< Last line on the load.
+    bool dispatching_ = false;    ///< A dispatch is on its way.
+    bool placing_ = false;        ///< It places, for others or by itself.
+    bool stopping_ = false;       ///< A planned stop.
+    bool refusing_ = false;       ///< Takes no more jobs in memory.
+    std::uint32_t strongest_ = 0; ///< Thousandths of a core that the most
+                                  ///< powerful entry known by its row may use.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/entry_peers.cpp
+++ b/src/glenhollow/durable/entry_peers.cpp
@@ -1,5 +1,6 @@
 #include "glenhollow/durable/entry_peers.hpp"
 
+#include "glenhollow/durable/job_wire.hpp"
 #include "glenhollow/telemetry/log.hpp"
 
 #include <boost/asio/post.hpp>
@@ -82,21 +83,6 @@
     return {reinterpret_cast<const char*>(data.begin()), data.size()};
 }
 
-void fill_reply(wire::JobAnswer::Builder out, const job_reply& reply)
-{
-    out.setOutcome(static_cast<std::uint8_t>(reply.outcome));
-    out.setState(static_cast<std::uint8_t>(reply.state));
-    out.setRetryAfterMs(static_cast<std::uint32_t>(
-        std::chrono::duration_cast<milliseconds>(reply.retry_after).count()));
-}
-
-job_reply reply_from(wire::JobAnswer::Reader in)
-{
-    return {from_index(in.getOutcome(), job_outcome::unknown),
-            from_index(in.getState(), job_state::queued),
-            milliseconds{in.getRetryAfterMs()}};
-}
-
 } // namespace
 
 bool entry_view::owns(part_number part) const
@@ -146,7 +132,7 @@
             auto job = decode_definition(text_of(asked.getBody()));
             if (!job)
             {
-                fill_reply(context.getResults().initAnswer(), {});
+                fill(context.getResults().initAnswer(), job_reply{});
                 return kj::READY_NOW;
             }
             call.job = std::move(job.value());
@@ -159,7 +145,7 @@
                               { (*fulfiller)->fulfill(job_reply(reply)); });
         return paf.promise.then(
             [context](const job_reply& reply) mutable
-            { fill_reply(context.getResults().initAnswer(), reply); });
+            { fill(context.getResults().initAnswer(), reply); });
     }
 
     kj::Promise<void> place(PlaceContext context) override
@@ -399,7 +385,7 @@
             [shared](auto&& answer)
             {
                 if (const auto told = std::exchange(*shared, nullptr))
-                    told(reply_from(answer.getAnswer()));
+                    told(from_wire(answer.getAnswer()));
             },
             [shared](kj::Exception&&)
             {
--- a/src/glenhollow/durable/job_coordinator.hpp
+++ b/src/glenhollow/durable/job_coordinator.hpp
@@ -69,6 +69,23 @@
     journal_chain_settings chain; ///< Limits of the journal.
 };
 
+/// A job in memory that is sent again soon after its end is not run anew.
+inline constexpr duration memory_of_ends = seconds{10};
+
+/// An agent's lease for jobs in memory, its time to notice, the longest hold
+/// of its runner and some slack.
+inline constexpr duration memory_agent_silence = milliseconds{2000};
+
+/// @param settings Limits of jobs.
+/// @return The same for jobs in memory.
+inline job_coordinator_settings
+for_jobs_in_memory(job_coordinator_settings settings)
+{
+    settings.keep_ended = memory_of_ends;
+    settings.agent_silence = memory_agent_silence;
+    return settings;
+}
+
 /// Counters of a part's jobs.
 struct job_coordinator_stats
 {
--- a/src/glenhollow/durable/member_directory.cpp
+++ b/src/glenhollow/durable/member_directory.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr duration announce_retry = milliseconds{300};
+constexpr std::size_t power_field = 2;
 
 row_key member_key(const std::string& name)
 {
@@ -21,8 +22,8 @@
 
 std::string encode_member(const member_row& member)
 {
-    return json::serialize(
-        json::array{to_name(member.role), member.where.to_string()});
+    return json::serialize(json::array{to_name(member.role),
+                                       member.where.to_string(), member.power});
 }
 
 } // namespace
@@ -41,7 +42,10 @@
         BOOST_OUTCOME_TRY(
             auto where,
             host_port::parse(json::value_to<std::string>(fields.at(1))));
-        return member_row{row.key.key, *role, where};
+        member_row member{row.key.key, *role, where, 0};
+        if (fields.size() > power_field) // Rows of before have none.
+            member.power = json::value_to<std::uint32_t>(fields[power_field]);
+        return member;
     }
     catch (const std::exception& wrong)
     {
--- a/src/glenhollow/durable/member_directory.hpp
+++ b/src/glenhollow/durable/member_directory.hpp
@@ -31,6 +31,8 @@
     std::string name;                      ///< Of the machine.
     member_role role = member_role::entry; ///< What it does.
     host_port where;                       ///< Its address for links.
+    std::uint32_t power = 0; ///< Thousandths of a core that it may use; 0: not
+                             ///< told.
 };
 
 /// @param row The member's row.
--- /dev/null
+++ b/src/glenhollow/hosting/job_handover.cpp
@@ -0,0 +1,328 @@
+#include "glenhollow/hosting/job_handover.hpp"
+
+#include "glenhollow/telemetry/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+/// Cores that count as free where none is: a full group still gets its share
+/// of the jobs if all are full.
+constexpr double least_free = 0.05;
+
+/// A group whose work waits so long gets half as many jobs as one with as much
+/// room where none waits; about a third of a short task's slack.
+constexpr double long_wait_ms = 30.0;
+
+/// A host that is late with its answer gets this share of its jobs: none,
+/// unless all are late.
+constexpr double late_share = 1e-6;
+
+} // namespace
+
+job_handover::job_handover(surroundings around,
+                           const job_handover_settings& settings)
+    : around_(std::move(around)), settings_(settings)
+{
+}
+
+job_handover::~job_handover() = default;
+
+void job_handover::tick(std::uint32_t strongest)
+{
+    const bool wanted = settings_.mode == hosting_mode::always ||
+                        (settings_.mode == hosting_mode::automatic &&
+                         strongest < settings_.strong);
+    if (wanted)
+        divide();
+    else
+        groups_.clear();
+    follow();
+    const bool now_active = wanted && hosts() > 0;
+    if (now_active != active_)
+        log_change(log_level::info, "jobs_handed_over",
+                   {{"active", now_active},
+                    {"groups", groups_.size()},
+                    {"strongest_entry", strongest}});
+    active_ = now_active;
+}
+
+/// Agents that are away count as well: all entries know the same names, and
+/// a group's cuts do not move when one of them restarts.
+void job_handover::divide()
+{
+    auto known = around_.agents.addresses();
+    if (known == known_ && !groups_.empty())
+        return;
+    known_ = std::move(known);
+    std::map<std::string, agent_address> by_name;
+    std::vector<std::string> names;
+    for (const auto& agent : known_)
+    {
+        names.push_back(agent.name);
+        by_name[agent.name] = agent;
+    }
+    groups_.clear();
+    for (auto& group : divide_agents(std::move(names), settings_.group_agents))
+    {
+        hosted_group one;
+        for (const auto& agent : group.agents)
+            one.agents.push_back(by_name.at(agent));
+        one.names = std::move(group);
+        groups_.push_back(std::move(one));
+    }
+}
+
+/// A host that is not chosen any more is followed until its jobs have ended.
+void job_handover::follow()
+{
+    for (auto& group : groups_)
+    {
+        group.host = choose_host(group.names,
+                                 [this](const std::string& agent)
+                                 {
+                                     const auto link = links_.find(agent);
+                                     return around_.agents.is_attached(agent) &&
+                                            (link == links_.end() ||
+                                             !link->second->avoided());
+                                 });
+        if (group.host.empty())
+            continue;
+        auto& link = links_[group.host];
+        if (!link)
+            link = std::make_unique<host_link>(around_.clock, around_.agents,
+                                               around_.later, group.host,
+                                               settings_.link);
+        link->tick(group.agents);
+    }
+    for (auto at = links_.begin(); at != links_.end();)
+    {
+        const auto here = at++;
+        auto& link = *here->second;
+        const bool chosen = std::any_of(groups_.begin(), groups_.end(),
+                                        [&here](const hosted_group& group)
+                                        { return group.host == here->first; });
+        if (chosen)
+            continue;
+        if (link.open_jobs() > 0)
+            link.tick({});
+        else if (!link.avoided())
+            links_.erase(here);
+    }
+}
+
+std::size_t job_handover::hosts() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(links_.begin(), links_.end(),
+                      [](const auto& one) { return one.second->open(); }));
+}
+
+/// Jobs go where room is free, and where least waits for it.
+double job_handover::weight(const host_link& host,
+                            const job_definition& job) const
+{
+    const auto* load = host.load(job.service);
+    if (!host.open() || load == nullptr || load->ready_cores <= 0)
+        return 0;
+    const double free = std::max(0.0, load->free_cores - host.sent_cores());
+    const double wait_ms = load->waiting_work / load->ready_cores;
+    const double share =
+        (free + least_free * load->ready_cores) / (1 + wait_ms / long_wait_ms);
+    return host.prompt() ? share : share * late_share;
+}
+
+bool job_handover::has_label(const hosted_group& group,
+                             const std::string& label) const
+{
+    return label.empty() ||
+           std::any_of(group.agents.begin(), group.agents.end(),
+                       [this, &label](const agent_address& agent)
+                       { return around_.has_label(agent.name, label); });
+}
+
+job_handover::label_fit job_handover::fit(const hosted_group& group,
+                                          const job_definition& job) const
+{
+    auto best = label_fit::suitable;
+    for (const auto& step : job.steps)
+    {
+        if (!has_label(group, step.label))
+            return label_fit::none;
+        if (!has_label(group, step.preferred_label))
+            best = label_fit::far;
+    }
+    return best;
+}
+
+host_link* job_handover::choose(const job_definition& job,
+                                const std::string& not_at)
+{
+    std::vector<host_choice> choices;
+    auto best = label_fit::far;
+    for (const auto& group : groups_)
+    {
+        const auto link = links_.find(group.host);
+        if (link == links_.end() || group.host == not_at)
+            continue;
+        const host_choice one{group.host, weight(*link->second, job)};
+        const auto suits = fit(group, job);
+        if (one.weight <= 0 || suits < best)
+            continue;
+        if (suits > best)
+            choices.clear(); // Groups with all labels go first.
+        best = suits;
+        choices.push_back(one);
+    }
+    const auto drawn = draw_host(job.id, choices);
+    return drawn == choices.size() ? nullptr
+                                   : links_.at(choices[drawn].host).get();
+}
+
+bool job_handover::submit(const job_definition& job, job_reply_handler done,
+                          local_submit here)
+{
+    const auto known = jobs_.find(job.id);
+    if (known != jobs_.end())
+    {
+        known->second.done.push_back(std::move(done));
+        return true;
+    }
+    if (!active_)
+        return false;
+    auto* to = choose(job, {});
+    if (to == nullptr)
+    {
+        ++stats_.no_host;
+        return false;
+    }
+    handed_job handed;
+    handed.job = job;
+    handed.done.push_back(std::move(done));
+    handed.here = std::move(here);
+    hand(*to, jobs_.emplace(job.id, std::move(handed)).first->second);
+    return true;
+}
+
+void job_handover::hand(host_link& to, handed_job& job)
+{
+    ++stats_.handed;
+    job.host = to.host();
+    to.submit(job.job, around_.wall_ms(),
+              [this, id = job.job.id](const std::optional<job_reply>& reply)
+              { answered(id, reply); });
+}
+
+void job_handover::answered(job_id id, const std::optional<job_reply>& reply)
+{
+    const auto known = jobs_.find(id);
+    if (known == jobs_.end())
+        return;
+    if (!reply)
+    {
+        ++stats_.lost;
+        return finish(id, {job_outcome::unknown, job_state::queued, {}});
+    }
+    if (reply->outcome != job_outcome::not_owner)
+        return finish(id, *reply);
+    // The host takes no more jobs and has done nothing.
+    auto& job = known->second;
+    auto* to =
+        job.tries++ < settings_.tries ? choose(job.job, job.host) : nullptr;
+    if (to != nullptr)
+    {
+        ++stats_.again;
+        return hand(*to, job);
+    }
+    ++stats_.no_host;
+    auto moved = std::move(job);
+    jobs_.erase(known);
+    for (auto& done : moved.done)
+        moved.here(moved.job, std::move(done));
+}
+
+void job_handover::finish(job_id id, const job_reply& reply)
+{
+    const auto known = jobs_.find(id);
+    const auto waiters = std::move(known->second.done);
+    jobs_.erase(known);
+    for (const auto& waiter : waiters)
+        waiter(reply);
+}
+
+bool job_handover::withdraw(job_id id)
+{
+    const auto known = jobs_.find(id);
+    if (known == jobs_.end())
+        return false;
+    const auto link = links_.find(known->second.host);
+    if (link != links_.end())
+        link->second->withdraw(id);
+    // Its caller has gone, and whoever else waits for it may ask again.
+    finish(id, {job_outcome::unknown, job_state::queued, {}});
+    return true;
+}
+
+bool job_handover::cancel(job_id id, job_reply_handler done)
+{
+    const auto known = jobs_.find(id);
+    if (known == jobs_.end())
+        return false;
+    const auto link = links_.find(known->second.host);
+    if (link == links_.end())
+        return false;
+    link->second->cancel(
+        id,
+        [done = std::move(done)](const std::optional<job_reply>& reply)
+        {
+            done(reply.value_or(
+                job_reply{job_outcome::unknown, job_state::queued, {}}));
+        });
+    return true;
+}
+
+void job_handover::give_up_all()
+{
+    for (auto& [name, link] : links_)
+    {
+        for (const auto& [id, job] : jobs_)
+        {
+            if (job.host == name)
+                link->withdraw(id);
+        }
+    }
+    while (!jobs_.empty())
+        finish(jobs_.begin()->first,
+               {job_outcome::unknown, job_state::queued, {}});
+}
+
+void job_handover::close()
+{
+    for (auto& [name, link] : links_)
+        link->close();
+}
+
+void job_handover::collect(metric_page& page) const
+{
+    const auto count = [&page](std::string_view name, std::string_view help,
+                               std::uint64_t value)
+    { page.counter(name, help, static_cast<double>(value)); };
+    count("jobs_handed_over_total", "Jobs handed to hosts", stats_.handed);
+    count("jobs_lost_with_host_total", "Of these, lost with their host",
+          stats_.lost);
+    count("jobs_handed_again_total", "Of these, to a second host",
+          stats_.again);
+    count("jobs_without_host_total", "Jobs for which no host was found",
+          stats_.no_host);
+    page.gauge("job_hosts", "Hosts with an open session",
+               static_cast<double>(hosts()));
+    page.gauge("jobs_at_hosts", "Jobs that hosts have",
+               static_cast<double>(jobs_.size()));
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/hosting/job_handover.hpp
@@ -0,0 +1,172 @@
+#ifndef GLENHOLLOW_HOSTING_JOB_HANDOVER_HPP
+#define GLENHOLLOW_HOSTING_JOB_HANDOVER_HPP
+
+#include "glenhollow/core/names.hpp"
+#include "glenhollow/hosting/host_groups.hpp"
+#include "glenhollow/hosting/host_link.hpp"
+#include "glenhollow/telemetry/metrics.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace glenhollow
+{
+
+/// When jobs in memory are handed over to agents' processes.
+enum class hosting_mode : std::uint8_t
+{
+    automatic, ///< Where no entry has the power to place for all.
+    always,    ///< Wherever hosts are there.
+    never      ///< Entries place.
+};
+
+template <>
+struct name_table<hosting_mode>
+{
+    static constexpr std::array<std::string_view, 3> names{"automatic",
+                                                           "always", "never"};
+};
+
+/// Limits of the handing over.
+struct job_handover_settings
+{
+    hosting_mode mode = hosting_mode::automatic; ///< When.
+    std::uint32_t strong = 200;   ///< Thousandths of a core: an entry that may
+                                  ///< use as much can place for a group.
+    std::size_t group_agents = 7; ///< Agents of one host, about.
+    int tries = 2;                ///< Hosts that are asked for one job.
+    host_link_settings link;      ///< Of the session with each host.
+};
+
+/// Counters of the handing over.
+struct job_handover_stats
+{
+    std::uint64_t handed = 0;  ///< Jobs that hosts took.
+    std::uint64_t lost = 0;    ///< Of these, lost with their host.
+    std::uint64_t again = 0;   ///< Handed to another host, after the first
+                               ///< one did nothing.
+    std::uint64_t no_host = 0; ///< Found no host; placed here.
+};
+
+/// Hands whole jobs in memory over to hosts: the agents are divided into
+/// groups, and one agent's process of each places for it. What a job costs its
+/// entry is then two messages, however many tasks it has. Runs inside an
+/// rpc_loop.
+class job_handover final
+{
+public:
+    /// What it needs of its entry; all outlive it.
+    struct surroundings
+    {
+        const clock_source& clock;             ///< This entry's.
+        std::function<std::int64_t()> wall_ms; ///< Ms since 1970.
+        agent_sessions& agents;                ///< Links to the agents.
+        std::function<void(std::function<void()>)>
+            later; ///< Runs work after what runs now.
+        std::function<bool(const std::string& agent, const std::string& label)>
+            has_label; ///< Of an agent's backend server; true for no label.
+    };
+
+    /// Runs a job at this entry.
+    using local_submit =
+        std::function<void(const job_definition&, job_reply_handler)>;
+
+    /// @param around What it needs.
+    /// @param settings Limits.
+    job_handover(surroundings around, const job_handover_settings& settings);
+    ~job_handover();
+
+    /// Chooses the hosts anew, follows them, and notices silence.
+    /// @param strongest Thousandths of a core that the most powerful entry may
+    /// use.
+    void tick(std::uint32_t strongest);
+
+    /// @return Whether jobs are handed over now.
+    bool active() const { return active_; }
+
+    /// @param job One in memory.
+    /// @param done Told its end, once, if it was taken.
+    /// @param here Runs the job at this entry where every host that was asked
+    /// did nothing.
+    /// @return Whether a host was asked; if not, nothing was done.
+    bool submit(const job_definition& job, job_reply_handler done,
+                local_submit here);
+
+    /// @param id A job whose caller has gone.
+    /// @return Whether a host has it.
+    bool withdraw(job_id id);
+
+    /// @param id A job.
+    /// @param done Told the end, if a host has it.
+    /// @return Whether a host has it.
+    bool cancel(job_id id, job_reply_handler done);
+
+    /// Answers for all jobs at once.
+    void give_up_all();
+
+    /// Ends all sessions, while the event loop lives.
+    void close();
+
+    /// @return Jobs that hosts have.
+    std::size_t open_jobs() const { return jobs_.size(); }
+
+    /// @return Hosts with an open session.
+    std::size_t hosts() const;
+
+    /// @param page Gets the metrics.
+    void collect(metric_page& page) const;
+
+private:
+    /// A group and who hosts it.
+    struct hosted_group
+    {
+        std::vector<agent_address> agents; ///< Its agents.
+        host_group names;                  ///< The same.
+        std::string host;                  ///< Chosen; empty: none.
+    };
+
+    /// A job at a host.
+    struct handed_job
+    {
+        job_definition job;                  ///< As it was taken.
+        std::vector<job_reply_handler> done; ///< Told its end.
+        std::string host;                    ///< Who has it.
+        int tries = 1;                       ///< Hosts asked.
+        local_submit here;                   ///< Runs it at this entry.
+    };
+
+    void divide();
+    void follow();
+    /// How well a group's labels suit a job.
+    enum class label_fit : std::uint8_t
+    {
+        none,    ///< No agent has a label that a step needs.
+        far,     ///< None has one that a step prefers.
+        suitable ///< Each label is there.
+    };
+
+    label_fit fit(const hosted_group& group, const job_definition& job) const;
+    bool has_label(const hosted_group& group, const std::string& label) const;
+    host_link* choose(const job_definition& job, const std::string& not_at);
+    double weight(const host_link& host, const job_definition& job) const;
+    void hand(host_link& to, handed_job& job);
+    void answered(job_id id, const std::optional<job_reply>& reply);
+    void finish(job_id id, const job_reply& reply);
+
+    surroundings around_;              ///< Of the entry.
+    job_handover_settings settings_;   ///< Limits.
+    std::vector<agent_address> known_; ///< Divided agents.
+    std::vector<hosted_group> groups_; ///< Of them.
+    std::map<std::string, std::unique_ptr<host_link>> links_; ///< By host.
+    std::map<job_id, handed_job> jobs_;                       ///< At hosts.
+    bool active_ = false;      ///< Jobs are handed over.
+    job_handover_stats stats_; ///< Counters.
+};
+
+} // namespace glenhollow
+
+#endif
--- /dev/null
+++ b/src/glenhollow/hosting/job_host.cpp
@@ -0,0 +1,312 @@
+#include "glenhollow/hosting/job_host.hpp"
+
+#include "glenhollow/core/run_after.hpp"
+#include "glenhollow/telemetry/log.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+constexpr duration load_log_interval = seconds{2};
+
+/// A process whose ticks, 50 ms apart, stop for so long stood still. Below the
+/// time after which entries give a silent host up, so that it never takes a
+/// job which its entry has reported as lost.
+constexpr duration pause_limit = milliseconds{400};
+
+std::int64_t wall_milliseconds()
+{
+    return wall_nanoseconds() / 1'000'000;
+}
+
+job_coordinator_settings jobs_of(const job_host_settings& of)
+{
+    auto settings = for_jobs_in_memory(of.jobs);
+    settings.entry = of.name;
+    return settings;
+}
+
+agent_sessions_settings agents_of(const job_host_settings& of)
+{
+    auto settings = of.agents;
+    settings.entry = of.name;
+    settings.incarnation = of.incarnation;
+    return settings;
+}
+
+dispatcher_settings dispatch_of(const job_host_settings& of)
+{
+    auto settings = of.dispatch;
+    settings.seed = of.incarnation;
+    return settings;
+}
+
+} // namespace
+
+job_host::job_host(boost::asio::io_context& io, const clock_source& clock,
+                   row_store& store, const job_host_settings& settings)
+    : io_(io), clock_(clock), store_(store), settings_(settings),
+      agents_(io, clock, *this, agents_of(settings)),
+      dispatcher_(clock, agents_, *this, dispatch_of(settings)),
+      jobs_(surroundings(), jobs_of(settings)), ticked_(clock.now())
+{
+    dispatcher_.place_only_at([this](const std::string& agent)
+                              { return group_.contains(agent); });
+}
+
+job_host::~job_host() noexcept
+{
+    *alive_ = false;
+}
+
+journal_chain::delay job_host::delay()
+{
+    return
+        [&io = io_, alive = alive_](duration wait, std::function<void()> work)
+    {
+        auto guarded = [alive, work = std::move(work)]
+        {
+            if (*alive)
+                work();
+        };
+        if (wait.count() == 0)
+            boost::asio::post(io, std::move(guarded));
+        else
+            run_after(io, wait, std::move(guarded));
+    };
+}
+
+job_coordinator::surroundings job_host::surroundings()
+{
+    return {clock_, wall_milliseconds, store_, dispatcher_, delay()};
+}
+
+void job_host::place_at(const std::vector<agent_address>& agents)
+{
+    std::set<std::string> wanted;
+    for (const auto& agent : agents)
+    {
+        wanted.insert(agent.name);
+        left_.erase(agent.name);
+        agents_.add(agent.name, agent.where);
+    }
+    if (wanted == group_)
+        return;
+    for (const auto& agent : group_)
+    {
+        if (!wanted.contains(agent))
+            left_.emplace(agent, clock_.now());
+    }
+    group_ = std::move(wanted);
+    dispatcher_.place_only_at([this](const std::string& agent)
+                              { return group_.contains(agent); });
+    log_change(log_level::info, "host_group",
+               {{"host", settings_.name}, {"agents", group_.size()}});
+    schedule_dispatch();
+}
+
+bool job_host::paused() const
+{
+    return clock_.now() - ticked_ > pause_limit;
+}
+
+std::size_t job_host::attached() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(group_.begin(), group_.end(),
+                      [this](const std::string& agent)
+                      {
+                          const auto known = dispatcher_.agents().find(agent);
+                          return known != dispatcher_.agents().end() &&
+                                 known->second.linked();
+                      }));
+}
+
+void job_host::submit(const job_definition& job, job_reply_handler done)
+{
+    if (refusing_)
+        return done({job_outcome::not_owner, job_state::queued, {}});
+    jobs_.submit(job, std::move(done));
+    schedule_dispatch();
+}
+
+void job_host::withdraw(job_id id)
+{
+    jobs_.withdraw(id);
+    schedule_dispatch();
+}
+
+void job_host::cancel(job_id id, job_reply_handler done)
+{
+    jobs_.cancel(id, std::move(done));
+    schedule_dispatch();
+}
+
+void job_host::give_up_all()
+{
+    refusing_ = true;
+    jobs_.give_up_all();
+    dispatcher_.dispatch();
+}
+
+void job_host::close()
+{
+    *alive_ = false;
+    agents_.close();
+}
+
+void job_host::tick()
+{
+    ticked_ = clock_.now();
+    agents_.tick();
+    check_agents();
+    drop_old_agents();
+    log_load();
+    jobs_.tick();
+    schedule_dispatch();
+}
+
+void job_host::check_agents()
+{
+    const auto now = clock_.now();
+    for (auto& [agent, silence] : silences_)
+    {
+        if (silence.ended || now - silence.since <= memory_agent_silence)
+            continue;
+        silence.ended = true;
+        jobs_.agent_gone(agent);
+    }
+}
+
+/// By now what this host ran there has ended.
+void job_host::drop_old_agents()
+{
+    const auto now = clock_.now();
+    for (auto at = left_.begin(); at != left_.end();)
+    {
+        const auto here = at++;
+        if (now - here->second < settings_.keep_agent)
+            continue;
+        agents_.remove(here->first);
+        dispatcher_.forget(here->first);
+        jobs_.agent_gone(here->first);
+        silences_.erase(here->first);
+        left_.erase(here);
+    }
+}
+
+/// One line each while for the people on call: what limits placement.
+void job_host::log_load()
+{
+    const auto now = clock_.now();
+    if (now - load_logged_ < load_log_interval)
+        return;
+    load_logged_ = now;
+    double free_cores = 0;
+    double ready_cores = 0;
+    for (const auto& [service, load] : dispatcher_.loads())
+    {
+        free_cores += load.free_cores;
+        ready_cores += load.ready_cores;
+    }
+    log_change(log_level::info, "host_load",
+               {{"jobs", jobs_.open_jobs()},
+                {"tasks_waiting", dispatcher_.waiting()},
+                {"agents", group_.size()},
+                {"agents_linked", attached()},
+                {"ready_cores", static_cast<std::int64_t>(ready_cores)},
+                {"free_cores", static_cast<std::int64_t>(free_cores)}});
+}
+
+void job_host::schedule_dispatch()
+{
+    if (std::exchange(dispatching_, true))
+        return;
+    delay()(duration{0},
+            [this]
+            {
+                dispatching_ = false;
+                dispatcher_.dispatch();
+            });
+}
+
+void job_host::collect(metric_page& page) const
+{
+    const auto& jobs = jobs_.stats();
+    const auto& placed = dispatcher_.stats();
+    const auto count = [&page](std::string_view name, std::string_view help,
+                               std::uint64_t value)
+    { page.counter(name, help, static_cast<double>(value)); };
+    count("host_jobs_accepted_total", "Jobs taken from entries", jobs.accepted);
+    count("host_jobs_refused_total", "Jobs not taken", jobs.refused);
+    count("host_jobs_succeeded_total", "Jobs ended well", jobs.succeeded);
+    count("host_jobs_failed_total", "Jobs failed", jobs.failed);
+    count("host_jobs_late_total", "Jobs ended after their objective",
+          jobs.late);
+    count("host_jobs_given_up_total", "Jobs past any worth", jobs.given_up);
+    count("host_jobs_withdrawn_total", "Jobs whose caller left",
+          jobs.withdrawn);
+    count("host_tasks_placed_total", "Orders to start", placed.placed);
+    count("host_tasks_stopped_total", "Orders to stop", placed.stopped);
+    count("host_order_batches_total", "Messages to agents", placed.batches);
+    count("host_jobs_demoted_total", "Jobs put behind others under overload",
+          placed.demoted);
+    page.gauge("host_jobs_open", "Jobs not ended",
+               static_cast<double>(jobs_.open_jobs()));
+    page.gauge("host_agents", "Agents that this host places at",
+               static_cast<double>(group_.size()));
+    page.gauge("host_agents_linked", "Of these, with a session",
+               static_cast<double>(attached()));
+}
+
+void job_host::agent_attached(const std::string& agent,
+                              const runner_report& report)
+{
+    dispatcher_.attached(agent, report);
+    silences_[agent] = {clock_.now(), false};
+}
+
+void job_host::agent_detached(const std::string& agent)
+{
+    dispatcher_.detached(agent);
+}
+
+/// What it may run by this order is not given up before its time.
+void job_host::agent_ordered(const std::string& agent)
+{
+    auto& since = silences_[agent].since;
+    since = std::min(since, clock_.now());
+}
+
+void job_host::agent_adopted(const std::string& agent, part_epoch part,
+                             const lease_account& account)
+{
+    if (account.declined)
+        return;
+    dispatcher_.adopted(agent, part.part);
+    jobs_.account_of(agent, account);
+    schedule_dispatch();
+}
+
+void job_host::agent_reported(const std::string& agent,
+                              const runner_report& report,
+                              const std::vector<run_end>& ends,
+                              const std::vector<run_ref>& begun)
+{
+    silences_[agent] = {silent_since(clock_.now(), report.next_within), false};
+    dispatcher_.reported(agent, report);
+    for (const auto& run : begun)
+        jobs_.began(run);
+    for (const auto& end : ends)
+        jobs_.ended(agent, end);
+    schedule_dispatch();
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/src/glenhollow/hosting/job_host_server.cpp
@@ -0,0 +1,249 @@
+#include "glenhollow/hosting/job_host_server.hpp"
+
+#include "glenhollow/durable/job_wire.hpp"
+#include "glenhollow/telemetry/log.hpp"
+
+#include <kj/debug.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+std::int64_t wall_milliseconds()
+{
+    return wall_nanoseconds() / 1'000'000;
+}
+
+} // namespace
+
+void fill(wire::HostLoad::Builder out, const job_host& host)
+{
+    const auto loads = host.loads();
+    auto list = out.initLoads(static_cast<unsigned>(loads.size()));
+    unsigned at = 0;
+    for (const auto& [service, load] : loads)
+    {
+        auto one = list[at++];
+        one.setService(service);
+        one.setReadyCores(load.ready_cores);
+        one.setFreeCores(load.free_cores);
+        one.setWaitingWork(load.waiting_work);
+    }
+    out.setAgents(static_cast<std::uint32_t>(host.attached()));
+    out.setStopping(host.refusing());
+}
+
+/// What one entry calls; ends with its connection.
+class job_host_server::session_server final : public wire::JobHost::Server
+{
+public:
+    session_server(job_host_server& server, session_number number)
+        : server_(server), alive_(server.alive_), number_(number)
+    {
+    }
+
+    ~session_server() noexcept
+    {
+        if (*alive_)
+            server_.end(number_, "closed");
+    }
+
+    kj::Promise<void> submit(SubmitContext context) override
+    {
+        auto* from = heard();
+        if (from == nullptr || server_.host_.paused())
+        {
+            fill(context.getResults().initAnswer(),
+                 job_reply{job_outcome::not_owner, job_state::queued, {}});
+            return kj::READY_NOW;
+        }
+        const auto job =
+            from_wire(context.getParams().getJob(), wall_milliseconds());
+        from->jobs.insert(job.id);
+        auto paf = kj::newPromiseAndFulfiller<job_reply>();
+        auto fulfiller =
+            std::make_shared<kj::Own<kj::PromiseFulfiller<job_reply>>>(
+                kj::mv(paf.fulfiller));
+        server_.host_.submit(job, [fulfiller](const job_reply& reply)
+                             { (*fulfiller)->fulfill(job_reply(reply)); });
+        return paf.promise.then(
+            [this, alive = alive_, id = job.id,
+             context](const job_reply& reply) mutable
+            {
+                auto out = context.getResults();
+                fill(out.initAnswer(), reply);
+                if (!*alive)
+                    return;
+                server_.release(number_, id);
+                fill(out.initLoad(), server_.host_);
+            });
+    }
+
+    kj::Promise<void> withdraw(WithdrawContext context) override
+    {
+        if (heard() == nullptr)
+            return kj::READY_NOW;
+        for (const auto job : context.getParams().getJobs())
+        {
+            server_.release(number_, job);
+            server_.withdraw_unwanted(job);
+        }
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> cancel(CancelContext context) override
+    {
+        if (heard() == nullptr)
+        {
+            fill(context.getResults().initAnswer(), job_reply{});
+            return kj::READY_NOW;
+        }
+        auto paf = kj::newPromiseAndFulfiller<job_reply>();
+        auto fulfiller =
+            std::make_shared<kj::Own<kj::PromiseFulfiller<job_reply>>>(
+                kj::mv(paf.fulfiller));
+        server_.host_.cancel(context.getParams().getJob(),
+                             [fulfiller](const job_reply& reply)
+                             { (*fulfiller)->fulfill(job_reply(reply)); });
+        return paf.promise.then(
+            [context](const job_reply& reply) mutable
+            { fill(context.getResults().initAnswer(), reply); });
+    }
+
+    kj::Promise<void> check(CheckContext context) override
+    {
+        auto* from = heard();
+        if (from == nullptr)
+            return KJ_EXCEPTION(DISCONNECTED, "the session has ended");
+        std::vector<agent_address> agents;
+        for (auto one : context.getParams().getAgents())
+        {
+            auto where =
+                host_port::parse(std::string_view(one.getWhere().cStr()));
+            if (where)
+                agents.push_back({one.getName(), std::move(where.value())});
+        }
+        if (!agents.empty() && agents != from->agents)
+        {
+            from->agents = std::move(agents);
+            server_.merge_groups();
+        }
+        fill(context.getResults().initLoad(), server_.host_);
+        return kj::READY_NOW;
+    }
+
+private:
+    /// @return The session, if it has not ended.
+    session* heard()
+    {
+        auto* from = *alive_ ? server_.find(number_) : nullptr;
+        if (from != nullptr)
+            from->heard = server_.clock_.now();
+        return from;
+    }
+
+    job_host_server& server_;     ///< Not used after its end.
+    std::shared_ptr<bool> alive_; ///< Whether it has not ended.
+    session_number number_;       ///< Of the session.
+};
+
+job_host_server::job_host_server(const clock_source& clock, job_host& host,
+                                 const job_host_server_settings& settings)
+    : clock_(clock), host_(host), settings_(settings)
+{
+}
+
+job_host_server::~job_host_server() noexcept
+{
+    *alive_ = false;
+}
+
+wire::JobHost::Client job_host_server::open(const std::string& entry)
+{
+    for (auto at = sessions_.begin(); at != sessions_.end();)
+    {
+        const auto here = at++;
+        if (here->second.entry == entry)
+            end(here->first, "replaced");
+    }
+    const auto number = ++numbers_;
+    sessions_[number] = {entry, clock_.now(), {}, {}};
+    log_change(log_level::info, "host_session_opened", {{"entry", entry}});
+    return kj::heap<session_server>(*this, number);
+}
+
+job_host_server::session* job_host_server::find(session_number number)
+{
+    const auto known = sessions_.find(number);
+    return known == sessions_.end() ? nullptr : &known->second;
+}
+
+/// The same job may have come over two sessions: it goes on for the other.
+void job_host_server::withdraw_unwanted(job_id job)
+{
+    const bool wanted = std::any_of(sessions_.begin(), sessions_.end(),
+                                    [job](const auto& one)
+                                    { return one.second.jobs.contains(job); });
+    if (!wanted)
+        host_.withdraw(job);
+}
+
+void job_host_server::end(session_number number, std::string_view cause)
+{
+    const auto known = sessions_.find(number);
+    if (known == sessions_.end())
+        return;
+    const auto ended = std::move(known->second);
+    sessions_.erase(known);
+    log_change(log_level::info, "host_session_ended",
+               {{"entry", ended.entry},
+                {"cause", cause},
+                {"jobs", ended.jobs.size()}});
+    for (const auto job : ended.jobs)
+        withdraw_unwanted(job);
+    merge_groups();
+}
+
+void job_host_server::release(session_number number, job_id job)
+{
+    if (auto* of = find(number))
+        of->jobs.erase(job);
+}
+
+/// Entries may know the group differently for a while: the host places at all
+/// agents that one of them counts.
+void job_host_server::merge_groups()
+{
+    std::map<std::string, host_port> all;
+    for (const auto& [number, one] : sessions_)
+    {
+        for (const auto& agent : one.agents)
+            all[agent.name] = agent.where;
+    }
+    if (all.empty())
+        return; // No entry is left that could want anything.
+    std::vector<agent_address> agents;
+    for (const auto& [name, where] : all)
+        agents.push_back({name, where});
+    host_.place_at(agents);
+}
+
+void job_host_server::tick()
+{
+    const auto now = clock_.now();
+    std::vector<session_number> silent;
+    for (const auto& [number, one] : sessions_)
+    {
+        if (now - one.heard > settings_.silence)
+            silent.push_back(number);
+    }
+    for (const auto number : silent)
+        end(number, "silent");
+}
+
+} // namespace glenhollow
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -3,6 +3,8 @@
 #include "glenhollow/core/run_after.hpp"
 #include "glenhollow/telemetry/log.hpp"
 
+#include <kj/debug.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -104,6 +106,15 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> host(HostContext context) override
+    {
+        if (!service_.open_host_)
+            return KJ_EXCEPTION(UNIMPLEMENTED, "this agent hosts no jobs");
+        const std::string entry = context.getParams().getEntry();
+        context.getResults().setSession(service_.open_host_(entry));
+        return kj::READY_NOW;
+    }
+
 private:
     run_agent_service& service_; ///< Outlives the server.
 };
--- a/src/glenhollow/runs/run_agent_service.hpp
+++ b/src/glenhollow/runs/run_agent_service.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -36,6 +37,14 @@
     /// @return The interface offered to entries.
     wire::RunAgent::Client bootstrap();
 
+    /// Told the name of an entry that wants jobs hosted; gives its session.
+    using host_opener =
+        std::function<wire::JobHost::Client(const std::string& entry)>;
+
+    /// @param opener Opens sessions with this process's host of jobs; without
+    /// one, entries are refused.
+    void host_jobs_by(host_opener opener) { open_host_ = std::move(opener); }
+
     /// Sends the reports that are due.
     void tick();
 
@@ -108,6 +117,7 @@
     bool scheduled_ = false;         ///< A flush is on its way.
     bool room_scheduled_ = false;    ///< One for room alone, too.
     background_tasks calls_;         ///< Reports that are out.
+    host_opener open_host_;          ///< Of jobs, at this process.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
 };
 
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -85,6 +85,21 @@
 CAPNP_DECLARE_SCHEMA(908ace5537e1c1b4);
 CAPNP_DECLARE_SCHEMA(8b1b1977e96218db);
 CAPNP_DECLARE_SCHEMA(e617fba9298555e1);
+CAPNP_DECLARE_SCHEMA(d7c7f852a442e8b2);
+CAPNP_DECLARE_SCHEMA(abfee553572ef771);
+CAPNP_DECLARE_SCHEMA(a51b9c65fdcacb1b);
+CAPNP_DECLARE_SCHEMA(b7cb670fcdd40540);
+CAPNP_DECLARE_SCHEMA(bfda99d6bc5b104b);
+CAPNP_DECLARE_SCHEMA(b49bc40877245375);
+CAPNP_DECLARE_SCHEMA(d794e0ba8c43dd6c);
+CAPNP_DECLARE_SCHEMA(86a36ca7d5688fda);
+CAPNP_DECLARE_SCHEMA(8cb37e4e9e2d7bff);
+CAPNP_DECLARE_SCHEMA(83d79dab38e5e25f);
+CAPNP_DECLARE_SCHEMA(e7382d7a4592ac4d);
+CAPNP_DECLARE_SCHEMA(b9faa188eb3e3525);
+CAPNP_DECLARE_SCHEMA(ec2634239d8f82c1);
+CAPNP_DECLARE_SCHEMA(b93036de1f645e4e);
+CAPNP_DECLARE_SCHEMA(e34b0741a93a992e);
 CAPNP_DECLARE_SCHEMA(bdbfdb43860107db);
 CAPNP_DECLARE_SCHEMA(fd92f3e1395e0247);
 CAPNP_DECLARE_SCHEMA(b8e3a013ca5517af);
@@ -1015,6 +1030,8 @@
 
   struct AttachParams;
   struct AttachResults;
+  struct HostParams;
+  struct HostResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -1054,6 +1071,241 @@
   };
 };
 
+struct RunAgent::HostParams {
+  HostParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d7c7f852a442e8b2, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RunAgent::HostResults {
+  HostResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(abfee553572ef771, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AgentAddress {
+  AgentAddress() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a51b9c65fdcacb1b, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HostLoad {
+  HostLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b7cb670fcdd40540, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HandedStep {
+  HandedStep() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bfda99d6bc5b104b, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HandedJob {
+  HandedJob() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b49bc40877245375, 4, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct JobHost {
+  JobHost() = delete;
+
+#if !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
+
+  struct SubmitParams;
+  struct SubmitResults;
+  struct WithdrawParams;
+  struct WithdrawResults;
+  struct CancelParams;
+  struct CancelResults;
+  struct CheckParams;
+  struct CheckResults;
+
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(d794e0ba8c43dd6c)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
+
+struct JobHost::SubmitParams {
+  SubmitParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(86a36ca7d5688fda, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct JobHost::SubmitResults {
+  SubmitResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8cb37e4e9e2d7bff, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct JobHost::WithdrawParams {
+  WithdrawParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(83d79dab38e5e25f, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct JobHost::WithdrawResults {
+  WithdrawResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e7382d7a4592ac4d, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct JobHost::CancelParams {
+  CancelParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b9faa188eb3e3525, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct JobHost::CancelResults {
+  CancelResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ec2634239d8f82c1, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct JobHost::CheckParams {
+  CheckParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b93036de1f645e4e, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct JobHost::CheckResults {
+  CheckResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e34b0741a93a992e, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct OrderBatch {
   OrderBatch() = delete;
 
@@ -6740,6 +6992,8 @@
 
   ::capnp::Request< ::glenhollow::wire::RunAgent::AttachParams,  ::glenhollow::wire::RunAgent::AttachResults> attachRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::RunAgent::HostParams,  ::glenhollow::wire::RunAgent::HostResults> hostRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -6760,6 +7014,10 @@
   typedef  ::glenhollow::wire::RunAgent::AttachResults AttachResults;
   typedef ::capnp::CallContext<AttachParams, AttachResults> AttachContext;
   virtual ::kj::Promise<void> attach(AttachContext context);
+  typedef  ::glenhollow::wire::RunAgent::HostParams HostParams;
+  typedef  ::glenhollow::wire::RunAgent::HostResults HostResults;
+  typedef ::capnp::CallContext<HostParams, HostResults> HostContext;
+  virtual ::kj::Promise<void> host(HostContext context);
 
   inline  ::glenhollow::wire::RunAgent::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -6975,9 +7233,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class OrderBatch::Reader {
+class RunAgent::HostParams::Reader {
 public:
-  typedef OrderBatch Reads;
+  typedef HostParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6992,19 +7250,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStarts() const;
-  inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader getStarts() const;
-
-  inline bool hasStops() const;
-  inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader getStops() const;
-
-  inline bool hasSizes() const;
-  inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader getSizes() const;
-
-  inline bool hasConfirmed() const;
-  inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader getConfirmed() const;
-
-  inline  ::int64_t getLeasedAt() const;
+  inline bool hasEntry() const;
+  inline  ::capnp::Text::Reader getEntry() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7018,9 +7265,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class OrderBatch::Builder {
+class RunAgent::HostParams::Builder {
 public:
-  typedef OrderBatch Builds;
+  typedef HostParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7034,36 +7281,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStarts();
-  inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder getStarts();
-  inline void setStarts( ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder initStarts(unsigned int size);
-  inline void adoptStarts(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>> disownStarts();
-
-  inline bool hasStops();
-  inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder getStops();
-  inline void setStops( ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder initStops(unsigned int size);
-  inline void adoptStops(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>> disownStops();
-
-  inline bool hasSizes();
-  inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder getSizes();
-  inline void setSizes( ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder initSizes(unsigned int size);
-  inline void adoptSizes(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>> disownSizes();
-
-  inline bool hasConfirmed();
-  inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder getConfirmed();
-  inline void setConfirmed( ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder initConfirmed(unsigned int size);
-  inline void adoptConfirmed(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>> disownConfirmed();
-
-  inline  ::int64_t getLeasedAt();
-  inline void setLeasedAt( ::int64_t value);
+  inline bool hasEntry();
+  inline  ::capnp::Text::Builder getEntry();
+  inline void setEntry( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEntry(unsigned int size);
+  inline void adoptEntry(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEntry();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7075,9 +7298,9 @@
 };
 
 #if !CAPNP_LITE
-class OrderBatch::Pipeline {
+class RunAgent::HostParams::Pipeline {
 public:
-  typedef OrderBatch Pipelines;
+  typedef HostParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -7091,74 +7314,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class RunSession::Client
-    : public virtual ::capnp::Capability::Client {
+class RunAgent::HostResults::Reader {
 public:
-  typedef RunSession Calls;
-  typedef RunSession Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::glenhollow::wire::RunSession::AdoptParams,  ::glenhollow::wire::RunSession::AdoptResults> adoptRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::RunSession::OrderParams,  ::glenhollow::wire::RunSession::OrderResults> orderRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::RunSession::PaceParams,  ::glenhollow::wire::RunSession::PaceResults> paceRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class RunSession::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef RunSession Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::glenhollow::wire::RunSession::AdoptParams AdoptParams;
-  typedef  ::glenhollow::wire::RunSession::AdoptResults AdoptResults;
-  typedef ::capnp::CallContext<AdoptParams, AdoptResults> AdoptContext;
-  virtual ::kj::Promise<void> adopt(AdoptContext context);
-  typedef  ::glenhollow::wire::RunSession::OrderParams OrderParams;
-  typedef  ::glenhollow::wire::RunSession::OrderResults OrderResults;
-  typedef ::capnp::CallContext<OrderParams, OrderResults> OrderContext;
-  virtual ::kj::Promise<void> order(OrderContext context);
-  typedef  ::glenhollow::wire::RunSession::PaceParams PaceParams;
-  typedef  ::glenhollow::wire::RunSession::PaceResults PaceResults;
-  typedef ::capnp::CallContext<PaceParams, PaceResults> PaceContext;
-  virtual ::kj::Promise<void> pace(PaceContext context);
-
-  inline  ::glenhollow::wire::RunSession::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::glenhollow::wire::RunSession>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class RunSession::AdoptParams::Reader {
-public:
-  typedef AdoptParams Reads;
+  typedef HostResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7173,8 +7331,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPart() const;
-  inline  ::glenhollow::wire::PartEpoch::Reader getPart() const;
+  inline bool hasSession() const;
+#if !CAPNP_LITE
+  inline  ::glenhollow::wire::JobHost::Client getSession() const;
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7188,9 +7348,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RunSession::AdoptParams::Builder {
+class RunAgent::HostResults::Builder {
 public:
-  typedef AdoptParams Builds;
+  typedef HostResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7204,12 +7364,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPart();
-  inline  ::glenhollow::wire::PartEpoch::Builder getPart();
-  inline void setPart( ::glenhollow::wire::PartEpoch::Reader value);
-  inline  ::glenhollow::wire::PartEpoch::Builder initPart();
-  inline void adoptPart(::capnp::Orphan< ::glenhollow::wire::PartEpoch>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::PartEpoch> disownPart();
+  inline bool hasSession();
+#if !CAPNP_LITE
+  inline  ::glenhollow::wire::JobHost::Client getSession();
+  inline void setSession( ::glenhollow::wire::JobHost::Client&& value);
+  inline void setSession( ::glenhollow::wire::JobHost::Client& value);
+  inline void adoptSession(::capnp::Orphan< ::glenhollow::wire::JobHost>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::JobHost> disownSession();
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7221,15 +7383,15 @@
 };
 
 #if !CAPNP_LITE
-class RunSession::AdoptParams::Pipeline {
+class RunAgent::HostResults::Pipeline {
 public:
-  typedef AdoptParams Pipelines;
+  typedef HostResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::PartEpoch::Pipeline getPart();
+  inline  ::glenhollow::wire::JobHost::Client getSession();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -7238,9 +7400,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RunSession::AdoptResults::Reader {
+class AgentAddress::Reader {
 public:
-  typedef AdoptResults Reads;
+  typedef AgentAddress Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7255,13 +7417,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getDeclined() const;
-
-  inline bool hasRuns() const;
-  inline  ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>::Reader getRuns() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-  inline bool hasEnds() const;
-  inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader getEnds() const;
+  inline bool hasWhere() const;
+  inline  ::capnp::Text::Reader getWhere() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7275,9 +7435,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RunSession::AdoptResults::Builder {
+class AgentAddress::Builder {
 public:
-  typedef AdoptResults Builds;
+  typedef AgentAddress Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7291,22 +7451,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getDeclined();
-  inline void setDeclined(bool value);
-
-  inline bool hasRuns();
-  inline  ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>::Builder getRuns();
-  inline void setRuns( ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>::Builder initRuns(unsigned int size);
-  inline void adoptRuns(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>> disownRuns();
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline bool hasEnds();
-  inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder getEnds();
-  inline void setEnds( ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder initEnds(unsigned int size);
-  inline void adoptEnds(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>> disownEnds();
+  inline bool hasWhere();
+  inline  ::capnp::Text::Builder getWhere();
+  inline void setWhere( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWhere(unsigned int size);
+  inline void adoptWhere(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWhere();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7318,9 +7475,9 @@
 };
 
 #if !CAPNP_LITE
-class RunSession::AdoptResults::Pipeline {
+class AgentAddress::Pipeline {
 public:
-  typedef AdoptResults Pipelines;
+  typedef AgentAddress Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -7334,9 +7491,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RunSession::OrderParams::Reader {
+class HostLoad::Reader {
 public:
-  typedef OrderParams Reads;
+  typedef HostLoad Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7351,8 +7508,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBatch() const;
-  inline  ::glenhollow::wire::OrderBatch::Reader getBatch() const;
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::glenhollow::wire::PlacementLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
+  inline  ::uint32_t getAgents() const;
+
+  inline bool getStopping() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7366,9 +7527,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RunSession::OrderParams::Builder {
+class HostLoad::Builder {
 public:
-  typedef OrderParams Builds;
+  typedef HostLoad Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7382,12 +7543,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBatch();
-  inline  ::glenhollow::wire::OrderBatch::Builder getBatch();
-  inline void setBatch( ::glenhollow::wire::OrderBatch::Reader value);
-  inline  ::glenhollow::wire::OrderBatch::Builder initBatch();
-  inline void adoptBatch(::capnp::Orphan< ::glenhollow::wire::OrderBatch>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::OrderBatch> disownBatch();
+  inline bool hasLoads();
+  inline  ::capnp::List< ::glenhollow::wire::PlacementLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::glenhollow::wire::PlacementLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::PlacementLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PlacementLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PlacementLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
+  inline  ::uint32_t getAgents();
+  inline void setAgents( ::uint32_t value);
+
+  inline bool getStopping();
+  inline void setStopping(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7399,15 +7566,14 @@
 };
 
 #if !CAPNP_LITE
-class RunSession::OrderParams::Pipeline {
+class HostLoad::Pipeline {
 public:
-  typedef OrderParams Pipelines;
+  typedef HostLoad Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::OrderBatch::Pipeline getBatch();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -7416,9 +7582,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RunSession::OrderResults::Reader {
+class HandedStep::Reader {
 public:
-  typedef OrderResults Reads;
+  typedef HandedStep Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7433,6 +7599,25 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint32_t getCount() const;
+
+  inline  ::uint32_t getCpu() const;
+
+  inline  ::uint32_t getMemory() const;
+
+  inline  ::uint32_t getGpu() const;
+
+  inline  ::uint32_t getEstimateMs() const;
+
+  inline bool hasLabel() const;
+  inline  ::capnp::Text::Reader getLabel() const;
+
+  inline bool hasPreferredLabel() const;
+  inline  ::capnp::Text::Reader getPreferredLabel() const;
+
+  inline bool hasAfter() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getAfter() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -7445,9 +7630,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RunSession::OrderResults::Builder {
+class HandedStep::Builder {
 public:
-  typedef OrderResults Builds;
+  typedef HandedStep Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7461,6 +7646,43 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint32_t getCount();
+  inline void setCount( ::uint32_t value);
+
+  inline  ::uint32_t getCpu();
+  inline void setCpu( ::uint32_t value);
+
+  inline  ::uint32_t getMemory();
+  inline void setMemory( ::uint32_t value);
+
+  inline  ::uint32_t getGpu();
+  inline void setGpu( ::uint32_t value);
+
+  inline  ::uint32_t getEstimateMs();
+  inline void setEstimateMs( ::uint32_t value);
+
+  inline bool hasLabel();
+  inline  ::capnp::Text::Builder getLabel();
+  inline void setLabel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLabel(unsigned int size);
+  inline void adoptLabel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLabel();
+
+  inline bool hasPreferredLabel();
+  inline  ::capnp::Text::Builder getPreferredLabel();
+  inline void setPreferredLabel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPreferredLabel(unsigned int size);
+  inline void adoptPreferredLabel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPreferredLabel();
+
+  inline bool hasAfter();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getAfter();
+  inline void setAfter( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAfter(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initAfter(unsigned int size);
+  inline void adoptAfter(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownAfter();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7471,9 +7693,9 @@
 };
 
 #if !CAPNP_LITE
-class RunSession::OrderResults::Pipeline {
+class HandedStep::Pipeline {
 public:
-  typedef OrderResults Pipelines;
+  typedef HandedStep Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -7487,9 +7709,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RunSession::PaceParams::Reader {
+class HandedJob::Reader {
 public:
-  typedef PaceParams Reads;
+  typedef HandedJob Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7504,9 +7726,27 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getRoomGapMs() const;
+  inline  ::uint64_t getId() const;
 
-  inline bool getPlaces() const;
+  inline bool hasQueue() const;
+  inline  ::capnp::Text::Reader getQueue() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasSpec() const;
+  inline  ::capnp::Text::Reader getSpec() const;
+
+  inline bool hasSteps() const;
+  inline  ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>::Reader getSteps() const;
+
+  inline  ::uint32_t getPriority() const;
+
+  inline  ::uint32_t getMaxAttempts() const;
+
+  inline  ::int64_t getObjectiveInMs() const;
+
+  inline  ::int64_t getGiveUpInMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7520,9 +7760,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RunSession::PaceParams::Builder {
+class HandedJob::Builder {
 public:
-  typedef PaceParams Builds;
+  typedef HandedJob Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7536,11 +7776,48 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getRoomGapMs();
-  inline void setRoomGapMs( ::uint32_t value);
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
 
-  inline bool getPlaces();
-  inline void setPlaces(bool value);
+  inline bool hasQueue();
+  inline  ::capnp::Text::Builder getQueue();
+  inline void setQueue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initQueue(unsigned int size);
+  inline void adoptQueue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownQueue();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasSpec();
+  inline  ::capnp::Text::Builder getSpec();
+  inline void setSpec( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSpec(unsigned int size);
+  inline void adoptSpec(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSpec();
+
+  inline bool hasSteps();
+  inline  ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>::Builder getSteps();
+  inline void setSteps( ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>::Builder initSteps(unsigned int size);
+  inline void adoptSteps(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>> disownSteps();
+
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
+
+  inline  ::uint32_t getMaxAttempts();
+  inline void setMaxAttempts( ::uint32_t value);
+
+  inline  ::int64_t getObjectiveInMs();
+  inline void setObjectiveInMs( ::int64_t value);
+
+  inline  ::int64_t getGiveUpInMs();
+  inline void setGiveUpInMs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7552,9 +7829,9 @@
 };
 
 #if !CAPNP_LITE
-class RunSession::PaceParams::Pipeline {
+class HandedJob::Pipeline {
 public:
-  typedef PaceParams Pipelines;
+  typedef HandedJob Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -7568,16 +7845,87 @@
 };
 #endif  // !CAPNP_LITE
 
-class RunSession::PaceResults::Reader {
+#if !CAPNP_LITE
+class JobHost::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef PaceResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  typedef JobHost Calls;
+  typedef JobHost Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::glenhollow::wire::JobHost::SubmitParams,  ::glenhollow::wire::JobHost::SubmitResults> submitRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::JobHost::WithdrawParams,  ::glenhollow::wire::JobHost::WithdrawResults> withdrawRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::JobHost::CancelParams,  ::glenhollow::wire::JobHost::CancelResults> cancelRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::JobHost::CheckParams,  ::glenhollow::wire::JobHost::CheckResults> checkRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class JobHost::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef JobHost Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::glenhollow::wire::JobHost::SubmitParams SubmitParams;
+  typedef  ::glenhollow::wire::JobHost::SubmitResults SubmitResults;
+  typedef ::capnp::CallContext<SubmitParams, SubmitResults> SubmitContext;
+  virtual ::kj::Promise<void> submit(SubmitContext context);
+  typedef  ::glenhollow::wire::JobHost::WithdrawParams WithdrawParams;
+  typedef  ::glenhollow::wire::JobHost::WithdrawResults WithdrawResults;
+  typedef ::capnp::CallContext<WithdrawParams, WithdrawResults> WithdrawContext;
+  virtual ::kj::Promise<void> withdraw(WithdrawContext context);
+  typedef  ::glenhollow::wire::JobHost::CancelParams CancelParams;
+  typedef  ::glenhollow::wire::JobHost::CancelResults CancelResults;
+  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
+  virtual ::kj::Promise<void> cancel(CancelContext context);
+  typedef  ::glenhollow::wire::JobHost::CheckParams CheckParams;
+  typedef  ::glenhollow::wire::JobHost::CheckResults CheckResults;
+  typedef ::capnp::CallContext<CheckParams, CheckResults> CheckContext;
+  virtual ::kj::Promise<void> check(CheckContext context);
+
+  inline  ::glenhollow::wire::JobHost::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::glenhollow::wire::JobHost>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class JobHost::SubmitParams::Reader {
+public:
+  typedef SubmitParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -7585,6 +7933,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasJob() const;
+  inline  ::glenhollow::wire::HandedJob::Reader getJob() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -7597,9 +7948,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RunSession::PaceResults::Builder {
+class JobHost::SubmitParams::Builder {
 public:
-  typedef PaceResults Builds;
+  typedef SubmitParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7613,6 +7964,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasJob();
+  inline  ::glenhollow::wire::HandedJob::Builder getJob();
+  inline void setJob( ::glenhollow::wire::HandedJob::Reader value);
+  inline  ::glenhollow::wire::HandedJob::Builder initJob();
+  inline void adoptJob(::capnp::Orphan< ::glenhollow::wire::HandedJob>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::HandedJob> disownJob();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7623,14 +7981,15 @@
 };
 
 #if !CAPNP_LITE
-class RunSession::PaceResults::Pipeline {
+class JobHost::SubmitParams::Pipeline {
 public:
-  typedef PaceResults Pipelines;
+  typedef SubmitParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::glenhollow::wire::HandedJob::Pipeline getJob();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -7639,9 +7998,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class QueueCount::Reader {
+class JobHost::SubmitResults::Reader {
 public:
-  typedef QueueCount Reads;
+  typedef SubmitResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7656,12 +8015,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasQueue() const;
-  inline  ::capnp::Text::Reader getQueue() const;
-
-  inline  ::uint16_t getPart() const;
+  inline bool hasAnswer() const;
+  inline  ::glenhollow::wire::JobAnswer::Reader getAnswer() const;
 
-  inline  ::uint32_t getPending() const;
+  inline bool hasLoad() const;
+  inline  ::glenhollow::wire::HostLoad::Reader getLoad() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7675,9 +8033,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class QueueCount::Builder {
+class JobHost::SubmitResults::Builder {
 public:
-  typedef QueueCount Builds;
+  typedef SubmitResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7691,18 +8049,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasQueue();
-  inline  ::capnp::Text::Builder getQueue();
-  inline void setQueue( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initQueue(unsigned int size);
-  inline void adoptQueue(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownQueue();
-
-  inline  ::uint16_t getPart();
-  inline void setPart( ::uint16_t value);
+  inline bool hasAnswer();
+  inline  ::glenhollow::wire::JobAnswer::Builder getAnswer();
+  inline void setAnswer( ::glenhollow::wire::JobAnswer::Reader value);
+  inline  ::glenhollow::wire::JobAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::glenhollow::wire::JobAnswer>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::JobAnswer> disownAnswer();
 
-  inline  ::uint32_t getPending();
-  inline void setPending( ::uint32_t value);
+  inline bool hasLoad();
+  inline  ::glenhollow::wire::HostLoad::Builder getLoad();
+  inline void setLoad( ::glenhollow::wire::HostLoad::Reader value);
+  inline  ::glenhollow::wire::HostLoad::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::glenhollow::wire::HostLoad>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::HostLoad> disownLoad();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7714,14 +8073,16 @@
 };
 
 #if !CAPNP_LITE
-class QueueCount::Pipeline {
+class JobHost::SubmitResults::Pipeline {
 public:
-  typedef QueueCount Pipelines;
+  typedef SubmitResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::glenhollow::wire::JobAnswer::Pipeline getAnswer();
+  inline  ::glenhollow::wire::HostLoad::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -7730,9 +8091,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryView::Reader {
+class JobHost::WithdrawParams::Reader {
 public:
-  typedef EntryView Reads;
+  typedef WithdrawParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7747,38 +8108,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
-
-  inline  ::uint64_t getIncarnation() const;
-
-  inline bool hasParts() const;
-  inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader getParts() const;
-
-  inline bool getStoreReachable() const;
-
-  inline bool getStopping() const;
-
-  inline  ::uint64_t getCatalogVersion() const;
-
-  inline bool hasPending() const;
-  inline  ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Reader getPending() const;
-
-  inline bool hasReleased() const;
-  inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader getReleased() const;
-
-  inline  ::uint32_t getPower() const;
-
-  inline bool getTimely() const;
-
-  inline  ::uint32_t getAgents() const;
-
-  inline  ::int64_t getStarted() const;
-
-  inline bool hasEvacuated() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEvacuated() const;
-
-  inline  ::uint64_t getEvacuatedAt() const;
+  inline bool hasJobs() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getJobs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -7792,9 +8123,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryView::Builder {
+class JobHost::WithdrawParams::Builder {
 public:
-  typedef EntryView Builds;
+  typedef WithdrawParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7808,68 +8139,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline bool hasParts();
-  inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder getParts();
-  inline void setParts( ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
-  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>> disownParts();
-
-  inline bool getStoreReachable();
-  inline void setStoreReachable(bool value);
-
-  inline bool getStopping();
-  inline void setStopping(bool value);
-
-  inline  ::uint64_t getCatalogVersion();
-  inline void setCatalogVersion( ::uint64_t value);
-
-  inline bool hasPending();
-  inline  ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Builder getPending();
-  inline void setPending( ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Builder initPending(unsigned int size);
-  inline void adoptPending(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>> disownPending();
-
-  inline bool hasReleased();
-  inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder getReleased();
-  inline void setReleased( ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder initReleased(unsigned int size);
-  inline void adoptReleased(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>> disownReleased();
-
-  inline  ::uint32_t getPower();
-  inline void setPower( ::uint32_t value);
-
-  inline bool getTimely();
-  inline void setTimely(bool value);
-
-  inline  ::uint32_t getAgents();
-  inline void setAgents( ::uint32_t value);
-
-  inline  ::int64_t getStarted();
-  inline void setStarted( ::int64_t value);
-
-  inline bool hasEvacuated();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEvacuated();
-  inline void setEvacuated( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setEvacuated(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEvacuated(unsigned int size);
-  inline void adoptEvacuated(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEvacuated();
-
-  inline  ::uint64_t getEvacuatedAt();
-  inline void setEvacuatedAt( ::uint64_t value);
+  inline bool hasJobs();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getJobs();
+  inline void setJobs( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setJobs(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initJobs(unsigned int size);
+  inline void adoptJobs(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownJobs();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7881,9 +8157,9 @@
 };
 
 #if !CAPNP_LITE
-class EntryView::Pipeline {
+class JobHost::WithdrawParams::Pipeline {
 public:
-  typedef EntryView Pipelines;
+  typedef WithdrawParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -7897,9 +8173,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class JobCall::Reader {
+class JobHost::WithdrawResults::Reader {
 public:
-  typedef JobCall Reads;
+  typedef WithdrawResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -7914,15 +8190,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getVerb() const;
-
-  inline  ::uint64_t getJob() const;
-
-  inline  ::uint64_t getCatalogVersion() const;
-
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -7935,9 +8202,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class JobCall::Builder {
+class JobHost::WithdrawResults::Builder {
 public:
-  typedef JobCall Builds;
+  typedef WithdrawResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -7951,22 +8218,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getVerb();
-  inline void setVerb( ::uint8_t value);
-
-  inline  ::uint64_t getJob();
-  inline void setJob( ::uint64_t value);
-
-  inline  ::uint64_t getCatalogVersion();
-  inline void setCatalogVersion( ::uint64_t value);
-
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7977,9 +8228,9 @@
 };
 
 #if !CAPNP_LITE
-class JobCall::Pipeline {
+class JobHost::WithdrawResults::Pipeline {
 public:
-  typedef JobCall Pipelines;
+  typedef WithdrawResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -7993,9 +8244,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class JobAnswer::Reader {
+class JobHost::CancelParams::Reader {
 public:
-  typedef JobAnswer Reads;
+  typedef CancelParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8010,11 +8261,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getOutcome() const;
-
-  inline  ::uint8_t getState() const;
-
-  inline  ::uint32_t getRetryAfterMs() const;
+  inline  ::uint64_t getJob() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -8028,9 +8275,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class JobAnswer::Builder {
+class JobHost::CancelParams::Builder {
 public:
-  typedef JobAnswer Builds;
+  typedef CancelParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8044,14 +8291,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getOutcome();
-  inline void setOutcome( ::uint8_t value);
-
-  inline  ::uint8_t getState();
-  inline void setState( ::uint8_t value);
-
-  inline  ::uint32_t getRetryAfterMs();
-  inline void setRetryAfterMs( ::uint32_t value);
+  inline  ::uint64_t getJob();
+  inline void setJob( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -8063,9 +8304,9 @@
 };
 
 #if !CAPNP_LITE
-class JobAnswer::Pipeline {
+class JobHost::CancelParams::Pipeline {
 public:
-  typedef JobAnswer Pipelines;
+  typedef CancelParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -8079,9 +8320,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class WantedTasks::Reader {
+class JobHost::CancelResults::Reader {
 public:
-  typedef WantedTasks Reads;
+  typedef CancelResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8096,40 +8337,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getJob() const;
-
-  inline  ::uint32_t getOccurrence() const;
-
-  inline  ::uint32_t getStep() const;
-
-  inline bool hasIndices() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getIndices() const;
-
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
-  inline bool hasLabel() const;
-  inline  ::capnp::Text::Reader getLabel() const;
-
-  inline bool hasPreferredLabel() const;
-  inline  ::capnp::Text::Reader getPreferredLabel() const;
-
-  inline  ::uint32_t getCpu() const;
-
-  inline  ::uint32_t getMemory() const;
-
-  inline  ::uint32_t getGpu() const;
-
-  inline  ::uint32_t getPriority() const;
-
-  inline  ::int64_t getSlackMicros() const;
-
-  inline  ::uint32_t getEstimateMs() const;
-
-  inline bool hasAvoid() const;
-  inline  ::capnp::Text::Reader getAvoid() const;
-
-  inline bool getBegun() const;
+  inline bool hasAnswer() const;
+  inline  ::glenhollow::wire::JobAnswer::Reader getAnswer() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -8143,9 +8352,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class WantedTasks::Builder {
+class JobHost::CancelResults::Builder {
 public:
-  typedef WantedTasks Builds;
+  typedef CancelResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8159,71 +8368,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getJob();
-  inline void setJob( ::uint64_t value);
-
-  inline  ::uint32_t getOccurrence();
-  inline void setOccurrence( ::uint32_t value);
-
-  inline  ::uint32_t getStep();
-  inline void setStep( ::uint32_t value);
-
-  inline bool hasIndices();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getIndices();
-  inline void setIndices( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setIndices(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initIndices(unsigned int size);
-  inline void adoptIndices(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownIndices();
-
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline bool hasLabel();
-  inline  ::capnp::Text::Builder getLabel();
-  inline void setLabel( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initLabel(unsigned int size);
-  inline void adoptLabel(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownLabel();
-
-  inline bool hasPreferredLabel();
-  inline  ::capnp::Text::Builder getPreferredLabel();
-  inline void setPreferredLabel( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPreferredLabel(unsigned int size);
-  inline void adoptPreferredLabel(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPreferredLabel();
-
-  inline  ::uint32_t getCpu();
-  inline void setCpu( ::uint32_t value);
-
-  inline  ::uint32_t getMemory();
-  inline void setMemory( ::uint32_t value);
-
-  inline  ::uint32_t getGpu();
-  inline void setGpu( ::uint32_t value);
-
-  inline  ::uint32_t getPriority();
-  inline void setPriority( ::uint32_t value);
-
-  inline  ::int64_t getSlackMicros();
-  inline void setSlackMicros( ::int64_t value);
-
-  inline  ::uint32_t getEstimateMs();
-  inline void setEstimateMs( ::uint32_t value);
-
-  inline bool hasAvoid();
-  inline  ::capnp::Text::Builder getAvoid();
-  inline void setAvoid( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAvoid(unsigned int size);
-  inline void adoptAvoid(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAvoid();
-
-  inline bool getBegun();
-  inline void setBegun(bool value);
+  inline bool hasAnswer();
+  inline  ::glenhollow::wire::JobAnswer::Builder getAnswer();
+  inline void setAnswer( ::glenhollow::wire::JobAnswer::Reader value);
+  inline  ::glenhollow::wire::JobAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::glenhollow::wire::JobAnswer>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::JobAnswer> disownAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -8235,14 +8385,15 @@
 };
 
 #if !CAPNP_LITE
-class WantedTasks::Pipeline {
+class JobHost::CancelResults::Pipeline {
 public:
-  typedef WantedTasks Pipelines;
+  typedef CancelResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::glenhollow::wire::JobAnswer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -8251,9 +8402,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class TaskGrant::Reader {
+class JobHost::CheckParams::Reader {
 public:
-  typedef TaskGrant Reads;
+  typedef CheckParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8268,13 +8419,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTask() const;
-  inline  ::glenhollow::wire::TaskRef::Reader getTask() const;
-
-  inline bool hasAgent() const;
-  inline  ::capnp::Text::Reader getAgent() const;
-
-  inline  ::uint32_t getNumber() const;
+  inline bool hasAgents() const;
+  inline  ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>::Reader getAgents() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -8288,9 +8434,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class TaskGrant::Builder {
+class JobHost::CheckParams::Builder {
 public:
-  typedef TaskGrant Builds;
+  typedef CheckParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8304,22 +8450,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTask();
-  inline  ::glenhollow::wire::TaskRef::Builder getTask();
-  inline void setTask( ::glenhollow::wire::TaskRef::Reader value);
-  inline  ::glenhollow::wire::TaskRef::Builder initTask();
-  inline void adoptTask(::capnp::Orphan< ::glenhollow::wire::TaskRef>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::TaskRef> disownTask();
-
-  inline bool hasAgent();
-  inline  ::capnp::Text::Builder getAgent();
-  inline void setAgent( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAgent(unsigned int size);
-  inline void adoptAgent(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAgent();
-
-  inline  ::uint32_t getNumber();
-  inline void setNumber( ::uint32_t value);
+  inline bool hasAgents();
+  inline  ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>::Builder getAgents();
+  inline void setAgents( ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>::Builder initAgents(unsigned int size);
+  inline void adoptAgents(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>> disownAgents();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -8331,15 +8467,14 @@
 };
 
 #if !CAPNP_LITE
-class TaskGrant::Pipeline {
+class JobHost::CheckParams::Pipeline {
 public:
-  typedef TaskGrant Pipelines;
+  typedef CheckParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::TaskRef::Pipeline getTask();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -8348,9 +8483,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class DeclinedGrant::Reader {
+class JobHost::CheckResults::Reader {
 public:
-  typedef DeclinedGrant Reads;
+  typedef CheckResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8365,12 +8500,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAgent() const;
-  inline  ::capnp::Text::Reader getAgent() const;
-
-  inline  ::uint32_t getNumber() const;
-
-  inline bool getUnreachable() const;
+  inline bool hasLoad() const;
+  inline  ::glenhollow::wire::HostLoad::Reader getLoad() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -8384,9 +8515,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class DeclinedGrant::Builder {
+class JobHost::CheckResults::Builder {
 public:
-  typedef DeclinedGrant Builds;
+  typedef CheckResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8400,18 +8531,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAgent();
-  inline  ::capnp::Text::Builder getAgent();
-  inline void setAgent( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAgent(unsigned int size);
-  inline void adoptAgent(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAgent();
-
-  inline  ::uint32_t getNumber();
-  inline void setNumber( ::uint32_t value);
-
-  inline bool getUnreachable();
-  inline void setUnreachable(bool value);
+  inline bool hasLoad();
+  inline  ::glenhollow::wire::HostLoad::Builder getLoad();
+  inline void setLoad( ::glenhollow::wire::HostLoad::Reader value);
+  inline  ::glenhollow::wire::HostLoad::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::glenhollow::wire::HostLoad>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::HostLoad> disownLoad();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -8423,14 +8548,15 @@
 };
 
 #if !CAPNP_LITE
-class DeclinedGrant::Pipeline {
+class JobHost::CheckResults::Pipeline {
 public:
-  typedef DeclinedGrant Pipelines;
+  typedef CheckResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::glenhollow::wire::HostLoad::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -8439,62 +8565,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class PlacementGrants::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef PlacementGrants Calls;
-  typedef PlacementGrants Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::glenhollow::wire::PlacementGrants::GrantParams,  ::glenhollow::wire::PlacementGrants::GrantResults> grantRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class PlacementGrants::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef PlacementGrants Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::glenhollow::wire::PlacementGrants::GrantParams GrantParams;
-  typedef  ::glenhollow::wire::PlacementGrants::GrantResults GrantResults;
-  typedef ::capnp::CallContext<GrantParams, GrantResults> GrantContext;
-  virtual ::kj::Promise<void> grant(GrantContext context);
-
-  inline  ::glenhollow::wire::PlacementGrants::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::glenhollow::wire::PlacementGrants>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class PlacementGrants::GrantParams::Reader {
+class OrderBatch::Reader {
 public:
-  typedef GrantParams Reads;
+  typedef OrderBatch Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8509,8 +8582,19 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGrants() const;
-  inline  ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
+  inline bool hasStarts() const;
+  inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader getStarts() const;
+
+  inline bool hasStops() const;
+  inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader getStops() const;
+
+  inline bool hasSizes() const;
+  inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader getSizes() const;
+
+  inline bool hasConfirmed() const;
+  inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader getConfirmed() const;
+
+  inline  ::int64_t getLeasedAt() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -8524,9 +8608,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PlacementGrants::GrantParams::Builder {
+class OrderBatch::Builder {
 public:
-  typedef GrantParams Builds;
+  typedef OrderBatch Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8540,26 +8624,50 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGrants();
-  inline  ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>::Builder getGrants();
-  inline void setGrants( ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
-  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskGrant,  ::capnp::Kind::STRUCT>> disownGrants();
+  inline bool hasStarts();
+  inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder getStarts();
+  inline void setStarts( ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder initStarts(unsigned int size);
+  inline void adoptStarts(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>> disownStarts();
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
+  inline bool hasStops();
+  inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder getStops();
+  inline void setStops( ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder initStops(unsigned int size);
+  inline void adoptStops(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunRef,  ::capnp::Kind::STRUCT>> disownStops();
+
+  inline bool hasSizes();
+  inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder getSizes();
+  inline void setSizes( ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>::Builder initSizes(unsigned int size);
+  inline void adoptSizes(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunOrder,  ::capnp::Kind::STRUCT>> disownSizes();
+
+  inline bool hasConfirmed();
+  inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder getConfirmed();
+  inline void setConfirmed( ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder initConfirmed(unsigned int size);
+  inline void adoptConfirmed(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>> disownConfirmed();
+
+  inline  ::int64_t getLeasedAt();
+  inline void setLeasedAt( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class PlacementGrants::GrantParams::Pipeline {
+class OrderBatch::Pipeline {
 public:
-  typedef GrantParams Pipelines;
+  typedef OrderBatch Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -8573,9 +8681,74 @@
 };
 #endif  // !CAPNP_LITE
 
-class PlacementGrants::GrantResults::Reader {
+#if !CAPNP_LITE
+class RunSession::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef GrantResults Reads;
+  typedef RunSession Calls;
+  typedef RunSession Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::glenhollow::wire::RunSession::AdoptParams,  ::glenhollow::wire::RunSession::AdoptResults> adoptRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::RunSession::OrderParams,  ::glenhollow::wire::RunSession::OrderResults> orderRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::RunSession::PaceParams,  ::glenhollow::wire::RunSession::PaceResults> paceRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class RunSession::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef RunSession Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::glenhollow::wire::RunSession::AdoptParams AdoptParams;
+  typedef  ::glenhollow::wire::RunSession::AdoptResults AdoptResults;
+  typedef ::capnp::CallContext<AdoptParams, AdoptResults> AdoptContext;
+  virtual ::kj::Promise<void> adopt(AdoptContext context);
+  typedef  ::glenhollow::wire::RunSession::OrderParams OrderParams;
+  typedef  ::glenhollow::wire::RunSession::OrderResults OrderResults;
+  typedef ::capnp::CallContext<OrderParams, OrderResults> OrderContext;
+  virtual ::kj::Promise<void> order(OrderContext context);
+  typedef  ::glenhollow::wire::RunSession::PaceParams PaceParams;
+  typedef  ::glenhollow::wire::RunSession::PaceResults PaceResults;
+  typedef ::capnp::CallContext<PaceParams, PaceResults> PaceContext;
+  virtual ::kj::Promise<void> pace(PaceContext context);
+
+  inline  ::glenhollow::wire::RunSession::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::glenhollow::wire::RunSession>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class RunSession::AdoptParams::Reader {
+public:
+  typedef AdoptParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8590,6 +8763,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasPart() const;
+  inline  ::glenhollow::wire::PartEpoch::Reader getPart() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -8602,9 +8778,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PlacementGrants::GrantResults::Builder {
+class RunSession::AdoptParams::Builder {
 public:
-  typedef GrantResults Builds;
+  typedef AdoptParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8618,6 +8794,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasPart();
+  inline  ::glenhollow::wire::PartEpoch::Builder getPart();
+  inline void setPart( ::glenhollow::wire::PartEpoch::Reader value);
+  inline  ::glenhollow::wire::PartEpoch::Builder initPart();
+  inline void adoptPart(::capnp::Orphan< ::glenhollow::wire::PartEpoch>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::PartEpoch> disownPart();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8628,14 +8811,15 @@
 };
 
 #if !CAPNP_LITE
-class PlacementGrants::GrantResults::Pipeline {
+class RunSession::AdoptParams::Pipeline {
 public:
-  typedef GrantResults Pipelines;
+  typedef AdoptParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::glenhollow::wire::PartEpoch::Pipeline getPart();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -8644,9 +8828,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PlacementLoad::Reader {
+class RunSession::AdoptResults::Reader {
 public:
-  typedef PlacementLoad Reads;
+  typedef AdoptResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8661,14 +8845,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
-  inline double getReadyCores() const;
+  inline bool getDeclined() const;
 
-  inline double getFreeCores() const;
+  inline bool hasRuns() const;
+  inline  ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>::Reader getRuns() const;
 
-  inline double getWaitingWork() const;
+  inline bool hasEnds() const;
+  inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader getEnds() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -8682,9 +8865,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PlacementLoad::Builder {
+class RunSession::AdoptResults::Builder {
 public:
-  typedef PlacementLoad Builds;
+  typedef AdoptResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8698,21 +8881,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline double getReadyCores();
-  inline void setReadyCores(double value);
+  inline bool getDeclined();
+  inline void setDeclined(bool value);
 
-  inline double getFreeCores();
-  inline void setFreeCores(double value);
+  inline bool hasRuns();
+  inline  ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>::Builder getRuns();
+  inline void setRuns( ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>::Builder initRuns(unsigned int size);
+  inline void adoptRuns(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunState,  ::capnp::Kind::STRUCT>> disownRuns();
 
-  inline double getWaitingWork();
-  inline void setWaitingWork(double value);
+  inline bool hasEnds();
+  inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder getEnds();
+  inline void setEnds( ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder initEnds(unsigned int size);
+  inline void adoptEnds(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>> disownEnds();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -8724,9 +8908,9 @@
 };
 
 #if !CAPNP_LITE
-class PlacementLoad::Pipeline {
+class RunSession::AdoptResults::Pipeline {
 public:
-  typedef PlacementLoad Pipelines;
+  typedef AdoptResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -8740,62 +8924,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class PlacementSession::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef PlacementSession Calls;
-  typedef PlacementSession Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::glenhollow::wire::PlacementSession::WantParams,  ::glenhollow::wire::PlacementSession::WantResults> wantRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class PlacementSession::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef PlacementSession Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::glenhollow::wire::PlacementSession::WantParams WantParams;
-  typedef  ::glenhollow::wire::PlacementSession::WantResults WantResults;
-  typedef ::capnp::CallContext<WantParams, WantResults> WantContext;
-  virtual ::kj::Promise<void> want(WantContext context);
-
-  inline  ::glenhollow::wire::PlacementSession::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::glenhollow::wire::PlacementSession>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class PlacementSession::WantParams::Reader {
+class RunSession::OrderParams::Reader {
 public:
-  typedef WantParams Reads;
+  typedef OrderParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8810,16 +8941,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getRestart() const;
-
-  inline bool hasTasks() const;
-  inline  ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>::Reader getTasks() const;
-
-  inline bool hasWithdrawn() const;
-  inline  ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>::Reader getWithdrawn() const;
-
-  inline bool hasDeclined() const;
-  inline  ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>::Reader getDeclined() const;
+  inline bool hasBatch() const;
+  inline  ::glenhollow::wire::OrderBatch::Reader getBatch() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -8833,9 +8956,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PlacementSession::WantParams::Builder {
+class RunSession::OrderParams::Builder {
 public:
-  typedef WantParams Builds;
+  typedef OrderParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8849,29 +8972,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getRestart();
-  inline void setRestart(bool value);
-
-  inline bool hasTasks();
-  inline  ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>::Builder getTasks();
-  inline void setTasks( ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>::Builder initTasks(unsigned int size);
-  inline void adoptTasks(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::WantedTasks,  ::capnp::Kind::STRUCT>> disownTasks();
-
-  inline bool hasWithdrawn();
-  inline  ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>::Builder getWithdrawn();
-  inline void setWithdrawn( ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>::Builder initWithdrawn(unsigned int size);
-  inline void adoptWithdrawn(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::TaskRef,  ::capnp::Kind::STRUCT>> disownWithdrawn();
-
-  inline bool hasDeclined();
-  inline  ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>::Builder getDeclined();
-  inline void setDeclined( ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>::Builder initDeclined(unsigned int size);
-  inline void adoptDeclined(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::DeclinedGrant,  ::capnp::Kind::STRUCT>> disownDeclined();
+  inline bool hasBatch();
+  inline  ::glenhollow::wire::OrderBatch::Builder getBatch();
+  inline void setBatch( ::glenhollow::wire::OrderBatch::Reader value);
+  inline  ::glenhollow::wire::OrderBatch::Builder initBatch();
+  inline void adoptBatch(::capnp::Orphan< ::glenhollow::wire::OrderBatch>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::OrderBatch> disownBatch();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -8883,14 +8989,15 @@
 };
 
 #if !CAPNP_LITE
-class PlacementSession::WantParams::Pipeline {
+class RunSession::OrderParams::Pipeline {
 public:
-  typedef WantParams Pipelines;
+  typedef OrderParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::glenhollow::wire::OrderBatch::Pipeline getBatch();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -8899,9 +9006,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PlacementSession::WantResults::Reader {
+class RunSession::OrderResults::Reader {
 public:
-  typedef WantResults Reads;
+  typedef OrderResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -8916,9 +9023,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasLoads() const;
-  inline  ::capnp::List< ::glenhollow::wire::PlacementLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -8931,9 +9035,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PlacementSession::WantResults::Builder {
+class RunSession::OrderResults::Builder {
 public:
-  typedef WantResults Builds;
+  typedef OrderResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -8947,13 +9051,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasLoads();
-  inline  ::capnp::List< ::glenhollow::wire::PlacementLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
-  inline void setLoads( ::capnp::List< ::glenhollow::wire::PlacementLoad,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::glenhollow::wire::PlacementLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
-  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PlacementLoad,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PlacementLoad,  ::capnp::Kind::STRUCT>> disownLoads();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8964,9 +9061,9 @@
 };
 
 #if !CAPNP_LITE
-class PlacementSession::WantResults::Pipeline {
+class RunSession::OrderResults::Pipeline {
 public:
-  typedef WantResults Pipelines;
+  typedef OrderResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -8980,80 +9077,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class EntryPeer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef EntryPeer Calls;
-  typedef EntryPeer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::glenhollow::wire::EntryPeer::ExchangeParams,  ::glenhollow::wire::EntryPeer::ExchangeResults> exchangeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::EntryPeer::CallParams,  ::glenhollow::wire::EntryPeer::CallResults> callRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::EntryPeer::CatalogParams,  ::glenhollow::wire::EntryPeer::CatalogResults> catalogRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::glenhollow::wire::EntryPeer::PlaceParams,  ::glenhollow::wire::EntryPeer::PlaceResults> placeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class EntryPeer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef EntryPeer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::glenhollow::wire::EntryPeer::ExchangeParams ExchangeParams;
-  typedef  ::glenhollow::wire::EntryPeer::ExchangeResults ExchangeResults;
-  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
-  virtual ::kj::Promise<void> exchange(ExchangeContext context);
-  typedef  ::glenhollow::wire::EntryPeer::CallParams CallParams;
-  typedef  ::glenhollow::wire::EntryPeer::CallResults CallResults;
-  typedef ::capnp::CallContext<CallParams, CallResults> CallContext;
-  virtual ::kj::Promise<void> call(CallContext context);
-  typedef  ::glenhollow::wire::EntryPeer::CatalogParams CatalogParams;
-  typedef  ::glenhollow::wire::EntryPeer::CatalogResults CatalogResults;
-  typedef ::capnp::CallContext<CatalogParams, CatalogResults> CatalogContext;
-  virtual ::kj::Promise<void> catalog(CatalogContext context);
-  typedef  ::glenhollow::wire::EntryPeer::PlaceParams PlaceParams;
-  typedef  ::glenhollow::wire::EntryPeer::PlaceResults PlaceResults;
-  typedef ::capnp::CallContext<PlaceParams, PlaceResults> PlaceContext;
-  virtual ::kj::Promise<void> place(PlaceContext context);
-
-  inline  ::glenhollow::wire::EntryPeer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::glenhollow::wire::EntryPeer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class EntryPeer::ExchangeParams::Reader {
+class RunSession::PaceParams::Reader {
 public:
-  typedef ExchangeParams Reads;
+  typedef PaceParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -9068,8 +9094,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasView() const;
-  inline  ::glenhollow::wire::EntryView::Reader getView() const;
+  inline  ::uint32_t getRoomGapMs() const;
+
+  inline bool getPlaces() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -9083,9 +9110,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::ExchangeParams::Builder {
+class RunSession::PaceParams::Builder {
 public:
-  typedef ExchangeParams Builds;
+  typedef PaceParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -9099,12 +9126,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasView();
-  inline  ::glenhollow::wire::EntryView::Builder getView();
-  inline void setView( ::glenhollow::wire::EntryView::Reader value);
-  inline  ::glenhollow::wire::EntryView::Builder initView();
-  inline void adoptView(::capnp::Orphan< ::glenhollow::wire::EntryView>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::EntryView> disownView();
+  inline  ::uint32_t getRoomGapMs();
+  inline void setRoomGapMs( ::uint32_t value);
+
+  inline bool getPlaces();
+  inline void setPlaces(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -9116,15 +9142,14 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::ExchangeParams::Pipeline {
+class RunSession::PaceParams::Pipeline {
 public:
-  typedef ExchangeParams Pipelines;
+  typedef PaceParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::EntryView::Pipeline getView();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -9133,9 +9158,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::ExchangeResults::Reader {
+class RunSession::PaceResults::Reader {
 public:
-  typedef ExchangeResults Reads;
+  typedef PaceResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -9150,9 +9175,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasView() const;
-  inline  ::glenhollow::wire::EntryView::Reader getView() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -9165,9 +9187,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::ExchangeResults::Builder {
+class RunSession::PaceResults::Builder {
 public:
-  typedef ExchangeResults Builds;
+  typedef PaceResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -9181,13 +9203,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasView();
-  inline  ::glenhollow::wire::EntryView::Builder getView();
-  inline void setView( ::glenhollow::wire::EntryView::Reader value);
-  inline  ::glenhollow::wire::EntryView::Builder initView();
-  inline void adoptView(::capnp::Orphan< ::glenhollow::wire::EntryView>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::EntryView> disownView();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9198,15 +9213,14 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::ExchangeResults::Pipeline {
+class RunSession::PaceResults::Pipeline {
 public:
-  typedef ExchangeResults Pipelines;
+  typedef PaceResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::EntryView::Pipeline getView();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -9215,9 +9229,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::CallParams::Reader {
+class QueueCount::Reader {
 public:
-  typedef CallParams Reads;
+  typedef QueueCount Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -9232,8 +9246,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCall() const;
-  inline  ::glenhollow::wire::JobCall::Reader getCall() const;
+  inline bool hasQueue() const;
+  inline  ::capnp::Text::Reader getQueue() const;
+
+  inline  ::uint16_t getPart() const;
+
+  inline  ::uint32_t getPending() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -9247,9 +9265,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::CallParams::Builder {
+class QueueCount::Builder {
 public:
-  typedef CallParams Builds;
+  typedef QueueCount Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -9263,12 +9281,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCall();
-  inline  ::glenhollow::wire::JobCall::Builder getCall();
-  inline void setCall( ::glenhollow::wire::JobCall::Reader value);
-  inline  ::glenhollow::wire::JobCall::Builder initCall();
-  inline void adoptCall(::capnp::Orphan< ::glenhollow::wire::JobCall>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::JobCall> disownCall();
+  inline bool hasQueue();
+  inline  ::capnp::Text::Builder getQueue();
+  inline void setQueue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initQueue(unsigned int size);
+  inline void adoptQueue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownQueue();
+
+  inline  ::uint16_t getPart();
+  inline void setPart( ::uint16_t value);
+
+  inline  ::uint32_t getPending();
+  inline void setPending( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -9280,15 +9304,14 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::CallParams::Pipeline {
+class QueueCount::Pipeline {
 public:
-  typedef CallParams Pipelines;
+  typedef QueueCount Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::JobCall::Pipeline getCall();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -9297,9 +9320,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::CallResults::Reader {
+class EntryView::Reader {
 public:
-  typedef CallResults Reads;
+  typedef EntryView Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -9314,8 +9337,38 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer() const;
-  inline  ::glenhollow::wire::JobAnswer::Reader getAnswer() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader getParts() const;
+
+  inline bool getStoreReachable() const;
+
+  inline bool getStopping() const;
+
+  inline  ::uint64_t getCatalogVersion() const;
+
+  inline bool hasPending() const;
+  inline  ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Reader getPending() const;
+
+  inline bool hasReleased() const;
+  inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader getReleased() const;
+
+  inline  ::uint32_t getPower() const;
+
+  inline bool getTimely() const;
+
+  inline  ::uint32_t getAgents() const;
+
+  inline  ::int64_t getStarted() const;
+
+  inline bool hasEvacuated() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEvacuated() const;
+
+  inline  ::uint64_t getEvacuatedAt() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -9329,9 +9382,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::CallResults::Builder {
+class EntryView::Builder {
 public:
-  typedef CallResults Builds;
+  typedef EntryView Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -9345,84 +9398,68 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer();
-  inline  ::glenhollow::wire::JobAnswer::Builder getAnswer();
-  inline void setAnswer( ::glenhollow::wire::JobAnswer::Reader value);
-  inline  ::glenhollow::wire::JobAnswer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::glenhollow::wire::JobAnswer>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::JobAnswer> disownAnswer();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-#if !CAPNP_LITE
-class EntryPeer::CallResults::Pipeline {
-public:
-  typedef CallResults Pipelines;
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+  inline bool hasParts();
+  inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder getParts();
+  inline void setParts( ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>> disownParts();
 
-  inline  ::glenhollow::wire::JobAnswer::Pipeline getAnswer();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
+  inline bool getStoreReachable();
+  inline void setStoreReachable(bool value);
 
-class EntryPeer::CatalogParams::Reader {
-public:
-  typedef CatalogParams Reads;
+  inline bool getStopping();
+  inline void setStopping(bool value);
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline  ::uint64_t getCatalogVersion();
+  inline void setCatalogVersion( ::uint64_t value);
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline bool hasPending();
+  inline  ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Builder getPending();
+  inline void setPending( ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>::Builder initPending(unsigned int size);
+  inline void adoptPending(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::QueueCount,  ::capnp::Kind::STRUCT>> disownPending();
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+  inline bool hasReleased();
+  inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder getReleased();
+  inline void setReleased( ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder initReleased(unsigned int size);
+  inline void adoptReleased(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>> disownReleased();
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
+  inline  ::uint32_t getPower();
+  inline void setPower( ::uint32_t value);
 
-class EntryPeer::CatalogParams::Builder {
-public:
-  typedef CatalogParams Builds;
+  inline bool getTimely();
+  inline void setTimely(bool value);
 
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
+  inline  ::uint32_t getAgents();
+  inline void setAgents( ::uint32_t value);
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+  inline  ::int64_t getStarted();
+  inline void setStarted( ::int64_t value);
+
+  inline bool hasEvacuated();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEvacuated();
+  inline void setEvacuated( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEvacuated(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEvacuated(unsigned int size);
+  inline void adoptEvacuated(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEvacuated();
+
+  inline  ::uint64_t getEvacuatedAt();
+  inline void setEvacuatedAt( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -9434,9 +9471,9 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::CatalogParams::Pipeline {
+class EntryView::Pipeline {
 public:
-  typedef CatalogParams Pipelines;
+  typedef EntryView Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -9450,9 +9487,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::CatalogResults::Reader {
+class JobCall::Reader {
 public:
-  typedef CatalogResults Reads;
+  typedef JobCall Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -9467,10 +9504,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion() const;
+  inline  ::uint8_t getVerb() const;
 
-  inline bool hasDocument() const;
-  inline  ::capnp::Data::Reader getDocument() const;
+  inline  ::uint64_t getJob() const;
+
+  inline  ::uint64_t getCatalogVersion() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -9484,9 +9525,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::CatalogResults::Builder {
+class JobCall::Builder {
 public:
-  typedef CatalogResults Builds;
+  typedef JobCall Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -9500,15 +9541,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline  ::uint8_t getVerb();
+  inline void setVerb( ::uint8_t value);
 
-  inline bool hasDocument();
-  inline  ::capnp::Data::Builder getDocument();
-  inline void setDocument( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initDocument(unsigned int size);
-  inline void adoptDocument(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownDocument();
+  inline  ::uint64_t getJob();
+  inline void setJob( ::uint64_t value);
+
+  inline  ::uint64_t getCatalogVersion();
+  inline void setCatalogVersion( ::uint64_t value);
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -9520,9 +9567,9 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::CatalogResults::Pipeline {
+class JobCall::Pipeline {
 public:
-  typedef CatalogResults Pipelines;
+  typedef JobCall Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -9536,9 +9583,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::PlaceParams::Reader {
+class JobAnswer::Reader {
 public:
-  typedef PlaceParams Reads;
+  typedef JobAnswer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -9553,15 +9600,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntry() const;
-  inline  ::capnp::Text::Reader getEntry() const;
+  inline  ::uint8_t getOutcome() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline  ::uint8_t getState() const;
 
-  inline bool hasGrants() const;
-#if !CAPNP_LITE
-  inline  ::glenhollow::wire::PlacementGrants::Client getGrants() const;
-#endif  // !CAPNP_LITE
+  inline  ::uint32_t getRetryAfterMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -9575,9 +9618,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::PlaceParams::Builder {
+class JobAnswer::Builder {
 public:
-  typedef PlaceParams Builds;
+  typedef JobAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -9591,24 +9634,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntry();
-  inline  ::capnp::Text::Builder getEntry();
-  inline void setEntry( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEntry(unsigned int size);
-  inline void adoptEntry(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEntry();
+  inline  ::uint8_t getOutcome();
+  inline void setOutcome( ::uint8_t value);
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
 
-  inline bool hasGrants();
-#if !CAPNP_LITE
-  inline  ::glenhollow::wire::PlacementGrants::Client getGrants();
-  inline void setGrants( ::glenhollow::wire::PlacementGrants::Client&& value);
-  inline void setGrants( ::glenhollow::wire::PlacementGrants::Client& value);
-  inline void adoptGrants(::capnp::Orphan< ::glenhollow::wire::PlacementGrants>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::PlacementGrants> disownGrants();
-#endif  // !CAPNP_LITE
+  inline  ::uint32_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -9620,15 +9653,14 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::PlaceParams::Pipeline {
+class JobAnswer::Pipeline {
 public:
-  typedef PlaceParams Pipelines;
+  typedef JobAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::glenhollow::wire::PlacementGrants::Client getGrants();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -9637,9 +9669,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::PlaceResults::Reader {
+class WantedTasks::Reader {
 public:
-  typedef PlaceResults Reads;
+  typedef WantedTasks Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -9654,12 +9686,40 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSession() const;
-#if !CAPNP_LITE
-  inline  ::glenhollow::wire::PlacementSession::Client getSession() const;
-#endif  // !CAPNP_LITE
+  inline  ::uint64_t getJob() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline  ::uint32_t getOccurrence() const;
+
+  inline  ::uint32_t getStep() const;
+
+  inline bool hasIndices() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getIndices() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasLabel() const;
+  inline  ::capnp::Text::Reader getLabel() const;
+
+  inline bool hasPreferredLabel() const;
+  inline  ::capnp::Text::Reader getPreferredLabel() const;
+
+  inline  ::uint32_t getCpu() const;
+
+  inline  ::uint32_t getMemory() const;
+
+  inline  ::uint32_t getGpu() const;
+
+  inline  ::uint32_t getPriority() const;
+
+  inline  ::int64_t getSlackMicros() const;
+
+  inline  ::uint32_t getEstimateMs() const;
+
+  inline bool hasAvoid() const;
+  inline  ::capnp::Text::Reader getAvoid() const;
+
+  inline bool getBegun() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -9673,9 +9733,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::PlaceResults::Builder {
+class WantedTasks::Builder {
 public:
-  typedef PlaceResults Builds;
+  typedef WantedTasks Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -9689,17 +9749,259 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSession();
-#if !CAPNP_LITE
-  inline  ::glenhollow::wire::PlacementSession::Client getSession();
-  inline void setSession( ::glenhollow::wire::PlacementSession::Client&& value);
-  inline void setSession( ::glenhollow::wire::PlacementSession::Client& value);
-  inline void adoptSession(::capnp::Orphan< ::glenhollow::wire::PlacementSession>&& value);
-  inline ::capnp::Orphan< ::glenhollow::wire::PlacementSession> disownSession();
+  inline  ::uint64_t getJob();
+  inline void setJob( ::uint64_t value);
+
+  inline  ::uint32_t getOccurrence();
+  inline void setOccurrence( ::uint32_t value);
+
+  inline  ::uint32_t getStep();
+  inline void setStep( ::uint32_t value);
+
+  inline bool hasIndices();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getIndices();
+  inline void setIndices( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setIndices(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initIndices(unsigned int size);
+  inline void adoptIndices(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownIndices();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasLabel();
+  inline  ::capnp::Text::Builder getLabel();
+  inline void setLabel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLabel(unsigned int size);
+  inline void adoptLabel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLabel();
+
+  inline bool hasPreferredLabel();
+  inline  ::capnp::Text::Builder getPreferredLabel();
+  inline void setPreferredLabel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPreferredLabel(unsigned int size);
+  inline void adoptPreferredLabel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPreferredLabel();
+
+  inline  ::uint32_t getCpu();
+  inline void setCpu( ::uint32_t value);
+
+  inline  ::uint32_t getMemory();
+  inline void setMemory( ::uint32_t value);
+
+  inline  ::uint32_t getGpu();
+  inline void setGpu( ::uint32_t value);
+
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
+
+  inline  ::int64_t getSlackMicros();
+  inline void setSlackMicros( ::int64_t value);
+
+  inline  ::uint32_t getEstimateMs();
+  inline void setEstimateMs( ::uint32_t value);
+
+  inline bool hasAvoid();
+  inline  ::capnp::Text::Builder getAvoid();
+  inline void setAvoid( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAvoid(unsigned int size);
+  inline void adoptAvoid(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAvoid();
+
+  inline bool getBegun();
+  inline void setBegun(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WantedTasks::Pipeline {
+public:
+  typedef WantedTasks Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+class TaskGrant::Reader {
+public:
+  typedef TaskGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTask() const;
+  inline  ::glenhollow::wire::TaskRef::Reader getTask() const;
+
+  inline bool hasAgent() const;
+  inline  ::capnp::Text::Reader getAgent() const;
+
+  inline  ::uint32_t getNumber() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TaskGrant::Builder {
+public:
+  typedef TaskGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTask();
+  inline  ::glenhollow::wire::TaskRef::Builder getTask();
+  inline void setTask( ::glenhollow::wire::TaskRef::Reader value);
+  inline  ::glenhollow::wire::TaskRef::Builder initTask();
+  inline void adoptTask(::capnp::Orphan< ::glenhollow::wire::TaskRef>&& value);
+  inline ::capnp::Orphan< ::glenhollow::wire::TaskRef> disownTask();
+
+  inline bool hasAgent();
+  inline  ::capnp::Text::Builder getAgent();
+  inline void setAgent( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAgent(unsigned int size);
+  inline void adoptAgent(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAgent();
+
+  inline  ::uint32_t getNumber();
+  inline void setNumber( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TaskGrant::Pipeline {
+public:
+  typedef TaskGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::glenhollow::wire::TaskRef::Pipeline getTask();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class DeclinedGrant::Reader {
+public:
+  typedef DeclinedGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAgent() const;
+  inline  ::capnp::Text::Reader getAgent() const;
+
+  inline  ::uint32_t getNumber() const;
+
+  inline bool getUnreachable() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class DeclinedGrant::Builder {
+public:
+  typedef DeclinedGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAgent();
+  inline  ::capnp::Text::Builder getAgent();
+  inline void setAgent( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAgent(unsigned int size);
+  inline void adoptAgent(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAgent();
+
+  inline  ::uint32_t getNumber();
+  inline void setNumber( ::uint32_t value);
+
+  inline bool getUnreachable();
+  inline void setUnreachable(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
