-inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader RunReports::ReportResults::Reader::getRenewed() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader HandedJob::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder RunReports::ReportResults::Builder::getRenewed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder HandedJob::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RunReports::ReportResults::Builder::setRenewed( ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void HandedJob::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>::Builder RunReports::ReportResults::Builder::initRenewed(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder HandedJob::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RunReports::ReportResults::Builder::adoptRenewed(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void HandedJob::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>> RunReports::ReportResults::Builder::disownRenewed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::PartEpoch,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> HandedJob::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t RunReports::ReportResults::Reader::getRoomGapMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool HandedJob::Reader::hasSpec() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t RunReports::ReportResults::Builder::getRoomGapMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool HandedJob::Builder::hasSpec() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void RunReports::ReportResults::Builder::setRoomGapMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader HandedJob::Reader::getSpec() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline bool RunReports::ReportResults::Reader::getPlaces() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder HandedJob::Builder::getSpec() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline bool RunReports::ReportResults::Builder::getPlaces() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+inline void HandedJob::Builder::setSpec( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void RunReports::ReportResults::Builder::setPlaces(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder HandedJob::Builder::initSpec(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void HandedJob::Builder::adoptSpec(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HandedJob::Builder::disownSpec() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool RunReports::ReportResults::Reader::hasConfirmed() const {
+inline bool HandedJob::Reader::hasSteps() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunReports::ReportResults::Builder::hasConfirmed() {
+inline bool HandedJob::Builder::hasSteps() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader RunReports::ReportResults::Reader::getConfirmed() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>::Reader HandedJob::Reader::getSteps() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>::Builder HandedJob::Builder::getSteps() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void HandedJob::Builder::setSteps( ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>::Builder HandedJob::Builder::initSteps(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void HandedJob::Builder::adoptSteps(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>> HandedJob::Builder::disownSteps() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::HandedStep,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t HandedJob::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder RunReports::ReportResults::Builder::getConfirmed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint32_t HandedJob::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void RunReports::ReportResults::Builder::setConfirmed( ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void HandedJob::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>::Builder RunReports::ReportResults::Builder::initConfirmed(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+
+inline  ::uint32_t HandedJob::Reader::getMaxAttempts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void RunReports::ReportResults::Builder::adoptConfirmed(
-    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t HandedJob::Builder::getMaxAttempts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>> RunReports::ReportResults::Builder::disownConfirmed() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::RunEnd,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void HandedJob::Builder::setMaxAttempts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RunReports::ReportResults::Reader::getEvacuated() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+inline  ::int64_t HandedJob::Reader::getObjectiveInMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool RunReports::ReportResults::Builder::getEvacuated() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+inline  ::int64_t HandedJob::Builder::getObjectiveInMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void RunReports::ReportResults::Builder::setEvacuated(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+inline void HandedJob::Builder::setObjectiveInMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t RunReports::ReportResults::Reader::getEvacuatedAt() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int64_t HandedJob::Reader::getGiveUpInMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RunReports::ReportResults::Builder::getEvacuatedAt() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int64_t HandedJob::Builder::getGiveUpInMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void RunReports::ReportResults::Builder::setEvacuatedAt( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void HandedJob::Builder::setGiveUpInMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 #if !CAPNP_LITE
-inline RunAgent::Client::Client(decltype(nullptr))
+inline JobHost::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
-inline RunAgent::Client::Client(
+inline JobHost::Client::Client(
     ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
-inline RunAgent::Client::Client(::kj::Own<_t>&& server)
+inline JobHost::Client::Client(::kj::Own<_t>&& server)
     : ::capnp::Capability::Client(::kj::mv(server)) {}
 template <typename _t, typename>
-inline RunAgent::Client::Client(::kj::Promise<_t>&& promise)
+inline JobHost::Client::Client(::kj::Promise<_t>&& promise)
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline RunAgent::Client::Client(::kj::Exception&& exception)
+inline JobHost::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::glenhollow::wire::RunAgent::Client& RunAgent::Client::operator=(Client& other) {
+inline  ::glenhollow::wire::JobHost::Client& JobHost::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline  ::glenhollow::wire::RunAgent::Client& RunAgent::Client::operator=(Client&& other) {
+inline  ::glenhollow::wire::JobHost::Client& JobHost::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
-inline bool RunAgent::AttachParams::Reader::hasEntry() const {
+inline bool JobHost::SubmitParams::Reader::hasJob() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunAgent::AttachParams::Builder::hasEntry() {
+inline bool JobHost::SubmitParams::Builder::hasJob() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RunAgent::AttachParams::Reader::getEntry() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::glenhollow::wire::HandedJob::Reader JobHost::SubmitParams::Reader::getJob() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::HandedJob>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RunAgent::AttachParams::Builder::getEntry() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::glenhollow::wire::HandedJob::Builder JobHost::SubmitParams::Builder::getJob() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::HandedJob>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RunAgent::AttachParams::Builder::setEntry( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::HandedJob::Pipeline JobHost::SubmitParams::Pipeline::getJob() {
+  return  ::glenhollow::wire::HandedJob::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void JobHost::SubmitParams::Builder::setJob( ::glenhollow::wire::HandedJob::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::HandedJob>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RunAgent::AttachParams::Builder::initEntry(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::glenhollow::wire::HandedJob::Builder JobHost::SubmitParams::Builder::initJob() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::HandedJob>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RunAgent::AttachParams::Builder::adoptEntry(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void JobHost::SubmitParams::Builder::adoptJob(
+    ::capnp::Orphan< ::glenhollow::wire::HandedJob>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::HandedJob>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RunAgent::AttachParams::Builder::disownEntry() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::glenhollow::wire::HandedJob> JobHost::SubmitParams::Builder::disownJob() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::HandedJob>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RunAgent::AttachParams::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool JobHost::SubmitResults::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t RunAgent::AttachParams::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool JobHost::SubmitResults::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void RunAgent::AttachParams::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::glenhollow::wire::JobAnswer::Reader JobHost::SubmitResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::glenhollow::wire::JobAnswer::Builder JobHost::SubmitResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::JobAnswer::Pipeline JobHost::SubmitResults::Pipeline::getAnswer() {
+  return  ::glenhollow::wire::JobAnswer::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void JobHost::SubmitResults::Builder::setAnswer( ::glenhollow::wire::JobAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::glenhollow::wire::JobAnswer::Builder JobHost::SubmitResults::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void JobHost::SubmitResults::Builder::adoptAnswer(
+    ::capnp::Orphan< ::glenhollow::wire::JobAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::glenhollow::wire::JobAnswer> JobHost::SubmitResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RunAgent::AttachParams::Reader::hasReports() const {
+inline bool JobHost::SubmitResults::Reader::hasLoad() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunAgent::AttachParams::Builder::hasReports() {
+inline bool JobHost::SubmitResults::Builder::hasLoad() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::RunReports::Client RunAgent::AttachParams::Reader::getReports() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::get(_reader.getPointerField(
+inline  ::glenhollow::wire::HostLoad::Reader JobHost::SubmitResults::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::HostLoad>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::RunReports::Client RunAgent::AttachParams::Builder::getReports() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::get(_builder.getPointerField(
+inline  ::glenhollow::wire::HostLoad::Builder JobHost::SubmitResults::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::HostLoad>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::RunReports::Client RunAgent::AttachParams::Pipeline::getReports() {
-  return  ::glenhollow::wire::RunReports::Client(_typeless.getPointerField(1).asCap());
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::HostLoad::Pipeline JobHost::SubmitResults::Pipeline::getLoad() {
+  return  ::glenhollow::wire::HostLoad::Pipeline(_typeless.getPointerField(1));
 }
-inline void RunAgent::AttachParams::Builder::setReports( ::glenhollow::wire::RunReports::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+#endif  // !CAPNP_LITE
+inline void JobHost::SubmitResults::Builder::setLoad( ::glenhollow::wire::HostLoad::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::HostLoad>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void RunAgent::AttachParams::Builder::setReports( ::glenhollow::wire::RunReports::Client& cap) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+inline  ::glenhollow::wire::HostLoad::Builder JobHost::SubmitResults::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::HostLoad>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RunAgent::AttachParams::Builder::adoptReports(
-    ::capnp::Orphan< ::glenhollow::wire::RunReports>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::adopt(_builder.getPointerField(
+inline void JobHost::SubmitResults::Builder::adoptLoad(
+    ::capnp::Orphan< ::glenhollow::wire::HostLoad>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::HostLoad>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::RunReports> RunAgent::AttachParams::Builder::disownReports() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunReports>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::glenhollow::wire::HostLoad> JobHost::SubmitResults::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::HostLoad>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
 
-inline bool RunAgent::AttachResults::Reader::hasSession() const {
+inline bool JobHost::WithdrawParams::Reader::hasJobs() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunAgent::AttachResults::Builder::hasSession() {
+inline bool JobHost::WithdrawParams::Builder::hasJobs() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-#if !CAPNP_LITE
-inline  ::glenhollow::wire::RunSession::Client RunAgent::AttachResults::Reader::getSession() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader JobHost::WithdrawParams::Reader::getJobs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::RunSession::Client RunAgent::AttachResults::Builder::getSession() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder JobHost::WithdrawParams::Builder::getJobs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::RunSession::Client RunAgent::AttachResults::Pipeline::getSession() {
-  return  ::glenhollow::wire::RunSession::Client(_typeless.getPointerField(0).asCap());
+inline void JobHost::WithdrawParams::Builder::setJobs( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void RunAgent::AttachResults::Builder::setSession( ::glenhollow::wire::RunSession::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
+inline void JobHost::WithdrawParams::Builder::setJobs(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void RunAgent::AttachResults::Builder::setSession( ::glenhollow::wire::RunSession::Client& cap) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder JobHost::WithdrawParams::Builder::initJobs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RunAgent::AttachResults::Builder::adoptSession(
-    ::capnp::Orphan< ::glenhollow::wire::RunSession>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::adopt(_builder.getPointerField(
+inline void JobHost::WithdrawParams::Builder::adoptJobs(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::RunSession> RunAgent::AttachResults::Builder::disownSession() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunSession>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> JobHost::WithdrawParams::Builder::disownJobs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
 
-inline  ::uint64_t RunAgent::AttachResults::Reader::getIncarnation() const {
+inline  ::uint64_t JobHost::CancelParams::Reader::getJob() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RunAgent::AttachResults::Builder::getIncarnation() {
+inline  ::uint64_t JobHost::CancelParams::Builder::getJob() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RunAgent::AttachResults::Builder::setIncarnation( ::uint64_t value) {
+inline void JobHost::CancelParams::Builder::setJob( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RunAgent::AttachResults::Reader::hasState() const {
+inline bool JobHost::CancelResults::Reader::hasAnswer() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunAgent::AttachResults::Builder::hasState() {
+inline bool JobHost::CancelResults::Builder::hasAnswer() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::glenhollow::wire::RunnerState::Reader RunAgent::AttachResults::Reader::getState() const {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::glenhollow::wire::JobAnswer::Reader JobHost::CancelResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::glenhollow::wire::RunnerState::Builder RunAgent::AttachResults::Builder::getState() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::glenhollow::wire::JobAnswer::Builder JobHost::CancelResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::glenhollow::wire::RunnerState::Pipeline RunAgent::AttachResults::Pipeline::getState() {
-  return  ::glenhollow::wire::RunnerState::Pipeline(_typeless.getPointerField(1));
+inline  ::glenhollow::wire::JobAnswer::Pipeline JobHost::CancelResults::Pipeline::getAnswer() {
+  return  ::glenhollow::wire::JobAnswer::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void RunAgent::AttachResults::Builder::setState( ::glenhollow::wire::RunnerState::Reader value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void JobHost::CancelResults::Builder::setAnswer( ::glenhollow::wire::JobAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::glenhollow::wire::RunnerState::Builder RunAgent::AttachResults::Builder::initState() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::glenhollow::wire::JobAnswer::Builder JobHost::CancelResults::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RunAgent::AttachResults::Builder::adoptState(
-    ::capnp::Orphan< ::glenhollow::wire::RunnerState>&& value) {
-  ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void JobHost::CancelResults::Builder::adoptAnswer(
+    ::capnp::Orphan< ::glenhollow::wire::JobAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::glenhollow::wire::RunnerState> RunAgent::AttachResults::Builder::disownState() {
-  return ::capnp::_::PointerHelpers< ::glenhollow::wire::RunnerState>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::glenhollow::wire::JobAnswer> JobHost::CancelResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::JobAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool JobHost::CheckParams::Reader::hasAgents() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobHost::CheckParams::Builder::hasAgents() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>::Reader JobHost::CheckParams::Reader::getAgents() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>::Builder JobHost::CheckParams::Builder::getAgents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void JobHost::CheckParams::Builder::setAgents( ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>::Builder JobHost::CheckParams::Builder::initAgents(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void JobHost::CheckParams::Builder::adoptAgents(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>> JobHost::CheckParams::Builder::disownAgents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::AgentAddress,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool JobHost::CheckResults::Reader::hasLoad() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobHost::CheckResults::Builder::hasLoad() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::glenhollow::wire::HostLoad::Reader JobHost::CheckResults::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::HostLoad>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::glenhollow::wire::HostLoad::Builder JobHost::CheckResults::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::HostLoad>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::glenhollow::wire::HostLoad::Pipeline JobHost::CheckResults::Pipeline::getLoad() {
+  return  ::glenhollow::wire::HostLoad::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void JobHost::CheckResults::Builder::setLoad( ::glenhollow::wire::HostLoad::Reader value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::HostLoad>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::glenhollow::wire::HostLoad::Builder JobHost::CheckResults::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::HostLoad>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void JobHost::CheckResults::Builder::adoptLoad(
+    ::capnp::Orphan< ::glenhollow::wire::HostLoad>&& value) {
+  ::capnp::_::PointerHelpers< ::glenhollow::wire::HostLoad>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::glenhollow::wire::HostLoad> JobHost::CheckResults::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::glenhollow::wire::HostLoad>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool OrderBatch::Reader::hasStarts() const {
