Notice of leaving backend servers, cold servers, pace by agents; order of servers a setting

Cause: remaining_ms and cold_remaining_ms of a backend server's account were read nowhere. From a server that leaves, new work was kept (phase draining), but runs that can't end there died with it and were missed only by the lapse of their hold; a hall's cold servers came first, being empty. Pace was learned by each entry from ends of its own tasks alone, with weight 0.05, and its classes had a border at 1.

Now the agent decides on moves, by progress or guess, and by how long an end is of use to the caller (usefulMs of the order): stop first, the task is placed again once its end is told. Cold servers come behind warm ones. The agent learns pace from all ends (mean of logarithms, weight 1/n falling to 0.05, bounded), and tells it with each report. Ruled out: new short work in the time left (rule on starts after a notice; time left is heard late), decisions at entries (one round trip more, none during a cut).

Not measured yet.

--- a/programs/durable_entry.hpp
+++ b/programs/durable_entry.hpp
@@ -28,11 +28,12 @@
     double begin_by = 0.45;             ///< See job_coordinator_settings.
     unsigned review_ms = 10;            ///< See dispatcher_settings.
     double late_reserve = 0.15;         ///< See dispatcher_settings.
-    bool own_placement = false;         ///< Never placed by another entry.
-    double cpu_share = 1.0;             ///< Of a core, for this process.
-    double cores = 1.0;                 ///< How many times as fast it runs.
-    double far_factor = 1.0;            ///< Time of a task far from its data,
-                                        ///< over that near it.
+    server_order order = server_order::fastest; ///< See dispatcher_settings.
+    bool own_placement = false; ///< Never placed by another entry.
+    double cpu_share = 1.0;     ///< Of a core, for this process.
+    double cores = 1.0;         ///< How many times as fast it runs.
+    double far_factor = 1.0;    ///< Time of a task far from its data,
+                                ///< over that near it.
 };
 
 /// Runs an entry until a planned stop.
--- a/programs/durable_entry_main.cpp
+++ b/programs/durable_entry_main.cpp
@@ -61,6 +61,8 @@
                         "how many times as fast as usual that core runs");
     line.number<double>("far-factor", settings.far_factor, 1, 100, "",
                         "time of a task far from its data, over that near it");
+    line.choice("server-order", settings.order,
+                "which of several backend servers with room comes first");
     line.choice("log-format", given.format, "format of log lines");
     return line;
 }
--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -157,6 +157,9 @@
   estimateMs @8 :UInt32;     # a rough guess of its time; 0: none
   placer @9 :UInt64;         # incarnation of the entry that chose the place
   grant @10 :UInt32;         # its number there; 0: the sender chose by itself
+  expectedMs @11 :UInt32;    # its time at a warm server of usual speed, as far
+                             # from its data as this one; 0: not known
+  usefulMs @12 :UInt32;      # an end later than this helps nobody; 0: any does
 }
 
 struct RunRef {
@@ -196,6 +199,10 @@
   waiting @11 :UInt32;       # orders accepted, without room yet
   received @12 :UInt64;      # order batches of this session seen so far
   whole @13 :Bool;           # the session has not been told these before
+  leavesIn @14 :UInt32;      # the server's notice: 1 + ms left; 0: none
+  coldMs @15 :UInt32;        # it stays slow from its start for so long
+  paceMilli @16 :UInt32;     # thousandths: time of runs over what was expected;
+                             # 0: not known yet
 }
 
 struct PartEpoch {
--- a/src/glenhollow/durable/agent_view.cpp
+++ b/src/glenhollow/durable/agent_view.cpp
@@ -17,6 +17,8 @@
 void agent_view::attached(const runner_report& report)
 {
     linked_ = true;
+    if (report.account.instance != report_.account.instance)
+        pace_ = 1.0; // It may be of another kind.
     report_ = report;
     flying_.clear();
     granted_.clear();
@@ -47,6 +49,10 @@
         account.phase = report.account.phase;
         report_.account = std::move(account);
     }
+    else if (account.instance != report.account.instance)
+    {
+        pace_ = 1.0;
+    }
     while (!flying_.empty() && flying_.front().number <= report.received)
     {
         pending_.subtract(flying_.front().needs);
--- a/src/glenhollow/durable/agent_view.hpp
+++ b/src/glenhollow/durable/agent_view.hpp
@@ -54,6 +54,9 @@
     /// @param report Its latest word.
     void reported(const runner_report& report);
 
+    /// @param until The runner is slow from its start until then.
+    void stay_cold(instant until) { cold_until_ = until; }
+
     /// Orders leave in one batch.
     /// @param needs What its starts take together.
     void sent(const resources& needs);
@@ -129,8 +132,19 @@
     /// @return Whether it gets no work because of bad ends.
     bool ejected(instant now) const { return now < ejected_until_; }
 
-    /// @return Time of runs over their estimates, on average.
-    double pace() const { return pace_; }
+    /// @return Time of runs over their estimates: by its agent, which sees all
+    /// of them, or until it knows by those of this entry's tasks.
+    double pace() const
+    {
+        return report_.room.pace > 0 ? report_.room.pace : pace_;
+    }
+
+    /// @param now The time.
+    /// @return Whether the runner is slow from its start still.
+    bool cold(instant now) const { return now < cold_until_; }
+
+    /// @return Whether the runner has told when it leaves.
+    bool leaving() const { return report_.room.leaves_in.has_value(); }
 
     std::set<part_number> adopted; ///< Parts whose runs there are known.
     order_batch outbox;            ///< Leaves with the next flush.
@@ -167,6 +181,7 @@
     std::uint32_t ejections_ = 0; ///< In a row.
     instant ejected_until_{};     ///< No work until then.
     double pace_ = 1.0;           ///< Average time over estimate.
+    instant cold_until_{};        ///< Slow from its start until then.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "glenhollow/telemetry/log.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -13,9 +14,16 @@
 {
 
 constexpr double micros_a_ms = 1000.0;
-constexpr double classes_of_pace = 2.0;
+constexpr double classes_of_pace = 2.0; // For a factor of two.
 constexpr double quarters = 4.0;
 
+/// Classes are wide enough that servers of one speed mostly share theirs, and
+/// 1 lies in the middle of one.
+int class_of(double pace)
+{
+    return static_cast<int>(std::lround(std::log2(pace) * classes_of_pace));
+}
+
 bool is_bad(run_outcome how)
 {
     return how == run_outcome::failed || how == run_outcome::stopped;
@@ -40,6 +48,7 @@
         list_own_agents();
     }
     known->second.attached(report);
+    known->second.stay_cold(clock_.now() + report.room.cold);
 }
 
 /// The placing of each task walks over these alone.
@@ -97,7 +106,11 @@
     if (known == agents_.end() || !known->second.linked())
         return;
     note_grant_time(known->second, report.granted);
+    const bool was_leaving = known->second.leaving();
     known->second.reported(report);
+    known->second.stay_cold(clock_.now() + report.room.cold);
+    if (known->second.leaving() && !was_leaving)
+        ++stats_.leaving;
 }
 
 void dispatcher::note_end(const std::string& agent, const run_end& end,
@@ -110,7 +123,11 @@
     const double expected_ms =
         step.estimate_ms *
         (view.has_label(step.preferred_label) ? 1.0 : settings_.far_factor);
-    if (end.how == run_outcome::done && expected_ms > 0)
+    // Stopped because its runner leaves, it says nothing of the runner.
+    if (end.how == run_outcome::stopped && view.leaving())
+        return;
+    if (end.how == run_outcome::done && expected_ms > 0 &&
+        !view.cold(clock_.now()))
         view.note_pace(end.micros / (micros_a_ms * expected_ms));
     if (end.how != run_outcome::done && !is_bad(end.how))
         return;
@@ -258,12 +275,46 @@
         agent.used().cpu / std::max(1.0, 1.0 * agent.account().capacity.cpu);
     // Other entries place there too, and this view of it is not of now.
     out.crowded = taken > settings_.crowded;
-    out.slowness = static_cast<int>(agent.pace() * classes_of_pace);
+    out.cold = agent.cold(clock_.now());
+    order_by_pace(out, agent, task);
     out.taken = static_cast<int>(taken * quarters);
     out.tie_breaker = agent.tie_breaker();
     return out;
 }
 
+/// @param out Gets what the order of servers says of the runner.
+void dispatcher::order_by_pace(rank& out, const agent_view& agent,
+                               const ready_task& task) const
+{
+    const double longer = out.far ? settings_.far_factor : 1.0;
+    switch (settings_.order)
+    {
+    case server_order::fastest:
+        out.slowness = class_of(agent.pace());
+        return;
+    case server_order::earliest_end:
+        out.end = class_of(agent.pace() * longer);
+        return;
+    case server_order::slowest_in_time:
+    {
+        const bool ends_in_time =
+            clock_.now() + longer_by(task, agent.pace() * longer) <=
+            last_moment(task);
+        out.slowness = class_of(agent.pace()) * (ends_in_time ? -1 : 1);
+        out.late = !ends_in_time;
+        return;
+    }
+    }
+}
+
+/// @param pace Time of a task, over its estimate.
+/// @return How much longer than its estimate the task takes.
+duration dispatcher::longer_by(const ready_task& task, double pace)
+{
+    const double longer_ms = task.estimate_ms * (pace - 1.0);
+    return milliseconds{static_cast<std::int64_t>(longer_ms)};
+}
+
 /// Far from its data a task takes longer, and takes room from others for so
 /// long: only if it ends in time there all the same, or is late anyway.
 bool dispatcher::worth_going_far(const agent_view& agent, const rank& far,
@@ -274,9 +325,7 @@
     const auto now = clock_.now();
     if (task.start_by < now)
         return true;
-    const double longer_ms =
-        task.estimate_ms * (settings_.far_factor * agent.pace() - 1.0);
-    return now + milliseconds{static_cast<std::int64_t>(longer_ms)} <=
+    return now + longer_by(task, settings_.far_factor * agent.pace()) <=
            task.start_by;
 }
 
@@ -324,6 +373,8 @@
         return nullptr;
     if (best_rank.far)
         ++stats_.far;
+    if (best_rank.cold)
+        ++stats_.cold;
     return best;
 }
 
@@ -358,7 +409,8 @@
     std::map<std::string, double> cores;
     for (const auto& [name, agent] : agents_)
     {
-        if (!agent.ours)
+        // One that takes no work has no room to leave to others.
+        if (!agent.ours || agent.account().phase != runner_phase::ready)
             continue;
         for (const auto& label : agent.account().labels)
             cores[label] += agent.cores();
@@ -455,6 +507,9 @@
     auto order = tasks_.assign(task, agent.name());
     if (!order)
         return false;
+    const bool near = agent.has_label(task.preferred_label);
+    order->expected_ms = static_cast<std::uint32_t>(
+        task.estimate_ms * (near ? 1.0 : settings_.far_factor));
     order->placer = placer;
     order->grant = grant;
     agent.reserve(order->needs);
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -111,14 +111,32 @@
     double waiting_work = 0; ///< Core-milliseconds that can be in time.
 };
 
+/// Which of several backend servers with room a task goes to first, by what
+/// they are known to take.
+enum class server_order : std::uint8_t
+{
+    fastest,         ///< The quickest with room to spare.
+    slowest_in_time, ///< The slowest where it still ends in time; quick ones
+                     ///< are kept for tasks with little slack.
+    earliest_end     ///< Where it ends first, also if little room is left.
+};
+
+template <>
+struct name_table<server_order>
+{
+    static constexpr std::array<std::string_view, 3> names{
+        "fastest", "slowest-in-time", "earliest-end"};
+};
+
 /// Limits of a dispatcher.
 struct dispatcher_settings
 {
     double crowded = 0.7;  ///< Runners with more taken come last.
     double far_factor = 1; ///< Time of a task at a runner without its
                            ///< preferred label, over that with it.
-    double hot = 0.5;      ///< Runners whose label is preferred by more than
-                           ///< this share of their cores are left to it.
+    server_order order = server_order::fastest; ///< Among those with room.
+    double hot = 0.5; ///< Runners whose label is preferred by more than
+                      ///< this share of their cores are left to it.
     duration review_interval =
         milliseconds{10};       ///< Between two plans under
                                 ///< overload; a tenth of a short task's slack.
@@ -148,6 +166,8 @@
     std::uint64_t late = 0;     ///< Tasks put behind those in time.
     std::uint64_t no_place = 0; ///< Rounds that ended for want of room.
     std::uint64_t far = 0;      ///< Placed without the preferred label.
+    std::uint64_t cold = 0;     ///< Placed at a server slow from its start.
+    std::uint64_t leaving = 0;  ///< Notices of servers that leave.
     std::uint64_t demoted = 0;  ///< Jobs put behind others under overload.
     std::uint64_t granted = 0;  ///< Places for tasks of other entries.
     std::uint64_t declined = 0; ///< Of these, not used.
@@ -340,6 +360,9 @@
         bool avoid = false;            ///< The task failed there.
         bool far = false;              ///< It lacks the preferred label.
         bool hot = false;              ///< Others prefer it.
+        bool cold = false;             ///< It is slow from its start.
+        bool late = false;             ///< Too slow for the task.
+        int end = 0;                   ///< Class of the time until its end.
         bool crowded = false;          ///< Little room is left.
         int slowness = 0;              ///< Class of its pace.
         int taken = 0;                 ///< Quarters of its cores.
@@ -349,6 +372,9 @@
     };
 
     rank rank_of(const agent_view& agent, const ready_task& task) const;
+    void order_by_pace(rank& out, const agent_view& agent,
+                       const ready_task& task) const;
+    static duration longer_by(const ready_task& task, double pace);
     bool can_order(const agent_view& agent, const ready_task& task) const;
     bool worth_going_far(const agent_view& agent, const rank& far,
                          const ready_task& task) const;
--- a/src/glenhollow/durable/durable_metrics.cpp
+++ b/src/glenhollow/durable/durable_metrics.cpp
@@ -97,6 +97,10 @@
     count("jobs_demoted_total", "Jobs put behind others under overload",
           placed.demoted);
     count("tasks_far_total", "Placed without the preferred label", placed.far);
+    count("tasks_cold_total", "Placed at servers slow from their start",
+          placed.cold);
+    count("server_notices_total", "Servers that told when they leave",
+          placed.leaving);
     count("rounds_without_room_total", "Rounds that left tasks waiting",
           placed.no_place);
     count("grants_given_total", "Places for tasks of other entries",
--- a/src/glenhollow/durable/job_coordinator.cpp
+++ b/src/glenhollow/durable/job_coordinator.cpp
@@ -463,6 +463,9 @@
     order.urgency = record.job.objective_ms - step.estimate_ms;
     order.spec = record.job.spec;
     order.estimate_ms = step.estimate_ms;
+    if (!chain_)
+        order.useful_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(
+            1, to_ms(record.give_up - around_.clock.now())));
     return order;
 }
 
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -489,6 +489,17 @@
     count("runner_registrations_stale_total",
           "Registrations of lives that had ended", stats.stale_registrations,
           {});
+    count("server_notices_total", "Lives that told when they would leave",
+          stats.notices, {});
+    count("runs_moved_total", "Runs stopped to be run at another server",
+          stats.moved, {});
+    count("runs_moved_ms_total", "Time that these had run, thrown away",
+          stats.moved_ms, {});
+    count("runs_lost_leaving_total",
+          "Runs that can't end before the server leaves, nor elsewhere",
+          stats.lost, {});
+    count("orders_refused_leaving_total", "Orders that came after a notice",
+          stats.refused_leaving, {});
     count("hold_lapses_total", "Times the hold was left to lapse", stats.lapses,
           {});
     for (std::size_t i = 0; i < stats.ends.size(); ++i)
@@ -502,6 +513,14 @@
     const auto room = manager_.room();
     page.gauge("runner_used_cores", "Cores taken", room.used.cpu / 1000.0);
     page.gauge("runner_waiting_orders", "Orders without room", room.waiting);
+    page.gauge("server_pace", "Time of runs over what was expected; 0: unknown",
+               room.pace);
+    page.gauge("server_pace_ends", "Ends that the pace was learned from",
+               manager_.pace().ends());
+    page.gauge("server_cold", "1 while the server is slow from its start",
+               room.cold.count() > 0 ? 1 : 0);
+    page.gauge("server_leaving", "1 while the server has told when it leaves",
+               room.leaves_in ? 1 : 0);
     page.gauge("hall_evacuated", "Whether the hall gets no new work",
                manager_.evacuated() ? 1 : 0);
     page.gauge("ends_unconfirmed", "Ends that no owner has confirmed",
--- a/src/glenhollow/runs/run_manager.cpp
+++ b/src/glenhollow/runs/run_manager.cpp
@@ -15,7 +15,8 @@
                          delay later, std::uint64_t fencing_token,
                          const run_manager_settings& settings)
     : clock_(clock), runner_(runner), later_(std::move(later)),
-      settings_(settings), token_(fencing_token), breaker_(settings.breaker)
+      settings_(settings), token_(fencing_token), pace_(settings.pace),
+      breaker_(settings.breaker)
 {
     answered_ = clock_.now();
 }
@@ -45,8 +46,9 @@
                           room().waiting >= settings_.waiting_limit);
     largest_cpu_ = std::max(largest_cpu_, order.needs.cpu);
     record.order = std::move(order);
-    record.changed = clock_.now();
+    record.changed = record.ordered = clock_.now();
     runs_.emplace(ref, std::move(record));
+    stats_.refused_leaving += refused && account_.leaves ? 1 : 0;
     if (refused)
         return end_run(ref, run_outcome::not_begun, 0);
     start_waiting();
@@ -306,6 +308,8 @@
         const auto ran = clock_.now() - known->second.changed;
         end.micros = static_cast<std::uint32_t>(
             std::chrono::duration_cast<microseconds>(ran).count());
+        if (how == run_outcome::done)
+            note_pace(known->second);
     }
     const bool occupied = known != runs_.end() && occupies(known->second.phase);
     const bool orphan =
@@ -350,6 +354,7 @@
     check_leases();
     check_silence();
     check_runs();
+    check_leaving();
     start_waiting();
 }
 
@@ -429,8 +434,13 @@
 
 runner_room run_manager::room() const
 {
+    const auto now = clock_.now();
     runner_room out;
     out.used = used_;
+    if (account_.leaves)
+        out.leaves_in = std::max(duration{0}, *account_.leaves - now);
+    out.cold = std::max(duration{0}, account_.cold_until - now);
+    out.pace = pace_.known() ? pace_.value() : 0;
     for (const auto& [ref, run] : runs_)
     {
         if (run.phase != run_phase::waiting)
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -4,9 +4,11 @@
 #include "glenhollow/core/clock.hpp"
 #include "glenhollow/durable/durable_job.hpp"
 #include "glenhollow/runs/end_ledger.hpp"
+#include "glenhollow/runs/leaving_server.hpp"
 #include "glenhollow/runs/runner_breaker.hpp"
 #include "glenhollow/runs/runner_clock.hpp"
 #include "glenhollow/runs/runner_port.hpp"
+#include "glenhollow/runs/server_pace.hpp"
 #include "glenhollow/telemetry/metrics.hpp"
 
 #include <cstdint>
@@ -84,6 +86,17 @@
     std::vector<std::string> labels;           ///< Kind, rack.
     resources capacity;                        ///< All of it.
     runner_phase phase = runner_phase::absent; ///< Whether it takes work.
+    std::optional<instant> leaves; ///< At the earliest, by the agent's clock;
+                                   ///< all that runs there ends with it.
+    instant cold_until{};          ///< Slow from its start until then.
+};
+
+/// Times that a runner tells with its account, as of its own clock.
+struct runner_times
+{
+    std::int64_t clock_ms = 0; ///< The runner's clock then; 0: not told.
+    std::optional<duration> remaining; ///< Until it leaves, at least.
+    duration cold{};                   ///< It stays slow for so long.
 };
 
 /// What an agent tells of its runner's room.
@@ -91,6 +104,9 @@
 {
     resources used;            ///< By what runs, starts, stops or waits.
     std::uint32_t waiting = 0; ///< Orders without room yet.
+    std::optional<duration> leaves_in; ///< The runner's notice, as of now.
+    duration cold{};                   ///< It stays slow for so long.
+    double pace = 0; ///< Time of runs over what was expected; 0: not known.
 };
 
 /// A start that an owner orders.
@@ -105,6 +121,10 @@
     std::uint64_t placer = 0;      ///< Incarnation of the entry that chose
                                    ///< this agent, if not the sender.
     std::uint32_t grant = 0;       ///< Its number there; 0: none.
+    std::uint32_t expected_ms = 0; ///< At a warm server of usual speed, as far
+                                   ///< from its data; 0: not known.
+    std::uint32_t useful_ms = 0;   ///< An end later than this from the order
+                                   ///< on helps nobody; 0: any does.
 };
 
 /// A run as its agent lists it for a new owner.
@@ -150,7 +170,12 @@
     double stall_share = 0.35;                ///< Of the guessed time.
     duration least_stall = milliseconds{200}; ///< Whatever is guessed.
     runner_breaker_settings breaker;          ///< Judgement on the runner.
-    duration keep_unwanted = seconds{10};     ///< Ends of entries that went.
+    leaving_settings leaving;                 ///< At one that leaves.
+    server_pace_settings pace;                ///< The estimate of its pace.
+    duration blind = milliseconds{150}; ///< Ends seen past a longer gap between
+                                        ///< answered looks tell no pace; a look
+                                        ///< takes its wait and an answer.
+    duration keep_unwanted = seconds{10};       ///< Ends of entries that went.
     duration first_refusal = milliseconds{200}; ///< After a refused start the
                                                 ///< runner is left alone.
     duration longest_refusal = milliseconds{1600}; ///< After repeated ones.
@@ -169,6 +194,11 @@
     std::uint64_t stalled = 0;    ///< Runs stopped for want of progress.
     std::uint64_t vanished = 0;   ///< Runs that the runner no longer showed.
     std::uint64_t stale_registrations = 0; ///< Of lives that had ended.
+    std::uint64_t notices = 0;  ///< Lives that told when they would leave.
+    std::uint64_t moved = 0;    ///< Runs stopped to be run elsewhere.
+    std::uint64_t moved_ms = 0; ///< Time that these had run: thrown away.
+    std::uint64_t lost = 0;     ///< Runs that could not end, nor elsewhere.
+    std::uint64_t refused_leaving = 0; ///< Orders that came after a notice.
     std::array<std::uint64_t, name_table<run_outcome>::names.size()>
         ends{}; ///< By outcome.
 };
@@ -220,7 +250,9 @@
     bool informed() const { return informed_; }
 
     /// @param account As the runner registers itself.
-    void registered(const runner_account& account);
+    /// @param times That it told with it.
+    void registered(const runner_account& account,
+                    const runner_times& times = {});
 
     /// @param instance A life that has ended.
     void departed(const std::string& instance);
@@ -287,6 +319,9 @@
     /// @return Room as owners should see it.
     runner_room room() const;
 
+    /// @return How long runs take there, over what was expected.
+    const server_pace& pace() const { return pace_; }
+
     /// @return Ends that no owner has confirmed.
     const end_ledger& ledger() const { return ledger_; }
 
@@ -317,6 +352,8 @@
         instant orphaned{}; ///< Its lease was found expired; zero: it has one.
         std::uint32_t percent = 0; ///< Of its work, as last shown.
         instant progressed{};      ///< When the percent last rose.
+        instant ordered{};         ///< When its order came.
+        bool lost = false;         ///< It can't end before its server leaves.
     };
 
     /// What is known of one lease.
@@ -338,6 +375,10 @@
 
     using runs = std::unordered_map<run_ref, run_record, run_ref_hash>;
 
+    void date(runner_account& account, const runner_times& times) const;
+    void note_notice(const std::optional<instant>& before);
+    void check_leaving();
+    void note_pace(const run_record& run);
     void take_account(const runner_account& account);
     void replace_life(const runner_account& next);
     void verify_life(instant sent);
@@ -397,6 +438,8 @@
     std::optional<runner_account> candidate_; ///< A life that has registered
                                               ///< while another answers.
     instant candidate_since_{};               ///< When it did.
+    server_pace pace_;                        ///< Of the registered life.
+    duration look_gap_{};       ///< Between the last two answered looks.
     bool verified_ = false;     ///< The registered life has answered.
     bool evacuated_ = false;    ///< The hall gets no new work.
     runner_clock runner_clock_; ///< The runner's clock as seen here.
--- a/src/glenhollow/runs/run_manager_lives.cpp
+++ b/src/glenhollow/runs/run_manager_lives.cpp
@@ -11,8 +11,11 @@
 /// A heartbeat that was held back may come after its sender has ended and the
 /// next life has registered. Which life is there is told by the backend server
 /// itself: it refuses a look that expects another one.
-void run_manager::registered(const runner_account& account)
+void run_manager::registered(const runner_account& told,
+                             const runner_times& times)
 {
+    auto account = told;
+    date(account, times);
     if (account_.instance == account.instance || account_.instance.empty())
         return take_account(account);
     if (!verified_)
@@ -27,9 +30,13 @@
 {
     const bool news = account_.instance != account.instance;
     const auto phase = account_.phase;
+    const auto left = account_.leaves;
     account_ = account;
     account_.phase = phase;
     told_phase_ = account.phase;
+    if (news)
+        pace_.reset(); // It may be of another kind, also at this address.
+    note_notice(left);
     if (news)
         log_change(log_level::info, "runner_registered",
                    {{"instance", account.instance},
@@ -84,6 +91,8 @@
     log_change(log_level::info, "runner_departed", {{"instance", instance}});
     candidate_.reset();
     account_.instance.clear();
+    account_.leaves.reset();
+    account_.cold_until = {};
     told_phase_ = runner_phase::absent;
     set_phase(runner_phase::absent);
     // What was found running may be another life's than that which departs.
--- a/src/glenhollow/runs/run_manager_looks.cpp
+++ b/src/glenhollow/runs/run_manager_looks.cpp
@@ -144,6 +144,7 @@
     {
         if (expected)
             verify_life(asked.sent);
+        look_gap_ = clock_.now() - answered_;
         answered_ = clock_.now();
         const bool first = !informed_;
         informed_ = true;
--- a/src/glenhollow/runs/run_wire.cpp
+++ b/src/glenhollow/runs/run_wire.cpp
@@ -36,6 +36,38 @@
     return account;
 }
 
+constexpr double per_thousand = 1000.0;
+
+std::uint32_t to_ms(duration length)
+{
+    return static_cast<std::uint32_t>(
+        std::chrono::duration_cast<milliseconds>(length).count());
+}
+
+void fill_room(wire::RunnerState::Builder out, const runner_room& room)
+{
+    out.setUsedCpu(room.used.cpu);
+    out.setUsedMemory(room.used.memory);
+    out.setUsedGpu(room.used.gpu);
+    out.setWaiting(room.waiting);
+    if (room.leaves_in)
+        out.setLeavesIn(1 + to_ms(*room.leaves_in));
+    out.setColdMs(to_ms(room.cold));
+    out.setPaceMilli(static_cast<std::uint32_t>(room.pace * per_thousand));
+}
+
+runner_room room_from(wire::RunnerState::Reader in)
+{
+    runner_room room;
+    room.used = {in.getUsedCpu(), in.getUsedMemory(), in.getUsedGpu()};
+    room.waiting = in.getWaiting();
+    if (in.getLeavesIn() > 0)
+        room.leaves_in = milliseconds{in.getLeavesIn() - 1};
+    room.cold = milliseconds{in.getColdMs()};
+    room.pace = in.getPaceMilli() / per_thousand;
+    return room;
+}
+
 /// Fills a list of structures.
 template <class List, class Items>
 void fill_all(List list, const Items& items)
@@ -114,6 +146,8 @@
     out.setEstimateMs(order.estimate_ms);
     out.setPlacer(order.placer);
     out.setGrant(order.grant);
+    out.setExpectedMs(order.expected_ms);
+    out.setUsefulMs(order.useful_ms);
 }
 
 run_order from_wire(wire::RunOrder::Reader in)
@@ -127,6 +161,8 @@
     order.estimate_ms = in.getEstimateMs();
     order.placer = in.getPlacer();
     order.grant = in.getGrant();
+    order.expected_ms = in.getExpectedMs();
+    order.useful_ms = in.getUsefulMs();
     return order;
 }
 
@@ -151,10 +187,7 @@
     if (report.whole)
         fill_account(out, report.account);
     out.setPhase(static_cast<std::uint8_t>(report.account.phase));
-    out.setUsedCpu(report.room.used.cpu);
-    out.setUsedMemory(report.room.used.memory);
-    out.setUsedGpu(report.room.used.gpu);
-    out.setWaiting(report.room.waiting);
+    fill_room(out, report.room);
     out.setReceived(report.received);
 }
 
@@ -165,8 +198,7 @@
     if (report.whole)
         report.account = account_from(in);
     report.account.phase = from_index(in.getPhase(), runner_phase::absent);
-    report.room.used = {in.getUsedCpu(), in.getUsedMemory(), in.getUsedGpu()};
-    report.room.waiting = in.getWaiting();
+    report.room = room_from(in);
     report.received = in.getReceived();
     return report;
 }
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -859,7 +859,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f7dea9ea25727732, 6, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f7dea9ea25727732, 7, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -919,7 +919,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b25201a161893fdc, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b25201a161893fdc, 7, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -5720,6 +5720,10 @@
 
   inline  ::uint32_t getGrant() const;
 
+  inline  ::uint32_t getExpectedMs() const;
+
+  inline  ::uint32_t getUsefulMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5789,6 +5793,12 @@
   inline  ::uint32_t getGrant();
   inline void setGrant( ::uint32_t value);
 
+  inline  ::uint32_t getExpectedMs();
+  inline void setExpectedMs( ::uint32_t value);
+
+  inline  ::uint32_t getUsefulMs();
+  inline void setUsefulMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6156,6 +6166,12 @@
 
   inline bool getWhole() const;
 
+  inline  ::uint32_t getLeavesIn() const;
+
+  inline  ::uint32_t getColdMs() const;
+
+  inline  ::uint32_t getPaceMilli() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6243,6 +6259,15 @@
   inline bool getWhole();
   inline void setWhole(bool value);
 
+  inline  ::uint32_t getLeavesIn();
+  inline void setLeavesIn( ::uint32_t value);
+
+  inline  ::uint32_t getColdMs();
+  inline void setColdMs( ::uint32_t value);
+
+  inline  ::uint32_t getPaceMilli();
+  inline void setPaceMilli( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -12698,6 +12723,34 @@
       ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t RunOrder::Reader::getExpectedMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunOrder::Builder::getExpectedMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void RunOrder::Builder::setExpectedMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RunOrder::Reader::getUsefulMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunOrder::Builder::getUsefulMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void RunOrder::Builder::setUsefulMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RunRef::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -13221,6 +13274,48 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t RunnerState::Reader::getLeavesIn() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunnerState::Builder::getLeavesIn() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void RunnerState::Builder::setLeavesIn( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RunnerState::Reader::getColdMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunnerState::Builder::getColdMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void RunnerState::Builder::setColdMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RunnerState::Reader::getPaceMilli() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunnerState::Builder::getPaceMilli() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void RunnerState::Builder::setPaceMilli( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint16_t PartEpoch::Reader::getPart() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- /dev/null
+++ b/tests/unit/durable/server_order_tests.cpp
@@ -0,0 +1,283 @@
+// Which backend server a task goes to: cold, leaving, quick and slow ones.
+#include "unit/durable/coordinator_world.hpp"
+#include "unit/durable/placement_world.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace glenhollow;
+
+namespace
+{
+
+/// Servers of known pace, by the order of a setting.
+struct paced_world : placement_world
+{
+    explicit paced_world(server_order order, double far_factor = 1)
+        : placement_world(far_factor),
+          ordered(loop.clock, *this, *this, limits_of(order, far_factor))
+    {
+    }
+
+    static dispatcher_settings limits_of(server_order order, double far_factor)
+    {
+        auto out = settings(far_factor, 1, 0);
+        out.order = order;
+        return out;
+    }
+
+    void server(const std::string& name, double pace, std::uint32_t taken = 0,
+                const std::string& rack = "rack-1")
+    {
+        auto known = report(rack, taken);
+        known.room.pace = pace;
+        ordered.attached(name, known);
+        ordered.adopted(name, memory_part);
+    }
+
+    /// @return Where a task of 60 ms with so much slack goes.
+    std::string place_with(duration slack, const std::string& rack = "")
+    {
+        starts.clear();
+        ordered.enqueue(task(rack, slack));
+        ordered.dispatch();
+        return starts.empty() ? "" : starts.back();
+    }
+
+    dispatcher ordered;
+};
+
+/// @param left Of a server that leaves.
+runner_report leaving_report(duration left)
+{
+    auto out = placement_world::report("rack-1", 0);
+    out.account.phase = runner_phase::draining;
+    out.room.leaves_in = left;
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("the quickest first: a task goes to the quickest with room to spare")
+{
+    paced_world world(server_order::fastest);
+    world.server("quick", 0.6);
+    world.server("slow", 1.67);
+    world.server("usual", 1.0);
+    CHECK(world.place_with(slack) == "quick");
+}
+
+TEST_CASE("the slowest in time: quick servers are kept for little slack")
+{
+    paced_world world(server_order::slowest_in_time);
+    world.server("quick", 0.6);
+    world.server("slow", 1.67);
+    world.server("usual", 1.0);
+    CHECK(world.place_with(milliseconds{96}) == "slow"); // 40 ms longer.
+    CHECK(world.place_with(milliseconds{20}) == "usual");
+    CHECK(world.place_with(milliseconds{-10}) == "quick");
+}
+
+TEST_CASE("the slowest in time: where none is, the quickest")
+{
+    paced_world world(server_order::slowest_in_time);
+    world.server("slow", 1.67);
+    world.server("slower", 3.0);
+    CHECK(world.place_with(milliseconds{10}) == "slow");
+}
+
+TEST_CASE("the earliest end: a quick server goes before one with much room")
+{
+    paced_world world(server_order::earliest_end);
+    world.server("quick", 0.6, 13000);
+    world.server("usual", 1.0);
+    CHECK(world.place_with(slack) == "quick");
+    paced_world other(server_order::fastest);
+    other.server("quick", 0.6, 13000);
+    other.server("usual", 1.0);
+    CHECK(other.place_with(slack) == "usual");
+}
+
+TEST_CASE("a cold server comes behind warm ones until its time is over")
+{
+    placement_world world;
+    world.runner("warm", "rack-1", 12000);
+    auto cold = placement_world::report("rack-1", 0);
+    cold.room.cold = seconds{2};
+    world.placing.attached("cold", cold);
+    world.placing.adopted("cold", memory_part);
+    CHECK(world.place(world.task("", slack)) == "warm");
+    world.loop.advance(milliseconds{2100});
+    CHECK(world.place(world.task("", slack)) == "cold");
+}
+
+TEST_CASE("a cold server is used where no warm one has room")
+{
+    placement_world world;
+    world.runner("warm", "rack-1", 16000);
+    auto cold = placement_world::report("rack-1", 0);
+    cold.room.cold = seconds{2};
+    world.placing.attached("cold", cold);
+    world.placing.adopted("cold", memory_part);
+    CHECK(world.place(world.task("", slack)) == "cold");
+    CHECK(world.placing.stats().cold == 1);
+}
+
+TEST_CASE("the room of a leaving server is out of the plans at once")
+{
+    placement_world world;
+    world.runner("a", "rack-1");
+    world.runner("b", "rack-1", 15000);
+    CHECK(world.placing.ready_cores("service-1") == Approx(32));
+    world.placing.reported("a", leaving_report(seconds{2}));
+    CHECK(world.placing.ready_cores("service-1") == Approx(16));
+    CHECK(world.placing.free_cores("service-1") == Approx(1));
+    CHECK(world.placing.loads().at("service-1").ready_cores == Approx(16));
+    CHECK(world.place(world.task("", slack)).empty());
+    world.placing.reported("a", leaving_report(seconds{1}));
+    CHECK(world.placing.stats().leaving == 1);
+}
+
+TEST_CASE("a task waits for no room at its data where that server leaves")
+{
+    placement_world world;
+    world.runner("a", "rack-1");
+    world.runner("b", "rack-2", 15000);
+    CHECK(world.place(world.task("rack-2", slack)).empty());
+    auto leaving = leaving_report(seconds{2});
+    leaving.account.labels = {"kind-a", "rack-2"};
+    world.placing.reported("b", leaving);
+    CHECK(world.place_again() == "a");
+}
+
+TEST_CASE("cores of a leaving server do not keep its rack from being hot")
+{
+    placement_world world;
+    world.runner("a", "rack-1", 8000);
+    world.runner("b", "rack-2");
+    world.runner("c", "rack-2", 16000);
+    auto leaving = leaving_report(seconds{2});
+    leaving.account.labels = {"kind-a", "rack-2"};
+    world.placing.reported("c", leaving);
+    for (int i = 0; i < 5; ++i) // 12.8 core-seconds within a second.
+    {
+        auto wide = world.task("rack-2", slack);
+        wide.estimate_ms = 1600;
+        world.placing.enqueue(wide);
+    }
+    world.loop.advance(milliseconds{100});
+    world.placing.dispatch();
+    REQUIRE(world.starts == std::vector<std::string>(5, "b"));
+    CHECK(world.place(world.task("", slack)) == "a");
+}
+
+TEST_CASE("runs stopped because their server leaves are not held against it")
+{
+    placement_world world;
+    world.runner("a", "rack-1");
+    world.placing.reported("a", leaving_report(seconds{2}));
+    run_end end;
+    end.how = run_outcome::stopped;
+    for (int i = 0; i < 20; ++i)
+        world.placing.note_end("a", end, {});
+    world.placing.reported("a", placement_world::report("rack-1", 0));
+    CHECK(world.place(world.task("", slack)) == "a");
+}
+
+TEST_CASE("an order tells what it takes there, as far from its data as it is")
+{
+    placement_world world(1.5);
+    world.runner("a", "rack-1");
+    CHECK(world.place(world.task("rack-1", slack)) == "a");
+    CHECK(world.place(world.task("rack-9", slack)) == "a");
+    REQUIRE(world.orders.size() == 2);
+    CHECK(world.orders[0].expected_ms == 60);
+    CHECK(world.orders[1].expected_ms == 90);
+}
+
+TEST_CASE("the pace that an agent tells counts, until its server is another")
+{
+    agent_view view("agent-1");
+    auto report = placement_world::report("rack-1", 0);
+    report.account.instance = "life-1";
+    view.attached(report);
+    view.note_pace(3.0);
+    CHECK(view.pace() > 1.0);
+    report.room.pace = 1.6;
+    view.reported(report);
+    CHECK(view.pace() == Approx(1.6));
+    view.detached();
+    view.attached(report); // The same life.
+    CHECK(view.pace() == Approx(1.6));
+    report.account.instance = "life-2";
+    report.room.pace = 0;
+    view.reported(report);
+    CHECK(view.pace() == Approx(1.0));
+}
+
+TEST_CASE("a task stopped at a leaving server starts elsewhere, once it ended")
+{
+    coordinator_world world;
+    world.in_memory();
+    world.submit(coordinator_world::memory_job(1, 1));
+    REQUIRE(world.started.size() == 1);
+    const auto [agent, run] = world.started.front();
+    const std::string other = agent == "agent-1" ? "agent-2" : "agent-1";
+    world.started.clear();
+    auto leaving = coordinator_world::report(agent, runner_phase::draining);
+    leaving.room.leaves_in = seconds{2};
+    world.placing.reported(agent, leaving);
+    world.settle();
+    CHECK(world.started.empty()); // It may still run there.
+    world.end(agent, run, run_outcome::stopped);
+    REQUIRE(world.started.size() == 1);
+    CHECK(world.started[0].first == other);
+    CHECK(world.started[0].second.run > run.run);
+    CHECK(world.coordinator->stats().restarted == 1);
+    world.end_all(run_outcome::done);
+    CHECK(world.replies.at(1).state == job_state::succeeded);
+}
+
+TEST_CASE("a task moved to a server that leaves as well is moved once more")
+{
+    // Two waves that overlap.
+    coordinator_world world;
+    world.in_memory();
+    world.submit(coordinator_world::memory_job(1, 1));
+    for (int wave = 0; wave < 2; ++wave)
+    {
+        REQUIRE(world.started.size() == 1);
+        const auto [agent, run] = world.started.front();
+        world.started.clear();
+        auto leaving = coordinator_world::report(agent, runner_phase::draining);
+        leaving.room.leaves_in = seconds{2};
+        world.placing.reported(agent, leaving);
+        world.end(agent, run, run_outcome::stopped);
+    }
+    CHECK(world.started.empty()); // No server takes work.
+    auto back = coordinator_world::report("agent-1", runner_phase::ready);
+    back.account.instance = "another life";
+    world.placing.reported("agent-1", back);
+    world.settle();
+    REQUIRE(world.started.size() == 1);
+    world.end_all(run_outcome::done);
+    CHECK(world.replies.at(1).state == job_state::succeeded);
+}
+
+TEST_CASE("an order of a job in memory tells how long its end is of use")
+{
+    coordinator_world world;
+    world.in_memory();
+    for (const auto* name : {"agent-1", "agent-2"})
+    {
+        auto full = coordinator_world::report(name, runner_phase::ready);
+        full.room.used = full.account.capacity; // The task waits.
+        world.placing.reported(name, full);
+    }
+    ready_task wanted;
+    world.submit(coordinator_world::memory_job(1, 1)); // Of 3 s.
+    wanted.task.job = 1;
+    const auto order = world.coordinator->assign(wanted, "agent-1");
+    REQUIRE(order);
+    CHECK(order->useful_ms > 2800);
+    CHECK(order->useful_ms <= 3000);
+}
--- /dev/null
+++ b/tests/unit/runs/run_wire_tests.cpp
@@ -0,0 +1,55 @@
+#include "glenhollow/runs/run_wire.hpp"
+
+#include <capnp/message.h>
+#include <catch2/catch.hpp>
+
+using namespace glenhollow;
+
+namespace
+{
+
+runner_report over_wire(const runner_report& report)
+{
+    capnp::MallocMessageBuilder message;
+    auto out = message.initRoot<wire::RunnerState>();
+    fill(out, report);
+    return from_wire(out.asReader());
+}
+
+} // namespace
+
+TEST_CASE("times and pace of a server travel with reports of room alone")
+{
+    runner_report report;
+    report.whole = false;
+    report.room.leaves_in = milliseconds{1800};
+    report.room.cold = milliseconds{250};
+    report.room.pace = 1.625;
+    const auto got = over_wire(report);
+    REQUIRE(got.room.leaves_in);
+    CHECK(*got.room.leaves_in == milliseconds{1800});
+    CHECK(got.room.cold == milliseconds{250});
+    CHECK(got.room.pace == Approx(1.625));
+}
+
+TEST_CASE("a server that leaves at once is told apart from one that stays")
+{
+    runner_report report;
+    CHECK_FALSE(over_wire(report).room.leaves_in);
+    report.room.leaves_in = duration{0};
+    REQUIRE(over_wire(report).room.leaves_in);
+    CHECK(over_wire(report).room.leaves_in->count() == 0);
+}
+
+TEST_CASE("what an order expects and how long it is of use travel with it")
+{
+    run_order order;
+    order.expected_ms = 90;
+    order.useful_ms = 2900;
+    capnp::MallocMessageBuilder message;
+    auto out = message.initRoot<wire::RunOrder>();
+    fill(out, order);
+    const auto got = from_wire(out.asReader());
+    CHECK(got.expected_ms == 90);
+    CHECK(got.useful_ms == 2900);
+}
