--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -276,45 +276,16 @@
     // Other entries place there too, and this view of it is not of now.
     out.crowded = taken > settings_.crowded;
     out.cold = agent.cold(clock_.now());
-    order_by_pace(out, agent, task);
+    const double longer = out.far ? settings_.far_factor : 1.0;
+    if (settings_.order == server_order::earliest_end)
+        out.end = class_of(agent.pace() * longer);
+    else
+        out.slowness = class_of(agent.pace());
     out.taken = static_cast<int>(taken * quarters);
     out.tie_breaker = agent.tie_breaker();
     return out;
 }
 
-/// @param out Gets what the order of servers says of the runner.
-void dispatcher::order_by_pace(rank& out, const agent_view& agent,
-                               const ready_task& task) const
-{
-    const double longer = out.far ? settings_.far_factor : 1.0;
-    switch (settings_.order)
-    {
-    case server_order::fastest:
-        out.slowness = class_of(agent.pace());
-        return;
-    case server_order::earliest_end:
-        out.end = class_of(agent.pace() * longer);
-        return;
-    case server_order::slowest_in_time:
-    {
-        const bool ends_in_time =
-            clock_.now() + longer_by(task, agent.pace() * longer) <=
-            last_moment(task);
-        out.slowness = class_of(agent.pace()) * (ends_in_time ? -1 : 1);
-        out.late = !ends_in_time;
-        return;
-    }
-    }
-}
-
-/// @param pace Time of a task, over its estimate.
-/// @return How much longer than its estimate the task takes.
-duration dispatcher::longer_by(const ready_task& task, double pace)
-{
-    const double longer_ms = task.estimate_ms * (pace - 1.0);
-    return milliseconds{static_cast<std::int64_t>(longer_ms)};
-}
-
 /// Far from its data a task takes longer, and takes room from others for so
 /// long: only if it ends in time there all the same, or is late anyway.
 bool dispatcher::worth_going_far(const agent_view& agent, const rank& far,
@@ -325,7 +296,9 @@
     const auto now = clock_.now();
     if (task.start_by < now)
         return true;
-    return now + longer_by(task, settings_.far_factor * agent.pace()) <=
+    const double longer_ms =
+        task.estimate_ms * (settings_.far_factor * agent.pace() - 1.0);
+    return now + milliseconds{static_cast<std::int64_t>(longer_ms)} <=
            task.start_by;
 }
 
--- a/src/glenhollow/durable/dispatcher.hpp
+++ b/src/glenhollow/durable/dispatcher.hpp
@@ -115,17 +115,15 @@
 /// they are known to take.
 enum class server_order : std::uint8_t
 {
-    fastest,         ///< The quickest with room to spare.
-    slowest_in_time, ///< The slowest where it still ends in time; quick ones
-                     ///< are kept for tasks with little slack.
-    earliest_end     ///< Where it ends first, also if little room is left.
+    fastest,     ///< The quickest with room to spare.
+    earliest_end ///< Where it ends first, also if little room is left.
 };
 
 template <>
 struct name_table<server_order>
 {
-    static constexpr std::array<std::string_view, 3> names{
-        "fastest", "slowest-in-time", "earliest-end"};
+    static constexpr std::array<std::string_view, 2> names{"fastest",
+                                                           "earliest-end"};
 };
 
 /// Limits of a dispatcher.
@@ -361,7 +359,6 @@
         bool far = false;              ///< It lacks the preferred label.
         bool hot = false;              ///< Others prefer it.
         bool cold = false;             ///< It is slow from its start.
-        bool late = false;             ///< Too slow for the task.
         int end = 0;                   ///< Class of the time until its end.
         bool crowded = false;          ///< Little room is left.
         int slowness = 0;              ///< Class of its pace.
@@ -372,9 +369,6 @@
     };
 
     rank rank_of(const agent_view& agent, const ready_task& task) const;
-    void order_by_pace(rank& out, const agent_view& agent,
-                       const ready_task& task) const;
-    static duration longer_by(const ready_task& task, double pace);
     bool can_order(const agent_view& agent, const ready_task& task) const;
     bool worth_going_far(const agent_view& agent, const rank& far,
                          const ready_task& task) const;
--- a/tests/unit/durable/server_order_tests.cpp
+++ b/tests/unit/durable/server_order_tests.cpp
@@ -12,33 +12,31 @@
 /// Servers of known pace, by the order of a setting.
 struct paced_world : placement_world
 {
-    explicit paced_world(server_order order, double far_factor = 1)
-        : placement_world(far_factor),
-          ordered(loop.clock, *this, *this, limits_of(order, far_factor))
+    explicit paced_world(server_order order)
+        : placement_world(1), ordered(loop.clock, *this, *this, limits(order))
     {
     }
 
-    static dispatcher_settings limits_of(server_order order, double far_factor)
+    static dispatcher_settings limits(server_order order)
     {
-        auto out = settings(far_factor, 1, 0);
+        auto out = settings(1, 1, 0);
         out.order = order;
         return out;
     }
 
-    void server(const std::string& name, double pace, std::uint32_t taken = 0,
-                const std::string& rack = "rack-1")
+    void server(const std::string& name, double pace, std::uint32_t taken = 0)
     {
-        auto known = report(rack, taken);
+        auto known = report("rack-1", taken);
         known.room.pace = pace;
         ordered.attached(name, known);
         ordered.adopted(name, memory_part);
     }
 
-    /// @return Where a task of 60 ms with so much slack goes.
-    std::string place_with(duration slack, const std::string& rack = "")
+    /// @return Where a task goes.
+    std::string place_one()
     {
         starts.clear();
-        ordered.enqueue(task(rack, slack));
+        ordered.enqueue(task("", slack));
         ordered.dispatch();
         return starts.empty() ? "" : starts.back();
     }
@@ -63,26 +61,7 @@
     world.server("quick", 0.6);
     world.server("slow", 1.67);
     world.server("usual", 1.0);
-    CHECK(world.place_with(slack) == "quick");
-}
-
-TEST_CASE("the slowest in time: quick servers are kept for little slack")
-{
-    paced_world world(server_order::slowest_in_time);
-    world.server("quick", 0.6);
-    world.server("slow", 1.67);
-    world.server("usual", 1.0);
-    CHECK(world.place_with(milliseconds{96}) == "slow"); // 40 ms longer.
-    CHECK(world.place_with(milliseconds{20}) == "usual");
-    CHECK(world.place_with(milliseconds{-10}) == "quick");
-}
-
-TEST_CASE("the slowest in time: where none is, the quickest")
-{
-    paced_world world(server_order::slowest_in_time);
-    world.server("slow", 1.67);
-    world.server("slower", 3.0);
-    CHECK(world.place_with(milliseconds{10}) == "slow");
+    CHECK(world.place_one() == "quick");
 }
 
 TEST_CASE("the earliest end: a quick server goes before one with much room")
@@ -90,11 +69,11 @@
     paced_world world(server_order::earliest_end);
     world.server("quick", 0.6, 13000);
     world.server("usual", 1.0);
-    CHECK(world.place_with(slack) == "quick");
+    CHECK(world.place_one() == "quick");
     paced_world other(server_order::fastest);
     other.server("quick", 0.6, 13000);
     other.server("usual", 1.0);
-    CHECK(other.place_with(slack) == "usual");
+    CHECK(other.place_one() == "usual");
 }
 
 TEST_CASE("a cold server comes behind warm ones until its time is over")
