--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -874,7 +874,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f7dea9ea25727732, 6, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f7dea9ea25727732, 7, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -934,7 +934,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b25201a161893fdc, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b25201a161893fdc, 7, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -5972,6 +5972,10 @@
 
   inline  ::uint32_t getGrant() const;
 
+  inline  ::uint32_t getExpectedMs() const;
+
+  inline  ::uint32_t getUsefulMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6041,6 +6045,12 @@
   inline  ::uint32_t getGrant();
   inline void setGrant( ::uint32_t value);
 
+  inline  ::uint32_t getExpectedMs();
+  inline void setExpectedMs( ::uint32_t value);
+
+  inline  ::uint32_t getUsefulMs();
+  inline void setUsefulMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6408,6 +6418,12 @@
 
   inline bool getWhole() const;
 
+  inline  ::uint32_t getLeavesIn() const;
+
+  inline  ::uint32_t getColdMs() const;
+
+  inline  ::uint32_t getPaceMilli() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6495,6 +6511,15 @@
   inline bool getWhole();
   inline void setWhole(bool value);
 
+  inline  ::uint32_t getLeavesIn();
+  inline void setLeavesIn( ::uint32_t value);
+
+  inline  ::uint32_t getColdMs();
+  inline void setColdMs( ::uint32_t value);
+
+  inline  ::uint32_t getPaceMilli();
+  inline void setPaceMilli( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -14288,6 +14313,34 @@
       ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t RunOrder::Reader::getExpectedMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunOrder::Builder::getExpectedMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void RunOrder::Builder::setExpectedMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RunOrder::Reader::getUsefulMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunOrder::Builder::getUsefulMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void RunOrder::Builder::setUsefulMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RunRef::Reader::hasTask() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -14811,6 +14864,48 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t RunnerState::Reader::getLeavesIn() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunnerState::Builder::getLeavesIn() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void RunnerState::Builder::setLeavesIn( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RunnerState::Reader::getColdMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunnerState::Builder::getColdMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void RunnerState::Builder::setColdMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RunnerState::Reader::getPaceMilli() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunnerState::Builder::getPaceMilli() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void RunnerState::Builder::setPaceMilli( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint16_t PartEpoch::Reader::getPart() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
