Intake: an entry bounds what it takes in by what its machine gives

http/intake_limits admits a request before its body is read: requests in hand, memory, bodies on their way over the link (in turn, at most half a second of it), connections by descriptors. 503 at once with Retry-After from the rate at which requests end; GET, DELETE, readiness and answers pass always. Bounds follow from memory-mb, max-fds, link-mbps; unsaid, they are generous. The listener waits 50 ms where accepting fails; it tried again at once before.

--- a/programs/durable_entry.cpp
+++ b/programs/durable_entry.cpp
@@ -38,7 +38,9 @@
           store_(loop_.io(), settings.store),
           service_(loop_.io(), process_clock(), store_, platform::begin_catalog,
                    service_settings()),
-          front_(service_)
+          front_(service_),
+          intake_(std::make_shared<intake_limits>(
+              process_clock(), intake_settings::within(settings.resources)))
     {
     }
 
@@ -51,6 +53,9 @@
         http_server_settings callers;
         callers.address = settings_.callers.host;
         callers.port = settings_.callers.port;
+        callers.intake = intake_;
+        callers.max_connections = intake_->settings().max_connections;
+        callers.max_body_bytes = intake_->settings().max_body_bytes;
         BOOST_OUTCOME_TRY(
             auto front,
             http_server::create(
@@ -136,6 +141,7 @@
         service_.collect(page);
         store_.collect(page);
         links_->collect(page);
+        intake_->collect(page);
         done({200, "text/plain; version=0.0.4", {}, page.render()});
     }
 
@@ -210,6 +216,7 @@
     platform::http_row_store store_;                   ///< The store.
     durable_service service_;                          ///< The product.
     platform::client_front front_;                     ///< Clients' side.
+    std::shared_ptr<intake_limits> intake_;            ///< Of callers.
     std::unique_ptr<rpc_listener> links_;              ///< Other entries.
     std::unique_ptr<http_server> callers_;             ///< Clients.
     std::unique_ptr<http_server> readiness_;           ///< The balancer.
--- a/programs/durable_entry.hpp
+++ b/programs/durable_entry.hpp
@@ -2,6 +2,7 @@
 #define PROGRAMS_DURABLE_ENTRY_HPP
 
 #include "glenhollow/durable/durable_service.hpp"
+#include "glenhollow/http/intake_limits.hpp"
 #include "platform/http_row_store.hpp"
 
 #include <functional>
@@ -31,6 +32,7 @@
     bool own_placement = false;         ///< Never placed by another entry.
     double cpu_share = 1.0;             ///< Of a core, for this process.
     double cores = 1.0;                 ///< How many times as fast it runs.
+    intake_resources resources;         ///< That the machine gives.
     double far_factor = 1.0;            ///< Time of a task far from its data,
                                         ///< over that near it.
 };
--- a/programs/durable_entry_main.cpp
+++ b/programs/durable_entry_main.cpp
@@ -61,6 +61,18 @@
                         "how many times as fast as usual that core runs");
     line.number<double>("far-factor", settings.far_factor, 1, 100, "",
                         "time of a task far from its data, over that near it");
+    auto& resources = settings.resources;
+    line.number<std::size_t>("memory-mb", resources.memory_mb, 0, 1'048'576,
+                             "MB",
+                             "past which this process is killed; bounds what "
+                             "it takes in, 0 if not known");
+    line.number<std::size_t>("max-fds", resources.descriptors, 0, 1'048'576, "",
+                             "descriptors that this process may open; bounds "
+                             "its connections, 0 if not known");
+    line.number<double>("link-mbps", resources.link_mbps, 0, 1'000'000,
+                        "Mbit/s",
+                        "of the machine's link, each way; bounds the bodies "
+                        "on their way, 0 if not known");
     line.choice("log-format", given.format, "format of log lines");
     return line;
 }
--- a/src/glenhollow/durable/configuration_keeper.cpp
+++ b/src/glenhollow/durable/configuration_keeper.cpp
@@ -135,7 +135,9 @@
     if (ahead_.empty() || reading_)
         return;
     const auto now = around_.clock.now();
-    if (store_reachable && now - behind_since_ < settings_.store_first)
+    const auto first = catalog_.version == 0 ? settings_.store_first_at_start
+                                             : settings_.store_first;
+    if (store_reachable && now - behind_since_ < first)
         return;
     if (asked_ && now - *asked_ < settings_.fetch_timeout)
         return;
--- a/src/glenhollow/http/server.cpp
+++ b/src/glenhollow/http/server.cpp
@@ -6,12 +6,15 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include <sys/socket.h>
 
+#include <array>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -29,6 +32,24 @@
 
 constexpr auto token = asio::use_awaitable;
 
+using head_parser = http::request_parser<http::empty_body>;
+using whole_request = http::request<http::string_body>;
+
+/// Where a listener cannot accept, for want of descriptors say.
+constexpr duration accept_pause = milliseconds{50};
+
+/// A body whose length its header does not say counts as this long, and may
+/// not be longer.
+constexpr std::size_t unsaid_body = 256UL << 10;
+
+/// Of a request that brings no work, and passes all bounds therefore.
+constexpr std::size_t question_body = 64UL << 10;
+
+/// Of a refused request, up to which its connection is kept.
+constexpr std::size_t dropped_body = 64UL << 10;
+
+constexpr duration drop_time = seconds{2};
+
 http_request to_request(http::request<http::string_body>& message)
 {
     http_request request;
@@ -82,6 +103,39 @@
     return answer;
 }
 
+http_response turned_away(const intake_refusal& refusal)
+{
+    http_response answer;
+    answer.status = 503;
+    answer.content_type = "application/problem+json";
+    const auto after = std::chrono::ceil<seconds>(refusal.retry_after).count();
+    answer.headers.push_back({"Retry-After", std::to_string(after)});
+    answer.body = R"({"type":"about:blank","title":"too much in hand",)"
+                  R"("status":503,"verdict":"not_run","reason":")" +
+                  std::string(to_name(refusal.bound)) + R"("})";
+    return answer;
+}
+
+/// @return Bytes of the body that are still to come.
+std::size_t bytes_to_come(const head_parser& head,
+                          const beast::flat_buffer& buffer)
+{
+    const auto length = head.content_length();
+    if (!length)
+        return head.chunked() ? unsaid_body : 0;
+    const auto whole = static_cast<std::size_t>(*length);
+    return whole - std::min(whole, buffer.size());
+}
+
+/// @return Bytes that the body takes, as far as the header says.
+std::size_t bytes_of_body(const head_parser& head)
+{
+    const auto length = head.content_length();
+    if (!length)
+        return head.chunked() ? unsaid_body : 0;
+    return static_cast<std::size_t>(*length);
+}
+
 /// Waits until the handler has called its responder.
 asio::awaitable<http_response> respond(const http_handler& handler,
                                        http_request request)
@@ -158,8 +212,19 @@
                 asio::redirect_error(token, ec));
             if (ec == asio::error::operation_aborted)
                 co_return;
-            if (ec || self->connections >= self->settings.max_connections)
+            if (ec)
+            {
+                // To try again at once would take all of the processor.
+                asio::steady_timer pause(self->io, accept_pause);
+                co_await pause.async_wait(asio::redirect_error(token, ec));
                 continue;
+            }
+            if (self->connections >= self->settings.max_connections)
+            {
+                if (self->settings.intake)
+                    self->settings.intake->refuse(intake_bound::connections);
+                continue;
+            }
             asio::co_spawn(self->io, serve(self, std::move(socket)),
                            asio::detached);
         }
@@ -180,49 +245,191 @@
         stream.socket().shutdown(tcp::socket::shutdown_send, ec);
     }
 
-    /// Answers one request.
+    /// Asks for a place for a request whose body is not read yet. A request
+    /// that waits for the link holds nothing but its connection.
+    static asio::awaitable<std::optional<intake_refusal>>
+    admit(state& self, std::size_t body, std::size_t to_come,
+          intake_place& place, std::unique_ptr<link_place>& on_link)
+    {
+        auto& intake = *self.settings.intake;
+        if (to_come != 0)
+        {
+            if (auto refusal = intake.stands_against(body))
+                co_return refusal;
+            on_link = intake.want_link(to_come);
+            if (!on_link->granted())
+                co_await wait_for(self, *on_link);
+            if (!on_link->granted())
+                co_return intake.refuse(intake_bound::link);
+        }
+        auto got = intake.admit(body);
+        if (const auto* refusal = std::get_if<intake_refusal>(&got))
+            co_return *refusal;
+        place = std::move(std::get<intake_place>(got));
+        co_return std::nullopt;
+    }
+
+    /// Waits for a place on the link, as long as its limits say.
+    static asio::awaitable<void> wait_for(state& self, link_place& on_link)
+    {
+        auto& intake = *self.settings.intake;
+        asio::steady_timer timer(self.io, intake.settings().link_patience);
+        on_link.on_granted([&timer] { timer.cancel(); });
+        error_code ec;
+        co_await timer.async_wait(asio::redirect_error(token, ec));
+        on_link.on_granted(nullptr);
+        if (!on_link.granted())
+            intake.review_link();
+    }
+
+    /// Answers a request of which no more is read than must be dropped.
     /// @return Whether the connection can take another.
-    static asio::awaitable<bool> serve_one(state& self,
+    static asio::awaitable<bool> turn_away(state& self,
                                            beast::tcp_stream& stream,
-                                           beast::flat_buffer& buffer)
+                                           beast::flat_buffer& buffer,
+                                           head_parser& head,
+                                           intake_refusal refusal)
     {
         error_code ec;
-        http::request_parser<http::string_body> parser;
-        parser.body_limit(self.settings.max_body_bytes);
-        parser.header_limit(self.settings.max_header_bytes);
-        if (buffer.size() == 0)
+        const bool keep = head.get().keep_alive() && !self.closing &&
+                          bytes_of_body(head) <= dropped_body;
+        auto message = to_message(turned_away(refusal), keep);
+        stream.expires_after(drop_time);
+        co_await http::async_write(stream, message,
+                                   asio::redirect_error(token, ec));
+        if (ec)
+            co_return false;
+        if (keep)
+            co_return co_await drop_body(stream, buffer, head);
+        stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+        co_await discard_rest(stream);
+        co_return false;
+    }
+
+    /// Reads a body to its end and keeps nothing of it.
+    static asio::awaitable<bool> drop_body(beast::tcp_stream& stream,
+                                           beast::flat_buffer& buffer,
+                                           head_parser& head)
+    {
+        std::array<char, 4096> scrap{};
+        http::request_parser<http::buffer_body> rest(std::move(head));
+        error_code ec;
+        while (!ec && !rest.is_done())
         {
-            // Only the wait for the first byte may take the idle time.
-            stream.expires_after(self.settings.idle_timeout);
-            self.idle.insert(&stream);
-            const std::size_t n = co_await stream.async_read_some(
-                buffer.prepare(4096), asio::redirect_error(token, ec));
-            self.idle.erase(&stream);
-            buffer.commit(n);
-            if (ec)
-                co_return false;
+            rest.get().body().data = scrap.data();
+            rest.get().body().size = scrap.size();
+            co_await http::async_read(stream, buffer, rest,
+                                      asio::redirect_error(token, ec));
+            if (ec == http::error::need_buffer)
+                ec = {};
         }
-        stream.expires_after(self.settings.read_timeout);
-        co_await http::async_read(stream, buffer, parser,
-                                  asio::redirect_error(token, ec));
-        if (ec == http::error::end_of_stream ||
-            ec == http::error::partial_message || ec == beast::error::timeout ||
-            ec == asio::error::connection_reset)
+        co_return !ec;
+    }
+
+    /// Answers what could not be read as a request.
+    static asio::awaitable<bool> refuse_unread(beast::tcp_stream& stream,
+                                               error_code why)
+    {
+        if (why == http::error::end_of_stream ||
+            why == http::error::partial_message ||
+            why == beast::error::timeout ||
+            why == asio::error::connection_reset)
             co_return false;
+        error_code ec;
+        auto refusal = to_message(refusal_of(why), false);
+        co_await http::async_write(stream, refusal,
+                                   asio::redirect_error(token, ec));
+        // What the caller still sends is read, so that it sees the answer.
+        stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+        co_await discard_rest(stream);
+        co_return false;
+    }
+
+    /// Waits for the first byte of a request.
+    static asio::awaitable<bool> first_byte(state& self,
+                                            beast::tcp_stream& stream,
+                                            beast::flat_buffer& buffer)
+    {
+        // Only this wait may take the idle time.
+        error_code ec;
+        stream.expires_after(self.settings.idle_timeout);
+        self.idle.insert(&stream);
+        const std::size_t n = co_await stream.async_read_some(
+            buffer.prepare(4096), asio::redirect_error(token, ec));
+        self.idle.erase(&stream);
+        buffer.commit(n);
+        co_return !ec;
+    }
+
+    /// Reads a request that is taken in; answers one that is not.
+    /// @param place Gets its place among those in hand.
+    /// @param keep Whether the connection can take another one.
+    /// @return The request, or nothing.
+    static asio::awaitable<std::optional<whole_request>>
+    read_request(state& self, beast::tcp_stream& stream,
+                 beast::flat_buffer& buffer, intake_place& place, bool& keep)
+    {
+        error_code ec;
+        head_parser head;
+        head.body_limit(self.settings.max_body_bytes);
+        head.header_limit(self.settings.max_header_bytes);
+        stream.expires_after(self.settings.read_timeout);
+        co_await http::async_read_header(stream, buffer, head,
+                                         asio::redirect_error(token, ec));
         if (ec)
         {
-            auto refusal = to_message(refusal_of(ec), false);
-            co_await http::async_write(stream, refusal,
-                                       asio::redirect_error(token, ec));
-            // What the caller still sends is read, so that it sees the answer.
-            stream.socket().shutdown(tcp::socket::shutdown_send, ec);
-            co_await discard_rest(stream);
-            co_return false;
+            keep = co_await refuse_unread(stream, ec);
+            co_return std::nullopt;
+        }
+        std::unique_ptr<link_place> on_link;
+        const bool bounded = self.settings.intake != nullptr;
+        const auto bytes = bytes_of_body(head);
+        if (bounded && head.get().method() == http::verb::post)
+        {
+            const auto refusal = co_await admit(
+                self, bytes, bytes_to_come(head, buffer), place, on_link);
+            if (refusal)
+            {
+                keep = co_await turn_away(self, stream, buffer, head, *refusal);
+                co_return std::nullopt;
+            }
         }
+        else if (bounded && bytes > question_body)
+        {
+            keep = co_await refuse_unread(stream, http::error::body_limit);
+            co_return std::nullopt;
+        }
+        http::request_parser<http::string_body> parser(std::move(head));
+        if (bounded && parser.chunked())
+            parser.body_limit(
+                std::min(self.settings.max_body_bytes, unsaid_body));
+        co_await http::async_read(stream, buffer, parser,
+                                  asio::redirect_error(token, ec));
+        if (!ec)
+            co_return parser.release();
+        keep = co_await refuse_unread(stream, ec);
+        co_return std::nullopt;
+    }
+
+    /// Answers one request.
+    /// @return Whether the connection can take another.
+    static asio::awaitable<bool> serve_one(state& self,
+                                           beast::tcp_stream& stream,
+                                           beast::flat_buffer& buffer)
+    {
+        error_code ec;
+        if (buffer.size() == 0 && !co_await first_byte(self, stream, buffer))
+            co_return false;
+        bool keep = false;
+        intake_place place;
+        auto whole = co_await read_request(self, stream, buffer, place, keep);
+        if (!whole)
+            co_return keep;
         stream.expires_never();
         ++self.in_flight;
-        const bool keep_alive = parser.get().keep_alive();
-        auto request = to_request(parser.get());
+        const bool keep_alive = whole->keep_alive();
+        auto request = to_request(*whole);
+        whole.reset();
         auto watch = std::make_shared<close_watch>();
         request.on_close = [watch](std::function<void()> told)
         { watch->told = std::move(told); };
--- a/src/glenhollow/http/server.hpp
+++ b/src/glenhollow/http/server.hpp
@@ -3,6 +3,7 @@
 
 #include "glenhollow/core/clock.hpp"
 #include "glenhollow/core/result.hpp"
+#include "glenhollow/http/intake_limits.hpp"
 #include "glenhollow/http/message.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -27,6 +28,8 @@
     duration read_timeout = seconds{30};        ///< For one whole request.
     duration idle_timeout = seconds{120};       ///< Between requests.
     std::size_t max_connections = 4096;         ///< More are closed at once.
+    std::shared_ptr<intake_limits> intake; ///< Asked before the body of a POST
+                                           ///< is read; null: no such bounds.
 };
 
 /// Called once with the answer, on any thread.
