--- a/src/glenhollow/durable/configuration_keeper.cpp
+++ b/src/glenhollow/durable/configuration_keeper.cpp
@@ -128,6 +128,8 @@
         behind_since_ = around_.clock.now();
     highest_ = std::max(highest_, version);
     ahead_[peer] = version;
+    if (catalog_.version == 0)
+        tick(false);
 }
 
 void configuration_keeper::tick(bool store_reachable)
@@ -135,9 +137,8 @@
     if (ahead_.empty() || reading_)
         return;
     const auto now = around_.clock.now();
-    const auto first = catalog_.version == 0 ? settings_.store_first_at_start
-                                             : settings_.store_first;
-    if (store_reachable && now - behind_since_ < first)
+    if (store_reachable && catalog_.version != 0 &&
+        now - behind_since_ < settings_.store_first)
         return;
     if (asked_ && now - *asked_ < settings_.fetch_timeout)
         return;
--- a/src/glenhollow/durable/configuration_keeper.hpp
+++ b/src/glenhollow/durable/configuration_keeper.hpp
@@ -44,10 +44,10 @@
 struct configuration_keeper_settings
 {
     /// The store brings a new version to all entries; a copy from a peer would
-    /// only fill that peer's link, 250 KB for each entry that asks.
+    /// only fill that peer's link, 250 KB for each entry that asks. Where
+    /// nothing is in force every request is refused, and a peer is asked at
+    /// once.
     duration store_first = milliseconds{400};
-    /// The same where nothing is in force, and every request is refused.
-    duration store_first_at_start = milliseconds{150};
     duration fetch_timeout = milliseconds{800}; ///< Then another peer is asked.
     /// Slices wait for requests no longer than this; the rest is read at once.
     duration patience = milliseconds{500};
--- a/tests/unit/durable/configuration_keeper_tests.cpp
+++ b/tests/unit/durable/configuration_keeper_tests.cpp
@@ -144,6 +144,8 @@
 TEST_CASE("the store is given time to bring what a peer has")
 {
     keeper_world world;
+    world.keeper.from_store("7 5");
+    world.settle();
     world.keeper.heard("b", 8);
     world.keeper.heard("c", 8);
     world.keeper.tick(true);
@@ -186,7 +188,6 @@
     world.keeper.from_store("7 5");
     world.settle();
     world.keeper.heard("b", 8);
-    world.clock.advance(configuration_keeper_settings{}.store_first_at_start);
     world.keeper.tick(true);
     CHECK(world.asked.empty());
     world.clock.advance(configuration_keeper_settings{}.store_first);
@@ -200,15 +201,18 @@
     CHECK(world.taken == 2);
 }
 
-TEST_CASE("an entry with nothing in force waits less long for the store")
+TEST_CASE("an entry with nothing in force asks a peer at once, and only one")
 {
     keeper_world world;
     world.keeper.heard("b", 8);
-    world.keeper.tick(true);
-    CHECK(world.asked.empty());
-    world.clock.advance(configuration_keeper_settings{}.store_first_at_start);
-    world.keeper.tick(true);
-    CHECK(world.asked.size() == 1);
+    world.keeper.heard("c", 8);
+    REQUIRE(world.asked.size() == 1);
+    CHECK(world.asked[0].first == "b");
+    world.keeper.from_store("8 5");
+    world.asked[0].second(configuration_copy{8, "8 5"});
+    world.settle();
+    CHECK(world.readings == 1);
+    CHECK(world.keeper.catalog().version == 8);
 }
 
 TEST_CASE("the store's word is not lost behind a copy that waits")
