--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -334,10 +334,19 @@
            declined :List(DeclinedGrant)) -> (loads :List(PlacementLoad));
 }
 
+struct CancelledJob {
+  job @0 :UInt64;
+  state @1 :UInt8;           # how it ended, as far as is known
+  found @2 :Bool;            # some entry had it
+  ageMs @3 :UInt32;          # since its cancelling came
+}
+
 interface EntryPeer {
   place @3 (entry :Text, incarnation :UInt64, grants :PlacementGrants)
         -> (session :PlacementSession, incarnation :UInt64);
   exchange @0 (view :EntryView) -> (view :EntryView);
   call @1 (call :JobCall) -> (answer :JobAnswer);
   catalog @2 () -> (version :UInt64, document :Data);
+  # Jobs that it knows to be cancelled, for an entry that has just begun.
+  cancelled @4 () -> (jobs :List(CancelledJob));
 }
--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -213,11 +213,18 @@
     return agent.outbox;
 }
 
+/// An agent carries out the stops of a message before its starts: an order that
+/// has not left yet, by a grant, leaves before its stop.
 void dispatcher::stop(const std::string& agent, const run_ref& run)
 {
     auto* known = linked_agent(agent);
     if (known == nullptr)
         return;
+    const auto& starts = known->outbox.starts;
+    if (std::any_of(starts.begin(), starts.end(),
+                    [&run](const run_order& order)
+                    { return order.run == run; }))
+        send(*known);
     outbox_of(*known).stops.push_back(run);
     ++stats_.stopped;
 }
--- /dev/null
+++ b/src/glenhollow/durable/durable_cancels.cpp
@@ -0,0 +1,93 @@
+// The cancelling of jobs at an entry, and its metrics.
+#include "glenhollow/durable/durable_service.hpp"
+
+namespace glenhollow
+{
+
+void durable_service::cancel(job_id id, job_reply_handler done)
+{
+    cancellation_.cancel(id, std::move(done));
+    schedule_dispatch();
+}
+
+bool durable_service::cancel_here(job_id id, job_reply_handler done)
+{
+    if (!memory_.knows(id))
+        return false;
+    memory_.cancel(id, std::move(done));
+    schedule_dispatch();
+    return true;
+}
+
+void durable_service::cancel(const std::string& name, job_id id,
+                             answer_handler done)
+{
+    peers_.call(name, {job_verb::cancel_in_memory, id, {}}, std::move(done));
+}
+
+void durable_service::fetch(const std::string& name, told_handler done)
+{
+    peers_.fetch_cancelled(name, std::move(done));
+}
+
+std::vector<told_cancel> durable_service::cancelled_jobs()
+{
+    return cancellation_.remembered();
+}
+
+/// What is known of the job itself tells more than that it was cancelled.
+std::optional<job_state> durable_service::end_of_cancelled(job_id id)
+{
+    if (memory_.knows(id))
+        return std::nullopt;
+    return cancellation_.refuse(id);
+}
+
+memory_cancellation::journal_cancel durable_service::cancel_kept()
+{
+    return [this](job_id id, job_reply_handler done) {
+        router_.route({job_verb::cancel, id, {}}, std::move(done));
+    };
+}
+
+void durable_service::collect_cancels(metric_page& page) const
+{
+    const auto& stats = cancellation_.stats();
+    const auto count = [&page](std::string_view name, std::string_view help,
+                               std::uint64_t value,
+                               const std::string& label = {})
+    { page.counter(name, help, static_cast<double>(value), label); };
+    for (std::size_t i = 0; i < stats.outcomes.size(); ++i)
+    {
+        const auto outcome = static_cast<cancel_outcome>(i);
+        count("cancels_total", "Cancels answered", stats.outcomes[i],
+              "outcome=\"" + std::string(to_name(outcome)) + "\"");
+    }
+    const auto& bounds = memory_cancellation_stats::age_bounds_ms;
+    for (std::size_t i = 0; i < stats.ages.size(); ++i)
+    {
+        const auto up_to =
+            i < bounds.size() ? std::to_string(bounds[i]) : "more";
+        count("cancels_by_age_total", "Cancels answered within so many ms",
+              stats.ages[i], "up_to_ms=\"" + up_to + "\"");
+    }
+    count("cancels_told_total", "Cancels told to other entries", stats.told);
+    count("cancels_untold_total", "Of these, lost and told again",
+          stats.untold);
+    count("cancels_heard_total", "Cancels that other entries told",
+          stats.heard);
+    count("cancels_learned_total", "Cancels from before this process",
+          stats.learned);
+    count("cancels_silent_entries_total", "Entries waited for in vain",
+          stats.silent);
+    count("cancelled_jobs_ran_on_total", "Found after their cancel's answer",
+          stats.ran_on);
+    count("cancelled_jobs_not_run_total", "Submissions of cancelled jobs",
+          stats.not_run);
+    count("cancels_crowded_out_total", "Forgotten early, for want of room",
+          cancellation_.memory().crowded_out());
+    page.gauge("cancels_remembered", "Cancelled jobs in memory remembered",
+               static_cast<double>(cancellation_.memory().size()));
+}
+
+} // namespace glenhollow
--- a/src/glenhollow/durable/durable_metrics.cpp
+++ b/src/glenhollow/durable/durable_metrics.cpp
@@ -80,6 +80,7 @@
 {
     collect_parts(page);
     collect_router(page);
+    collect_cancels(page);
     const auto& owner = ownership_.stats();
     const auto count = [&page](std::string_view name, std::string_view help,
                                std::uint64_t value)
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -97,6 +97,7 @@
       ownership_(surroundings(), peers_, *this, ownership_of(settings)),
       memory_(surroundings(), memory_of(settings)),
       router_(clock, delay(), ownership_, peers_, router_of(settings)),
+      cancellation_(clock, *this, *this, cancel_kept(), settings.cancellation),
       members_(store_, delay(), std::string(members_table), settings.follower,
                [this](const stored_row& row) { take_member(row); }),
       configuration_(
@@ -165,6 +166,7 @@
     probe_store();
     log_load();
     memory_.tick();
+    cancellation_.tick();
     dispatcher_.set_owners(peers_.live().size() + 1);
     choose_placer();
     schedule_dispatch();
@@ -491,7 +493,10 @@
 
 void durable_service::serve(const job_call& call, job_reply_handler done)
 {
-    router_.serve_here(call, std::move(done));
+    if (call.verb == job_verb::cancel_in_memory)
+        cancellation_.told(call.id, std::move(done));
+    else
+        router_.serve_here(call, std::move(done));
     schedule_dispatch();
 }
 
@@ -532,6 +537,11 @@
 {
     if (job.lasts == durability::in_memory)
     {
+        if (const auto ended = end_of_cancelled(job.id))
+        {
+            done({job_outcome::done, *ended, {}});
+            return {};
+        }
         memory_.submit(job, std::move(done));
         schedule_dispatch();
         return [this, alive = alive_, id = job.id]
@@ -547,12 +557,6 @@
     return {};
 }
 
-void durable_service::cancel(job_id id, job_reply_handler done)
-{
-    router_.route({job_verb::cancel, id, {}}, std::move(done));
-    schedule_dispatch();
-}
-
 void durable_service::state(job_id id, job_reply_handler done)
 {
     router_.route({job_verb::state, id, {}}, std::move(done));
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -6,6 +6,7 @@
 #include "glenhollow/durable/entry_peers.hpp"
 #include "glenhollow/durable/job_router.hpp"
 #include "glenhollow/durable/member_directory.hpp"
+#include "glenhollow/durable/memory_cancellation.hpp"
 #include "glenhollow/durable/part_ownership.hpp"
 #include "glenhollow/durable/placement_groups.hpp"
 #include "glenhollow/durable/placement_server.hpp"
@@ -47,6 +48,7 @@
     agent_sessions_settings agents;              ///< Limits.
     entry_peers_settings peers;                  ///< Limits.
     job_router_settings router;                  ///< Limits.
+    memory_cancellation_settings cancellation;   ///< Limits.
     dispatcher_settings dispatch;                ///< Limits.
     report_budget_settings reports;              ///< Limits.
     report_budget_settings placer_reports{5000, 500}; ///< While placing for
@@ -63,6 +65,8 @@
 class durable_service final : public durable_jobs,
                               private agent_session_listener,
                               private entry_peer_handler,
+                              private memory_job_holder,
+                              private cancel_peers,
                               private part_ownership_listener,
                               private task_source
 {
@@ -151,6 +155,15 @@
     void peer_seen(const entry_view& view) override;
     void serve(const job_call& call, job_reply_handler done) override;
     std::string catalog_document() override { return document_; }
+    std::vector<told_cancel> cancelled_jobs() override;
+
+    bool cancel_here(job_id id, job_reply_handler done) override;
+    std::vector<peer_reach> all() const override { return peers_.reach(); }
+    void cancel(const std::string& name, job_id id,
+                answer_handler done) override;
+    void fetch(const std::string& name, told_handler done) override;
+    std::optional<job_state> end_of_cancelled(job_id id);
+    memory_cancellation::journal_cancel cancel_kept();
 
     void part_gained(part_epoch part) override;
     void part_given_up(part_number part) override;
@@ -174,6 +187,7 @@
     void schedule_dispatch();
     void collect_parts(metric_page& page);
     void collect_router(metric_page& page) const;
+    void collect_cancels(metric_page& page) const;
     job_coordinator::surroundings surroundings();
     journal_chain::delay delay();
 
@@ -195,14 +209,15 @@
     placement_server placements_;       ///< Other entries' tasks.
     placement_groups groups_;           ///< Where ours are placed.
     std::int64_t started_ = wall_nanoseconds() / 1'000'000'000; ///< In s.
-    duration lag_{};               ///< Of timers, on average.
-    bool timely_ = true;           ///< They come in time.
-    part_ownership ownership_;     ///< This entry's parts.
-    job_coordinator memory_;       ///< Jobs kept in memory alone.
-    job_router router_;            ///< Brings calls to owners.
-    table_follower members_;       ///< Rows of processes.
-    table_follower configuration_; ///< Rows of the operator.
-    member_announcer announcer_;   ///< Writes this entry's row.
+    duration lag_{};                   ///< Of timers, on average.
+    bool timely_ = true;               ///< They come in time.
+    part_ownership ownership_;         ///< This entry's parts.
+    job_coordinator memory_;           ///< Jobs kept in memory alone.
+    job_router router_;                ///< Brings calls to owners.
+    memory_cancellation cancellation_; ///< Of jobs in memory.
+    table_follower members_;           ///< Rows of processes.
+    table_follower configuration_;     ///< Rows of the operator.
+    member_announcer announcer_;       ///< Writes this entry's row.
     /// How long an agent has been silent.
     struct agent_silence
     {
--- a/src/glenhollow/durable/entry_peers.cpp
+++ b/src/glenhollow/durable/entry_peers.cpp
@@ -97,6 +97,21 @@
             milliseconds{in.getRetryAfterMs()}};
 }
 
+void fill_cancelled(wire::CancelledJob::Builder out, const told_cancel& known)
+{
+    out.setJob(known.id);
+    out.setState(static_cast<std::uint8_t>(known.state));
+    out.setFound(known.found);
+    out.setAgeMs(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<milliseconds>(known.age).count()));
+}
+
+told_cancel cancelled_from(wire::CancelledJob::Reader in)
+{
+    return {in.getJob(), from_index(in.getState(), job_state::cancelled),
+            in.getFound(), milliseconds{in.getAgeMs()}};
+}
+
 } // namespace
 
 bool entry_view::owns(part_number part) const
@@ -118,6 +133,7 @@
     instant sent{};                            ///< Last exchange sent.
     instant answered{};                        ///< Last view heard.
     instant down_since{};                      ///< Zero while connected.
+    instant added{};                           ///< When it became known.
     entry_view view;                           ///< Its last view.
 };
 
@@ -173,6 +189,16 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> cancelled(CancelledContext context) override
+    {
+        const auto known = peers_.handler_.cancelled_jobs();
+        auto out =
+            context.getResults().initJobs(static_cast<unsigned>(known.size()));
+        for (unsigned i = 0; i < out.size(); ++i)
+            fill_cancelled(out[i], known[i]);
+        return kj::READY_NOW;
+    }
+
     kj::Promise<void> catalog(CatalogContext context) override
     {
         const auto document = peers_.handler_.catalog_document();
@@ -213,7 +239,7 @@
         return;
     one = std::make_unique<peer>();
     one->name = name;
-    one->down_since = clock_.now();
+    one->down_since = one->added = clock_.now();
     one->link = std::make_unique<rpc_link>(
         io_, clock_, where, settings_.link,
         [this, name](capnp::Capability::Client server)
@@ -411,6 +437,40 @@
     done(std::nullopt);
 }
 
+std::vector<peer_reach> entry_peers::reach() const
+{
+    std::vector<peer_reach> out;
+    out.reserve(peers_.size());
+    for (const auto& [name, one] : peers_)
+        out.push_back({name, one->remote != nullptr,
+                       std::max(one->answered, one->added)});
+    return out;
+}
+
+void entry_peers::fetch_cancelled(const std::string& name,
+                                  cancel_peers::told_handler done)
+{
+    const auto known = peers_.find(name);
+    if (known == peers_.end())
+        return done(std::nullopt);
+    KJ_IF_MAYBE (remote, known->second->remote)
+    {
+        auto shared =
+            std::make_shared<cancel_peers::told_handler>(std::move(done));
+        known->second->link->add(remote->cancelledRequest().send().then(
+            [shared](auto&& answer)
+            {
+                std::vector<told_cancel> jobs;
+                for (auto job : answer.getJobs())
+                    jobs.push_back(cancelled_from(job));
+                (*shared)(std::move(jobs));
+            },
+            [shared](kj::Exception&&) { (*shared)(std::nullopt); }));
+        return;
+    }
+    done(std::nullopt);
+}
+
 bool entry_peers::connected(const std::string& name) const
 {
     const auto known = peers_.find(name);
--- a/src/glenhollow/durable/entry_peers.hpp
+++ b/src/glenhollow/durable/entry_peers.hpp
@@ -4,6 +4,7 @@
 #include "glenhollow/durable/evacuated_halls.hpp"
 #include "glenhollow/durable/exchange_pacing.hpp"
 #include "glenhollow/durable/job_coordinator.hpp"
+#include "glenhollow/durable/memory_cancellation.hpp"
 #include "glenhollow/rpc/rpc_link.hpp"
 #include "glenhollow/wire/glenhollow.capnp.h"
 
@@ -50,16 +51,17 @@
 /// What is asked of a job's owner.
 enum class job_verb : std::uint8_t
 {
-    submit, ///< Accept it.
-    cancel, ///< Cancel it.
-    state   ///< Tell its state.
+    submit,          ///< Accept it.
+    cancel,          ///< Cancel it.
+    state,           ///< Tell its state.
+    cancel_in_memory ///< Cancel it if it is kept in memory there; any entry's.
 };
 
 template <>
 struct name_table<job_verb>
 {
-    static constexpr std::array<std::string_view, 3> names{"submit", "cancel",
-                                                           "state"};
+    static constexpr std::array<std::string_view, 4> names{
+        "submit", "cancel", "state", "cancel_in_memory"};
 };
 
 /// A call for one job.
@@ -89,6 +91,9 @@
     /// @return The newest catalog's document.
     virtual std::string catalog_document() = 0;
 
+    /// @return Jobs in memory that it remembers as cancelled.
+    virtual std::vector<told_cancel> cancelled_jobs() { return {}; }
+
     /// @param entry Wants this entry to place its tasks.
     /// @param grants Told of places.
     /// @return Its session.
@@ -155,6 +160,14 @@
     void call(const std::string& name, const job_call& call,
               answer_handler done);
 
+    /// @return All that are known, live or not.
+    std::vector<peer_reach> reach() const;
+
+    /// @param name The entry to ask.
+    /// @param done Told the jobs in memory that it remembers as cancelled.
+    void fetch_cancelled(const std::string& name,
+                         cancel_peers::told_handler done);
+
     /// @param name An entry.
     /// @return Whether there is a connection to it.
     bool connected(const std::string& name) const;
--- a/src/glenhollow/durable/job_coordinator.hpp
+++ b/src/glenhollow/durable/job_coordinator.hpp
@@ -176,6 +176,13 @@
     /// Gives the part up.
     void abandon();
 
+    /// @param id A job.
+    /// @return Whether it is open here, or its end is remembered.
+    bool knows(job_id id) const
+    {
+        return jobs_.contains(id) || ended_.contains(id);
+    }
+
     /// @return Whether the journal has nothing to write.
     bool flushed() const { return chain_->idle(); }
 
--- a/src/glenhollow/durable/job_router.cpp
+++ b/src/glenhollow/durable/job_router.cpp
@@ -69,7 +69,10 @@
         return jobs->cancel(call.id, std::move(done));
     case job_verb::state:
         return jobs->state(call.id, std::move(done));
+    case job_verb::cancel_in_memory:
+        break; // No matter of the journal's: it does not come here.
     }
+    done({});
 }
 
 void job_router::attempt(const std::shared_ptr<routed>& call)
--- /dev/null
+++ b/src/glenhollow/durable/memory_cancellation.hpp
@@ -0,0 +1,240 @@
+#ifndef GLENHOLLOW_DURABLE_MEMORY_CANCELLATION_HPP
+#define GLENHOLLOW_DURABLE_MEMORY_CANCELLATION_HPP
+
+#include "glenhollow/core/clock.hpp"
+#include "glenhollow/durable/job_coordinator.hpp"
+#include "glenhollow/durable/remembered_cancels.hpp"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace glenhollow
+{
+
+/// The jobs in memory that this entry answers for, wherever they are placed.
+class memory_job_holder
+{
+public:
+    virtual ~memory_job_holder() = default;
+
+    /// Cancels a job, or tells how it has ended.
+    /// @param id A job.
+    /// @param done Told the end, unless the job is not known here; at once or
+    /// later.
+    /// @return Whether the job is known here.
+    virtual bool cancel_here(job_id id, job_reply_handler done) = 0;
+};
+
+/// Another entry as seen from here.
+struct peer_reach
+{
+    std::string name;       ///< Its name.
+    bool connected = false; ///< It can be asked.
+    instant heard{};        ///< When it last told anything; else when it became
+                            ///< known.
+};
+
+/// What an entry that has just begun is told by another.
+struct told_cancel
+{
+    job_id id = 0;                          ///< The job.
+    job_state state = job_state::cancelled; ///< How it ended, as far as known.
+    bool found = false;                     ///< Some entry had it.
+    duration age{};                         ///< Since its cancelling was heard.
+};
+
+/// The other entries; a fake in tests.
+class cancel_peers
+{
+public:
+    using answer_handler = std::function<void(std::optional<job_reply>)>;
+    using told_handler =
+        std::function<void(std::optional<std::vector<told_cancel>>)>;
+
+    virtual ~cancel_peers() = default;
+
+    /// @return All that are known, live or not.
+    virtual std::vector<peer_reach> all() const = 0;
+
+    /// @param name The entry to tell.
+    /// @param id A job that is cancelled.
+    /// @param done Told its answer, or nothing where there is none.
+    virtual void cancel(const std::string& name, job_id id,
+                        answer_handler done) = 0;
+
+    /// @param name The entry to ask.
+    /// @param done Told what it remembers, or nothing.
+    virtual void fetch(const std::string& name, told_handler done) = 0;
+};
+
+/// Limits of the cancelling of jobs in memory.
+struct memory_cancellation_settings
+{
+    duration journal_alone = milliseconds{150}; ///< The journal's owner knows
+                                                ///< kept jobs and answers in a
+                                                ///< few ms: so long only it is
+                                                ///< asked.
+    duration lapse = milliseconds{2000}; ///< Nothing runs any more for the jobs
+                                         ///< in memory of an entry that was
+                                         ///< silent so long: its leases at
+                                         ///< agents, and their time to stop.
+    duration limit = milliseconds{4500}; ///< Of an answer, whatever is known.
+    std::size_t cancels_out = 64;        ///< Without an answer at one entry:
+                                         ///< more wait until it answers.
+    remembered_cancels_settings remember; ///< Bounds.
+};
+
+/// How the cancelling of a job was answered.
+enum class cancel_outcome : std::uint8_t
+{
+    here,       ///< This entry had it.
+    elsewhere,  ///< Another entry had it.
+    journal,    ///< It is a kept job.
+    remembered, ///< It was cancelled before.
+    missing,    ///< Nobody has it, and nothing of it runs.
+    unknown     ///< Not all could be asked, or the journal not.
+};
+
+template <>
+struct name_table<cancel_outcome>
+{
+    static constexpr std::array<std::string_view, 6> names{
+        "here", "elsewhere", "journal", "remembered", "missing", "unknown"};
+};
+
+/// Counters of the cancelling of jobs in memory.
+struct memory_cancellation_stats
+{
+    /// Upper bounds of the ages, ms; the last class has none.
+    static constexpr std::array<std::uint32_t, 4> age_bounds_ms{50, 250, 1000,
+                                                                2500};
+
+    std::array<std::uint64_t, name_table<cancel_outcome>::names.size()>
+        outcomes{}; ///< Answers.
+    std::array<std::uint64_t, age_bounds_ms.size() + 1>
+        ages{};                ///< Answers by what they took.
+    std::uint64_t told = 0;    ///< Cancels told to other entries.
+    std::uint64_t untold = 0;  ///< Of these, lost; they are told again.
+    std::uint64_t heard = 0;   ///< Cancels that others told.
+    std::uint64_t silent = 0;  ///< Entries that were waited for in vain.
+    std::uint64_t ran_on = 0;  ///< Jobs that an entry had when it heard of
+                               ///< their cancelling after the answer.
+    std::uint64_t not_run = 0; ///< Submissions of a cancelled job.
+    std::uint64_t learned = 0; ///< Cancels from before this process began.
+};
+
+/// Cancels jobs in memory wherever they are: asks every entry once, waits no
+/// longer for a silent one than its agents do, tells it when it is back, and
+/// remembers. One thread.
+class memory_cancellation final
+{
+public:
+    /// Asks the owner of the journal's part.
+    using journal_cancel = std::function<void(job_id, job_reply_handler)>;
+
+    /// @param clock Outlives it.
+    /// @param holder This entry's jobs; outlives it.
+    /// @param peers The other entries; outlives it.
+    /// @param journal For jobs that are kept.
+    /// @param settings Limits.
+    memory_cancellation(const clock_source& clock, memory_job_holder& holder,
+                        cancel_peers& peers, journal_cancel journal,
+                        const memory_cancellation_settings& settings);
+
+    /// @param id A job that its caller cancels, in memory or kept.
+    /// @param done Told the end, once.
+    void cancel(job_id id, job_reply_handler done);
+
+    /// @param id A job that another entry cancels.
+    /// @param done Told what this entry had.
+    void told(job_id id, job_reply_handler done);
+
+    /// @param id A job in memory that is submitted and not known here.
+    /// @return How it ended if it was cancelled: it must not be run.
+    std::optional<job_state> refuse(job_id id);
+
+    /// @return What is remembered, for an entry that has just begun.
+    std::vector<told_cancel> remembered() const;
+
+    /// Does what is due: tells entries that are back, stops waiting.
+    void tick();
+
+    /// @return Counters.
+    const memory_cancellation_stats& stats() const { return stats_; }
+
+    /// @return Cancels that are remembered.
+    const remembered_cancels& memory() const { return memory_; }
+
+private:
+    /// One that is not answered.
+    struct open_cancel
+    {
+        instant begun{};                      ///< When it came.
+        std::vector<job_reply_handler> done;  ///< Told the end.
+        bool spread = false;                  ///< Other entries were asked.
+        bool waits_here = false;              ///< This entry's answer is out.
+        std::optional<job_reply> journal;     ///< Its owner's answer.
+        std::map<std::string, instant> waits; ///< Silent since, by entry.
+        std::uint32_t silent = 0;             ///< Entries waited for in vain.
+    };
+
+    /// One that others are told of.
+    struct logged_cancel
+    {
+        job_id id = 0;   ///< The job.
+        instant since{}; ///< When it came.
+    };
+
+    /// How far an entry has been told.
+    struct peer_cursor
+    {
+        std::uint64_t next = 0; ///< Number of the first that it was not told.
+        std::size_t out = 0;    ///< Told, not answered.
+    };
+
+    void ask_here(job_id id);
+    void here_answered(job_id id, const job_reply& reply);
+    void journal_answered(job_id id, const job_reply& reply);
+    void spread(job_id id);
+    void tell_others(job_id id);
+    void pump(const peer_reach& peer);
+    void answered(const std::string& name, std::uint64_t number,
+                  const logged_cancel& told,
+                  const std::optional<job_reply>& reply);
+    void note_ran_on(const std::string& name, const logged_cancel& told,
+                     const job_reply& reply);
+    void check(job_id id, const std::map<std::string, instant>& heard);
+    void stop_waiting(open_cancel& open,
+                      const std::map<std::string, instant>& heard);
+    void conclude(job_id id);
+    void forget_old();
+    void finish(job_id id, cancel_outcome how, const job_reply& reply,
+                const std::string& where);
+    void learn(const std::vector<peer_reach>& peers);
+    void take_learned(const std::vector<told_cancel>& known);
+
+    const clock_source& clock_;                  ///< This entry's.
+    memory_job_holder& holder_;                  ///< This entry's jobs.
+    cancel_peers& peers_;                        ///< The other entries.
+    journal_cancel journal_;                     ///< For kept jobs.
+    memory_cancellation_settings settings_;      ///< Limits.
+    remembered_cancels memory_;                  ///< Cancelled lately.
+    std::map<job_id, open_cancel> open_;         ///< Not answered.
+    std::deque<logged_cancel> log_;              ///< That others are told of.
+    std::uint64_t log_begin_ = 0;                ///< Number of the log's first.
+    std::map<std::string, peer_cursor> cursors_; ///< By entry.
+    std::set<std::string> learning_;             ///< Asked for what they know.
+    bool learned_ = false;                       ///< One has told.
+    memory_cancellation_stats stats_;            ///< Counters.
+};
+
+} // namespace glenhollow
+
+#endif
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -483,6 +483,8 @@
           stats.stalled, {});
     count("runs_vanished_total", "Runs that the runner no longer showed",
           stats.vanished, {});
+    count("ended_runs_stopped_total", "Stops of runs shown after their end",
+          stats.strays, {});
     count("runner_looks_total", "Looks at the runner", stats.looks, {});
     count("runner_looks_lost_total", "Looks given up without an answer",
           stats.looks_lost, {});
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -168,6 +168,7 @@
     std::uint64_t lapses = 0;     ///< Times the hold was left to lapse.
     std::uint64_t stalled = 0;    ///< Runs stopped for want of progress.
     std::uint64_t vanished = 0;   ///< Runs that the runner no longer showed.
+    std::uint64_t strays = 0;     ///< Stops of runs shown after their end.
     std::uint64_t stale_registrations = 0; ///< Of lives that had ended.
     std::array<std::uint64_t, name_table<run_outcome>::names.size()>
         ends{}; ///< By outcome.
@@ -365,7 +366,8 @@
     void expect(duration wait, std::function<bool()> awaited,
                 std::function<void()> missed);
     void look_again(bool answered);
-    void take_running(const std::vector<shown_run>& running);
+    void stop_ended(instant sent, const run_ref& ref);
+    void take_running(instant sent, const std::vector<shown_run>& running);
     void take_finished(const std::vector<run_end>& finished);
     void settle_absent(instant sent, const std::vector<shown_run>& running);
     void end_all(run_outcome how);
@@ -420,6 +422,7 @@
     instant refused_until_{};                 ///< The runner is left alone.
     duration refusal_wait_{};                 ///< The last such time.
     instant answered_{};                      ///< Last answer to a look.
+    instant stray_stopped_{};                 ///< Last stop of an ended run.
     run_manager_stats stats_;                 ///< Counters.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
 };
--- a/src/glenhollow/runs/run_manager_looks.cpp
+++ b/src/glenhollow/runs/run_manager_looks.cpp
@@ -148,7 +148,7 @@
         const bool first = !informed_;
         informed_ = true;
         take_finished(got.finished);
-        take_running(got.running);
+        take_running(asked.sent, got.running);
         settle_absent(asked.sent, got.running);
         if (first || account_.phase == runner_phase::absent)
             take_told_phase();
@@ -182,7 +182,29 @@
     }
 }
 
-void run_manager::take_running(const std::vector<shown_run>& running)
+/// Its end was told, so that its task may run elsewhere or its job have ended:
+/// nobody would ever stop it.
+void run_manager::stop_ended(instant sent, const run_ref& ref)
+{
+    const auto& kept = ledger_.ends().at(ref);
+    if (kept.noted >= sent || clock_.now() - stray_stopped_ < stop_retry)
+        return; // The look may have left before the end.
+    stray_stopped_ = clock_.now();
+    ++stats_.strays;
+    log_change(log_level::warning, "ended_run_shown",
+               {{"job", to_text(ref.task.job)},
+                {"run", ref.run},
+                {"ended", to_name(kept.end.how)}});
+    runner_.stop(ref, context(),
+                 [this, alive = alive_](const order_result& got)
+                 {
+                     if (*alive)
+                         runner_clock_.heard(clock_.now(), got.clock_ms);
+                 });
+}
+
+void run_manager::take_running(instant sent,
+                               const std::vector<shown_run>& running)
 {
     const auto now = clock_.now();
     for (const auto& shown : running)
@@ -191,7 +213,10 @@
         if (known == runs_.end())
         {
             if (ledger_.contains(shown.run))
+            {
+                stop_ended(sent, shown.run);
                 continue;
+            }
             run_record found;
             found.order.run = shown.run;
             found.lease = found_lease(shown.run);
--- a/src/glenhollow/wire/glenhollow.capnp.cpp
+++ b/src/glenhollow/wire/glenhollow.capnp.cpp
@@ -6592,7 +6592,96 @@
   1, 1, i_aa44e4a4eec55075, nullptr, nullptr, { &s_aa44e4a4eec55075, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<60> b_cd03708998b5f84f = {
+static const ::capnp::_::AlignedData<78> b_bb2df2485c8fe211 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     17, 226, 143,  92,  72, 242,  45, 187,
+     17,   0,   0,   0,   1,   0,   2,   0,
+    145, 115, 110,  79, 176, 168, 193, 210,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 242,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 231,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    103, 108, 101, 110, 104, 111, 108, 108,
+    111, 119,  46,  99,  97, 112, 110, 112,
+     58,  67,  97, 110,  99, 101, 108, 108,
+    101, 100,  74, 111,  98,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  34,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   8,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    101,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     96,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,  72,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    112,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
+    106, 111,  98,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 116, 101,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102, 111, 117, 110, 100,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 103, 101,  77, 115,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_bb2df2485c8fe211 = b_bb2df2485c8fe211.words;
+#if !CAPNP_LITE
+static const uint16_t m_bb2df2485c8fe211[] = {3, 2, 0, 1};
+static const uint16_t i_bb2df2485c8fe211[] = {0, 1, 2, 3};
+const ::capnp::_::RawSchema s_bb2df2485c8fe211 = {
+  0xbb2df2485c8fe211, b_bb2df2485c8fe211.words, 78, nullptr, m_bb2df2485c8fe211,
+  0, 4, i_bb2df2485c8fe211, nullptr, nullptr, { &s_bb2df2485c8fe211, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<71> b_cd03708998b5f84f = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      79, 248, 181, 152, 137, 112,   3, 205,
      17,   0,   0,   0,   3,   0,   0,   0,
@@ -6602,47 +6691,55 @@
      21,   0,   0,   0, 218,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,   7,   1,   0,   0,
-    193,   0,   0,   0,   7,   0,   0,   0,
+     29,   0,   0,   0,  71,   1,   0,   0,
+    237,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     103, 108, 101, 110, 104, 111, 108, 108,
     111, 119,  46,  99,  97, 112, 110, 112,
      58,  69, 110, 116, 114, 121,  80, 101,
     101, 114,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   5,   0,
+     20,   0,   0,   0,   3,   0,   5,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     191, 155, 216,  39, 140, 209, 239, 181,
     103, 242, 126, 228, 188, 209, 189, 230,
-    113,   0,   0,   0,  74,   0,   0,   0,
+    145,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
+    137,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     216, 169, 147,  60, 198,   9, 189, 190,
     254, 181,  22, 161, 183, 111,  80, 229,
-     93,   0,   0,   0,  42,   0,   0,   0,
+    125,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0,   7,   0,   0,   0,
+    113,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     182,  22, 240,  79,  62, 237, 248, 224,
     140, 106, 166,  11, 189,  75, 206, 186,
-     69,   0,   0,   0,  66,   0,   0,   0,
+    101,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     57,   0,   0,   0,   7,   0,   0,   0,
+     89,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      31,  96,  53, 234, 182,  44, 202, 209,
      36, 121, 249, 157, 115,  59, 216, 251,
-     45,   0,   0,   0,  50,   0,   0,   0,
+     77,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0,   7,   0,   0,   0,
+     65,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+    201, 165, 226, 158, 195,  64, 226, 229,
+    166, 248,  31,  94, 159, 207, 175, 212,
+     53,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,   7,   0,   0,   0,
     101, 120,  99, 104,  97, 110, 103, 101,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -6652,6 +6749,9 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     112, 108,  97,  99, 101,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+     99,  97, 110,  99, 101, 108, 108, 101,
+    100,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_cd03708998b5f84f = b_cd03708998b5f84f.words;
@@ -6661,15 +6761,17 @@
   &s_bace4bbd0ba66a8c,
   &s_bebd09c63c93a9d8,
   &s_d1ca2cb6ea35601f,
+  &s_d4afcf9f5e1ff8a6,
   &s_e0f8ed3e4ff016b6,
   &s_e5506fb7a116b5fe,
+  &s_e5e240c39ee2a5c9,
   &s_e6bdd1bce47ef267,
   &s_fbd83b739df97924,
 };
-static const uint16_t m_cd03708998b5f84f[] = {1, 2, 0, 3};
+static const uint16_t m_cd03708998b5f84f[] = {1, 4, 2, 0, 3};
 const ::capnp::_::RawSchema s_cd03708998b5f84f = {
-  0xcd03708998b5f84f, b_cd03708998b5f84f.words, 60, d_cd03708998b5f84f, m_cd03708998b5f84f,
-  8, 4, nullptr, nullptr, nullptr, { &s_cd03708998b5f84f, nullptr, nullptr, 0, 0, nullptr }
+  0xcd03708998b5f84f, b_cd03708998b5f84f.words, 71, d_cd03708998b5f84f, m_cd03708998b5f84f,
+  10, 5, nullptr, nullptr, nullptr, { &s_cd03708998b5f84f, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<34> b_b5efd18c27d89bbf = {
@@ -7092,6 +7194,85 @@
   1, 2, i_fbd83b739df97924, nullptr, nullptr, { &s_fbd83b739df97924, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<18> b_e5e240c39ee2a5c9 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    201, 165, 226, 158, 195,  64, 226, 229,
+     27,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  98,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    103, 108, 101, 110, 104, 111, 108, 108,
+    111, 119,  46,  99,  97, 112, 110, 112,
+     58,  69, 110, 116, 114, 121,  80, 101,
+    101, 114,  46,  99,  97, 110,  99, 101,
+    108, 108, 101, 100,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_e5e240c39ee2a5c9 = b_e5e240c39ee2a5c9.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_e5e240c39ee2a5c9 = {
+  0xe5e240c39ee2a5c9, b_e5e240c39ee2a5c9.words, 18, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_e5e240c39ee2a5c9, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<38> b_d4afcf9f5e1ff8a6 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    166, 248,  31,  94, 159, 207, 175, 212,
+     27,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 106,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    103, 108, 101, 110, 104, 111, 108, 108,
+    111, 119,  46,  99,  97, 112, 110, 112,
+     58,  69, 110, 116, 114, 121,  80, 101,
+    101, 114,  46,  99,  97, 110,  99, 101,
+    108, 108, 101, 100,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    106, 111,  98, 115,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     17, 226, 143,  92,  72, 242,  45, 187,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d4afcf9f5e1ff8a6 = b_d4afcf9f5e1ff8a6.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_d4afcf9f5e1ff8a6[] = {
+  &s_bb2df2485c8fe211,
+};
+static const uint16_t m_d4afcf9f5e1ff8a6[] = {0};
+static const uint16_t i_d4afcf9f5e1ff8a6[] = {0};
+const ::capnp::_::RawSchema s_d4afcf9f5e1ff8a6 = {
+  0xd4afcf9f5e1ff8a6, b_d4afcf9f5e1ff8a6.words, 38, d_d4afcf9f5e1ff8a6, m_d4afcf9f5e1ff8a6,
+  1, 1, i_d4afcf9f5e1ff8a6, nullptr, nullptr, { &s_d4afcf9f5e1ff8a6, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -8292,6 +8473,14 @@
 constexpr ::capnp::_::RawSchema const* PlacementSession::WantResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// CancelledJob
+constexpr uint16_t CancelledJob::_capnpPrivate::dataWordSize;
+constexpr uint16_t CancelledJob::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind CancelledJob::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* CancelledJob::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::glenhollow::wire::EntryPeer::ExchangeParams,  ::glenhollow::wire::EntryPeer::ExchangeResults>
 EntryPeer::Client::exchangeRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -8333,6 +8522,16 @@
       "glenhollow.capnp:EntryPeer", "place",
       0xcd03708998b5f84full, 3);
 }
+::capnp::Request< ::glenhollow::wire::EntryPeer::CancelledParams,  ::glenhollow::wire::EntryPeer::CancelledResults>
+EntryPeer::Client::cancelledRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::glenhollow::wire::EntryPeer::CancelledParams,  ::glenhollow::wire::EntryPeer::CancelledResults>(
+      0xcd03708998b5f84full, 4, sizeHint);
+}
+::kj::Promise<void> EntryPeer::Server::cancelled(CancelledContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "glenhollow.capnp:EntryPeer", "cancelled",
+      0xcd03708998b5f84full, 4);
+}
 ::capnp::Capability::Server::DispatchCallResult EntryPeer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -8371,6 +8570,12 @@
              ::glenhollow::wire::EntryPeer::PlaceParams,  ::glenhollow::wire::EntryPeer::PlaceResults>(context)),
         false
       };
+    case 4:
+      return {
+        cancelled(::capnp::Capability::Server::internalGetTypedContext<
+             ::glenhollow::wire::EntryPeer::CancelledParams,  ::glenhollow::wire::EntryPeer::CancelledResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -8450,6 +8655,22 @@
 constexpr ::capnp::_::RawSchema const* EntryPeer::PlaceResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// EntryPeer::CancelledParams
+constexpr uint16_t EntryPeer::CancelledParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t EntryPeer::CancelledParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind EntryPeer::CancelledParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* EntryPeer::CancelledParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// EntryPeer::CancelledResults
+constexpr uint16_t EntryPeer::CancelledResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t EntryPeer::CancelledResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind EntryPeer::CancelledResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* EntryPeer::CancelledResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -107,6 +107,7 @@
 CAPNP_DECLARE_SCHEMA(81652ca7b9073c6f);
 CAPNP_DECLARE_SCHEMA(963e882a56c93417);
 CAPNP_DECLARE_SCHEMA(aa44e4a4eec55075);
+CAPNP_DECLARE_SCHEMA(bb2df2485c8fe211);
 CAPNP_DECLARE_SCHEMA(cd03708998b5f84f);
 CAPNP_DECLARE_SCHEMA(b5efd18c27d89bbf);
 CAPNP_DECLARE_SCHEMA(e6bdd1bce47ef267);
@@ -116,6 +117,8 @@
 CAPNP_DECLARE_SCHEMA(bace4bbd0ba66a8c);
 CAPNP_DECLARE_SCHEMA(d1ca2cb6ea35601f);
 CAPNP_DECLARE_SCHEMA(fbd83b739df97924);
+CAPNP_DECLARE_SCHEMA(e5e240c39ee2a5c9);
+CAPNP_DECLARE_SCHEMA(d4afcf9f5e1ff8a6);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -1400,6 +1403,21 @@
   };
 };
 
+struct CancelledJob {
+  CancelledJob() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bb2df2485c8fe211, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct EntryPeer {
   EntryPeer() = delete;
 
@@ -1416,6 +1434,8 @@
   struct CatalogResults;
   struct PlaceParams;
   struct PlaceResults;
+  struct CancelledParams;
+  struct CancelledResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -1545,6 +1565,36 @@
   };
 };
 
+struct EntryPeer::CancelledParams {
+  CancelledParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e5e240c39ee2a5c9, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryPeer::CancelledResults {
+  CancelledResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d4afcf9f5e1ff8a6, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class TaskKey::Reader {
@@ -8980,6 +9030,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class CancelledJob::Reader {
+public:
+  typedef CancelledJob Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getJob() const;
+
+  inline  ::uint8_t getState() const;
+
+  inline bool getFound() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CancelledJob::Builder {
+public:
+  typedef CancelledJob Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getJob();
+  inline void setJob( ::uint64_t value);
+
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
+
+  inline bool getFound();
+  inline void setFound(bool value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CancelledJob::Pipeline {
+public:
+  typedef CancelledJob Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class EntryPeer::Client
     : public virtual ::capnp::Capability::Client {
@@ -9007,6 +9148,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::glenhollow::wire::EntryPeer::PlaceParams,  ::glenhollow::wire::EntryPeer::PlaceResults> placeRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::glenhollow::wire::EntryPeer::CancelledParams,  ::glenhollow::wire::EntryPeer::CancelledResults> cancelledRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -9039,6 +9182,10 @@
   typedef  ::glenhollow::wire::EntryPeer::PlaceResults PlaceResults;
   typedef ::capnp::CallContext<PlaceParams, PlaceResults> PlaceContext;
   virtual ::kj::Promise<void> place(PlaceContext context);
+  typedef  ::glenhollow::wire::EntryPeer::CancelledParams CancelledParams;
+  typedef  ::glenhollow::wire::EntryPeer::CancelledResults CancelledResults;
+  typedef ::capnp::CallContext<CancelledParams, CancelledResults> CancelledContext;
+  virtual ::kj::Promise<void> cancelled(CancelledContext context);
 
   inline  ::glenhollow::wire::EntryPeer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -9728,6 +9875,158 @@
 };
 #endif  // !CAPNP_LITE
 
+class EntryPeer::CancelledParams::Reader {
+public:
+  typedef CancelledParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::CancelledParams::Builder {
+public:
+  typedef CancelledParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::CancelledParams::Pipeline {
+public:
+  typedef CancelledParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::CancelledResults::Reader {
+public:
+  typedef CancelledResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasJobs() const;
+  inline  ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Reader getJobs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::CancelledResults::Builder {
+public:
+  typedef CancelledResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasJobs();
+  inline  ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Builder getJobs();
+  inline void setJobs( ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Builder initJobs(unsigned int size);
+  inline void adoptJobs(::capnp::Orphan< ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>> disownJobs();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::CancelledResults::Pipeline {
+public:
+  typedef CancelledResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::uint64_t TaskKey::Reader::getSequence() const {
@@ -15425,6 +15724,62 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t CancelledJob::Reader::getJob() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CancelledJob::Builder::getJob() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CancelledJob::Builder::setJob( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t CancelledJob::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t CancelledJob::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void CancelledJob::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CancelledJob::Reader::getFound() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+
+inline bool CancelledJob::Builder::getFound() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+inline void CancelledJob::Builder::setFound(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CancelledJob::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CancelledJob::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CancelledJob::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline EntryPeer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -15793,6 +16148,40 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool EntryPeer::CancelledResults::Reader::hasJobs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::CancelledResults::Builder::hasJobs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Reader EntryPeer::CancelledResults::Reader::getJobs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Builder EntryPeer::CancelledResults::Builder::getJobs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::CancelledResults::Builder::setJobs( ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>::Builder EntryPeer::CancelledResults::Builder::initJobs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EntryPeer::CancelledResults::Builder::adoptJobs(
+    ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>> EntryPeer::CancelledResults::Builder::disownJobs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::glenhollow::wire::CancelledJob,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/tests/unit/durable/dispatcher_sharing_tests.cpp
+++ b/tests/unit/durable/dispatcher_sharing_tests.cpp
@@ -81,6 +81,29 @@
     }
 }
 
+TEST_CASE("a stop never overtakes the order that it is for")
+{
+    // A grant's order leaves with the next turn. An agent carries out the stops
+    // of a message first: one that came in between would find no run, and the
+    // run of a cancelled job would then begin.
+    placement_world world(1);
+    fixed_selector selector;
+    world.runner("a", "rack-1");
+    world.placing.delegate_by(&selector);
+    const auto wanted = world.task("", slack);
+    world.placing.enqueue(wanted);
+    REQUIRE(world.placing.use({wanted.task, "a", 7}, {1, 99}) ==
+            grant_verdict::used);
+    REQUIRE(world.orders.empty());
+    world.placing.stop("a", {wanted.task, 0}); // As it was assigned.
+    world.placing.dispatch();
+    REQUIRE(world.batches.size() == 2);
+    CHECK(world.batches[0].starts.size() == 1);
+    CHECK(world.batches[0].stops.empty());
+    CHECK(world.batches[1].starts.empty());
+    CHECK(world.batches[1].stops.size() == 1);
+}
+
 TEST_CASE("what an agent is told with an answer is not sent again")
 {
     placement_world world(1);
--- a/tests/unit/durable/job_coordinator_memory_tests.cpp
+++ b/tests/unit/durable/job_coordinator_memory_tests.cpp
@@ -264,3 +264,53 @@
     CHECK(world.replies.at(2).outcome == job_outcome::refused);
     CHECK(world.replies.at(2).retry_after > duration{});
 }
+
+TEST_CASE("the caller of a cancelled job in memory hears so at once")
+{
+    coordinator_world world;
+    world.in_memory();
+    world.submit(coordinator_world::memory_job(1));
+    REQUIRE(world.started.size() == 2);
+    std::optional<job_reply> told;
+    CHECK(world.coordinator->knows(1));
+    world.coordinator->cancel(1, [&](const job_reply& reply) { told = reply; });
+    REQUIRE(told);
+    CHECK(told->outcome == job_outcome::done);
+    CHECK(told->state == job_state::cancelled);
+    REQUIRE(world.replies.contains(1));
+    CHECK(world.replies[1].outcome == job_outcome::done);
+    CHECK(world.replies[1].state == job_state::cancelled);
+    world.settle();
+    CHECK(world.stopped.size() == 2);
+    // Its runs end, and none is placed again.
+    world.started.clear();
+    world.end("agent-1", {{1, 0, 0, 0}, first_memory_run + 1},
+              run_outcome::stopped);
+    world.settle();
+    CHECK(world.started.empty());
+}
+
+TEST_CASE("a cancelled job in memory that comes again is not run anew")
+{
+    coordinator_world world;
+    world.in_memory();
+    world.submit(coordinator_world::memory_job(1));
+    world.coordinator->cancel(1, [](const job_reply&) {});
+    world.settle();
+    world.started.clear();
+    world.replies.clear();
+    world.submit(coordinator_world::memory_job(1));
+    CHECK(world.replies[1].state == job_state::cancelled);
+    CHECK(world.started.empty());
+}
+
+TEST_CASE("a job that is cancelled before any task is placed places none")
+{
+    coordinator_world world;
+    world.in_memory();
+    world.coordinator->submit(coordinator_world::memory_job(1),
+                              [](const job_reply&) {});
+    world.coordinator->cancel(1, [](const job_reply&) {});
+    world.settle();
+    CHECK(world.started.empty());
+}
--- a/tests/unit/durable/placement_world.hpp
+++ b/tests/unit/durable/placement_world.hpp
@@ -83,6 +83,7 @@
     {
         starts.insert(starts.end(), batch.starts.size(), agent);
         orders.insert(orders.end(), batch.starts.begin(), batch.starts.end());
+        batches.push_back(std::move(batch));
     }
 
     void grant(entry_number entry, std::vector<task_grant> grants) override
@@ -113,6 +114,7 @@
     dispatcher placing;
     std::vector<std::string> starts;
     std::vector<run_order> orders;
+    std::vector<order_batch> batches;
     std::vector<std::pair<entry_number, task_grant>> granted;
     std::vector<job_id> placed;
     job_id jobs = 0;
