--- a/programs/durable_entry.cpp
+++ b/programs/durable_entry.cpp
@@ -103,6 +103,7 @@
         out.memory.begin_by = settings_.begin_by;
         out.dispatch.review_interval = milliseconds{settings_.review_ms};
         out.dispatch.late_reserve = settings_.late_reserve;
+        out.cancellation.remember.keep = seconds{settings_.cancel_memory_s};
         out.power = settings_.cpu_share * settings_.cores;
         out.dispatch.far_factor = settings_.far_factor;
         out.catalog = platform::operator_configuration();
--- a/programs/durable_entry.hpp
+++ b/programs/durable_entry.hpp
@@ -28,6 +28,7 @@
     double begin_by = 0.45;             ///< See job_coordinator_settings.
     unsigned review_ms = 10;            ///< See dispatcher_settings.
     double late_reserve = 0.15;         ///< See dispatcher_settings.
+    unsigned cancel_memory_s = 60;      ///< See remembered_cancels_settings.
     bool own_placement = false;         ///< Never placed by another entry.
     double cpu_share = 1.0;             ///< Of a core, for this process.
     double cores = 1.0;                 ///< How many times as fast it runs.
--- a/programs/durable_entry_main.cpp
+++ b/programs/durable_entry_main.cpp
@@ -55,6 +55,10 @@
     line.number<double>("late-reserve", settings.late_reserve, 0, 1, "",
                         "share of a service's cores that must be free before "
                         "a task of a late job starts");
+    line.number<unsigned>("cancel-memory", settings.cancel_memory_s, 1, 3600,
+                          "s",
+                          "for which a job in memory that was cancelled is not "
+                          "run when it comes again");
     line.number<double>("cpu-share", settings.cpu_share, 0.01, 1024, "cores",
                         "share of a core that this process may use");
     line.number<double>("cores", settings.cores, 0.1, 1024, "",
