--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -276,6 +276,7 @@
   job @1 :UInt64;
   catalogVersion @2 :UInt64;
   body @3 :Data;             # a new job in its journal form
+  onward @4 :Text;           # the entry that it is for, if not the one asked
 }
 
 struct JobAnswer {
--- a/src/glenhollow/durable/durable_cancels.cpp
+++ b/src/glenhollow/durable/durable_cancels.cpp
@@ -25,6 +25,13 @@
     peers_.call(name, {job_verb::cancel_in_memory, id, {}}, std::move(done));
 }
 
+void durable_service::pass_on(const std::string& by, const std::string& name,
+                              job_id id, answer_handler done)
+{
+    peers_.call(by, {job_verb::cancel_in_memory, id, {}, name},
+                std::move(done));
+}
+
 void durable_service::fetch(const std::string& name, told_handler done)
 {
     peers_.fetch_cancelled(name, std::move(done));
@@ -74,6 +81,8 @@
     count("cancels_told_total", "Cancels told to other entries", stats.told);
     count("cancels_untold_total", "Of these, lost and told again",
           stats.untold);
+    count("cancels_passed_on_total", "Cancels told by way of another entry",
+          stats.passed_on);
     count("cancels_heard_total", "Cancels that other entries told",
           stats.heard);
     count("cancels_learned_total", "Cancels from before this process",
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -494,7 +494,7 @@
 void durable_service::serve(const job_call& call, job_reply_handler done)
 {
     if (call.verb == job_verb::cancel_in_memory)
-        cancellation_.told(call.id, std::move(done));
+        cancellation_.told(call.id, call.onward, std::move(done));
     else
         router_.serve_here(call, std::move(done));
     schedule_dispatch();
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -161,6 +161,8 @@
     std::vector<peer_reach> all() const override { return peers_.reach(); }
     void cancel(const std::string& name, job_id id,
                 answer_handler done) override;
+    void pass_on(const std::string& by, const std::string& name, job_id id,
+                 answer_handler done) override;
     void fetch(const std::string& name, told_handler done) override;
     std::optional<job_state> end_of_cancelled(job_id id);
     memory_cancellation::journal_cancel cancel_kept();
--- a/src/glenhollow/durable/entry_peers.cpp
+++ b/src/glenhollow/durable/entry_peers.cpp
@@ -157,6 +157,7 @@
         job_call call;
         call.verb = from_index(asked.getVerb(), job_verb::state);
         call.id = asked.getJob();
+        call.onward = asked.getOnward();
         if (call.verb == job_verb::submit)
         {
             auto job = decode_definition(text_of(asked.getBody()));
@@ -418,6 +419,8 @@
         auto out = request.initCall();
         out.setVerb(static_cast<std::uint8_t>(call.verb));
         out.setJob(call.id);
+        if (!call.onward.empty())
+            out.setOnward(call.onward);
         if (call.verb == job_verb::submit)
             out.setBody(bytes_of(encode_definition(call.job)));
         auto shared = std::make_shared<answer_handler>(std::move(done));
--- a/src/glenhollow/durable/entry_peers.hpp
+++ b/src/glenhollow/durable/entry_peers.hpp
@@ -70,6 +70,7 @@
     job_verb verb = job_verb::state; ///< What is asked.
     job_id id = 0;                   ///< Of which job.
     job_definition job;              ///< When submitted.
+    std::string onward{};            ///< To be passed on to this entry.
 };
 
 /// Answers other entries.
--- a/src/glenhollow/durable/memory_cancellation.cpp
+++ b/src/glenhollow/durable/memory_cancellation.cpp
@@ -14,6 +14,9 @@
 /// One that has just begun itself may know less than another.
 constexpr std::size_t learn_from = 2;
 
+/// Others that are asked to pass a cancel on: one may be out of reach itself.
+constexpr std::size_t most_ways = 2;
+
 std::int64_t to_ms(duration length)
 {
     return std::chrono::duration_cast<milliseconds>(length).count();
@@ -110,21 +113,74 @@
 }
 
 /// A silent entry is waited for as long as its agents run on for it. One that
-/// can't be asked, from when it was last heard.
+/// can't be asked, from when it was last heard; it may reach others and agents.
 void memory_cancellation::spread(job_id id)
 {
     const auto now = clock_.now();
+    const auto peers = peers_.all();
     auto& open = open_.at(id);
     open.spread = true;
-    for (const auto& peer : peers_.all())
+    open.spread_at = now;
+    for (const auto& peer : peers)
     {
-        if (peer.connected)
-            open.waits[peer.name] = now;
-        else if (now - peer.heard < settings_.lapse)
-            open.waits[peer.name] = peer.heard;
+        const auto least = now - settings_.lapse + settings_.pass_on_after;
+        open.waits[peer.name] =
+            peer.connected ? now : std::max(peer.heard, least);
     }
     memory_.note(id, now);
     tell_others(id);
+    pass_on(id, peers);
+    conclude(id);
+}
+
+void memory_cancellation::pass_on(job_id id,
+                                  const std::vector<peer_reach>& peers)
+{
+    const auto known = open_.find(id);
+    if (known == open_.end())
+        return;
+    auto& open = known->second;
+    const bool patient =
+        clock_.now() - open.spread_at < settings_.pass_on_after;
+    std::vector<std::string> targets;
+    for (const auto& peer : peers)
+    {
+        if (open.waits.contains(peer.name) && !(peer.connected && patient) &&
+            open.by_way.insert(peer.name).second)
+            targets.push_back(peer.name);
+    }
+    for (const auto& target : targets)
+    {
+        std::size_t ways = 0;
+        for (const auto& peer : peers)
+        {
+            if (!peer.connected || peer.name == target || ++ways > most_ways)
+                continue;
+            ++stats_.passed_on;
+            peers_.pass_on(
+                peer.name, target, id,
+                [this, target, id](const std::optional<job_reply>& reply)
+                { answered_by_way(target, id, reply); });
+        }
+    }
+}
+
+/// The log goes on telling it: by this way nothing is owed.
+void memory_cancellation::answered_by_way(const std::string& name, job_id id,
+                                          const std::optional<job_reply>& reply)
+{
+    if (!reply)
+        return;
+    if (has_ended(*reply))
+        memory_.found(id, reply->state);
+    const auto known = open_.find(id);
+    if (known == open_.end())
+        return;
+    if (has_ended(*reply))
+        return finish(id, cancel_outcome::elsewhere, *reply, name);
+    if (reply->outcome != job_outcome::missing)
+        return;
+    known->second.waits.erase(name);
     conclude(id);
 }
 
@@ -206,7 +262,18 @@
                 {"age_ms", to_ms(clock_.now() - told.since)}});
 }
 
-void memory_cancellation::told(job_id id, job_reply_handler done)
+void memory_cancellation::told(job_id id, const std::string& onward,
+                               job_reply_handler done)
+{
+    if (onward.empty())
+        return told_here(id, std::move(done));
+    peers_.cancel(
+        onward, id,
+        [done = std::move(done)](const std::optional<job_reply>& reply)
+        { done(reply.value_or(job_reply{})); });
+}
+
+void memory_cancellation::told_here(job_id id, job_reply_handler done)
 {
     ++stats_.heard;
     memory_.note(id, clock_.now());
@@ -254,17 +321,13 @@
     forget_old();
     const auto peers = peers_.all();
     learn(peers);
-    std::map<std::string, instant> heard;
     for (const auto& peer : peers)
-    {
-        heard[peer.name] = peer.heard;
         pump(peer);
-    }
     std::vector<job_id> open;
     for (const auto& [id, one] : open_)
         open.push_back(id);
     for (const auto id : open)
-        check(id, heard);
+        check(id, peers);
 }
 
 void memory_cancellation::forget_old()
@@ -280,8 +343,7 @@
     }
 }
 
-void memory_cancellation::check(job_id id,
-                                const std::map<std::string, instant>& heard)
+void memory_cancellation::check(job_id id, const std::vector<peer_reach>& peers)
 {
     const auto known = open_.find(id);
     if (known == open_.end())
@@ -294,19 +356,25 @@
         return;
     if (!open.spread && age >= settings_.journal_alone)
         return spread(id);
-    stop_waiting(open, heard);
+    if (!open.spread)
+        return;
+    stop_waiting(open, peers);
+    pass_on(id, peers);
     conclude(id);
 }
 
-void memory_cancellation::stop_waiting(
-    open_cancel& open, const std::map<std::string, instant>& heard)
+void memory_cancellation::stop_waiting(open_cancel& open,
+                                       const std::vector<peer_reach>& peers)
 {
     const auto now = clock_.now();
+    for (const auto& peer : peers)
+    {
+        const auto known = open.waits.find(peer.name);
+        if (known != open.waits.end())
+            known->second = std::max(known->second, peer.heard);
+    }
     for (auto at = open.waits.begin(); at != open.waits.end();)
     {
-        const auto last = heard.find(at->first);
-        if (last != heard.end())
-            at->second = std::max(at->second, last->second);
         if (now - at->second < settings_.lapse)
         {
             ++at;
--- a/src/glenhollow/durable/memory_cancellation.hpp
+++ b/src/glenhollow/durable/memory_cancellation.hpp
@@ -69,6 +69,13 @@
     virtual void cancel(const std::string& name, job_id id,
                         answer_handler done) = 0;
 
+    /// @param by An entry that may reach another.
+    /// @param name The other, to be told.
+    /// @param id A job that is cancelled.
+    /// @param done Told its answer; nothing, or unknown, where there is none.
+    virtual void pass_on(const std::string& by, const std::string& name,
+                         job_id id, answer_handler done) = 0;
+
     /// @param name The entry to ask.
     /// @param done Told what it remembers, or nothing.
     virtual void fetch(const std::string& name, told_handler done) = 0;
@@ -86,8 +93,13 @@
                                          ///< silent so long: its leases at
                                          ///< agents, and their time to stop.
     duration limit = milliseconds{4500}; ///< Of an answer, whatever is known.
-    std::size_t cancels_out = 64;        ///< Without an answer at one entry:
-                                         ///< more wait until it answers.
+    duration pass_on_after = milliseconds{250}; ///< Without an answer an entry
+                                                ///< is told by way of others;
+                                                ///< one that is out of reach
+                                                ///< at once, and has so long
+                                                ///< to answer that way.
+    std::size_t cancels_out = 64;         ///< Without an answer at one entry:
+                                          ///< more wait until it answers.
     remembered_cancels_settings remember; ///< Bounds.
 };
 
@@ -119,15 +131,16 @@
     std::array<std::uint64_t, name_table<cancel_outcome>::names.size()>
         outcomes{}; ///< Answers.
     std::array<std::uint64_t, age_bounds_ms.size() + 1>
-        ages{};                ///< Answers by what they took.
-    std::uint64_t told = 0;    ///< Cancels told to other entries.
-    std::uint64_t untold = 0;  ///< Of these, lost; they are told again.
-    std::uint64_t heard = 0;   ///< Cancels that others told.
-    std::uint64_t silent = 0;  ///< Entries that were waited for in vain.
-    std::uint64_t ran_on = 0;  ///< Jobs that an entry had when it heard of
-                               ///< their cancelling after the answer.
-    std::uint64_t not_run = 0; ///< Submissions of a cancelled job.
-    std::uint64_t learned = 0; ///< Cancels from before this process began.
+        ages{};                  ///< Answers by what they took.
+    std::uint64_t told = 0;      ///< Cancels told to other entries.
+    std::uint64_t untold = 0;    ///< Of these, lost; they are told again.
+    std::uint64_t passed_on = 0; ///< Cancels told by way of others.
+    std::uint64_t heard = 0;     ///< Cancels that others told.
+    std::uint64_t silent = 0;    ///< Entries that were waited for in vain.
+    std::uint64_t ran_on = 0;    ///< Jobs that an entry had when it heard of
+                                 ///< their cancelling after the answer.
+    std::uint64_t not_run = 0;   ///< Submissions of a cancelled job.
+    std::uint64_t learned = 0;   ///< Cancels from before this process began.
 };
 
 /// Cancels jobs in memory wherever they are: asks every entry once, waits no
@@ -153,8 +166,9 @@
     void cancel(job_id id, job_reply_handler done);
 
     /// @param id A job that another entry cancels.
-    /// @param done Told what this entry had.
-    void told(job_id id, job_reply_handler done);
+    /// @param onward The entry that it is for; empty: this one.
+    /// @param done Told what that entry had; unknown: it is not reached.
+    void told(job_id id, const std::string& onward, job_reply_handler done);
 
     /// @param id A job in memory that is submitted and not known here.
     /// @return How it ended if it was cancelled: it must not be run.
@@ -183,6 +197,8 @@
         std::optional<job_reply> journal;     ///< Its owner's answer.
         std::map<std::string, instant> waits; ///< Silent since, by entry.
         std::uint32_t silent = 0;             ///< Entries waited for in vain.
+        instant spread_at{};                  ///< When the others were asked.
+        std::set<std::string> by_way; ///< Entries told by way of others.
     };
 
     /// One that others are told of.
@@ -205,14 +221,17 @@
     void spread(job_id id);
     void tell_others(job_id id);
     void pump(const peer_reach& peer);
+    void pass_on(job_id id, const std::vector<peer_reach>& peers);
+    void answered_by_way(const std::string& name, job_id id,
+                         const std::optional<job_reply>& reply);
+    void told_here(job_id id, job_reply_handler done);
     void answered(const std::string& name, std::uint64_t number,
                   const logged_cancel& told,
                   const std::optional<job_reply>& reply);
     void note_ran_on(const std::string& name, const logged_cancel& told,
                      const job_reply& reply);
-    void check(job_id id, const std::map<std::string, instant>& heard);
-    void stop_waiting(open_cancel& open,
-                      const std::map<std::string, instant>& heard);
+    void check(job_id id, const std::vector<peer_reach>& peers);
+    void stop_waiting(open_cancel& open, const std::vector<peer_reach>& peers);
     void conclude(job_id id);
     void forget_old();
     void finish(job_id id, cancel_outcome how, const job_reply& reply,
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -1223,7 +1223,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ac863c02ed76ebc2, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ac863c02ed76ebc2, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -7973,6 +7973,9 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline bool hasOnward() const;
+  inline  ::capnp::Text::Reader getOnward() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -8017,6 +8020,13 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline bool hasOnward();
+  inline  ::capnp::Text::Builder getOnward();
+  inline void setOnward( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOnward(unsigned int size);
+  inline void adoptOnward(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOnward();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -14911,6 +14921,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool JobCall::Reader::hasOnward() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobCall::Builder::hasOnward() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JobCall::Reader::getOnward() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JobCall::Builder::getOnward() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void JobCall::Builder::setOnward( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JobCall::Builder::initOnward(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void JobCall::Builder::adoptOnward(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JobCall::Builder::disownOnward() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint8_t JobAnswer::Reader::getOutcome() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/unit/durable/memory_cancellation_tests.cpp
+++ b/tests/unit/durable/memory_cancellation_tests.cpp
@@ -38,6 +38,8 @@
         std::vector<peer_reach> all() const override;
         void cancel(const std::string& name, job_id id,
                     answer_handler done) override;
+        void pass_on(const std::string& by, const std::string& name, job_id id,
+                     answer_handler done) override;
         void fetch(const std::string& name, told_handler done) override;
 
         entries_world* world = nullptr;
@@ -120,41 +122,68 @@
             work();
     }
 
+    bool reach(const std::string& one, const std::string& other) const;
+
     manual_loop loop;
     memory_cancellation_settings settings;
     std::map<std::string, entry> entries;
-    std::set<job_id> journal;    ///< Kept jobs.
-    bool journal_silent = false; ///< It answers nothing.
-    int journal_asked = 0;       ///< Times.
-    int lose_answers = 0;        ///< So many calls are answered by a lost link.
+    /// Two that don't reach each other, and since when.
+    std::map<std::pair<std::string, std::string>, instant> apart;
+    std::pair<std::string, std::string> half_open; ///< From, to: all is lost.
+    std::set<job_id> journal;                      ///< Kept jobs.
+    bool journal_silent = false;                   ///< It answers nothing.
+    int journal_asked = 0;                         ///< Times.
+    int lose_answers = 0; ///< So many calls are answered by a lost link.
     std::vector<job_reply> replies;
 };
 
+bool entries_world::reach(const std::string& one,
+                          const std::string& other) const
+{
+    return !entries.at(one).cut && !entries.at(other).cut &&
+           !apart.contains({one, other}) && !apart.contains({other, one});
+}
+
 std::vector<peer_reach> entries_world::links::all() const
 {
     std::vector<peer_reach> out;
     for (const auto& [name, one] : world->entries)
     {
-        if (name != own)
-            out.push_back(
-                {name, !one.cut && !world->entries.at(own).cut, one.heard});
+        if (name == own)
+            continue;
+        const bool is_apart = world->apart.contains({own, name});
+        out.push_back({name, world->reach(own, name),
+                       is_apart ? world->apart.at({own, name}) : one.heard});
     }
     return out;
 }
 
+void entries_world::links::pass_on(const std::string& by,
+                                   const std::string& name, job_id id,
+                                   answer_handler done)
+{
+    world->loop.delay()(milliseconds{1},
+                        [this, by, name, id, done]
+                        {
+                            if (!world->reach(own, by))
+                                return done(std::nullopt);
+                            world->entries.at(by).cancels->told(id, name, done);
+                        });
+}
+
 void entries_world::links::cancel(const std::string& name, job_id id,
                                   answer_handler done)
 {
     const auto work = [this, name, id, done]
     {
         auto& to = world->entries.at(name);
-        if (to.deaf)
+        if (to.deaf || world->half_open == std::pair{own, name})
             return;
-        if (to.cut)
+        if (!world->reach(own, name))
             return done(std::nullopt);
         const bool lost = world->lose_answers > 0;
         world->lose_answers -= lost ? 1 : 0;
-        to.cancels->told(id,
+        to.cancels->told(id, {},
                          [lost, done](const job_reply& reply)
                          {
                              if (lost)
@@ -273,11 +302,44 @@
     world.at(2).cut = true;
     world.run(seconds{3});
     world.cancel(0, 7);
-    world.run(milliseconds{20});
+    world.run(milliseconds{270}); // Others may have reached it.
     REQUIRE(world.replies.size() == 1);
     CHECK(world.replies[0].outcome == job_outcome::missing);
 }
 
+TEST_CASE("a holder out of reach is told by way of an entry that reaches it")
+{
+    entries_world world;
+    world.at(2).holder.jobs[7] = job_state::running;
+    world.apart[{"entry-0", "entry-2"}] = world.loop.clock.now();
+    world.run(seconds{3}); // It looks gone, and its agents work on for it.
+    world.cancel(0, 7);
+    world.run(milliseconds{20});
+    REQUIRE(world.replies.size() == 1);
+    CHECK(world.replies[0].state == job_state::cancelled);
+    CHECK(world.at(2).holder.jobs[7] == job_state::cancelled);
+    // One that has nothing says so the same way.
+    world.cancel(0, 8);
+    world.run(milliseconds{20});
+    REQUIRE(world.replies.size() == 2);
+    CHECK(world.replies[1].outcome == job_outcome::missing);
+    CHECK(world.at(2).cancels->refuse(8) == job_state::cancelled);
+}
+
+TEST_CASE("a holder whose link is lost one way is told by another way")
+{
+    // The link looks sound still, and nothing comes by it.
+    entries_world world;
+    world.at(2).holder.jobs[7] = job_state::running;
+    world.half_open = {"entry-0", "entry-2"};
+    world.cancel(0, 7);
+    world.run(milliseconds{200});
+    CHECK(world.replies.empty());
+    world.run(milliseconds{100});
+    REQUIRE(world.replies.size() == 1);
+    CHECK(world.replies[0].state == job_state::cancelled);
+}
+
 TEST_CASE("an entry that is live and never answers makes it unknown, in time")
 {
     entries_world world;
