--- a/src/glenhollow/durable/memory_cancellation.cpp
+++ b/src/glenhollow/durable/memory_cancellation.cpp
@@ -113,7 +113,8 @@
 }
 
 /// A silent entry is waited for as long as its agents run on for it. One that
-/// can't be asked, from when it was last heard; it may reach others and agents.
+/// can't be asked, from when it was last heard; it may reach others and agents,
+/// unless it has been gone for so long that it was taken away.
 void memory_cancellation::spread(job_id id)
 {
     const auto now = clock_.now();
@@ -123,6 +124,8 @@
     open.spread_at = now;
     for (const auto& peer : peers)
     {
+        if (!peer.connected && now - peer.heard >= settings_.remember.keep)
+            continue;
         const auto least = now - settings_.lapse + settings_.pass_on_after;
         open.waits[peer.name] =
             peer.connected ? now : std::max(peer.heard, least);
--- a/tests/unit/durable/memory_cancellation_tests.cpp
+++ b/tests/unit/durable/memory_cancellation_tests.cpp
@@ -305,6 +305,13 @@
     world.run(milliseconds{270}); // Others may have reached it.
     REQUIRE(world.replies.size() == 1);
     CHECK(world.replies[0].outcome == job_outcome::missing);
+    // After a minute it has been taken away, and nobody is asked for it.
+    world.run(seconds{60});
+    const auto passed_on = world.at(0).cancels->stats().passed_on;
+    world.cancel(0, 8);
+    world.run(milliseconds{20});
+    CHECK(world.replies.size() == 2);
+    CHECK(world.at(0).cancels->stats().passed_on == passed_on);
 }
 
 TEST_CASE("a holder out of reach is told by way of an entry that reaches it")
