--- a/src/glenhollow/durable/memory_cancellation.cpp
+++ b/src/glenhollow/durable/memory_cancellation.cpp
@@ -14,6 +14,9 @@
 /// One that has just begun itself may know less than another.
 constexpr std::size_t learn_from = 2;
 
+/// An entry of an earlier version can't tell, until it is replaced.
+constexpr duration learn_gap = seconds{1};
+
 /// Others that are asked to pass a cancel on: one may be out of reach itself.
 constexpr std::size_t most_ways = 2;
 
@@ -429,6 +432,8 @@
 /// What was cancelled before this process began may arrive here again.
 void memory_cancellation::learn(const std::vector<peer_reach>& peers)
 {
+    if (clock_.now() < learn_again_)
+        return;
     for (const auto& peer : peers)
     {
         if (learned_ || learning_.size() >= learn_from)
@@ -439,10 +444,10 @@
                      [this, name = peer.name](
                          const std::optional<std::vector<told_cancel>>& known)
                      {
-                         if (!known)
-                             learning_.erase(name);
-                         else
-                             take_learned(*known);
+                         if (known)
+                             return take_learned(*known);
+                         learning_.erase(name);
+                         learn_again_ = clock_.now() + learn_gap;
                      });
     }
 }
--- a/src/glenhollow/durable/memory_cancellation.hpp
+++ b/src/glenhollow/durable/memory_cancellation.hpp
@@ -92,7 +92,9 @@
                                          ///< in memory of an entry that was
                                          ///< silent so long: its leases at
                                          ///< agents, and their time to stop.
-    duration limit = milliseconds{4500}; ///< Of an answer, whatever is known.
+    duration limit = milliseconds{3500}; ///< Of an answer, whatever is known:
+                                         ///< that of a call to the journal's
+                                         ///< owner, and callers wait for 4 s.
     duration pass_on_after = milliseconds{250}; ///< Without an answer an entry
                                                 ///< is told by way of others;
                                                 ///< one that is out of reach
@@ -250,6 +252,7 @@
     std::uint64_t log_begin_ = 0;                ///< Number of the log's first.
     std::map<std::string, peer_cursor> cursors_; ///< By entry.
     std::set<std::string> learning_;             ///< Asked for what they know.
+    instant learn_again_{};                      ///< After one that failed.
     bool learned_ = false;                       ///< One has told.
     memory_cancellation_stats stats_;            ///< Counters.
 };
--- a/tests/unit/durable/memory_cancellation_tests.cpp
+++ b/tests/unit/durable/memory_cancellation_tests.cpp
@@ -54,6 +54,8 @@
         std::unique_ptr<memory_cancellation> cancels;
         bool cut = false;    ///< No link, either way.
         bool frozen = false; ///< Takes calls and does nothing.
+        bool older = false;  ///< Its version can't tell what it remembers.
+        int fetched = 0;     ///< Times that it was asked for that.
         bool deaf = false;   ///< It is heard, and never answers a call.
         instant heard{};     ///< By the others.
         std::vector<std::function<void()>> inbox; ///< While frozen.
@@ -209,7 +211,8 @@
                         [this, name, done]
                         {
                             auto& to = world->entries.at(name);
-                            if (to.cut || to.frozen)
+                            ++to.fetched;
+                            if (to.cut || to.frozen || to.older)
                                 done(std::nullopt);
                             else
                                 done(to.cancels->remembered());
@@ -352,7 +355,7 @@
     entries_world world;
     world.at(2).deaf = true;
     world.cancel(0, 7);
-    world.run(milliseconds{4400});
+    world.run(milliseconds{3400});
     CHECK(world.replies.empty());
     world.run(milliseconds{200});
     REQUIRE(world.replies.size() == 1);
@@ -456,6 +459,21 @@
     CHECK_FALSE(world.at(1).cancels->refuse(7));
 }
 
+TEST_CASE("an entry that can't tell what it remembers is seldom asked")
+{
+    entries_world world(2);
+    world.at(1).older = true;
+    world.at(1).fetched = 0;
+    world.start("entry-0");
+    world.run(milliseconds{2990});
+    CHECK(world.at(1).fetched == 3);
+    world.at(1).older = false;
+    world.run(milliseconds{1100});
+    CHECK(world.at(1).fetched == 4);
+    world.run(seconds{5});
+    CHECK(world.at(1).fetched == 4);
+}
+
 TEST_CASE("a job that came again before the entry had learned is cancelled")
 {
     entries_world world;
