--- a/src/glenhollow/durable/durable_cancels.cpp
+++ b/src/glenhollow/durable/durable_cancels.cpp
@@ -1,9 +1,45 @@
-// The cancelling of jobs at an entry, and its metrics.
+// Submitting and cancelling jobs at an entry, and the metrics of cancels.
 #include "glenhollow/durable/durable_service.hpp"
 
 namespace glenhollow
 {
 
+std::function<void()> durable_service::submit(const job_definition& job,
+                                              job_reply_handler done)
+{
+    if (job.lasts == durability::in_memory)
+    {
+        if (const auto ended = end_of_cancelled(job.id))
+        {
+            done({job_outcome::done, *ended, {}});
+            return {};
+        }
+        const auto here =
+            [this](const job_definition& taken, job_reply_handler told)
+        { submit_here(taken, std::move(told)); };
+        if (refusing_ || !handover_.submit(job, done, here))
+            submit_here(job, std::move(done));
+        return [this, alive = alive_, id = job.id]
+        {
+            if (!*alive)
+                return;
+            handover_.withdraw(id);
+            memory_.withdraw(id);
+            schedule_dispatch();
+        };
+    }
+    router_.route({job_verb::submit, job.id, job}, std::move(done));
+    schedule_dispatch();
+    return {};
+}
+
+void durable_service::submit_here(const job_definition& job,
+                                  job_reply_handler done)
+{
+    memory_.submit(job, std::move(done));
+    schedule_dispatch();
+}
+
 void durable_service::cancel(job_id id, job_reply_handler done)
 {
     cancellation_.cancel(id, std::move(done));
@@ -13,7 +49,7 @@
 bool durable_service::cancel_here(job_id id, job_reply_handler done)
 {
     if (!memory_.knows(id))
-        return false;
+        return handover_.cancel(id, std::move(done));
     memory_.cancel(id, std::move(done));
     schedule_dispatch();
     return true;
--- a/src/glenhollow/durable/memory_cancellation.cpp
+++ b/src/glenhollow/durable/memory_cancellation.cpp
@@ -96,9 +96,15 @@
     const auto known = open_.find(id);
     if (known == open_.end() || !std::exchange(known->second.waits_here, false))
         return;
-    finish(id,
-           has_ended(reply) ? cancel_outcome::here : cancel_outcome::unknown,
-           reply, {});
+    if (has_ended(reply))
+        return finish(id, cancel_outcome::here, reply, {});
+    if (reply.outcome == job_outcome::missing)
+        return ask_here(id); // Its host gave it back meanwhile.
+    // Its host is gone, and with it, after a while, what it has placed.
+    auto& open = known->second;
+    open.spread = true;
+    open.journal = job_reply{job_outcome::missing, job_state::queued, {}};
+    open.waits[{}] = clock_.now();
 }
 
 void memory_cancellation::journal_answered(job_id id, const job_reply& reply)
@@ -247,9 +253,9 @@
     }
     if (has_ended(*reply))
         return finish(told.id, cancel_outcome::elsewhere, *reply, name);
-    if (reply->outcome == job_outcome::unknown)
-        return; // It is asking itself: as if silent.
     known->second.waits.erase(name);
+    if (reply->outcome == job_outcome::unknown)
+        known->second.waits[{}] = clock_.now(); // It has lost the job's host.
     conclude(told.id);
 }
 
--- a/tests/unit/durable/memory_cancellation_tests.cpp
+++ b/tests/unit/durable/memory_cancellation_tests.cpp
@@ -18,6 +18,13 @@
         const auto known = jobs.find(id);
         if (known == jobs.end())
             return false;
+        if (host_lost || std::exchange(given_back, false))
+        {
+            done({host_lost ? job_outcome::unknown : job_outcome::missing,
+                  job_state::queued,
+                  {}});
+            return true;
+        }
         if (!is_final(known->second))
             known->second = job_state::cancelled;
         done({job_outcome::done, known->second, {}});
@@ -25,6 +32,8 @@
     }
 
     std::map<job_id, job_state> jobs; ///< By id.
+    bool host_lost = false;           ///< The host of the jobs does not answer.
+    bool given_back = false;          ///< It had given the next one back.
 };
 
 /// Some entries with links that can be cut, a journal and a clock.
@@ -252,6 +261,43 @@
     CHECK(world.at(2).cancels->refuse(7) == job_state::cancelled);
 }
 
+TEST_CASE("a job whose host is lost is answered for when nothing of it runs")
+{
+    entries_world world;
+    world.at(0).holder.jobs[7] = job_state::running;
+    world.at(0).holder.host_lost = true;
+    world.cancel(0, 7);
+    world.run(milliseconds{1950});
+    CHECK(world.replies.empty());
+    world.run(milliseconds{100});
+    REQUIRE(world.replies.size() == 1);
+    CHECK(world.replies[0].outcome == job_outcome::missing);
+    CHECK(world.at(1).cancels->refuse(7) == job_state::cancelled);
+}
+
+TEST_CASE("a job whose host another entry has lost is answered for as well")
+{
+    entries_world world;
+    world.at(2).holder.jobs[7] = job_state::running;
+    world.at(2).holder.host_lost = true;
+    world.cancel(0, 7);
+    world.run(milliseconds{1950});
+    CHECK(world.replies.empty());
+    world.run(milliseconds{100});
+    REQUIRE(world.replies.size() == 1);
+    CHECK(world.replies[0].outcome == job_outcome::missing);
+}
+
+TEST_CASE("a job that its host gave back meanwhile is cancelled here")
+{
+    entries_world world;
+    world.at(0).holder.jobs[7] = job_state::queued;
+    world.at(0).holder.given_back = true;
+    world.cancel(0, 7);
+    REQUIRE(world.replies.size() == 1);
+    CHECK(world.replies[0].state == job_state::cancelled);
+}
+
 TEST_CASE("nobody has it: told so as soon as all have answered")
 {
     entries_world world;
