--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -104,6 +104,7 @@
       memory_(surroundings(), memory_of(settings)),
       handover_(handover_surroundings(), settings.handover),
       router_(clock, delay(), ownership_, peers_, router_of(settings)),
+      cancellation_(clock, *this, *this, cancel_kept(), settings.cancellation),
       members_(store_, delay(), std::string(members_table), settings.follower,
                [this](const stored_row& row) { take_member(row); }),
       configuration_(
@@ -187,6 +188,7 @@
     queues_.tick(store_.reachable());
     log_load();
     memory_.tick();
+    cancellation_.tick();
     dispatcher_.set_owners(peers_.live().size() + 1);
     handover_.tick(std::max(strongest_, power_of(settings_)));
     choose_placer();
@@ -507,7 +509,10 @@
 
 void durable_service::serve(const job_call& call, job_reply_handler done)
 {
-    router_.serve_here(call, std::move(done));
+    if (call.verb == job_verb::cancel_in_memory)
+        cancellation_.told(call.id, call.onward, std::move(done));
+    else
+        router_.serve_here(call, std::move(done));
     schedule_dispatch();
 }
 
@@ -543,37 +548,6 @@
 
 // Callers.
 
-std::function<void()> durable_service::submit(const job_definition& job,
-                                              job_reply_handler done)
-{
-    if (job.lasts == durability::in_memory)
-    {
-        const auto here =
-            [this](const job_definition& taken, job_reply_handler told)
-        { submit_here(taken, std::move(told)); };
-        if (refusing_ || !handover_.submit(job, done, here))
-            submit_here(job, std::move(done));
-        return [this, alive = alive_, id = job.id]
-        {
-            if (!*alive)
-                return;
-            handover_.withdraw(id);
-            memory_.withdraw(id);
-            schedule_dispatch();
-        };
-    }
-    router_.route({job_verb::submit, job.id, job}, std::move(done));
-    schedule_dispatch();
-    return {};
-}
-
-void durable_service::submit_here(const job_definition& job,
-                                  job_reply_handler done)
-{
-    memory_.submit(job, std::move(done));
-    schedule_dispatch();
-}
-
 /// Then agents need hardly tell this entry of their room: hosts place. Jobs of
 /// the journal are placed here.
 bool durable_service::hands_all_over() const
@@ -581,12 +555,6 @@
     return handover_.active() && dispatcher_.waiting() == 0;
 }
 
-void durable_service::cancel(job_id id, job_reply_handler done)
-{
-    router_.route({job_verb::cancel, id, {}}, std::move(done));
-    schedule_dispatch();
-}
-
 void durable_service::state(job_id id, job_reply_handler done)
 {
     router_.route({job_verb::state, id, {}}, std::move(done));
