An order that the same process of its agent never took has not run

What is left to mend in the verdict is what is known falsely: an order that was out when a link was lost counted as possibly run for good, also when its agent, the same process still, told later that it had never come or not begun. Such orders are now settled by the agent's account after the session is open again (within 5 s; agents keep untold ends for 10 s).

--- a/src/glenhollow/durable/agent_sessions.cpp
+++ b/src/glenhollow/durable/agent_sessions.cpp
@@ -17,8 +17,21 @@
     bool attached = false;                      ///< It has been opened.
     instant silent_since{};                     ///< Unless it reports.
     agent_clock clock;                          ///< As far as it is known.
+    std::uint64_t process = 0;   ///< Of the agent; 0: never attached.
+    std::uint64_t accounted = 0; ///< Which has told last what it runs for this
+                                 ///< entry's jobs in memory.
+    instant down_since{};        ///< When the last session ended.
 };
 
+namespace
+{
+
+/// A longer time without a session, and an agent may have forgotten ends that
+/// nobody asked for; it keeps them for 10 s (see run_manager_settings).
+constexpr duration longest_gap = seconds{5};
+
+} // namespace
+
 /// The ear that an agent reports to.
 class agent_sessions::report_server final : public wire::RunReports::Server
 {
@@ -111,9 +124,11 @@
         [this, agent, number = to.number](auto&& answer)
         {
             const auto known = sessions_.find(agent);
-            if (known != sessions_.end() && known->second->number == number)
-                attached(*known->second, answer.getSession(),
-                         from_wire(answer.getState()));
+            if (known == sessions_.end() || known->second->number != number)
+                return;
+            known->second->process = answer.getIncarnation();
+            attached(*known->second, answer.getSession(),
+                     from_wire(answer.getState()));
         },
         [](kj::Exception&&) {}));
 }
@@ -142,10 +157,19 @@
     gone.orders = nullptr;
     if (!std::exchange(gone.attached, false))
         return;
+    gone.down_since = clock_.now();
     log_change(log_level::warning, "agent_detached", {{"agent", agent}});
     listener_.agent_detached(agent);
 }
 
+/// @return Whether the agent has told, or kept, all since its last account.
+bool agent_sessions::kept_all(session& by)
+{
+    const bool same = std::exchange(by.accounted, by.process) == by.process &&
+                      by.process != 0;
+    return same && clock_.now() - by.down_since < longest_gap;
+}
+
 void agent_sessions::adopt(part_epoch part)
 {
     for (auto& [agent, one] : sessions_)
@@ -162,10 +186,14 @@
         auto request = orders->adoptRequest();
         fill(request.initPart(), part);
         at.link->add(request.send().then(
-            [this, agent = at.agent, part](auto&& answer)
+            [this, agent = at.agent, number = at.number, part](auto&& answer)
             {
                 lease_account account;
                 account.declined = answer.getDeclined();
+                const auto from = sessions_.find(agent);
+                if (part.part == memory_part && from != sessions_.end() &&
+                    from->second->number == number)
+                    account.complete = kept_all(*from->second);
                 for (auto run : answer.getRuns())
                     account.runs.push_back(from_wire(run));
                 for (auto end : answer.getEnds())
--- a/src/glenhollow/durable/agent_sessions.hpp
+++ b/src/glenhollow/durable/agent_sessions.hpp
@@ -150,6 +150,7 @@
                   const runner_report& report);
     void down(const std::string& agent);
     void adopt_at(session& at, part_epoch part);
+    bool kept_all(session& by);
     std::uint32_t room_gap_ms(const std::string& agent) const;
     void heard(const std::string& agent, std::uint64_t number,
                wire::RunReport::Reader report);
--- a/src/glenhollow/durable/durable_metrics.cpp
+++ b/src/glenhollow/durable/durable_metrics.cpp
@@ -28,6 +28,8 @@
         journal.settled += chain.settled;
         jobs.given_up += one.given_up;
         jobs.withdrawn += one.withdrawn;
+        jobs.orders_lost += one.orders_lost;
+        jobs.orders_settled += one.orders_settled;
         open += static_cast<double>(part.open_jobs());
     };
     ownership_.for_each(add);
@@ -46,6 +48,10 @@
           jobs.given_up);
     count("jobs_withdrawn_total", "Jobs in memory whose caller left",
           jobs.withdrawn);
+    count("orders_lost_total", "Orders that were out when an agent was lost",
+          jobs.orders_lost);
+    count("orders_settled_total", "Lost orders that had surely not begun",
+          jobs.orders_settled);
     count("tasks_restarted_total", "Tasks placed again", jobs.restarted);
     count("journal_transactions_total", "Transactions sent",
           journal.transactions);
--- a/src/glenhollow/durable/job_coordinator.cpp
+++ b/src/glenhollow/durable/job_coordinator.cpp
@@ -269,7 +269,7 @@
 /// out, or was lost with its agent, may have.
 bool job_coordinator::may_have_run(const job_record& record)
 {
-    return record.begun || record.order_lost ||
+    return record.begun || !record.lost.empty() ||
            std::any_of(record.tasks.begin(), record.tasks.end(),
                        [](const task_record& task)
                        { return task.phase == task_phase::placed; });
--- a/src/glenhollow/durable/job_coordinator.hpp
+++ b/src/glenhollow/durable/job_coordinator.hpp
@@ -72,16 +72,18 @@
 /// Counters of a part's jobs.
 struct job_coordinator_stats
 {
-    std::uint64_t accepted = 0;  ///< Jobs taken.
-    std::uint64_t repeated = 0;  ///< Submissions of a known job.
-    std::uint64_t refused = 0;   ///< Jobs not taken.
-    std::uint64_t succeeded = 0; ///< Jobs ended well.
-    std::uint64_t failed = 0;    ///< Jobs that used up an attempt limit.
-    std::uint64_t cancelled = 0; ///< Jobs cancelled.
-    std::uint64_t restarted = 0; ///< Tasks placed again.
-    std::uint64_t late = 0;      ///< Jobs ended after their objective.
-    std::uint64_t given_up = 0;  ///< Jobs in memory past any worth.
-    std::uint64_t withdrawn = 0; ///< Jobs in memory whose caller left.
+    std::uint64_t accepted = 0;       ///< Jobs taken.
+    std::uint64_t repeated = 0;       ///< Submissions of a known job.
+    std::uint64_t refused = 0;        ///< Jobs not taken.
+    std::uint64_t succeeded = 0;      ///< Jobs ended well.
+    std::uint64_t failed = 0;         ///< Jobs that used up an attempt limit.
+    std::uint64_t cancelled = 0;      ///< Jobs cancelled.
+    std::uint64_t restarted = 0;      ///< Tasks placed again.
+    std::uint64_t late = 0;           ///< Jobs ended after their objective.
+    std::uint64_t given_up = 0;       ///< Jobs in memory past any worth.
+    std::uint64_t withdrawn = 0;      ///< Jobs in memory whose caller left.
+    std::uint64_t orders_lost = 0;    ///< Out when their agent was lost.
+    std::uint64_t orders_settled = 0; ///< Of these, surely not begun.
 };
 
 /// The jobs of one part at its owner, or those that an entry keeps in memory
@@ -223,6 +225,13 @@
         std::string agent; ///< Where it is placed, or failed last.
     };
 
+    /// An order that was out when its agent was lost.
+    struct lost_order
+    {
+        run_ref run;       ///< Which run.
+        std::string agent; ///< Can still tell of it; empty: nobody can.
+    };
+
     /// One job that has not ended.
     struct job_record
     {
@@ -231,8 +240,7 @@
         job_progress progress;          ///< As journalled or on its way.
         std::size_t done = 0;           ///< Tasks that are done.
         bool begun = false;             ///< A task has begun.
-        bool order_lost = false;        ///< An agent was lost with an order
-                                        ///< that it may have carried out.
+        std::vector<lost_order> lost;   ///< Nothing was heard of them.
         bool accepted = false;          ///< Its row is durable.
         bool fresh = true;              ///< Accepted by this owner.
         instant give_up{};              ///< Of one in memory.
@@ -273,6 +281,10 @@
     void listed(const std::string& agent, const listed_run& run);
     void requeue_unlisted(const std::string& agent,
                           const lease_account& account);
+    void lose_order(job_record& record, std::uint32_t flat);
+    void settle_lost(job_record& record, const std::string& agent,
+                     const lease_account& account);
+    void note_not_begun(job_record& record, const run_ref& run);
     void ended_well(job_record& record, std::uint32_t flat,
                     const std::string& agent, const run_end& end);
     void ended_badly(job_record& record, std::uint32_t flat,
--- a/src/glenhollow/durable/job_coordinator_ends.cpp
+++ b/src/glenhollow/durable/job_coordinator_ends.cpp
@@ -75,12 +75,57 @@
                 continue;
             if (told.contains({ref_of(record.job, flat), task.run}))
                 continue;
-            record.order_lost = true;
-            place_again(record, flat);
+            lose_order(record, flat);
         }
+        settle_lost(record, agent, account);
     }
 }
 
+/// It may have run, unless its agent can still tell.
+void job_coordinator::lose_order(job_record& record, std::uint32_t flat)
+{
+    const auto& task = record.tasks[flat];
+    ++stats_.orders_lost;
+    if (!chain_)
+        record.lost.push_back(
+            {{ref_of(record.job, flat), task.run}, task.agent});
+    place_again(record, flat);
+}
+
+/// What the same process of an agent does not know was not taken by it. Of what
+/// an ended one took nobody can tell any more.
+void job_coordinator::settle_lost(job_record& record, const std::string& agent,
+                                  const lease_account& account)
+{
+    const auto told = [&account](const run_ref& run)
+    {
+        const auto is_run = [&run](const auto& one) { return one.run == run; };
+        return std::any_of(account.runs.begin(), account.runs.end(), is_run) ||
+               std::any_of(account.ends.begin(), account.ends.end(), is_run);
+    };
+    std::vector<run_ref> settled;
+    for (auto& one : record.lost)
+    {
+        if (one.agent != agent)
+            continue;
+        if (!account.complete)
+            one.agent.clear();
+        else if (!told(one.run))
+            settled.push_back(one.run);
+    }
+    for (const auto& run : settled)
+        note_not_begun(record, run);
+}
+
+/// Callers of jobs that have surely not run need not be held any longer.
+void job_coordinator::note_not_begun(job_record& record, const run_ref& run)
+{
+    stats_.orders_settled += std::erase_if(
+        record.lost, [&run](const lost_order& one) { return one.run == run; });
+    if (!chain_ && !record.ending && !may_have_run(record))
+        review_again(record, record.begin_by);
+}
+
 void job_coordinator::agent_gone(const std::string& agent)
 {
     for (auto& [id, record] : jobs_)
@@ -88,10 +133,8 @@
         for (std::uint32_t flat = 0; flat < record.tasks.size(); ++flat)
         {
             const auto& task = record.tasks[flat];
-            if (task.phase != task_phase::placed || task.agent != agent)
-                continue;
-            record.order_lost = true;
-            place_again(record, flat);
+            if (task.phase == task_phase::placed && task.agent == agent)
+                lose_order(record, flat);
         }
     }
     if (awaited_.erase(agent) > 0 && awaited_.empty())
@@ -140,12 +183,11 @@
         return ended_badly(record, flat, agent, end);
     around_.placing.confirm(agent, end);
     const auto& task = record.tasks[flat];
-    if (task.phase != task_phase::placed || task.run != end.run.run ||
-        task.agent != agent)
-        return;
-    place_again(record, flat);
-    if (!chain_ && !may_have_run(record))
-        review_again(record, record.begin_by);
+    if (task.phase == task_phase::placed && task.run == end.run.run &&
+        task.agent == agent)
+        place_again(record, flat);
+    if (end.how == run_outcome::not_begun)
+        note_not_begun(record, end.run);
 }
 
 void job_coordinator::ended_well(job_record& record, std::uint32_t flat,
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -118,7 +118,10 @@
 /// All that an agent knows of the runs under one lease.
 struct lease_account
 {
-    bool declined = false;        ///< A later owner has been here.
+    bool declined = false; ///< A later owner has been here.
+    bool complete = false; ///< The agent has kept all since the last account:
+                           ///< an order not told here has not been taken, and
+                           ///< never will be.
     std::vector<listed_run> runs; ///< Not ended.
     std::vector<run_end> ends;    ///< Not confirmed by an owner.
 };
--- a/tests/unit/durable/job_coordinator_memory_tests.cpp
+++ b/tests/unit/durable/job_coordinator_memory_tests.cpp
@@ -157,6 +157,78 @@
     CHECK(world.replies.at(1).outcome == job_outcome::unknown);
 }
 
+TEST_CASE("an order that its agent never took has not run, lost link or not")
+{
+    // Found on a saturated deployment: callers of such jobs mustn't ask again.
+    coordinator_world world;
+    world.in_memory(0.5);
+    world.submit(coordinator_world::memory_job(1, 1));
+    REQUIRE(world.started.size() == 1);
+    const auto agent = world.started.front().first;
+    world.drain_all();
+    SECTION("its link was lost for a moment") {}
+    SECTION("its link was lost for long")
+    {
+        world.coordinator->agent_gone(agent);
+    }
+    lease_account account;
+    account.complete = true;
+    world.coordinator->account_of(agent, account);
+    world.loop.advance(milliseconds{1600});
+    REQUIRE(world.replies.contains(1));
+    CHECK(world.replies.at(1).outcome == job_outcome::refused);
+    CHECK(world.coordinator->stats().orders_settled == 1);
+}
+
+TEST_CASE("an order to a process of an agent that has ended may have run")
+{
+    coordinator_world world;
+    world.in_memory(0.5);
+    world.submit(coordinator_world::memory_job(1, 1));
+    REQUIRE(world.started.size() == 1);
+    const auto agent = world.started.front().first;
+    world.drain_all();
+    world.coordinator->account_of(agent, {}); // Of its next process.
+    lease_account account;
+    account.complete = true;
+    world.coordinator->account_of(agent, account); // The same, once more.
+    world.loop.advance(milliseconds{2500});
+    CHECK(world.replies.empty());
+    world.loop.advance(milliseconds{1000});
+    CHECK(world.replies.at(1).outcome == job_outcome::unknown);
+}
+
+TEST_CASE("a lost order that its agent tells of later may have run until then")
+{
+    coordinator_world world;
+    world.in_memory(0.5);
+    world.submit(coordinator_world::memory_job(1, 1));
+    REQUIRE(world.started.size() == 1);
+    const auto [agent, run] = world.started.front();
+    world.started.clear();
+    world.drain_all();
+    world.coordinator->agent_gone(agent);
+    lease_account account;
+    account.complete = true;
+    account.ends.push_back({run, run_outcome::stopped, 1, 0, true});
+    SECTION("it had begun")
+    {
+        world.coordinator->account_of(agent, account);
+        world.loop.advance(milliseconds{2500});
+        CHECK(world.replies.empty());
+        world.loop.advance(milliseconds{1000});
+        CHECK(world.replies.at(1).outcome == job_outcome::unknown);
+    }
+    SECTION("it had not")
+    {
+        account.ends.front().how = run_outcome::not_begun;
+        world.coordinator->account_of(agent, account);
+        world.loop.advance(milliseconds{1600});
+        REQUIRE(world.replies.contains(1));
+        CHECK(world.replies.at(1).outcome == job_outcome::refused);
+    }
+}
+
 TEST_CASE("a caller that leaves takes its job in memory along")
 {
     coordinator_world world;
