An agent asks the backend server that its last process knew, at once

A backend server lives on while its agent's process is killed, stopped or replaced, and registers again only with its next heartbeat, each 1.5 s: until then nobody places anything there. Its account is now kept in the agent's row in the store (a write each 2 s at most, only for a new life or phase), read by the next process together with the row that it reads anyway, and counts once the backend server has answered as that life (421: it is another one, and the agent waits for a registration as before).

--- a/programs/durable_agent.cpp
+++ b/programs/durable_agent.cpp
@@ -5,6 +5,7 @@
 #include "glenhollow/durable/member_directory.hpp"
 #include "glenhollow/rpc/rpc_listener.hpp"
 #include "glenhollow/rpc/rpc_loop.hpp"
+#include "glenhollow/runs/runner_memo.hpp"
 #include "glenhollow/telemetry/log.hpp"
 #include "platform/runner_registration.hpp"
 
@@ -88,7 +89,8 @@
                     loop_.io(), process_clock(), manager_, random_incarnation(),
                     settings_.service);
                 links_->serve(service_->bootstrap());
-                announcer_.begin();
+                announcer_.begin([this](const std::string& memo)
+                                 { take_memo(memo); });
                 manager_.begin();
                 tick();
                 log_change(log_level::info, "agent_started",
@@ -117,6 +119,7 @@
     {
         manager_.tick();
         service_->tick();
+        keep_memo();
         run_after(loop_.io(), tick_interval,
                   [this]
                   {
@@ -125,6 +128,29 @@
                   });
     }
 
+    void take_memo(const std::string& memo)
+    {
+        const auto account = decode_runner_memo(memo);
+        if (account)
+            return manager_.remembered(account.value());
+        log_change(log_level::error, "memo_unreadable",
+                   {{"cause", account.error().text}});
+    }
+
+    /// The next process of this agent asks the backend server by it.
+    void keep_memo()
+    {
+        const auto phase = manager_.told_phase();
+        const auto& instance = manager_.account().instance;
+        if (instance.empty() ||
+            (instance == kept_.instance && phase == kept_.phase))
+            return;
+        auto account = manager_.account();
+        account.phase = phase;
+        kept_ = account;
+        announcer_.keep(encode_runner_memo(account));
+    }
+
     void serve_page(const http_request& request, const http_responder& done)
     {
         if (request.target != "/metrics" || !service_)
@@ -191,6 +217,7 @@
     run_manager manager_;                        ///< The product.
     platform::runner_registration registration_; ///< Its accounts.
     member_announcer announcer_;                 ///< Its row.
+    runner_account kept_;                        ///< Last in its row's memo.
     std::unique_ptr<run_agent_service> service_; ///< For entries.
     std::unique_ptr<rpc_listener> links_;        ///< From entries.
     std::unique_ptr<http_server> accounts_;      ///< From the runner.
--- a/src/glenhollow/durable/member_directory.cpp
+++ b/src/glenhollow/durable/member_directory.cpp
@@ -4,6 +4,8 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value_to.hpp>
 
+#include <utility>
+
 namespace glenhollow
 {
 
@@ -14,6 +16,10 @@
 
 constexpr duration announce_retry = milliseconds{300};
 
+/// What changes more often is written once: a backend server that ends and
+/// starts again all the time must not cost a write each time.
+constexpr duration memo_gap = seconds{2};
+
 row_key member_key(const std::string& name)
 {
     return {std::string(members_table), {}, name};
@@ -21,8 +27,10 @@
 
 std::string encode_member(const member_row& member)
 {
-    return json::serialize(
-        json::array{to_name(member.role), member.where.to_string()});
+    json::array fields{to_name(member.role), member.where.to_string()};
+    if (!member.memo.empty())
+        fields.emplace_back(member.memo);
+    return json::serialize(fields);
 }
 
 } // namespace
@@ -41,7 +49,10 @@
         BOOST_OUTCOME_TRY(
             auto where,
             host_port::parse(json::value_to<std::string>(fields.at(1))));
-        return member_row{row.key.key, *role, where};
+        member_row member{row.key.key, *role, where, {}};
+        if (fields.size() > 2)
+            member.memo = json::value_to<std::string>(fields.at(2));
+        return member;
     }
     catch (const std::exception& wrong)
     {
@@ -60,37 +71,81 @@
     row_store& store;           ///< Where rows lie.
     journal_chain::delay later; ///< Runs delayed work.
     member_row self;            ///< This process.
+    memo_handler on_memo;       ///< Told what an earlier process kept.
+    bool busy = false;          ///< A look or a write is under way.
+    bool memo_due = false;      ///< A memo will be written.
     bool closed = false;        ///< The announcer is gone.
 
     /// A row that says the same already is left alone.
     void look()
     {
+        busy = true;
         const auto key = member_key(self.name);
         store.read({key.table, key.part, key.key, {}, 1},
                    [keep = shared_from_this()](const read_result& got)
                    {
+                       if (keep->closed)
+                           return;
                        if (!got.answered)
                            return keep->again();
-                       const bool there =
-                           !got.rows.empty() &&
-                           got.rows.front().key ==
-                               member_key(keep->self.name) &&
-                           got.rows.front().value == encode_member(keep->self);
-                       if (!there)
-                           keep->write();
+                       keep->found(got);
                    });
     }
 
+    void found(const read_result& got)
+    {
+        const bool there =
+            !got.rows.empty() && got.rows.front().key == member_key(self.name);
+        if (there)
+            take_memo(got.rows.front());
+        if (!there || got.rows.front().value != encode_member(self))
+            write();
+        else
+            busy = false;
+    }
+
+    void take_memo(const stored_row& row)
+    {
+        const auto told = std::exchange(on_memo, {});
+        const auto before = decode_member(row);
+        if (!told || !before || before.value().memo.empty())
+            return;
+        if (self.memo.empty())
+            self.memo = before.value().memo;
+        told(before.value().memo);
+    }
+
     void write()
     {
+        const auto value = encode_member(self);
         row_transaction change;
-        change.puts.push_back({member_key(self.name), encode_member(self)});
-        store.commit(change,
-                     [keep = shared_from_this()](const commit_result& got)
-                     {
-                         if (got.outcome != store_outcome::done)
-                             keep->again();
-                     });
+        change.puts.push_back({member_key(self.name), value});
+        store.commit(
+            change,
+            [keep = shared_from_this(), value](const commit_result& got)
+            {
+                const bool current = value == encode_member(keep->self);
+                if (got.outcome != store_outcome::done || !current)
+                    return keep->again();
+                keep->busy = false;
+            });
+    }
+
+    /// One that comes while another is written follows it.
+    void keep_memo(std::string memo)
+    {
+        if (memo == self.memo)
+            return;
+        self.memo = std::move(memo);
+        if (std::exchange(memo_due, true))
+            return;
+        later(memo_gap,
+              [keep = shared_from_this()]
+              {
+                  keep->memo_due = false;
+                  if (!keep->closed && !keep->busy)
+                      keep->look();
+              });
     }
 
     void again()
@@ -115,9 +170,15 @@
     state_->closed = true;
 }
 
-void member_announcer::begin()
+void member_announcer::begin(memo_handler on_memo)
 {
+    state_->on_memo = std::move(on_memo);
     state_->look();
 }
 
+void member_announcer::keep(std::string memo)
+{
+    state_->keep_memo(std::move(memo));
+}
+
 } // namespace glenhollow
--- a/src/glenhollow/durable/member_directory.hpp
+++ b/src/glenhollow/durable/member_directory.hpp
@@ -31,6 +31,7 @@
     std::string name;                      ///< Of the machine.
     member_role role = member_role::entry; ///< What it does.
     host_port where;                       ///< Its address for links.
+    std::string memo{}; ///< What it keeps for its next process; may be empty.
 };
 
 /// @param row The member's row.
@@ -42,6 +43,9 @@
 class member_announcer final
 {
 public:
+    /// Told the memo of an earlier process.
+    using memo_handler = std::function<void(const std::string&)>;
+
     /// @param store Outlives it.
     /// @param later Runs delayed work.
     /// @param self This process.
@@ -50,7 +54,12 @@
     ~member_announcer();
 
     /// Begins to write.
-    void begin();
+    /// @param on_memo Told once what an earlier process kept, if anything.
+    void begin(memo_handler on_memo = {});
+
+    /// Keeps a memo in the row, some time from now; the latest one counts.
+    /// @param memo For the next process of this member.
+    void keep(std::string memo);
 
 private:
     struct state;
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -489,6 +489,11 @@
     count("runner_registrations_stale_total",
           "Registrations of lives that had ended", stats.stale_registrations,
           {});
+    count("runner_lives_remembered_total",
+          "Lives known from an earlier process of this agent", stats.remembered,
+          {});
+    count("runner_lives_forgotten_total", "Of these, those that had ended",
+          stats.forgotten, {});
     count("hold_lapses_total", "Times the hold was left to lapse", stats.lapses,
           {});
     for (std::size_t i = 0; i < stats.ends.size(); ++i)
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -172,6 +172,8 @@
     std::uint64_t stalled = 0;    ///< Runs stopped for want of progress.
     std::uint64_t vanished = 0;   ///< Runs that the runner no longer showed.
     std::uint64_t stale_registrations = 0; ///< Of lives that had ended.
+    std::uint64_t remembered = 0; ///< Lives known from an earlier process.
+    std::uint64_t forgotten = 0;  ///< Of these, those that had ended.
     std::array<std::uint64_t, name_table<run_outcome>::names.size()>
         ends{}; ///< By outcome.
 };
@@ -225,6 +227,11 @@
     /// @param account As the runner registers itself.
     void registered(const runner_account& account);
 
+    /// What the last process of this agent knew. It counts once the backend
+    /// server has answered as that life, and not after a registration.
+    /// @param account As it had registered itself.
+    void remembered(const runner_account& account);
+
     /// @param instance A life that has ended.
     void departed(const std::string& instance);
 
@@ -287,6 +294,9 @@
     /// @return What the runner said of itself, and whether it answers.
     const runner_account& account() const { return account_; }
 
+    /// @return Whether it takes work by its own word.
+    runner_phase told_phase() const { return told_phase_; }
+
     /// @return Room as owners should see it.
     runner_room room() const;
 
@@ -401,6 +411,8 @@
                                               ///< while another answers.
     instant candidate_since_{};               ///< When it did.
     bool verified_ = false;     ///< The registered life has answered.
+    bool from_memory_ = false;  ///< It has not registered with this process.
+    bool registered_ = false;   ///< Some life has, with this process.
     bool evacuated_ = false;    ///< The hall gets no new work.
     runner_clock runner_clock_; ///< The runner's clock as seen here.
     runner_breaker breaker_;    ///< Judges it by the ends of its runs.
--- a/src/glenhollow/runs/run_manager_lives.cpp
+++ b/src/glenhollow/runs/run_manager_lives.cpp
@@ -13,6 +13,9 @@
 /// itself: it refuses a look that expects another one.
 void run_manager::registered(const runner_account& account)
 {
+    registered_ = true;
+    if (account_.instance == account.instance)
+        from_memory_ = false;
     if (account_.instance == account.instance || account_.instance.empty())
         return take_account(account);
     if (!verified_)
@@ -23,6 +26,22 @@
     look_now();
 }
 
+/// Backend servers live on while this process is away, and register again only
+/// with their next heartbeat; a look tells at once whether the life is the
+/// same.
+void run_manager::remembered(const runner_account& account)
+{
+    if (registered_ || !account_.instance.empty())
+        return;
+    ++stats_.remembered;
+    from_memory_ = true;
+    log_change(log_level::info, "runner_remembered",
+               {{"instance", account.instance},
+                {"service", account.service},
+                {"phase", to_name(account.phase)}});
+    take_account(account);
+}
+
 void run_manager::take_account(const runner_account& account)
 {
     const bool news = account_.instance != account.instance;
@@ -82,6 +101,8 @@
     if (instance != account_.instance)
         return;
     log_change(log_level::info, "runner_departed", {{"instance", instance}});
+    if (std::exchange(from_memory_, false) && !verified_)
+        ++stats_.forgotten;
     candidate_.reset();
     account_.instance.clear();
     told_phase_ = runner_phase::absent;
--- /dev/null
+++ b/tests/unit/durable/member_directory_tests.cpp
@@ -0,0 +1,92 @@
+// Rows of the system's processes.
+#include "glenhollow/durable/member_directory.hpp"
+#include "unit/support/fake_row_store.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace glenhollow;
+
+namespace
+{
+
+/// An agent's row in a store, and processes that write it.
+struct directory_world
+{
+    void begin()
+    {
+        announcer = std::make_unique<member_announcer>(
+            store, loop.delay(),
+            member_row{"agent-1", member_role::agent, {"127.0.0.1", 7000}, {}});
+        announcer->begin([this](const std::string& memo)
+                         { memos.push_back(memo); });
+        loop.advance(milliseconds{100});
+    }
+
+    member_row row()
+    {
+        std::optional<member_row> found;
+        store.read({std::string(members_table), {}, "agent-1", {}, 1},
+                   [&](const read_result& got)
+                   {
+                       if (!got.rows.empty())
+                           found = decode_member(got.rows.front()).value();
+                   });
+        loop.advance(milliseconds{50});
+        REQUIRE(found);
+        return *found;
+    }
+
+    manual_loop loop;
+    fake_row_store store{loop};
+    std::unique_ptr<member_announcer> announcer;
+    std::vector<std::string> memos;
+};
+
+} // namespace
+
+TEST_CASE("the next process of a member is told the memo of the last one")
+{
+    directory_world world;
+    world.begin();
+    CHECK(world.memos.empty());
+    CHECK(world.row().memo.empty());
+    world.announcer->keep("life-1");
+    world.loop.advance(seconds{3});
+    CHECK(world.row().memo == "life-1");
+    const auto writes = world.store.transactions.size();
+    world.begin();
+    CHECK(world.memos == std::vector<std::string>{"life-1"});
+    CHECK(world.row().memo == "life-1");
+    CHECK(world.row().where.port == 7000);
+    // What is there already is not written again.
+    world.announcer->keep("life-1");
+    world.loop.advance(seconds{3});
+    CHECK(world.store.transactions.size() == writes);
+}
+
+TEST_CASE("memos that change all the time are written rarely")
+{
+    directory_world world;
+    world.begin();
+    const auto writes = world.store.transactions.size();
+    for (int i = 0; i < 40; ++i)
+    {
+        world.announcer->keep("life-" + std::to_string(i));
+        world.loop.advance(milliseconds{100});
+    }
+    world.loop.advance(seconds{3});
+    CHECK(world.row().memo == "life-39");
+    CHECK(world.store.transactions.size() - writes <= 3);
+}
+
+TEST_CASE("a memo is written though the store is down at first")
+{
+    directory_world world;
+    world.begin();
+    world.store.down = true;
+    world.announcer->keep("life-1");
+    world.loop.advance(seconds{5});
+    world.store.down = false;
+    world.loop.advance(seconds{1});
+    CHECK(world.row().memo == "life-1");
+}
--- a/tests/unit/runs/run_manager_lives_tests.cpp
+++ b/tests/unit/runs/run_manager_lives_tests.cpp
@@ -27,7 +27,7 @@
         manager->begin();
     }
 
-    void registers(const std::string& life)
+    static runner_account account_of(const std::string& life)
     {
         runner_account account;
         account.service = "service-1";
@@ -35,7 +35,20 @@
         account.zone = "hall-1";
         account.capacity = {4000, 1000, 0};
         account.phase = runner_phase::ready;
-        manager->registered(account);
+        return account;
+    }
+
+    void registers(const std::string& life)
+    {
+        manager->registered(account_of(life));
+    }
+
+    void remembers(const std::string& life,
+                   runner_phase phase = runner_phase::ready)
+    {
+        auto account = account_of(life);
+        account.phase = phase;
+        manager->remembered(account);
     }
 
     void run(duration length)
@@ -172,3 +185,74 @@
     world.manager->evacuate(false);
     CHECK(world.manager->account().phase == runner_phase::draining);
 }
+
+TEST_CASE("a restarted agent asks the life that it remembers, and takes work")
+{
+    // Heartbeats come each 1.5 s: until then nobody could start anything.
+    lives_world world;
+    world.make();
+    world.run(milliseconds{20});
+    CHECK(world.manager->account().phase != runner_phase::ready);
+    world.remembers("life-1");
+    world.run(milliseconds{20});
+    CHECK(world.manager->account().phase == runner_phase::ready);
+    CHECK(world.manager->account().capacity.cpu == 4000);
+    world.order(0);
+    world.run(milliseconds{20});
+    CHECK(world.runner.running.size() == 1);
+    world.registers("life-1"); // Its heartbeat changes nothing.
+    world.run(milliseconds{20});
+    CHECK(world.manager->account().phase == runner_phase::ready);
+    CHECK(world.runner.running.size() == 1);
+    CHECK(world.manager->stats().forgotten == 0);
+}
+
+TEST_CASE("a life that is remembered and has ended gets no work")
+{
+    lives_world world;
+    world.runner.life = "life-2";
+    world.make();
+    world.remembers("life-1");
+    world.run(milliseconds{50});
+    CHECK(world.manager->account().phase == runner_phase::absent);
+    CHECK(world.manager->account().instance.empty());
+    CHECK(world.manager->stats().forgotten == 1);
+    world.registers("life-2");
+    world.run(milliseconds{20});
+    CHECK(world.manager->account().phase == runner_phase::ready);
+}
+
+TEST_CASE("a life that is remembered as draining gets no work")
+{
+    lives_world world;
+    world.make();
+    world.remembers("life-1", runner_phase::draining);
+    world.run(milliseconds{50});
+    CHECK(world.manager->account().phase == runner_phase::draining);
+}
+
+TEST_CASE("a registration counts more than what is remembered")
+{
+    lives_world world;
+    world.make();
+    world.registers("life-1");
+    world.remembers("life-0");
+    world.run(milliseconds{20});
+    CHECK(world.manager->account().instance == "life-1");
+    world.manager->departed("life-1");
+    world.remembers("life-1");
+    world.run(milliseconds{20});
+    CHECK(world.manager->account().instance.empty());
+}
+
+TEST_CASE("a silent backend server that is remembered gets no work")
+{
+    lives_world world;
+    world.runner.silent = true;
+    world.make();
+    world.remembers("life-1");
+    world.run(milliseconds{500});
+    CHECK(world.manager->account().phase == runner_phase::absent);
+    world.registers("life-2"); // Nobody speaks for the other one.
+    CHECK(world.manager->account().instance == "life-2");
+}
--- /dev/null
+++ b/tests/unit/runs/runner_memo_tests.cpp
@@ -0,0 +1,43 @@
+// What an agent's next process needs to ask its backend server.
+#include "glenhollow/runs/runner_memo.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace glenhollow;
+
+TEST_CASE("a memo of a backend server is read as it was written")
+{
+    runner_account account;
+    account.service = "service-1";
+    account.instance = "life-1";
+    account.zone = "hall-1";
+    account.labels = {"kind-a", "rack-2"};
+    account.capacity = {4000, 1000, 2};
+    account.phase = runner_phase::draining;
+    const auto read = decode_runner_memo(encode_runner_memo(account));
+    REQUIRE(read);
+    CHECK(read.value().service == "service-1");
+    CHECK(read.value().instance == "life-1");
+    CHECK(read.value().zone == "hall-1");
+    CHECK(read.value().labels == account.labels);
+    CHECK(read.value().capacity.cpu == 4000);
+    CHECK(read.value().capacity.memory == 1000);
+    CHECK(read.value().capacity.gpu == 2);
+    CHECK(read.value().phase == runner_phase::draining);
+}
+
+TEST_CASE("a memo of a wrong form is told, not taken")
+{
+    for (const auto* memo :
+         {"", "[]", "{}", R"({"service":"s"})",
+          R"({"service":"s","instance":"","zone":"z","labels":[],)"
+          R"("room":[1,2,3],"phase":"ready"})",
+          R"({"service":"s","instance":"i","zone":"z","labels":[],)"
+          R"("room":[1,2],"phase":"ready"})",
+          R"({"service":"s","instance":"i","zone":"z","labels":[],)"
+          R"("room":[1,2,3],"phase":"asleep"})"})
+    {
+        INFO(memo);
+        CHECK_FALSE(decode_runner_memo(memo));
+    }
+}
