--- a/programs/durable_entry.cpp
+++ b/programs/durable_entry.cpp
@@ -38,7 +38,12 @@
           store_(loop_.io(), settings.store),
           service_(loop_.io(), process_clock(), store_, platform::parse_catalog,
                    service_settings()),
-          front_(service_)
+          early_(
+              process_clock(),
+              [&io = loop_.io()](duration wait, std::function<void()> work)
+              { run_after(io, wait, std::move(work)); },
+              early_settings()),
+          front_(service_, &early_)
     {
     }
 
@@ -101,6 +106,7 @@
         out.parts = settings_.parts;
         out.share_placement = !settings_.own_placement;
         out.memory.begin_by = settings_.begin_by;
+        out.memory.warm_up = milliseconds{settings_.warm_up_ms};
         out.dispatch.review_interval = milliseconds{settings_.review_ms};
         out.dispatch.late_reserve = settings_.late_reserve;
         out.power = settings_.cpu_share * settings_.cores;
@@ -109,6 +115,13 @@
         return out;
     }
 
+    platform::early_request_settings early_settings() const
+    {
+        platform::early_request_settings out;
+        out.warm_up = milliseconds{settings_.warm_up_ms};
+        return out;
+    }
+
     result<std::unique_ptr<http_server>> pages(const host_port& where)
     {
         http_server_settings limits;
@@ -134,11 +147,26 @@
             return done({404, "text/plain", {}, "not found\n"});
         metric_page page;
         service_.collect(page);
+        collect_early(page);
         store_.collect(page);
         links_->collect(page);
         done({200, "text/plain; version=0.0.4", {}, page.render()});
     }
 
+    void collect_early(metric_page& page) const
+    {
+        const auto& stats = early_.stats();
+        const auto count = [&page](std::string_view name, std::string_view help,
+                                   std::uint64_t value)
+        { page.counter(name, help, static_cast<double>(value)); };
+        count("requests_early_total",
+              "Requests that waited for the first configuration", stats.held);
+        count("requests_early_refused_total", "Of these, in vain",
+              stats.refused);
+        count("requests_early_left_total", "Of these, whose client left",
+              stats.left);
+    }
+
     void await_signal()
     {
         signals_.async_wait(
@@ -209,6 +237,7 @@
     boost::asio::signal_set signals_;                  ///< Stop and reload.
     platform::http_row_store store_;                   ///< The store.
     durable_service service_;                          ///< The product.
+    platform::early_requests early_;                   ///< At the start.
     platform::client_front front_;                     ///< Clients' side.
     std::unique_ptr<rpc_listener> links_;              ///< Other entries.
     std::unique_ptr<http_server> callers_;             ///< Clients.
--- a/programs/durable_entry.hpp
+++ b/programs/durable_entry.hpp
@@ -27,6 +27,7 @@
     duration grace = seconds{6};        ///< From SIGTERM to the end.
     double begin_by = 0.45;             ///< See job_coordinator_settings.
     unsigned review_ms = 10;            ///< See dispatcher_settings.
+    unsigned warm_up_ms = 500;          ///< See early_request_settings.
     double late_reserve = 0.15;         ///< See dispatcher_settings.
     bool own_placement = false;         ///< Never placed by another entry.
     double cpu_share = 1.0;             ///< Of a core, for this process.
--- a/programs/durable_entry_main.cpp
+++ b/programs/durable_entry_main.cpp
@@ -52,6 +52,9 @@
     line.number<double>("begin-by", settings.begin_by, 0, 1, "",
                         "share of its caller's patience by which a job that "
                         "will be late must have begun");
+    line.number<unsigned>("warm-up", settings.warm_up_ms, 0, 10'000, "ms",
+                          "after the start, in which requests wait for the "
+                          "configuration and the agents; 0: they are refused");
     line.number<double>("late-reserve", settings.late_reserve, 0, 1, "",
                         "share of a service's cores that must be free before "
                         "a task of a late job starts");
--- a/src/glenhollow/durable/durable_metrics.cpp
+++ b/src/glenhollow/durable/durable_metrics.cpp
@@ -28,6 +28,7 @@
         journal.settled += chain.settled;
         jobs.given_up += one.given_up;
         jobs.withdrawn += one.withdrawn;
+        jobs.early += one.early;
         jobs.orders_lost += one.orders_lost;
         jobs.orders_settled += one.orders_settled;
         open += static_cast<double>(part.open_jobs());
@@ -48,6 +49,8 @@
           jobs.given_up);
     count("jobs_withdrawn_total", "Jobs in memory whose caller left",
           jobs.withdrawn);
+    count("jobs_early_total",
+          "Jobs in memory taken before a backend server was known", jobs.early);
     count("orders_lost_total", "Orders that were out when an agent was lost",
           jobs.orders_lost);
     count("orders_settled_total", "Lost orders that had surely not begun",
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -291,6 +291,7 @@
         return;
     if (row.gone)
     {
+        members_known_.erase(row.key.key);
         agents_.remove(row.key.key);
         return;
     }
@@ -302,11 +303,14 @@
         return;
     }
     const auto& known = member.value();
-    log_change(log_level::info, "member_known",
-               {{"name", known.name},
-                {"role", to_name(known.role)},
-                {"where", known.where.to_string()},
-                {"version", row.version}});
+    const auto where = known.where.to_string();
+    // A row that is told again may hold another memo for its next process.
+    if (std::exchange(members_known_[known.name], where) != where)
+        log_change(log_level::info, "member_known",
+                   {{"name", known.name},
+                    {"role", to_name(known.role)},
+                    {"where", where},
+                    {"version", row.version}});
     if (known.role == member_role::agent)
         agents_.add(known.name, known.where);
     else
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -212,6 +212,7 @@
     };
 
     std::map<std::string, agent_silence> agent_silence_; ///< By agent.
+    std::map<std::string, std::string> members_known_;   ///< Address by name.
     instant tick_due_{};       ///< When the next tick should come.
     instant probed_{};         ///< Last probe of the store.
     instant load_logged_{};    ///< Last line on the load.
--- a/src/glenhollow/durable/job_coordinator.cpp
+++ b/src/glenhollow/durable/job_coordinator.cpp
@@ -119,6 +119,8 @@
     if (refusing_)
         return refusal{reason::stopping, refusal_wait};
     const double cores = around_.placing.ready_cores(job.service);
+    if (cores <= 0 && warming_up())
+        return std::nullopt;
     if (cores <= 0)
         return refusal{reason::no_runner, refusal_wait};
     const double objective =
@@ -132,6 +134,13 @@
                    milliseconds{static_cast<std::int64_t>(wait)}};
 }
 
+/// Agents attach within a tenth of a second of a start. Who is refused
+/// meanwhile could have been served in time.
+bool job_coordinator::warming_up() const
+{
+    return !chain_ && around_.clock.now() - claimed_ < settings_.warm_up;
+}
+
 void job_coordinator::submit(const job_definition& job, job_reply_handler done)
 {
     const auto ended = ended_.find(job.id);
@@ -184,6 +193,8 @@
                                        job_reply_handler done)
 {
     ++stats_.accepted;
+    if (warming_up() && around_.placing.ready_cores(job.service) <= 0)
+        ++stats_.early;
     job_record record;
     record.job = job;
     record.tasks.resize(job.task_count());
--- a/src/glenhollow/durable/job_coordinator.hpp
+++ b/src/glenhollow/durable/job_coordinator.hpp
@@ -66,6 +66,9 @@
                             ///< or its caller is told to come back.
     double hopeless = 2.2;  ///< Refuse when the wait alone takes
                             ///< this share of the objective.
+    duration warm_up{}; ///< So long after its start a process may not know yet
+                        ///< of backend servers that live on: jobs in memory
+                        ///< wait for them instead of being refused.
     journal_chain_settings chain; ///< Limits of the journal.
 };
 
@@ -81,6 +84,8 @@
     std::uint64_t restarted = 0;      ///< Tasks placed again.
     std::uint64_t late = 0;           ///< Jobs ended after their objective.
     std::uint64_t given_up = 0;       ///< Jobs in memory past any worth.
+    std::uint64_t early = 0;          ///< Jobs taken before a backend server
+                                      ///< was known.
     std::uint64_t withdrawn = 0;      ///< Jobs in memory whose caller left.
     std::uint64_t orders_lost = 0;    ///< Out when their agent was lost.
     std::uint64_t orders_settled = 0; ///< Of these, surely not begun.
@@ -264,6 +269,7 @@
     void tell_state(job_record& record, job_reply_handler done);
     void state_after_wait(job_id id, const job_reply_handler& done);
     std::optional<refusal> refusal_of(const job_definition& job) const;
+    bool warming_up() const;
     void accept_in_memory(const job_definition& job, job_reply_handler done);
     instant latest_begin(const job_record& record) const;
     void give_up_late();
--- /dev/null
+++ b/tests/unit/adapter/early_requests_tests.cpp
@@ -0,0 +1,154 @@
+// What comes to an entry before its first configuration.
+#include "platform/catalog_format.hpp"
+#include "platform/client_front.hpp"
+#include "platform/early_requests.hpp"
+#include "unit/support/manual_loop.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace glenhollow;
+
+namespace
+{
+
+constexpr std::string_view configuration = R"({"version":7,"routes":[
+    {"name":"r-1","host":"a.example","path_prefix":"/x/","service":"s",
+     "priority":2,"max_attempts":3,"stretch":1.6,"target_latency_ms":60}],
+    "services":[],"limits":{"max_body_bytes":2000}})";
+
+constexpr auto path = "/x/5c0e7a21d94b36f8";
+constexpr auto body =
+    R"({"spec":"s","steps":[{"count":2,"cpu":1600,"estimate_ms":1000}],"best_effort":true})";
+
+/// Takes all jobs and answers none.
+class patient_jobs final : public durable_jobs
+{
+public:
+    const queue_catalog& catalog() const override { return queues; }
+
+    std::function<void()> submit(const job_definition& job,
+                                 job_reply_handler) override
+    {
+        submitted.push_back(job);
+        return [this] { ++withdrawn; };
+    }
+
+    void cancel(job_id, job_reply_handler) override {}
+    void state(job_id, job_reply_handler) override {}
+    std::uint32_t pending(const std::string&) const override { return 0; }
+
+    queue_catalog queues;
+    std::vector<job_definition> submitted;
+    int withdrawn = 0;
+};
+
+/// An entry's front that has just started.
+struct early_world
+{
+    explicit early_world(std::size_t most = 256)
+        : early(loop.clock, loop.delay(), {milliseconds{500}, most})
+    {
+    }
+
+    void post()
+    {
+        http_request request;
+        request.method = "POST";
+        request.target = path;
+        request.headers = {{"Host", "a.example"},
+                           {"Glenhollow-Timeout-Ms", "1900"}};
+        request.body = body;
+        request.on_close = [this](std::function<void()> told)
+        { leave = std::move(told); };
+        front.handle(std::move(request), [this](http_response answer)
+                     { answers.push_back(std::move(answer)); });
+    }
+
+    void configure()
+    {
+        jobs.queues = platform::parse_catalog(configuration).value();
+    }
+
+    manual_loop loop;
+    patient_jobs jobs;
+    platform::early_requests early;
+    platform::client_front front{jobs, &early};
+    std::function<void()> leave; ///< The last client closes its connection.
+    std::vector<http_response> answers;
+};
+
+} // namespace
+
+TEST_CASE("a request before the first configuration waits for it")
+{
+    // Found where all VMs had lost power: 80 of 136 refusals after it.
+    early_world world;
+    world.post();
+    world.loop.advance(milliseconds{100});
+    CHECK(world.answers.empty());
+    CHECK(world.jobs.submitted.empty());
+    world.configure();
+    world.loop.advance(milliseconds{10});
+    REQUIRE(world.jobs.submitted.size() == 1);
+    const auto& job = world.jobs.submitted.front();
+    CHECK(job.queue == "r-1");
+    // Its client's patience began when it came.
+    CHECK(job.give_up_ms - job.accepted_ms <= 1800);
+    CHECK(job.give_up_ms - job.accepted_ms >= 1780);
+    REQUIRE(world.leave);
+    world.leave();
+    CHECK(world.jobs.withdrawn == 1);
+    CHECK(world.early.stats().held == 1);
+    CHECK(world.early.stats().refused == 0);
+}
+
+TEST_CASE("without a configuration in time a request is refused, as are later")
+{
+    early_world world;
+    world.post();
+    world.loop.advance(milliseconds{520});
+    REQUIRE(world.answers.size() == 1);
+    CHECK(world.answers.front().status == 503);
+    world.post(); // The store is down, and nobody knows for how long.
+    REQUIRE(world.answers.size() == 2);
+    CHECK(world.answers.back().status == 503);
+    CHECK(world.early.stats().held == 1);
+    CHECK(world.early.stats().refused == 1);
+}
+
+TEST_CASE("early requests are bounded")
+{
+    early_world world(2);
+    world.post();
+    world.post();
+    CHECK(world.answers.empty());
+    world.post();
+    REQUIRE(world.answers.size() == 1);
+    CHECK(world.answers.front().status == 503);
+    world.configure();
+    world.loop.advance(milliseconds{10});
+    CHECK(world.jobs.submitted.size() == 2);
+}
+
+TEST_CASE("an early request whose client has left is not run")
+{
+    early_world world;
+    world.post();
+    REQUIRE(world.leave);
+    world.leave();
+    world.configure();
+    world.loop.advance(milliseconds{10});
+    CHECK(world.jobs.submitted.empty());
+    CHECK(world.early.stats().left == 1);
+}
+
+TEST_CASE("with a configuration nothing is held")
+{
+    early_world world;
+    world.configure();
+    world.post();
+    CHECK(world.jobs.submitted.size() == 1);
+    CHECK(world.early.stats().held == 0);
+}
--- a/tests/unit/durable/coordinator_world.hpp
+++ b/tests/unit/durable/coordinator_world.hpp
@@ -55,10 +55,12 @@
 
     /// @param begin_by Share of a caller's patience; see
     /// job_coordinator_settings.
-    void in_memory(double begin_by = 1.0)
+    /// @param warm_up See there.
+    void in_memory(double begin_by = 1.0, duration warm_up = {})
     {
         auto limits = settings();
         limits.begin_by = begin_by;
+        limits.warm_up = warm_up;
         coordinator = std::make_unique<job_coordinator>(around(), limits);
         adopt(memory_part);
     }
--- a/tests/unit/durable/job_coordinator_memory_tests.cpp
+++ b/tests/unit/durable/job_coordinator_memory_tests.cpp
@@ -336,3 +336,34 @@
     CHECK(world.replies.at(2).outcome == job_outcome::refused);
     CHECK(world.replies.at(2).retry_after > duration{});
 }
+
+TEST_CASE("a job that comes just before the agents waits for them")
+{
+    // Found where all VMs had lost power: who asked in the 0.2 s after their
+    // return was refused, while the backend servers stood idle.
+    coordinator_world world;
+    world.placing.detached("agent-1");
+    world.placing.detached("agent-2");
+    world.in_memory(0.5, milliseconds{500});
+    world.submit(coordinator_world::memory_job(1));
+    CHECK(world.replies.empty());
+    CHECK(world.coordinator->stats().early == 1);
+    SECTION("they attach")
+    {
+        world.attach("agent-1");
+        world.adopt(memory_part);
+        world.settle();
+        CHECK(world.started.size() == 2);
+        world.end_all(run_outcome::done);
+        CHECK(world.replies.at(1).state == job_state::succeeded);
+    }
+    SECTION("none attaches")
+    {
+        world.loop.advance(milliseconds{600});
+        world.submit(coordinator_world::memory_job(2));
+        CHECK(world.replies.at(2).outcome == job_outcome::refused);
+        CHECK_FALSE(world.replies.contains(1));
+        world.loop.advance(milliseconds{1500});
+        CHECK(world.replies.at(1).outcome == job_outcome::refused);
+    }
+}
