A link to a process that starts again is tried each 160 ms for 2 s

While the VM answers that nothing listens, its process is to start again: attempts stay at 160 ms for 2 s, then double to 400 ms as before.

--- a/src/glenhollow/rpc/rpc_link.cpp
+++ b/src/glenhollow/rpc/rpc_link.cpp
@@ -29,16 +29,15 @@
           host_port address, const rpc_link_settings& limits,
           std::function<void(capnp::Capability::Client)> up_told,
           std::function<void()> down_told)
-        : io(context), clock(time), where(std::move(address)), settings(limits),
+        : io(context), clock(time), where(std::move(address)),
           on_up(std::move(up_told)), on_down(std::move(down_told)),
-          backoff(limits.first_backoff)
+          backoff(limits)
     {
     }
 
     boost::asio::io_context& io;                          ///< Runs it.
     const clock_source& clock;                            ///< For the backoff.
     host_port where;                                      ///< The address.
-    rpc_link_settings settings;                           ///< Limits.
     std::function<void(capnp::Capability::Client)> on_up; ///< Told.
     std::function<void()> on_down;                        ///< Told.
     std::shared_ptr<connection> current; ///< Null while there is none.
@@ -47,7 +46,7 @@
     bool refused = false;         ///< Nothing listened at the last attempt.
     std::uint64_t generation = 0; ///< Of the connection.
     instant retry_at{};           ///< When to connect.
-    duration backoff;             ///< Before the next attempt.
+    link_backoff backoff;         ///< Before the next attempt.
     stream_stats bytes;           ///< What passed.
 
     void connect()
@@ -70,7 +69,7 @@
     void connected(tcp::socket socket)
     {
         current = std::make_shared<connection>(std::move(socket), bytes);
-        backoff = settings.first_backoff;
+        backoff.connected();
         std::weak_ptr<state> weak = shared_from_this();
         current->calls.add(current->rpc.on_disconnect().then(
             [weak, mine = generation]
@@ -85,8 +84,7 @@
     void fail()
     {
         forget_connection();
-        retry_at = clock.now() + backoff;
-        backoff = std::min(backoff * 2, settings.longest_backoff);
+        retry_at = clock.now() + backoff.failed(clock.now(), refused);
         if (on_down)
             on_down();
     }
--- a/src/glenhollow/rpc/rpc_link.hpp
+++ b/src/glenhollow/rpc/rpc_link.hpp
@@ -4,6 +4,7 @@
 #include "glenhollow/core/clock.hpp"
 #include "glenhollow/http/client.hpp"
 #include "glenhollow/rpc/asio_stream.hpp"
+#include "glenhollow/rpc/link_backoff.hpp"
 #include "glenhollow/rpc/rpc_connection.hpp"
 #include "glenhollow/rpc/rpc_loop.hpp"
 
@@ -16,13 +17,6 @@
 namespace glenhollow
 {
 
-/// Limits of a link.
-struct rpc_link_settings
-{
-    duration first_backoff = milliseconds{40};    ///< After a failure.
-    duration longest_backoff = milliseconds{400}; ///< Between attempts.
-};
-
 /// Keeps one RPC connection to one address, and makes it again when it is
 /// lost. Runs inside an rpc_loop.
 class rpc_link final
