--- a/src/glenhollow/durable/job_coordinator.cpp
+++ b/src/glenhollow/durable/job_coordinator.cpp
@@ -193,9 +193,10 @@
                                        job_reply_handler done)
 {
     ++stats_.accepted;
-    if (warming_up() && around_.placing.ready_cores(job.service) <= 0)
-        ++stats_.early;
     job_record record;
+    record.early =
+        warming_up() && around_.placing.ready_cores(job.service) <= 0;
+    stats_.early += record.early ? 1 : 0;
     record.job = job;
     record.tasks.resize(job.task_count());
     record.accepted = true;
@@ -210,15 +211,17 @@
 
 /// Begun any later a job could not end before its caller gives up. One that is
 /// late anyway is worth little, and the sooner its caller knows that it was
-/// not run the more it can do about it.
+/// not run the more it can do about it: at once for one that came early, since
+/// all start at once and those who can still be in time need the room.
 instant job_coordinator::latest_begin(const job_record& record) const
 {
     const auto& job = record.job;
     const auto chain = milliseconds{job.longest_chain_ms()};
     const auto patience = milliseconds{job.give_up_ms - job.accepted_ms};
     const auto in_time = milliseconds{job.objective_ms - job.accepted_ms};
-    const auto share =
-        std::chrono::duration_cast<duration>(patience * settings_.begin_by);
+    const auto share = record.early ? duration{0}
+                                    : std::chrono::duration_cast<duration>(
+                                          patience * settings_.begin_by);
     const auto latest = std::min<duration>(
         patience - chain, std::max<duration>(share, in_time - chain));
     return around_.clock.now() + latest;
--- a/src/glenhollow/durable/job_coordinator.hpp
+++ b/src/glenhollow/durable/job_coordinator.hpp
@@ -246,6 +246,8 @@
         std::size_t done = 0;           ///< Tasks that are done.
         bool begun = false;             ///< A task has begun.
         std::vector<lost_order> lost;   ///< Nothing was heard of them.
+        bool early = false;             ///< Came before a backend server
+                                        ///< was known.
         bool accepted = false;          ///< Its row is durable.
         bool fresh = true;              ///< Accepted by this owner.
         instant give_up{};              ///< Of one in memory.
--- a/tests/unit/adapter/early_requests_tests.cpp
+++ b/tests/unit/adapter/early_requests_tests.cpp
@@ -97,6 +97,8 @@
     // Its client's patience began when it came.
     CHECK(job.give_up_ms - job.accepted_ms <= 1800);
     CHECK(job.give_up_ms - job.accepted_ms >= 1780);
+    // So did the time by which it is expected, 60 ms and 1.6 times 1 s.
+    CHECK(job.objective_ms - job.accepted_ms <= 1560);
     REQUIRE(world.leave);
     world.leave();
     CHECK(world.jobs.withdrawn == 1);
--- a/tests/unit/durable/job_coordinator_memory_tests.cpp
+++ b/tests/unit/durable/job_coordinator_memory_tests.cpp
@@ -363,7 +363,9 @@
         world.submit(coordinator_world::memory_job(2));
         CHECK(world.replies.at(2).outcome == job_outcome::refused);
         CHECK_FALSE(world.replies.contains(1));
-        world.loop.advance(milliseconds{1500});
+        // After 0.9 s it would be late: room is for those who are not.
+        world.loop.advance(milliseconds{300});
+        REQUIRE(world.replies.contains(1));
         CHECK(world.replies.at(1).outcome == job_outcome::refused);
     }
 }
