--- a/programs/durable_entry.hpp
+++ b/programs/durable_entry.hpp
@@ -28,6 +28,7 @@
     duration grace = seconds{6};        ///< From SIGTERM to the end.
     double begin_by = 0.45;             ///< See job_coordinator_settings.
     unsigned review_ms = 10;            ///< See dispatcher_settings.
+    unsigned warm_up_ms = 500;          ///< See early_request_settings.
     double late_reserve = 0.15;         ///< See dispatcher_settings.
     unsigned cancel_memory_s = 60;      ///< See remembered_cancels_settings.
     server_order order = server_order::fastest; ///< See dispatcher_settings.
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -112,7 +112,10 @@
           [this](const stored_row& row) { take_operator_row(row); },
           [this](std::uint64_t version) { operator_rows_current(version); }),
       announcer_(store_, delay(),
-                 {settings.entry, member_role::entry, settings.where,
+                 {settings.entry,
+                  member_role::entry,
+                  settings.where,
+                  {},
                   power_of(settings)})
 {
 }
@@ -318,6 +321,7 @@
         return;
     if (row.gone)
     {
+        members_known_.erase(row.key.key);
         agents_.remove(row.key.key);
         return;
     }
@@ -329,11 +333,14 @@
         return;
     }
     const auto& known = member.value();
-    log_change(log_level::info, "member_known",
-               {{"name", known.name},
-                {"role", to_name(known.role)},
-                {"where", known.where.to_string()},
-                {"version", row.version}});
+    const auto where = known.where.to_string();
+    // A row that is told again may hold another memo for its next process.
+    if (std::exchange(members_known_[known.name], where) != where)
+        log_change(log_level::info, "member_known",
+                   {{"name", known.name},
+                    {"role", to_name(known.role)},
+                    {"where", where},
+                    {"version", row.version}});
     if (known.role == member_role::agent)
         return agents_.add(known.name, known.where);
     strongest_ = std::max(strongest_, known.power);
--- a/src/glenhollow/durable/job_coordinator.cpp
+++ b/src/glenhollow/durable/job_coordinator.cpp
@@ -119,6 +119,8 @@
     if (refusing_)
         return refusal{reason::stopping, refusal_wait};
     const double cores = around_.placing.ready_cores(job.service);
+    if (cores <= 0 && warming_up())
+        return std::nullopt;
     if (cores <= 0)
         return refusal{reason::no_runner, refusal_wait};
     const double objective =
@@ -132,6 +134,13 @@
                    milliseconds{static_cast<std::int64_t>(wait)}};
 }
 
+/// Agents attach within a tenth of a second of a start. Who is refused
+/// meanwhile could have been served in time.
+bool job_coordinator::warming_up() const
+{
+    return !chain_ && around_.clock.now() - claimed_ < settings_.warm_up;
+}
+
 void job_coordinator::submit(const job_definition& job, job_reply_handler done)
 {
     const auto ended = ended_.find(job.id);
@@ -185,6 +194,9 @@
 {
     ++stats_.accepted;
     job_record record;
+    record.early =
+        warming_up() && around_.placing.ready_cores(job.service) <= 0;
+    stats_.early += record.early ? 1 : 0;
     record.job = job;
     record.tasks.resize(job.task_count());
     record.accepted = true;
@@ -199,15 +211,17 @@
 
 /// Begun any later a job could not end before its caller gives up. One that is
 /// late anyway is worth little, and the sooner its caller knows that it was
-/// not run the more it can do about it.
+/// not run the more it can do about it: at once for one that came early, since
+/// all start at once and those who can still be in time need the room.
 instant job_coordinator::latest_begin(const job_record& record) const
 {
     const auto& job = record.job;
     const auto chain = milliseconds{job.longest_chain_ms()};
     const auto patience = milliseconds{job.give_up_ms - job.accepted_ms};
     const auto in_time = milliseconds{job.objective_ms - job.accepted_ms};
-    const auto share =
-        std::chrono::duration_cast<duration>(patience * settings_.begin_by);
+    const auto share = record.early ? duration{0}
+                                    : std::chrono::duration_cast<duration>(
+                                          patience * settings_.begin_by);
     const auto latest = std::min<duration>(
         patience - chain, std::max<duration>(share, in_time - chain));
     return around_.clock.now() + latest;
@@ -269,7 +283,7 @@
 /// out, or was lost with its agent, may have.
 bool job_coordinator::may_have_run(const job_record& record)
 {
-    return record.begun || record.order_lost ||
+    return record.begun || !record.lost.empty() ||
            std::any_of(record.tasks.begin(), record.tasks.end(),
                        [](const task_record& task)
                        { return task.phase == task_phase::placed; });
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -513,6 +513,11 @@
           stats.lost, {});
     count("orders_refused_leaving_total", "Orders that came after a notice",
           stats.refused_leaving, {});
+    count("runner_lives_remembered_total",
+          "Lives known from an earlier process of this agent", stats.remembered,
+          {});
+    count("runner_lives_forgotten_total", "Of these, those that had ended",
+          stats.forgotten, {});
     count("hold_lapses_total", "Times the hold was left to lapse", stats.lapses,
           {});
     for (std::size_t i = 0; i < stats.ends.size(); ++i)
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -138,7 +138,10 @@
 /// All that an agent knows of the runs under one lease.
 struct lease_account
 {
-    bool declined = false;        ///< A later owner has been here.
+    bool declined = false; ///< A later owner has been here.
+    bool complete = false; ///< The agent has kept all since the last account:
+                           ///< an order not told here has not been taken, and
+                           ///< never will be.
     std::vector<listed_run> runs; ///< Not ended.
     std::vector<run_end> ends;    ///< Not confirmed by an owner.
 };
@@ -200,6 +203,8 @@
     std::uint64_t moved_ms = 0; ///< Time that these had run: thrown away.
     std::uint64_t lost = 0;     ///< Runs that could not end, nor elsewhere.
     std::uint64_t refused_leaving = 0; ///< Orders that came after a notice.
+    std::uint64_t remembered = 0;      ///< Lives known from an earlier process.
+    std::uint64_t forgotten = 0;       ///< Of these, those that had ended.
     std::array<std::uint64_t, name_table<run_outcome>::names.size()>
         ends{}; ///< By outcome.
 };
@@ -255,6 +260,11 @@
     void registered(const runner_account& account,
                     const runner_times& times = {});
 
+    /// What the last process of this agent knew. It counts once the backend
+    /// server has answered as that life, and not after a registration.
+    /// @param account As it had registered itself.
+    void remembered(const runner_account& account);
+
     /// @param instance A life that has ended.
     void departed(const std::string& instance);
 
@@ -317,6 +327,9 @@
     /// @return What the runner said of itself, and whether it answers.
     const runner_account& account() const { return account_; }
 
+    /// @return Whether it takes work by its own word.
+    runner_phase told_phase() const { return told_phase_; }
+
     /// @return Room as owners should see it.
     runner_room room() const;
 
@@ -443,6 +456,8 @@
     server_pace pace_;                        ///< Of the registered life.
     duration look_gap_{};       ///< Between the last two answered looks.
     bool verified_ = false;     ///< The registered life has answered.
+    bool from_memory_ = false;  ///< It has not registered with this process.
+    bool registered_ = false;   ///< Some life has, with this process.
     bool evacuated_ = false;    ///< The hall gets no new work.
     runner_clock runner_clock_; ///< The runner's clock as seen here.
     runner_breaker breaker_;    ///< Judges it by the ends of its runs.
