--- /dev/null
+++ b/standins/backend.cpp
@@ -0,0 +1,563 @@
+// standin-backend: takes the place of one backend server in the soak. Faults
+// are set over HTTP; it keeps a record of all runs.
+#include "glenhollow/command_line/command_line.hpp"
+#include "glenhollow/core/port_file.hpp"
+#include "glenhollow/core/random.hpp"
+#include "glenhollow/core/run_after.hpp"
+#include "glenhollow/http/client.hpp"
+#include "glenhollow/http/server.hpp"
+#include "platform/body.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <vector>
+
+using namespace glenhollow;
+using namespace glenhollow::platform;
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace
+{
+
+/// Ends that one answer holds at most, by the platform's rules.
+constexpr std::size_t ends_a_page = 500;
+/// How often waits for ends are looked at.
+constexpr duration tick_interval = milliseconds{10};
+/// A stop takes so long.
+constexpr duration stop_time = milliseconds{60};
+/// Longest time by which a late order comes later.
+constexpr double late_ms = 4000;
+/// Work of a task whose spec names none.
+constexpr duration usual_work = milliseconds{50};
+
+/// One run, from its start on; kept for good.
+struct kept_run
+{
+    std::string task;                ///< Its name.
+    std::uint64_t run = 0;           ///< Its number.
+    std::string spec;                ///< As told.
+    std::string life;                ///< Of the backend server.
+    instant begin{};                 ///< When it started.
+    instant finish{};                ///< When its work is done.
+    instant stop = instant::max();   ///< When a stop ends it.
+    instant end{};                   ///< 0 while it runs.
+    std::string how;                 ///< Its end; `crashed` is told to nobody.
+    bool fails = false;              ///< Ends `failed`.
+    std::uint64_t number = 0;        ///< Of the end.
+    instant noted{};                 ///< When last_seen reached it; 0: not yet.
+    bool lapsed_before_note = false; ///< Its lease ended in between.
+};
+
+/// What goes wrong, as set over HTTP.
+struct backend_faults
+{
+    double delay_ms = 0;     ///< Before each call is looked at.
+    double refuse = 0;       ///< Share of starts that get 503.
+    double fail = 0;         ///< Share of runs that end `failed`.
+    double lose_answers = 0; ///< Share of calls done, but not answered.
+    double late = 0;         ///< Share of orders done later, not answered.
+    double twice = 0;        ///< Share of runs that it begins once more when
+                             ///< they have ended; a planted fault.
+};
+
+/// A look that waits for an end.
+struct waiting_look
+{
+    instant until{};     ///< Answers by then.
+    http_responder done; ///< Takes the answer.
+};
+
+/// What the flags say.
+struct backend_settings
+{
+    std::string name = "b1";           ///< Begins the ids of its lives.
+    std::string address = "127.0.0.1"; ///< Told in the heartbeats.
+    host_port agent;                   ///< Where it registers.
+    std::string service = "service";   ///< What it runs.
+    std::string zone = "zone";         ///< Where it stands.
+    std::uint32_t cpu = 4000;          ///< Thousandths of a core.
+    std::uint32_t mem_mb = 4096;       ///< Memory.
+    unsigned hold_ms = 2000;           ///< Longest lease.
+    double slow = 0;                   ///< Of its clock, as a share.
+    std::uint64_t seed = 1;            ///< Of the faults.
+};
+
+/// The stand-in's state; one thread. Ends bear the time at which they were due,
+/// however late this process gets to them.
+class standin_backend final
+{
+public:
+    standin_backend(asio::io_context& io, const backend_settings& settings)
+        : io_(io), settings_(settings), random_(settings.seed),
+          origin_(process_clock().now()),
+          agent_(http_client::create(io, client_settings(settings)))
+    {
+        begin_life();
+    }
+
+    void begin(std::uint16_t port)
+    {
+        port_ = port;
+        beat();
+        tick();
+    }
+
+    void handle(const http_request& request, const http_responder& done)
+    {
+        if (request.target == "/fault")
+            return done(set_faults(object_of(request.body)));
+        if (request.target == "/record")
+            return done(record());
+        if (faults_.delay_ms <= 0)
+            return serve(request, done);
+        run_after(io_, microseconds{static_cast<long>(faults_.delay_ms * 1000)},
+                  [this, request, done] { serve(request, done); });
+    }
+
+private:
+    static http_client_settings
+    client_settings(const backend_settings& settings)
+    {
+        http_client_settings out;
+        out.server = settings.agent;
+        out.connect_timeout = seconds{1};
+        out.call_timeout = seconds{1};
+        return out;
+    }
+
+    bool drawn(double share) { return share > 0 && uniform(random_) < share; }
+
+    void begin_life()
+    {
+        ++lives_;
+        life_ = settings_.name + "-" + std::to_string(lives_);
+        fence_ = 0;
+        deadline_ms_ = 0;
+        ends_ = 0;
+        confirmed_ = 0;
+        sequence_ = 0;
+        listed_.clear();
+        barred_.clear();
+    }
+
+    /// Everything running dies, and nobody is told.
+    void crash()
+    {
+        const auto now = process_clock().now();
+        settle(now);
+        for (const auto at : running_)
+        {
+            runs_[at].end = now;
+            runs_[at].how = "crashed";
+        }
+        running_.clear();
+        begin_life();
+    }
+
+    /// @return This server's clock, ms; slower than true by a share.
+    std::int64_t clock_ms(instant now) const
+    {
+        const auto passed = std::chrono::duration<double, std::milli>(
+            (now - origin_) * (1.0 - settings_.slow));
+        return 1000 + static_cast<std::int64_t>(passed.count());
+    }
+
+    /// @return The first instant at which the clock shows the deadline.
+    instant deadline() const
+    {
+        const std::chrono::duration<double, std::milli> shown(
+            static_cast<double>(deadline_ms_ - 1000));
+        return origin_ + std::chrono::duration_cast<duration>(
+                             shown / (1.0 - settings_.slow));
+    }
+
+    /// Ends what was due by now, each at its own time.
+    void settle(instant now)
+    {
+        const bool lapses = deadline_ms_ != 0 && deadline() <= now;
+        const auto until = lapses ? deadline() : now;
+        const auto due = [this](std::size_t at)
+        { return std::min(runs_[at].finish, runs_[at].stop); };
+        std::vector<std::size_t> over;
+        std::erase_if(running_,
+                      [&](std::size_t at)
+                      {
+                          if (due(at) > until)
+                              return false;
+                          over.push_back(at);
+                          return true;
+                      });
+        std::sort(over.begin(), over.end(),
+                  [&](auto a, auto b) { return due(a) < due(b); });
+        for (const auto at : over)
+        {
+            const bool stopped = runs_[at].stop < runs_[at].finish;
+            end_run(at, due(at),
+                    stopped           ? "stopped"
+                    : runs_[at].fails ? "failed"
+                                      : "done");
+        }
+        if (!lapses)
+            return;
+        for (const auto at : std::exchange(running_, {}))
+            end_run(at, until, "lapsed");
+        for (const auto at : listed_)
+            runs_[at].lapsed_before_note = true;
+        deadline_ms_ = 0;
+    }
+
+    void end_run(std::size_t at, instant when, std::string how)
+    {
+        auto& run = runs_[at];
+        run.end = when;
+        run.how = std::move(how);
+        run.number = ++ends_;
+        listed_.push_back(at);
+        auto& barred = barred_[run.task];
+        barred = std::max(barred, run.run);
+        if (drawn(faults_.twice))
+            add_run(run.task, run.run + 1, run.spec, when);
+    }
+
+    void serve(const http_request& request, const http_responder& done)
+    {
+        const bool is_order = request.target != "/hold";
+        if (is_order && drawn(faults_.late))
+        {
+            // The caller's connection says nothing more.
+            silent_.push_back(done);
+            const auto wait = static_cast<long>(late_ms * uniform(random_));
+            return run_after(io_, milliseconds{wait},
+                             [this, request]
+                             { dispatch(request, [](const auto&) {}); });
+        }
+        const bool lost = drawn(faults_.lose_answers);
+        if (lost)
+            silent_.push_back(done);
+        dispatch(request, lost ? [](const http_response&) {} : done);
+    }
+
+    void dispatch(const http_request& request, const http_responder& done)
+    {
+        const auto now = process_clock().now();
+        settle(now);
+        const auto meant =
+            header_value(request.headers, "Glenhollow-Expect-Instance");
+        if (!meant.empty() && meant != life_)
+            return done(answer(421));
+        const auto body = object_of(request.body);
+        const auto fence = number_of(body, "fencing_token");
+        if (fence < fence_)
+            return done(refusal("fence"));
+        if (request.target == "/run-start")
+            return done(start(body, now));
+        fence_ = fence;
+        if (request.target == "/run-stop")
+            return done(stop(body, now));
+        if (request.target == "/hold")
+            return look(body, now, done);
+        done(answer(404));
+    }
+
+    http_response start(const json::object& body, instant now)
+    {
+        if (drawn(faults_.refuse))
+            return answer(503);
+        fence_ = number_of(body, "fencing_token");
+        const auto task = text_of(body, "task");
+        const auto run = number_of(body, "run");
+        if (task.empty() || run == 0)
+            return answer(400);
+        const auto until =
+            static_cast<std::int64_t>(number_of(body, "deadline_ms"));
+        if (until <= clock_ms(now))
+            return refusal("late");
+        lengthen(until, now);
+        for (const auto at : running_)
+        {
+            if (runs_[at].task == task && runs_[at].run == run)
+                return answer(200);
+        }
+        const auto barred = barred_.find(task);
+        if (barred != barred_.end() && run <= barred->second)
+            return refusal("old");
+        add_run(task, run, text_of(body, "spec"), now);
+        return answer(200);
+    }
+
+    void add_run(const std::string& task, std::uint64_t run,
+                 const std::string& spec, instant now)
+    {
+        kept_run added;
+        added.task = task;
+        added.run = run;
+        added.spec = spec;
+        added.life = life_;
+        added.begin = now;
+        added.finish = now + work_of(spec);
+        added.fails = drawn(faults_.fail);
+        running_.push_back(runs_.size());
+        runs_.push_back(std::move(added));
+    }
+
+    /// @param spec `work_ms=N`, perhaps with more after it.
+    static duration work_of(const std::string& spec)
+    {
+        constexpr std::string_view field = "work_ms=";
+        if (!spec.starts_with(field))
+            return usual_work;
+        return milliseconds{
+            std::strtol(spec.c_str() + field.size(), nullptr, 10)};
+    }
+
+    /// A lease never becomes shorter, nor longer than its most.
+    void lengthen(std::int64_t until, instant now)
+    {
+        const auto most =
+            clock_ms(now) + static_cast<std::int64_t>(settings_.hold_ms);
+        deadline_ms_ = std::max(deadline_ms_, std::min(until, most));
+    }
+
+    http_response stop(const json::object& body, instant now)
+    {
+        const auto task = text_of(body, "task");
+        const auto run = number_of(body, "run");
+        for (const auto at : running_)
+        {
+            if (runs_[at].task == task && runs_[at].run == run)
+                runs_[at].stop = std::min(runs_[at].stop, now + stop_time);
+        }
+        auto& barred = barred_[task];
+        barred = std::max(barred, run);
+        return answer(200);
+    }
+
+    void look(const json::object& body, instant now, const http_responder& done)
+    {
+        const auto until =
+            static_cast<std::int64_t>(number_of(body, "deadline_ms"));
+        if (until > clock_ms(now))
+            lengthen(until, now);
+        confirmed_ = std::max(confirmed_, number_of(body, "last_seen"));
+        std::erase_if(listed_,
+                      [&](std::size_t at)
+                      {
+                          if (runs_[at].number > confirmed_)
+                              return false;
+                          runs_[at].noted = now;
+                          return true;
+                      });
+        const milliseconds wait{
+            static_cast<std::int64_t>(number_of(body, "wait_ms"))};
+        if (!listed_.empty() || wait.count() == 0)
+            return done(lists(now));
+        looks_.push_back({now + wait, done});
+    }
+
+    http_response lists(instant now) const
+    {
+        json::array running;
+        for (const auto at : running_)
+        {
+            const auto& run = runs_[at];
+            const auto whole =
+                std::max<duration>(run.finish - run.begin, milliseconds{1});
+            const auto percent = 100 * (now - run.begin) / whole;
+            running.emplace_back(json::array{
+                run.task, run.run, "", std::min<std::int64_t>(percent, 100)});
+        }
+        json::array finished;
+        for (const auto at : listed_)
+        {
+            const auto& run = runs_[at];
+            if (finished.size() < ends_a_page)
+                finished.emplace_back(
+                    json::array{run.number, run.task, run.run, run.how, ""});
+        }
+        return answer(200, {{"running", std::move(running)},
+                            {"finished", std::move(finished)}});
+    }
+
+    void tick()
+    {
+        const auto now = process_clock().now();
+        settle(now);
+        const bool ended = !listed_.empty();
+        std::vector<waiting_look> over;
+        std::erase_if(looks_,
+                      [&](waiting_look& look)
+                      {
+                          if (!ended && now < look.until)
+                              return false;
+                          over.push_back(std::move(look));
+                          return true;
+                      });
+        for (const auto& look : over)
+            look.done(lists(now));
+        run_after(io_, tick_interval, [this] { tick(); });
+    }
+
+    void beat()
+    {
+        const auto now = process_clock().now();
+        const json::object account{
+            {"service", settings_.service},
+            {"address", settings_.address + ":" + std::to_string(port_)},
+            {"zone", settings_.zone},
+            {"version", "v1"},
+            {"slots", 1},
+            {"state", "ready"},
+            {"cold_remaining_ms", 0},
+            {"capacity",
+             {{"cpu", settings_.cpu},
+              {"mem_mb", settings_.mem_mb},
+              {"gpu", 0}}},
+            {"labels", json::array{"a", "r1-1"}},
+            {"clock_ms", clock_ms(now)},
+            {"sequence", ++sequence_}};
+        agent_->send({"PUT",
+                      "/instances/" + life_,
+                      {{"Content-Type", "application/json"}},
+                      json::serialize(account),
+                      {}},
+                     [](const http_result&) {});
+        run_after(io_, milliseconds{500}, [this] { beat(); });
+    }
+
+    http_response set_faults(const json::object& given)
+    {
+        faults_.delay_ms = real_of(given, "delay_ms", 0);
+        faults_.refuse = real_of(given, "refuse", 0);
+        faults_.fail = real_of(given, "fail", 0);
+        faults_.lose_answers = real_of(given, "lose_answers", 0);
+        faults_.late = real_of(given, "late", 0);
+        faults_.twice = real_of(given, "twice", 0);
+        if (flag_of(given, "crash"))
+            crash();
+        return answer(200);
+    }
+
+    /// All runs so far; times in ns of this machine's clock.
+    http_response record()
+    {
+        settle(process_clock().now());
+        json::array list;
+        for (const auto& run : runs_)
+        {
+            list.emplace_back(
+                json::object{{"task", run.task},
+                             {"run", run.run},
+                             {"spec", run.spec},
+                             {"life", run.life},
+                             {"begin", run.begin.count()},
+                             {"end", run.end.count()},
+                             {"how", run.how},
+                             {"noted", run.noted.count()},
+                             {"lapsed_before_note", run.lapsed_before_note}});
+        }
+        return {200,
+                "application/json",
+                {},
+                json::serialize(json::object{{"runs", std::move(list)}})};
+    }
+
+    http_response answer(unsigned status, json::object body = {}) const
+    {
+        body["clock_ms"] = clock_ms(process_clock().now());
+        return {status, "application/json", {}, json::serialize(body)};
+    }
+
+    http_response refusal(std::string_view reason) const
+    {
+        return answer(409, {{"reason", reason}});
+    }
+
+    asio::io_context& io_;               ///< Runs the timers.
+    backend_settings settings_;          ///< Checked.
+    random_engine random_;               ///< Draws the faults.
+    instant origin_;                     ///< When its clock showed 1,000 ms.
+    std::unique_ptr<http_client> agent_; ///< Where it registers.
+    backend_faults faults_;              ///< What goes wrong now.
+    std::uint16_t port_ = 0;             ///< Its own.
+    std::uint64_t lives_ = 0;            ///< So far.
+    std::string life_;                   ///< Id of this life.
+    std::uint64_t fence_ = 0;            ///< Highest token seen.
+    std::int64_t deadline_ms_ = 0;       ///< Of its lease; 0: none.
+    std::uint64_t ends_ = 0;             ///< Listed in this life.
+    std::uint64_t confirmed_ = 0;        ///< Ends taken note of.
+    std::uint64_t sequence_ = 0;         ///< Of its heartbeats.
+    std::vector<kept_run> runs_;         ///< All of all lives.
+    std::vector<std::size_t> running_;   ///< Places in runs_.
+    std::vector<std::size_t> listed_;    ///< Ends that are not confirmed.
+    std::map<std::string, std::uint64_t> barred_; ///< Highest run over.
+    std::vector<waiting_look> looks_;             ///< Wait for ends.
+    std::vector<http_responder> silent_;          ///< Never called.
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    http_server_settings limits;
+    backend_settings settings;
+    std::string port_file;
+    std::string agent = "127.0.0.1:8166";
+    command_line line("standin-backend", "takes the place of a backend server");
+    line.identifier("name", settings.name, "begins the ids of its lives");
+    line.text("address", limits.address, "IP number to listen on", true);
+    line.number<std::uint16_t>("port", limits.port, 0, 65535, "",
+                               "0 lets the kernel pick");
+    line.text("port-file", port_file, "file that gets the port");
+    line.text("agent", agent, "IP:PORT where it registers", true);
+    line.identifier("service", settings.service, "what it runs");
+    line.identifier("zone", settings.zone, "where it stands");
+    line.number<std::uint32_t>("cpu", settings.cpu, 1, 1'000'000, "",
+                               "thousandths of a core");
+    line.number<unsigned>("hold", settings.hold_ms, 200, 60'000, "ms",
+                          "longest lease");
+    line.number<double>("slow", settings.slow, 0, 0.02, "",
+                        "share by which its clock is slow");
+    line.number<std::uint64_t>("seed", settings.seed, 0, 1ULL << 53, "",
+                               "seed of the faults");
+    parse_or_exit(line, argc, argv);
+    const auto where = host_port::parse(agent);
+    if (!where)
+    {
+        std::cerr << where.error().text << "\n";
+        return exit_usage;
+    }
+    settings.agent = where.value();
+    settings.address = limits.address;
+
+    asio::io_context io{1};
+    standin_backend backend(io, settings);
+    auto server = http_server::create(
+        io, limits,
+        [&](const http_request& request, const http_responder& done)
+        { backend.handle(request, done); });
+    if (!server)
+    {
+        std::cerr << server.error().text << "\n";
+        return 1;
+    }
+    const auto written = write_port_file(port_file, {server.value()->port()});
+    if (!written)
+    {
+        std::cerr << written.error().text << "\n";
+        return 1;
+    }
+    backend.begin(server.value()->port());
+    asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&](auto, int) { io.stop(); });
+    io.run();
+    return 0;
+}
--- /dev/null
+++ b/standins/store.cpp
@@ -0,0 +1,390 @@
+// standin-store: takes the place of the platform's store of rows in the soak.
+// Faults are set over HTTP.
+#include "glenhollow/command_line/command_line.hpp"
+#include "glenhollow/core/clock.hpp"
+#include "glenhollow/core/port_file.hpp"
+#include "glenhollow/core/random.hpp"
+#include "glenhollow/core/run_after.hpp"
+#include "glenhollow/http/server.hpp"
+#include "platform/body.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <set>
+#include <tuple>
+#include <vector>
+
+using namespace glenhollow;
+using namespace glenhollow::platform;
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace
+{
+
+/// Rows and parts that one answer holds at most, by the platform's rules.
+constexpr std::size_t rows_a_page = 500;
+constexpr std::size_t parts_a_page = 1000;
+/// Longest time by which a held back write comes later.
+constexpr double late_ms = 3000;
+
+/// Table, part and key.
+using row_name = std::tuple<std::string, std::string, std::string>;
+
+/// One row, or that it is gone.
+struct kept_row
+{
+    std::string value;     ///< As it came, in base64.
+    std::uint64_t ver = 0; ///< Of its last change.
+    bool gone = false;     ///< Dropped.
+};
+
+/// A wait for changes of a table.
+struct waiting_feed
+{
+    std::string table;       ///< Which table.
+    std::uint64_t after = 0; ///< Changes above this version.
+    instant until{};         ///< Answers by then, also without changes.
+    http_responder done;     ///< Takes the answer.
+};
+
+/// What goes wrong, as set over HTTP.
+struct store_faults
+{
+    double delay_ms = 0;     ///< Before each call is looked at.
+    double down = 0;         ///< Share of calls that get 503.
+    double too_many = 0;     ///< Share of calls that get 429.
+    double lose_answers = 0; ///< Share of calls done, but not answered.
+    double late = 0;         ///< Share of writes done later, not answered.
+};
+
+row_name name_of(const json::object& row)
+{
+    return {text_of(row, "table"), text_of(row, "part"), text_of(row, "key")};
+}
+
+json::object facts_of(const row_name& name, const kept_row& row)
+{
+    json::object out{{"table", std::get<0>(name)},
+                     {"part", std::get<1>(name)},
+                     {"key", std::get<2>(name)},
+                     {"ver", row.ver}};
+    if (row.gone)
+        out["gone"] = true;
+    else
+        out["value"] = row.value;
+    return out;
+}
+
+http_response answer(const json::object& body, unsigned status = 200)
+{
+    return {status, "application/json", {}, json::serialize(body)};
+}
+
+std::vector<json::object> objects_of(const json::object& body,
+                                     std::string_view name)
+{
+    std::vector<json::object> out;
+    const auto* list = body.if_contains(name);
+    if (list == nullptr || !list->is_array())
+        return out;
+    for (const auto& one : list->get_array())
+    {
+        if (one.is_object())
+            out.push_back(one.get_object());
+    }
+    return out;
+}
+
+/// The stand-in's state; one thread.
+class standin_store final
+{
+public:
+    standin_store(asio::io_context& io, std::uint64_t seed)
+        : io_(io), random_(seed)
+    {
+    }
+
+    void handle(const http_request& request, const http_responder& done)
+    {
+        if (request.target == "/fault")
+            return done(set_faults(object_of(request.body)));
+        if (faults_.delay_ms <= 0)
+            return serve(request, done);
+        run_after(io_, microseconds{static_cast<long>(faults_.delay_ms * 1000)},
+                  [this, request, done] { serve(request, done); });
+    }
+
+    /// Answers the waits that are over.
+    void tick()
+    {
+        const auto now = process_clock().now();
+        std::erase_if(feeds_,
+                      [&](const waiting_feed& feed)
+                      {
+                          if (now < feed.until)
+                              return false;
+                          feed.done(changes(feed.table, feed.after));
+                          return true;
+                      });
+        run_after(io_, milliseconds{20}, [this] { tick(); });
+    }
+
+private:
+    bool drawn(double share) { return share > 0 && uniform(random_) < share; }
+
+    void serve(const http_request& request, const http_responder& done)
+    {
+        if (drawn(faults_.down))
+            return done(answer({}, 503));
+        if (drawn(faults_.too_many))
+            return done(answer({}, 429));
+        if (request.method == "POST" && drawn(faults_.late))
+        {
+            // The caller's connection says nothing more.
+            silent_.push_back(done);
+            const auto wait = static_cast<long>(late_ms * uniform(random_));
+            return run_after(io_, milliseconds{wait},
+                             [this, request]
+                             { transact(object_of(request.body)); });
+        }
+        const bool lost = drawn(faults_.lose_answers);
+        if (lost)
+            silent_.push_back(done);
+        dispatch(request, lost ? [](const http_response&) {} : done);
+    }
+
+    void dispatch(const http_request& request, const http_responder& done)
+    {
+        const auto parsed = boost::urls::parse_origin_form(request.target);
+        if (!parsed)
+            return done(answer({}, 400));
+        std::map<std::string, std::string> given;
+        for (const auto& one : parsed->params())
+            given[one.key] = one.value;
+        const std::string path = parsed->path();
+        if (path == "/rows-tx" && request.method == "POST")
+            return done(transact(object_of(request.body)));
+        if (path == "/rows-get")
+            return done(read(given));
+        if (path == "/rows-parts")
+            return done(parts(given));
+        if (path == "/rows-feed")
+            return feed(given, done);
+        done(answer({}, 404));
+    }
+
+    http_response transact(const json::object& body)
+    {
+        json::array current;
+        bool holds = true;
+        for (const auto& one : objects_of(body, "expected_revision"))
+        {
+            const auto name = name_of(one);
+            const auto known = rows_.find(name);
+            const auto ver = known == rows_.end() ? 0 : known->second.ver;
+            holds = holds && ver == number_of(one, "ver");
+            current.emplace_back(known == rows_.end()
+                                     ? facts_of(name, {{}, 0, true})
+                                     : facts_of(name, known->second));
+        }
+        if (!holds)
+            return answer({{"rows", std::move(current)}, {"ver", ver_}}, 412);
+        ++ver_;
+        for (const auto& one : objects_of(body, "put"))
+            change(name_of(one), {text_of(one, "value"), ver_, false});
+        for (const auto& one : objects_of(body, "remove"))
+        {
+            if (rows_.contains(name_of(one)))
+                change(name_of(one), {{}, ver_, true});
+        }
+        tell_feeds();
+        return answer({{"ver", ver_}, {"now_ms", now_ms()}});
+    }
+
+    void change(const row_name& name, const kept_row& row)
+    {
+        if (row.gone)
+            rows_.erase(name);
+        else
+            rows_[name] = row;
+        history_.emplace_back(name, row);
+    }
+
+    http_response read(std::map<std::string, std::string>& given) const
+    {
+        const auto& table = given["table"];
+        const auto& part = given["part"];
+        const auto& until = given["target_version"];
+        const auto asked = std::strtoull(given["limit"].c_str(), nullptr, 10);
+        const auto limit = asked == 0
+                               ? rows_a_page
+                               : std::min<std::size_t>(asked, rows_a_page);
+        json::array rows;
+        bool more = false;
+        for (auto row = rows_.lower_bound({table, part, given["from"]});
+             row != rows_.end(); ++row)
+        {
+            const auto& [its_table, its_part, key] = row->first;
+            if (its_table != table || its_part != part ||
+                (!until.empty() && key >= until))
+                break;
+            more = rows.size() == limit;
+            if (more)
+                break;
+            rows.emplace_back(facts_of(row->first, row->second));
+        }
+        return answer({{"rows", std::move(rows)},
+                       {"more", more},
+                       {"ver", ver_},
+                       {"now_ms", now_ms()}});
+    }
+
+    http_response parts(std::map<std::string, std::string>& given) const
+    {
+        std::set<std::string> names;
+        for (const auto& [name, row] : rows_)
+        {
+            if (std::get<0>(name) == given["table"] &&
+                std::get<1>(name) > given["after"])
+                names.insert(std::get<1>(name));
+        }
+        json::array list;
+        for (const auto& name : names)
+        {
+            if (list.size() < parts_a_page)
+                list.emplace_back(name);
+        }
+        return answer({{"parts", std::move(list)}, {"ver", ver_}});
+    }
+
+    void feed(std::map<std::string, std::string>& given,
+              const http_responder& done)
+    {
+        const auto after = std::strtoull(given["after"].c_str(), nullptr, 10);
+        const auto wait = std::strtoll(given["wait_ms"].c_str(), nullptr, 10);
+        if (after < forgotten_)
+            return done(answer({}, 410));
+        if (has_changes(given["table"], after) || wait <= 0)
+            return done(changes(given["table"], after));
+        feeds_.push_back({given["table"], after,
+                          process_clock().now() + milliseconds{wait}, done});
+    }
+
+    bool has_changes(const std::string& table, std::uint64_t after) const
+    {
+        for (auto one = history_.rbegin();
+             one != history_.rend() && one->second.ver > after; ++one)
+        {
+            if (std::get<0>(one->first) == table)
+                return true;
+        }
+        return false;
+    }
+
+    http_response changes(const std::string& table, std::uint64_t after) const
+    {
+        if (after < forgotten_)
+            return answer({}, 410);
+        json::array rows;
+        for (const auto& [name, row] : history_)
+        {
+            if (row.ver > after && std::get<0>(name) == table)
+                rows.emplace_back(facts_of(name, row));
+        }
+        return answer(
+            {{"rows", std::move(rows)}, {"ver", ver_}, {"now_ms", now_ms()}});
+    }
+
+    void tell_feeds()
+    {
+        std::erase_if(feeds_,
+                      [&](const waiting_feed& feed)
+                      {
+                          if (!has_changes(feed.table, feed.after))
+                              return false;
+                          feed.done(changes(feed.table, feed.after));
+                          return true;
+                      });
+    }
+
+    http_response set_faults(const json::object& given)
+    {
+        faults_.delay_ms = real_of(given, "delay_ms", 0);
+        faults_.down = real_of(given, "down", 0);
+        faults_.too_many = real_of(given, "too_many", 0);
+        faults_.lose_answers = real_of(given, "lose_answers", 0);
+        faults_.late = real_of(given, "late", 0);
+        if (flag_of(given, "forget"))
+        {
+            history_.clear();
+            forgotten_ = ver_;
+        }
+        return answer({{"ver", ver_}});
+    }
+
+    static std::int64_t now_ms()
+    {
+        return std::chrono::duration_cast<milliseconds>(process_clock().now())
+            .count();
+    }
+
+    asio::io_context& io_;              ///< Runs the timers.
+    random_engine random_;              ///< Draws the faults.
+    store_faults faults_;               ///< What goes wrong now.
+    std::map<row_name, kept_row> rows_; ///< All rows.
+    std::vector<std::pair<row_name, kept_row>> history_; ///< All changes.
+    std::uint64_t ver_ = 0;                              ///< The newest.
+    std::uint64_t forgotten_ = 0;        ///< History up to it is gone.
+    std::vector<waiting_feed> feeds_;    ///< Waits for changes.
+    std::vector<http_responder> silent_; ///< Never called.
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    http_server_settings limits;
+    std::string port_file;
+    std::uint64_t seed = 1;
+    command_line line("standin-store", "takes the place of the store of rows");
+    line.text("address", limits.address, "IP number to listen on", true);
+    line.number<std::uint16_t>("port", limits.port, 0, 65535, "",
+                               "0 lets the kernel pick");
+    line.text("port-file", port_file, "file that gets the port");
+    line.number<std::uint64_t>("seed", seed, 0, 1ULL << 53, "",
+                               "seed of the faults");
+    parse_or_exit(line, argc, argv);
+
+    asio::io_context io{1};
+    standin_store store(io, seed);
+    auto server = http_server::create(
+        io, limits,
+        [&](const http_request& request, const http_responder& done)
+        { store.handle(request, done); });
+    if (!server)
+    {
+        std::cerr << server.error().text << "\n";
+        return 1;
+    }
+    const auto written = write_port_file(port_file, {server.value()->port()});
+    if (!written)
+    {
+        std::cerr << written.error().text << "\n";
+        return 1;
+    }
+    store.tick();
+    asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&](auto, int) { io.stop(); });
+    io.run();
+    return 0;
+}
--- /dev/null
+++ b/tests/soak/fault_plan.cpp
@@ -0,0 +1,53 @@
+#include "soak/fault_plan.hpp"
+
+#include "glenhollow/core/random.hpp"
+
+namespace glenhollow::soak
+{
+
+namespace
+{
+
+/// From the engine's own bits, so that a seed means the same everywhere.
+double drawn(random_engine& engine)
+{
+    constexpr double range = 9007199254740992.0; // 2^53
+    return static_cast<double>(engine() >> 11U) / range;
+}
+
+duration between(random_engine& engine, duration least, duration most)
+{
+    return least + milliseconds{static_cast<std::int64_t>(
+                       drawn(engine) *
+                       std::chrono::duration<double, std::milli>(most - least)
+                           .count())};
+}
+
+} // namespace
+
+std::vector<planned_fault> plan_faults(const plan_settings& settings)
+{
+    constexpr auto kinds = name_table<fault_kind>::names.size();
+    random_engine engine(settings.seed);
+    std::vector<planned_fault> plan;
+    auto at = settings.calm;
+    while (true)
+    {
+        planned_fault fault;
+        fault.kind = static_cast<fault_kind>(engine() % kinds);
+        const auto targets =
+            fault.kind <= fault_kind::entry_stop  ? settings.entries
+            : fault.kind < fault_kind::store_slow ? settings.agents
+                                                  : 1;
+        fault.target = static_cast<std::uint32_t>(engine() % targets);
+        fault.at = at;
+        fault.lasts = between(engine, milliseconds{300}, seconds{4});
+        fault.share = 0.1 + 0.5 * drawn(engine);
+        at += between(engine, duration{0}, 2 * settings.apart);
+        if (fault.at + fault.lasts >= settings.length)
+            return plan;
+        plan.push_back(fault);
+    }
+}
+
+} // namespace glenhollow::soak
--- /dev/null
+++ b/tests/soak/fault_plan.hpp
@@ -0,0 +1,75 @@
+#ifndef GLENHOLLOW_TESTS_SOAK_FAULT_PLAN_HPP
+#define GLENHOLLOW_TESTS_SOAK_FAULT_PLAN_HPP
+
+#include "glenhollow/core/clock.hpp"
+#include "glenhollow/core/names.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace glenhollow::soak
+{
+
+/// What goes wrong.
+enum class fault_kind : std::uint8_t
+{
+    entry_kill,     ///< SIGKILL, started again after a while.
+    entry_pause,    ///< SIGSTOP, SIGCONT after a while.
+    entry_stop,     ///< SIGTERM, started again a while after its end.
+    agent_kill,     ///< As with an entry.
+    agent_pause,    ///< As with an entry.
+    agent_stop,     ///< As with an entry.
+    backend_crash,  ///< All its runs die, a new life begins.
+    backend_lose,   ///< Calls done, but not answered.
+    backend_late,   ///< Orders carried out later, not answered.
+    backend_slow,   ///< Answers late.
+    backend_fail,   ///< Runs end `failed`.
+    backend_refuse, ///< Starts get 503.
+    store_slow,     ///< Answers late.
+    store_down,     ///< 503.
+    store_lose,     ///< Calls done, but not answered.
+    store_late,     ///< Writes done later, not answered.
+    store_refuse,   ///< 429.
+    store_forget    ///< Its history is gone.
+};
+
+/// One fault of a plan.
+struct planned_fault
+{
+    fault_kind kind = fault_kind::entry_kill; ///< What.
+    std::uint32_t target = 0;                 ///< Which process, from 0.
+    duration at{};                            ///< From the begin.
+    duration lasts{};                         ///< How long.
+    double share = 0;                         ///< Of calls, where drawn.
+};
+
+/// How large a deployment a plan is for.
+struct plan_settings
+{
+    std::uint64_t seed = 1;      ///< Decides everything.
+    duration length{};           ///< All faults end before.
+    std::uint32_t entries = 3;   ///< Processes.
+    std::uint32_t agents = 4;    ///< Processes, each with a backend server.
+    duration calm = seconds{4};  ///< Before the first fault.
+    duration apart = seconds{1}; ///< Between two faults, on average.
+};
+
+/// @param settings Seed and sizes.
+/// @return The faults by time.
+std::vector<planned_fault> plan_faults(const plan_settings& settings);
+
+} // namespace glenhollow::soak
+
+template <>
+struct glenhollow::name_table<glenhollow::soak::fault_kind>
+{
+    static constexpr std::array<std::string_view, 18> names{
+        "entry_kill",   "entry_pause",  "entry_stop",    "agent_kill",
+        "agent_pause",  "agent_stop",   "backend_crash", "backend_lose",
+        "backend_late", "backend_slow", "backend_fail",  "backend_refuse",
+        "store_slow",   "store_down",   "store_lose",    "store_late",
+        "store_refuse", "store_forget"};
+};
+
+#endif
--- /dev/null
+++ b/tests/soak/soak_clients.cpp
@@ -0,0 +1,294 @@
+#include "soak/soak_clients.hpp"
+
+#include "glenhollow/core/run_after.hpp"
+#include "platform/body.hpp"
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace glenhollow::soak
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr duration ready_interval = seconds{1};
+constexpr unsigned missed_out = 2;
+constexpr duration again_after = seconds{2};
+
+http_client_settings limits(const host_port& server, duration timeout,
+                            std::size_t connections)
+{
+    http_client_settings out;
+    out.server = server;
+    out.connect_timeout = seconds{1};
+    out.call_timeout = timeout;
+    out.max_connections = connections;
+    return out;
+}
+
+std::string body_of(const soak_job& job)
+{
+    json::array steps;
+    for (const auto& step : job.steps)
+    {
+        json::object out{{"count", step.count},
+                         {"cpu", step.cpu},
+                         {"mem_mb", 16},
+                         {"estimate_ms", 150}};
+        if (!step.after.empty())
+            out["after"] = json::array(step.after.begin(), step.after.end());
+        steps.emplace_back(std::move(out));
+    }
+    json::object out{{"spec", job.spec}, {"steps", std::move(steps)}};
+    if (!job.kept)
+        out["best_effort"] = true;
+    return json::serialize(out);
+}
+
+} // namespace
+
+soak_clients::soak_clients(boost::asio::io_context& io,
+                           const client_settings& settings,
+                           const std::vector<entry_address>& entries,
+                           soak_checker& checker, teller tell)
+    : io_(io), settings_(settings), checker_(checker), tell_(std::move(tell)),
+      random_(settings.seed)
+{
+    for (const auto& entry : entries)
+    {
+        node added;
+        added.callers = http_client::create(
+            io, limits(entry.callers, settings.patience, 1000));
+        added.readiness =
+            http_client::create(io, limits(entry.readiness, seconds{1}, 2));
+        nodes_.push_back(std::move(added));
+    }
+}
+
+void soak_clients::begin_balancer()
+{
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
+        check_ready(i);
+}
+
+void soak_clients::begin()
+{
+    submit_next();
+}
+
+bool soak_clients::any_ready() const
+{
+    return std::any_of(nodes_.begin(), nodes_.end(),
+                       [](const node& one) { return one.missed < missed_out; });
+}
+
+std::vector<std::string> soak_clients::open_jobs() const
+{
+    std::vector<std::string> out;
+    for (const auto& [id, open] : open_)
+        out.push_back(id + (open.accepted ? " (accepted)" : " (no answer)"));
+    return out;
+}
+
+void soak_clients::check_ready(std::size_t at)
+{
+    nodes_[at].readiness->send(
+        platform::get_of("/ready"),
+        [this, at](const http_result& got)
+        {
+            auto& node = nodes_[at];
+            const bool ready = got.answered && got.response.status == 200;
+            node.missed = ready ? 0 : std::min(node.missed + 1, missed_out);
+        });
+    run_after(io_, ready_interval, [this, at] { check_ready(at); });
+}
+
+soak_clients::node& soak_clients::pick()
+{
+    std::vector<node*> in;
+    for (auto& one : nodes_)
+    {
+        if (one.missed < missed_out)
+            in.push_back(&one);
+    }
+    // When fewer than half are in, all of them are used.
+    if (2 * in.size() < nodes_.size())
+        return nodes_[random_() % nodes_.size()];
+    return *in[random_() % in.size()];
+}
+
+soak_job soak_clients::draw_job()
+{
+    soak_job job;
+    std::array<char, 17> id{};
+    std::snprintf(id.data(), id.size(), "%016llx",
+                  static_cast<unsigned long long>(random_()));
+    job.id = id.data();
+    job.kept = uniform(random_) < settings_.kept;
+    job.spec = "work_ms=" + std::to_string(20 + random_() % 280) + ";" + job.id;
+    const std::size_t steps = 1 + (random_() % 4 == 0 ? 1 : 0);
+    for (std::size_t i = 0; i < steps; ++i)
+    {
+        soak_step step;
+        step.count = 1 + static_cast<std::uint32_t>(random_() % 4);
+        step.cpu = 250 * (1 + static_cast<std::uint32_t>(random_() % 4));
+        if (i > 0)
+            step.after = {static_cast<std::uint32_t>(i - 1)};
+        job.steps.push_back(std::move(step));
+    }
+    return job;
+}
+
+void soak_clients::submit_next()
+{
+    if (!more_)
+        return;
+    open_job open;
+    open.job = draw_job();
+    open.body = body_of(open.job);
+    open.sent = process_clock().now();
+    ++counts_.sent;
+    checker_.submitted(open.job);
+    const auto id = open.job.id;
+    open_.emplace(id, std::move(open));
+    submit(id);
+    run_after(io_, settings_.between, [this] { submit_next(); });
+}
+
+http_request soak_clients::request_of(const std::string& method,
+                                      const std::string& id,
+                                      std::string body) const
+{
+    const auto patience =
+        std::chrono::duration_cast<milliseconds>(settings_.patience).count();
+    return {method,
+            settings_.prefix + id,
+            {{"Host", settings_.host},
+             {"Content-Type", "application/json"},
+             {"Glenhollow-Timeout-Ms", std::to_string(patience)}},
+            std::move(body)};
+}
+
+void soak_clients::submit(const std::string& id)
+{
+    const auto known = open_.find(id);
+    if (known == open_.end())
+        return;
+    ++counts_.attempts;
+    pick().callers->send(request_of("POST", id, known->second.body),
+                         [this, id](const http_result& got)
+                         { take_submitted(id, got); });
+}
+
+void soak_clients::take_submitted(const std::string& id, const http_result& got)
+{
+    const auto status = got.response.status;
+    if (!got.answered || status == 502 || status == 504)
+    {
+        ++counts_.no_answer;
+        checker_.unanswered(id);
+        return run_after(io_, settings_.retransmit, [this, id] { submit(id); });
+    }
+    const auto body = platform::object_of(got.response.body);
+    const auto state = platform::text_of(body, "state");
+    checker_.answered(id, status, state, process_clock().now());
+    const auto known = open_.find(id);
+    if (known == open_.end())
+        return;
+    if (status == 429 || status == 503)
+    {
+        ++counts_.refused;
+        return end(id, "refused");
+    }
+    if (status != 200)
+    {
+        checker_.broken("ANSWER", id + " got " + std::to_string(status) + " " +
+                                      got.response.body.substr(0, 200));
+        return end(id, "odd");
+    }
+    if (known->second.job.kept)
+        accepted(known->second);
+    else
+        end(id, state);
+}
+
+void soak_clients::accepted(open_job& open)
+{
+    if (std::exchange(open.accepted, true))
+        return;
+    const auto id = open.job.id;
+    if (uniform(random_) < settings_.again)
+        run_after(io_, again_after, [this, id] { send_again(id); });
+    run_after(io_, settings_.ask, [this, id] { ask(id); });
+}
+
+/// Its answer may be of any kind; the job is accepted already.
+void soak_clients::send_again(const std::string& id)
+{
+    const auto known = open_.find(id);
+    if (known == open_.end())
+        return;
+    ++counts_.attempts;
+    pick().callers->send(request_of("POST", id, known->second.body),
+                         [this, id](const http_result& got)
+                         {
+                             if (!got.answered)
+                                 return checker_.unanswered(id);
+                             checker_.answered(id, got.response.status, "",
+                                               process_clock().now());
+                             if (got.response.status != 200)
+                                 tell_("job " + id +
+                                       " sent again after its acceptance got " +
+                                       std::to_string(got.response.status));
+                         });
+}
+
+void soak_clients::ask(const std::string& id)
+{
+    if (!open_.contains(id))
+        return;
+    const auto asked = process_clock().now();
+    pick().callers->send(request_of("GET", id, {}),
+                         [this, id, asked](const http_result& got)
+                         { take_state(id, asked, got); });
+}
+
+void soak_clients::take_state(const std::string& id, instant asked,
+                              const http_result& got)
+{
+    const auto state =
+        platform::text_of(platform::object_of(got.response.body), "state");
+    if (got.answered)
+        checker_.shown(id, got.response.status, state, asked,
+                       process_clock().now());
+    if (got.answered && got.response.status == 410)
+        tell_("job " + id + " got 410");
+    if (got.answered && got.response.status == 200 &&
+        (state == "succeeded" || state == "failed"))
+        return end(id, state);
+    run_after(io_, settings_.ask, [this, id] { ask(id); });
+}
+
+void soak_clients::end(const std::string& id, const std::string& state)
+{
+    const auto known = open_.find(id);
+    if (state == "succeeded")
+    {
+        ++counts_.succeeded;
+        last_served_ = std::max(last_served_, known->second.sent);
+    }
+    if (state == "failed")
+        ++counts_.failed;
+    if (state != "succeeded")
+        tell_("job " + id + (known->second.job.kept ? " (kept) " : " ") +
+              state);
+    open_.erase(known);
+}
+
+} // namespace glenhollow::soak
--- /dev/null
+++ b/tests/soak/soak_deployment.cpp
@@ -0,0 +1,471 @@
+#include "soak/soak_deployment.hpp"
+
+#include "glenhollow/core/run_after.hpp"
+#include "platform/body.hpp"
+#include "platform/http_row_store.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+
+namespace glenhollow::soak
+{
+
+namespace json = boost::json;
+using boost::asio::ip::tcp;
+
+namespace
+{
+
+constexpr duration watch_interval = milliseconds{20};
+/// A planned stop that takes so much longer than its grace does not end; far
+/// beyond what a busy machine adds.
+constexpr duration stop_slack = seconds{10};
+constexpr std::string_view service = "service";
+constexpr std::string_view hold_ms = "2000";
+
+/// @return A port that nobody uses at that address.
+std::uint16_t free_port(const std::string& host)
+{
+    boost::asio::io_context io;
+    const tcp::acceptor probe(
+        io, tcp::endpoint(boost::asio::ip::make_address(host), 0));
+    return probe.local_endpoint().port();
+}
+
+std::unique_ptr<http_client> control(boost::asio::io_context& io,
+                                     const host_port& server)
+{
+    http_client_settings out;
+    out.server = server;
+    out.max_connections = 1;
+    out.call_timeout = seconds{20};
+    return http_client::create(io, out);
+}
+
+std::string configuration()
+{
+    const json::object route{
+        {"name", "soak"},          {"host", "soak.example"},
+        {"path_prefix", "/jobs/"}, {"service", service},
+        {"priority", 0},           {"max_attempts", 3},
+        {"stretch", 2.0},          {"target_latency_ms", 1000}};
+    return json::serialize(json::object{
+        {"version", 1},
+        {"routes", json::array{route}},
+        {"services", json::array{json::object{{"name", service},
+                                              {"admission_check", false}}}}});
+}
+
+std::int64_t time_of(const json::object& run, std::string_view name)
+{
+    return static_cast<std::int64_t>(platform::number_of(run, name));
+}
+
+std::vector<seen_run> runs_of(const std::string& backend,
+                              const std::string& body)
+{
+    std::vector<seen_run> out;
+    const auto whole = platform::object_of(body);
+    const auto* list = whole.if_contains("runs");
+    if (list == nullptr || !list->is_array())
+        return out;
+    for (const auto& one : list->get_array())
+    {
+        const auto& in = one.as_object();
+        seen_run run;
+        run.task = platform::text_of(in, "task");
+        run.run = platform::number_of(in, "run");
+        run.spec = platform::text_of(in, "spec");
+        run.backend = backend;
+        run.begin = instant{time_of(in, "begin")};
+        run.how = platform::text_of(in, "how");
+        if (!run.how.empty())
+            run.end = instant{time_of(in, "end")};
+        run.noted = instant{time_of(in, "noted")};
+        run.lapsed_before_note = platform::flag_of(in, "lapsed_before_note");
+        out.push_back(std::move(run));
+    }
+    return out;
+}
+
+} // namespace
+
+soak_deployment::soak_deployment(boost::asio::io_context& io,
+                                 const deployment_settings& settings,
+                                 soak_checker& checker, teller tell)
+    : io_(io), settings_(settings), checker_(checker), tell_(std::move(tell))
+{
+    choose_addresses();
+    const auto store = store_address_.to_string();
+    add(standins_, "store", "standin-store",
+        {"--address", store_address_.host, "--port",
+         std::to_string(store_address_.port), "--seed",
+         std::to_string(settings_.seed)});
+    store_.control = control(io_, store_address_);
+    for (std::uint32_t i = 0; i < settings_.entries; ++i)
+        add_entry(i, store);
+    for (std::uint32_t i = 0; i < settings_.agents; ++i)
+        add_agent(i, store);
+}
+
+/// Each soak has a network of its own, so that several can run side by side.
+void soak_deployment::choose_addresses()
+{
+    constexpr int nets = 200;
+    const auto pid = ::getpid();
+    network_ = "127." + std::to_string(20 + pid % nets) + "." +
+               std::to_string(pid / nets % nets) + ".";
+    rpc_port_ = free_port(address(0));
+    store_address_ = {address(0), free_port(address(0))};
+    for (std::uint32_t i = 0; i < settings_.entries; ++i)
+    {
+        const auto host = address(1 + i);
+        addresses_.push_back(
+            {{host, free_port(host)}, {host, free_port(host)}});
+    }
+}
+
+std::string soak_deployment::address(std::uint32_t number) const
+{
+    return network_ + std::to_string(1 + number);
+}
+
+void soak_deployment::add(std::vector<managed>& to, const std::string& name,
+                          const std::string& program,
+                          std::vector<std::string> flags)
+{
+    flags.insert(flags.begin(), settings_.programs + "/" + program);
+    managed one;
+    one.name = name;
+    one.child = std::make_unique<child_process>(
+        std::move(flags), settings_.folder + "/" + name + ".log");
+    to.push_back(std::move(one));
+}
+
+void soak_deployment::add_entry(std::uint32_t i, const std::string& store)
+{
+    const auto& where = addresses_[i];
+    std::string seeds;
+    for (const auto& other : addresses_)
+        seeds += (seeds.empty() ? "" : ",") + other.callers.host + ":1";
+    const auto grace =
+        std::chrono::duration_cast<seconds>(settings_.grace).count();
+    add(entries_, "entry" + std::to_string(i), "glenhollow-durable-entry",
+        {"--name",         "entry" + std::to_string(i),
+         "--zone",         "z",
+         "--address",      where.callers.host,
+         "--rpc-port",     std::to_string(rpc_port_),
+         "--metrics-port", std::to_string(free_port(where.callers.host)),
+         "--callers",      where.callers.to_string(),
+         "--readiness",    where.readiness.to_string(),
+         "--store",        store,
+         "--seeds",        seeds,
+         "--grace",        std::to_string(grace)});
+}
+
+void soak_deployment::add_agent(std::uint32_t i, const std::string& store)
+{
+    const auto host = address(1 + settings_.entries + i);
+    const auto name = "agent" + std::to_string(i);
+    const host_port registration{host, free_port(host)};
+    const host_port runner{host, free_port(host)};
+    const auto grace =
+        std::chrono::duration_cast<seconds>(settings_.grace).count();
+    add(agents_, name, "glenhollow-durable-agent",
+        {"--name",         name,
+         "--zone",         "z",
+         "--address",      host,
+         "--rpc-port",     std::to_string(rpc_port_),
+         "--metrics-port", std::to_string(free_port(host)),
+         "--registration", registration.to_string(),
+         "--runner",       runner.to_string(),
+         "--store",        store,
+         "--hold",         std::string(hold_ms),
+         "--grace",        std::to_string(grace)});
+    add(standins_, "backend" + std::to_string(i), "standin-backend",
+        {"--name",    "b" + std::to_string(i),
+         "--address", host,
+         "--port",    std::to_string(runner.port),
+         "--agent",   registration.to_string(),
+         "--service", std::string(service),
+         "--zone",    "z",
+         "--cpu",     std::to_string(settings_.cpu),
+         "--hold",    std::string(hold_ms),
+         "--slow",    i % 2 == 0 ? "0" : "0.02",
+         "--seed",    std::to_string(settings_.seed * 100 + i)});
+    backends_.push_back({control(io_, runner), {}});
+}
+
+void soak_deployment::begin()
+{
+    for (auto& one : standins_)
+        start(one);
+    watch();
+    write_configuration(
+        [this]
+        {
+            for (auto& knob : backends_)
+                send_knobs(knob, false, false);
+            for (auto& one : entries_)
+                start(one);
+            for (auto& one : agents_)
+                start(one);
+        });
+}
+
+/// The store may not listen yet; nothing else has begun.
+void soak_deployment::write_configuration(std::function<void()> done)
+{
+    auto store = std::make_shared<platform::http_row_store>(
+        io_, platform::row_store_settings{store_address_});
+    row_transaction change;
+    change.puts.push_back({{"op", "", "config"}, configuration()});
+    store->commit(change,
+                  [this, store, done](const commit_result& got)
+                  {
+                      if (got.outcome == store_outcome::done)
+                          return done();
+                      run_after(io_, milliseconds{100},
+                                [this, done] { write_configuration(done); });
+                  });
+}
+
+void soak_deployment::start(managed& one)
+{
+    if (one.for_good)
+        return;
+    one.child->start();
+    one.now = phase::up;
+}
+
+void soak_deployment::watch()
+{
+    for (auto* group : {&standins_, &entries_, &agents_})
+    {
+        for (auto& one : *group)
+            watch_one(one);
+    }
+    run_after(io_, watch_interval, [this] { watch(); });
+}
+
+void soak_deployment::watch_one(managed& one)
+{
+    const auto now = process_clock().now();
+    const auto status = one.child->ended();
+    if (!status)
+    {
+        if (one.now == phase::stopping && now > one.stop_by)
+        {
+            checker_.broken("STOP", one.name + " did not stop");
+            one.child->kill();
+            one.now = phase::down;
+            run_after(io_, one.away, [this, &one] { start(one); });
+        }
+        return;
+    }
+    const bool planned = one.now == phase::stopping;
+    one.now = phase::down;
+    tell_(one.name + " ended: " + told_status(*status));
+    if (!planned)
+        return checker_.broken(
+            "ENDED", one.name + " ended by itself: " + told_status(*status));
+    if (!WIFEXITED(*status) || WEXITSTATUS(*status) != 0)
+        checker_.broken("STOP",
+                        one.name + " stopped with " + told_status(*status));
+    run_after(io_, one.away, [this, &one] { start(one); });
+}
+
+void soak_deployment::apply(const planned_fault& fault)
+{
+    tell_("fault " + std::string(to_name(fault.kind)) + " " +
+          std::to_string(fault.target) + " for " +
+          std::to_string(
+              std::chrono::duration_cast<milliseconds>(fault.lasts).count()) +
+          " ms, share " + std::to_string(fault.share));
+    if (fault.kind >= fault_kind::store_slow)
+        return turn(store_, fault);
+    if (fault.kind >= fault_kind::backend_crash)
+        return turn(backends_[fault.target], fault);
+    auto& one = fault.kind <= fault_kind::entry_stop ? entries_[fault.target]
+                                                     : agents_[fault.target];
+    if (one.now != phase::up)
+        return tell_("left out, " + one.name + " is not up");
+    if (fault.kind == fault_kind::entry_kill ||
+        fault.kind == fault_kind::agent_kill)
+        kill(one, fault);
+    else if (fault.kind == fault_kind::entry_pause ||
+             fault.kind == fault_kind::agent_pause)
+        pause(one, fault);
+    else
+        stop_one(one, fault.lasts);
+}
+
+void soak_deployment::kill(managed& one, const planned_fault& fault)
+{
+    one.child->kill();
+    one.now = phase::down;
+    run_after(io_, fault.lasts, [this, &one] { start(one); });
+}
+
+void soak_deployment::pause(managed& one, const planned_fault& fault)
+{
+    one.child->signal(SIGSTOP);
+    one.now = phase::paused;
+    run_after(io_, fault.lasts,
+              [&one]
+              {
+                  one.child->signal(SIGCONT);
+                  one.now = phase::up;
+              });
+}
+
+void soak_deployment::stop_one(managed& one, duration away)
+{
+    one.now = phase::stopping;
+    one.stop_by = process_clock().now() + settings_.grace + stop_slack;
+    one.away = away;
+    one.child->signal(SIGTERM);
+}
+
+void soak_deployment::turn(knobs& at, const planned_fault& fault)
+{
+    at.active.push_back(fault);
+    const auto place = std::prev(at.active.end());
+    send_knobs(at, fault.kind == fault_kind::backend_crash,
+               fault.kind == fault_kind::store_forget);
+    run_after(io_, fault.lasts,
+              [this, &at, place]
+              {
+                  at.active.erase(place);
+                  send_knobs(at, false, false);
+              });
+}
+
+/// All knobs are set with each call, those of faults that are over to 0.
+void soak_deployment::send_knobs(knobs& at, bool crash, bool forget)
+{
+    constexpr double slow_ms = 400;
+    json::object body{{"crash", crash}, {"forget", forget}};
+    if (&at != &store_ && settings_.twice > 0)
+        body["twice"] = settings_.twice;
+    for (const auto& fault : at.active)
+    {
+        switch (fault.kind)
+        {
+        case fault_kind::backend_slow:
+        case fault_kind::store_slow:
+            body["delay_ms"] = slow_ms * fault.share;
+            break;
+        case fault_kind::backend_lose:
+        case fault_kind::store_lose:
+            body["lose_answers"] = fault.share;
+            break;
+        case fault_kind::backend_late:
+        case fault_kind::store_late:
+            body["late"] = fault.share;
+            break;
+        case fault_kind::backend_fail:
+            body["fail"] = fault.share;
+            break;
+        case fault_kind::backend_refuse:
+            body["refuse"] = 1.0;
+            break;
+        case fault_kind::store_down:
+            body["down"] = 1.0;
+            break;
+        case fault_kind::store_refuse:
+            body["too_many"] = fault.share;
+            break;
+        default:
+            break;
+        }
+    }
+    at.control->send(platform::post_of("/fault", json::serialize(body)),
+                     [this](const http_result& got)
+                     {
+                         if (!got.answered)
+                             checker_.broken("SOAK", "a knob was not turned: " +
+                                                         got.error);
+                     });
+}
+
+bool soak_deployment::calm() const
+{
+    const auto up = [](const managed& one) { return one.now == phase::up; };
+    return store_.active.empty() &&
+           std::all_of(backends_.begin(), backends_.end(),
+                       [](const knobs& one) { return one.active.empty(); }) &&
+           std::all_of(entries_.begin(), entries_.end(), up) &&
+           std::all_of(agents_.begin(), agents_.end(), up);
+}
+
+void soak_deployment::records(std::function<void(std::vector<seen_run>)> done)
+{
+    auto runs = std::make_shared<std::vector<seen_run>>();
+    auto missing = std::make_shared<std::size_t>(backends_.size());
+    for (std::size_t i = 0; i < backends_.size(); ++i)
+    {
+        backends_[i].control->send(
+            platform::get_of("/record"),
+            [this, i, runs, missing, done](const http_result& got)
+            {
+                const auto name = "backend" + std::to_string(i);
+                if (!got.answered)
+                    checker_.broken("SOAK", name + " gave no record");
+                auto its = runs_of(name, got.response.body);
+                runs->insert(runs->end(), its.begin(), its.end());
+                if (--*missing == 0)
+                    done(std::move(*runs));
+            });
+    }
+}
+
+void soak_deployment::stop(std::function<void()> done)
+{
+    for (auto* group : {&entries_, &agents_})
+    {
+        bool ended = true;
+        for (auto& one : *group)
+        {
+            one.for_good = true;
+            if (one.now == phase::up)
+                stop_one(one, duration{0});
+            ended = ended && !one.child->runs();
+        }
+        if (!ended)
+            return run_after(io_, watch_interval,
+                             [this, done = std::move(done)] { stop(done); });
+    }
+    done();
+}
+
+void soak_deployment::check_logs()
+{
+    for (auto* group : {&standins_, &entries_, &agents_})
+    {
+        for (const auto& one : *group)
+        {
+            std::ifstream log(one.child->log());
+            std::string line;
+            while (std::getline(log, line))
+            {
+                for (const auto* word : {"terminate called", "Sanitizer",
+                                         "runtime error:", "Assertion"})
+                {
+                    if (line.find(word) != std::string::npos)
+                        checker_.broken("LOG", one.name + ": " + line);
+                }
+            }
+        }
+    }
+}
+
+} // namespace glenhollow::soak
--- /dev/null
+++ b/tests/soak/soak_deployment.hpp
@@ -0,0 +1,133 @@
+#ifndef GLENHOLLOW_TESTS_SOAK_SOAK_DEPLOYMENT_HPP
+#define GLENHOLLOW_TESTS_SOAK_SOAK_DEPLOYMENT_HPP
+
+#include "soak/child_process.hpp"
+#include "soak/fault_plan.hpp"
+#include "soak/soak_checker.hpp"
+#include "soak/soak_clients.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace glenhollow::soak
+{
+
+/// What a deployment consists of.
+struct deployment_settings
+{
+    std::string programs;        ///< Folder of the programs.
+    std::string folder;          ///< For logs.
+    std::uint64_t seed = 1;      ///< Of the stand-ins' faults.
+    std::uint32_t entries = 3;   ///< Processes.
+    std::uint32_t agents = 4;    ///< Each with a backend server.
+    std::uint32_t cpu = 4000;    ///< Of a backend server.
+    duration grace = seconds{6}; ///< Of planned stops.
+    double twice = 0;            ///< See standin-backend; a planted fault.
+};
+
+/// The store, entries, agents and backend servers as processes, each machine
+/// on a loopback address of its own, and the faults that they suffer.
+class soak_deployment final
+{
+public:
+    using teller = soak_clients::teller;
+
+    /// @param io Runs the timers.
+    /// @param settings Sizes and places.
+    /// @param checker Is told of processes that end wrongly; outlives it.
+    /// @param tell Gets one line a fault.
+    soak_deployment(boost::asio::io_context& io,
+                    const deployment_settings& settings, soak_checker& checker,
+                    teller tell);
+
+    /// Starts everything.
+    void begin();
+
+    /// @return Where the entries are called.
+    const std::vector<entry_address>& entries() const { return addresses_; }
+
+    /// Lets a fault begin now, and end in time.
+    /// @param fault The fault.
+    void apply(const planned_fault& fault);
+
+    /// @return Whether all processes are up and no fault goes on.
+    bool calm() const;
+
+    /// Asks all backend servers for what ran there.
+    /// @param done Gets the runs; missing records are told to the checker.
+    void records(std::function<void(std::vector<seen_run>)> done);
+
+    /// Stops entries, then agents, as planned.
+    /// @param done Called when all have ended.
+    void stop(std::function<void()> done);
+
+    /// Looks for words in the logs that no process may leave there.
+    void check_logs();
+
+private:
+    /// Where a process stands.
+    enum class phase : std::uint8_t
+    {
+        up,
+        paused,
+        down,
+        stopping
+    };
+
+    /// A process and its fault.
+    struct managed
+    {
+        std::string name;                     ///< For people.
+        std::unique_ptr<child_process> child; ///< The process.
+        phase now = phase::down;              ///< Where it stands.
+        instant stop_by{};                    ///< Of a planned stop.
+        duration away{};                      ///< After it, until a start.
+        bool for_good = false;                ///< Never started again.
+    };
+
+    /// A stand-in's faults that go on.
+    struct knobs
+    {
+        std::unique_ptr<http_client> control; ///< One call at a time.
+        std::list<planned_fault> active;      ///< Now.
+    };
+
+    void choose_addresses();
+    std::string address(std::uint32_t number) const;
+    void add(std::vector<managed>& to, const std::string& name,
+             const std::string& program, std::vector<std::string> flags);
+    void add_entry(std::uint32_t i, const std::string& store);
+    void add_agent(std::uint32_t i, const std::string& store);
+    void write_configuration(std::function<void()> done);
+    void start(managed& one);
+    void watch();
+    void watch_one(managed& one);
+    void kill(managed& one, const planned_fault& fault);
+    void pause(managed& one, const planned_fault& fault);
+    void stop_one(managed& one, duration away);
+    void turn(knobs& at, const planned_fault& fault);
+    void send_knobs(knobs& at, bool crash, bool forget);
+
+    boost::asio::io_context& io_;          ///< Runs the timers.
+    deployment_settings settings_;         ///< Sizes and places.
+    soak_checker& checker_;                ///< Is told.
+    teller tell_;                          ///< The log.
+    std::string network_;                  ///< Begin of all addresses.
+    std::uint16_t rpc_port_ = 0;           ///< Alike on all machines.
+    host_port store_address_;              ///< The store.
+    std::vector<entry_address> addresses_; ///< Of the entries.
+    std::vector<managed> standins_;        ///< Store and backend servers.
+    std::vector<managed> entries_;         ///< Entries.
+    std::vector<managed> agents_;          ///< Agents.
+    knobs store_;                          ///< Of the store.
+    std::vector<knobs> backends_;          ///< Of the backend servers.
+};
+
+} // namespace glenhollow::soak
+
+#endif
--- /dev/null
+++ b/tests/unit/soak/fault_plan_tests.cpp
@@ -0,0 +1,57 @@
+#include "soak/fault_plan.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace glenhollow;
+using namespace glenhollow::soak;
+
+namespace
+{
+
+plan_settings an_hour(std::uint64_t seed)
+{
+    plan_settings out;
+    out.seed = seed;
+    out.length = seconds{3600};
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("fault plan: a seed means the same plan")
+{
+    const auto a = plan_faults(an_hour(7));
+    const auto b = plan_faults(an_hour(7));
+    REQUIRE(a.size() == b.size());
+    for (std::size_t i = 0; i < a.size(); ++i)
+    {
+        CHECK(a[i].kind == b[i].kind);
+        CHECK(a[i].target == b[i].target);
+        CHECK(a[i].at == b[i].at);
+        CHECK(a[i].lasts == b[i].lasts);
+        CHECK(a[i].share == b[i].share);
+    }
+    CHECK(plan_faults(an_hour(8)).front().at == a.front().at);
+    CHECK(plan_faults(an_hour(8)).back().at != a.back().at);
+}
+
+TEST_CASE("fault plan: all kinds and targets come, within the time")
+{
+    const auto settings = an_hour(3);
+    std::set<fault_kind> kinds;
+    for (const auto& fault : plan_faults(settings))
+    {
+        kinds.insert(fault.kind);
+        CHECK(fault.at >= settings.calm);
+        CHECK(fault.at + fault.lasts < settings.length);
+        if (fault.kind <= fault_kind::entry_stop)
+            CHECK(fault.target < settings.entries);
+        else if (fault.kind < fault_kind::store_slow)
+            CHECK(fault.target < settings.agents);
+        else
+            CHECK(fault.target == 0);
+    }
+    CHECK(kinds.size() == name_table<fault_kind>::names.size());
+}
