--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -209,16 +209,30 @@
     for (auto& one : standins_)
         start(one);
     watch();
-    write_configuration(
-        [this]
-        {
-            for (auto& knob : backends_)
-                send_knobs(knob, false, false);
-            for (auto& one : entries_)
-                start(one);
-            for (auto& one : agents_)
-                start(one);
-        });
+    write_configuration([this] { await_backend(0); });
+}
+
+/// Entries and agents begin once each backend server has its first knobs.
+void soak_deployment::await_backend(std::size_t i)
+{
+    if (i < backends_.size())
+    {
+        backends_[i].control->send(
+            platform::post_of("/fault",
+                              json::serialize(knobs_of(backends_[i]))),
+            [this, i](const http_result& got)
+            {
+                if (got.answered)
+                    return await_backend(i + 1);
+                run_after(io_, milliseconds{100},
+                          [this, i] { await_backend(i); });
+            });
+        return;
+    }
+    for (auto& one : entries_)
+        start(one);
+    for (auto& one : agents_)
+        start(one);
 }
 
 /// The store may not listen yet; nothing else has begun.
@@ -350,10 +364,10 @@
 }
 
 /// All knobs are set with each call, those of faults that are over to 0.
-void soak_deployment::send_knobs(knobs& at, bool crash, bool forget)
+json::object soak_deployment::knobs_of(const knobs& at) const
 {
     constexpr double slow_ms = 400;
-    json::object body{{"crash", crash}, {"forget", forget}};
+    json::object body;
     if (&at != &store_ && settings_.twice > 0)
         body["twice"] = settings_.twice;
     for (const auto& fault : at.active)
@@ -388,6 +402,14 @@
             break;
         }
     }
+    return body;
+}
+
+void soak_deployment::send_knobs(knobs& at, bool crash, bool forget)
+{
+    auto body = knobs_of(at);
+    body["crash"] = crash;
+    body["forget"] = forget;
     at.control->send(platform::post_of("/fault", json::serialize(body)),
                      [this](const http_result& got)
                      {
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -7,6 +7,7 @@
 #include "soak/soak_clients.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/json/object.hpp>
 
 #include <functional>
 #include <list>
@@ -104,6 +105,7 @@
     void add_entry(std::uint32_t i, const std::string& store);
     void add_agent(std::uint32_t i, const std::string& store);
     void write_configuration(std::function<void()> done);
+    void await_backend(std::size_t i);
     void start(managed& one);
     void watch();
     void watch_one(managed& one);
@@ -111,6 +113,7 @@
     void pause(managed& one, const planned_fault& fault);
     void stop_one(managed& one, duration away);
     void turn(knobs& at, const planned_fault& fault);
+    boost::json::object knobs_of(const knobs& at) const;
     void send_knobs(knobs& at, bool crash, bool forget);
 
     boost::asio::io_context& io_;          ///< Runs the timers.
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -35,6 +35,7 @@
 {
     std::uint64_t seed = 1;      ///< Decides jobs and faults.
     unsigned length_s = 30;      ///< Of the traffic.
+    unsigned apart_ms = 1000;    ///< Between two faults, on average.
     std::string programs = ".";  ///< Folder of the programs.
     std::string folder = "soak"; ///< For logs.
     double twice = 0;            ///< A planted fault.
@@ -114,6 +115,7 @@
         plan_settings plan;
         plan.seed = settings_.seed;
         plan.length = seconds{settings_.length_s} - quiet_tail;
+        plan.apart = milliseconds{settings_.apart_ms};
         for (const auto& fault : plan_faults(plan))
             run_after(io_, fault.at,
                       [this, fault] { deployment_.apply(fault); });
@@ -210,6 +212,8 @@
                                "decides jobs and faults");
     line.number<unsigned>("seconds", settings.length_s, 10, 86'400, "s",
                           "of traffic");
+    line.number<unsigned>("apart", settings.apart_ms, 10, 60'000, "ms",
+                          "between two faults, on average");
     line.text("programs", settings.programs, "folder of the programs");
     line.text("folder", settings.folder, "for logs, begun anew");
     line.number<double>("twice", settings.twice, 0, 1, "",
