--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -23,6 +23,15 @@
                            .count())};
 }
 
+std::uint32_t targets_of(fault_kind kind, const plan_settings& settings)
+{
+    if (kind <= fault_kind::entry_stop)
+        return settings.entries;
+    if (kind < fault_kind::store_slow)
+        return settings.agents;
+    return kind < fault_kind::link_slow ? 1 : settings.links();
+}
+
 } // namespace
 
 std::vector<planned_fault> plan_faults(const plan_settings& settings)
@@ -35,10 +44,7 @@
     {
         planned_fault fault;
         fault.kind = static_cast<fault_kind>(engine() % kinds);
-        const auto targets =
-            fault.kind <= fault_kind::entry_stop  ? settings.entries
-            : fault.kind < fault_kind::store_slow ? settings.agents
-                                                  : 1;
+        const auto targets = targets_of(fault.kind, settings);
         fault.target = static_cast<std::uint32_t>(engine() % targets);
         fault.at = at;
         fault.lasts = between(engine, milliseconds{300}, seconds{4});
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -31,7 +31,11 @@
     store_lose,     ///< Calls done, but not answered.
     store_late,     ///< Writes done later, not answered.
     store_refuse,   ///< 429.
-    store_forget    ///< Its history is gone.
+    store_forget,   ///< Its history is gone.
+    link_slow,      ///< A link of a process: see link_state.
+    link_silent,    ///< See link_state.
+    link_deaf,      ///< See link_state.
+    link_reset      ///< See link_state.
 };
 
 /// One fault of a plan.
@@ -47,10 +51,15 @@
 /// How large a deployment a plan is for.
 struct plan_settings
 {
-    std::uint64_t seed = 1;      ///< Decides everything.
-    duration length{};           ///< All faults end before.
-    std::uint32_t entries = 3;   ///< Processes.
-    std::uint32_t agents = 4;    ///< Processes, each with a backend server.
+    std::uint64_t seed = 1;    ///< Decides everything.
+    duration length{};         ///< All faults end before.
+    std::uint32_t entries = 3; ///< Processes.
+    std::uint32_t agents = 4;  ///< Processes, each with a backend server.
+    /// Links: one from each entry to the store, then two from each agent, to
+    /// the store and to its backend server.
+    /// @return How many there are.
+    std::uint32_t links() const { return entries + 2 * agents; }
+
     duration calm = seconds{4};  ///< Before the first fault.
     duration apart = seconds{1}; ///< Between two faults, on average.
 };
@@ -64,12 +73,13 @@
 template <>
 struct glenhollow::name_table<glenhollow::soak::fault_kind>
 {
-    static constexpr std::array<std::string_view, 18> names{
+    static constexpr std::array<std::string_view, 22> names{
         "entry_kill",   "entry_pause",  "entry_stop",    "agent_kill",
         "agent_pause",  "agent_stop",   "backend_crash", "backend_lose",
         "backend_late", "backend_slow", "backend_fail",  "backend_refuse",
         "store_slow",   "store_down",   "store_lose",    "store_late",
-        "store_refuse", "store_forget"};
+        "store_refuse", "store_forget", "link_slow",     "link_silent",
+        "link_deaf",    "link_reset"};
 };
 
 #endif
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -104,16 +104,15 @@
     : io_(io), settings_(settings), checker_(checker), tell_(std::move(tell))
 {
     choose_addresses();
-    const auto store = store_address_.to_string();
     add(standins_, "store", "standin-store",
         {"--address", store_address_.host, "--port",
          std::to_string(store_address_.port), "--seed",
          std::to_string(settings_.seed)});
     store_.control = control(io_, store_address_);
     for (std::uint32_t i = 0; i < settings_.entries; ++i)
-        add_entry(i, store);
+        add_entry(i);
     for (std::uint32_t i = 0; i < settings_.agents; ++i)
-        add_agent(i, store);
+        add_agent(i);
 }
 
 /// Each soak has a network of its own, so that several can run side by side.
@@ -150,8 +149,9 @@
     to.push_back(std::move(one));
 }
 
-void soak_deployment::add_entry(std::uint32_t i, const std::string& store)
+void soak_deployment::add_entry(std::uint32_t i)
 {
+    const auto store = link(addresses_[i].callers.host, store_address_);
     const auto& where = addresses_[i];
     std::string seeds;
     for (const auto& other : addresses_)
@@ -171,9 +171,10 @@
          "--grace",        std::to_string(grace)});
 }
 
-void soak_deployment::add_agent(std::uint32_t i, const std::string& store)
+void soak_deployment::add_agent(std::uint32_t i)
 {
     const auto host = address(1 + settings_.entries + i);
+    const auto store = link(host, store_address_);
     const auto name = "agent" + std::to_string(i);
     const host_port registration{host, free_port(host)};
     const host_port runner{host, free_port(host)};
@@ -186,7 +187,7 @@
          "--rpc-port",     std::to_string(rpc_port_),
          "--metrics-port", std::to_string(free_port(host)),
          "--registration", registration.to_string(),
-         "--runner",       runner.to_string(),
+         "--runner",       link(host, runner),
          "--store",        store,
          "--hold",         std::string(hold_ms),
          "--grace",        std::to_string(grace)});
@@ -235,6 +236,31 @@
         start(one);
 }
 
+/// @return Address of a link of its own to that server.
+std::string soak_deployment::link(const std::string& host,
+                                  const host_port& server)
+{
+    links_.push_back({std::make_unique<link_proxy>(io_, host, server), {}});
+    return links_.back().proxy->where().to_string();
+}
+
+void soak_deployment::harm(faulty_link& at, const planned_fault& fault)
+{
+    const auto kind = static_cast<unsigned>(fault.kind) -
+                      static_cast<unsigned>(fault_kind::link_slow);
+    at.active.push_back(static_cast<link_state>(
+        kind + static_cast<unsigned>(link_state::slow)));
+    at.proxy->set(at.active.back());
+    const auto place = std::prev(at.active.end());
+    run_after(io_, fault.lasts,
+              [&at, place]
+              {
+                  at.active.erase(place);
+                  at.proxy->set(at.active.empty() ? link_state::well
+                                                  : at.active.back());
+              });
+}
+
 /// The store may not listen yet; nothing else has begun.
 void soak_deployment::write_configuration(std::function<void()> done)
 {
@@ -304,6 +330,8 @@
           std::to_string(
               std::chrono::duration_cast<milliseconds>(fault.lasts).count()) +
           " ms, share " + std::to_string(fault.share));
+    if (fault.kind >= fault_kind::link_slow)
+        return harm(links_[fault.target], fault);
     if (fault.kind >= fault_kind::store_slow)
         return turn(store_, fault);
     if (fault.kind >= fault_kind::backend_crash)
@@ -423,6 +451,9 @@
 {
     const auto up = [](const managed& one) { return one.now == phase::up; };
     return store_.active.empty() &&
+           std::all_of(links_.begin(), links_.end(),
+                       [](const faulty_link& one)
+                       { return one.active.empty(); }) &&
            std::all_of(backends_.begin(), backends_.end(),
                        [](const knobs& one) { return one.active.empty(); }) &&
            std::all_of(entries_.begin(), entries_.end(), up) &&
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -3,6 +3,7 @@
 
 #include "soak/child_process.hpp"
 #include "soak/fault_plan.hpp"
+#include "soak/link_proxy.hpp"
 #include "soak/soak_checker.hpp"
 #include "soak/soak_clients.hpp"
 
@@ -91,6 +92,13 @@
         bool for_good = false;                ///< Never started again.
     };
 
+    /// A link and its faults that go on.
+    struct faulty_link
+    {
+        std::unique_ptr<link_proxy> proxy; ///< The link.
+        std::list<link_state> active;      ///< Now; the last one counts.
+    };
+
     /// A stand-in's faults that go on.
     struct knobs
     {
@@ -102,8 +110,10 @@
     std::string address(std::uint32_t number) const;
     void add(std::vector<managed>& to, const std::string& name,
              const std::string& program, std::vector<std::string> flags);
-    void add_entry(std::uint32_t i, const std::string& store);
-    void add_agent(std::uint32_t i, const std::string& store);
+    void add_entry(std::uint32_t i);
+    void add_agent(std::uint32_t i);
+    std::string link(const std::string& host, const host_port& server);
+    void harm(faulty_link& at, const planned_fault& fault);
     void write_configuration(std::function<void()> done);
     void await_backend(std::size_t i);
     void start(managed& one);
@@ -129,6 +139,7 @@
     std::vector<managed> agents_;          ///< Agents.
     knobs store_;                          ///< Of the store.
     std::vector<knobs> backends_;          ///< Of the backend servers.
+    std::vector<faulty_link> links_;       ///< See plan_settings::links.
 };
 
 } // namespace glenhollow::soak
--- a/tests/unit/soak/fault_plan_tests.cpp
+++ b/tests/unit/soak/fault_plan_tests.cpp
@@ -50,8 +50,10 @@
             CHECK(fault.target < settings.entries);
         else if (fault.kind < fault_kind::store_slow)
             CHECK(fault.target < settings.agents);
-        else
+        else if (fault.kind < fault_kind::link_slow)
             CHECK(fault.target == 0);
+        else
+            CHECK(fault.target < settings.links());
     }
     CHECK(kinds.size() == name_table<fault_kind>::names.size());
 }
