An entry gives up a part that a live entry owns by a newer claim

Now a live entry's view with a newer epoch ends the ownership at the next tick; writes that are out are told as unknown. Test: unit, fails without the change. Left: calls that waited in a paused process are answered before the first view is there.

--- a/src/glenhollow/durable/part_ownership.cpp
+++ b/src/glenhollow/durable/part_ownership.cpp
@@ -75,6 +75,21 @@
                        { return view.owns(part); });
 }
 
+/// The journal turns the older claim's writes down; but while the store is
+/// down, an owner that was paused would go on answering from its memory.
+bool part_ownership::is_superseded(part_epoch own) const
+{
+    for (const auto& view : peers_.live())
+    {
+        for (const auto& one : view.parts)
+        {
+            if (one.part == own.part && one.epoch > own.epoch)
+                return true;
+        }
+    }
+    return false;
+}
+
 std::vector<std::string> part_ownership::candidates() const
 {
     std::vector<std::string> names{settings_.entry};
@@ -121,6 +136,11 @@
         others_reach = others_reach || (view.store_reachable && !view.stopping);
     for (auto& [part, at] : seats_)
     {
+        if (at.jobs && is_superseded(at.jobs->epoch()))
+        {
+            at.jobs->abandon();
+            lose(part);
+        }
         if (at.jobs)
         {
             at.jobs->tick();
--- a/src/glenhollow/durable/part_ownership.hpp
+++ b/src/glenhollow/durable/part_ownership.hpp
@@ -103,6 +103,7 @@
     };
 
     bool has_live_owner(part_number part) const;
+    bool is_superseded(part_epoch own) const;
     std::size_t rank(part_number part) const;
     bool is_due(part_number part, const seat& at) const;
     void look(part_number part);
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -2,6 +2,8 @@
 
 #include "glenhollow/core/random.hpp"
 
+#include <sstream>
+
 namespace glenhollow::soak
 {
 
@@ -56,4 +58,42 @@
     }
 }
 
+std::string to_text(const std::vector<planned_fault>& plan)
+{
+    const auto ms = [](duration time)
+    { return std::chrono::duration_cast<milliseconds>(time).count(); };
+    std::ostringstream out;
+    for (const auto& fault : plan)
+        out << ms(fault.at) << " " << to_name(fault.kind) << " " << fault.target
+            << " " << ms(fault.lasts) << " " << fault.share << "\n";
+    return out.str();
+}
+
+result<std::vector<planned_fault>> plan_from(const std::string& text,
+                                             const plan_settings& settings)
+{
+    std::vector<planned_fault> plan;
+    std::istringstream lines(text);
+    std::string line;
+    while (std::getline(lines, line))
+    {
+        if (line.empty() || line.front() == '#')
+            continue;
+        std::istringstream fields(line);
+        std::int64_t at = 0;
+        std::int64_t lasts = 0;
+        std::string name;
+        planned_fault fault;
+        fields >> at >> name >> fault.target >> lasts >> fault.share;
+        const auto kind = from_name<fault_kind>(name);
+        if (!fields || !kind || fault.target >= targets_of(*kind, settings))
+            return failure{"no fault: '" + line + "'"};
+        fault.kind = *kind;
+        fault.at = milliseconds{at};
+        fault.lasts = milliseconds{lasts};
+        plan.push_back(fault);
+    }
+    return plan;
+}
+
 } // namespace glenhollow::soak
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -3,6 +3,7 @@
 
 #include "glenhollow/core/clock.hpp"
 #include "glenhollow/core/names.hpp"
+#include "glenhollow/core/result.hpp"
 
 #include <cstdint>
 #include <string>
@@ -68,6 +69,16 @@
 /// @return The faults by time.
 std::vector<planned_fault> plan_faults(const plan_settings& settings);
 
+/// @param plan Faults.
+/// @return One line each: begin in ms, kind, target, length in ms, share.
+std::string to_text(const std::vector<planned_fault>& plan);
+
+/// @param text As to_text gives it; lines that begin with # are left out.
+/// @param settings Sizes that targets must fit.
+/// @return The faults, or which line is wrong.
+result<std::vector<planned_fault>> plan_from(const std::string& text,
+                                             const plan_settings& settings);
+
 } // namespace glenhollow::soak
 
 template <>
--- a/tests/unit/durable/durable_service_tests.cpp
+++ b/tests/unit/durable/durable_service_tests.cpp
@@ -30,8 +30,99 @@
     std::function<void()> on_met_; ///< Told of each exchange.
 };
 
+/// An entry that claims the first part from the moment at which it sees that
+/// another owns it, by a newer claim.
+class newer_owner final : public wire::EntryPeer::Server
+{
+public:
+    /// What it saw, read by the test when the loop has ended.
+    struct seen
+    {
+        std::uint32_t epoch = 0; ///< Claimed; 0: nothing yet.
+        bool owned = false;      ///< The other says that it owns the part.
+        int met = 0;             ///< Exchanges.
+    };
+
+    newer_owner(seen& seen, std::function<void()> on_end)
+        : seen_(seen), on_end_(std::move(on_end))
+    {
+    }
+
+    kj::Promise<void> exchange(ExchangeContext context) override
+    {
+        constexpr int patience = 100; // Exchanges, some seconds.
+        const auto theirs = context.getParams().getView().getParts();
+        seen_.owned = false;
+        for (const auto part : theirs)
+        {
+            if (part.getPart() != 0)
+                continue;
+            seen_.owned = true;
+            seen_.epoch = std::max(seen_.epoch, part.getEpoch() + 1);
+        }
+        auto mine = context.getResults().initView();
+        mine.setName("peer");
+        mine.setIncarnation(1);
+        if (seen_.epoch > 0)
+        {
+            auto claim = mine.initParts(1)[0];
+            claim.setPart(0);
+            claim.setEpoch(seen_.epoch);
+        }
+        if (++seen_.met == patience || (seen_.epoch > 0 && !seen_.owned))
+            on_end_();
+        return kj::READY_NOW;
+    }
+
+private:
+    seen& seen_;                   ///< What it saw.
+    std::function<void()> on_end_; ///< Told when there is no more to see.
+};
+
 } // namespace
 
+TEST_CASE("an entry gives up a part that a live entry owns by a newer claim")
+{
+    // An entry that was paused until others had taken its parts answered 410
+    // for their jobs, for as long as the store was down.
+    rpc_loop loop;
+    manual_loop store_loop;
+    fake_row_store store(store_loop);
+    durable_service_settings settings;
+    settings.entry = "entry";
+    settings.where = {"127.0.0.1", 1};
+    settings.parts = 1;
+    durable_service service(
+        loop.io(), process_clock(), store,
+        [](std::string_view) -> result<queue_catalog>
+        { return failure{"no document"}; },
+        settings);
+    auto listener = rpc_listener::create(loop.io(), "127.0.0.1", 0);
+    REQUIRE(listener);
+    auto& links = *listener.value();
+    newer_owner::seen seen;
+    std::function<void()> serve_store = [&]
+    {
+        store_loop.advance(milliseconds{10});
+        run_after(loop.io(), milliseconds{10}, serve_store);
+    };
+    loop.run(
+        [&]
+        {
+            links.serve(kj::heap<newer_owner>(seen, [&] { loop.stop(); }));
+            service.add_seeds({{"127.0.0.1", links.port()}});
+            service.begin();
+            serve_store();
+        },
+        [&]
+        {
+            service.close();
+            links.close();
+        });
+    CHECK(seen.epoch > 0);
+    CHECK_FALSE(seen.owned);
+}
+
 TEST_CASE("an entry with open links ends without a trace of them")
 {
     // Found on a deployment: each entry that was stopped while it had links
--- a/tests/unit/soak/fault_plan_tests.cpp
+++ b/tests/unit/soak/fault_plan_tests.cpp
@@ -57,3 +57,27 @@
     }
     CHECK(kinds.size() == name_table<fault_kind>::names.size());
 }
+
+TEST_CASE("fault plan: a plan is the same after it was written and read")
+{
+    const auto settings = an_hour(5);
+    const auto plan = plan_faults(settings);
+    const auto text = to_text(plan);
+    const auto again = plan_from("# a cause\n\n" + text, settings);
+    REQUIRE(again);
+    CHECK(again.value().size() == plan.size());
+    CHECK(to_text(again.value()) == text);
+}
+
+TEST_CASE("fault plan: a wrong line is named")
+{
+    const auto settings = an_hour(5);
+    for (const std::string line :
+         {"10 entry_kill 3 100 0.5", "10 entry_kil 0 100 0.5",
+          "10 entry_kill 0", "x entry_kill 0 100 0.5"})
+    {
+        const auto read = plan_from(line + "\n", settings);
+        REQUIRE(!read);
+        CHECK(read.error().text.find(line) != std::string::npos);
+    }
+}
