An order that waits at an agent ends when a later owner adopts the part

Cause: an agent that was paused while a part went from one entry to a second and a third took the first owner's order from its socket when it woke, since it had not heard of the second one. Ruled out: a stale lease (the start left the agent after its wake, when the first owner's lease had long lapsed) and a late order (no such fault then). Now orders that have not begun end as not begun at an adoption by a newer epoch; the new owner places them again once all agents have told. Test: unit, fails without the change.

--- a/src/glenhollow/runs/run_manager_leases.cpp
+++ b/src/glenhollow/runs/run_manager_leases.cpp
@@ -33,12 +33,17 @@
         out.declined = true;
         return out;
     }
-    if (epoch > record.epoch)
+    const bool newer = epoch > record.epoch;
+    if (newer)
         log_change(log_level::info, "part_adopted",
                    {{"part", lease},
                     {"epoch", epoch},
                     {"previous_epoch", record.epoch}});
     record.epoch = epoch;
+    // What an earlier owner ordered and has not begun: a task that another
+    // owner in between has had done elsewhere must not begin here.
+    if (newer && is_part_lease(lease))
+        refuse_waiting(lease);
     const auto concerns = [lease](lease_id of)
     { return of == lease || (!is_part_lease(lease) && of == unclaimed_lease); };
     for (const auto& [ref, run] : runs_)
--- a/tests/unit/runs/run_manager_tests.cpp
+++ b/tests/unit/runs/run_manager_tests.cpp
@@ -386,6 +386,31 @@
     CHECK(known.ends[0].how == run_outcome::done);
 }
 
+TEST_CASE("an order that waits does not begin under a later owner's lease")
+{
+    // The later owner may have had the task done elsewhere, by a run that its
+    // own successor has yet to hear of.
+    manager_world world;
+    const auto part = part_of(42, run_manager_settings{}.parts);
+    world.manager->adopt(part, 1);
+    run_order order;
+    order.run = {{42, 0, 0, 0}, 1};
+    order.epoch = 1;
+    order.needs = {1000, 10, 0};
+    world.manager->order(order, entry_lease);
+    world.run(milliseconds{20});
+    REQUIRE(world.runner.started.empty());
+    // Told anew by the same owner, it waits on.
+    REQUIRE(world.manager->adopt(part, 1).runs.size() == 1);
+    const auto known = world.manager->adopt(part, 3);
+    CHECK(known.runs.empty());
+    REQUIRE(known.ends.size() == 1);
+    CHECK(known.ends[0].how == run_outcome::not_begun);
+    world.manager->renew(part, 3, world.loop.clock.now());
+    world.run(milliseconds{20});
+    CHECK(world.runner.started.empty());
+}
+
 TEST_CASE("an earlier owner of a part is declined and its orders refused")
 {
     manager_world world;
