An entry that stood still does not call jobs missing that others may have taken

The newer owner had given the part away again (the store turned all away), so only its list of parts given away told of its claim; and questions that waited in the paused process were answered before any view of the others was there. Now a newer epoch among those given away ends the ownership as well, and for 500 ms after a tick that came more than 500 ms late a missing job is answered as not owned, so that the call is tried again. Tests: unit, both fail without the change.

--- a/src/glenhollow/durable/job_router.cpp
+++ b/src/glenhollow/durable/job_router.cpp
@@ -61,14 +61,22 @@
     auto* jobs = ownership_.find(part_of(call.id, settings_.parts));
     if (jobs == nullptr)
         return done({job_outcome::not_owner, job_state::queued, {}});
+    // Another owner may have accepted a job that this one misses.
+    const auto sure = [this, done](const job_reply& reply)
+    {
+        if (reply.outcome == job_outcome::missing &&
+            ownership_.may_be_superseded())
+            return done({job_outcome::not_owner, job_state::queued, {}});
+        done(reply);
+    };
     switch (call.verb)
     {
     case job_verb::submit:
         return jobs->submit(call.job, std::move(done));
     case job_verb::cancel:
-        return jobs->cancel(call.id, std::move(done));
+        return jobs->cancel(call.id, sure);
     case job_verb::state:
-        return jobs->state(call.id, std::move(done));
+        return jobs->state(call.id, sure);
     }
 }
 
--- a/src/glenhollow/durable/part_ownership.cpp
+++ b/src/glenhollow/durable/part_ownership.cpp
@@ -16,6 +16,11 @@
 
 constexpr duration stop_patience = milliseconds{400};
 constexpr std::size_t released_kept = 64;
+/// Between two ticks: others take an entry for lost after a second of silence,
+/// so one that stood still for half of that may have lost its parts.
+constexpr duration stood_still = milliseconds{500};
+/// From its next tick to the others' views: twice the time between exchanges.
+constexpr duration views_come = milliseconds{500};
 
 std::uint64_t weight(part_number part, const std::string& entry)
 {
@@ -29,7 +34,7 @@
                                part_ownership_listener& listener,
                                const part_ownership_settings& settings)
     : around_(std::move(around)), peers_(peers), listener_(listener),
-      settings_(settings), changed_(around_.clock.now())
+      settings_(settings), ticked_(around_.clock.now()), changed_(ticked_)
 {
     for (std::size_t i = 0; i < settings_.parts; ++i)
         seats_[static_cast<part_number>(i)].free_since = around_.clock.now();
@@ -77,17 +82,26 @@
 
 /// The journal turns the older claim's writes down; but while the store is
 /// down, an owner that was paused would go on answering from its memory.
+/// Whether the newer owner still has the part does not matter.
 bool part_ownership::is_superseded(part_epoch own) const
 {
-    for (const auto& view : peers_.live())
-    {
-        for (const auto& one : view.parts)
-        {
-            if (one.part == own.part && one.epoch > own.epoch)
-                return true;
-        }
-    }
-    return false;
+    const auto is_newer = [own](part_epoch one)
+    { return one.part == own.part && one.epoch > own.epoch; };
+    const auto views = peers_.live();
+    return std::any_of(views.begin(), views.end(),
+                       [&](const entry_view& view)
+                       {
+                           return std::any_of(view.parts.begin(),
+                                              view.parts.end(), is_newer) ||
+                                  std::any_of(view.released.begin(),
+                                              view.released.end(), is_newer);
+                       });
+}
+
+bool part_ownership::may_be_superseded() const
+{
+    const auto now = around_.clock.now();
+    return now - ticked_ > stood_still || now - woke_ < views_come;
 }
 
 std::vector<std::string> part_ownership::candidates() const
@@ -131,6 +145,8 @@
 {
     reachable_ = reachable;
     const auto now = around_.clock.now();
+    if (now - std::exchange(ticked_, now) > stood_still)
+        woke_ = now;
     bool others_reach = false;
     for (const auto& view : peers_.live())
         others_reach = others_reach || (view.store_reachable && !view.stopping);
--- a/src/glenhollow/durable/part_ownership.hpp
+++ b/src/glenhollow/durable/part_ownership.hpp
@@ -78,6 +78,11 @@
     /// @return Its jobs, or null where this entry does not own it.
     job_coordinator* find(part_number part);
 
+    /// @return Whether this process stood still a moment ago, so that others
+    /// may have taken its parts without its knowing: what it misses may be
+    /// theirs.
+    bool may_be_superseded() const;
+
     /// @return All parts that this entry owns and has loaded.
     std::vector<part_epoch> owned() const;
 
@@ -129,6 +134,8 @@
     bool reachable_ = true;                ///< The store answers this entry.
     bool stopping_ = false;                ///< Gives all away.
     instant stopping_since_{};             ///< When that began.
+    instant ticked_{};                     ///< The last tick.
+    instant woke_{};                       ///< First tick after it stood still.
     instant changed_{};                    ///< Last change of owners.
     std::vector<part_epoch> released_;     ///< Given away lately.
     part_ownership_stats stats_;           ///< Counters.
--- a/tests/unit/durable/durable_service_tests.cpp
+++ b/tests/unit/durable/durable_service_tests.cpp
@@ -40,6 +40,7 @@
     {
         std::uint32_t epoch = 0; ///< Claimed; 0: nothing yet.
         bool owned = false;      ///< The other says that it owns the part.
+        bool gives = false;      ///< Shows the claim as given away again.
         int met = 0;             ///< Exchanges.
     };
 
@@ -65,7 +66,8 @@
         mine.setIncarnation(1);
         if (seen_.epoch > 0)
         {
-            auto claim = mine.initParts(1)[0];
+            auto claim =
+                seen_.gives ? mine.initReleased(1)[0] : mine.initParts(1)[0];
             claim.setPart(0);
             claim.setEpoch(seen_.epoch);
         }
@@ -101,6 +103,7 @@
     REQUIRE(listener);
     auto& links = *listener.value();
     newer_owner::seen seen;
+    seen.gives = GENERATE(false, true);
     std::function<void()> serve_store = [&]
     {
         store_loop.advance(milliseconds{10});
@@ -123,6 +126,58 @@
     CHECK_FALSE(seen.owned);
 }
 
+TEST_CASE(
+    "an entry that stood still does not say at once that a job is missing")
+{
+    rpc_loop loop;
+    manual_loop store_loop;
+    fake_row_store store(store_loop);
+    durable_service_settings settings;
+    settings.entry = "entry";
+    settings.where = {"127.0.0.1", 1};
+    settings.parts = 1;
+    durable_service service(
+        loop.io(), store_loop.clock, store,
+        [](std::string_view) -> result<queue_catalog>
+        { return failure{"no document"}; },
+        settings);
+    std::function<void()> serve_store = [&]
+    {
+        store_loop.advance(milliseconds{10});
+        run_after(loop.io(), milliseconds{10}, serve_store);
+    };
+    std::vector<job_outcome> told;
+    bool at_once = false;
+    const auto stand_still = [&]
+    {
+        store_loop.clock.advance(seconds{3});
+        service.state(42,
+                      [&](const job_reply& reply)
+                      {
+                          told.push_back(reply.outcome);
+                          loop.stop();
+                      });
+        at_once = told.size() > 1;
+    };
+    loop.run(
+        [&]
+        {
+            service.begin();
+            serve_store();
+            // Answered once the part is owned.
+            service.state(42,
+                          [&](const job_reply& reply)
+                          {
+                              told.push_back(reply.outcome);
+                              run_after(loop.io(), duration{0}, stand_still);
+                          });
+        },
+        [&] { service.close(); });
+    CHECK_FALSE(at_once);
+    CHECK(told ==
+          std::vector<job_outcome>{job_outcome::missing, job_outcome::missing});
+}
+
 TEST_CASE("an entry with open links ends without a trace of them")
 {
     // Found on a deployment: each entry that was stopped while it had links
