--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -14,6 +14,13 @@
     fi
     shift
 done
-bin=${SOAK_PROGRAMS:-build/release/bin}
+# Copies, so that a build meanwhile does not disturb it.
+from=${SOAK_PROGRAMS:-build/release/bin}
+bin=build/soak/$seed/bin
+mkdir -p "$bin"
+for program in glenhollow-soak glenhollow-durable-entry \
+    glenhollow-durable-agent standin-store standin-backend; do
+    cp "$from/$program" "$bin/"
+done
 exec "$bin/glenhollow-soak" --seed "$seed" --programs "$bin" \
     --folder "build/soak/$seed" "${rest[@]}"
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -28,6 +28,8 @@
 /// A planned stop that takes so much longer than its grace does not end; far
 /// beyond what a busy machine adds.
 constexpr duration stop_slack = seconds{10};
+/// Before a process that ended by itself is started again.
+constexpr duration ended_wait = seconds{1};
 constexpr std::string_view service = "service";
 /// Longest lease at a backend server, by the platform's rules.
 constexpr std::string_view hold_ms = "1000";
@@ -316,8 +318,11 @@
     one.now = phase::down;
     tell_(one.name + " ended: " + told_status(*status));
     if (!planned)
-        return checker_.broken(
-            "ENDED", one.name + " ended by itself: " + told_status(*status));
+    {
+        checker_.broken("ENDED",
+                        one.name + " ended by itself: " + told_status(*status));
+        return run_after(io_, ended_wait, [this, &one] { start(one); });
+    }
     if (!WIFEXITED(*status) || WEXITSTATUS(*status) != 0)
         checker_.broken("STOP",
                         one.name + " stopped with " + told_status(*status));
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -25,6 +25,8 @@
 constexpr duration end_bound = seconds{60};
 /// To the first entry that calls itself ready.
 constexpr duration begin_bound = seconds{60};
+/// From the end of the traffic's time to the end of all faults.
+constexpr duration calm_bound = seconds{120};
 /// Without faults at the end of the plan.
 constexpr duration quiet_tail = seconds{5};
 /// From the end of all jobs to the verdict, for what starts too late.
@@ -141,8 +143,13 @@
 
     void await_calm()
     {
-        if (!deployment_.calm())
+        const auto now = process_clock().now();
+        const bool late =
+            now > begun_ + seconds{settings_.length_s} + calm_bound;
+        if (!deployment_.calm() && !late)
             return run_after(io_, look_interval, [this] { await_calm(); });
+        if (!deployment_.calm())
+            checker_.broken("SOAK", "the faults do not end");
         calm_ = process_clock().now();
         teller()("calm");
         await_service();
