--- a/programs/durable_agent_main.cpp
+++ b/programs/durable_agent_main.cpp
@@ -3,6 +3,7 @@
 #include "glenhollow/command_line/command_line.hpp"
 #include "glenhollow/telemetry/log.hpp"
 
+#include <algorithm>
 #include <iostream>
 
 using namespace glenhollow;
@@ -42,7 +43,8 @@
     line.number<std::size_t>("parts", settings.manager.parts, 1, 4096, "parts",
                              "of the journal; alike in all processes");
     line.number<unsigned>("hold", given.hold_ms, 200, 60'000, "ms",
-                          "longest time that the runner holds runs unrenewed");
+                          "longest time that the runner holds runs unrenewed; "
+                          "at most 1000 are used, which entries reckon with");
     line.number<unsigned>("grace", given.grace_s, 1, 600, "s",
                           "from SIGTERM to the end of the process");
     line.choice("log-format", given.format, "format of log lines");
@@ -56,7 +58,10 @@
                       host_port::parse(given.registration));
     BOOST_OUTCOME_TRY(settings.runner.server, host_port::parse(given.runner));
     BOOST_OUTCOME_TRY(settings.store.server, host_port::parse(given.store));
-    settings.manager.hold = milliseconds{given.hold_ms};
+    // Entries take it that a run of a lost agent has lapsed after times that
+    // are made for this hold.
+    settings.manager.hold =
+        std::min<duration>(milliseconds{given.hold_ms}, longest_hold);
     settings.grace = seconds{given.grace_s};
     return settings;
 }
--- a/src/glenhollow/hosting/job_handover.cpp
+++ b/src/glenhollow/hosting/job_handover.cpp
@@ -27,7 +27,7 @@
 
 job_handover::job_handover(surroundings around,
                            const job_handover_settings& settings)
-    : around_(std::move(around)), settings_(settings)
+    : around_(std::move(around)), settings_(settings), ended_(settings.ends)
 {
 }
 
@@ -61,6 +61,7 @@
     else
         groups_.clear();
     follow();
+    ended_.forget_old(around_.clock.now());
     const bool now_active = wanted && hosts() > 0;
     if (now_active != active_)
         log_change(log_level::info, "jobs_handed_over",
@@ -215,9 +216,16 @@
     const auto known = jobs_.find(job.id);
     if (known != jobs_.end())
     {
+        ++stats_.repeated;
         known->second.done.push_back(std::move(done));
         return true;
     }
+    if (const auto ended = ended_.find(job.id))
+    {
+        ++stats_.repeated;
+        done({job_outcome::done, *ended, {}});
+        return true;
+    }
     if (!active_)
         return false;
     auto* to = choose(job, {});
@@ -276,6 +284,8 @@
     const auto known = jobs_.find(id);
     const auto waiters = std::move(known->second.done);
     jobs_.erase(known);
+    if (reply.outcome == job_outcome::done)
+        ended_.note(id, reply.state, around_.clock.now());
     for (const auto& waiter : waiters)
         waiter(reply);
 }
@@ -297,7 +307,12 @@
 {
     const auto known = jobs_.find(id);
     if (known == jobs_.end())
-        return false;
+    {
+        const auto ended = ended_.find(id);
+        if (ended)
+            done({job_outcome::done, *ended, {}});
+        return ended.has_value();
+    }
     const auto link = links_.find(known->second.host);
     if (link == links_.end())
         return false;
@@ -344,6 +359,9 @@
           stats_.again);
     count("jobs_without_host_total", "Jobs for which no host was found",
           stats_.no_host);
+    count("jobs_handed_repeated_total",
+          "Submissions of a job that hosts have, or had until lately",
+          stats_.repeated);
     page.gauge("job_hosts", "Hosts with an open session",
                static_cast<double>(hosts()));
     page.gauge("jobs_at_hosts", "Jobs that hosts have",
--- a/src/glenhollow/hosting/job_handover.hpp
+++ b/src/glenhollow/hosting/job_handover.hpp
@@ -4,6 +4,7 @@
 #include "glenhollow/core/names.hpp"
 #include "glenhollow/hosting/host_groups.hpp"
 #include "glenhollow/hosting/host_link.hpp"
+#include "glenhollow/hosting/recent_ends.hpp"
 #include "glenhollow/telemetry/metrics.hpp"
 
 #include <cstdint>
@@ -44,16 +45,19 @@
     std::size_t group_agents = 7; ///< Agents of one host, about.
     int tries = 2;                ///< Hosts that are asked for one job.
     host_link_settings link;      ///< Of the session with each host.
+    recent_ends_settings ends;    ///< Of what is remembered of ended jobs.
 };
 
 /// Counters of the handing over.
 struct job_handover_stats
 {
-    std::uint64_t handed = 0;  ///< Jobs that hosts took.
-    std::uint64_t lost = 0;    ///< Of these, lost with their host.
-    std::uint64_t again = 0;   ///< Handed to another host, after the first
-                               ///< one did nothing.
-    std::uint64_t no_host = 0; ///< Found no host; placed here.
+    std::uint64_t handed = 0;   ///< Jobs that hosts took.
+    std::uint64_t lost = 0;     ///< Of these, lost with their host.
+    std::uint64_t again = 0;    ///< Handed to another host, after the first
+                                ///< one did nothing.
+    std::uint64_t no_host = 0;  ///< Found no host; placed here.
+    std::uint64_t repeated = 0; ///< Submissions of a job that hosts have, or
+                                ///< had until lately.
 };
 
 /// Hands whole jobs in memory over to hosts: the agents are divided into
@@ -169,6 +173,7 @@
     std::vector<hosted_group> groups_; ///< Of them.
     std::map<std::string, std::unique_ptr<host_link>> links_; ///< By host.
     std::map<job_id, handed_job> jobs_;                       ///< At hosts.
+    recent_ends ended_;        ///< Of jobs that hosts had.
     bool active_ = false;      ///< Jobs are handed over.
     job_handover_stats stats_; ///< Counters.
 };
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -146,6 +146,11 @@
     std::vector<run_end> ends;    ///< Not confirmed by an owner.
 };
 
+/// The longest hold of a runner that entries reckon with when they wait for the
+/// runs of a silent agent to lapse: with 2 s a task of a job in memory ran
+/// twice at once.
+inline constexpr duration longest_hold = milliseconds{1000};
+
 /// Limits of a manager.
 struct run_manager_settings
 {
@@ -157,7 +162,7 @@
                                               ///< orders without a lease yet.
     duration stop_time = milliseconds{350};   ///< For runs without a lease,
                                               ///< before the hold lapses.
-    duration hold = milliseconds{1000};       ///< Longest hold of the runner.
+    duration hold = longest_hold;             ///< Longest hold of the runner.
     duration look_wait = milliseconds{100};   ///< Of one look, at most.
     duration look_gap = milliseconds{8};      ///< While ends are unconfirmed.
     duration patience = milliseconds{30};     ///< For an answer past its
--- a/tests/unit/hosting/job_handover_tests.cpp
+++ b/tests/unit/hosting/job_handover_tests.cpp
@@ -304,6 +304,56 @@
     CHECK(!world.entry.handover->cancel(8, [](const job_reply&) {}));
 }
 
+TEST_CASE("a job that comes again after its end is answered, not run anew")
+{
+    hosting_play world;
+    bool taken = false;
+    bool again = false;
+    std::optional<job_reply> cancelled;
+    world.play(
+        [&]
+        {
+            if (!taken)
+                taken = world.submit(world.entry, hosting_play::job(7));
+            if (!world.runner.running.empty())
+                world.runner.finish(world.runner.running.front(),
+                                    run_outcome::done);
+            if (!world.reply || again)
+                return again;
+            world.reply.reset(); // It was lost on its way to the caller.
+            again = world.submit(world.entry, hosting_play::job(7));
+            CHECK(world.entry.handover->cancel(7, [&](const job_reply& got)
+                                               { cancelled = got; }));
+            return false;
+        });
+    REQUIRE(world.reply);
+    CHECK(world.reply->outcome == job_outcome::done);
+    CHECK(world.reply->state == job_state::succeeded);
+    REQUIRE(cancelled);
+    CHECK(cancelled->state == job_state::succeeded);
+    CHECK(world.runner.started[7] == 1);
+}
+
+TEST_CASE("ends are remembered for a while, and not too many")
+{
+    recent_ends_settings settings;
+    settings.most = 2;
+    recent_ends ends(settings);
+    ends.note(1, job_state::succeeded, seconds{1});
+    ends.note(2, job_state::failed, seconds{2});
+    ends.note(2, job_state::succeeded, seconds{3}); // The first word counts.
+    CHECK(ends.find(1) == job_state::succeeded);
+    CHECK(ends.find(2) == job_state::failed);
+    ends.note(3, job_state::cancelled, seconds{4});
+    CHECK(ends.size() == 2);
+    CHECK(!ends.find(1));
+    ends.forget_old(seconds{2} + settings.keep);
+    CHECK(ends.find(2));
+    ends.forget_old(seconds{3} + settings.keep);
+    CHECK(!ends.find(2));
+    CHECK(ends.find(3));
+}
+
 TEST_CASE("what a silent entry handed over is stopped")
 {
     hosting_play world;
