--- a/programs/durable_agent.cpp
+++ b/programs/durable_agent.cpp
@@ -170,6 +170,8 @@
     /// The next process of this agent asks the backend server by it.
     void keep_memo()
     {
+        if (stopping_)
+            return; // Its phase is this process's own by now.
         const auto phase = manager_.told_phase();
         const auto& instance = manager_.account().instance;
         if (instance.empty() ||
@@ -239,8 +241,8 @@
     {
         const bool idle =
             manager_.idle() && (!host_ || host_->open_jobs() == 0);
-        if (idle)
-            return loop_.stop();
+        if (idle) // The last answers leave.
+            return run_after(loop_.io(), stop_check, [this] { loop_.stop(); });
         if (process_clock().now() >= stop_at_)
         {
             if (host_)
--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -275,8 +275,10 @@
 }
 
 interface JobHost {
-  submit @0 (job :HandedJob) -> (answer :JobAnswer, load :HostLoad);
-  # Answered at the job's end.
+  submit @0 (job :HandedJob, onlyWithRoom :Bool)
+         -> (answer :JobAnswer, load :HostLoad);
+  # Answered at the job's end. `onlyWithRoom`: the entry knows another host with
+  # room; without room for the whole job it is given back, with nothing done.
   withdraw @1 (jobs :List(UInt64)) -> ();
   cancel @2 (job :UInt64) -> (answer :JobAnswer);
   check @3 (agents :List(AgentAddress)) -> (load :HostLoad);
--- a/src/glenhollow/durable/agent_sessions.cpp
+++ b/src/glenhollow/durable/agent_sessions.cpp
@@ -160,7 +160,8 @@
     gone.agent_interface = nullptr;
     if (!std::exchange(gone.attached, false))
         return;
-    gone.down_since = clock_.now();
+    // Of its last word: this process may have stood still since.
+    gone.down_since = std::min(clock_.now(), gone.silent_since);
     log_change(log_level::warning, "agent_detached", {{"agent", agent}});
     listener_.agent_detached(agent);
 }
--- a/src/glenhollow/durable/durable_cancels.cpp
+++ b/src/glenhollow/durable/durable_cancels.cpp
@@ -17,7 +17,8 @@
         const auto here =
             [this](const job_definition& taken, job_reply_handler told)
         { submit_here(taken, std::move(told)); };
-        const bool stays = refusing_ || memory_.knows(job.id);
+        const bool stays =
+            memory_.knows(job.id) || (refusing_ && !handover_.knows(job.id));
         if (stays || !handover_.submit(job, done, here))
             submit_here(job, std::move(done));
         return [this, alive = alive_, id = job.id]
--- a/src/glenhollow/durable/memory_cancellation.cpp
+++ b/src/glenhollow/durable/memory_cancellation.cpp
@@ -207,16 +207,23 @@
 /// it can be reached.
 void memory_cancellation::pump(const peer_reach& peer)
 {
+    auto& cursor = cursors_[peer.name];
     if (!peer.connected)
+    {
+        // A link that was dropped for silence answers nothing any more.
+        stats_.untold += cursor.out.size();
+        if (!cursor.out.empty())
+            cursor.next = std::min(cursor.next, *cursor.out.begin());
+        cursor.out.clear();
         return;
+    }
     const auto end = log_begin_ + log_.size();
-    auto& cursor = cursors_[peer.name];
     cursor.next = std::max(cursor.next, log_begin_);
-    while (cursor.next < end && cursor.out < settings_.cancels_out)
+    while (cursor.next < end && cursor.out.size() < settings_.cancels_out)
     {
         const auto number = cursor.next++;
         const auto told = log_[number - log_begin_];
-        ++cursor.out;
+        cursor.out.insert(number);
         ++stats_.told;
         peers_.cancel(peer.name, told.id,
                       [this, name = peer.name, number,
@@ -233,7 +240,7 @@
                                    const std::optional<job_reply>& reply)
 {
     auto& cursor = cursors_[name];
-    --cursor.out;
+    cursor.out.erase(number);
     if (!reply)
     {
         ++stats_.untold;
@@ -289,15 +296,22 @@
 {
     ++stats_.heard;
     memory_.note(id, clock_.now());
-    auto shared = std::make_shared<job_reply_handler>(std::move(done));
-    const bool here =
-        holder_.cancel_here(id,
-                            [this, id, shared](const job_reply& reply)
-                            {
-                                if (has_ended(reply))
-                                    memory_.found(id, reply.state);
-                                (*shared)(reply);
-                            });
+    ask_told(id, std::make_shared<job_reply_handler>(std::move(done)));
+}
+
+void memory_cancellation::ask_told(
+    job_id id, const std::shared_ptr<job_reply_handler>& shared)
+{
+    const bool here = holder_.cancel_here(
+        id,
+        [this, id, shared](const job_reply& reply)
+        {
+            if (reply.outcome == job_outcome::missing)
+                return ask_told(id, shared); // Its host gave it back meanwhile.
+            if (has_ended(reply))
+                memory_.found(id, reply.state);
+            (*shared)(reply);
+        });
     if (here)
         return;
     const auto* known = memory_.find(id);
@@ -438,6 +452,12 @@
 /// What was cancelled before this process began may arrive here again.
 void memory_cancellation::learn(const std::vector<peer_reach>& peers)
 {
+    // Nor does it tell what its entry remembers.
+    for (const auto& peer : peers)
+    {
+        if (!learned_ && !peer.connected)
+            learning_.erase(peer.name);
+    }
     if (clock_.now() < learn_again_)
         return;
     for (const auto& peer : peers)
@@ -469,7 +489,8 @@
         ++stats_.learned;
         if (one.found)
             memory_.found(one.id, one.state);
-        holder_.cancel_here(one.id, [](const job_reply&) {});
+        ask_told(one.id,
+                 std::make_shared<job_reply_handler>([](const job_reply&) {}));
     }
 }
 
--- a/src/glenhollow/durable/memory_cancellation.hpp
+++ b/src/glenhollow/durable/memory_cancellation.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -214,7 +215,7 @@
     struct peer_cursor
     {
         std::uint64_t next = 0; ///< Number of the first that it was not told.
-        std::size_t out = 0;    ///< Told, not answered.
+        std::set<std::uint64_t> out; ///< Numbers of those told, not answered.
     };
 
     void ask_here(job_id id);
@@ -227,6 +228,7 @@
     void answered_by_way(const std::string& name, job_id id,
                          const std::optional<job_reply>& reply);
     void told_here(job_id id, job_reply_handler done);
+    void ask_told(job_id id, const std::shared_ptr<job_reply_handler>& shared);
     void answered(const std::string& name, std::uint64_t number,
                   const logged_cancel& told,
                   const std::optional<job_reply>& reply);
--- a/src/glenhollow/hosting/host_link.cpp
+++ b/src/glenhollow/hosting/host_link.cpp
@@ -36,6 +36,7 @@
 void host_link::tick(const std::vector<agent_address>& group, duration interval)
 {
     const auto now = clock_.now();
+    group_ = group;
     if (opening_ && now - opening_since_ > settings_.silence)
     {
         opening_ = false;
@@ -60,7 +61,10 @@
         return lose("silent");
     if (!agents_.is_attached(host_))
         return lose("link_down");
-    if (!session_->unanswered && now - session_->checked >= interval)
+    // A host without any agent yet is about to get them.
+    constexpr int hurry = 4;
+    const auto wait = load_.by_service.empty() ? interval / hurry : interval;
+    if (!session_->unanswered && now - session_->checked >= wait)
         check(group);
 }
 
@@ -72,6 +76,7 @@
     session_ = std::make_unique<session>(kj::mv(host));
     load_ = {};
     log_change(log_level::info, "job_host_followed", {{"agent", host_}});
+    check(group_);
 }
 
 void host_link::check(const std::vector<agent_address>& group)
@@ -139,44 +144,49 @@
     return known == load_.by_service.end() ? nullptr : &known->second;
 }
 
-void host_link::submit(const job_definition& job, std::int64_t wall_ms,
-                       answer_handler done)
+void host_link::submit(const job_definition& job, bool only_with_room,
+                       std::int64_t wall_ms, answer_handler done)
 {
     if (!session_)
         return done(std::nullopt);
     auto request = session_->host.submitRequest();
     fill(request.initJob(), job, wall_ms);
+    request.setOnlyWithRoom(only_with_room);
     sent_cores_ += job.widest_cores();
     ++stats_.handed;
-    jobs_[job.id] = std::move(done);
+    const auto mine = ++submissions_;
+    jobs_[job.id] = {mine, std::move(done)};
     session_->calls.add(request.send().then(
-        [this, number = number_, id = job.id](auto&& answer)
+        [this, number = number_, id = job.id, mine](auto&& answer)
         {
             if (number != number_)
                 return;
             if (answer.hasLoad())
                 told(answer.getLoad());
-            answered(number, id, from_wire(answer.getAnswer()));
+            answered(number, id, mine, from_wire(answer.getAnswer()));
         },
-        [this, alive = alive_, number = number_, id = job.id](kj::Exception&&)
+        [this, alive = alive_, number = number_, id = job.id,
+         mine](kj::Exception&&)
         {
             later_(
-                [this, alive, number, id]
+                [this, alive, number, id, mine]
                 {
                     if (*alive)
-                        answered(number, id, std::nullopt);
+                        answered(number, id, mine, std::nullopt);
                 });
         }));
 }
 
 void host_link::answered(std::uint64_t number, job_id id,
+                         std::uint64_t submission,
                          const std::optional<job_reply>& reply)
 {
     const auto known = jobs_.find(id);
-    if (number != number_ || known == jobs_.end())
-        return;
+    if (number != number_ || known == jobs_.end() ||
+        known->second.submission != submission)
+        return; // It came again meanwhile.
     stats_.lost += reply ? 0 : 1;
-    const auto done = std::move(known->second);
+    const auto done = std::move(known->second.done);
     jobs_.erase(known);
     done(reply);
 }
@@ -196,10 +206,21 @@
         return done(std::nullopt);
     auto request = session_->host.cancelRequest();
     request.setJob(id);
-    auto shared = std::make_shared<answer_handler>(std::move(done));
+    const auto mine = ++cancel_numbers_;
+    cancels_[mine] = std::move(done);
+    const auto end =
+        [this, alive = alive_, mine](const std::optional<job_reply>& reply)
+    {
+        if (!*alive)
+            return;
+        auto one = cancels_.extract(mine);
+        if (!one.empty())
+            one.mapped()(reply);
+    };
     session_->calls.add(request.send().then(
-        [shared](auto&& answer) { (*shared)(from_wire(answer.getAnswer())); },
-        [shared](kj::Exception&&) { (*shared)(std::nullopt); }));
+        [end](auto&& answer) { end(from_wire(answer.getAnswer())); },
+        [end, later = later_](kj::Exception&&)
+        { later([end] { end(std::nullopt); }); }));
 }
 
 /// Nothing is known of what the host did: its jobs may have run, and run no
@@ -209,16 +230,32 @@
     log_change(log_level::warning, "job_host_lost",
                {{"agent", host_}, {"cause", cause}, {"jobs", jobs_.size()}});
     avoid_until_ = clock_.now() + settings_.retry;
+    withdraw_all();
     ++number_;
     later_([old = std::shared_ptr<session>(std::move(session_))]() mutable
            { old.reset(); });
     load_ = {};
     sent_cores_ = 0;
     stats_.lost += jobs_.size();
-    for (auto& [id, done] : std::exchange(jobs_, {}))
+    for (auto& [id, open] : std::exchange(jobs_, {}))
+        open.done(std::nullopt);
+    for (auto& [number, done] : std::exchange(cancels_, {}))
         done(std::nullopt);
 }
 
+/// One that is slow, not dead, need not work for callers who were told.
+void host_link::withdraw_all()
+{
+    if (!session_ || jobs_.empty())
+        return;
+    auto request = session_->host.withdrawRequest();
+    auto list = request.initJobs(static_cast<unsigned>(jobs_.size()));
+    unsigned at = 0;
+    for (const auto& [id, open] : jobs_)
+        list.set(at++, id);
+    session_->calls.add(request.send().ignoreResult());
+}
+
 void host_link::close()
 {
     ++number_;
--- a/src/glenhollow/hosting/host_link.hpp
+++ b/src/glenhollow/hosting/host_link.hpp
@@ -68,10 +68,12 @@
     void tick(const std::vector<agent_address>& group, duration interval);
 
     /// @param job Goes to the host.
+    /// @param only_with_room The host shall give it back, with `not_owner`,
+    /// unless all of it could begin at once.
     /// @param wall_ms This entry's time of day, ms since 1970.
     /// @param done Told once.
-    void submit(const job_definition& job, std::int64_t wall_ms,
-                answer_handler done);
+    void submit(const job_definition& job, bool only_with_room,
+                std::int64_t wall_ms, answer_handler done);
 
     /// @param id A job whose caller has gone.
     void withdraw(job_id id);
@@ -111,11 +113,19 @@
 private:
     struct session;
 
+    /// A job at the host. The same id may come again before its answer.
+    struct open_job
+    {
+        std::uint64_t submission = 0; ///< Its number.
+        answer_handler done;          ///< Told its end.
+    };
+
     void opened(std::uint64_t number, wire::JobHost::Client host);
     void check(const std::vector<agent_address>& group);
     void told(wire::HostLoad::Reader load);
-    void answered(std::uint64_t number, job_id id,
+    void answered(std::uint64_t number, job_id id, std::uint64_t submission,
                   const std::optional<job_reply>& reply);
+    void withdraw_all();
     void lose(std::string_view cause);
 
     const clock_source& clock_;                        ///< This entry's.
@@ -123,15 +133,19 @@
     std::function<void(std::function<void()>)> later_; ///< Runs work.
     std::string host_;                                 ///< Its name.
     host_link_settings settings_;                      ///< Limits.
-    std::unique_ptr<session> session_;                 ///< While open.
-    std::uint64_t number_ = 0;                         ///< Of the session.
-    bool opening_ = false;                             ///< The host was asked.
-    instant opening_since_{};                          ///< When.
-    instant avoid_until_{};                            ///< Not asked before.
-    host_load load_;                                   ///< Last told.
-    double sent_cores_ = 0;                            ///< Handed since then.
-    std::map<job_id, answer_handler> jobs_;            ///< Not ended.
-    host_link_stats stats_;                            ///< Counters.
+    std::vector<agent_address> group_; ///< That the host shall place at.
+    std::unique_ptr<session> session_; ///< While open.
+    std::uint64_t number_ = 0;         ///< Of the session.
+    bool opening_ = false;             ///< The host was asked.
+    instant opening_since_{};          ///< When.
+    instant avoid_until_{};            ///< Not asked before.
+    host_load load_;                   ///< Last told.
+    double sent_cores_ = 0;            ///< Handed since then.
+    std::map<job_id, open_job> jobs_;  ///< Not ended.
+    std::uint64_t submissions_ = 0;    ///< So far.
+    std::map<std::uint64_t, answer_handler> cancels_; ///< Not answered.
+    std::uint64_t cancel_numbers_ = 0;                ///< So far.
+    host_link_stats stats_;                           ///< Counters.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
 };
 
--- a/src/glenhollow/hosting/job_handover.cpp
+++ b/src/glenhollow/hosting/job_handover.cpp
@@ -126,9 +126,11 @@
                                         { return group.host == here->first; });
         if (chosen)
             continue;
-        if (link.open_jobs() > 0)
+        // One that stops is followed to its end, or its agent would be avoided
+        // for good.
+        if (link.open_jobs() > 0 || link.avoided())
             link.tick({}, check_interval());
-        else if (!link.avoided())
+        else
             links_.erase(here);
     }
 }
@@ -149,6 +151,15 @@
                       [](const auto& one) { return one.second->open(); }));
 }
 
+double job_handover::free_cores(const host_link& host,
+                                const job_definition& job) const
+{
+    const auto* load = host.load(job.service);
+    if (!host.prompt() || load == nullptr)
+        return 0;
+    return std::max(0.0, load->free_cores - host.sent_cores());
+}
+
 /// Jobs go where room is free, and where least waits for it.
 double job_handover::weight(const host_link& host,
                             const job_definition& job) const
@@ -156,7 +167,7 @@
     const auto* load = host.load(job.service);
     if (!host.open() || load == nullptr || load->ready_cores <= 0)
         return 0;
-    const double free = std::max(0.0, load->free_cores - host.sent_cores());
+    const double free = free_cores(host, job);
     const double wait_ms = load->waiting_work / load->ready_cores;
     const double share =
         (free + least_free * load->ready_cores) / (1 + wait_ms / long_wait_ms);
@@ -210,6 +221,27 @@
                                    : links_.at(choices[drawn].host).get();
 }
 
+/// @return The host with most room, if that is enough for the whole job.
+host_link* job_handover::roomy(const job_definition& job,
+                               const std::string& not_at)
+{
+    host_link* best = nullptr;
+    double most = job.widest_cores();
+    for (const auto& group : groups_)
+    {
+        const auto link = links_.find(group.host);
+        if (link == links_.end() || group.host == not_at ||
+            fit(group, job) != label_fit::suitable)
+            continue;
+        const double free = free_cores(*link->second, job);
+        if (free < most)
+            continue;
+        best = link->second.get();
+        most = free;
+    }
+    return best;
+}
+
 bool job_handover::submit(const job_definition& job, job_reply_handler done,
                           local_submit here)
 {
@@ -238,15 +270,17 @@
     handed.job = job;
     handed.done.push_back(std::move(done));
     handed.here = std::move(here);
-    hand(*to, jobs_.emplace(job.id, std::move(handed)).first->second);
+    const bool elsewhere = roomy(job, to->host()) != nullptr;
+    hand(*to, jobs_.emplace(job.id, std::move(handed)).first->second,
+         elsewhere);
     return true;
 }
 
-void job_handover::hand(host_link& to, handed_job& job)
+void job_handover::hand(host_link& to, handed_job& job, bool only_with_room)
 {
     ++stats_.handed;
     job.host = to.host();
-    to.submit(job.job, around_.wall_ms(),
+    to.submit(job.job, only_with_room, around_.wall_ms(),
               [this, id = job.job.id](const std::optional<job_reply>& reply)
               { answered(id, reply); });
 }
@@ -263,14 +297,17 @@
     }
     if (reply->outcome != job_outcome::not_owner)
         return finish(id, *reply);
-    // The host takes no more jobs and has done nothing.
+    // The host has no room, or takes no more jobs, and has done nothing.
     auto& job = known->second;
-    auto* to =
-        job.tries++ < settings_.tries ? choose(job.job, job.host) : nullptr;
+    host_link* to = nullptr;
+    if (job.tries++ < settings_.tries)
+        to = roomy(job.job, job.host);
+    if (to == nullptr && job.tries <= settings_.tries)
+        to = choose(job.job, {});
     if (to != nullptr)
     {
         ++stats_.again;
-        return hand(*to, job);
+        return hand(*to, job, false);
     }
     ++stats_.no_host;
     auto moved = std::move(job);
--- a/src/glenhollow/hosting/job_handover.hpp
+++ b/src/glenhollow/hosting/job_handover.hpp
@@ -54,7 +54,7 @@
     std::uint64_t handed = 0;   ///< Jobs that hosts took.
     std::uint64_t lost = 0;     ///< Of these, lost with their host.
     std::uint64_t again = 0;    ///< Handed to another host, after the first
-                                ///< one did nothing.
+                                ///< one, without room, did nothing.
     std::uint64_t no_host = 0;  ///< Found no host; placed here.
     std::uint64_t repeated = 0; ///< Submissions of a job that hosts have, or
                                 ///< had until lately.
@@ -113,6 +113,13 @@
     /// @return Whether a host has it.
     bool cancel(job_id id, job_reply_handler done);
 
+    /// @param id A job.
+    /// @return Whether a host has it, or had it until lately.
+    bool knows(job_id id) const
+    {
+        return jobs_.contains(id) || ended_.find(id).has_value();
+    }
+
     /// Answers for all jobs at once.
     void give_up_all();
 
@@ -163,7 +170,9 @@
     bool has_label(const hosted_group& group, const std::string& label) const;
     host_link* choose(const job_definition& job, const std::string& not_at);
     double weight(const host_link& host, const job_definition& job) const;
-    void hand(host_link& to, handed_job& job);
+    double free_cores(const host_link& host, const job_definition& job) const;
+    host_link* roomy(const job_definition& job, const std::string& not_at);
+    void hand(host_link& to, handed_job& job, bool only_with_room);
     void answered(job_id id, const std::optional<job_reply>& reply);
     void finish(job_id id, const job_reply& reply);
 
--- a/src/glenhollow/hosting/job_host.cpp
+++ b/src/glenhollow/hosting/job_host.cpp
@@ -114,7 +114,7 @@
 
 bool job_host::paused() const
 {
-    return clock_.now() - ticked_ > pause_limit;
+    return resumed_ || clock_.now() - ticked_ > pause_limit;
 }
 
 std::size_t job_host::attached() const
@@ -131,12 +131,19 @@
 
 void job_host::submit(const job_definition& job, job_reply_handler done)
 {
-    if (refusing_)
+    if (refusing_ && !jobs_.knows(job.id))
         return done({job_outcome::not_owner, job_state::queued, {}});
     jobs_.submit(job, std::move(done));
     schedule_dispatch();
 }
 
+/// What waits already comes first.
+bool job_host::has_room(const job_definition& job) const
+{
+    return dispatcher_.waiting() == 0 &&
+           dispatcher_.free_cores(job.service) >= job.widest_cores();
+}
+
 void job_host::withdraw(job_id id)
 {
     jobs_.withdraw(id);
@@ -164,7 +171,10 @@
 
 void job_host::tick()
 {
-    ticked_ = clock_.now();
+    const auto now = clock_.now();
+    // What had come meanwhile is read only after this tick.
+    resumed_ = now - ticked_ > pause_limit;
+    ticked_ = now;
     agents_.tick();
     check_agents();
     drop_old_agents();
@@ -185,7 +195,8 @@
     }
 }
 
-/// By now what this host ran there has ended.
+/// Its session is closed first; what ran there is given up only when it has
+/// surely lapsed, as for a silent agent.
 void job_host::drop_old_agents()
 {
     const auto now = clock_.now();
@@ -194,9 +205,17 @@
         const auto here = at++;
         if (now - here->second < settings_.keep_agent)
             continue;
+        const auto silence = silences_.find(here->first);
+        if (agents_.is_attached(here->first))
+        {
+            silences_[here->first] = {now, false};
+            agents_.remove(here->first);
+            continue;
+        }
+        if (silence != silences_.end() && !silence->second.ended)
+            continue;
         agents_.remove(here->first);
         dispatcher_.forget(here->first);
-        jobs_.agent_gone(here->first);
         silences_.erase(here->first);
         left_.erase(here);
     }
--- a/src/glenhollow/hosting/job_host.hpp
+++ b/src/glenhollow/hosting/job_host.hpp
@@ -58,6 +58,14 @@
     /// jobs and nothing was done.
     void submit(const job_definition& job, job_reply_handler done);
 
+    /// @param job One in memory.
+    /// @return Whether all tasks of its widest step could begin now.
+    bool has_room(const job_definition& job) const;
+
+    /// @param id A job.
+    /// @return Whether it has come and not ended, or ended lately.
+    bool knows(job_id id) const { return jobs_.knows(id); }
+
     /// @param id A job whose caller has gone.
     void withdraw(job_id id);
 
@@ -162,7 +170,8 @@
     std::map<std::string, instant> left_;           ///< Agents that were.
     std::map<std::string, agent_silence> silences_; ///< By agent.
     instant ticked_{};                              ///< Last tick.
-    instant load_logged_{};                         ///< Last line on the load.
+    bool resumed_ = false;     ///< It stood still until then.
+    instant load_logged_{};    ///< Last line on the load.
     bool dispatching_ = false; ///< A dispatch is on its way.
     bool refusing_ = false;    ///< Takes no more jobs.
 };
--- a/src/glenhollow/hosting/job_host_server.cpp
+++ b/src/glenhollow/hosting/job_host_server.cpp
@@ -55,15 +55,29 @@
 
     kj::Promise<void> submit(SubmitContext context) override
     {
+        const auto job =
+            from_wire(context.getParams().getJob(), wall_milliseconds());
         auto* from = heard();
         if (from == nullptr || server_.host_.paused())
         {
-            fill(context.getResults().initAnswer(),
+            // The same job may have come over another session.
+            const bool known = *alive_ && server_.host_.knows(job.id);
+            fill(
+                context.getResults().initAnswer(),
+                job_reply{known ? job_outcome::unknown : job_outcome::not_owner,
+                          job_state::queued,
+                          {}});
+            return kj::READY_NOW;
+        }
+        if (context.getParams().getOnlyWithRoom() &&
+            !server_.host_.knows(job.id) && !server_.host_.has_room(job))
+        {
+            auto out = context.getResults();
+            fill(out.initAnswer(),
                  job_reply{job_outcome::not_owner, job_state::queued, {}});
+            fill(out.initLoad(), server_.host_);
             return kj::READY_NOW;
         }
-        const auto job =
-            from_wire(context.getParams().getJob(), wall_milliseconds());
         from->jobs.insert(job.id);
         auto paf = kj::newPromiseAndFulfiller<job_reply>();
         auto fulfiller =
@@ -142,8 +156,16 @@
     session* heard()
     {
         auto* from = *alive_ ? server_.find(number_) : nullptr;
-        if (from != nullptr)
-            from->heard = server_.clock_.now();
+        if (from == nullptr)
+            return nullptr;
+        const auto now = server_.clock_.now();
+        // A call that lay here for long is no sign of life.
+        if (now - from->heard > server_.settings_.silence)
+        {
+            server_.end(number_, "silent");
+            return nullptr;
+        }
+        from->heard = now;
         return from;
     }
 
@@ -225,8 +247,6 @@
         for (const auto& agent : one.agents)
             all[agent.name] = agent.where;
     }
-    if (all.empty())
-        return; // No entry is left that could want anything.
     std::vector<agent_address> agents;
     for (const auto& [name, where] : all)
         agents.push_back({name, where});
--- a/src/glenhollow/runs/run_manager.cpp
+++ b/src/glenhollow/runs/run_manager.cpp
@@ -31,10 +31,24 @@
     look();
 }
 
+/// The same job may come over another entry, whose runs have the same numbers:
+/// the end of one that was ordered by an entry of before must not swallow it.
+bool run_manager::is_ended(const run_ref& ref, lease_id memory)
+{
+    const auto known = ledger_.ends().find(ref);
+    if (known == ledger_.ends().end())
+        return false;
+    if (!ref.in_memory() || known->second.lease == memory)
+        return true;
+    const auto end = known->second.end;
+    ledger_.confirm(end);
+    return false;
+}
+
 void run_manager::order(run_order order, lease_id memory)
 {
     const auto ref = order.run;
-    if (runs_.contains(ref) || ledger_.contains(ref))
+    if (runs_.contains(ref) || is_ended(ref, memory))
         return;
     run_record record;
     record.lease = ref.in_memory() ? memory : found_lease(ref);
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -408,6 +408,7 @@
     void end_expired_runs();
     void excuse_expired_ends();
     void let_hold_lapse(std::string_view cause, lease_id lease);
+    bool is_ended(const run_ref& ref, lease_id memory);
     bool may_start(const run_record& run);
     void start_waiting();
     void send_start(run_record& run);
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -1197,7 +1197,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(86a36ca7d5688fda, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(86a36ca7d5688fda, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -8011,6 +8011,8 @@
   inline bool hasJob() const;
   inline  ::glenhollow::wire::HandedJob::Reader getJob() const;
 
+  inline bool getOnlyWithRoom() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -8046,6 +8048,9 @@
   inline void adoptJob(::capnp::Orphan< ::glenhollow::wire::HandedJob>&& value);
   inline ::capnp::Orphan< ::glenhollow::wire::HandedJob> disownJob();
 
+  inline bool getOnlyWithRoom();
+  inline void setOnlyWithRoom(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -16454,6 +16459,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool JobHost::SubmitParams::Reader::getOnlyWithRoom() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool JobHost::SubmitParams::Builder::getOnlyWithRoom() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void JobHost::SubmitParams::Builder::setOnlyWithRoom(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool JobHost::SubmitResults::Reader::hasAnswer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/unit/hosting/job_handover_tests.cpp
+++ b/tests/unit/hosting/job_handover_tests.cpp
@@ -354,6 +354,49 @@
     CHECK(ends.find(3));
 }
 
+TEST_CASE("a host without room gives a job back that another has room for")
+{
+    hosting_play world;
+    entry_side asking{world.loop, "asking", {}};
+    const agent_address agent{"agent", {"127.0.0.1", world.links->port()}};
+    host_link link(process_clock(), *asking.agents,
+                   [&world](std::function<void()> work) {
+                       run_after(world.loop.io(), duration{0}, std::move(work));
+                   },
+                   "agent", {});
+    auto large = hosting_play::job(7);
+    large.steps[0].needs.cpu = 3000;
+    auto next = hosting_play::job(8);
+    next.steps[0].needs.cpu = 2000;
+    bool filled = false;
+    bool asked = false;
+    std::optional<job_reply> given_back;
+    world.play(
+        [&]
+        {
+            asking.agents->add(agent.name, agent.where);
+            asking.agents->tick();
+            link.tick({agent}, milliseconds{50});
+            const auto now_ms = wall_nanoseconds() / 1'000'000;
+            if (link.load("service-1") != nullptr &&
+                !std::exchange(filled, true))
+                link.submit(large, true, now_ms,
+                            [](const std::optional<job_reply>&) {});
+            if (world.runner.started[7] == 1 && !std::exchange(asked, true))
+                link.submit(next, true, now_ms,
+                            [&](const std::optional<job_reply>& reply)
+                            { given_back = reply; });
+            if (given_back)
+            {
+                link.close();
+                asking.close();
+            }
+            return given_back.has_value();
+        });
+    CHECK(given_back->outcome == job_outcome::not_owner);
+    CHECK(world.runner.started[8] == 0);
+}
+
 TEST_CASE("what a silent entry handed over is stopped")
 {
     hosting_play world;
