--- a/tests/unit/durable/memory_cancellation_tests.cpp
+++ b/tests/unit/durable/memory_cancellation_tests.cpp
@@ -561,3 +561,18 @@
     CHECK(world.replies.size() == 100);
     CHECK(world.at(1).cancels->memory().size() == 100);
 }
+
+TEST_CASE("a cancel lost with a link that fell silent is told once it is back")
+{
+    entries_world world(2);
+    world.at(1).holder.jobs[7] = job_state::running;
+    world.at(1).deaf = true;
+    world.cancel(0, 7);
+    world.run(seconds{4});
+    CHECK(world.at(1).holder.jobs[7] == job_state::running);
+    world.at(1).cut = true; // The link is dropped: its calls end unanswered.
+    world.run(milliseconds{100});
+    world.at(1).deaf = world.at(1).cut = false;
+    world.run(milliseconds{100});
+    CHECK(world.at(1).holder.jobs[7] == job_state::cancelled);
+}
--- a/tests/unit/hosting/job_handover_tests.cpp
+++ b/tests/unit/hosting/job_handover_tests.cpp
@@ -397,6 +397,98 @@
     CHECK(world.runner.started[8] == 0);
 }
 
+TEST_CASE("an agent that stopped hosts again once it is back")
+{
+    hosting_play world;
+    bool taken = false;
+    bool stopped = false;
+    bool ended = false;
+    world.play(
+        [&]
+        {
+            auto& hands = *world.entry.handover;
+            if (!taken)
+                taken = world.submit(world.entry, hosting_play::job(7));
+            if (!world.runner.running.empty() && !std::exchange(stopped, true))
+                world.host->refuse_new();
+            if (stopped && !ended && !hands.active() &&
+                !world.runner.running.empty())
+                world.runner.finish(world.runner.running.front(),
+                                    run_outcome::done);
+            if (world.reply && !std::exchange(ended, true))
+            {
+                // Its process ends, and the next one hosts.
+                world.host->close();
+                world.server.reset();
+                world.host.reset();
+                world.entry.agents->remove("agent");
+                world.entry.agents->add("agent",
+                                        {"127.0.0.1", world.links->port()});
+            }
+            return ended && hands.active();
+        });
+    CHECK(world.reply->state == job_state::succeeded);
+}
+
+TEST_CASE("a cancel is answered although its host is lost")
+{
+    hosting_play world;
+    bool taken = false;
+    bool asked = false;
+    std::optional<job_reply> cancelled;
+    world.play(
+        [&]
+        {
+            if (!taken)
+                taken = world.submit(world.entry, hosting_play::job(7));
+            if (!world.runner.running.empty() && !std::exchange(asked, true))
+            {
+                CHECK(world.entry.handover->cancel(7, [&](const job_reply& got)
+                                                   { cancelled = got; }));
+                world.entry.agents->remove("agent");
+            }
+            return cancelled && world.reply;
+        });
+    CHECK(cancelled->outcome == job_outcome::unknown);
+    CHECK(world.reply->outcome == job_outcome::unknown);
+}
+
+TEST_CASE("a host tells that it stood still until its next tick")
+{
+    manual_loop loop;
+    rpc_loop links;
+    fake_row_store store{loop};
+    job_host_settings limits;
+    limits.name = "host";
+    job_host host(links.io(), loop.clock, store, limits);
+    host.tick();
+    loop.advance(milliseconds{50});
+    host.tick();
+    CHECK_FALSE(host.paused());
+    loop.advance(milliseconds{500});
+    CHECK(host.paused());
+    host.tick(); // Before what came meanwhile is read.
+    CHECK(host.paused());
+    loop.advance(milliseconds{50});
+    host.tick();
+    CHECK_FALSE(host.paused());
+}
+
+TEST_CASE("an entry that keeps its jobs knows those that hosts have")
+{
+    hosting_play world;
+    bool taken = false;
+    world.play(
+        [&]
+        {
+            if (!taken)
+                taken = world.submit(world.entry, hosting_play::job(7));
+            return !world.runner.running.empty();
+        });
+    CHECK(world.entry.handover->knows(7));
+    CHECK(!world.entry.handover->knows(8));
+}
+
 TEST_CASE("what a silent entry handed over is stopped")
 {
     hosting_play world;
