--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -502,6 +502,13 @@
     count("runner_registrations_stale_total",
           "Registrations of lives that had ended", stats.stale_registrations,
           {});
+    count("server_heartbeats_total", "Accounts of backend servers",
+          stats.heartbeats, "taken=\"yes\"");
+    count("server_heartbeats_total", "Accounts of backend servers",
+          stats.heartbeats_late, "taken=\"late\"");
+    count("listed_ends_repeated_total",
+          "Listed ends with a number that was done with before",
+          stats.ends_repeated, {});
     count("server_notices_total", "Lives that told when they would leave",
           stats.notices, {});
     count("runs_moved_total", "Runs stopped to be run at another server",
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -82,6 +82,9 @@
 {
     std::string service;                       ///< What it runs.
     std::string instance;                      ///< This life of it.
+    std::int64_t born_ms = 0;                  ///< When it started, Unix ms by
+                                               ///< its own word; 0: not told.
+    std::uint64_t sequence = 0;                ///< Of this word, in this life.
     std::string zone;                          ///< Where it stands.
     std::vector<std::string> labels;           ///< Kind, rack.
     resources capacity;                        ///< All of it.
@@ -203,6 +206,10 @@
     std::uint64_t vanished = 0;   ///< Runs that the runner no longer showed.
     std::uint64_t strays = 0;     ///< Stops of runs shown after their end.
     std::uint64_t stale_registrations = 0; ///< Of lives that had ended.
+    std::uint64_t heartbeats = 0;          ///< Accounts that were used.
+    std::uint64_t heartbeats_late = 0; ///< Accounts older than one used before.
+    std::uint64_t ends_repeated = 0;   ///< Listed with a number that was done
+                                       ///< with before.
     std::uint64_t notices = 0;  ///< Lives that told when they would leave.
     std::uint64_t moved = 0;    ///< Runs stopped to be run elsewhere.
     std::uint64_t moved_ms = 0; ///< Time that these had run: thrown away.
@@ -265,6 +272,11 @@
     void registered(const runner_account& account,
                     const runner_times& times = {});
 
+    /// An account came that is older than one of the same life: not used.
+    /// @param account The late one.
+    /// @param latest Number of the last one that was used.
+    void note_late(const runner_account& account, std::uint64_t latest);
+
     /// What the last process of this agent knew. It counts once the backend
     /// server has answered as that life, and not after a registration.
     /// @param account As it had registered itself.
@@ -426,6 +438,7 @@
     void expect(duration wait, std::function<bool()> awaited,
                 std::function<void()> missed);
     void look_again(bool answered);
+    void note_born(std::int64_t born_ms);
     void stop_ended(instant sent, const run_ref& ref);
     void take_running(instant sent, const std::vector<shown_run>& running);
     void take_finished(const std::vector<run_end>& finished);
@@ -460,10 +473,12 @@
                                               ///< while another answers.
     instant candidate_since_{};               ///< When it did.
     server_pace pace_;                        ///< Of the registered life.
-    duration look_gap_{};       ///< Between the last two answered looks.
-    bool verified_ = false;     ///< The registered life has answered.
-    bool from_memory_ = false;  ///< It has not registered with this process.
-    bool registered_ = false;   ///< Some life has, with this process.
+    duration look_gap_{};      ///< Between the last two answered looks.
+    bool verified_ = false;    ///< The registered life has answered.
+    bool from_memory_ = false; ///< It has not registered with this process.
+    bool registered_ = false;  ///< Some life has, with this process.
+    std::int64_t listed_born_ms_ =
+        0;                      ///< Of the life that the last look showed.
     bool evacuated_ = false;    ///< The hall gets no new work.
     runner_clock runner_clock_; ///< The runner's clock as seen here.
     runner_breaker breaker_;    ///< Judges it by the ends of its runs.
--- a/src/glenhollow/runs/run_manager_lives.cpp
+++ b/src/glenhollow/runs/run_manager_lives.cpp
@@ -17,6 +17,7 @@
     auto account = told;
     date(account, times);
     registered_ = true;
+    ++stats_.heartbeats;
     if (account_.instance == account.instance)
         from_memory_ = false;
     if (account_.instance == account.instance || account_.instance.empty())
@@ -29,6 +30,18 @@
     look_now();
 }
 
+void run_manager::note_late(const runner_account& account, std::uint64_t latest)
+{
+    ++stats_.heartbeats_late;
+    log_change(log_level::info, "heartbeat_late",
+               {{"instance", account.instance},
+                {"born_ms", account.born_ms},
+                {"phase", to_name(account.phase)},
+                {"sequence", account.sequence},
+                {"latest", latest},
+                {"listed_born_ms", listed_born_ms_}});
+}
+
 /// Backend servers live on while this process is away, and register again only
 /// with their next heartbeat; a look tells at once whether the life is the
 /// same.
@@ -59,6 +72,7 @@
     if (news)
         log_change(log_level::info, "runner_registered",
                    {{"instance", account.instance},
+                    {"born_ms", account.born_ms},
                     {"service", account.service},
                     {"cpu", account.capacity.cpu}});
     take_told_phase();
--- a/src/glenhollow/runs/run_manager_looks.cpp
+++ b/src/glenhollow/runs/run_manager_looks.cpp
@@ -148,6 +148,7 @@
         answered_ = clock_.now();
         const bool first = !informed_;
         informed_ = true;
+        note_born(got.born_ms);
         take_finished(got.finished);
         take_running(asked.sent, got.running);
         settle_absent(asked.sent, got.running);
@@ -173,12 +174,28 @@
            });
 }
 
+/// @param born_ms Start of the life that shows its runs; 0: not told.
+void run_manager::note_born(std::int64_t born_ms)
+{
+    if (born_ms == 0 || born_ms == listed_born_ms_)
+        return;
+    if (listed_born_ms_ != 0)
+        log_change(log_level::warning, "runner_born_again",
+                   {{"instance", account_.instance},
+                    {"from_ms", listed_born_ms_},
+                    {"to_ms", born_ms}});
+    listed_born_ms_ = born_ms;
+}
+
 void run_manager::take_finished(const std::vector<run_end>& finished)
 {
     for (const auto& end : finished)
     {
         if (end.number <= ledger_.confirmed())
+        {
+            ++stats_.ends_repeated;
             continue;
+        }
         end_run(end.run, end.how, end.number);
     }
 }
