A backend server's life is its id and its start: what an agent remembers is kept by life

A server may run again under its id with counts and clock begun anew. Its heartbeats were then taken for late ones of the life before (200, not used: work after it had said that it leaves), its ends for such as were done with (each run vanished and ran again), its notice was dated by the other life's clock, entries kept the room of the other life, a held back heartbeat or sign-off of the other life counted. Class: memory of one incarnation filed under a name that outlives it.

The start told with heartbeats and lists tells lives apart; starts are compared for being the same only, as the time of day may be set back. Which life is there is said by the lists. Runs are settled one by one by what the new life shows: an order meant for the last one may have been taken by this one; what had no answer when its server ended may have run. After a look without an answer nothing is acknowledged until one has been answered. A refused connection makes the server absent at once.

Ruled out: phase not taken from a word that counted (no such word was taken), a late word that took it back (none was on its way; a test now brings that about too).

--- a/programs/durable_agent.cpp
+++ b/programs/durable_agent.cpp
@@ -173,9 +173,8 @@
         if (stopping_)
             return; // Its phase is this process's own by now.
         const auto phase = manager_.told_phase();
-        const auto& instance = manager_.account().instance;
-        if (instance.empty() ||
-            (instance == kept_.instance && phase == kept_.phase))
+        const auto life = manager_.account().life();
+        if (life.empty() || (life == kept_.life() && phase == kept_.phase))
             return;
         auto account = manager_.account();
         account.phase = phase;
--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -186,7 +186,7 @@
 struct RunnerState {
   # Service, instance, zone, labels and capacity only where `whole` is set.
   service @0 :Text;
-  instance @1 :Text;         # one life of the runner
+  instance @1 :Text;         # id of the runner; see born
   zone @2 :Text;
   labels @3 :List(Text);
   phase @4 :UInt8;
@@ -203,6 +203,8 @@
   coldMs @15 :UInt32;        # it stays slow from its start for so long
   paceMilli @16 :UInt32;     # thousandths: time of runs over what was expected;
                              # 0: not known yet
+  born @17 :Int64;           # when this life of the id started, Unix ms by its
+                             # own word; 0: not told
 }
 
 struct PartEpoch {
--- a/src/glenhollow/durable/agent_view.cpp
+++ b/src/glenhollow/durable/agent_view.cpp
@@ -17,7 +17,7 @@
 void agent_view::attached(const runner_report& report)
 {
     linked_ = true;
-    if (report.account.instance != report_.account.instance)
+    if (report.account.life() != report_.account.life())
         pace_ = 1.0; // It may be of another kind.
     report_ = report;
     flying_.clear();
@@ -49,7 +49,7 @@
         account.phase = report.account.phase;
         report_.account = std::move(account);
     }
-    else if (account.instance != report.account.instance)
+    else if (account.life() != report.account.life())
     {
         pace_ = 1.0;
     }
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -401,7 +401,7 @@
         auto request = reports->reportRequest();
         auto out = request.initReport();
         const auto& account = manager_.account();
-        const bool whole = to.told_life != account.instance;
+        const bool whole = to.told_life != account.life();
         fill(out.initState(),
              {account, manager_.room(), to.received, whole, {}});
         const auto leases = leases_of(to);
@@ -419,7 +419,7 @@
         out.setSentAt(sent.count());
         const auto number = to.number;
         to.reporting = true;
-        to.told_life = account.instance;
+        to.told_life = account.life();
         to.marks.urgent = to.marks.room = false;
         to.marks.reported = sent;
         ++reports_;
@@ -506,6 +506,14 @@
           stats.heartbeats, "taken=\"yes\"");
     count("server_heartbeats_total", "Accounts of backend servers",
           stats.heartbeats_late, "taken=\"late\"");
+    count("server_heartbeats_total", "Accounts of backend servers",
+          stats.heartbeats_undated, "taken=\"undated\"");
+    count("server_lives_same_id_total",
+          "Lives that began under the id of the last one", stats.born_again,
+          {});
+    count("server_sign_offs_stale_total",
+          "Words of an end that the server's answers did not bear out",
+          stats.stale_sign_offs, {});
     count("listed_ends_repeated_total",
           "Listed ends with a number that was done with before",
           stats.ends_repeated, {});
--- a/src/glenhollow/runs/run_agent_service.hpp
+++ b/src/glenhollow/runs/run_agent_service.hpp
@@ -67,7 +67,7 @@
         bool reporting = false;                      ///< A report is out.
         report_marks marks;                 ///< What it has to be told.
         std::vector<std::uint32_t> granted; ///< Its grants that have come.
-        std::string told_life; ///< Runner's life whose account was told.
+        server_life told_life; ///< Runner's life whose account was told.
     };
 
     void lease_changed(lease_id lease) override;
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -4,10 +4,12 @@
 #include "glenhollow/core/clock.hpp"
 #include "glenhollow/durable/durable_job.hpp"
 #include "glenhollow/runs/end_ledger.hpp"
+#include "glenhollow/runs/heartbeat_order.hpp"
 #include "glenhollow/runs/leaving_server.hpp"
 #include "glenhollow/runs/runner_breaker.hpp"
 #include "glenhollow/runs/runner_clock.hpp"
 #include "glenhollow/runs/runner_port.hpp"
+#include "glenhollow/runs/server_life.hpp"
 #include "glenhollow/runs/server_pace.hpp"
 #include "glenhollow/telemetry/metrics.hpp"
 
@@ -81,7 +83,7 @@
 struct runner_account
 {
     std::string service;                       ///< What it runs.
-    std::string instance;                      ///< This life of it.
+    std::string instance;                      ///< Its id.
     std::int64_t born_ms = 0;                  ///< When it started, Unix ms by
                                                ///< its own word; 0: not told.
     std::uint64_t sequence = 0;                ///< Of this word, in this life.
@@ -92,6 +94,9 @@
     std::optional<instant> leaves; ///< At the earliest, by the agent's clock;
                                    ///< all that runs there ends with it.
     instant cold_until{};          ///< Slow from its start until then.
+
+    /// @return Which life of the runner speaks.
+    server_life life() const { return {instance, born_ms}; }
 };
 
 /// Times that a runner tells with its account, as of its own clock.
@@ -208,6 +213,10 @@
     std::uint64_t stale_registrations = 0; ///< Of lives that had ended.
     std::uint64_t heartbeats = 0;          ///< Accounts that were used.
     std::uint64_t heartbeats_late = 0; ///< Accounts older than one used before.
+    std::uint64_t heartbeats_undated = 0; ///< Accounts that do not tell their
+                                          ///< start, while looks do.
+    std::uint64_t born_again = 0; ///< Lives that began under the last one's id.
+    std::uint64_t stale_sign_offs = 0; ///< Words of an end that had not come.
     std::uint64_t ends_repeated = 0;   ///< Listed with a number that was done
                                        ///< with before.
     std::uint64_t notices = 0;  ///< Lives that told when they would leave.
@@ -272,19 +281,19 @@
     void registered(const runner_account& account,
                     const runner_times& times = {});
 
-    /// An account came that is older than one of the same life: not used.
-    /// @param account The late one.
-    /// @param latest Number of the last one that was used.
-    void note_late(const runner_account& account, std::uint64_t latest);
-
     /// What the last process of this agent knew. It counts once the backend
     /// server has answered as that life, and not after a registration.
     /// @param account As it had registered itself.
     void remembered(const runner_account& account);
 
-    /// @param instance A life that has ended.
+    /// @param instance Id of the life that has ended.
     void departed(const std::string& instance);
 
+    /// A life says that it ends. Where it has not said before that it leaves,
+    /// the word may be an earlier life's: a look decides.
+    /// @param life Whose word it is, as far as it is told.
+    void signed_off(const server_life& life);
+
     /// Takes a lease's holder.
     /// @param lease A part's, or an entry's.
     /// @param epoch The owner's; 0 for an entry's lease.
@@ -385,6 +394,7 @@
         instant progressed{};      ///< When the percent last rose.
         instant ordered{};         ///< When its order came.
         bool lost = false;         ///< It can't end before its server leaves.
+        bool may_have_run = false; ///< In a life that ended before its answer.
     };
 
     /// What is known of one lease.
@@ -407,11 +417,14 @@
     using runs = std::unordered_map<run_ref, run_record, run_ref_hash>;
 
     void date(runner_account& account, const runner_times& times) const;
+    bool passed_over(const runner_account& account);
     void note_notice(const std::optional<instant>& before);
     void check_leaving();
     void note_pace(const run_record& run);
     void take_account(const runner_account& account);
     void replace_life(const runner_account& next);
+    void doubt(const runner_account& other);
+    void forget_account();
     void verify_life(instant sent);
     void life_is_over();
     lease_record& lease_of(const run_record& run);
@@ -438,7 +451,10 @@
     void expect(duration wait, std::function<bool()> awaited,
                 std::function<void()> missed);
     void look_again(bool answered);
+    void unreached();
     void note_born(std::int64_t born_ms);
+    void begin_life(std::int64_t before_ms);
+    void verify_sign_off(instant sent);
     void stop_ended(instant sent, const run_ref& ref);
     void take_running(instant sent, const std::vector<shown_run>& running);
     void take_finished(const std::vector<run_end>& finished);
@@ -469,6 +485,7 @@
     std::uint64_t token_;                            ///< Fencing token.
     runner_account account_;                         ///< As last registered.
     runner_phase told_phase_ = runner_phase::absent; ///< By the runner.
+    heartbeat_order heartbeats_;                     ///< Which are late.
     std::optional<runner_account> candidate_; ///< A life that has registered
                                               ///< while another answers.
     instant candidate_since_{};               ///< When it did.
@@ -477,8 +494,12 @@
     bool verified_ = false;    ///< The registered life has answered.
     bool from_memory_ = false; ///< It has not registered with this process.
     bool registered_ = false;  ///< Some life has, with this process.
-    std::int64_t listed_born_ms_ =
-        0;                      ///< Of the life that the last look showed.
+    std::int64_t listed_born_ms_ = 0; ///< Start of the life that the last look
+                                      ///< showed; 0: not told.
+    std::optional<instant> sign_off_; ///< When a word of its end came that a
+                                      ///< look has to bear out.
+    bool unsure_ = false; ///< The last look got no answer: another life may be
+                          ///< there.
     bool evacuated_ = false;    ///< The hall gets no new work.
     runner_clock runner_clock_; ///< The runner's clock as seen here.
     runner_breaker breaker_;    ///< Judges it by the ends of its runs.
--- a/src/glenhollow/runs/run_manager_leaving.cpp
+++ b/src/glenhollow/runs/run_manager_leaving.cpp
@@ -28,7 +28,7 @@
     const auto now = clock_.now();
     duration age{};
     if (times.clock_ms > 0 && runner_clock_.known() &&
-        account.instance == account_.instance)
+        may_be_same(account.life(), account_.life()))
         age = std::max(
             duration{0},
             duration{milliseconds{runner_clock_.at(now, {}) - times.clock_ms}});
--- a/src/glenhollow/runs/run_manager_lives.cpp
+++ b/src/glenhollow/runs/run_manager_lives.cpp
@@ -1,6 +1,7 @@
 // Lives of the backend server, and whether it takes work.
 #include "glenhollow/runs/run_manager.hpp"
 
+#include "glenhollow/runs/run_manager_timing.hpp"
 #include "glenhollow/telemetry/log.hpp"
 
 #include <utility>
@@ -8,38 +9,66 @@
 namespace glenhollow
 {
 
+using namespace manager_timing;
+
 /// A heartbeat that was held back may come after its sender has ended and the
 /// next life has registered. Which life is there is told by the backend server
-/// itself: it refuses a look that expects another one.
+/// itself: it refuses a look that expects another id, and its lists name its
+/// start, which alone tells lives of one id apart.
 void run_manager::registered(const runner_account& told,
                              const runner_times& times)
 {
+    if (passed_over(told))
+        return;
     auto account = told;
     date(account, times);
     registered_ = true;
     ++stats_.heartbeats;
-    if (account_.instance == account.instance)
+    heartbeats_.note(account.life(), account.sequence);
+    const bool same = may_be_same(account_.life(), account.life());
+    if (same)
         from_memory_ = false;
-    if (account_.instance == account.instance || account_.instance.empty())
+    const bool shown = !starts_differ(account.born_ms, listed_born_ms_);
+    if (same || (account_.instance.empty() && shown))
         return take_account(account);
-    if (!verified_)
+    if (!verified_ && shown)
         return replace_life(account); // No look has spoken for the other.
-    if (!candidate_ || candidate_->instance != account.instance)
-        candidate_since_ = clock_.now();
-    candidate_ = account;
-    look_now();
+    doubt(account);
 }
 
-void run_manager::note_late(const runner_account& account, std::uint64_t latest)
+/// @return Whether the account must not be used.
+bool run_manager::passed_over(const runner_account& account)
 {
-    ++stats_.heartbeats_late;
-    log_change(log_level::info, "heartbeat_late",
+    const auto latest = heartbeats_.overtaken(account.life(), account.sequence);
+    if (latest)
+    {
+        ++stats_.heartbeats_late;
+        log_change(log_level::info, "heartbeat_late",
+                   {{"instance", account.instance},
+                    {"born_ms", account.born_ms},
+                    {"phase", to_name(account.phase)},
+                    {"sequence", account.sequence},
+                    {"latest", *latest}});
+        return true;
+    }
+    if (account.born_ms != 0 || listed_born_ms_ == 0)
+        return false;
+    // It can't be said whose it is, and the server always tells its start.
+    ++stats_.heartbeats_undated;
+    log_change(log_level::warning, "heartbeat_undated",
                {{"instance", account.instance},
-                {"born_ms", account.born_ms},
                 {"phase", to_name(account.phase)},
-                {"sequence", account.sequence},
-                {"latest", latest},
                 {"listed_born_ms", listed_born_ms_}});
+    return true;
+}
+
+/// Another life has registered than that which answers, or has last answered.
+void run_manager::doubt(const runner_account& other)
+{
+    if (!candidate_ || candidate_->life() != other.life())
+        candidate_since_ = clock_.now();
+    candidate_ = other;
+    look_now();
 }
 
 /// Backend servers live on while this process is away, and register again only
@@ -47,8 +76,14 @@
 /// same.
 void run_manager::remembered(const runner_account& account)
 {
-    if (registered_ || !account_.instance.empty())
+    // A heartbeat that was on its way when this process began may be older.
+    const bool later = may_be_same(account_.life(), account.life()) &&
+                       account.sequence > account_.sequence;
+    if (!later && (registered_ || !account_.instance.empty()))
         return;
+    heartbeats_.note(account.life(), account.sequence);
+    if (later)
+        return take_account(account);
     ++stats_.remembered;
     from_memory_ = true;
     log_change(log_level::info, "runner_remembered",
@@ -60,7 +95,7 @@
 
 void run_manager::take_account(const runner_account& account)
 {
-    const bool news = account_.instance != account.instance;
+    const bool news = !may_be_same(account_.life(), account.life());
     const auto phase = account_.phase;
     const auto left = account_.leaves;
     account_ = account;
@@ -85,9 +120,15 @@
 
 void run_manager::replace_life(const runner_account& next)
 {
-    log_change(log_level::warning, "runner_replaced",
-               {{"from", account_.instance}, {"to", next.instance}});
     const auto account = next; // It may be the candidate, which ends here.
+    candidate_.reset();
+    if (account_.instance.empty())
+        return take_account(account);
+    log_change(log_level::warning, "runner_replaced",
+               {{"from", account_.instance},
+                {"from_born_ms", account_.born_ms},
+                {"to", account.instance},
+                {"to_born_ms", account.born_ms}});
     departed(account_.instance);
     take_account(account);
 }
@@ -97,11 +138,13 @@
 void run_manager::verify_life(instant sent)
 {
     verified_ = true;
+    verify_sign_off(sent);
     if (!candidate_ || sent < candidate_since_)
         return;
     ++stats_.stale_registrations;
     log_change(log_level::info, "registration_stale",
                {{"instance", candidate_->instance},
+                {"born_ms", candidate_->born_ms},
                 {"registered", account_.instance}});
     candidate_.reset();
 }
@@ -125,19 +168,95 @@
     if (std::exchange(from_memory_, false) && !verified_)
         ++stats_.forgotten;
     candidate_.reset();
+    const bool shown = verified_;
+    forget_account();
+    // What was found running may be another life's than that which departs.
+    if (!shown)
+        return;
+    end_all(run_outcome::lapsed);
+    ledger_.new_life();
+    runner_clock_.reset();
+    breaker_.reset();
+    informed_ = false;
+    listed_born_ms_ = 0;
+}
+
+/// Until a life has registered nothing starts: it may be of another kind.
+void run_manager::forget_account()
+{
     account_.instance.clear();
+    account_.born_ms = 0;
+    account_.sequence = 0;
     account_.leaves.reset();
     account_.cold_until = {};
+    verified_ = false;
+    sign_off_.reset();
     told_phase_ = runner_phase::absent;
     set_phase(runner_phase::absent);
-    // What was found running may be another life's than that which departs.
-    if (!std::exchange(verified_, false))
+}
+
+void run_manager::signed_off(const server_life& life)
+{
+    if (candidate_ && may_be_same(candidate_->life(), life))
+        candidate_.reset();
+    if (!may_be_same(account_.life(), life))
         return;
-    end_all(run_outcome::lapsed);
+    if (told_phase_ == runner_phase::draining || !verified_)
+        return departed(account_.instance);
+    sign_off_ = clock_.now();
+    look_now();
+}
+
+/// The registered life has answered.
+/// @param sent When the look left.
+void run_manager::verify_sign_off(instant sent)
+{
+    if (!sign_off_ || sent < *sign_off_)
+        return;
+    ++stats_.stale_sign_offs;
+    log_change(
+        log_level::info, "sign_off_stale",
+        {{"instance", account_.instance}, {"born_ms", account_.born_ms}});
+    sign_off_.reset();
+}
+
+/// What is known of the life that was there counts for nothing with the one
+/// that the lists are of, however alike their ids are.
+/// @param born_ms Start of the life that shows its runs; 0: not told.
+void run_manager::note_born(std::int64_t born_ms)
+{
+    if (born_ms == 0)
+        return;
+    const auto before = std::exchange(listed_born_ms_, born_ms);
+    if (starts_differ(before, born_ms))
+        begin_life(before);
+    if (starts_differ(account_.born_ms, born_ms))
+        forget_account();
+    else if (!account_.instance.empty())
+        account_.born_ms = born_ms;
+    if (!account_.instance.empty() || !candidate_ ||
+        candidate_->born_ms != born_ms)
+        return;
+    const auto next = *candidate_;
+    candidate_.reset();
+    take_account(next);
+}
+
+/// Runs are settled one by one, by what the new life shows: an order that was
+/// meant for the last one may have been taken by this one.
+/// @param before_ms Start of the life before.
+void run_manager::begin_life(std::int64_t before_ms)
+{
+    ++stats_.born_again;
+    log_change(log_level::warning, "runner_born_again",
+               {{"instance", account_.instance},
+                {"from_born_ms", before_ms},
+                {"to_born_ms", listed_born_ms_},
+                {"runs", runs_.size()}});
     ledger_.new_life();
-    runner_clock_.reset();
     breaker_.reset();
-    informed_ = false;
+    for (auto& [ref, run] : runs_)
+        run.may_have_run = occupies(run.phase);
 }
 
 /// The backend server's own word counts while it answers and takes starts; in
--- a/src/glenhollow/runs/run_manager_looks.cpp
+++ b/src/glenhollow/runs/run_manager_looks.cpp
@@ -67,6 +67,7 @@
             if (looks_out_ >= settings_.looks_out)
                 return expect_look(number, wait); // It is silent.
             ++stats_.looks_lost;
+            unsure_ = true;
             look_now();
         });
 }
@@ -92,7 +93,8 @@
     const auto number = ++look_number_;
     hold_request request;
     request.context = context();
-    request.confirmed = ledger_.confirmed();
+    // Another life's ends must not be forgotten by the last one's numbers.
+    request.confirmed = unsure_ ? 0 : ledger_.confirmed();
     hold_out_ = {};
     // A look that is not answered may renew the hold all the same; a runner
     // that stays silent must be let go of before its runs count as ended.
@@ -105,7 +107,7 @@
     const bool known_life = verified_ || account_.instance.empty();
     const bool hurried = std::exchange(hurried_, false);
     if (!ledger_.waits() && runner_clock_.known() && informed_ && !lapsing_ &&
-        known_life && !hurried)
+        known_life && !hurried && !unsure_)
         request.wait = settings_.look_wait;
     runner_.hold(request,
                  [this, alive = alive_,
@@ -140,15 +142,18 @@
     }
     const bool done =
         got.outcome == order_outcome::done && (expected || asked.life.empty());
+    unsure_ = !done;
+    if (!got.reached)
+        unreached();
     if (done)
     {
-        if (expected)
+        note_born(got.born_ms);
+        if (!asked.life.empty() && asked.life == account_.instance)
             verify_life(asked.sent);
         look_gap_ = clock_.now() - answered_;
         answered_ = clock_.now();
         const bool first = !informed_;
         informed_ = true;
-        note_born(got.born_ms);
         take_finished(got.finished);
         take_running(asked.sent, got.running);
         settle_absent(asked.sent, got.running);
@@ -174,19 +179,6 @@
            });
 }
 
-/// @param born_ms Start of the life that shows its runs; 0: not told.
-void run_manager::note_born(std::int64_t born_ms)
-{
-    if (born_ms == 0 || born_ms == listed_born_ms_)
-        return;
-    if (listed_born_ms_ != 0)
-        log_change(log_level::warning, "runner_born_again",
-                   {{"instance", account_.instance},
-                    {"from_ms", listed_born_ms_},
-                    {"to_ms", born_ms}});
-    listed_born_ms_ = born_ms;
-}
-
 void run_manager::take_finished(const std::vector<run_end>& finished)
 {
     for (const auto& end : finished)
@@ -290,14 +282,24 @@
         const auto known = runs_.find(ref);
         if (known == runs_.end())
             continue;
-        const bool doubtful = known->second.phase == run_phase::doubtful;
-        if (!doubtful)
+        const auto& run = known->second;
+        const bool doubtful = run.phase == run_phase::doubtful;
+        if (!doubtful && !run.may_have_run)
             ++stats_.vanished;
-        end_run(ref, doubtful ? run_outcome::not_begun : run_outcome::lapsed,
-                0);
+        const bool never = doubtful && !run.may_have_run;
+        end_run(ref, never ? run_outcome::not_begun : run_outcome::lapsed, 0);
     }
 }
 
+/// Nobody listens there: it has ended, and what comes next may be of another
+/// kind. No start is tried before it has answered.
+void run_manager::unreached()
+{
+    set_phase(runner_phase::absent);
+    if (sign_off_)
+        departed(account_.instance);
+}
+
 duration run_manager::silence_limit() const
 {
     return with_drift(settings_.hold) + lapse_slack;
--- a/src/glenhollow/runs/run_wire.cpp
+++ b/src/glenhollow/runs/run_wire.cpp
@@ -15,6 +15,7 @@
 {
     out.setService(account.service);
     out.setInstance(account.instance);
+    out.setBorn(account.born_ms);
     out.setZone(account.zone);
     auto labels = out.initLabels(static_cast<unsigned>(account.labels.size()));
     for (unsigned i = 0; i < labels.size(); ++i)
@@ -29,6 +30,7 @@
     runner_account account;
     account.service = text(in.getService());
     account.instance = text(in.getInstance());
+    account.born_ms = in.getBorn();
     account.zone = text(in.getZone());
     for (auto label : in.getLabels())
         account.labels.push_back(text(label));
--- a/src/glenhollow/runs/runner_memo.cpp
+++ b/src/glenhollow/runs/runner_memo.cpp
@@ -16,6 +16,8 @@
     json::object out;
     out["service"] = account.service;
     out["instance"] = account.instance;
+    out["born_ms"] = account.born_ms;
+    out["sequence"] = account.sequence;
     out["zone"] = account.zone;
     out["labels"] = json::value_from(account.labels);
     out["room"] = json::array{room.cpu, room.memory, room.gpu};
@@ -40,6 +42,11 @@
         runner_account account;
         account.service = text("service");
         account.instance = text("instance");
+        if (in.contains("born_ms")) // Rows of before have none.
+        {
+            account.born_ms = json::value_to<std::int64_t>(in.at("born_ms"));
+            account.sequence = json::value_to<std::uint64_t>(in.at("sequence"));
+        }
         account.zone = text("zone");
         account.labels =
             json::value_to<std::vector<std::string>>(in.at("labels"));
--- a/src/glenhollow/runs/runner_port.hpp
+++ b/src/glenhollow/runs/runner_port.hpp
@@ -70,6 +70,7 @@
 {
     order_outcome outcome = order_outcome::unanswered; ///< What happened.
     std::int64_t clock_ms = 0;                         ///< The runner's clock.
+    bool reached = true; ///< False: there was no connection, nothing was sent.
     std::int64_t born_ms = 0;       ///< When this life started; 0: not told.
     std::vector<shown_run> running; ///< All that runs.
     std::vector<run_end> finished;  ///< Ends not yet confirmed.
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -937,7 +937,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b25201a161893fdc, 7, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b25201a161893fdc, 8, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -6474,6 +6474,8 @@
 
   inline  ::uint32_t getPaceMilli() const;
 
+  inline  ::int64_t getBorn() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6570,6 +6572,9 @@
   inline  ::uint32_t getPaceMilli();
   inline void setPaceMilli( ::uint32_t value);
 
+  inline  ::int64_t getBorn();
+  inline void setBorn( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -15220,6 +15225,20 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t RunnerState::Reader::getBorn() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RunnerState::Builder::getBorn() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void RunnerState::Builder::setBorn( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint16_t PartEpoch::Reader::getPart() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/unit/durable/server_order_tests.cpp
+++ b/tests/unit/durable/server_order_tests.cpp
@@ -188,9 +188,14 @@
     view.attached(report); // The same life.
     CHECK(view.pace() == Approx(1.6));
     report.account.instance = "life-2";
+    report.account.born_ms = 1000;
     report.room.pace = 0;
     view.reported(report);
     CHECK(view.pace() == Approx(1.0));
+    view.note_pace(3.0);
+    report.account.born_ms = 2000; // Another life under the same id.
+    view.reported(report);
+    CHECK(view.pace() == Approx(1.0));
 }
 
 TEST_CASE("a task stopped at a leaving server starts elsewhere, once it ended")
--- a/tests/unit/platform/restarted_server_tests.cpp
+++ b/tests/unit/platform/restarted_server_tests.cpp
@@ -257,3 +257,158 @@
     CHECK(world.manager.account().phase == runner_phase::ready);
     CHECK(world.server.running.size() == 1);
 }
+
+TEST_CASE("a planned sign-off ends the life at once", "[restarted_server]")
+{
+    restart_world world;
+    world.live_once();
+    world.order(7);
+    world.run(milliseconds{50});
+    world.beat(first_born, 41, "draining");
+    world.sign_off();
+    world.run(milliseconds{10});
+    CHECK(world.manager.account().instance.empty());
+    REQUIRE(world.told.size() == 1);
+    CHECK(world.told[0].how == run_outcome::lapsed);
+}
+
+TEST_CASE("a sign-off without notice counts when nobody listens any more",
+          "[restarted_server]")
+{
+    restart_world world;
+    world.live_once();
+    world.order(7);
+    world.run(milliseconds{50});
+    world.server.ended = true;
+    world.sign_off();
+    world.run(milliseconds{150});
+    CHECK(world.manager.account().instance.empty());
+    REQUIRE(world.told.size() == 1);
+    CHECK(world.told[0].how == run_outcome::lapsed);
+}
+
+TEST_CASE("a server that nobody listens at gets no work until it answers",
+          "[restarted_server]")
+{
+    restart_world world;
+    world.live_once();
+    world.server.ended = true;
+    world.run(milliseconds{200});
+    CHECK(world.manager.account().phase == runner_phase::absent);
+    world.order(7);
+    world.run(milliseconds{10});
+    REQUIRE(world.told.size() == 1);
+    CHECK(world.told[0].how == run_outcome::not_begun);
+    CHECK(world.server.started.at(42) == 3);
+    world.server.ended = false; // The same life: it was cut off.
+    world.run(milliseconds{100});
+    CHECK(world.manager.account().phase == runner_phase::ready);
+}
+
+TEST_CASE("a heartbeat that names no start is not used where lists name one",
+          "[restarted_server]")
+{
+    restart_world world;
+    world.live_once();
+    world.beat(0, 50, "draining");
+    world.run(milliseconds{20});
+    CHECK(world.manager.account().phase == runner_phase::ready);
+    CHECK(world.manager.stats().heartbeats_undated == 1);
+}
+
+TEST_CASE("of lives whose start is never told the id alone says which it is",
+          "[restarted_server]")
+{
+    restart_world world;
+    world.server.born_ms = 0;
+    world.beat(0, 1, "ready");
+    world.run(milliseconds{50});
+    CHECK(world.manager.account().phase == runner_phase::ready);
+    world.beat(0, 3, "draining");
+    world.beat(0, 2, "ready");
+    world.run(milliseconds{50});
+    CHECK(world.manager.account().phase == runner_phase::draining);
+}
+
+TEST_CASE("a new life that answers no look is taken once the last is silent",
+          "[restarted_server]")
+{
+    restart_world world;
+    world.live_once();
+    world.server.silent = true;
+    world.beat(second_born, 1, "ready");
+    world.run(milliseconds{500});
+    CHECK(world.manager.account().born_ms == first_born); // It may live.
+    world.run(milliseconds{1500});
+    CHECK(world.manager.account().born_ms == second_born);
+    CHECK(world.manager.account().phase == runner_phase::absent);
+}
+
+TEST_CASE("a start told by the time of day may be earlier than the last one",
+          "[restarted_server]")
+{
+    // The machine's time was set back between the two lives.
+    restart_world world;
+    world.live_once();
+    world.server.restart(first_born - 60'000);
+    world.run(milliseconds{200});
+    world.beat(first_born - 60'000, 1, "ready");
+    world.run(milliseconds{100});
+    CHECK(world.manager.account().phase == runner_phase::ready);
+    world.beat(first_born - 60'000, 2, "draining");
+    world.run(milliseconds{20});
+    CHECK(world.manager.account().phase == runner_phase::draining);
+}
+
+TEST_CASE("a heartbeat of a life that has ended does not stand in for the next",
+          "[restarted_server]")
+{
+    restart_world world;
+    world.live_once();
+    world.server.restart(second_born);
+    world.run(milliseconds{200});
+    world.beat(first_born, 41, "ready"); // Held back.
+    world.run(milliseconds{200});
+    CHECK(world.manager.account().phase == runner_phase::absent);
+    world.beat(second_born, 1, "ready");
+    world.run(milliseconds{100});
+    CHECK(world.manager.account().phase == runner_phase::ready);
+    CHECK(world.manager.account().born_ms == second_born);
+}
+
+TEST_CASE("a life that ran again is not the one that an agent remembers",
+          "[restarted_server]")
+{
+    restart_world world;
+    runner_account before;
+    before.service = "service-1";
+    before.instance = "server-1";
+    before.born_ms = first_born;
+    before.sequence = 40;
+    before.capacity = {16000, 1000, 0};
+    before.phase = runner_phase::ready;
+    world.server.restart(second_born);
+    world.manager.remembered(before);
+    world.run(milliseconds{200});
+    CHECK(world.manager.account().phase == runner_phase::absent);
+    world.beat(second_born, 1, "ready");
+    world.run(milliseconds{100});
+    CHECK(world.manager.account().phase == runner_phase::ready);
+    CHECK(world.manager.account().capacity.cpu == 4000);
+}
+
+TEST_CASE("what an agent remembers of a life outweighs an older heartbeat",
+          "[restarted_server]")
+{
+    restart_world world;
+    world.beat(first_born, 40, "ready"); // On its way as the agent began.
+    runner_account kept = world.manager.account();
+    kept.sequence = 42;
+    kept.phase = runner_phase::draining;
+    world.manager.remembered(kept);
+    world.run(milliseconds{50});
+    CHECK(world.manager.account().phase == runner_phase::draining);
+    world.beat(first_born, 41, "ready");
+    world.run(milliseconds{50});
+    CHECK(world.manager.account().phase == runner_phase::draining);
+}
--- a/tests/unit/runs/run_wire_tests.cpp
+++ b/tests/unit/runs/run_wire_tests.cpp
@@ -53,3 +53,12 @@
     CHECK(got.expected_ms == 90);
     CHECK(got.useful_ms == 2900);
 }
+
+TEST_CASE("which life of its id a server is in travels with its account")
+{
+    runner_report report;
+    report.whole = true;
+    report.account.instance = "server-1";
+    report.account.born_ms = 1'750'000'000'123;
+    CHECK(over_wire(report).account.life() == report.account.life());
+}
--- a/tests/unit/runs/runner_memo_tests.cpp
+++ b/tests/unit/runs/runner_memo_tests.cpp
@@ -10,6 +10,8 @@
     runner_account account;
     account.service = "service-1";
     account.instance = "life-1";
+    account.born_ms = 1'750'000'000'123;
+    account.sequence = 17;
     account.zone = "hall-1";
     account.labels = {"kind-a", "rack-2"};
     account.capacity = {4000, 1000, 2};
@@ -17,7 +19,8 @@
     const auto read = decode_runner_memo(encode_runner_memo(account));
     REQUIRE(read);
     CHECK(read.value().service == "service-1");
-    CHECK(read.value().instance == "life-1");
+    CHECK(read.value().life() == account.life());
+    CHECK(read.value().sequence == 17);
     CHECK(read.value().zone == "hall-1");
     CHECK(read.value().labels == account.labels);
     CHECK(read.value().capacity.cpu == 4000);
@@ -26,6 +29,16 @@
     CHECK(read.value().phase == runner_phase::draining);
 }
 
+TEST_CASE("a memo of before, without the start of the life, is read")
+{
+    const auto read = decode_runner_memo(
+        R"({"service":"s","instance":"i","zone":"z","labels":[],)"
+        R"("room":[1,2,3],"phase":"ready"})");
+    REQUIRE(read);
+    CHECK(read.value().life() == server_life{"i", 0});
+    CHECK(read.value().sequence == 0);
+}
+
 TEST_CASE("a memo of a wrong form is told, not taken")
 {
     for (const auto* memo :
@@ -35,7 +48,11 @@
           R"({"service":"s","instance":"i","zone":"z","labels":[],)"
           R"("room":[1,2],"phase":"ready"})",
           R"({"service":"s","instance":"i","zone":"z","labels":[],)"
-          R"("room":[1,2,3],"phase":"asleep"})"})
+          R"("room":[1,2,3],"phase":"asleep"})",
+          R"({"service":"s","instance":"i","zone":"z","labels":[],)"
+          R"("room":[1,2,3],"phase":"ready","born_ms":"x","sequence":1})",
+          R"({"service":"s","instance":"i","zone":"z","labels":[],)"
+          R"("room":[1,2,3],"phase":"ready","born_ms":5})"})
     {
         INFO(memo);
         CHECK_FALSE(decode_runner_memo(memo));
--- a/tests/unit/support/fake_runner_port.hpp
+++ b/tests/unit/support/fake_runner_port.hpp
@@ -32,6 +32,8 @@
         }
         if (is_other_life(context))
             return answer(std::move(done), order_outcome::wrong_life);
+        if (ended)
+            return answer(std::move(done), order_outcome::unhealthy);
         if (refuse)
         {
             ++refusals;
@@ -69,6 +71,18 @@
                           [done = std::move(done)] { done({}); });
             return;
         }
+        if (ended)
+        {
+            loop_.delay()(milliseconds{1},
+                          [done = std::move(done)]
+                          {
+                              hold_result end;
+                              end.outcome = order_outcome::unhealthy;
+                              end.reached = false;
+                              done(std::move(end));
+                          });
+            return;
+        }
         if (is_other_life(request.context))
         {
             loop_.delay()(milliseconds{1},
@@ -89,7 +103,7 @@
         loop_.delay()(wait + milliseconds{1},
                       [this, asked = lives, done = std::move(done)]
                       {
-                          if (asked != lives)
+                          if (asked != lives || ended)
                               return done({}); // Its connection is gone.
                           lapse();
                           hold_result end;
@@ -178,6 +192,7 @@
     bool drop_look = false;      ///< The next look gets no answer.
     bool silent = false;         ///< Looks get no answer.
     bool stands_still = false;   ///< Its runs make no progress.
+    bool ended = false;          ///< Nobody listens there.
     int lives = 1;               ///< So far.
     std::int64_t born_ms = 0;    ///< Of this life, told with looks; 0: not.
     instant clock_origin{};      ///< When its clock showed clock_ahead.
