--- a/standins/backend.cpp
+++ b/standins/backend.cpp
@@ -36,6 +36,12 @@
 constexpr duration stop_time = milliseconds{50};
 /// Longest time by which a late order comes later.
 constexpr double late_ms = 4000;
+/// After the acknowledgement that it leaves, starts are in order so long.
+constexpr duration drain_time = seconds{2};
+/// Between heartbeats.
+constexpr duration beat_interval = milliseconds{500};
+/// Between a planned end and the next life.
+constexpr duration away_time = milliseconds{300};
 /// Work of a task whose spec names none.
 constexpr duration usual_work = milliseconds{50};
 
@@ -51,6 +57,7 @@
     instant stop = instant::max();   ///< When a stop ends it.
     instant end{};                   ///< 0 while it runs.
     std::string how;                 ///< Its end; `crashed` is told to nobody.
+    bool left = false;               ///< Begun after the server had left.
     bool fails = false;              ///< Ends `failed`.
     std::uint64_t number = 0;        ///< Of the end.
     instant noted{};                 ///< When last_seen reached it; 0: not yet.
@@ -65,6 +72,10 @@
     double fail = 0;         ///< Share of runs that end `failed`.
     double lose_answers = 0; ///< Share of calls done, but not answered.
     double late = 0;         ///< Share of orders done later, not answered.
+    bool ended = false;      ///< It answers nobody; then it lives again under
+                             ///< the same id.
+    bool leaving = false;    ///< It says that it leaves; then it signs off and
+                             ///< lives again under the same id.
     double twice = 0;        ///< Share of runs that it begins once more when
                              ///< they have ended; a planted fault.
 };
@@ -101,13 +112,13 @@
           origin_(process_clock().now()),
           agent_(http_client::create(io, client_settings(settings)))
     {
-        begin_life();
+        begin_life(false);
     }
 
     void begin(std::uint16_t port)
     {
         port_ = port;
-        beat();
+        beat_again();
         tick();
     }
 
@@ -120,7 +131,13 @@
         if (faults_.delay_ms <= 0)
             return serve(request, done);
         run_after(io_, microseconds{static_cast<long>(faults_.delay_ms * 1000)},
-                  [this, request, done] { serve(request, done); });
+                  [this, request, done, life = born_ms_]
+                  {
+                      // Its connection has ended with the life it came to.
+                      if (life != born_ms_)
+                          return silent_.push_back(done);
+                      serve(request, done);
+                  });
     }
 
 private:
@@ -136,10 +153,17 @@
 
     bool drawn(double share) { return share > 0 && uniform(random_) < share; }
 
-    void begin_life()
+    /// @param same_id Whether the id is the last life's.
+    void begin_life(bool same_id)
     {
-        ++lives_;
-        life_ = settings_.name + "-" + std::to_string(lives_);
+        if (!same_id)
+            life_ = settings_.name + "-" + std::to_string(++lives_);
+        constexpr std::int64_t nanoseconds_a_ms = 1'000'000;
+        born_ms_ =
+            std::max(born_ms_ + 1, wall_nanoseconds() / nanoseconds_a_ms);
+        origin_ = process_clock().now();
+        away_ = false;
+        leave_acked_ = beat_acked_ = {};
         fence_ = 0;
         deadline_ms_ = 0;
         ends_ = 0;
@@ -150,7 +174,7 @@
     }
 
     /// Everything running dies, and nobody is told.
-    void crash()
+    void die()
     {
         const auto now = process_clock().now();
         settle(now);
@@ -160,7 +184,27 @@
             runs_[at].how = "crashed";
         }
         running_.clear();
-        begin_life();
+        for (auto& look : looks_)
+            silent_.push_back(std::move(look.done));
+        looks_.clear();
+    }
+
+    bool is_down() const { return faults_.ended || away_; }
+
+    /// A planned end; the next life has the same id.
+    void sign_off()
+    {
+        agent_->send({"DELETE", "/instances/" + life_, {}, {}, {}},
+                     [](const http_result&) {});
+        die();
+        away_ = true;
+        run_after(io_, away_time, [this] { live_again(); });
+    }
+
+    void live_again()
+    {
+        begin_life(true);
+        beat();
     }
 
     /// @return This server's clock, ms; slower than true by a share.
@@ -230,6 +274,8 @@
 
     void serve(const http_request& request, const http_responder& done)
     {
+        if (is_down())
+            return silent_.push_back(done);
         const bool is_order = request.target != "/hold";
         if (is_order && drawn(faults_.late))
         {
@@ -237,8 +283,12 @@
             silent_.push_back(done);
             const auto wait = static_cast<long>(late_ms * uniform(random_));
             return run_after(io_, milliseconds{wait},
-                             [this, request]
-                             { dispatch(request, [](const auto&) {}); });
+                             [this, request, life = born_ms_]
+                             {
+                                 if (life == born_ms_ && !is_down())
+                                     dispatch(
+                                         request, [](const auto&) {}, true);
+                             });
         }
         const bool lost = drawn(faults_.lose_answers);
         if (lost)
@@ -246,7 +296,9 @@
         dispatch(request, lost ? [](const http_response&) {} : done);
     }
 
-    void dispatch(const http_request& request, const http_responder& done)
+    /// @param late Whether it comes later than it was sent by this fault.
+    void dispatch(const http_request& request, const http_responder& done,
+                  bool late = false)
     {
         const auto now = process_clock().now();
         settle(now);
@@ -259,7 +311,7 @@
         if (fence < fence_)
             return done(refusal("fence"));
         if (request.target == "/run-start")
-            return done(start(body, now));
+            return done(start(body, now, late));
         fence_ = fence;
         if (request.target == "/run-stop")
             return done(stop(body, now));
@@ -268,7 +320,7 @@
         done(answer(404));
     }
 
-    http_response start(const json::object& body, instant now)
+    http_response start(const json::object& body, instant now, bool late)
     {
         if (drawn(faults_.refuse))
             return answer(503);
@@ -291,9 +343,17 @@
         if (barred != barred_.end() && run <= barred->second)
             return refusal("old");
         add_run(task, run, text_of(body, "spec"), now);
+        runs_.back().left = !late && has_left(now);
         return answer(200);
     }
 
+    /// An agent that has just answered a heartbeat knows that it leaves.
+    bool has_left(instant now) const
+    {
+        return leave_acked_ != instant{} && now > leave_acked_ + drain_time &&
+               now < beat_acked_ + beat_interval;
+    }
+
     void add_run(const std::string& task, std::uint64_t run,
                  const std::string& spec, instant now)
     {
@@ -383,7 +443,8 @@
                 finished.emplace_back(
                     json::array{run.number, run.task, run.run, run.how, ""});
         }
-        return answer(200, {{"running", std::move(running)},
+        return answer(200, {{"born", born_ms_},
+                            {"running", std::move(running)},
                             {"finished", std::move(finished)}});
     }
 
@@ -406,6 +467,13 @@
         run_after(io_, tick_interval, [this] { tick(); });
     }
 
+    void beat_again()
+    {
+        if (!is_down())
+            beat();
+        run_after(io_, beat_interval, [this] { beat_again(); });
+    }
+
     void beat()
     {
         const auto now = process_clock().now();
@@ -415,7 +483,8 @@
             {"zone", settings_.zone},
             {"version", "v1"},
             {"slots", 1},
-            {"state", "ready"},
+            {"state", faults_.leaving ? "draining" : "ready"},
+            {"born", born_ms_},
             {"cold_remaining_ms", 0},
             {"capacity",
              {{"cpu", settings_.cpu},
@@ -429,8 +498,21 @@
                       {{"Content-Type", "application/json"}},
                       json::serialize(account),
                       {}},
-                     [](const http_result&) {});
-        run_after(io_, milliseconds{500}, [this] { beat(); });
+                     [this, life = born_ms_,
+                      leaving = faults_.leaving](const http_result& got)
+                     {
+                         if (got.answered && life == born_ms_)
+                             beat_answered(leaving);
+                     });
+    }
+
+    void beat_answered(bool leaving)
+    {
+        beat_acked_ = process_clock().now();
+        if (!leaving)
+            leave_acked_ = {};
+        else if (leave_acked_ == instant{})
+            leave_acked_ = beat_acked_;
     }
 
     http_response set_faults(const json::object& given)
@@ -442,10 +524,32 @@
         faults_.late = real_of(given, "late", 0);
         faults_.twice = real_of(given, "twice", 0);
         if (flag_of(given, "crash"))
-            crash();
+        {
+            die();
+            begin_life(false);
+        }
+        set_presence(flag_of(given, "ended"), flag_of(given, "leaving"));
         return answer(200);
     }
 
+    void set_presence(bool ended, bool leaving)
+    {
+        const bool ends = ended && !faults_.ended;
+        const bool returns = !ended && faults_.ended;
+        const bool left = !leaving && faults_.leaving;
+        const bool leaves = leaving && !faults_.leaving;
+        faults_.ended = ended;
+        faults_.leaving = leaving;
+        if (ends)
+            die();
+        if (returns && !away_)
+            live_again();
+        else if (left && !is_down())
+            sign_off();
+        else if (leaves && !is_down())
+            beat();
+    }
+
     /// All runs so far; times in ns of this machine's clock.
     http_response record()
     {
@@ -461,6 +565,7 @@
                              {"begin", run.begin.count()},
                              {"end", run.end.count()},
                              {"how", run.how},
+                             {"left", run.left},
                              {"noted", run.noted.count()},
                              {"lapsed_before_note", run.lapsed_before_note}});
         }
@@ -490,6 +595,10 @@
     std::uint16_t port_ = 0;             ///< Its own.
     std::uint64_t lives_ = 0;            ///< So far.
     std::string life_;                   ///< Id of this life.
+    std::int64_t born_ms_ = 0;           ///< Its start, Unix ms.
+    bool away_ = false;                  ///< Between two lives.
+    instant leave_acked_{};              ///< First, of leaving; 0: not.
+    instant beat_acked_{};               ///< Last, of any heartbeat.
     std::uint64_t fence_ = 0;            ///< Highest token seen.
     std::int64_t deadline_ms_ = 0;       ///< Of its lease; 0: none.
     std::uint64_t ends_ = 0;             ///< Listed in this life.
--- a/tests/soak/soak_checker.cpp
+++ b/tests/soak/soak_checker.cpp
@@ -189,6 +189,10 @@
     const seen_run* longest = nullptr;
     for (const auto* run : runs)
     {
+        if (run->left)
+            out.push_back(
+                {"DRAIN",
+                 task + " at a backend server that leaves: " + told(*run)});
         if (run->spec != job.spec)
             out.push_back({"UNASKED", task + " with another spec"});
         if (longest != nullptr && run->begin < longest->end)
--- a/tests/soak/soak_checker.hpp
+++ b/tests/soak/soak_checker.hpp
@@ -40,6 +40,8 @@
     std::string how;                 ///< Its end.
     instant noted{};                 ///< When that was taken note of; 0: not.
     bool lapsed_before_note = false; ///< Its lease ended in between.
+    bool left = false; ///< Begun after its backend server had left, by an agent
+                       ///< that knew it and ran undisturbed.
 };
 
 /// A promise that was broken.
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -31,6 +31,8 @@
 /// Before a process that ended by itself is started again.
 constexpr duration ended_wait = seconds{1};
 constexpr std::string_view service = "service";
+/// An agent knows what it was told, if it ran undisturbed for so long.
+constexpr duration contact = seconds{4};
 /// Longest lease at a backend server, by the platform's rules.
 constexpr std::string_view hold_ms = "1000";
 
@@ -94,6 +96,7 @@
             run.end = instant{time_of(in, "end")};
         run.noted = instant{time_of(in, "noted")};
         run.lapsed_before_note = platform::flag_of(in, "lapsed_before_note");
+        run.left = platform::flag_of(in, "left");
         out.push_back(std::move(run));
     }
     return out;
@@ -287,6 +290,7 @@
         return;
     one.child->start();
     one.now = phase::up;
+    one.disturbed.push_back(process_clock().now());
 }
 
 void soak_deployment::watch()
@@ -360,6 +364,7 @@
 {
     one.child->kill();
     one.now = phase::down;
+    one.disturbed.push_back(process_clock().now());
     run_after(io_, fault.lasts, [this, &one] { start(one); });
 }
 
@@ -367,17 +372,20 @@
 {
     one.child->signal(SIGSTOP);
     one.now = phase::paused;
+    one.disturbed.push_back(process_clock().now());
     run_after(io_, fault.lasts,
               [&one]
               {
                   one.child->signal(SIGCONT);
                   one.now = phase::up;
+                  one.disturbed.push_back(process_clock().now());
               });
 }
 
 void soak_deployment::stop_one(managed& one, duration away)
 {
     one.now = phase::stopping;
+    one.disturbed.push_back(process_clock().now());
     one.stop_by = process_clock().now() + settings_.grace + stop_slack;
     one.away = away;
     one.child->signal(SIGTERM);
@@ -426,6 +434,12 @@
         case fault_kind::backend_refuse:
             body["refuse"] = 1.0;
             break;
+        case fault_kind::backend_restart:
+            body["ended"] = true;
+            break;
+        case fault_kind::backend_leave:
+            body["leaving"] = true;
+            break;
         case fault_kind::store_down:
             body["down"] = 1.0;
             break;
@@ -466,6 +480,15 @@
            std::all_of(agents_.begin(), agents_.end(), up);
 }
 
+/// An agent that was just killed, paused or stopped can't know what its last
+/// process was told.
+bool soak_deployment::in_touch(const managed& one, instant at)
+{
+    return std::none_of(one.disturbed.begin(), one.disturbed.end(),
+                        [at](instant when)
+                        { return when <= at && when > at - contact; });
+}
+
 void soak_deployment::records(std::function<void(std::vector<seen_run>)> done)
 {
     auto runs = std::make_shared<std::vector<seen_run>>();
@@ -480,6 +503,8 @@
                 if (!got.answered)
                     checker_.broken("SOAK", name + " gave no record");
                 auto its = runs_of(name, got.response.body);
+                for (auto& run : its)
+                    run.left = run.left && in_touch(agents_[i], run.begin);
                 runs->insert(runs->end(), its.begin(), its.end());
                 if (--*missing == 0)
                     done(std::move(*runs));
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -90,6 +90,7 @@
         instant stop_by{};                    ///< Of a planned stop.
         duration away{};                      ///< After it, until a start.
         bool for_good = false;                ///< Never started again.
+        std::vector<instant> disturbed;       ///< When it was.
     };
 
     /// A link and its faults that go on.
@@ -124,6 +125,7 @@
     void stop_one(managed& one, duration away);
     void turn(knobs& at, const planned_fault& fault);
     boost::json::object knobs_of(const knobs& at) const;
+    static bool in_touch(const managed& one, instant at);
     void send_knobs(knobs& at, bool crash, bool forget);
 
     boost::asio::io_context& io_;          ///< Runs the timers.
--- a/tests/unit/soak/soak_checker_tests.cpp
+++ b/tests/unit/soak/soak_checker_tests.cpp
@@ -294,3 +294,14 @@
     checker.broken("STOP", "entry0 stopped with signal 6");
     CHECK(rules(checker, good_runs()) == names{"STOP"});
 }
+
+TEST_CASE("soak checker: a run that began after its server had left")
+{
+    const auto checker = accepted_job();
+    auto runs = good_runs();
+    CHECK(checker.judge(runs).empty());
+    runs[1].left = true;
+    const auto found = checker.judge(runs);
+    REQUIRE(found.size() == 1);
+    CHECK(found[0].rule == "DRAIN");
+}
