What comes from outside is read whole and checked, or refused with its field

An agent's heartbeats, a backend server's lists of runs and the store's answers have one decoder each (platform/runner_account_format, run_lists_format, rows_format) that gives a typed value or a typed error: field, kind found, expected, length; no bytes. Before: a heartbeat that could not be read was answered 200 and replaced a good server (service empty, cpu 0), a state that is not named counted as ready, a list that was missing counted as empty, so that all runs were told as lapsed and ran again, a store's answer without rows counted as an empty range. Now: 400 with the field; what was known holds; lists and rows that can't be read are no answer. The service of a machine's settings is the only one that may register there (--service).

--- a/programs/durable_agent.cpp
+++ b/programs/durable_agent.cpp
@@ -44,7 +44,7 @@
           runner_(loop_.io(), settings.runner),
           manager_(process_clock(), runner_, delay(), first_token(),
                    settings.manager),
-          registration_(manager_),
+          registration_(manager_, settings.server_service),
           announcer_(store_, delay(),
                      {settings.name,
                       member_role::agent,
@@ -191,6 +191,8 @@
         if (host_)
             host_->collect(page);
         store_.collect(page);
+        runner_.collect(page);
+        registration_.collect(page);
         links_->collect(page);
         done({200, "text/plain; version=0.0.4", {}, page.render()});
     }
--- a/programs/durable_agent.hpp
+++ b/programs/durable_agent.hpp
@@ -22,6 +22,7 @@
     std::uint16_t rpc_port = 0;            ///< For links.
     std::uint16_t metrics_port = 0;        ///< For metrics.
     host_port registration;                ///< Where the runner registers.
+    std::string server_service;            ///< Its service; empty: any.
     platform::http_runner_settings runner; ///< The runner.
     platform::row_store_settings store;    ///< The store.
     run_manager_settings manager;          ///< Limits.
--- a/programs/durable_agent_main.cpp
+++ b/programs/durable_agent_main.cpp
@@ -39,6 +39,10 @@
     line.text("registration", given.registration,
               "IP:PORT where the runner registers", true);
     line.text("runner", given.runner, "IP:PORT of the runner", true);
+    line.text(
+        "service", settings.server_service,
+        "service of the runner; heartbeats of another are refused, empty: "
+        "any");
     line.text("store", given.store, "IP:PORT of the platform's store", true);
     line.number<std::size_t>("parts", settings.manager.parts, 1, 4096, "parts",
                              "of the journal; alike in all processes");
--- a/tests/unit/adapter/client_front_tests.cpp
+++ b/tests/unit/adapter/client_front_tests.cpp
@@ -1,6 +1,6 @@
 #include "platform/catalog_format.hpp"
 #include "platform/client_front.hpp"
-#include "platform/http_runner.hpp"
+#include "platform/run_lists_format.hpp"
 
 #include <catch2/catch.hpp>
 
--- /dev/null
+++ b/tests/unit/platform/foreign_input_tests.cpp
@@ -0,0 +1,398 @@
+// What comes from outside and can't be read: it is refused with its field, and
+// what was known to be good holds.
+#include "glenhollow/core/random.hpp"
+#include "platform/rows_format.hpp"
+#include "platform/run_lists_format.hpp"
+#include "platform/runner_account_format.hpp"
+#include "platform/runner_registration.hpp"
+#include "unit/support/fake_runner_port.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace glenhollow;
+using namespace glenhollow::platform;
+
+namespace
+{
+
+constexpr lease_id entry_lease = memory_lease(0);
+
+const std::string good_beat =
+    R"({"service":"service-1","address":"10.0.0.9:80","zone":"hall-1",)"
+    R"("version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,)"
+    R"("capacity":{"cpu":4000,"mem_mb":1000,"gpu":0},)"
+    R"("labels":["a","r1-3"],"clock_ms":482113,"born":1750000000000,)"
+    R"("sequence":4})";
+
+const std::string good_lists =
+    R"({"clock_ms":482113,"born":1750000000000,)"
+    R"("running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb8",41]],)"
+    R"("finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
+
+const std::string good_rows =
+    R"({"rows":[{"table":"my","part":"p7","key":"owner","value":"bm9kZS0x",)"
+    R"("ver":412}],"more":false,"ver":530,"now_ms":51230})";
+
+std::string replaced(std::string text, const std::string& from,
+                     const std::string& to)
+{
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+/// One change to a body: the field that is told, what was, what comes instead.
+struct bad_change
+{
+    std::string field;
+    std::string from;
+    std::string to;
+};
+
+const std::vector<bad_change> bad_beats{
+    {"service", R"("service":"service-1",)", ""},
+    {"service", R"("service-1")", "5"},
+    {"service", R"("service-1")", R"("")"},
+    {"service", R"("service-1")", R"("service-2")"},
+    {"zone", R"("zone":"hall-1",)", ""},
+    {"zone", R"("hall-1")", "null"},
+    {"state", R"("state":"ready",)", ""},
+    {"state", R"("ready")", R"("sleeping")"},
+    {"state", R"("ready")", "[]"},
+    {"sequence", R"(,"sequence":4)", ""},
+    {"sequence", R"("sequence":4)", R"("sequence":-3)"},
+    {"sequence", R"("sequence":4)", R"("sequence":"4")"},
+    {"sequence", R"("sequence":4)", R"("sequence":4.5)"},
+    {"sequence", R"("sequence":4)", R"("sequence":1e300)"},
+    {"born", "1750000000000", "true"},
+    {"born", "1750000000000", "-1"},
+    {"capacity", R"({"cpu":4000,"mem_mb":1000,"gpu":0})", "7"},
+    {"capacity", R"("capacity":{"cpu":4000,"mem_mb":1000,"gpu":0},)", ""},
+    {"capacity.cpu", R"("cpu":4000,)", ""},
+    {"capacity.cpu", "4000", "4294967296"},
+    {"capacity.mem_mb", "1000", R"("1000")"},
+    {"labels", R"(["a","r1-3"])", "{}"},
+    {"labels", R"(["a","r1-3"])", R"(["a",5])"},
+    {"slots", R"("slots":8)", R"("slots":"many")"},
+    {"clock_ms", "482113", "[]"},
+    {"cold_remaining_ms", R"("cold_remaining_ms":0)",
+     R"("cold_remaining_ms":"x")"},
+};
+
+/// Bodies of which nothing can be read.
+std::vector<std::string> noise()
+{
+    return {"",
+            "{",
+            "[]",
+            "null",
+            "\"x\"",
+            "\xff\xfe\x80",
+            std::string(3000, '[') + std::string(3000, ']'),
+            std::string(100'000, '7'),
+            R"({"service":"\ud800"})",
+            good_beat.substr(0, good_beat.size() / 2)};
+}
+
+/// An agent whose backend server is known, answers, and runs a task.
+struct known_world
+{
+    known_world()
+    {
+        server.life = "server-1";
+        server.born_ms = 1'750'000'000'000;
+        manager.begin();
+        put("server-1", good_beat);
+        run(milliseconds{50});
+        run_order order;
+        order.run = {{42, 0, 0, 0}, first_memory_run + 1};
+        order.needs = {1000, 10, 0};
+        manager.order(order, entry_lease);
+        run(milliseconds{50});
+        REQUIRE(holds());
+    }
+
+    unsigned put(const std::string& id, const std::string& body)
+    {
+        http_request request;
+        request.method = "PUT";
+        request.target = "/instances/" + id;
+        request.body = body;
+        unsigned status = 0;
+        registration.handle(request, [&status](const http_response& answer)
+                            { status = answer.status; });
+        return status;
+    }
+
+    void run(duration length)
+    {
+        constexpr duration step = milliseconds{10};
+        for (duration passed{}; passed < length; passed += step)
+        {
+            manager.renew(entry_lease, 0, loop.clock.now());
+            manager.tick();
+            loop.advance(step);
+        }
+    }
+
+    /// @return Whether the server is known as it is, and its run goes on.
+    bool holds()
+    {
+        const auto& known = manager.account();
+        return known.instance == "server-1" &&
+               known.phase == runner_phase::ready &&
+               known.capacity.cpu == 4000 && known.service == "service-1" &&
+               known.labels.size() == 2 && server.running.size() == 1 &&
+               manager.ledger().empty();
+    }
+
+    manual_loop loop;
+    fake_runner_port server{loop};
+    run_manager manager{loop.clock, server, loop.delay(), 1000, {}};
+    runner_registration registration{manager, "service-1"};
+};
+
+/// @return The text with some bytes changed, cut out or put in.
+std::string mutated(std::string text, random_engine& random)
+{
+    static const std::string bytes = "{}[]\",:.-0159eE\\ntruefals\x80\xff ";
+    const auto changes = 1 + random() % 4;
+    for (std::uint64_t i = 0; i < changes && !text.empty(); ++i)
+    {
+        const auto at = random() % text.size();
+        const char byte = bytes[random() % bytes.size()];
+        const auto kind = random() % 3;
+        if (kind == 0)
+            text[at] = byte;
+        else if (kind == 1)
+            text.erase(at, 1 + random() % 8);
+        else
+            text.insert(at, 1 + random() % 3, byte);
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("a heartbeat is read as it was meant")
+{
+    const auto told = decode_account("server-1", good_beat, "service-1");
+    REQUIRE(told);
+    const auto& account = told.value().account;
+    CHECK(account.life() == server_life{"server-1", 1'750'000'000'000});
+    CHECK(account.service == "service-1");
+    CHECK(account.zone == "hall-1");
+    CHECK(account.phase == runner_phase::ready);
+    CHECK(account.sequence == 4);
+    CHECK(account.capacity.cpu == 4000);
+    CHECK(account.capacity.memory == 1000);
+    CHECK(account.labels == std::vector<std::string>{"a", "r1-3"});
+    CHECK(told.value().times.clock_ms == 482113);
+    CHECK_FALSE(told.value().times.remaining);
+}
+
+TEST_CASE("a field that is not known, or a whole number as 4.0, is no error")
+{
+    CHECK(decode_account(
+        "server-1",
+        replaced(good_beat, R"("slots":8)", R"("slots":8,"news":{"x":[null]})"),
+        {}));
+    const auto told = decode_account(
+        "server-1", replaced(good_beat, R"("sequence":4)", R"("sequence":4.0)"),
+        {});
+    REQUIRE(told);
+    CHECK(told.value().account.sequence == 4);
+}
+
+TEST_CASE("a heartbeat with a wrong field is refused and names it")
+{
+    for (const auto& bad : bad_beats)
+    {
+        const auto body = replaced(good_beat, bad.from, bad.to);
+        INFO(body);
+        const auto told = decode_account("server-1", body, "service-1");
+        REQUIRE_FALSE(told);
+        CHECK(told.error().field == bad.field);
+        CHECK(told.error().length == body.size());
+    }
+    for (const auto& body : noise())
+        CHECK_FALSE(decode_account("server-1", body, {}));
+    CHECK_FALSE(decode_account("", good_beat, {}));
+    CHECK_FALSE(decode_account(std::string(201, 'x'), good_beat, {}));
+}
+
+TEST_CASE("what can't be read names no server, and the known one holds")
+{
+    for (const auto* id : {"server-1", "server-2"})
+    {
+        known_world world;
+        for (const auto& bad : bad_beats)
+        {
+            const auto body = replaced(good_beat, bad.from, bad.to);
+            INFO(id << " " << body);
+            CHECK(world.put(id, body) == 400);
+            world.run(milliseconds{20});
+            CHECK(world.holds());
+        }
+        for (const auto& body : noise())
+        {
+            CHECK(world.put(id, body) == 400);
+            world.run(milliseconds{20});
+            CHECK(world.holds());
+        }
+        CHECK(world.put("server-1", good_beat) == 200);
+    }
+}
+
+TEST_CASE("what could not be read is counted by the field that was wrong")
+{
+    known_world world;
+    world.put("server-2", "{");
+    world.put("server-2", replaced(good_beat, R"("ready")", "[]"));
+    world.put("server-2", replaced(good_beat, R"("ready")", "7"));
+    metric_page page;
+    world.registration.collect(page);
+    const auto text = page.render();
+    CHECK(text.find(R"(heartbeats_unreadable_total{field="body"} 1)") !=
+          std::string::npos);
+    CHECK(text.find(R"(heartbeats_unreadable_total{field="state"} 2)") !=
+          std::string::npos);
+}
+
+TEST_CASE("a good account under a foreign id is borne out by nobody")
+{
+    known_world world;
+    CHECK(world.put("server-2", good_beat) == 200);
+    world.run(milliseconds{200});
+    CHECK(world.holds());
+    CHECK(world.manager.stats().stale_registrations == 1);
+}
+
+TEST_CASE("lists of runs are read whole or not at all")
+{
+    const auto good = decode_lists(good_lists);
+    REQUIRE(good);
+    CHECK(good.value().clock_ms == 482113);
+    CHECK(good.value().born_ms == 1'750'000'000'000);
+    REQUIRE(good.value().running.size() == 1);
+    CHECK(good.value().running[0].run.run == 2);
+    CHECK(good.value().running[0].percent == 41);
+    REQUIRE(good.value().finished.size() == 1);
+    CHECK(good.value().finished[0].number == 58);
+    CHECK(good.value().finished[0].how == run_outcome::done);
+    const std::vector<bad_change> bad_lists{
+        {"running",
+         R"("running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb8",41]],)", ""},
+        {"running", R"([["5c0e7a21d94b36f8.0.1.17",2,"00000bb8",41]])", "{}"},
+        {"running", R"(["5c0e7a21d94b36f8.0.1.17",2,"00000bb8",41])", "7"},
+        {"running[0]", R"("5c0e7a21d94b36f8.0.1.17")", "null"},
+        {"running[1]", ",2,", R"(,"2",)"},
+        {"running[1]", R"(,2,"00000bb8",41)", ""},
+        {"running[3]", ",41", ",[]"},
+        {"finished",
+         R"(,"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]])", ""},
+        {"finished[0]", "[58,", "[0,"},
+        {"finished[0]", "[58,", "[-1,"},
+        {"finished[3]", R"("done")", "1"},
+        {"born", "1750000000000", R"("x")"},
+    };
+    for (const auto& bad : bad_lists)
+    {
+        const auto body = replaced(good_lists, bad.from, bad.to);
+        INFO(body);
+        const auto told = decode_lists(body);
+        REQUIRE_FALSE(told);
+        CHECK(told.error().field == bad.field);
+    }
+    for (const auto& body : noise())
+        CHECK_FALSE(decode_lists(body));
+}
+
+TEST_CASE("an end whose manner is unknown is an end, and a foreign task none")
+{
+    const auto odd =
+        decode_lists(replaced(good_lists, R"("done")", R"("evaporated")"));
+    REQUIRE(odd);
+    CHECK(odd.value().finished[0].how == run_outcome::lapsed);
+    const auto foreign = decode_lists(
+        replaced(good_lists, "5c0e7a21d94b36f8.0.1.17", "somebody's"));
+    REQUIRE(foreign);
+    CHECK(foreign.value().running.empty());
+    CHECK(foreign.value().foreign == 1);
+}
+
+TEST_CASE("answers of the store are read whole or not at all")
+{
+    const auto good = decode_rows(good_rows);
+    REQUIRE(good);
+    REQUIRE(good.value().rows.size() == 1);
+    CHECK(good.value().rows[0].key.key == "owner");
+    CHECK(good.value().rows[0].value == "node-1");
+    CHECK(good.value().rows[0].version == 412);
+    CHECK(good.value().version == 530);
+    const std::vector<bad_change> bad_answers{
+        {"rows", R"("rows":[{)", R"("lines":[{)"},
+        {"rows",
+         R"([{"table":"my","part":"p7","key":"owner","value":"bm9kZS0x","ver":412}])",
+         "7"},
+        {"rows",
+         R"({"table":"my","part":"p7","key":"owner","value":"bm9kZS0x","ver":412})",
+         "7"},
+        {"table", R"("table":"my",)", ""},
+        {"key", R"("owner")", "5"},
+        {"value", R"("bm9kZS0x")", R"("not base64!")"},
+        {"ver", "412", "-1"},
+    };
+    for (const auto& bad : bad_answers)
+    {
+        const auto body = replaced(good_rows, bad.from, bad.to);
+        INFO(body);
+        const auto told = decode_rows(body);
+        REQUIRE_FALSE(told);
+        CHECK(told.error().field == bad.field);
+    }
+}
+
+TEST_CASE("the store's bytes come back as they went in")
+{
+    random_engine random(5);
+    for (std::size_t length = 0; length < 200; ++length)
+    {
+        std::string bytes;
+        for (std::size_t i = 0; i < length; ++i)
+            bytes += static_cast<char>(random());
+        const auto body = R"({"rows":[{"table":"t","key":"k","value":")" +
+                          to_base64(bytes) + R"("}]})";
+        const auto told = decode_rows(body);
+        REQUIRE(told);
+        CHECK(told.value().rows[0].value == bytes);
+    }
+}
+
+TEST_CASE("changed bytes of another sender leave the known server as it is")
+{
+    random_engine random(7);
+    known_world world;
+    std::size_t taken = 0;
+    for (int i = 0; i < 3000; ++i)
+    {
+        if (world.put("server-2", mutated(good_beat, random)) == 200)
+            ++taken;
+        world.run(milliseconds{10});
+        REQUIRE(world.holds());
+    }
+    CHECK(taken > 0); // Some are good accounts still.
+}
+
+TEST_CASE("changed bytes are read or refused, whatever they are")
+{
+    random_engine random(11);
+    std::size_t read = 0;
+    for (int i = 0; i < 20'000; ++i)
+    {
+        read += decode_account("s", mutated(good_beat, random), {}) ? 1 : 0;
+        read += decode_lists(mutated(good_lists, random)) ? 1 : 0;
+        read += decode_rows(mutated(good_rows, random)) ? 1 : 0;
+    }
+    CHECK(read > 0);
+}
