--- a/src/glenhollow/durable/job_coordinator.cpp
+++ b/src/glenhollow/durable/job_coordinator.cpp
@@ -40,34 +40,7 @@
                                              std::move(on_lost))),
       awaited_(std::move(awaited)), claimed_(around_.clock.now())
 {
-    for (auto& job : loaded.jobs)
-    {
-        job_record record;
-        record.tasks.resize(job.task_count());
-        record.accepted = true;
-        record.fresh = false;
-        const auto known = loaded.progress.find(job.id);
-        if (known != loaded.progress.end())
-            record.progress = std::move(known->second);
-        for (const auto flat : record.progress.done)
-        {
-            if (flat < record.tasks.size())
-                record.tasks[flat].phase = task_phase::done;
-        }
-        for (const auto& failure : record.progress.failed)
-        {
-            if (failure.task < record.tasks.size())
-                ++record.tasks[failure.task].failures;
-        }
-        record.done = record.progress.done.size();
-        record.begun = known != loaded.progress.end();
-        record.job = std::move(job);
-        const auto id = record.job.id;
-        jobs_.emplace(id, std::move(record));
-    }
-    for (const auto& [id, end] : loaded.ended)
-        remember(id, end);
-    std::sort(ended_order_.begin(), ended_order_.end());
+    take(std::move(loaded));
     if (awaited_.empty())
         all_agents_told();
 }
@@ -161,6 +134,8 @@
             known->second.acceptance.push_back(std::move(done));
         return;
     }
+    if (unreadable_.contains(job.id))
+        return done({job_outcome::unknown, job_state::queued, {}});
     if (const auto refused = refusal_of(job))
     {
         ++stats_.refused;
@@ -490,7 +465,7 @@
         return done({job_outcome::done, ended->second.state, {}});
     const auto known = jobs_.find(id);
     if (known == jobs_.end())
-        return done({job_outcome::missing, job_state::queued, {}});
+        return done({not_here(id), job_state::queued, {}});
     auto& record = known->second;
     record.end_waiters.push_back(std::move(done));
     if (record.ending)
@@ -505,7 +480,7 @@
         return done({job_outcome::done, ended->second.state, {}});
     const auto known = jobs_.find(id);
     if (known == jobs_.end())
-        return done({job_outcome::missing, job_state::queued, {}});
+        return done({not_here(id), job_state::queued, {}});
     auto& record = known->second;
     if (record.ending || !record.begun)
         return tell_state(record, std::move(done));
--- a/src/glenhollow/durable/job_coordinator.hpp
+++ b/src/glenhollow/durable/job_coordinator.hpp
@@ -329,6 +329,8 @@
     void finish(job_id id, job_state state, journal_verdict verdict);
     void stop_runs(job_record& record);
     void remember(job_id id, const job_epitaph& end);
+    void take(loaded_part loaded);
+    job_outcome not_here(job_id id) const;
     void all_agents_told();
     void forget_old();
     row_key key(std::string_view table, job_id id) const;
@@ -341,6 +343,7 @@
     job_map jobs_;                                  ///< Not ended.
     std::unordered_map<job_id, job_epitaph> ended_; ///< Ended.
     std::deque<std::pair<std::int64_t, job_id>> ended_order_; ///< By time.
+    std::set<job_id> unreadable_;                  ///< See loaded_part.
     std::set<std::pair<instant, job_id>> reviews_; ///< Open jobs in memory.
     std::optional<instant> review_awaited_; ///< A timer will look at them.
     std::set<std::string> awaited_;         ///< Agents not heard yet.
--- /dev/null
+++ b/src/glenhollow/durable/job_coordinator_load.cpp
@@ -0,0 +1,51 @@
+// What an owner takes over from the journal.
+#include "glenhollow/durable/job_coordinator.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace glenhollow
+{
+
+void job_coordinator::take(loaded_part loaded)
+{
+    for (auto& job : loaded.jobs)
+    {
+        job_record record;
+        record.tasks.resize(job.task_count());
+        record.accepted = true;
+        record.fresh = false;
+        const auto known = loaded.progress.find(job.id);
+        if (known != loaded.progress.end())
+            record.progress = std::move(known->second);
+        for (const auto flat : record.progress.done)
+        {
+            if (flat < record.tasks.size())
+                record.tasks[flat].phase = task_phase::done;
+        }
+        for (const auto& failure : record.progress.failed)
+        {
+            if (failure.task < record.tasks.size())
+                ++record.tasks[failure.task].failures;
+        }
+        record.done = record.progress.done.size();
+        record.begun = known != loaded.progress.end();
+        record.job = std::move(job);
+        const auto id = record.job.id;
+        jobs_.emplace(id, std::move(record));
+    }
+    for (const auto& [id, end] : loaded.ended)
+        remember(id, end);
+    std::sort(ended_order_.begin(), ended_order_.end());
+    unreadable_ = std::move(loaded.unreadable);
+}
+
+/// A job with a row that can't be read was accepted, and may have run: nobody
+/// says that there is no such job, and it is not run anew.
+job_outcome job_coordinator::not_here(job_id id) const
+{
+    return unreadable_.contains(id) ? job_outcome::unknown
+                                    : job_outcome::missing;
+}
+
+} // namespace glenhollow
--- a/src/glenhollow/durable/part_loader.cpp
+++ b/src/glenhollow/durable/part_loader.cpp
@@ -3,6 +3,7 @@
 #include "glenhollow/journal/journal_chain.hpp"
 #include "glenhollow/telemetry/log.hpp"
 
+#include <algorithm>
 #include <array>
 #include <memory>
 
@@ -14,6 +15,20 @@
 
 constexpr std::array tables{jobs_table, progress_table, ended_table};
 
+/// @return Whether the progress is of tasks that the job has, each once.
+bool fits(const job_progress& progress, const job_definition& job)
+{
+    const auto tasks = job.task_count();
+    std::set<std::uint32_t> done;
+    for (const auto task : progress.done)
+    {
+        if (task >= tasks || !done.insert(task).second)
+            return false;
+    }
+    return std::all_of(progress.failed.begin(), progress.failed.end(),
+                       [tasks](const auto& one) { return one.task < tasks; });
+}
+
 /// One load under way.
 struct load : std::enable_shared_from_this<load>
 {
@@ -51,6 +66,7 @@
             return;
         if (failed)
             return done(std::nullopt);
+        set_unreadable_apart();
         done(std::move(found));
     }
 
@@ -58,25 +74,61 @@
     {
         const auto id = job_id_from(row.key.key);
         if (!id)
-            return;
+            return; // Nobody can ask for it.
         if (table == jobs_table)
-            keep(decode_definition(row.value), [this](job_definition job)
-                 { found.jobs.push_back(std::move(job)); });
+            keep(table, *id, decode_definition(row.value),
+                 [this, id](job_definition job)
+                 {
+                     if (job.id != *id)
+                         return note(jobs_table, *id, "it names another job");
+                     found.jobs.push_back(std::move(job));
+                 });
         else if (table == progress_table)
-            keep(decode_progress(row.value), [this, id](job_progress progress)
+            keep(table, *id, decode_progress(row.value),
+                 [this, id](job_progress progress)
                  { found.progress.emplace(*id, std::move(progress)); });
         else
-            keep(decode_epitaph(row.value), [this, id](job_epitaph end)
+            keep(table, *id, decode_epitaph(row.value),
+                 [this, id](job_epitaph end)
                  { found.ended.emplace_back(*id, end); });
     }
 
     template <class Value, class Keep>
-    void keep(result<Value> value, Keep how)
+    void keep(std::string_view table, job_id id, result<Value> value, Keep how)
     {
         if (value)
             return how(std::move(value.value()));
+        note(table, id, value.error().text);
+    }
+
+    void note(std::string_view table, job_id id, std::string_view cause)
+    {
+        found.unreadable.insert(id);
         log_change(log_level::error, "journal_row_unreadable",
-                   {{"part", part}, {"cause", value.error().text}});
+                   {{"part", part},
+                    {"table", table},
+                    {"job", to_text(id)},
+                    {"cause", cause}});
+    }
+
+    void set_unreadable_apart()
+    {
+        for (const auto& job : found.jobs)
+        {
+            const auto progress = found.progress.find(job.id);
+            if (progress != found.progress.end() &&
+                !fits(progress->second, job))
+                note(progress_table, job.id,
+                     "it counts tasks that are not its");
+        }
+        const auto apart = [this](job_id id)
+        { return found.unreadable.contains(id); };
+        std::erase_if(found.jobs,
+                      [&](const auto& job) { return apart(job.id); });
+        std::erase_if(found.progress,
+                      [&](const auto& one) { return apart(one.first); });
+        std::erase_if(found.ended,
+                      [&](const auto& one) { return apart(one.first); });
     }
 };
 
--- a/src/glenhollow/durable/part_loader.hpp
+++ b/src/glenhollow/durable/part_loader.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -25,6 +26,9 @@
     std::vector<job_definition> jobs;                  ///< Not ended.
     std::unordered_map<job_id, job_progress> progress; ///< Of these.
     std::vector<std::pair<job_id, job_epitaph>> ended; ///< Ended.
+    std::set<job_id> unreadable; ///< With a row that can't be read, and in none
+                                 ///< of the others: not known to be undone,
+                                 ///< so that nobody may run or end them.
 };
 
 /// Reads a part after it was claimed, page by page.
--- a/tests/unit/durable/job_coordinator_tests.cpp
+++ b/tests/unit/durable/job_coordinator_tests.cpp
@@ -162,3 +162,45 @@
     world.end(first[1].first, first[1].second, run_outcome::done);
     CHECK(world.started.size() == 2);
 }
+
+TEST_CASE("a job whose row can't be read is not run, ended or denied")
+{
+    // Written over by another writer, half written, or of a newer version.
+    for (const auto* table : {"jobs", "progress", "ended"})
+    {
+        for (const auto* value : {"", "{", "[]", "[[9],[]]", "[[0,0],[]]"})
+        {
+            INFO(table << " " << value);
+            coordinator_world world;
+            world.owner(1);
+            world.submit(coordinator_world::job(1));
+            world.submit(coordinator_world::job(2));
+            row_transaction change;
+            change.puts.push_back({{table, part_name(0), to_text(1)}, value});
+            world.store.commit(change, [](const commit_result&) {});
+            world.settle();
+            world.started.clear();
+            auto loaded = world.load();
+            CHECK(loaded.unreadable == std::set<job_id>{1});
+            world.owner(2, {}, std::move(loaded));
+            world.settle();
+            for (const auto& [agent, run] : world.started)
+                CHECK(run.task.job == 2); // The others go on.
+            CHECK(world.started.size() == 2);
+            std::vector<job_outcome> told;
+            const auto note = [&](const job_reply& reply)
+            { told.push_back(reply.outcome); };
+            world.coordinator->state(1, note);
+            world.coordinator->cancel(1, note);
+            world.replies.clear();
+            world.submit(coordinator_world::job(1)); // Sent again.
+            CHECK(told == std::vector<job_outcome>(2, job_outcome::unknown));
+            CHECK(world.replies.at(1).outcome == job_outcome::unknown);
+            CHECK(world.started.size() == 2);
+            const auto row =
+                world.store.find({table, part_name(0), to_text(1)});
+            REQUIRE(row);
+            CHECK(row->value == value); // Left to who can read it.
+        }
+    }
+}
