An order that waits comes back when its owner attaches again

Only a later owner's adoption sent such orders back. Cause by the logs: the owner's agent_given_up and agent_attached within a second, the second start 11 ms after the agent woke. Ruled out: a start sent before the pause (five were, and were refused as late), a later owner. The line of a test that such an order waits on is replaced by one as strict: it comes back as not begun, and begins under no renewed lease; that failed before.

--- a/src/glenhollow/runs/run_manager_leases.cpp
+++ b/src/glenhollow/runs/run_manager_leases.cpp
@@ -40,9 +40,10 @@
                     {"epoch", epoch},
                     {"previous_epoch", record.epoch}});
     record.epoch = epoch;
-    // What an earlier owner ordered and has not begun: a task that another
-    // owner in between has had done elsewhere must not begin here.
-    if (newer && is_part_lease(lease))
+    // What was ordered before and has not begun: a task that another owner in
+    // between, or the same one while this agent was away, has had begin
+    // elsewhere must not begin here.
+    if (is_part_lease(lease))
         refuse_waiting(lease);
     const auto concerns = [lease](lease_id of)
     { return of == lease || (!is_part_lease(lease) && of == unclaimed_lease); };
