--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -502,12 +502,11 @@
     count("runner_registrations_stale_total",
           "Registrations of lives that had ended", stats.stale_registrations,
           {});
-    count("server_heartbeats_total", "Accounts of backend servers",
-          stats.heartbeats, "taken=\"yes\"");
-    count("server_heartbeats_total", "Accounts of backend servers",
-          stats.heartbeats_late, "taken=\"late\"");
-    count("server_heartbeats_total", "Accounts of backend servers",
-          stats.heartbeats_undated, "taken=\"undated\"");
+    for (std::size_t i = 0; i < stats.heartbeats.size(); ++i)
+        count("server_heartbeats_total", "Accounts of backend servers",
+              stats.heartbeats[i],
+              "use=\"" + std::string(to_name(static_cast<account_use>(i))) +
+                  "\"");
     count("server_lives_same_id_total",
           "Lives that began under the id of the last one", stats.born_again,
           {});
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -198,6 +198,22 @@
     std::size_t waiting_limit = 16;                ///< Orders without room.
 };
 
+/// What became of an account.
+enum class account_use : std::uint8_t
+{
+    taken,  ///< It counts, or will once a look bears it out.
+    late,   ///< Overtaken by a later one of its life.
+    undated ///< It does not tell its start, while lists do: whose it is can't
+            ///< be said.
+};
+
+template <>
+struct name_table<account_use>
+{
+    static constexpr std::array<std::string_view, 3> names{"taken", "late",
+                                                           "undated"};
+};
+
 /// Counters of a manager.
 struct run_manager_stats
 {
@@ -211,10 +227,8 @@
     std::uint64_t vanished = 0;   ///< Runs that the runner no longer showed.
     std::uint64_t strays = 0;     ///< Stops of runs shown after their end.
     std::uint64_t stale_registrations = 0; ///< Of lives that had ended.
-    std::uint64_t heartbeats = 0;          ///< Accounts that were used.
-    std::uint64_t heartbeats_late = 0; ///< Accounts older than one used before.
-    std::uint64_t heartbeats_undated = 0; ///< Accounts that do not tell their
-                                          ///< start, while looks do.
+    std::array<std::uint64_t, name_table<account_use>::names.size()>
+        heartbeats{};             ///< By what became of them.
     std::uint64_t born_again = 0; ///< Lives that began under the last one's id.
     std::uint64_t stale_sign_offs = 0; ///< Words of an end that had not come.
     std::uint64_t ends_repeated = 0;   ///< Listed with a number that was done
@@ -278,8 +292,9 @@
 
     /// @param account As the runner registers itself.
     /// @param times That it told with it.
-    void registered(const runner_account& account,
-                    const runner_times& times = {});
+    /// @return Whether it counts.
+    account_use registered(const runner_account& account,
+                           const runner_times& times = {});
 
     /// What the last process of this agent knew. It counts once the backend
     /// server has answered as that life, and not after a registration.
@@ -417,7 +432,7 @@
     using runs = std::unordered_map<run_ref, run_record, run_ref_hash>;
 
     void date(runner_account& account, const runner_times& times) const;
-    bool passed_over(const runner_account& account);
+    account_use use_of(const runner_account& account);
     void note_notice(const std::optional<instant>& before);
     void check_leaving();
     void note_pace(const run_record& run);
--- a/src/glenhollow/runs/run_manager_lives.cpp
+++ b/src/glenhollow/runs/run_manager_lives.cpp
@@ -15,51 +15,50 @@
 /// next life has registered. Which life is there is told by the backend server
 /// itself: it refuses a look that expects another id, and its lists name its
 /// start, which alone tells lives of one id apart.
-void run_manager::registered(const runner_account& told,
-                             const runner_times& times)
+account_use run_manager::registered(const runner_account& told,
+                                    const runner_times& times)
 {
-    if (passed_over(told))
-        return;
+    const auto use = use_of(told);
+    ++stats_.heartbeats[static_cast<std::size_t>(use)];
+    if (use != account_use::taken)
+        return use;
     auto account = told;
     date(account, times);
     registered_ = true;
-    ++stats_.heartbeats;
     heartbeats_.note(account.life(), account.sequence);
     const bool same = may_be_same(account_.life(), account.life());
     if (same)
         from_memory_ = false;
     const bool shown = !starts_differ(account.born_ms, listed_born_ms_);
     if (same || (account_.instance.empty() && shown))
-        return take_account(account);
-    if (!verified_ && shown)
-        return replace_life(account); // No look has spoken for the other.
-    doubt(account);
+        take_account(account);
+    else if (!verified_ && shown)
+        replace_life(account); // No look has spoken for the other.
+    else
+        doubt(account);
+    return use;
 }
 
-/// @return Whether the account must not be used.
-bool run_manager::passed_over(const runner_account& account)
+account_use run_manager::use_of(const runner_account& account)
 {
     const auto latest = heartbeats_.overtaken(account.life(), account.sequence);
     if (latest)
     {
-        ++stats_.heartbeats_late;
         log_change(log_level::info, "heartbeat_late",
                    {{"instance", account.instance},
                     {"born_ms", account.born_ms},
                     {"phase", to_name(account.phase)},
                     {"sequence", account.sequence},
                     {"latest", *latest}});
-        return true;
+        return account_use::late;
     }
     if (account.born_ms != 0 || listed_born_ms_ == 0)
-        return false;
-    // It can't be said whose it is, and the server always tells its start.
-    ++stats_.heartbeats_undated;
+        return account_use::taken;
     log_change(log_level::warning, "heartbeat_undated",
                {{"instance", account.instance},
                 {"phase", to_name(account.phase)},
                 {"listed_born_ms", listed_born_ms_}});
-    return true;
+    return account_use::undated;
 }
 
 /// Another life has registered than that which answers, or has last answered.
--- a/tests/unit/platform/restarted_server_tests.cpp
+++ b/tests/unit/platform/restarted_server_tests.cpp
@@ -310,10 +310,11 @@
 {
     restart_world world;
     world.live_once();
-    world.beat(0, 50, "draining");
+    // An answer of 200 would be relied on.
+    CHECK(world.beat(0, 50, "draining") == 400);
     world.run(milliseconds{20});
     CHECK(world.manager.account().phase == runner_phase::ready);
-    CHECK(world.manager.stats().heartbeats_undated == 1);
+    CHECK(world.manager.stats().heartbeats.at(2) == 1);
 }
 
 TEST_CASE("of lives whose start is never told the id alone says which it is",
