--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,7 +6,8 @@
 scripts/build.sh release
 scripts/format.sh --check
 scripts/lint.sh
-# Tests listed as known to fail are named and passed over; no others are.
+# Tests listed in KNOWN-RED.txt, by the first word of a line, are named and
+# passed over; no others are.
 known=""
 if [ -s KNOWN-RED.txt ]; then
     echo "Known to fail, not run:"
--- a/standins/backend.cpp
+++ b/standins/backend.cpp
@@ -76,6 +76,9 @@
                              ///< the same id.
     bool leaving = false;    ///< It says that it leaves; then it signs off and
                              ///< lives again under the same id.
+    double stranger = 0;     ///< Share of heartbeats that another writer
+                             ///< follows up with what can't be read, or is not
+                             ///< this server's.
     double twice = 0;        ///< Share of runs that it begins once more when
                              ///< they have ended; a planted fault.
 };
@@ -471,28 +474,82 @@
     {
         if (!is_down())
             beat();
+        if (drawn(faults_.stranger))
+            write_as_stranger();
         run_after(io_, beat_interval, [this] { beat_again(); });
     }
 
+    /// Another writer at the agent's address, under this server's id or one of
+    /// its own.
+    void write_as_stranger()
+    {
+        const auto now = process_clock().now();
+        auto account = account_at(now);
+        account["state"] = "draining";
+        account["sequence"] = sequence_ + strays_;
+        const auto own = drawn(0.5);
+        const auto id = own ? life_ : "stranger-" + std::to_string(++strays_);
+        std::vector<std::string> unreadable{"", "{", "[]", "\xff\xfe", "null"};
+        const auto with = [&account](std::string_view name, json::value value)
+        {
+            auto changed = account;
+            changed[name] = std::move(value);
+            return json::serialize(changed);
+        };
+        unreadable.push_back(with("state", "sleeping"));
+        unreadable.push_back(with("sequence", -3));
+        unreadable.push_back(with("capacity", 7));
+        unreadable.push_back(with("labels", json::object{}));
+        unreadable.push_back(with("service", 5));
+        unreadable.push_back(with("born", "x"));
+        if (drawn(0.7))
+            return send_stray(id, unreadable[random_() % unreadable.size()],
+                              true);
+        // Well formed: of a stranger, or of a life that has ended.
+        account["born"] = born_ms_ - 1000;
+        send_stray(id, json::serialize(account), false);
+    }
+
+    /// @param unreadable Whether it must not be answered 2xx.
+    void send_stray(const std::string& id, std::string body, bool unreadable)
+    {
+        agent_->send({"PUT",
+                      "/instances/" + id,
+                      {{"Content-Type", "application/json"}},
+                      std::move(body),
+                      {}},
+                     [this, unreadable](const http_result& got)
+                     {
+                         const bool taken =
+                             got.answered && got.response.status / 100 == 2;
+                         misread_ += taken && unreadable ? 1 : 0;
+                     });
+    }
+
+    /// @return This server's account of itself, without its number.
+    json::object account_at(instant now) const
+    {
+        return {{"service", settings_.service},
+                {"address", settings_.address + ":" + std::to_string(port_)},
+                {"zone", settings_.zone},
+                {"version", "v1"},
+                {"slots", 1},
+                {"state", faults_.leaving ? "draining" : "ready"},
+                {"born", born_ms_},
+                {"cold_remaining_ms", 0},
+                {"capacity",
+                 {{"cpu", settings_.cpu},
+                  {"mem_mb", settings_.mem_mb},
+                  {"gpu", 0}}},
+                {"labels", json::array{"a", "r1-1"}},
+                {"clock_ms", clock_ms(now)}};
+    }
+
     void beat()
     {
         const auto now = process_clock().now();
-        const json::object account{
-            {"service", settings_.service},
-            {"address", settings_.address + ":" + std::to_string(port_)},
-            {"zone", settings_.zone},
-            {"version", "v1"},
-            {"slots", 1},
-            {"state", faults_.leaving ? "draining" : "ready"},
-            {"born", born_ms_},
-            {"cold_remaining_ms", 0},
-            {"capacity",
-             {{"cpu", settings_.cpu},
-              {"mem_mb", settings_.mem_mb},
-              {"gpu", 0}}},
-            {"labels", json::array{"a", "r1-1"}},
-            {"clock_ms", clock_ms(now)},
-            {"sequence", ++sequence_}};
+        auto account = account_at(now);
+        account["sequence"] = ++sequence_;
         agent_->send({"PUT",
                       "/instances/" + life_,
                       {{"Content-Type", "application/json"}},
@@ -523,6 +580,7 @@
         faults_.lose_answers = real_of(given, "lose_answers", 0);
         faults_.late = real_of(given, "late", 0);
         faults_.twice = real_of(given, "twice", 0);
+        faults_.stranger = real_of(given, "stranger", 0);
         if (flag_of(given, "crash"))
         {
             die();
@@ -572,7 +630,8 @@
         return {200,
                 "application/json",
                 {},
-                json::serialize(json::object{{"runs", std::move(list)}})};
+                json::serialize(json::object{{"misread", misread_},
+                                             {"runs", std::move(list)}})};
     }
 
     http_response answer(unsigned status, json::object body = {}) const
@@ -604,6 +663,8 @@
     std::uint64_t ends_ = 0;             ///< Listed in this life.
     std::uint64_t confirmed_ = 0;        ///< Ends taken note of.
     std::uint64_t sequence_ = 0;         ///< Of its heartbeats.
+    std::uint64_t strays_ = 0;           ///< Ids of another writer so far.
+    std::uint64_t misread_ = 0;          ///< Unreadable ones answered 2xx.
     std::vector<kept_run> runs_;         ///< All of all lives.
     std::vector<std::size_t> running_;   ///< Places in runs_.
     std::vector<std::size_t> listed_;    ///< Ends that are not confirmed.
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -15,30 +15,31 @@
 /// What goes wrong.
 enum class fault_kind : std::uint8_t
 {
-    entry_kill,      ///< SIGKILL, started again after a while.
-    entry_pause,     ///< SIGSTOP, SIGCONT after a while.
-    entry_stop,      ///< SIGTERM, started again a while after its end.
-    agent_kill,      ///< As with an entry.
-    agent_pause,     ///< As with an entry.
-    agent_stop,      ///< As with an entry.
-    backend_crash,   ///< All its runs die, a new life begins.
-    backend_lose,    ///< Calls done, but not answered.
-    backend_late,    ///< Orders carried out later, not answered.
-    backend_slow,    ///< Answers late.
-    backend_fail,    ///< Runs end `failed`.
-    backend_refuse,  ///< Starts get 503.
-    backend_restart, ///< Answers nobody, then lives again under the same id.
-    backend_leave,   ///< Says that it leaves, signs off, and lives again so.
-    store_slow,      ///< Answers late.
-    store_down,      ///< 503.
-    store_lose,      ///< Calls done, but not answered.
-    store_late,      ///< Writes done later, not answered.
-    store_refuse,    ///< 429.
-    store_forget,    ///< Its history is gone.
-    link_slow,       ///< A link of a process: see link_state.
-    link_silent,     ///< See link_state.
-    link_deaf,       ///< See link_state.
-    link_reset       ///< See link_state.
+    entry_kill,       ///< SIGKILL, started again after a while.
+    entry_pause,      ///< SIGSTOP, SIGCONT after a while.
+    entry_stop,       ///< SIGTERM, started again a while after its end.
+    agent_kill,       ///< As with an entry.
+    agent_pause,      ///< As with an entry.
+    agent_stop,       ///< As with an entry.
+    backend_crash,    ///< All its runs die, a new life begins.
+    backend_lose,     ///< Calls done, but not answered.
+    backend_late,     ///< Orders carried out later, not answered.
+    backend_slow,     ///< Answers late.
+    backend_fail,     ///< Runs end `failed`.
+    backend_refuse,   ///< Starts get 503.
+    backend_restart,  ///< Answers nobody, then lives again under the same id.
+    backend_leave,    ///< Says that it leaves, signs off, and lives again so.
+    backend_stranger, ///< Another writer's heartbeats come among its own.
+    store_slow,       ///< Answers late.
+    store_down,       ///< 503.
+    store_lose,       ///< Calls done, but not answered.
+    store_late,       ///< Writes done later, not answered.
+    store_refuse,     ///< 429.
+    store_forget,     ///< Its history is gone.
+    link_slow,        ///< A link of a process: see link_state.
+    link_silent,      ///< See link_state.
+    link_deaf,        ///< See link_state.
+    link_reset        ///< See link_state.
 };
 
 /// One fault of a plan.
@@ -86,13 +87,16 @@
 template <>
 struct glenhollow::name_table<glenhollow::soak::fault_kind>
 {
-    static constexpr std::array<std::string_view, 24> names{
-        "entry_kill",      "entry_pause",   "entry_stop",    "agent_kill",
-        "agent_pause",     "agent_stop",    "backend_crash", "backend_lose",
-        "backend_late",    "backend_slow",  "backend_fail",  "backend_refuse",
-        "backend_restart", "backend_leave", "store_slow",    "store_down",
-        "store_lose",      "store_late",    "store_refuse",  "store_forget",
-        "link_slow",       "link_silent",   "link_deaf",     "link_reset"};
+    static constexpr std::array<std::string_view, 25> names{
+        "entry_kill",      "entry_pause",   "entry_stop",
+        "agent_kill",      "agent_pause",   "agent_stop",
+        "backend_crash",   "backend_lose",  "backend_late",
+        "backend_slow",    "backend_fail",  "backend_refuse",
+        "backend_restart", "backend_leave", "backend_stranger",
+        "store_slow",      "store_down",    "store_lose",
+        "store_late",      "store_refuse",  "store_forget",
+        "link_slow",       "link_silent",   "link_deaf",
+        "link_reset"};
 };
 
 #endif
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -74,6 +74,12 @@
     return static_cast<std::int64_t>(platform::number_of(run, name));
 }
 
+/// @return How many unreadable heartbeats were answered as if they were good.
+std::uint64_t misread(const std::string& body)
+{
+    return platform::number_of(platform::object_of(body), "misread");
+}
+
 std::vector<seen_run> runs_of(const std::string& backend,
                               const std::string& body)
 {
@@ -437,6 +443,9 @@
         case fault_kind::backend_restart:
             body["ended"] = true;
             break;
+        case fault_kind::backend_stranger:
+            body["stranger"] = 1.0;
+            break;
         case fault_kind::backend_leave:
             body["leaving"] = true;
             break;
@@ -502,6 +511,10 @@
                 const auto name = "backend" + std::to_string(i);
                 if (!got.answered)
                     checker_.broken("SOAK", name + " gave no record");
+                if (misread(got.response.body) > 0)
+                    checker_.broken("READ", "an agent took what can't be read "
+                                            "for an account of " +
+                                                name);
                 auto its = runs_of(name, got.response.body);
                 for (auto& run : its)
                     run.left = run.left && in_touch(agents_[i], run.begin);
