--- a/standins/backend.cpp
+++ b/standins/backend.cpp
@@ -118,9 +118,11 @@
         begin_life(false);
     }
 
-    void begin(std::uint16_t port)
+    /// @param server Whose connections end with each life.
+    void begin(http_server& server)
     {
-        port_ = port;
+        server_ = &server;
+        port_ = server.port();
         beat_again();
         tick();
     }
@@ -190,6 +192,9 @@
         for (auto& look : looks_)
             silent_.push_back(std::move(look.done));
         looks_.clear();
+        // What is held back on its way to this life must not reach the next:
+        // connections end with their process.
+        server_->close_idle();
     }
 
     bool is_down() const { return faults_.ended || away_; }
@@ -651,7 +656,8 @@
     instant origin_;                     ///< When its clock showed 1,000 ms.
     std::unique_ptr<http_client> agent_; ///< Where it registers.
     backend_faults faults_;              ///< What goes wrong now.
-    std::uint16_t port_ = 0;             ///< Its own.
+    http_server* server_ = nullptr;      ///< Its own.
+    std::uint16_t port_ = 0;             ///< Of that.
     std::uint64_t lives_ = 0;            ///< So far.
     std::string life_;                   ///< Id of this life.
     std::int64_t born_ms_ = 0;           ///< Its start, Unix ms.
@@ -725,7 +731,7 @@
         std::cerr << written.error().text << "\n";
         return 1;
     }
-    backend.begin(server.value()->port());
+    backend.begin(*server.value());
     asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](auto, int) { io.stop(); });
     io.run();
--- a/tests/soak/link_proxy.cpp
+++ b/tests/soak/link_proxy.cpp
@@ -117,7 +117,15 @@
     static asio::awaitable<void> lead(std::shared_ptr<state> self,
                                       std::shared_ptr<connection> link)
     {
+        // Nobody gets a connection over a link that is silent, and nothing that
+        // was sent on one may reach whatever listens there later.
+        const bool lost = self->holds(false);
         co_await pass(*self, false);
+        if (lost)
+        {
+            link->reset();
+            co_return;
+        }
         error_code ec;
         co_await link->server.async_connect(self->server,
                                             asio::redirect_error(token, ec));
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -127,6 +127,23 @@
         add_agent(i);
 }
 
+/// @return Whether nothing of this soak will listen there; it is noted.
+bool soak_deployment::is_new(const host_port& where)
+{
+    return where.port != rpc_port_ && taken_.insert(where.to_string()).second;
+}
+
+/// @return A port at that address for one process, also after its restarts.
+std::uint16_t soak_deployment::new_port(const std::string& host)
+{
+    for (;;)
+    {
+        const auto port = free_port(host);
+        if (is_new({host, port}))
+            return port;
+    }
+}
+
 /// Each soak has a network of its own, so that several can run side by side.
 void soak_deployment::choose_addresses()
 {
@@ -135,12 +152,11 @@
     network_ = "127." + std::to_string(20 + pid % nets) + "." +
                std::to_string(pid / nets % nets) + ".";
     rpc_port_ = free_port(address(0));
-    store_address_ = {address(0), free_port(address(0))};
+    store_address_ = {address(0), new_port(address(0))};
     for (std::uint32_t i = 0; i < settings_.entries; ++i)
     {
         const auto host = address(1 + i);
-        addresses_.push_back(
-            {{host, free_port(host)}, {host, free_port(host)}});
+        addresses_.push_back({{host, new_port(host)}, {host, new_port(host)}});
     }
 }
 
@@ -175,7 +191,7 @@
          "--zone",         "z",
          "--address",      where.callers.host,
          "--rpc-port",     std::to_string(rpc_port_),
-         "--metrics-port", std::to_string(free_port(where.callers.host)),
+         "--metrics-port", std::to_string(new_port(where.callers.host)),
          "--callers",      where.callers.to_string(),
          "--readiness",    where.readiness.to_string(),
          "--store",        store,
@@ -188,8 +204,8 @@
     const auto host = address(1 + settings_.entries + i);
     const auto store = link(host, store_address_);
     const auto name = "agent" + std::to_string(i);
-    const host_port registration{host, free_port(host)};
-    const host_port runner{host, free_port(host)};
+    const host_port registration{host, new_port(host)};
+    const host_port runner{host, new_port(host)};
     const auto grace =
         std::chrono::duration_cast<seconds>(settings_.grace).count();
     add(agents_, name, "glenhollow-durable-agent",
@@ -197,7 +213,7 @@
          "--zone",         "z",
          "--address",      host,
          "--rpc-port",     std::to_string(rpc_port_),
-         "--metrics-port", std::to_string(free_port(host)),
+         "--metrics-port", std::to_string(new_port(host)),
          "--registration", registration.to_string(),
          "--runner",       link(host, runner),
          "--store",        store,
@@ -252,7 +268,10 @@
 std::string soak_deployment::link(const std::string& host,
                                   const host_port& server)
 {
-    links_.push_back({std::make_unique<link_proxy>(io_, host, server), {}});
+    auto proxy = std::make_unique<link_proxy>(io_, host, server);
+    while (!is_new(proxy->where()))
+        proxy = std::make_unique<link_proxy>(io_, host, server);
+    links_.push_back({std::move(proxy), {}});
     return links_.back().proxy->where().to_string();
 }
 
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -108,6 +109,8 @@
     };
 
     void choose_addresses();
+    bool is_new(const host_port& where);
+    std::uint16_t new_port(const std::string& host);
     std::string address(std::uint32_t number) const;
     void add(std::vector<managed>& to, const std::string& name,
              const std::string& program, std::vector<std::string> flags);
@@ -134,6 +137,7 @@
     teller tell_;                          ///< The log.
     std::string network_;                  ///< Begin of all addresses.
     std::uint16_t rpc_port_ = 0;           ///< Alike on all machines.
+    std::set<std::string> taken_;          ///< Addresses that are given out.
     host_port store_address_;              ///< The store.
     std::vector<entry_address> addresses_; ///< Of the entries.
     std::vector<managed> standins_;        ///< Store and backend servers.
