Soak: backend servers stand still; length of the tasks' work and the share of kept jobs by flags

A backend server that stands still answers nobody while its runs go on: what an agent that has just begun finds. Seeds draw the kinds they drew before.

--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -27,25 +27,46 @@
 
 std::uint32_t targets_of(fault_kind kind, const plan_settings& settings)
 {
-    if (kind <= fault_kind::entry_stop)
+    switch (group_of(kind))
+    {
+    case fault_group::entry:
         return settings.entries;
-    if (kind < fault_kind::store_slow)
+    case fault_group::agent:
+    case fault_group::backend:
         return settings.agents;
-    return kind < fault_kind::link_slow ? 1 : settings.links();
+    case fault_group::store:
+        return 1;
+    case fault_group::link:
+        break;
+    }
+    return settings.links();
 }
 
 } // namespace
 
+fault_group group_of(fault_kind kind)
+{
+    if (kind == fault_kind::backend_pause)
+        return fault_group::backend;
+    if (kind <= fault_kind::entry_stop)
+        return fault_group::entry;
+    if (kind <= fault_kind::agent_stop)
+        return fault_group::agent;
+    if (kind < fault_kind::store_slow)
+        return fault_group::backend;
+    return kind < fault_kind::link_slow ? fault_group::store
+                                        : fault_group::link;
+}
+
 std::vector<planned_fault> plan_faults(const plan_settings& settings)
 {
-    constexpr auto kinds = name_table<fault_kind>::names.size();
     random_engine engine(settings.seed);
     std::vector<planned_fault> plan;
     auto at = settings.calm;
     while (true)
     {
         planned_fault fault;
-        fault.kind = static_cast<fault_kind>(engine() % kinds);
+        fault.kind = static_cast<fault_kind>(engine() % drawn_kinds);
         const auto targets = targets_of(fault.kind, settings);
         fault.target = static_cast<std::uint32_t>(engine() % targets);
         fault.at = at;
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -39,9 +39,28 @@
     link_slow,        ///< A link of a process: see link_state.
     link_silent,      ///< See link_state.
     link_deaf,        ///< See link_state.
-    link_reset        ///< See link_state.
+    link_reset,       ///< See link_state.
+    backend_pause     ///< As with an entry.
 };
 
+/// Kinds that plans of a seed draw from; so a seed means the same plan however
+/// many kinds files may name.
+inline constexpr std::size_t drawn_kinds = 25;
+
+/// What a kind strikes.
+enum class fault_group : std::uint8_t
+{
+    entry,   ///< An entry's process.
+    agent,   ///< An agent's process.
+    backend, ///< A backend server.
+    store,   ///< The store.
+    link     ///< A link.
+};
+
+/// @param kind A kind of fault.
+/// @return What it strikes.
+fault_group group_of(fault_kind kind);
+
 /// One fault of a plan.
 struct planned_fault
 {
@@ -87,7 +106,7 @@
 template <>
 struct glenhollow::name_table<glenhollow::soak::fault_kind>
 {
-    static constexpr std::array<std::string_view, 25> names{
+    static constexpr std::array<std::string_view, 26> names{
         "entry_kill",      "entry_pause",   "entry_stop",
         "agent_kill",      "agent_pause",   "agent_stop",
         "backend_crash",   "backend_lose",  "backend_late",
@@ -96,7 +115,7 @@
         "store_slow",      "store_down",    "store_lose",
         "store_late",      "store_refuse",  "store_forget",
         "link_slow",       "link_silent",   "link_deaf",
-        "link_reset"};
+        "link_reset",      "backend_pause"};
 };
 
 #endif
--- a/tests/soak/soak_checker.hpp
+++ b/tests/soak/soak_checker.hpp
@@ -25,6 +25,7 @@
     std::string id;               ///< 16 hex digits.
     bool kept = false;            ///< Not `best_effort`.
     std::string spec;             ///< What the tasks run.
+    unsigned work_ms = 0;         ///< Of each task, as the spec says.
     std::vector<soak_step> steps; ///< Its steps.
 };
 
--- a/tests/soak/soak_clients.cpp
+++ b/tests/soak/soak_clients.cpp
@@ -40,7 +40,7 @@
         json::object out{{"count", step.count},
                          {"cpu", step.cpu},
                          {"mem_mb", 16},
-                         {"estimate_ms", 150}};
+                         {"estimate_ms", std::max(150U, job.work_ms / 2)}};
         if (!step.after.empty())
             out["after"] = json::array(step.after.begin(), step.after.end());
         steps.emplace_back(std::move(out));
@@ -131,7 +131,10 @@
                   static_cast<unsigned long long>(random_()));
     job.id = id.data();
     job.kept = uniform(random_) < settings_.kept;
-    job.spec = "work_ms=" + std::to_string(20 + random_() % 280) + ";" + job.id;
+    const auto range = settings_.most_work_ms - settings_.least_work_ms;
+    job.work_ms = settings_.least_work_ms +
+                  static_cast<unsigned>(random_() % std::max(1U, range));
+    job.spec = "work_ms=" + std::to_string(job.work_ms) + ";" + job.id;
     const std::size_t steps = 1 + (random_() % 4 == 0 ? 1 : 0);
     for (std::size_t i = 0; i < steps; ++i)
     {
--- a/tests/soak/soak_clients.hpp
+++ b/tests/soak/soak_clients.hpp
@@ -34,6 +34,8 @@
     duration retransmit = milliseconds{1300}; ///< After no answer.
     duration ask = milliseconds{700}; ///< Between questions for a state.
     double kept = 0.5;                ///< Share of kept jobs.
+    unsigned least_work_ms = 20;      ///< Of a task.
+    unsigned most_work_ms = 300;      ///< Of a task.
     double again = 0.1;               ///< Share of accepted kept jobs
                                       ///< that arrive once more.
 };
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -365,26 +365,36 @@
           std::to_string(
               std::chrono::duration_cast<milliseconds>(fault.lasts).count()) +
           " ms, share " + std::to_string(fault.share));
-    if (fault.kind >= fault_kind::link_slow)
+    const auto group = group_of(fault.kind);
+    if (group == fault_group::link)
         return harm(links_[fault.target], fault);
-    if (fault.kind >= fault_kind::store_slow)
+    if (group == fault_group::store)
         return turn(store_, fault);
-    if (fault.kind >= fault_kind::backend_crash)
+    const bool of_backend = group == fault_group::backend;
+    if (of_backend && fault.kind != fault_kind::backend_pause)
         return turn(backends_[fault.target], fault);
-    auto& one = fault.kind <= fault_kind::entry_stop ? entries_[fault.target]
-                                                     : agents_[fault.target];
+    auto& one = of_backend                    ? backend(fault.target)
+                : group == fault_group::entry ? entries_[fault.target]
+                                              : agents_[fault.target];
     if (one.now != phase::up)
         return tell_("left out, " + one.name + " is not up");
     if (fault.kind == fault_kind::entry_kill ||
         fault.kind == fault_kind::agent_kill)
         kill(one, fault);
     else if (fault.kind == fault_kind::entry_pause ||
-             fault.kind == fault_kind::agent_pause)
+             fault.kind == fault_kind::agent_pause ||
+             fault.kind == fault_kind::backend_pause)
         pause(one, fault);
     else
         stop_one(one, fault.lasts);
 }
 
+/// The store comes first among the stand-ins.
+soak_deployment::managed& soak_deployment::backend(std::uint32_t i)
+{
+    return standins_[1 + i];
+}
+
 void soak_deployment::kill(managed& one, const planned_fault& fault)
 {
     one.child->kill();
@@ -504,6 +514,7 @@
                        { return one.active.empty(); }) &&
            std::all_of(backends_.begin(), backends_.end(),
                        [](const knobs& one) { return one.active.empty(); }) &&
+           std::all_of(standins_.begin(), standins_.end(), up) &&
            std::all_of(entries_.begin(), entries_.end(), up) &&
            std::all_of(agents_.begin(), agents_.end(), up);
 }
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -123,6 +123,7 @@
     void start(managed& one);
     void watch();
     void watch_one(managed& one);
+    managed& backend(std::uint32_t i);
     void kill(managed& one, const planned_fault& fault);
     void pause(managed& one, const planned_fault& fault);
     void stop_one(managed& one, duration away);
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -41,6 +41,9 @@
     unsigned apart_ms = 1000;        ///< Between two faults, on average.
     std::string programs = ".";      ///< Folder of the programs.
     std::string folder = "soak";     ///< For logs.
+    unsigned least_work_ms = 20;     ///< Of a task.
+    unsigned most_work_ms = 300;     ///< Of a task.
+    double kept = 0.5;               ///< Share of kept jobs.
     double twice = 0;                ///< A planted fault.
     std::string plan_file;           ///< Empty: the seed makes the plan.
     std::vector<planned_fault> plan; ///< The faults.
@@ -100,6 +103,9 @@
     {
         client_settings out;
         out.seed = settings_.seed;
+        out.least_work_ms = settings_.least_work_ms;
+        out.most_work_ms = settings_.most_work_ms;
+        out.kept = settings_.kept;
         return out;
     }
 
@@ -242,10 +248,21 @@
     line.text("folder", settings.folder, "for logs, begun anew");
     line.text("plan", settings.plan_file,
               "file with the faults, in place of those of the seed");
+    line.number<unsigned>("least-work", settings.least_work_ms, 1, 60'000, "ms",
+                          "of a task");
+    line.number<unsigned>("most-work", settings.most_work_ms, 2, 60'000, "ms",
+                          "of a task");
+    line.number<double>("kept", settings.kept, 0, 1, "",
+                        "share of jobs that are kept in the store");
     line.number<double>("twice", settings.twice, 0, 1, "",
                         "planted fault: share of runs that a backend server "
                         "begins once more after their end");
     parse_or_exit(line, argc, argv);
+    if (settings.most_work_ms <= settings.least_work_ms)
+    {
+        std::cerr << "most-work must be above least-work\n";
+        return exit_usage;
+    }
     auto plan = plan_of(settings);
     if (!plan)
     {
--- a/tests/unit/soak/fault_plan_tests.cpp
+++ b/tests/unit/soak/fault_plan_tests.cpp
@@ -55,7 +55,7 @@
         else
             CHECK(fault.target < settings.links());
     }
-    CHECK(kinds.size() == name_table<fault_kind>::names.size());
+    CHECK(kinds.size() == drawn_kinds);
 }
 
 TEST_CASE("fault plan: a plan is the same after it was written and read")
