Sight for tasks that ran twice: accounts say whether the server was seen, processes say that they stood still

account_told names lease, runs, ends and whether this process has seen its backend server; runs_found; orders_lost at the coordinator with its cause; caller_left; leases in entry_attached, start_refused and runs_orphaned; stood_still of agents and entries, with counters.

--- a/programs/durable_agent.cpp
+++ b/programs/durable_agent.cpp
@@ -7,6 +7,7 @@
 #include "glenhollow/rpc/rpc_loop.hpp"
 #include "glenhollow/runs/runner_memo.hpp"
 #include "glenhollow/telemetry/log.hpp"
+#include "glenhollow/telemetry/stall_watch.hpp"
 #include "platform/runner_registration.hpp"
 
 #include <boost/asio/signal_set.hpp>
@@ -142,6 +143,7 @@
 
     void tick()
     {
+        stalls_.ticked(process_clock().now());
         manager_.tick();
         service_->tick();
         if (host_)
@@ -190,6 +192,7 @@
         service_->collect(page);
         if (host_)
             host_->collect(page);
+        stalls_.collect(page);
         store_.collect(page);
         runner_.collect(page);
         registration_.collect(page);
@@ -262,6 +265,7 @@
     run_manager manager_;                          ///< The product.
     platform::runner_registration registration_;   ///< Its accounts.
     member_announcer announcer_;                   ///< Its row.
+    stall_watch stalls_{{tick_interval}};          ///< Of this process.
     runner_account kept_;                          ///< Last in its row's memo.
     std::unique_ptr<run_agent_service> service_;   ///< For entries.
     std::unique_ptr<job_host> host_;               ///< Of jobs of entries.
--- a/src/glenhollow/durable/durable_metrics.cpp
+++ b/src/glenhollow/durable/durable_metrics.cpp
@@ -136,6 +136,7 @@
     page.gauge("tasks_waiting", "Ready tasks without a place",
                static_cast<double>(dispatcher_.waiting()));
     queues_.collect(page);
+    stalls_.collect(page);
     page.gauge("store_reachable", "1 while the store answers",
                store_.reachable() ? 1 : 0);
 }
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -180,6 +180,7 @@
 void durable_service::tick()
 {
     const auto now = clock_.now();
+    stalls_.ticked(now);
     if (tick_due_.count() != 0)
         note_lag(now - tick_due_);
     tick_due_ = now + tick_interval;
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -15,6 +15,7 @@
 #include "glenhollow/hosting/job_handover.hpp"
 #include "glenhollow/journal/watched_store.hpp"
 #include "glenhollow/telemetry/metrics.hpp"
+#include "glenhollow/telemetry/stall_watch.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -241,6 +242,7 @@
 
     std::map<std::string, agent_silence> agent_silence_; ///< By agent.
     std::map<std::string, std::string> members_known_;   ///< Address by name.
+    stall_watch stalls_{{}};                             ///< Of this process.
     instant tick_due_{};          ///< When the next tick should come.
     instant probed_{};            ///< Last probe of the store.
     instant load_logged_{};       ///< Last line on the load.
--- a/src/glenhollow/durable/job_coordinator.cpp
+++ b/src/glenhollow/durable/job_coordinator.cpp
@@ -208,6 +208,7 @@
     if (known == jobs_.end() || known->second.ending)
         return;
     ++stats_.withdrawn;
+    log_change(log_level::info, "caller_left", {{"job", to_text(id)}});
     drop(known->second);
 }
 
--- a/src/glenhollow/durable/job_coordinator.hpp
+++ b/src/glenhollow/durable/job_coordinator.hpp
@@ -313,6 +313,8 @@
     void listed(const std::string& agent, const listed_run& run);
     void requeue_unlisted(const std::string& agent,
                           const lease_account& account);
+    void log_lost(const std::string& agent, std::string_view cause,
+                  std::uint64_t orders) const;
     void lose_order(job_record& record, std::uint32_t flat);
     void settle_lost(job_record& record, const std::string& agent,
                      const lease_account& account);
--- a/src/glenhollow/durable/job_coordinator_ends.cpp
+++ b/src/glenhollow/durable/job_coordinator_ends.cpp
@@ -13,7 +13,9 @@
 void job_coordinator::account_of(const std::string& agent,
                                  const lease_account& account)
 {
+    const auto before = stats_.orders_lost;
     requeue_unlisted(agent, account);
+    log_lost(agent, "not_listed", stats_.orders_lost - before);
     for (const auto& run : account.runs)
         listed(agent, run);
     for (const auto& end : account.ends)
@@ -81,6 +83,19 @@
     }
 }
 
+/// Their tasks begin elsewhere now.
+void job_coordinator::log_lost(const std::string& agent, std::string_view cause,
+                               std::uint64_t orders) const
+{
+    if (orders == 0)
+        return;
+    log_change(log_level::warning, "orders_lost",
+               {{"agent", agent},
+                {"part", part_},
+                {"orders", orders},
+                {"cause", cause}});
+}
+
 /// It may have run, unless its agent can still tell.
 void job_coordinator::lose_order(job_record& record, std::uint32_t flat)
 {
@@ -128,6 +143,7 @@
 
 void job_coordinator::agent_gone(const std::string& agent)
 {
+    const auto before = stats_.orders_lost;
     for (auto& [id, record] : jobs_)
     {
         for (std::uint32_t flat = 0; flat < record.tasks.size(); ++flat)
@@ -137,6 +153,7 @@
                 lose_order(record, flat);
         }
     }
+    log_lost(agent, "silent", stats_.orders_lost - before);
     if (awaited_.erase(agent) > 0 && awaited_.empty())
         all_agents_told();
 }
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -37,6 +37,13 @@
         auto ends = out.initEnds(static_cast<unsigned>(known.ends.size()));
         for (unsigned i = 0; i < ends.size(); ++i)
             fill(ends[i], known.ends[i]);
+        log_change(log_level::info, "account_told",
+                   {{"entry", session->entry},
+                    {"lease", lease},
+                    {"epoch", part.epoch},
+                    {"runs", known.runs.size()},
+                    {"ends", known.ends.size()},
+                    {"server_seen", service_.manager_.informed()}});
         if (!known.declined)
             service_.adopted(number_, lease);
         return kj::READY_NOW;
@@ -102,7 +109,9 @@
                                0,
                                true,
                                {}});
-        log_change(log_level::info, "entry_attached", {{"entry", entry}});
+        log_change(
+            log_level::info, "entry_attached",
+            {{"entry", entry}, {"lease", service_.sessions_.at(entry).memory}});
         return kj::READY_NOW;
     }
 
@@ -494,6 +503,8 @@
           stats.stalled, {});
     count("runs_vanished_total", "Runs that the runner no longer showed",
           stats.vanished, {});
+    count("runs_found_total", "Runs that another process of the agent began",
+          stats.found, {});
     count("ended_runs_stopped_total", "Stops of runs shown after their end",
           stats.strays, {});
     count("runner_looks_total", "Looks at the runner", stats.looks, {});
--- a/src/glenhollow/runs/run_manager.cpp
+++ b/src/glenhollow/runs/run_manager.cpp
@@ -157,6 +157,7 @@
     log_change(log_level::info, "start_refused",
                {{"job", to_text(ref.task.job)},
                 {"run", ref.run},
+                {"lease", run.lease},
                 {"cause", to_name(got.outcome)}});
     end_run(ref, run_outcome::not_begun, 0);
 }
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -225,6 +225,7 @@
     std::uint64_t lapses = 0;     ///< Times the hold was left to lapse.
     std::uint64_t stalled = 0;    ///< Runs stopped for want of progress.
     std::uint64_t vanished = 0;   ///< Runs that the runner no longer showed.
+    std::uint64_t found = 0;      ///< Runs that another process had begun.
     std::uint64_t strays = 0;     ///< Stops of runs shown after their end.
     std::uint64_t stale_registrations = 0; ///< Of lives that had ended.
     std::array<std::uint64_t, name_table<account_use>::names.size()>
--- a/src/glenhollow/runs/run_manager_leases.cpp
+++ b/src/glenhollow/runs/run_manager_leases.cpp
@@ -174,7 +174,9 @@
     }
     if (!orphans.empty())
         log_change(log_level::info, "runs_orphaned",
-                   {{"runs", orphans.size()}});
+                   {{"runs", orphans.size()},
+                    {"lease", runs_.at(orphans.front()).lease},
+                    {"job", to_text(orphans.front().task.job)}});
     for (const auto& ref : orphans)
         stop(ref);
 }
--- a/src/glenhollow/runs/run_manager_looks.cpp
+++ b/src/glenhollow/runs/run_manager_looks.cpp
@@ -217,6 +217,7 @@
                                const std::vector<shown_run>& running)
 {
     const auto now = clock_.now();
+    const auto found_before = stats_.found;
     for (const auto& shown : running)
     {
         const auto known = runs_.find(shown.run);
@@ -234,6 +235,7 @@
             found.sized = false;
             found.changed = found.progressed = now;
             ++unsized_;
+            ++stats_.found;
             runs_.emplace(shown.run, std::move(found));
             continue;
         }
@@ -249,6 +251,9 @@
             run.progressed = now;
         }
     }
+    if (stats_.found != found_before)
+        log_change(log_level::info, "runs_found",
+                   {{"runs", stats_.found - found_before}});
 }
 
 /// Runs that the runner ought to show and does not.
