--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -41,6 +41,7 @@
     unsigned apart_ms = 1000;        ///< Between two faults, on average.
     std::string programs = ".";      ///< Folder of the programs.
     std::string folder = "soak";     ///< For logs.
+    unsigned between_ms = 40;        ///< Between two jobs.
     unsigned least_work_ms = 20;     ///< Of a task.
     unsigned most_work_ms = 300;     ///< Of a task.
     double kept = 0.5;               ///< Share of kept jobs.
@@ -103,6 +104,7 @@
     {
         client_settings out;
         out.seed = settings_.seed;
+        out.between = milliseconds{settings_.between_ms};
         out.least_work_ms = settings_.least_work_ms;
         out.most_work_ms = settings_.most_work_ms;
         out.kept = settings_.kept;
@@ -248,6 +250,8 @@
     line.text("folder", settings.folder, "for logs, begun anew");
     line.text("plan", settings.plan_file,
               "file with the faults, in place of those of the seed");
+    line.number<unsigned>("between", settings.between_ms, 1, 60'000, "ms",
+                          "between two jobs");
     line.number<unsigned>("least-work", settings.least_work_ms, 1, 60'000, "ms",
                           "of a task");
     line.number<unsigned>("most-work", settings.most_work_ms, 2, 60'000, "ms",
--- /dev/null
+++ b/tests/unit/durable/unseen_runs_tests.cpp
@@ -0,0 +1,185 @@
+// Tasks of one job ran at two backend servers at once. The process of an agent
+// had ended and begun again, while its backend server stood still for some
+// hundred ms, as processes do that share processors. Its entry attached and
+// asked what runs there before the server had answered a first look: the agent
+// told that nothing does. So the entry had all its tasks of that agent begin
+// elsewhere, while the server went on with them under the hold of the process
+// before, to their end.
+//
+// Proof: real programs, an agent killed and its server paused for 300 ms: the
+// agent's line `account_told` says 0 runs and that the server was not seen, its
+// entry's `orders_lost` that they were not listed, the agent's `runs_found`
+// follows; a run from 829.358 to 830.029 s at that server, `done`, taken note
+// of and never stopped; the same task from 829.646 s at another.
+//
+// Cause: what an agent has not seen was told as if it were not there.
+#include "glenhollow/core/run_after.hpp"
+#include "glenhollow/durable/agent_sessions.hpp"
+#include "glenhollow/rpc/rpc_listener.hpp"
+#include "glenhollow/rpc/rpc_loop.hpp"
+#include "glenhollow/runs/run_agent_service.hpp"
+#include "unit/support/fake_runner_port.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace glenhollow;
+
+namespace
+{
+
+/// An entry that keeps the first account it is told.
+struct asking_entry : agent_session_listener
+{
+    void agent_attached(const std::string&, const runner_report&) override
+    {
+        attached = true;
+    }
+    void agent_detached(const std::string&) override {}
+    void agent_ordered(const std::string&) override {}
+    void agent_adopted(const std::string&, part_epoch part,
+                       const lease_account& account) override
+    {
+        accounts.emplace(part.part, account);
+    }
+    void agent_reported(const std::string&, const runner_report&,
+                        const std::vector<run_end>&,
+                        const std::vector<run_ref>&) override
+    {
+    }
+    std::vector<run_end> take_confirmed(const std::string&) override
+    {
+        return {};
+    }
+    std::vector<part_epoch> owned_parts() const override
+    {
+        return {{0, 1}, {memory_part, 0}};
+    }
+    duration room_gap(const std::string&, std::size_t) const override
+    {
+        return milliseconds{1};
+    }
+    bool places_for_others(const std::string&) const override { return false; }
+    bool places_at(const std::string&) const override { return true; }
+    hall_evacuation evacuation_of(const std::string&) const override
+    {
+        return {};
+    }
+
+    bool attached = false;
+    std::map<part_number, lease_account> accounts;
+};
+
+run_manager_settings one_part()
+{
+    run_manager_settings out;
+    out.parts = 1;
+    return out;
+}
+
+/// A new process of an agent beside a server that still runs two tasks, and an
+/// entry that attaches.
+struct begun_agent_world
+{
+    begun_agent_world()
+    {
+        server.running = {kept, in_memory};
+        server.held_until = server.now_ms() + 1000;
+        sessions.add("agent", {"127.0.0.1", links().port()});
+    }
+
+    rpc_listener& links() { return *listener.value(); }
+
+    /// @param step Called each 2 ms of real time; false ends it.
+    void play(std::function<bool()> step)
+    {
+        std::function<void()> again = [&]
+        {
+            sessions.tick();
+            agent->tick();
+            manager.tick();
+            if (!step())
+                return loop.stop();
+            run_after(loop.io(), milliseconds{2}, again);
+        };
+        loop.run(
+            [&]
+            {
+                links().serve(agent->bootstrap());
+                manager.begin();
+                again();
+            },
+            [&]
+            {
+                sessions.close();
+                agent.reset();
+                links().close();
+            });
+    }
+
+    bool told() const { return entry.accounts.size() == 2; }
+
+    const run_ref kept{{42, 0, 0, 0}, 4097};
+    const run_ref in_memory{{43, 0, 0, 0}, first_memory_run + 1};
+    rpc_loop loop;
+    manual_loop time;
+    fake_runner_port server{time};
+    run_manager manager{time.clock, server, time.delay(), 1000, one_part()};
+    std::unique_ptr<run_agent_service> agent =
+        std::make_unique<run_agent_service>(loop.io(), process_clock(), manager,
+                                            1, report_pacing_settings{});
+    asking_entry entry;
+    agent_sessions sessions{loop.io(), process_clock(), entry, {}};
+    result<std::unique_ptr<rpc_listener>> listener =
+        rpc_listener::create(loop.io(), "127.0.0.1", 0);
+};
+
+/// Some round trips between two processes of one machine.
+constexpr int enough_steps = 50;
+
+} // namespace
+
+TEST_CASE("an agent tells what runs only once its server has shown it",
+          "[unseen_runs]")
+{
+    begun_agent_world world;
+    world.server.silent = true;
+    int steps = 0;
+    world.play(
+        [&]
+        {
+            if (world.entry.attached && ++steps == enough_steps)
+                world.server.silent = false;
+            if (steps > enough_steps)
+                world.time.advance(milliseconds{10});
+            return !world.told() && steps < 20 * enough_steps;
+        });
+    REQUIRE(world.told());
+    const auto& parts = world.entry.accounts.at(0).runs;
+    REQUIRE(parts.size() == 1);
+    CHECK(parts.front().run == world.kept);
+    const auto& memory = world.entry.accounts.at(memory_part).runs;
+    REQUIRE(memory.size() == 1);
+    CHECK(memory.front().run == world.in_memory);
+}
+
+TEST_CASE("an agent beside a silent server tells that nothing runs once all "
+          "has lapsed",
+          "[unseen_runs]")
+{
+    begun_agent_world world;
+    world.server.silent = true;
+    int steps = 0;
+    instant told_at{};
+    const auto begun_at = world.time.clock.now();
+    world.play(
+        [&]
+        {
+            if (world.entry.attached && ++steps > enough_steps)
+                world.time.advance(milliseconds{10});
+            told_at = world.time.clock.now();
+            return !world.told() && steps < 20 * enough_steps;
+        });
+    REQUIRE(world.told());
+    CHECK(told_at - begun_at > longest_hold);
+    CHECK(world.entry.accounts.at(0).runs.empty());
+}
--- /dev/null
+++ b/tests/unit/runs/lease_bounds_hold_tests.cpp
@@ -0,0 +1,151 @@
+// Tasks of one job ran at two backend servers at once. An entry ended; its
+// agents go on with its runs for the lease, 0.8 s, and a backend server for the
+// hold, 1 s past the last look. An agent that stood still from just before the
+// end of the lease stopped nothing: the runs went on for up to 1.8 s. Their
+// caller had lost its connection with the entry, and sent the job again 1.3 s
+// later to another one, which had it run anew.
+//
+// Proof: real programs, an entry killed and two of four agents paused 0.7 s
+// later for a second: a run from 963.890 to 966.094 s at one server, ended
+// `done`, taken note of and never stopped; the same task from 965.928 s at
+// another.
+//
+// Cause: two times that follow each other were each shorter than a caller's
+// wait, and nobody kept their sum. Now the hold ends with the lease.
+#include "glenhollow/runs/run_manager.hpp"
+#include "unit/support/fake_runner_port.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace glenhollow;
+
+namespace
+{
+
+constexpr lease_id ended_entry = memory_lease(0);
+constexpr lease_id live_entry = memory_lease(1);
+constexpr duration callers_wait = milliseconds{1300};
+
+/// An agent with runs of two entries.
+struct two_entries_world
+{
+    two_entries_world()
+    {
+        runner_account account;
+        account.service = "service-1";
+        account.instance = "life-1";
+        account.capacity = {8000, 1000, 0};
+        account.phase = runner_phase::ready;
+        manager.registered(account);
+        manager.begin();
+        run(milliseconds{20}, true);
+    }
+
+    /// Lets time pass while the agent runs.
+    /// @param both Whether the first entry answers as well.
+    void run(duration length, bool both)
+    {
+        constexpr duration step = milliseconds{10};
+        for (duration passed{}; passed < length; passed += step)
+        {
+            if (both)
+                manager.renew(ended_entry, 0, loop.clock.now());
+            manager.renew(live_entry, 0, loop.clock.now());
+            manager.tick();
+            loop.advance(step);
+        }
+    }
+
+    run_ref order(job_id job, lease_id lease)
+    {
+        run_order order;
+        order.run = {{job, 0, 0, 0}, first_memory_run + 1};
+        order.needs = {1000, 10, 0};
+        order.estimate_ms = 4000; // Progress is not judged here.
+        manager.order(order, lease);
+        return order.run;
+    }
+
+    bool runs(const run_ref& run) const
+    {
+        return std::find(server.running.begin(), server.running.end(), run) !=
+               server.running.end();
+    }
+
+    /// @return For how long the server goes on if nobody calls it any more.
+    duration held_for() const
+    {
+        return milliseconds{
+            std::max<std::int64_t>(0, server.held_until - server.now_ms())};
+    }
+
+    manual_loop loop;
+    fake_runner_port server{loop};
+    run_manager manager{loop.clock, server, loop.delay(), 1000, {}};
+};
+
+} // namespace
+
+TEST_CASE("runs of an ended entry never outlast its caller's wait, whenever "
+          "their agent stands still",
+          "[lease_bounds_hold]")
+{
+    two_entries_world world;
+    const auto run = world.order(1, ended_entry);
+    world.run(milliseconds{100}, true);
+    REQUIRE(world.runs(run));
+    const auto ended_at = world.loop.clock.now();
+    // Wherever the agent stands still from now on, the server lets go in time.
+    while (world.runs(run))
+    {
+        const auto passed = world.loop.clock.now() - ended_at;
+        INFO(std::chrono::duration_cast<milliseconds>(passed).count()
+             << " ms after the end of the entry");
+        REQUIRE(passed + world.held_for() < callers_wait);
+        world.run(milliseconds{10}, false);
+    }
+}
+
+TEST_CASE("a start of one entry does not keep runs of an ended one alive",
+          "[lease_bounds_hold]")
+{
+    two_entries_world world;
+    const auto run = world.order(1, ended_entry);
+    world.run(milliseconds{100}, true);
+    const auto ended_at = world.loop.clock.now();
+    for (job_id job = 2; world.runs(run) && job < 100; ++job)
+    {
+        world.order(job, live_entry);
+        const auto passed = world.loop.clock.now() - ended_at;
+        REQUIRE(passed + world.held_for() < callers_wait);
+        world.run(milliseconds{10}, false);
+    }
+}
+
+TEST_CASE("the runs of other entries go on when one has ended",
+          "[lease_bounds_hold]")
+{
+    two_entries_world world;
+    const auto gone = world.order(1, ended_entry);
+    const auto other = world.order(2, live_entry);
+    world.run(milliseconds{100}, true);
+    for (int i = 0; i < 300; ++i)
+    {
+        world.run(milliseconds{10}, false);
+        REQUIRE(world.runs(other));
+    }
+    CHECK_FALSE(world.runs(gone));
+}
+
+TEST_CASE("a server that can't be told to stop lets go in time all the same",
+          "[lease_bounds_hold]")
+{
+    two_entries_world world;
+    const auto run = world.order(1, ended_entry);
+    world.run(milliseconds{100}, true);
+    const auto ended_at = world.loop.clock.now();
+    world.server.drop_orders = 1000;
+    while (world.loop.clock.now() - ended_at < callers_wait)
+        world.run(milliseconds{10}, false);
+    CHECK_FALSE(world.runs(run));
+}
