Agents tell what runs once their server has shown it; the hold ends with the lease

An agent's account was told before its new process had seen its backend server: what it did not list began elsewhere while the server went on with it. Now an adoption is answered once a look has been answered, or once the server was silent for so long that all has lapsed.

The lease of an ended entry (0.8 s) and the hold of a server (1.0 s) followed each other where an agent stood still in between; the caller comes again after 1.3 s. Now the hold is bounded by the first lease to end of those that have runs, and the time to stop these: 1.15 s.

The test of unseen runs gave its entry no incarnation, which no process lacks; corrected, it fails on the code of before as it did, and passes now.

--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -21,11 +21,17 @@
     }
 
     kj::Promise<void> adopt(AdoptContext context) override
+    {
+        return service_.once_known().then([this, context]() mutable
+                                          { tell_account(context); });
+    }
+
+    void tell_account(AdoptContext& context)
     {
         const auto part = from_wire(context.getParams().getPart());
         auto* session = service_.find(number_);
         if (session == nullptr)
-            return kj::READY_NOW; // Another session has replaced this one.
+            return; // Another session has replaced this one.
         const lease_id lease =
             part.part == memory_part ? session->memory : part.part;
         const auto known = service_.manager_.adopt(lease, part.epoch);
@@ -46,7 +52,6 @@
                     {"server_seen", service_.manager_.informed()}});
         if (!known.declined)
             service_.adopted(number_, lease);
-        return kj::READY_NOW;
     }
 
     kj::Promise<void> order(OrderContext context) override
@@ -251,6 +256,7 @@
 
 void run_agent_service::room_changed()
 {
+    tell_waiting();
     for (auto& [entry, one] : sessions_)
         one.marks.room = true;
     schedule_room();
@@ -336,9 +342,29 @@
 
 void run_agent_service::tick()
 {
+    tell_waiting();
     flush();
 }
 
+/// An entry takes what an account does not list for not there, and has it begin
+/// elsewhere: none is told before this process knows what runs.
+kj::Promise<void> run_agent_service::once_known()
+{
+    if (manager_.knows_runs())
+        return kj::READY_NOW;
+    auto wait = kj::newPromiseAndFulfiller<void>();
+    waiting_.push_back(kj::mv(wait.fulfiller));
+    return kj::mv(wait.promise);
+}
+
+void run_agent_service::tell_waiting()
+{
+    if (waiting_.empty() || !manager_.knows_runs())
+        return;
+    for (auto& one : std::exchange(waiting_, {}))
+        one->fulfill();
+}
+
 /// Parts have an owner that must not lose its lease, whether or not they run.
 void run_agent_service::mark_busy()
 {
--- a/src/glenhollow/runs/run_agent_service.hpp
+++ b/src/glenhollow/runs/run_agent_service.hpp
@@ -92,6 +92,8 @@
                          duration wished, bool places);
     void hall_told(bool evacuated, std::uint64_t version);
     void report_failed(std::uint64_t number);
+    kj::Promise<void> once_known();
+    void tell_waiting();
     void adopted(std::uint64_t number, lease_id lease);
     void ordered(session& by);
     void pace(std::uint64_t number, duration wished, bool places);
@@ -114,10 +116,12 @@
     std::uint64_t reports_ = 0;                ///< Sent.
     std::uint64_t batches_ = 0;                ///< Order batches taken.
     std::uint64_t hall_version_ = 0; ///< Of what is known of the hall.
-    bool scheduled_ = false;         ///< A flush is on its way.
-    bool room_scheduled_ = false;    ///< One for room alone, too.
-    background_tasks calls_;         ///< Reports that are out.
-    host_opener open_host_;          ///< Of jobs, at this process.
+    std::vector<kj::Own<kj::PromiseFulfiller<void>>> waiting_; ///< See
+                                                               ///< once_known.
+    bool scheduled_ = false;      ///< A flush is on its way.
+    bool room_scheduled_ = false; ///< One for room alone, too.
+    background_tasks calls_;      ///< Reports that are out.
+    host_opener open_host_;       ///< Of jobs, at this process.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
 };
 
--- a/src/glenhollow/runs/run_manager.cpp
+++ b/src/glenhollow/runs/run_manager.cpp
@@ -74,7 +74,8 @@
     const bool occupied = used_.cpu > 0 || used_.gpu > 0 || used_.memory > 0;
     return account_.phase == runner_phase::ready && !lapsing_ &&
            !(probing() && occupied) && unsized_ == 0 && runner_clock_.known() &&
-           owner.lease_epoch == owner.epoch && clock_.now() < owner.until &&
+           hold_end() > clock_.now() && owner.lease_epoch == owner.epoch &&
+           clock_.now() < owner.until &&
            used_.leaves_room(run.order.needs, account_.capacity);
 }
 
@@ -96,10 +97,11 @@
     }
 }
 
+/// @return Whose orders they are, and for how long all may go on there.
 order_context run_manager::context() const
 {
-    return {account_.instance, token_,
-            runner_clock_.at(clock_.now(), settings_.hold)};
+    const auto now = clock_.now();
+    return {account_.instance, token_, runner_clock_.at(now, hold_end() - now)};
 }
 
 void run_manager::send_start(run_record& run)
@@ -107,8 +109,8 @@
     run.phase = run_phase::starting;
     run.changed = clock_.now();
     used_.add(run.order.needs);
-    held_until_ =
-        std::max(held_until_, clock_.now() + with_drift(settings_.hold));
+    held_until_ = std::max(
+        held_until_, clock_.now() + with_drift(hold_end() - clock_.now()));
     runner_.start(
         {run.order.run, run.order.spec}, context(),
         [this, alive = alive_, ref = run.order.run](const order_result& got)
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -166,11 +166,13 @@
     duration part_lease = milliseconds{1800};  ///< From an owner's
                                                ///< confirmation.
     duration memory_lease = milliseconds{800}; ///< From an entry's.
-    duration claim_time = milliseconds{600};  ///< For runs that were found, and
-                                              ///< orders without a lease yet.
-    duration stop_time = milliseconds{350};   ///< For runs without a lease,
-                                              ///< before the hold lapses.
-    duration hold = longest_hold;             ///< Longest hold of the runner.
+    duration claim_time = milliseconds{600}; ///< For runs that were found, and
+                                             ///< orders without a lease yet.
+    duration stop_time = milliseconds{350};  ///< For runs without a lease,
+                                             ///< before the hold lapses.
+    duration hold = longest_hold; ///< Longest hold of the runner; it ends with
+                                  ///< the time to stop after the first lease
+                                  ///< to end of those that have runs.
     duration look_wait = milliseconds{100};   ///< Of one look, at most.
     duration look_gap = milliseconds{8};      ///< While ends are unconfirmed.
     duration patience = milliseconds{30};     ///< For an answer past its
@@ -291,6 +293,11 @@
     /// @return Whether the runner has been looked at, so that runs are known.
     bool informed() const { return informed_; }
 
+    /// @return Whether an account can be told: the runner has shown its runs,
+    /// or was silent for so long that all have lapsed. What has not been seen
+    /// yet must not be told as not there, for it would begin elsewhere.
+    bool knows_runs() const;
+
     /// @param account As the runner registers itself.
     /// @param times That it told with it.
     /// @return Whether it counts.
@@ -482,6 +489,8 @@
     order_context context() const;
     duration silence_limit() const;
     instant latest_hold() const;
+    instant lease_end(lease_id lease) const;
+    instant hold_end() const;
     void raise_token();
     void set_phase(runner_phase phase);
     void tell_room();
--- a/src/glenhollow/runs/run_manager_leases.cpp
+++ b/src/glenhollow/runs/run_manager_leases.cpp
@@ -123,6 +123,31 @@
     return known == leases_.end() || now >= known->second.until;
 }
 
+/// @return When nothing runs under it any more; zero where it has no holder.
+instant run_manager::lease_end(lease_id lease) const
+{
+    const auto known = leases_.find(lease);
+    if (known == leases_.end() || known->second.until == instant{})
+        return {};
+    return known->second.until + settings_.stop_time;
+}
+
+/// This process may stand still at any moment, and then stops nothing: what
+/// runs there must end by itself while its holder's word still counts, for its
+/// caller may send it to another entry right after. The hold is one for all, so
+/// it ends with the first of their leases and the time to stop those runs.
+/// @return Until when the runner may be told to go on.
+instant run_manager::hold_end() const
+{
+    auto end = clock_.now() + settings_.hold;
+    for (const auto& [ref, run] : runs_)
+    {
+        if (occupies(run.phase))
+            end = std::min(end, lease_end(run.lease));
+    }
+    return end;
+}
+
 /// A part whose owner is silent: what runs for it must be dead before a
 /// successor may start it elsewhere, and its ends must not be taken back
 /// later. Both hold once the runner's hold has lapsed. What runs in memory
--- a/src/glenhollow/runs/run_manager_looks.cpp
+++ b/src/glenhollow/runs/run_manager_looks.cpp
@@ -98,11 +98,13 @@
     hold_out_ = {};
     // A look that is not answered may renew the hold all the same; a runner
     // that stays silent must be let go of before its runs count as ended.
-    const bool let_go = lapsing_ || clock_.now() - answered_ > renew_blind;
+    const auto renewed_for = hold_end() - clock_.now();
+    const bool let_go = lapsing_ || clock_.now() - answered_ > renew_blind ||
+                        renewed_for <= duration{0};
     if (let_go)
         request.context.deadline_ms = 0;
     else if (runner_clock_.known())
-        hold_out_ = clock_.now() + with_drift(settings_.hold);
+        hold_out_ = clock_.now() + with_drift(renewed_for);
     // A life that has just registered is met without delay.
     const bool known_life = verified_ || account_.instance.empty();
     const bool hurried = std::exchange(hurried_, false);
@@ -310,6 +312,13 @@
     return with_drift(settings_.hold) + lapse_slack;
 }
 
+/// A process that was only just asked, or has only just begun, has not seen
+/// what its server does.
+bool run_manager::knows_runs() const
+{
+    return informed_ || clock_.now() - answered_ >= silence_limit();
+}
+
 instant run_manager::latest_hold() const
 {
     return std::max(held_until_, hold_out_);
--- a/tests/unit/durable/unseen_runs_tests.cpp
+++ b/tests/unit/durable/unseen_runs_tests.cpp
@@ -76,6 +76,14 @@
     return out;
 }
 
+agent_sessions_settings of_entry()
+{
+    agent_sessions_settings out;
+    out.entry = "entry";
+    out.incarnation = 1;
+    return out;
+}
+
 /// A new process of an agent beside a server that still runs two tasks, and an
 /// entry that attaches.
 struct begun_agent_world
@@ -128,7 +136,7 @@
         std::make_unique<run_agent_service>(loop.io(), process_clock(), manager,
                                             1, report_pacing_settings{});
     asking_entry entry;
-    agent_sessions sessions{loop.io(), process_clock(), entry, {}};
+    agent_sessions sessions{loop.io(), process_clock(), entry, of_entry()};
     result<std::unique_ptr<rpc_listener>> listener =
         rpc_listener::create(loop.io(), "127.0.0.1", 0);
 };
