--- /dev/null
+++ b/tests/schedule/durable_world.cpp
@@ -0,0 +1,460 @@
+#include "durable_world.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+/// A caller waits so long after a lost connection, a 504 or no answer.
+constexpr duration caller_wait = milliseconds{1300};
+/// It comes so often at most.
+constexpr std::size_t most_attempts = 3;
+/// The times that safety rests on, and sums of them: faults strike around them.
+constexpr std::array margins{
+    milliseconds{0},    milliseconds{350},  milliseconds{600},
+    milliseconds{800},  milliseconds{1000}, milliseconds{1200},
+    milliseconds{1300}, milliseconds{1800}, milliseconds{2000},
+    milliseconds{2800}, milliseconds{3400}};
+/// Something is away, still or shut so long.
+constexpr std::array lengths{
+    milliseconds{60},   milliseconds{200},  milliseconds{450},
+    milliseconds{700},  milliseconds{950},  milliseconds{1250},
+    milliseconds{1600}, milliseconds{2200}, milliseconds{3600}};
+constexpr std::array clock_rates{0.99, 1.0, 1.0, 1.01};
+const std::vector<std::string> fault_kinds{
+    "entry_killed",  "entry_dark",    "agent_killed", "agent_dark",
+    "entry_still",   "agent_still",   "server_still", "agent_stills",
+    "link_shut",     "answers_shut",  "orders_shut",  "link_slow",
+    "link_reset",    "server_silent", "server_ends",  "caller_reset",
+    "caller_leaves", "store_shut",    "entries_cut",  "hall_cut"};
+const std::vector<std::string> kept_alone{"store_shut", "entries_cut",
+                                          "hall_cut"};
+const std::vector<std::string> memory_alone{"caller_leaves"};
+
+template <class Values>
+bool contains(const Values& values, const std::string& one)
+{
+    return std::find(std::begin(values), std::end(values), one) !=
+           std::end(values);
+}
+
+} // namespace
+
+durable_world::durable_world(const durable_schedule_settings& settings)
+    : settings_(settings), time_(settings.seed, settings.tracing),
+      checks_(time_), rows_(time_.loop)
+{
+    build();
+}
+
+durable_world::~durable_world() = default;
+
+void durable_world::build()
+{
+    for (std::size_t i = 0; i < settings_.agents; ++i)
+    {
+        agent_site site;
+        const auto rate = time_.one_of(clock_rates);
+        // Its clock may be 2% slow against that beside it.
+        const auto slow = time_.chance(0.5) ? 0.98 : 1.0;
+        site.server = std::make_unique<simulated_server>(
+            time_, checks_, i, rate * slow, time_.chance(0.5));
+        site.agent =
+            std::make_unique<simulated_agent>(time_, *site.server, i, rate);
+        site.links.resize(settings_.entries);
+        agents_.push_back(std::move(site));
+    }
+    for (std::size_t i = 0; i < settings_.entries; ++i)
+    {
+        entry_site site;
+        site.store = std::make_unique<simulated_store>(time_, rows_);
+        site.entry = std::make_unique<simulated_entry>(
+            time_, *site.store, i, time_.one_of(clock_rates));
+        std::vector<simulated_entry::neighbour> known;
+        for (auto& agent : agents_)
+            known.push_back({agent.agent.get(), &agent.links[i]});
+        site.entry->know(std::move(known));
+        entries_.push_back(std::move(site));
+    }
+    for (std::size_t i = 0; i < agents_.size(); ++i)
+    {
+        agents_[i].server->begin(false);
+        agents_[i].agent->begin();
+        heartbeats(i);
+    }
+    for (auto& site : entries_)
+        site.entry->begin();
+    if (settings_.kept)
+        exchange_views();
+}
+
+void durable_world::heartbeats(std::size_t agent)
+{
+    agents_[agent].agent->heartbeat();
+    time_.after(milliseconds{500} + time_.some(milliseconds{100}),
+                [this, agent] { heartbeats(agent); });
+}
+
+void durable_world::exchange_views()
+{
+    const auto now = time_.loop.clock.now();
+    for (auto& from : entries_)
+    {
+        for (std::size_t i = 0; i < entries_.size(); ++i)
+        {
+            auto& to = *entries_[i].entry;
+            auto& said = *from.entry;
+            if (&to == &said || !said.node().up() || said.node().still() ||
+                !to.node().up() || now < views_shut_)
+                continue;
+            const auto number = static_cast<std::size_t>(
+                &from - entries_.data());
+            to.node().deliver(milliseconds{1},
+                              [&to, number, view = said.seat().view()]
+                              { to.seat().hear(number, view); });
+        }
+    }
+    time_.after(milliseconds{100}, [this] { exchange_views(); });
+}
+
+void durable_world::submit(std::size_t who, std::size_t entry)
+{
+    auto& by = callers_[who];
+    auto& to = *entries_[entry].entry;
+    const auto which = by.attempts.size();
+    if (which > 0)
+        ++outcome_.resent;
+    by.attempts.push_back({entry, to.node().process(), attempt_end::open});
+    time_.note(
+        [&]
+        {
+            return "caller of job " + std::to_string(by.job.id) + " asks " +
+                   to.node().name() + ", time " + std::to_string(which + 1);
+        });
+    if (!to.node().up())
+        return lose(who, which);
+    auto job = by.job;
+    job.accepted_ms = simulated_wall_ms(time_);
+    job.objective_ms = job.accepted_ms + 1500;
+    job.give_up_ms = settings_.kept ? 0 : job.accepted_ms + 5000;
+    to.node().deliver(
+        microseconds{300} + time_.some(milliseconds{2}),
+        [this, who, which, job, &to]
+        {
+            to.submit(job,
+                      [this, who, which](const job_reply& got)
+                      {
+                          time_.after(microseconds{300},
+                                      [this, who, which, got]
+                                      { reply(who, which, got); });
+                      });
+        });
+}
+
+void durable_world::reply(std::size_t who, std::size_t which,
+                          const job_reply& got)
+{
+    auto& by = callers_[who];
+    auto& one = by.attempts[which];
+    if (one.end != attempt_end::open)
+        return;
+    if (got.outcome == job_outcome::refused)
+    {
+        one.end = attempt_end::refused;
+        if (settings_.kept) // By an entry that does not own its part.
+            come_again(who);
+        return;
+    }
+    if (got.outcome != job_outcome::done)
+        return lose(who, which);
+    one.end = attempt_end::answered;
+    by.served = true;
+}
+
+/// It has no answer and comes again, unless it has left.
+void durable_world::lose(std::size_t who, std::size_t which)
+{
+    auto& one = callers_[who].attempts[which];
+    if (one.end != attempt_end::open)
+        return;
+    one.end = attempt_end::lost;
+    come_again(who);
+}
+
+void durable_world::come_again(std::size_t who)
+{
+    const auto& by = callers_[who];
+    if (by.left || by.served || by.attempts.size() >= most_attempts)
+        return;
+    time_.after(caller_wait,
+                [this, who, entry = any_entry()]
+                {
+                    const auto& now = callers_[who];
+                    if (!now.left && !now.served)
+                        submit(who, entry);
+                });
+}
+
+/// @param told Whether callers hear at once that their connections are gone.
+void durable_world::lose_all_at(std::size_t entry, bool told)
+{
+    for (std::size_t who = 0; who < callers_.size(); ++who)
+    {
+        for (std::size_t i = 0; i < callers_[who].attempts.size(); ++i)
+        {
+            const auto& one = callers_[who].attempts[i];
+            if (one.entry != entry || one.end != attempt_end::open)
+                continue;
+            time_.after(told ? time_.some(milliseconds{3}) : seconds{5},
+                        [this, who, i] { lose(who, i); });
+        }
+    }
+}
+
+void durable_world::kill_entry(std::size_t entry, bool told, duration away)
+{
+    auto& site = *entries_[entry].entry;
+    if (!site.node().up())
+        return;
+    site.end(told);
+    lose_all_at(entry, told);
+    time_.after(away,
+                [&site]
+                {
+                    if (!site.node().up())
+                        site.begin();
+                });
+}
+
+void durable_world::kill_agent(std::size_t agent, bool told, duration away)
+{
+    auto& site = *agents_[agent].agent;
+    if (!site.node().up())
+        return;
+    if (told)
+    {
+        for (auto& entry : entries_)
+            entry.entry->told_ended(agent);
+    }
+    site.end();
+    time_.after(away,
+                [&site]
+                {
+                    if (!site.node().up())
+                        site.begin();
+                });
+}
+
+void durable_world::plan_jobs(instant around)
+{
+    const auto jobs = 1 + time_.random() % 3;
+    callers_.reserve(8);
+    for (std::size_t i = 0; i < jobs; ++i)
+    {
+        caller one;
+        auto& job = one.job;
+        job.id = 10 * (i + 1) + (settings_.kept ? 1 : 0);
+        job.queue = "queue-1";
+        job.service = "service-1";
+        job.lasts =
+            settings_.kept ? durability::journalled : durability::in_memory;
+        job.max_attempts = 3;
+        job.steps.resize(1);
+        job.steps[0].count = 1 + time_.random() % 3;
+        job.steps[0].needs = {1000, 10, 0};
+        const auto work = 200 + time_.random() % 3800;
+        job.steps[0].estimate_ms = static_cast<std::uint32_t>(work);
+        job.spec = std::to_string(work);
+        callers_.push_back(std::move(one));
+        const auto at = i == 0 ? around - time_.some(milliseconds{400})
+                               : milliseconds{300} + time_.some(seconds{2});
+        time_.after(at, [this, i, entry = i == 0 ? 0 : any_entry()]
+                    { submit(i, entry); });
+    }
+}
+
+/// The first fault strikes an entry, a caller or an agent of the first job;
+/// the others around a margin after it.
+void durable_world::plan_faults(instant first)
+{
+    const auto count = 1 + time_.random() % 5;
+    const auto agent = any_agent();
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const auto kind = time_.one_of(fault_kinds);
+        const bool of_other =
+            contains(settings_.kept ? memory_alone : kept_alone, kind);
+        auto at = first;
+        if (i > 0)
+            at += time_.one_of(margins) - milliseconds{60} +
+                  time_.some(milliseconds{90});
+        const auto victim = time_.chance(0.75) ? agent : any_agent();
+        if (!of_other && !settings_.without.contains(kind))
+            fault(kind, at, victim);
+    }
+}
+
+void durable_world::fault(const std::string& kind, duration at,
+                          std::size_t victim)
+{
+    ++outcome_.faults[kind];
+    const auto length =
+        time_.one_of(lengths) - milliseconds{30} + time_.some(milliseconds{60});
+    time_.after(at, [this, kind, victim, length]
+                { strike(kind, victim, length); });
+}
+
+void durable_world::strike(const std::string& kind, std::size_t agent,
+                           duration length)
+{
+    const auto entry = time_.chance(0.8) ? std::size_t{0} : any_entry();
+    auto& site = agents_[agent];
+    auto& link = site.links[entry];
+    const auto until = time_.loop.clock.now() + length;
+    time_.note(
+        [&]
+        {
+            return "FAULT " + kind + ", entry " + std::to_string(entry) +
+                   ", agent " + std::to_string(agent) + ", " +
+                   std::to_string(
+                       std::chrono::duration_cast<milliseconds>(length)
+                           .count()) +
+                   " ms";
+        });
+    const auto shut = [&](direction way)
+    { link.to(way).shut_until = std::max(link.to(way).shut_until, until); };
+    if (kind == "entry_killed" || kind == "entry_dark")
+        kill_entry(entry, kind == "entry_killed", length);
+    else if (kind == "agent_killed" || kind == "agent_dark")
+        kill_agent(agent, kind == "agent_killed", length);
+    else if (kind == "entry_still")
+        entries_[entry].entry->node().stand_still(length);
+    else if (kind == "agent_still")
+        site.agent->node().stand_still(length);
+    else if (kind == "agent_stills")
+    {
+        // Again and again, with some ms between.
+        duration at{};
+        for (int i = 0; i < 4; ++i)
+        {
+            const auto next = length / 3 + time_.some(length / 3);
+            time_.after(at, [&node = site.agent->node(), next]
+                        { node.stand_still(next); });
+            at += next + milliseconds{2} + time_.some(milliseconds{40});
+        }
+    }
+    else if (kind == "server_still")
+        site.server->node().stand_still(length);
+    else if (kind == "answers_shut" || kind == "orders_shut")
+        shut(kind == "orders_shut" ? direction::to_agent : direction::to_entry);
+    else if (kind == "link_shut")
+    {
+        shut(direction::to_agent);
+        shut(direction::to_entry);
+    }
+    else if (kind == "link_slow")
+    {
+        for (auto& lane : link.lanes)
+            lane.delay = milliseconds{5} + time_.some(milliseconds{200});
+        time_.after(length,
+                    [&link]
+                    {
+                        for (auto& lane : link.lanes)
+                            lane.delay = microseconds{300};
+                    });
+    }
+    else if (kind == "link_reset")
+        entries_[entry].entry->reset(agent);
+    else if (kind == "server_silent")
+    {
+        site.server->link = {time_.some(seconds{1}).count() / 2e9,
+                             time_.some(seconds{1}).count() / 3e9,
+                             time_.some(seconds{1}).count() / 3e9};
+        time_.after(length, [&site] { site.server->link = {}; });
+    }
+    else if (kind == "server_ends" && site.server->node().up())
+    {
+        site.server->end();
+        time_.after(length / 4,
+                    [&site, same = time_.chance(0.5)]
+                    {
+                        if (site.server->node().up())
+                            return;
+                        site.server->begin(same);
+                        site.agent->heartbeat();
+                    });
+    }
+    else if (kind == "store_shut")
+        entries_[entry].store->shut_until = until;
+    else if (kind == "entries_cut")
+        views_shut_ = until;
+    else if (kind == "hall_cut")
+    {
+        // An entry and an agent see each other and nothing else.
+        views_shut_ = entries_[entry].store->shut_until = until;
+        for (std::size_t a = 0; a < agents_.size(); ++a)
+        {
+            for (std::size_t e = 0; e < entries_.size(); ++e)
+            {
+                if ((a == agent) == (e == entry))
+                    continue;
+                for (auto& lane : agents_[a].links[e].lanes)
+                    lane.shut_until = until;
+            }
+        }
+    }
+    else if (kind == "caller_reset" || kind == "caller_leaves")
+    {
+        for (std::size_t who = 0; who < callers_.size(); ++who)
+        {
+            for (std::size_t i = 0; i < callers_[who].attempts.size(); ++i)
+            {
+                const auto one = callers_[who].attempts[i];
+                auto& to = *entries_[one.entry].entry;
+                if (one.end != attempt_end::open || one.entry != entry)
+                    continue;
+                callers_[who].left |= kind == "caller_leaves";
+                if (!settings_.kept && to.node().process() == one.process)
+                    to.node().deliver(time_.some(milliseconds{3}),
+                                      [&to, id = callers_[who].job.id]
+                                      { to.withdraw(id); });
+                lose(who, i);
+            }
+        }
+    }
+}
+
+durable_outcome durable_world::play()
+{
+    constexpr duration after_first = seconds{8};
+    const auto first = milliseconds{500} + time_.some(seconds{1});
+    plan_jobs(first);
+    plan_faults(first);
+    time_.loop.advance(first + after_first);
+    for (const auto& one : callers_)
+    {
+        outcome_.succeeded += one.served ? 1 : 0;
+        const bool all_refused =
+            !one.attempts.empty() &&
+            std::all_of(one.attempts.begin(), one.attempts.end(),
+                        [](const attempt& tried)
+                        { return tried.end == attempt_end::refused; });
+        if (!all_refused)
+            continue;
+        ++outcome_.refused;
+        checks_.refused(one.job.id);
+    }
+    for (const auto& site : agents_)
+        outcome_.lapses += site.agent->stats().lapses;
+    outcome_.broken = checks_.broken;
+    outcome_.starts = checks_.starts;
+    outcome_.lines = std::move(time_.lines);
+    return std::move(outcome_);
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/tests/schedule/simulated_agent.cpp
@@ -0,0 +1,343 @@
+#include "simulated_agent.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+/// As in programs/durable_agent.cpp.
+constexpr duration tick_interval = milliseconds{50};
+
+} // namespace
+
+simulated_agent::simulated_agent(simulated_time& time, simulated_server& server,
+                                 std::size_t number, double rate)
+    : time_(time), server_(server), number_(number),
+      node_(time, "agent " + std::to_string(number), rate)
+{
+}
+
+void simulated_agent::begin()
+{
+    node_.begin();
+    sessions_.clear();
+    owners_.clear();
+    scheduled_ = room_scheduled_ = false;
+    time_.note([&] { return node_.name() + " begins"; });
+    port_ = std::make_unique<simulated_server_port>(time_, server_, node_);
+    // A token that rises with the time of day, as the program's does.
+    const auto token = static_cast<std::uint64_t>(
+        1 + std::chrono::duration_cast<milliseconds>(time_.elapsed()).count());
+    run_manager_settings limits;
+    limits.parts = 1;
+    manager_ = std::make_unique<run_manager>(node_.clock(), *port_,
+                                             node_.delay(), token, limits);
+    manager_->listen(this);
+    manager_->begin();
+    if (time_.chance(0.7)) // By the row of the last process.
+        node_.later(milliseconds{2} + time_.some(milliseconds{60}),
+                    [this]
+                    {
+                        auto account = server_.account();
+                        account.sequence = sequence_;
+                        manager_->remembered(account);
+                    });
+    node_.later(milliseconds{1}, [this] { tick(); });
+}
+
+void simulated_agent::end()
+{
+    if (!node_.up())
+        return;
+    time_.note([&] { return node_.name() + " ends"; });
+    node_.end();
+    manager_.reset();
+    port_.reset();
+    sessions_.clear();
+}
+
+void simulated_agent::heartbeat()
+{
+    if (!node_.up() || !server_.node().up())
+        return;
+    auto account = server_.account();
+    account.sequence = ++sequence_;
+    node_.deliver(microseconds{300}, [this, account]
+                  { manager_->registered(account); });
+}
+
+run_manager_stats simulated_agent::stats() const
+{
+    return manager_ ? manager_->stats() : run_manager_stats{};
+}
+
+void simulated_agent::tick()
+{
+    manager_->tick();
+    flush();
+    node_.later(tick_interval, [this] { tick(); });
+}
+
+simulated_agent::session* simulated_agent::find(std::uint64_t number)
+{
+    for (auto& [entry, one] : sessions_)
+    {
+        if (one.number == number)
+            return &one;
+    }
+    return nullptr;
+}
+
+simulated_agent::session* simulated_agent::owner_of(lease_id lease)
+{
+    const auto known = owners_.find(lease);
+    return known == owners_.end() ? nullptr : find(known->second);
+}
+
+attach_answer
+simulated_agent::attach(std::size_t entry, std::uint64_t incarnation,
+                        std::uint64_t number, report_ear& ear,
+                        std::shared_ptr<simulated_connection> connection)
+{
+    auto& opened = sessions_[entry];
+    const bool same = opened.incarnation == incarnation;
+    if (same)
+        manager_->refuse_waiting(opened.memory);
+    else if (opened.incarnation != 0)
+        manager_->expire(opened.memory);
+    const auto memory = same ? opened.memory : memory_lease(processes_++);
+    opened = {};
+    opened.entry = entry;
+    opened.incarnation = incarnation;
+    opened.memory = memory;
+    opened.number = ++numbers_;
+    opened.ear_number = number;
+    opened.ear = &ear;
+    opened.open = true;
+    opened.connection = std::move(connection);
+    return {opened.number,
+            node_.process(),
+            {manager_->account(), manager_->room(), 0, true, {}}};
+}
+
+lease_account simulated_agent::adopt(std::uint64_t number, part_epoch part)
+{
+    auto* by = find(number);
+    if (by == nullptr)
+        return {}; // Another session has replaced it.
+    const lease_id lease = part.part == memory_part ? by->memory : part.part;
+    auto known = manager_->adopt(lease, part.epoch);
+    time_.note(
+        [&]
+        {
+            return node_.name() + " tells entry " + std::to_string(by->entry) +
+                   " of " + std::to_string(known.runs.size()) + " runs, " +
+                   std::to_string(known.ends.size()) + " ends" +
+                   (manager_->informed() ? "" : ", not having looked");
+        });
+    if (!known.declined)
+        adopted(*by, lease);
+    return known;
+}
+
+void simulated_agent::adopted(session& owner, lease_id lease)
+{
+    owners_[lease] = owner.number;
+    owner.marks.urgent = true;
+    schedule_now();
+}
+
+void simulated_agent::order(std::uint64_t number, order_batch batch)
+{
+    auto* by = find(number);
+    if (by == nullptr)
+        return; // Another session has replaced it.
+    ++by->received;
+    by->marks.room = true;
+    if (batch.leased_at.count() != 0)
+        manager_->renew(by->memory, 0,
+                        std::min(batch.leased_at, node_.clock().now()));
+    for (const auto& end : batch.confirmed)
+        manager_->confirm(end);
+    for (const auto& size : batch.sizes)
+        manager_->size(size, by->memory);
+    for (const auto& run : batch.stops)
+        manager_->stop(run);
+    for (auto& start : batch.starts)
+        manager_->order(std::move(start), by->memory);
+    if (manager_->leased(by->memory))
+        return schedule_room();
+    by->marks.urgent = true;
+    schedule_now();
+}
+
+void simulated_agent::closed(std::uint64_t number)
+{
+    if (auto* from = find(number))
+    {
+        from->open = false;
+        from->reporting = false;
+    }
+}
+
+void simulated_agent::lease_changed(lease_id lease)
+{
+    if (auto* owner = owner_of(lease))
+    {
+        owner->marks.urgent = true;
+        schedule_now();
+    }
+}
+
+void simulated_agent::run_began(lease_id lease)
+{
+    auto* owner = is_part_lease(lease) ? owner_of(lease) : nullptr;
+    if (owner == nullptr)
+        return;
+    owner->marks.room = true;
+    schedule_room();
+}
+
+void simulated_agent::room_changed()
+{
+    for (auto& [entry, one] : sessions_)
+        one.marks.room = true;
+    schedule_room();
+}
+
+void simulated_agent::phase_changed()
+{
+    for (auto& [entry, one] : sessions_)
+        one.marks.urgent = true;
+    schedule_now();
+}
+
+void simulated_agent::schedule_now()
+{
+    if (std::exchange(scheduled_, true))
+        return;
+    node_.later(duration{0},
+                [this]
+                {
+                    scheduled_ = false;
+                    flush();
+                });
+}
+
+void simulated_agent::schedule_room()
+{
+    if (std::exchange(room_scheduled_, true))
+        return;
+    node_.later(pacing_.room_gap(open_sessions()),
+                [this]
+                {
+                    room_scheduled_ = false;
+                    flush();
+                });
+}
+
+std::size_t simulated_agent::open_sessions() const
+{
+    return std::count_if(sessions_.begin(), sessions_.end(),
+                         [](const auto& one) { return one.second.open; });
+}
+
+void simulated_agent::mark_busy()
+{
+    auto leases = manager_->leases_in_use();
+    for (const auto& [lease, owner] : owners_)
+    {
+        if (is_part_lease(lease))
+            leases.insert(lease);
+    }
+    for (auto& [entry, one] : sessions_)
+        one.marks.busy = false;
+    for (const auto lease : leases)
+    {
+        if (auto* owner = owner_of(lease))
+            owner->marks.busy = true;
+    }
+}
+
+void simulated_agent::flush()
+{
+    mark_busy();
+    const auto open = open_sessions();
+    for (auto& [entry, one] : sessions_)
+    {
+        if (!one.reporting && one.open &&
+            pacing_.is_due(one.marks, open, node_.clock().now()))
+            report(one);
+    }
+}
+
+std::vector<lease_id> simulated_agent::leases_of(const session& of) const
+{
+    std::vector<lease_id> leases;
+    for (const auto& [lease, owner] : owners_)
+    {
+        if (owner == of.number)
+            leases.push_back(lease);
+    }
+    return leases;
+}
+
+void simulated_agent::report(session& to)
+{
+    if (!to.connection->open(direction::to_agent))
+        return closed(to.number);
+    const auto& account = manager_->account();
+    runner_report out{account, manager_->room(), to.received,
+                      to.told_life != account.life(), {}};
+    std::vector<run_end> ends;
+    std::vector<run_ref> begun;
+    for (const auto lease : leases_of(to))
+    {
+        const auto some = manager_->take_ends(lease);
+        ends.insert(ends.end(), some.begin(), some.end());
+        const auto more = manager_->take_begun(lease);
+        begun.insert(begun.end(), more.begin(), more.end());
+    }
+    out.next_within = pacing_.heartbeat(to.marks, open_sessions());
+    out.sent_at = node_.clock().now();
+    to.reporting = true;
+    to.told_life = account.life();
+    to.marks.urgent = to.marks.room = false;
+    to.marks.reported = out.sent_at;
+    to.connection->send(
+        direction::to_entry,
+        [this, agent = number_, ear = to.ear, ear_number = to.ear_number,
+         number = to.number, sent = out.sent_at, out, ends, begun,
+         connection = to.connection]
+        {
+            const auto answer =
+                ear->heard(agent, ear_number, out, ends, begun);
+            connection->send(direction::to_agent, [this, number, sent, answer]
+                             { answered(number, sent, answer); });
+        });
+}
+
+void simulated_agent::answered(std::uint64_t number, instant sent,
+                               const report_answer& answer)
+{
+    for (const auto& end : answer.confirmed)
+        manager_->confirm(end);
+    auto* from = find(number);
+    if (from == nullptr)
+        return;
+    from->reporting = false;
+    from->marks.wished = answer.wished;
+    manager_->renew(from->memory, 0, sent);
+    for (const auto& part : answer.renewed)
+        manager_->renew(part.part, part.epoch, sent);
+    if (from->marks.urgent)
+        schedule_now();
+    else if (from->marks.room)
+        schedule_room();
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/tests/schedule/simulated_entry.cpp
@@ -0,0 +1,462 @@
+#include "simulated_entry.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+/// As in durable_service.cpp.
+constexpr duration tick_interval = milliseconds{50};
+constexpr duration store_patience = milliseconds{500};
+/// As in agent_sessions.cpp.
+constexpr duration longest_gap = seconds{5};
+
+std::string agent_name(std::size_t agent)
+{
+    return "agent " + std::to_string(agent);
+}
+
+std::size_t agent_number(const std::string& name)
+{
+    return std::stoul(name.substr(name.find(' ')));
+}
+
+} // namespace
+
+simulated_entry::simulated_entry(simulated_time& time, simulated_store& store,
+                                 std::size_t number, double rate)
+    : time_(time), number_(number),
+      node_(time, "entry " + std::to_string(number), rate), store_(store)
+{
+    store_.caller = &node_;
+}
+
+simulated_entry::~simulated_entry() = default;
+
+job_coordinator::surroundings simulated_entry::surroundings()
+{
+    return {node_.clock(), [this] { return simulated_wall_ms(time_); }, *watched_,
+            *placing_, node_.delay()};
+}
+
+void simulated_entry::begin()
+{
+    node_.begin();
+    time_.note([&] { return node_.name() + " begins"; });
+    sessions_.clear();
+    sessions_.resize(agents_.size());
+    silences_.clear();
+    dispatching_ = false;
+    watched_ = std::make_unique<watched_store>(node_.clock(), store_,
+                                               store_patience);
+    dispatcher_settings limits;
+    limits.seed = time_.random();
+    order_sender& sender = *this;
+    task_source& tasks = *this;
+    placing_ = std::make_unique<dispatcher>(node_.clock(), sender, tasks,
+                                            limits);
+    auto jobs = for_jobs_in_memory({});
+    jobs.parts = 1;
+    jobs.warm_up = milliseconds{500};
+    memory_ = std::make_unique<job_coordinator>(surroundings(), jobs);
+    simulated_seat::surroundings around{
+        surroundings(),
+        [this]
+        {
+            std::set<std::string> all;
+            for (std::size_t i = 0; i < agents_.size(); ++i)
+                all.insert(agent_name(i));
+            return all;
+        },
+        [this](part_epoch part)
+        {
+            for (std::size_t i = 0; i < sessions_.size(); ++i)
+            {
+                if (sessions_[i].attached)
+                    adopt_at(i, part);
+            }
+        },
+        [this] { placing_->release(0); }};
+    seat_ = std::make_unique<simulated_seat>(time_, std::move(around), number_,
+                                             node_.process());
+    node_.later(time_.some(milliseconds{5}), [this] { tick(); });
+}
+
+void simulated_entry::end(bool told)
+{
+    if (!node_.up())
+        return;
+    time_.note([&] { return node_.name() + " ends"; });
+    for (std::size_t i = 0; i < sessions_.size(); ++i)
+    {
+        const auto& one = sessions_[i];
+        if (told && one.connection && one.connection->open(direction::to_entry))
+            one.connection->close(
+                direction::to_agent,
+                [agent = agents_[i].agent, session = one.at_agent]
+                { agent->closed(session); });
+    }
+    node_.end();
+    seat_.reset();
+    memory_.reset();
+    placing_.reset();
+    watched_.reset();
+    sessions_.clear();
+}
+
+void simulated_entry::tick()
+{
+    for (std::size_t i = 0; i < sessions_.size(); ++i)
+    {
+        auto& one = sessions_[i];
+        // Its VM refuses what is for a process that has gone.
+        if (one.connection && one.connection->stale(direction::to_agent) &&
+            agents_[i].agent->node().up() && agents_[i].link->passes(time_))
+            fail(i, false);
+        if (!one.connection && !one.connecting &&
+            node_.clock().now() >= one.retry_at)
+            connect(i);
+    }
+    drop_silent();
+    seat_->tick(watched_->reachable());
+    check_agents();
+    memory_->tick();
+    schedule_dispatch();
+    node_.later(tick_interval, [this] { tick(); });
+}
+
+/// The handshake passes both ways; a process that stands still has been
+/// listening.
+void simulated_entry::connect(std::size_t agent)
+{
+    auto& one = sessions_[agent];
+    one.connecting = true;
+    auto* link = agents_[agent].link;
+    const auto now = time_.loop.clock.now();
+    auto open_at = now;
+    for (auto& lane : link->lanes)
+        open_at = std::max(open_at, lane.shut_until) + lane.delay;
+    time_.after(
+        open_at - now,
+        [this, agent, mine = node_.process()]
+        {
+            const auto there = agents_[agent].agent->node().process();
+            if (node_.process() != mine)
+                return;
+            node_.deliver(
+                duration{0},
+                [this, agent, there, up = agents_[agent].agent->node().up()]
+                {
+                    auto& to = sessions_[agent];
+                    to.connecting = false;
+                    auto& node = agents_[agent].agent->node();
+                    if (!up || node.process() != there)
+                        return fail(agent, true);
+                    connected(agent);
+                });
+        });
+}
+
+void simulated_entry::connected(std::size_t agent)
+{
+    auto& to = sessions_[agent];
+    auto& with = *agents_[agent].agent;
+    to.backoff.connected();
+    to.connection = std::make_shared<simulated_connection>(
+        time_, *agents_[agent].link, node_, with.node());
+    to.number = ++numbers_;
+    to.clock.forget();
+    const agent_sessions_settings limits;
+    to.silent_since =
+        node_.clock().now() + limits.attach_patience - limits.silence;
+    to.connection->send(
+        direction::to_agent,
+        [this, agent, &with, number = to.number, connection = to.connection,
+         incarnation = node_.process()]
+        {
+            const auto answer =
+                with.attach(number_, incarnation, number, *this, connection);
+            connection->send(direction::to_entry,
+                             [this, agent, number, answer]
+                             {
+                                 if (sessions_[agent].number == number)
+                                     attached(agent, answer);
+                             });
+        });
+}
+
+void simulated_entry::attached(std::size_t agent, const attach_answer& answer)
+{
+    auto& to = sessions_[agent];
+    to.process = answer.process;
+    to.at_agent = answer.session;
+    to.attached = true;
+    to.silent_since = node_.clock().now();
+    time_.note([&]
+               { return node_.name() + " has attached " + agent_name(agent); });
+    placing_->attached(agent_name(agent), answer.state);
+    silences_[agent_name(agent)] = {node_.clock().now(), false, false};
+    for (const auto& part : owned_parts())
+        adopt_at(agent, part);
+}
+
+std::vector<part_epoch> simulated_entry::owned_parts() const
+{
+    std::vector<part_epoch> all;
+    if (seat_->jobs() != nullptr)
+        all.push_back(seat_->jobs()->epoch());
+    all.push_back(memory_->epoch());
+    return all;
+}
+
+job_coordinator* simulated_entry::coordinator_of(part_number part)
+{
+    return part == memory_part ? memory_.get() : seat_->jobs();
+}
+
+void simulated_entry::adopt_at(std::size_t agent, part_epoch part)
+{
+    const auto& at = sessions_[agent];
+    at.connection->send(
+        direction::to_agent,
+        [this, agent, part, number = at.number, session = at.at_agent,
+         connection = at.connection, with = agents_[agent].agent]
+        {
+            const auto account = with->adopt(session, part);
+            connection->send(direction::to_entry,
+                             [this, agent, part, number, account]
+                             {
+                                 if (sessions_[agent].number == number)
+                                     adopted(agent, part, account);
+                             });
+        });
+}
+
+bool simulated_entry::kept_all(session& by)
+{
+    const bool same = std::exchange(by.accounted, by.process) == by.process &&
+                      by.process != 0;
+    return same && node_.clock().now() - by.down_since < longest_gap;
+}
+
+void simulated_entry::adopted(std::size_t agent, part_epoch part,
+                              lease_account account)
+{
+    if (part.part == memory_part)
+        account.complete = kept_all(sessions_[agent]);
+    auto* jobs = coordinator_of(part.part);
+    if (jobs == nullptr || jobs->epoch() != part)
+        return;
+    if (account.declined)
+        return jobs->verify();
+    placing_->adopted(agent_name(agent), part.part);
+    jobs->account_of(agent_name(agent), account);
+    schedule_dispatch();
+}
+
+report_answer simulated_entry::heard(std::size_t agent, std::uint64_t number,
+                                     const runner_report& report,
+                                     const std::vector<run_end>& ends,
+                                     const std::vector<run_ref>& begun)
+{
+    auto& from = sessions_[agent];
+    const auto now = node_.clock().now();
+    const auto name = agent_name(agent);
+    if (from.number == number)
+    {
+        from.clock.heard(report.sent_at, now);
+        from.silent_since = silent_since(now, report.next_within);
+        silences_[name] = {from.silent_since, false, false};
+        placing_->reported(name, report);
+        for (const auto& run : begun)
+        {
+            if (auto* jobs = coordinator_of(run.in_memory() ? memory_part : 0))
+                jobs->began(run);
+        }
+        for (const auto& end : ends)
+        {
+            const auto part = end.run.in_memory() ? memory_part : 0;
+            if (auto* jobs = coordinator_of(part))
+                jobs->ended(name, end);
+        }
+        schedule_dispatch();
+    }
+    return {owned_parts(), placing_->take_confirmed(name), {}};
+}
+
+void simulated_entry::send(const std::string& name, order_batch batch)
+{
+    const auto agent = agent_number(name);
+    auto& to = sessions_[agent];
+    if (!to.attached)
+        return;
+    const auto now = node_.clock().now();
+    to.silent_since = std::min(to.silent_since, now);
+    auto& since = silences_[name].since;
+    since = std::min(since, now);
+    if (!batch.starts.empty())
+        batch.leased_at = to.clock.at(to.silent_since).value_or(instant{});
+    for (const auto& start : batch.starts)
+        time_.note(
+            [&]
+            {
+                return node_.name() + " orders " +
+                       run_checks::name(start.run) + " at " + name;
+            });
+    for (const auto& run : batch.stops)
+        time_.note(
+            [&]
+            {
+                return node_.name() + " stops " + run_checks::name(run) +
+                       " at " + name;
+            });
+    to.connection->send(direction::to_agent,
+                        [with = agents_[agent].agent, session = to.at_agent,
+                         batch] { with->order(session, batch); });
+}
+
+std::optional<run_order> simulated_entry::assign(const ready_task& task,
+                                                 const std::string& agent)
+{
+    auto* jobs = coordinator_of(task.part);
+    if (jobs == nullptr)
+        return std::nullopt;
+    return jobs->assign(task, agent);
+}
+
+/// The connection, or an attempt to connect, has failed.
+void simulated_entry::fail(std::size_t agent, bool refused)
+{
+    auto& gone = sessions_[agent];
+    gone.connection.reset();
+    gone.number = 0;
+    gone.retry_at = node_.clock().now() +
+                    gone.backoff.failed(node_.clock().now(), refused);
+    if (!std::exchange(gone.attached, false))
+        return;
+    gone.down_since = std::min(node_.clock().now(), gone.silent_since);
+    time_.note([&]
+               { return node_.name() + " has lost " + agent_name(agent); });
+    placing_->detached(agent_name(agent));
+}
+
+void simulated_entry::drop(std::size_t agent)
+{
+    auto& one = sessions_[agent];
+    one.connection->close(direction::to_agent,
+                          [with = agents_[agent].agent, session = one.at_agent]
+                          { with->closed(session); });
+    fail(agent, false);
+}
+
+void simulated_entry::reset(std::size_t agent)
+{
+    if (!node_.up() || !sessions_[agent].connection)
+        return;
+    auto& one = sessions_[agent];
+    time_.note(
+        [&]
+        {
+            return "network resets " + node_.name() + " to " +
+                   agent_name(agent);
+        });
+    one.connection->reset();
+    auto& with = *agents_[agent].agent;
+    with.node().deliver(time_.some(milliseconds{5}),
+                        [&with, session = one.at_agent]
+                        { with.closed(session); });
+    node_.deliver(time_.some(milliseconds{5}),
+                  [this, agent, was = one.connection]
+                  {
+                      if (sessions_[agent].connection == was)
+                          fail(agent, false);
+                  });
+}
+
+void simulated_entry::drop_silent()
+{
+    const agent_sessions_settings limits;
+    for (std::size_t i = 0; i < sessions_.size(); ++i)
+    {
+        const auto& one = sessions_[i];
+        if (!one.connection)
+            continue;
+        if (one.connection->open(direction::to_entry) &&
+            node_.clock().now() - one.silent_since > limits.silence)
+            drop(i);
+    }
+}
+
+void simulated_entry::told_ended(std::size_t agent)
+{
+    if (!node_.up() || !sessions_[agent].connection)
+        return;
+    const auto was = sessions_[agent].connection;
+    was->close(direction::to_entry,
+               [this, agent, was]
+               {
+                   if (sessions_[agent].connection == was)
+                       fail(agent, true);
+               });
+}
+
+void simulated_entry::check_agents()
+{
+    const auto now = node_.clock().now();
+    for (auto& [agent, silence] : silences_)
+    {
+        const auto length = now - silence.since;
+        if (!silence.memory_ended && length > memory_agent_silence)
+        {
+            silence.memory_ended = true;
+            time_.note([&]
+                       { return node_.name() + " gives " + agent + " up"; });
+            memory_->agent_gone(agent);
+        }
+        if (silence.parts_ended ||
+            length <= job_coordinator_settings{}.agent_silence)
+            continue;
+        silence.parts_ended = true;
+        if (auto* part = seat_->jobs())
+            part->agent_gone(agent);
+    }
+}
+
+void simulated_entry::schedule_dispatch()
+{
+    if (std::exchange(dispatching_, true))
+        return;
+    node_.later(duration{0},
+                [this]
+                {
+                    dispatching_ = false;
+                    placing_->dispatch();
+                });
+}
+
+void simulated_entry::submit(const job_definition& job, job_reply_handler done)
+{
+    time_.note([&]
+               { return node_.name() + " gets job " + std::to_string(job.id); });
+    auto* jobs =
+        coordinator_of(job.lasts == durability::in_memory ? memory_part : 0);
+    if (jobs == nullptr)
+        return done({job_outcome::refused, job_state::queued, seconds{1}});
+    jobs->submit(job, std::move(done));
+    schedule_dispatch();
+}
+
+void simulated_entry::withdraw(job_id id)
+{
+    time_.note(
+        [&]
+        { return node_.name() + "'s caller of " + std::to_string(id) + " left"; });
+    memory_->withdraw(id);
+    schedule_dispatch();
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/tests/schedule/simulated_node.hpp
@@ -0,0 +1,240 @@
+#ifndef GLENHOLLOW_TESTS_SIMULATED_NODE_HPP
+#define GLENHOLLOW_TESTS_SIMULATED_NODE_HPP
+
+#include "glenhollow/core/random.hpp"
+#include "unit/support/manual_loop.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace glenhollow
+{
+
+/// Time, chance and the written order of events of one simulation.
+class simulated_time final
+{
+public:
+    /// @param seed Of all that is drawn.
+    /// @param tracing Whether the order of events is written down.
+    explicit simulated_time(std::uint64_t seed, bool tracing = false)
+        : random(seed), tracing_(tracing)
+    {
+    }
+
+    /// @return Time since the simulation began, by one clock.
+    duration elapsed() const { return loop.clock.now() - seconds{1000}; }
+
+    /// @param wait From now.
+    /// @param work Runs then, whatever stands still.
+    void after(duration wait, std::function<void()> work)
+    {
+        loop.delay()(wait, std::move(work));
+    }
+
+    /// @param line Made only where somebody reads it.
+    template <class Line>
+    void note(Line&& line)
+    {
+        if (!tracing_)
+            return;
+        const auto us =
+            std::chrono::duration_cast<microseconds>(elapsed()).count();
+        auto text = std::to_string(us);
+        text.insert(0, text.size() < 8 ? 8 - text.size() : 0, ' ');
+        lines.push_back(text + " us " + line());
+    }
+
+    /// @param most Exclusive.
+    /// @return A time below it.
+    duration some(duration most)
+    {
+        return duration{static_cast<duration::rep>(
+            uniform(random) * static_cast<double>(most.count()))};
+    }
+
+    /// @param share Of 1.
+    /// @return True so often.
+    bool chance(double share) { return uniform(random) < share; }
+
+    /// @param from What can be drawn.
+    /// @return One of it.
+    template <class Values>
+    auto one_of(const Values& from)
+    {
+        return *(std::begin(from) + random() % std::size(from));
+    }
+
+    manual_loop loop;               ///< Runs all events.
+    random_engine random;           ///< Draws.
+    std::vector<std::string> lines; ///< Events so far, one a line.
+
+private:
+    bool tracing_; ///< Lines are kept.
+};
+
+/// A process with a clock of its own. It may stand still: what falls due or
+/// arrives meanwhile is done when it goes on, timers and messages in either
+/// order, each of them in their own.
+class simulated_node final
+{
+public:
+    /// @param time Outlives the node.
+    /// @param name For the written order of events.
+    /// @param rate Of its clock.
+    simulated_node(simulated_time& time, std::string name, double rate)
+        : time_(time), name_(std::move(name)), clock_(time.loop.clock, rate)
+    {
+    }
+
+    /// @return Its name.
+    const std::string& name() const { return name_; }
+
+    /// @return Its clock.
+    const clock_source& clock() const { return clock_; }
+
+    /// @return How fast its clock goes.
+    double rate() const { return clock_.rate(); }
+
+    /// @return Whether its process runs, or stands still.
+    bool up() const { return up_; }
+
+    /// @return Number of its process, rising.
+    std::uint64_t process() const { return process_; }
+
+    /// @return Whether it stands still now.
+    bool still() const { return time_.loop.clock.now() < still_until_; }
+
+    /// A process begins.
+    void begin()
+    {
+        up_ = true;
+        ++process_;
+        still_until_ = {};
+        held_.clear();
+    }
+
+    /// Its process ends; nothing of it is done any more.
+    void end()
+    {
+        up_ = false;
+        ++process_;
+        held_.clear();
+    }
+
+    /// @param length It stands still so long from now on.
+    void stand_still(duration length)
+    {
+        const auto until = time_.loop.clock.now() + length;
+        if (!up_ || until <= still_until_)
+            return;
+        still_until_ = until;
+        time_.note([&] { return name_ + " stands still"; });
+        time_.after(length,
+                    [this, mine = process_, until]
+                    {
+                        if (process_ == mine && still_until_ == until)
+                            go_on();
+                    });
+    }
+
+    /// @param wait By its own clock.
+    /// @param work Of its process.
+    void later(duration wait, std::function<void()> work)
+    {
+        // Timers come late, never early.
+        const auto length = static_cast<double>(wait.count()) / clock_.rate();
+        const auto rounded = static_cast<duration::rep>(length);
+        schedule(wait.count() == 0 ? duration{0} : duration{rounded + 2000},
+                 false, std::move(work));
+    }
+
+    /// @param way Of a message to it.
+    /// @param work What it does with it.
+    void deliver(duration way, std::function<void()> work)
+    {
+        schedule(way, true, std::move(work));
+    }
+
+    /// @return Runs delayed work of its process.
+    std::function<void(duration, std::function<void()>)> delay()
+    {
+        return [this](duration wait, std::function<void()> work)
+        { later(wait, std::move(work)); };
+    }
+
+private:
+    /// A clock that goes at another rate than that of the simulation.
+    class own_clock final : public clock_source
+    {
+    public:
+        own_clock(const clock_source& from, double rate)
+            : from_(from), rate_(rate)
+        {
+        }
+
+        instant now() const override
+        {
+            const auto passed =
+                static_cast<double>((from_.now() - seconds{1000}).count());
+            return seconds{1000} +
+                   duration{static_cast<duration::rep>(passed * rate_)};
+        }
+
+        double rate() const { return rate_; }
+
+    private:
+        const clock_source& from_; ///< That of the simulation.
+        double rate_;              ///< Against it.
+    };
+
+    struct held_work
+    {
+        bool message = false;       ///< Else a timer.
+        std::function<void()> work; ///< What is to be done.
+    };
+
+    void schedule(duration wait, bool message, std::function<void()> work)
+    {
+        time_.after(wait,
+                    [this, mine = process_, message, work = std::move(work)]
+                    {
+                        if (process_ != mine)
+                            return;
+                        if (still())
+                            held_.push_back({message, work});
+                        else
+                            work();
+                    });
+    }
+
+    void go_on()
+    {
+        time_.note([&] { return name_ + " goes on"; });
+        const bool messages_first = time_.chance(0.5);
+        const auto held = std::exchange(held_, {});
+        const auto mine = process_;
+        for (const bool messages : {messages_first, !messages_first})
+        {
+            for (const auto& one : held)
+            {
+                if (one.message == messages && process_ == mine)
+                    one.work();
+            }
+        }
+    }
+
+    simulated_time& time_;        ///< Of the simulation.
+    std::string name_;            ///< Its name.
+    own_clock clock_;             ///< Its clock.
+    bool up_ = false;             ///< Its process runs.
+    std::uint64_t process_ = 0;   ///< Number of the process.
+    instant still_until_{};       ///< It stands still until then.
+    std::vector<held_work> held_; ///< To be done when it goes on.
+};
+
+} // namespace glenhollow
+
+#endif
--- /dev/null
+++ b/tests/schedule/simulated_seat.cpp
@@ -0,0 +1,291 @@
+#include "simulated_seat.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+/// Of a call that gets no answer.
+constexpr duration store_timeout = milliseconds{400};
+constexpr duration way = microseconds{700};
+
+std::string entry_name(std::size_t entry)
+{
+    return "entry " + std::to_string(entry);
+}
+
+} // namespace
+
+/// @param done Told, once, while the process lives.
+/// @param serve What the store does, told how to answer.
+template <class Result, class Call>
+void simulated_store::call(std::function<void(Result)> done, Call serve)
+{
+    const auto told = std::make_shared<bool>(false);
+    const auto once = [told, done = std::move(done)](const Result& got)
+    {
+        if (!std::exchange(*told, true))
+            done(got);
+    };
+    caller->later(store_timeout, [once] { once({}); });
+    if (time_.loop.clock.now() < shut_until)
+        return;
+    const bool silent = time_.chance(lost_answers);
+    time_.after(way,
+                [this, serve, once, silent, mine = caller->process()]
+                {
+                    serve(
+                        [this, once, silent, mine](const Result& got)
+                        {
+                            if (silent || caller->process() != mine ||
+                                time_.loop.clock.now() < shut_until)
+                                return;
+                            caller->deliver(way, [once, got] { once(got); });
+                        });
+                });
+}
+
+void simulated_store::commit(const row_transaction& change, commit_handler done)
+{
+    call<commit_result>(std::move(done), [this, change](const auto& answer)
+                        { rows_.commit(change, answer); });
+}
+
+void simulated_store::read(const row_range& range, read_handler done)
+{
+    call<read_result>(std::move(done), [this, range](const auto& answer)
+                      { rows_.read(range, answer); });
+}
+
+void simulated_store::follow(const std::string&, std::uint64_t, duration,
+                             feed_handler)
+{
+}
+
+simulated_seat::simulated_seat(simulated_time& time, surroundings around,
+                               std::size_t entry, std::uint64_t incarnation)
+    : time_(time), around_(std::move(around)), entry_(entry),
+      incarnation_(incarnation)
+{
+    settings_.parts = 1;
+    settings_.jobs.parts = 1;
+    settings_.jobs.entry = entry_name(entry);
+}
+
+void simulated_seat::hear(std::size_t entry, seat_view view)
+{
+    view.heard = around_.jobs.clock.now();
+    views_[entry] = view;
+}
+
+seat_view simulated_seat::view() const
+{
+    return {{},
+            incarnation_,
+            jobs_ ? jobs_->epoch().epoch : 0,
+            released_,
+            reachable_};
+}
+
+bool simulated_seat::is_live(const seat_view& view) const
+{
+    return around_.jobs.clock.now() - view.heard <=
+           exchange_pacing_settings{}.silence;
+}
+
+bool simulated_seat::has_live_owner() const
+{
+    return std::any_of(views_.begin(), views_.end(),
+                       [this](const auto& one)
+                       { return one.second.epoch != 0 && is_live(one.second); });
+}
+
+bool simulated_seat::is_superseded() const
+{
+    const auto own = jobs_->epoch().epoch;
+    return std::any_of(views_.begin(), views_.end(),
+                       [this, own](const auto& one)
+                       {
+                           const auto& view = one.second;
+                           return is_live(view) &&
+                                  std::max(view.epoch, view.released) > own;
+                       });
+}
+
+bool simulated_seat::others_reach() const
+{
+    return std::any_of(views_.begin(), views_.end(),
+                       [this](const auto& one)
+                       {
+                           return one.second.reaches_store &&
+                                  is_live(one.second);
+                       });
+}
+
+void simulated_seat::tick(bool reachable)
+{
+    reachable_ = reachable;
+    const auto now = around_.jobs.clock.now();
+    if (jobs_ && is_superseded())
+    {
+        jobs_->abandon();
+        lose();
+    }
+    if (jobs_)
+    {
+        jobs_->tick();
+        if (!reachable && others_reach())
+            release();
+        return;
+    }
+    if (has_live_owner())
+    {
+        free_since_ = {};
+        looked_ = false;
+        return;
+    }
+    if (free_since_.count() == 0)
+        free_since_ = now;
+    const auto turn =
+        settings_.rank_step * static_cast<std::int64_t>(entry_);
+    if (reachable && !claiming_ && now >= retry_at_ &&
+        now - free_since_ >= turn)
+        look();
+}
+
+void simulated_seat::look()
+{
+    claiming_ = true;
+    const auto head = head_key(0);
+    around_.jobs.store.read({head.table, head.part, head.key, {}, 1},
+                            [this, alive = alive_](const read_result& got)
+                            {
+                                if (*alive)
+                                    looked(got);
+                            });
+}
+
+bool simulated_seat::is_free(const chain_head& head) const
+{
+    if (head.version == 0 || head.owner == entry_name(entry_))
+        return true;
+    for (const auto& [entry, view] : views_)
+    {
+        if (entry_name(entry) == head.owner)
+            return view.incarnation != head.incarnation ||
+                   view.released == head.epoch;
+    }
+    return false;
+}
+
+void simulated_seat::looked(const read_result& got)
+{
+    if (!got.answered || has_live_owner())
+        return fail();
+    chain_head head;
+    if (!got.rows.empty() && got.rows.front().key == head_key(0))
+        head = decode_head(got.rows.front()).value();
+    const auto now = around_.jobs.clock.now();
+    const bool settled = looked_ && seen_.version == head.version &&
+                         now - free_since_ >= settings_.settle;
+    if (is_free(head) || settled)
+        return claim(head);
+    seen_ = head;
+    looked_ = true;
+    claiming_ = false;
+    retry_at_ = now + settings_.settle;
+}
+
+void simulated_seat::claim(const chain_head& head)
+{
+    chain_head wanted;
+    wanted.owner = entry_name(entry_);
+    wanted.incarnation = incarnation_;
+    wanted.epoch = head.epoch + 1;
+    row_transaction change;
+    change.expected.push_back({head_key(0), head.version});
+    change.puts.push_back({head_key(0), encode_head(wanted)});
+    around_.jobs.store.commit(
+        change,
+        [this, alive = alive_, wanted](const commit_result& got)
+        {
+            if (!*alive)
+                return;
+            if (got.outcome != store_outcome::done)
+                return fail();
+            auto mine = wanted;
+            mine.version = got.version;
+            load_part(around_.jobs.store, 0,
+                      [this, alive, mine](std::optional<loaded_part> rows)
+                      {
+                          if (!*alive)
+                              return;
+                          if (!rows)
+                              return fail();
+                          loaded(mine, std::move(*rows));
+                      });
+        });
+}
+
+void simulated_seat::loaded(const chain_head& head, loaded_part rows)
+{
+    claiming_ = false;
+    free_since_ = {};
+    looked_ = false;
+    time_.note(
+        [&]
+        {
+            return entry_name(entry_) + " owns the part, epoch " +
+                   std::to_string(head.epoch);
+        });
+    auto awaited = around_.agents();
+    if (rows.jobs.empty())
+        awaited.clear();
+    jobs_ = std::make_unique<job_coordinator>(
+        around_.jobs, 0, head, std::move(rows), std::move(awaited),
+        settings_.jobs,
+        [this, alive = alive_]
+        {
+            around_.jobs.later(duration{0},
+                               [this, alive]
+                               {
+                                   if (*alive)
+                                       lose();
+                               });
+        });
+    around_.gained(jobs_->epoch());
+}
+
+void simulated_seat::fail()
+{
+    claiming_ = false;
+    retry_at_ = around_.jobs.clock.now() + settings_.claim_retry;
+}
+
+void simulated_seat::lose()
+{
+    if (!jobs_)
+        return;
+    time_.note([&] { return entry_name(entry_) + " has lost the part"; });
+    jobs_.reset();
+    free_since_ = around_.jobs.clock.now();
+    retry_at_ = free_since_ + settings_.claim_retry;
+    around_.given_up();
+}
+
+void simulated_seat::release()
+{
+    time_.note([&] { return entry_name(entry_) + " gives the part away"; });
+    released_ = jobs_->epoch().epoch;
+    jobs_->abandon();
+    jobs_.reset();
+    free_since_ = around_.jobs.clock.now();
+    retry_at_ = free_since_ + settings_.settle * 2;
+    around_.given_up();
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/tests/schedule/simulated_server.cpp
@@ -0,0 +1,361 @@
+#include "simulated_server.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace glenhollow
+{
+
+namespace
+{
+
+/// As the product's client of backend servers has it.
+constexpr duration order_timeout = milliseconds{250};
+constexpr duration hold_grace = milliseconds{250};
+/// Of a message on one VM.
+constexpr duration way = microseconds{400};
+/// A call that is carried out late waits so long at most.
+constexpr duration latest_call = milliseconds{3500};
+
+constexpr std::int64_t day_ms = 1'000'000;
+
+} // namespace
+
+simulated_server::simulated_server(simulated_time& time, run_checks& checks,
+                                   std::size_t number, double rate, bool guards)
+    : time_(time), checks_(checks), number_(number), guards_(guards),
+      node_(time, "server " + std::to_string(number), rate)
+{
+}
+
+void simulated_server::begin(bool same_id)
+{
+    node_.begin();
+    ++lives_;
+    if (!same_id || id_.empty())
+        id_ = "s" + std::to_string(number_) + "-" + std::to_string(lives_);
+    born_ms_ = day_ms + static_cast<std::int64_t>(lives_);
+    origin_ = node_.clock().now() - milliseconds{1000 + time_.random() % 5000};
+    token_ = ends_ = noted_ = 0;
+    until_ms_ = 0;
+    running_.clear();
+    finished_.clear();
+    barred_.clear();
+    waiting_.clear();
+    time_.note([&] { return node_.name() + " begins as " + id_; });
+}
+
+void simulated_server::end()
+{
+    time_.note([&] { return node_.name() + " ends"; });
+    node_.end();
+    running_.clear();
+    finished_.clear();
+    waiting_.clear();
+    checks_.life_ended(number_);
+}
+
+runner_account simulated_server::account() const
+{
+    runner_account out;
+    out.service = "service-1";
+    out.instance = id_;
+    out.born_ms = born_ms_;
+    out.capacity = capacity;
+    out.phase = runner_phase::ready;
+    return out;
+}
+
+std::int64_t simulated_server::now_ms() const
+{
+    return std::chrono::duration_cast<milliseconds>(node_.clock().now() -
+                                                    origin_)
+        .count();
+}
+
+bool simulated_server::is_wrong(const order_context& context) const
+{
+    return !context.instance.empty() && context.instance != id_;
+}
+
+bool simulated_server::is_fenced(const order_context& context)
+{
+    if (context.fencing_token < token_)
+        return true;
+    token_ = context.fencing_token;
+    return false;
+}
+
+/// Never shortens; a longer one than the platform allows is cut.
+void simulated_server::extend(std::int64_t deadline_ms)
+{
+    const auto cut = std::min(deadline_ms, now_ms() + longest_hold_ms);
+    if (cut <= until_ms_ || cut <= now_ms())
+        return;
+    until_ms_ = cut;
+    await_lapse();
+}
+
+void simulated_server::await_lapse()
+{
+    const auto left = milliseconds{until_ms_ - now_ms()};
+    // Also a process that stands still loses its runs by then.
+    const auto length = static_cast<double>(duration{left}.count()) /
+                        node_.rate();
+    time_.after(duration{static_cast<duration::rep>(length)} +
+                    microseconds{1500},
+                [this, asked = until_ms_, life = lives_]
+                {
+                    if (life == lives_ && asked == until_ms_ && node_.up())
+                        lapse();
+                });
+}
+
+void simulated_server::lapse()
+{
+    checks_.lapsed(number_);
+    if (running_.empty())
+        return;
+    time_.note([&] { return node_.name() + "'s hold lapses"; });
+    while (!running_.empty())
+        finish(running_.front().mark, run_outcome::lapsed);
+}
+
+void simulated_server::start(const run_start& start,
+                             const order_context& context,
+                             const runner_port::order_handler& done)
+{
+    if (is_wrong(context))
+        return done({order_outcome::wrong_life, now_ms()});
+    if (is_fenced(context))
+        return done({order_outcome::fenced, now_ms()});
+    const auto outcome = begin_run(start, context);
+    if (outcome != order_outcome::done)
+        time_.note(
+            [&]
+            {
+                return node_.name() + " refuses " +
+                       run_checks::name(start.run) + ": " +
+                       std::string(to_name(outcome));
+            });
+    done({outcome, now_ms()});
+}
+
+order_outcome simulated_server::begin_run(const run_start& start,
+                                          const order_context& context)
+{
+    if (context.deadline_ms <= now_ms())
+        return order_outcome::late;
+    extend(context.deadline_ms);
+    resources used;
+    for (const auto& one : running_)
+    {
+        if (one.run == start.run)
+            return order_outcome::done;
+        used.add({1000, 10, 0});
+    }
+    const auto barred = barred_.find(key(start.run.task));
+    if (barred != barred_.end() && start.run.run <= barred->second)
+        return order_outcome::superseded;
+    if (!used.leaves_room({1000, 10, 0}, capacity))
+    {
+        if (guards_)
+            return order_outcome::no_room;
+        checks_.over_room(number_);
+    }
+    run_state state;
+    state.run = start.run;
+    state.began = time_.loop.clock.now();
+    state.work = milliseconds{std::stoi(start.spec)};
+    state.mark = ++marks_;
+    running_.push_back(state);
+    time_.note(
+        [&] { return node_.name() + " begins " + run_checks::name(start.run); });
+    checks_.began(number_, start.run);
+    await_end(state.mark, state.work);
+    return order_outcome::done;
+}
+
+void simulated_server::await_end(std::uint64_t mark, duration left)
+{
+    node_.deliver(left, [this, mark] { finish(mark, run_outcome::done); });
+}
+
+void simulated_server::finish(std::uint64_t mark, run_outcome how)
+{
+    const auto known =
+        std::find_if(running_.begin(), running_.end(),
+                     [mark](const run_state& one) { return one.mark == mark; });
+    if (known == running_.end())
+        return;
+    const auto run = known->run;
+    running_.erase(known);
+    auto& barred = barred_[key(run.task)];
+    barred = std::max(barred, run.run);
+    finished_.push_back({run, how, ++ends_, 0, true});
+    time_.note(
+        [&]
+        {
+            return node_.name() + " ends " + run_checks::name(run) + ": " +
+                   std::string(to_name(how));
+        });
+    checks_.ended(number_, run, how, ends_);
+    answer_looks();
+}
+
+void simulated_server::stop(const run_ref& run, const order_context& context,
+                            const runner_port::order_handler& done)
+{
+    if (is_wrong(context))
+        return done({order_outcome::wrong_life, now_ms()});
+    if (is_fenced(context))
+        return done({order_outcome::fenced, now_ms()});
+    time_.note(
+        [&] { return node_.name() + " is to stop " + run_checks::name(run); });
+    auto& barred = barred_[key(run.task)];
+    barred = std::max(barred, run.run);
+    for (auto& one : running_)
+    {
+        if (one.run != run || one.stopping)
+            continue;
+        one.stopping = true;
+        node_.deliver(time_.some(stop_time), [this, mark = one.mark]
+                      { finish(mark, run_outcome::stopped); });
+    }
+    done({order_outcome::done, now_ms()});
+}
+
+void simulated_server::hold(const hold_request& request,
+                            const runner_port::hold_handler& done)
+{
+    hold_result refused;
+    refused.clock_ms = now_ms();
+    refused.outcome = is_wrong(request.context) ? order_outcome::wrong_life
+                                                : order_outcome::fenced;
+    if (is_wrong(request.context) || is_fenced(request.context))
+        return done(refused);
+    extend(request.context.deadline_ms);
+    if (request.confirmed > noted_)
+    {
+        noted_ = request.confirmed;
+        checks_.noted(number_, noted_,
+                      [this](job_id job) { return job % 2 == 0; });
+        std::erase_if(finished_, [this](const run_end& end)
+                      { return end.number <= noted_; });
+    }
+    if (!finished_.empty() || request.wait.count() == 0)
+        return done(lists());
+    const auto number = ++looks_;
+    waiting_.push_back({number, done});
+    node_.deliver(request.wait, [this, number] { answer_look(number); });
+}
+
+hold_result simulated_server::lists() const
+{
+    hold_result out;
+    out.outcome = order_outcome::done;
+    out.clock_ms = now_ms();
+    out.born_ms = born_ms_;
+    for (const auto& one : running_)
+    {
+        const auto ran = time_.loop.clock.now() - one.began;
+        const auto percent = 1 + 98 * ran.count() / one.work.count();
+        out.running.push_back({one.run, static_cast<std::uint32_t>(percent)});
+    }
+    out.finished = finished_;
+    return out;
+}
+
+void simulated_server::answer_looks()
+{
+    for (const auto& one : std::exchange(waiting_, {}))
+        one.done(lists());
+}
+
+void simulated_server::answer_look(std::uint64_t number)
+{
+    const auto known = std::find_if(waiting_.begin(), waiting_.end(),
+                                    [number](const waiting_look& one)
+                                    { return one.number == number; });
+    if (known == waiting_.end())
+        return;
+    const auto done = known->done;
+    waiting_.erase(known);
+    done(lists());
+}
+
+/// @param timeout After which its caller gives it up.
+/// @param done Told, once.
+/// @param serve What the server does, told how to answer.
+/// @param unreached The answer where nobody listens.
+template <class Result, class Call>
+void simulated_server_port::call(duration timeout,
+                                 std::function<void(Result)> done, Call serve,
+                                 Result unreached)
+{
+    const auto told = std::make_shared<bool>(false);
+    const auto once = [told, done = std::move(done)](const Result& got)
+    {
+        if (!std::exchange(*told, true))
+            done(got);
+    };
+    if (!server_.node().up())
+        return caller_.deliver(way, [once, unreached] { once(unreached); });
+    caller_.later(timeout, [once] { once({}); });
+    const auto& link = server_.link;
+    const auto drawn = uniform(time_.random);
+    if (drawn < link.lost)
+        return;
+    const bool late = drawn < link.lost + link.late;
+    const bool silent = late || drawn < link.lost + link.late + link.unanswered;
+    const auto slow = late ? time_.some(latest_call) : time_.some(2 * way);
+    // An answer finds the process that has asked, if it is there.
+    const auto answer = [this, once, silent](const Result& got)
+    {
+        if (!silent)
+            caller_.deliver(way, [once, got] { once(got); });
+    };
+    const auto guarded = [answer, &caller = caller_,
+                          mine = caller_.process()](const Result& got)
+    {
+        if (caller.process() == mine)
+            answer(got);
+    };
+    server_.node().deliver(slow, [serve, guarded] { serve(guarded); });
+}
+
+void simulated_server_port::start(const run_start& start,
+                                  const order_context& context,
+                                  order_handler done)
+{
+    call<order_result>(
+        order_timeout, std::move(done),
+        [&server = server_, start, context](const auto& answer)
+        { server.start(start, context, answer); },
+        order_result{order_outcome::unhealthy, 0});
+}
+
+void simulated_server_port::stop(const run_ref& run,
+                                 const order_context& context,
+                                 order_handler done)
+{
+    call<order_result>(
+        order_timeout, std::move(done),
+        [&server = server_, run, context](const auto& answer)
+        { server.stop(run, context, answer); },
+        order_result{order_outcome::unhealthy, 0});
+}
+
+void simulated_server_port::hold(const hold_request& request, hold_handler done)
+{
+    hold_result unreached;
+    unreached.outcome = order_outcome::unhealthy;
+    unreached.reached = false;
+    call<hold_result>(
+        request.wait + hold_grace, std::move(done),
+        [&server = server_, request](const auto& answer)
+        { server.hold(request, answer); },
+        unreached);
+}
+
+} // namespace glenhollow
--- /dev/null
+++ b/tests/schedule/simulated_server.hpp
@@ -0,0 +1,153 @@
+#ifndef GLENHOLLOW_TESTS_SIMULATED_SERVER_HPP
+#define GLENHOLLOW_TESTS_SIMULATED_SERVER_HPP
+
+#include "glenhollow/runs/run_manager.hpp"
+#include "run_checks.hpp"
+#include "simulated_node.hpp"
+
+#include <list>
+#include <memory>
+#include <string>
+
+namespace glenhollow
+{
+
+/// How calls between an agent and its backend server fare.
+struct server_link
+{
+    double lost = 0;       ///< Share that never arrives.
+    double unanswered = 0; ///< Share that is done, its answer lost.
+    double late = 0;       ///< Share that is done seconds later, unanswered.
+};
+
+/// A backend server by the platform's rules.
+class simulated_server final
+{
+public:
+    /// @param time Outlives it.
+    /// @param checks Told what it sees; outlives it.
+    /// @param number Its own.
+    /// @param rate Of its clock.
+    /// @param guards Whether it refuses what it has no room for.
+    simulated_server(simulated_time& time, run_checks& checks,
+                     std::size_t number, double rate, bool guards);
+
+    /// A life begins.
+    /// @param same_id Under the id of the last one.
+    void begin(bool same_id);
+
+    /// The life ends with all that it runs.
+    void end();
+
+    /// @return Its account, as it registers it.
+    runner_account account() const;
+
+    /// Its process, which may stand still.
+    simulated_node& node() { return node_; }
+
+    void start(const run_start& start, const order_context& context,
+               const runner_port::order_handler& done);
+    void stop(const run_ref& run, const order_context& context,
+              const runner_port::order_handler& done);
+    void hold(const hold_request& request,
+              const runner_port::hold_handler& done);
+
+    server_link link; ///< To its agent.
+
+    /// What all servers have: cores in thousandths, MiB.
+    static constexpr resources capacity{2000, 1000, 0};
+    /// The longest hold by the platform; agents ask for less.
+    static constexpr std::int64_t longest_hold_ms = 2000;
+    /// A stop takes so long at most.
+    static constexpr duration stop_time = milliseconds{40};
+
+private:
+    struct run_state
+    {
+        run_ref run;            ///< Which.
+        instant began{};        ///< By the simulation's clock.
+        duration work{};        ///< All of it.
+        bool stopping = false;  ///< It will end so.
+        std::uint64_t mark = 0; ///< Of this run here.
+    };
+
+    struct waiting_look
+    {
+        std::uint64_t number = 0;       ///< Of the look.
+        runner_port::hold_handler done; ///< Told.
+    };
+
+    using task_key = std::tuple<job_id, std::uint32_t, std::uint32_t>;
+
+    static task_key key(const task_ref& task)
+    {
+        return {task.job, task.step, task.index};
+    }
+
+    std::int64_t now_ms() const;
+    bool is_wrong(const order_context& context) const;
+    bool is_fenced(const order_context& context);
+    void extend(std::int64_t deadline_ms);
+    void await_lapse();
+    void lapse();
+    order_outcome begin_run(const run_start& start,
+                            const order_context& context);
+    void await_end(std::uint64_t mark, duration left);
+    void finish(std::uint64_t mark, run_outcome how);
+    hold_result lists() const;
+    void answer_looks();
+    void answer_look(std::uint64_t number);
+
+    simulated_time& time_;      ///< Of the simulation.
+    run_checks& checks_;        ///< Told.
+    std::size_t number_;        ///< Its own.
+    bool guards_;               ///< It refuses what it has no room for.
+    simulated_node node_;       ///< Its process.
+    std::string id_;            ///< Of the life.
+    std::int64_t born_ms_ = 0;  ///< Of the life.
+    instant origin_{};          ///< Its clock showed 0 then.
+    std::uint64_t lives_ = 0;   ///< So far.
+    std::uint64_t token_ = 0;   ///< Highest seen.
+    std::int64_t until_ms_ = 0; ///< The hold, by its clock.
+    std::uint64_t ends_ = 0;    ///< Numbers of the life.
+    std::uint64_t noted_ = 0;   ///< Ends up to it are forgotten.
+    std::uint64_t marks_ = 0;   ///< Of runs.
+    std::uint64_t looks_ = 0;   ///< So far.
+    std::list<run_state> running_;              ///< Now.
+    std::vector<run_end> finished_;             ///< Not forgotten.
+    std::map<task_key, std::uint32_t> barred_;  ///< Runs up to it, by task.
+    std::vector<waiting_look> waiting_;         ///< For an end.
+};
+
+/// The calls of one process of an agent.
+class simulated_server_port final : public runner_port
+{
+public:
+    /// @param time Outlives it.
+    /// @param server Outlives it.
+    /// @param caller The agent's; outlives it.
+    simulated_server_port(simulated_time& time, simulated_server& server,
+                          simulated_node& caller)
+        : time_(time), server_(server), caller_(caller)
+    {
+    }
+
+    void start(const run_start& start, const order_context& context,
+               order_handler done) override;
+    void stop(const run_ref& run, const order_context& context,
+              order_handler done) override;
+    void hold(const hold_request& request, hold_handler done) override;
+
+private:
+    template <class Result, class Call>
+    void call(duration timeout, std::function<void(Result)> done, Call serve,
+              Result unreached);
+
+    simulated_time& time_;     ///< Of the simulation.
+    simulated_server& server_; ///< Called.
+    simulated_node& caller_;   ///< The agent's process.
+};
+
+} // namespace glenhollow
+
+#endif
