--- a/src/glenhollow/durable/job_coordinator_ends.cpp
+++ b/src/glenhollow/durable/job_coordinator_ends.cpp
@@ -141,6 +141,9 @@
         review_again(record, record.begin_by);
 }
 
+/// What this owner ordered there has ended. What the last one did may go on:
+/// its lease was renewed up to the claim, however long ago this entry heard of
+/// the agent, so that its account is awaited for the whole time from then on.
 void job_coordinator::agent_gone(const std::string& agent)
 {
     const auto before = stats_.orders_lost;
@@ -154,8 +157,6 @@
         }
     }
     log_lost(agent, "silent", stats_.orders_lost - before);
-    if (awaited_.erase(agent) > 0 && awaited_.empty())
-        all_agents_told();
 }
 
 void job_coordinator::all_agents_told()
