Store: padding alone is no base64, and ends no process

A value of nothing but padding made the length wrap; the entry that read such a row of another writer ended. At most two places of padding count, at the end alone; blanks and padding within, which the library passes over, are refused.

--- a/tests/unit/platform/foreign_input_tests.cpp
+++ b/tests/unit/platform/foreign_input_tests.cpp
@@ -369,6 +369,34 @@
     }
 }
 
+// An entry ended as it read a row of another writer. The value held nothing but
+// padding; all of it was taken off a length of three bytes, which wrapped, and
+// the text could not be made so long. A row with the value "====" proved it.
+TEST_CASE("padding that is more than a block's, or stands within, is no base64")
+{
+    const auto body_with = [](const std::string& value) {
+        return R"({"rows":[{"table":"t","key":"k","value":")" + value +
+               R"("}]})";
+    };
+    for (const auto* value :
+         {"====", "========", "=", "==", "Z===", "Zm9v====", "Zg==Zg==", "Z=9v",
+          "=m9v", "Zg=v", "    Zm9v", "Zm9v\\n", "Zm9", "Zg"})
+    {
+        INFO(value);
+        const auto told = decode_rows(body_with(value));
+        REQUIRE_FALSE(told);
+        CHECK(told.error().field == "value");
+    }
+    const std::vector<std::pair<std::string, std::string>> good{
+        {"", ""}, {"Zg==", "f"}, {"Zm8=", "fo"}, {"Zm9v", "foo"}};
+    for (const auto& [value, bytes] : good)
+    {
+        const auto told = decode_rows(body_with(value));
+        REQUIRE(told);
+        CHECK(told.value().rows[0].value == bytes);
+    }
+}
+
 TEST_CASE("changed bytes of another sender leave the known server as it is")
 {
     random_engine random(7);
