--- a/tests/unit/platform/foreign_input_tests.cpp
+++ b/tests/unit/platform/foreign_input_tests.cpp
@@ -342,6 +342,8 @@
         {"key", R"("owner")", "5"},
         {"value", R"("bm9kZS0x")", R"("not base64!")"},
         {"ver", "412", "-1"},
+        {"gone", R"("ver":412)", R"("ver":412,"gone":1)"},
+        {"more", R"("more":false)", R"("more":"no")"},
     };
     for (const auto& bad : bad_answers)
     {
@@ -353,6 +355,23 @@
     }
 }
 
+TEST_CASE("a commit without a version that can be one is not taken for made")
+{
+    CHECK(decode_commit(R"({"ver":531,"now_ms":5})").value() == 531);
+    for (const auto* body : {"", "{}", "[]", R"({"ver":0})", R"({"ver":"531"})",
+                             R"({"ver":-1})", R"({"ver":1e300})"})
+    {
+        INFO(body);
+        CHECK_FALSE(decode_commit(body));
+    }
+}
+
+TEST_CASE("an error names the whole as the body")
+{
+    CHECK(decode_rows("{").error().place() == "body");
+    CHECK(decode_rows("{}").error().place() == "rows");
+}
+
 TEST_CASE("the store's bytes come back as they went in")
 {
     random_engine random(5);
