--- a/src/glenhollow/durable/queue_catalog.cpp
+++ b/src/glenhollow/durable/queue_catalog.cpp
@@ -13,6 +13,10 @@
 /// Of a caller that does not say how long it waits.
 constexpr std::int64_t longest_patience_ms = 30'000;
 
+/// Thirty days: a later one is as good as none, and three times it, in
+/// nanoseconds, can still be counted with.
+constexpr double longest_objective_ms = 30.0 * 24 * 3600 * 1000;
+
 result<void> check_step(const std::vector<job_step>& steps, std::size_t at)
 {
     const auto field = "steps[" + std::to_string(at) + "].";
@@ -64,8 +68,7 @@
     }
 }
 
-result<job_definition> admit_form(job_definition job, const queue_rule& rule,
-                                  std::int64_t now_ms)
+result<void> check_form(const job_definition& job)
 {
     if (job.spec.size() > max_spec_bytes)
         return failure{"spec has more than " + std::to_string(max_spec_bytes) +
@@ -79,6 +82,13 @@
     if (job.task_count() > max_job_tasks)
         return failure{"the steps have more than " +
                        std::to_string(max_job_tasks) + " tasks together"};
+    return outcome::success();
+}
+
+result<job_definition> admit_form(job_definition job, const queue_rule& rule,
+                                  std::int64_t now_ms)
+{
+    BOOST_OUTCOME_TRYV(check_form(job));
     job.queue = rule.name;
     job.service = rule.service;
     job.priority = rule.priority;
@@ -86,7 +96,8 @@
     job.accepted_ms = now_ms;
     const double allowed =
         rule.stretch * static_cast<double>(job.longest_chain_ms());
-    const auto objective = rule.target_ms + static_cast<std::int64_t>(allowed);
+    const auto objective = static_cast<std::int64_t>(
+        std::min(rule.target_ms + allowed, longest_objective_ms));
     job.objective_ms = now_ms + objective;
     if (job.lasts == durability::in_memory)
     {
--- a/src/glenhollow/durable/queue_catalog.hpp
+++ b/src/glenhollow/durable/queue_catalog.hpp
@@ -86,6 +86,10 @@
 using catalog_parser =
     std::function<std::unique_ptr<catalog_reading>(std::string_view document)>;
 
+/// @param job A job.
+/// @return Whether it could have been admitted, or which field is wrong.
+result<void> check_form(const job_definition& job);
+
 /// @param job Its form is checked, and its objective set; its `give_up_ms`
 /// says how long its caller waits, 0 where it does not.
 /// @param rule Of its queue.
@@ -97,6 +101,10 @@
 /// Most bytes of a job's specification.
 inline constexpr std::size_t max_spec_bytes = 4000;
 
+/// Most steps of a job that a caller brings. Each names earlier ones, so that
+/// the work to know which can begin grows with their square.
+inline constexpr std::size_t max_job_steps = 1000;
+
 /// Most tasks of a job.
 inline constexpr std::size_t max_job_tasks = 10'000;
 
--- a/tests/unit/adapter/client_front_tests.cpp
+++ b/tests/unit/adapter/client_front_tests.cpp
@@ -1,88 +1,10 @@
-#include "platform/catalog_format.hpp"
-#include "platform/client_front.hpp"
 #include "platform/run_lists_format.hpp"
+#include "unit/adapter/front_world.hpp"
 
 #include <catch2/catch.hpp>
 
-#include <optional>
-
 using namespace glenhollow;
 
-namespace
-{
-
-constexpr std::string_view configuration = R"({"version":7,"routes":[
-    {"name":"r-1","host":"a.example","path_prefix":"/x/","service":"s",
-     "priority":2,"max_attempts":3,"stretch":1.6,"target_latency_ms":60}],
-    "services":[],"limits":{"max_body_bytes":2000}})";
-
-/// Keeps what the adapter asks.
-class fake_jobs final : public durable_jobs
-{
-public:
-    const queue_catalog& catalog() const override { return queues; }
-
-    std::function<void()> submit(const job_definition& job,
-                                 job_reply_handler done) override
-    {
-        submitted = job;
-        done(reply);
-        return [this] { ++withdrawn; };
-    }
-
-    void cancel(job_id id, job_reply_handler done) override
-    {
-        cancelled = id;
-        done(reply);
-    }
-
-    void state(job_id id, job_reply_handler done) override
-    {
-        asked = id;
-        done(reply);
-    }
-
-    std::uint32_t pending(const std::string&) const override { return 12; }
-
-    queue_catalog queues;
-    job_reply reply{job_outcome::done, job_state::running, {}};
-    std::optional<job_definition> submitted;
-    std::optional<job_id> cancelled;
-    std::optional<job_id> asked;
-    int withdrawn = 0;
-};
-
-/// The front over fake jobs.
-struct front_world
-{
-    front_world()
-    {
-        jobs.queues = platform::parse_catalog(configuration).value();
-    }
-
-    http_response call(std::string method, std::string target,
-                       std::string body = {})
-    {
-        http_request request;
-        request.method = std::move(method);
-        request.target = std::move(target);
-        request.headers = {{"Host", "a.example"},
-                           {"Glenhollow-Timeout-Ms", "1900"}};
-        request.body = std::move(body);
-        http_response got;
-        front.handle(std::move(request),
-                     [&got](http_response answer) { got = std::move(answer); });
-        return got;
-    }
-
-    fake_jobs jobs;
-    platform::client_front front{jobs};
-};
-
-constexpr auto path = "/x/5c0e7a21d94b36f8";
-
-} // namespace
-
 TEST_CASE("the operator's configuration becomes queues")
 {
     const auto catalog = platform::parse_catalog(configuration);
@@ -98,7 +20,7 @@
 {
     front_world world;
     const auto got =
-        world.call("POST", path,
+        world.call("POST", job_path,
                    R"({"spec":"s","steps":[{"count":2,"cpu":1600,"mem_mb":64,
             "estimate_ms":100,"affinity":"r1-3"}],"best_effort":true})");
     CHECK(got.status == 200);
@@ -116,20 +38,20 @@
     const std::string body = R"({"spec":"s","steps":[{"count":1}]})";
     world.jobs.reply = {job_outcome::refused, job_state::queued,
                         milliseconds{1500}};
-    const auto refused = world.call("POST", path, body);
+    const auto refused = world.call("POST", job_path, body);
     CHECK(refused.status == 503);
     CHECK(header_value(refused.headers, "Retry-After") == "2");
     world.jobs.reply.outcome = job_outcome::unknown;
-    CHECK(world.call("POST", path, body).status == 504);
+    CHECK(world.call("POST", job_path, body).status == 504);
     world.jobs.reply.outcome = job_outcome::missing;
-    CHECK(world.call("GET", path).status == 410);
+    CHECK(world.call("GET", job_path).status == 410);
 }
 
 TEST_CASE("bad input gets its own answer and runs nothing")
 {
     front_world world;
     const auto status = [&world](std::string body)
-    { return world.call("POST", path, std::move(body)).status; };
+    { return world.call("POST", job_path, std::move(body)).status; };
     CHECK(status("no json") == 400);
     CHECK(status(R"({"spec":3,"steps":[{"count":1}]})") == 400);
     CHECK(status(R"({"spec":"s"})") == 400);
@@ -139,7 +61,7 @@
     CHECK(status(std::string(3000, ' ')) == 413);
     CHECK(world.call("POST", "/x/not-an-id", "{}").status == 404);
     CHECK(world.call("GET", "/elsewhere/").status == 404);
-    CHECK(world.call("PUT", path).status == 405);
+    CHECK(world.call("PUT", job_path).status == 405);
     CHECK_FALSE(world.jobs.submitted);
 }
 
@@ -147,15 +69,15 @@
 {
     front_world world;
     world.jobs.queues = {};
-    CHECK(world.call("GET", path).status == 503);
+    CHECK(world.call("GET", job_path).status == 503);
 }
 
 TEST_CASE("state, cancel and the queue's count reach the product")
 {
     front_world world;
-    CHECK(world.call("GET", path).body == R"({"state":"running"})");
+    CHECK(world.call("GET", job_path).body == R"({"state":"running"})");
     CHECK(world.jobs.asked == 0x5c0e7a21d94b36f8U);
-    CHECK(world.call("DELETE", path).status == 200);
+    CHECK(world.call("DELETE", job_path).status == 200);
     CHECK(world.jobs.cancelled == 0x5c0e7a21d94b36f8U);
     CHECK(world.call("GET", "/x/").body == R"({"pending":12})");
 }
