Messages of another version: what is not named here misleads nobody

An end whose manner isn't named is one that lapsed and takes no attempt; an answer with an unknown state, or to an unknown call, is unknown. Times, amounts and the tasks of one record are bounded. A task that its job has not (past its step, another occurrence) no longer counts as a task of the next step: a job could end as succeeded though its last step had not run. Rows and handed jobs that nobody could have admitted are not read; sums of resources no longer wrap. Which steps are done is worked out once a change, not once for each step that is named.

--- a/src/glenhollow/durable/agent_sessions.cpp
+++ b/src/glenhollow/durable/agent_sessions.cpp
@@ -1,5 +1,6 @@
 #include "glenhollow/durable/agent_sessions.hpp"
 
+#include "glenhollow/core/wire_bounds.hpp"
 #include "glenhollow/telemetry/log.hpp"
 
 #include <utility>
@@ -224,7 +225,7 @@
     for (auto grant : report.getGranted())
         state.granted.push_back(grant);
     state.next_within = milliseconds{report.getNextWithinMs()};
-    known->second->clock.heard(instant{report.getSentAt()}, clock_.now());
+    known->second->clock.heard(told_instant(report.getSentAt()), clock_.now());
     known->second->silent_since =
         glenhollow::silent_since(clock_.now(), state.next_within);
     listener_.agent_reported(agent, state, ends, begun);
--- a/src/glenhollow/durable/durable_job.cpp
+++ b/src/glenhollow/durable/durable_job.cpp
@@ -47,9 +47,12 @@
 
 void resources::add(const resources& other)
 {
-    cpu += other.cpu;
-    memory += other.memory;
-    gpu += other.gpu;
+    // Sums that wrapped would look like room.
+    const auto sum = [](std::uint32_t a, std::uint32_t b)
+    { return b > ~a ? ~std::uint32_t{0} : a + b; };
+    cpu = sum(cpu, other.cpu);
+    memory = sum(memory, other.memory);
+    gpu = sum(gpu, other.gpu);
 }
 
 void resources::subtract(const resources& other)
@@ -62,9 +65,11 @@
 bool resources::leaves_room(const resources& more,
                             const resources& capacity) const
 {
-    return cpu + more.cpu <= capacity.cpu &&
-           memory + more.memory <= capacity.memory &&
-           gpu + more.gpu <= capacity.gpu;
+    const auto fits = [](std::uint64_t a, std::uint64_t b, std::uint32_t all)
+    { return a + b <= all; };
+    return fits(cpu, more.cpu, capacity.cpu) &&
+           fits(memory, more.memory, capacity.memory) &&
+           fits(gpu, more.gpu, capacity.gpu);
 }
 
 std::size_t run_ref_hash::operator()(const run_ref& ref) const
--- a/src/glenhollow/durable/entry_peers.cpp
+++ b/src/glenhollow/durable/entry_peers.cpp
@@ -141,13 +141,19 @@
     {
         auto asked = context.getParams().getCall();
         job_call call;
-        call.verb = from_index(asked.getVerb(), job_verb::state);
+        // A call that is not named here was not done, and nobody says it was.
+        if (asked.getVerb() >= name_table<job_verb>::names.size())
+        {
+            fill(context.getResults().initAnswer(), job_reply{});
+            return kj::READY_NOW;
+        }
+        call.verb = static_cast<job_verb>(asked.getVerb());
         call.id = asked.getJob();
         call.onward = asked.getOnward();
         if (call.verb == job_verb::submit)
         {
             auto job = decode_definition(text_of(asked.getBody()));
-            if (!job)
+            if (!job || job.value().id != call.id)
             {
                 fill(context.getResults().initAnswer(), job_reply{});
                 return kj::READY_NOW;
--- a/src/glenhollow/durable/job_coordinator.cpp
+++ b/src/glenhollow/durable/job_coordinator.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 #include <unordered_set>
 #include <utility>
 
@@ -65,8 +66,11 @@
 std::uint32_t job_coordinator::flat_index(const job_definition& job,
                                           const task_ref& task) const
 {
+    if (task.occurrence != 0 || task.step >= job.steps.size() ||
+        task.index >= job.steps[task.step].count)
+        return std::numeric_limits<std::uint32_t>::max();
     std::uint32_t flat = task.index;
-    for (std::uint32_t i = 0; i < task.step && i < job.steps.size(); ++i)
+    for (std::uint32_t i = 0; i < task.step; ++i)
         flat += job.steps[i].count;
     return flat;
 }
@@ -364,18 +368,20 @@
         waiter(reply);
 }
 
-bool job_coordinator::step_done(const job_record& record,
-                                std::uint32_t step) const
+/// @return Which steps have all their tasks done.
+std::vector<bool> job_coordinator::steps_done(const job_record& record)
 {
-    std::uint32_t first = 0;
-    for (std::uint32_t i = 0; i < step; ++i)
-        first += record.job.steps[i].count;
-    for (std::uint32_t i = 0; i < record.job.steps[step].count; ++i)
+    std::vector<bool> done;
+    auto task = record.tasks.begin();
+    for (const auto& step : record.job.steps)
     {
-        if (record.tasks[first + i].phase != task_phase::done)
-            return false;
+        const auto end = task + step.count;
+        done.push_back(std::all_of(task, end,
+                                   [](const task_record& one)
+                                   { return one.phase == task_phase::done; }));
+        task = end;
     }
-    return true;
+    return done;
 }
 
 void job_coordinator::make_ready(job_record& record)
@@ -383,12 +389,13 @@
     if (record.ending || !record.accepted ||
         (!record.fresh && !awaited_.empty()))
         return;
+    const auto done = steps_done(record);
     std::uint32_t flat = 0;
     for (const auto& step : record.job.steps)
     {
-        const bool open = std::all_of(step.after.begin(), step.after.end(),
-                                      [&](std::uint32_t before)
-                                      { return step_done(record, before); });
+        const bool open =
+            std::all_of(step.after.begin(), step.after.end(),
+                        [&done](std::uint32_t before) { return done[before]; });
         for (std::uint32_t i = 0; i < step.count; ++i, ++flat)
         {
             if (open && record.tasks[flat].phase == task_phase::blocked)
@@ -426,6 +433,8 @@
         return std::nullopt;
     auto& record = known->second;
     const auto flat = flat_index(record.job, task.task);
+    if (flat >= record.tasks.size())
+        return std::nullopt;
     auto& placed = record.tasks[flat];
     if (placed.phase != task_phase::ready)
         return std::nullopt;
--- a/src/glenhollow/durable/job_coordinator.hpp
+++ b/src/glenhollow/durable/job_coordinator.hpp
@@ -290,7 +290,7 @@
     const job_step& step_of(const job_definition& job,
                             std::uint32_t flat) const;
     void make_ready(job_record& record);
-    bool step_done(const job_record& record, std::uint32_t step) const;
+    static std::vector<bool> steps_done(const job_record& record);
     void enqueue(job_record& record, std::uint32_t flat);
     void tell_state(job_record& record, job_reply_handler done);
     void state_after_wait(job_id id, const job_reply_handler& done);
--- a/src/glenhollow/durable/job_rows.cpp
+++ b/src/glenhollow/durable/job_rows.cpp
@@ -1,6 +1,7 @@
 // The journal's rows. Fixed field orders, JSON arrays: a row is read by
 // programs, and each byte of it is paid for at the store.
 #include "glenhollow/durable/durable_job.hpp"
+#include "glenhollow/durable/queue_catalog.hpp"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -102,6 +103,7 @@
             job.max_attempts = json::value_to<std::uint32_t>(fields.at(6));
             job.accepted_ms = json::value_to<std::int64_t>(fields.at(7));
             job.objective_ms = json::value_to<std::int64_t>(fields.at(8));
+            BOOST_OUTCOME_TRYV(check_form(job));
             return job;
         });
 }
@@ -147,8 +149,9 @@
         {
             const auto& fields = value.as_array();
             const auto state = json::value_to<std::size_t>(fields.at(0));
-            if (state >= name_table<job_state>::names.size())
-                return failure{"a journal row names no state"};
+            if (state >= name_table<job_state>::names.size() ||
+                !is_final(static_cast<job_state>(state)))
+                return failure{"a journal row names no state of an end"};
             return job_epitaph{static_cast<job_state>(state),
                                json::value_to<std::int64_t>(fields.at(1))};
         });
--- a/src/glenhollow/durable/job_wire.cpp
+++ b/src/glenhollow/durable/job_wire.cpp
@@ -1,5 +1,7 @@
 #include "glenhollow/durable/job_wire.hpp"
 
+#include "glenhollow/core/wire_bounds.hpp"
+
 namespace glenhollow
 {
 
@@ -43,8 +45,11 @@
         std::chrono::duration_cast<milliseconds>(reply.retry_after).count()));
 }
 
+/// Of a job in a state that a newer version names, nothing is told.
 job_reply from_wire(wire::JobAnswer::Reader in)
 {
+    if (in.getState() >= name_table<job_state>::names.size())
+        return {};
     return {from_index(in.getOutcome(), job_outcome::unknown),
             from_index(in.getState(), job_state::queued),
             milliseconds{in.getRetryAfterMs()}};
@@ -78,8 +83,8 @@
     job.priority = in.getPriority();
     job.max_attempts = in.getMaxAttempts();
     job.accepted_ms = now_ms;
-    job.objective_ms = now_ms + in.getObjectiveInMs();
-    job.give_up_ms = now_ms + in.getGiveUpInMs();
+    job.objective_ms = now_ms + told_length_ms(in.getObjectiveInMs());
+    job.give_up_ms = now_ms + told_length_ms(in.getGiveUpInMs());
     job.lasts = durability::in_memory;
     return job;
 }
--- a/src/glenhollow/durable/placement_wire.cpp
+++ b/src/glenhollow/durable/placement_wire.cpp
@@ -1,5 +1,7 @@
 #include "glenhollow/durable/placement_wire.hpp"
 
+#include "glenhollow/core/wire_bounds.hpp"
+#include "glenhollow/durable/queue_catalog.hpp"
 #include "glenhollow/runs/run_wire.hpp"
 
 #include <utility>
@@ -10,6 +12,8 @@
 namespace
 {
 
+constexpr std::int64_t micros_a_ms = 1000;
+
 /// Tasks that differ in their index alone go in one record.
 bool alike(const ready_task& a, const ready_task& b)
 {
@@ -56,9 +60,13 @@
     out.setBegun(task.begun);
 }
 
+/// A record of more tasks than a job may have would grow here to many times
+/// its size; none of ours has them, so it is passed over.
 void read_group(wire::WantedTasks::Reader in, instant now,
                 std::vector<ready_task>& tasks)
 {
+    if (in.getIndices().size() > max_job_tasks)
+        return;
     ready_task task;
     task.task = {in.getJob(), in.getOccurrence(), in.getStep(), 0};
     task.service = in.getService();
@@ -66,7 +74,9 @@
     task.preferred_label = in.getPreferredLabel();
     task.needs = {in.getCpu(), in.getMemory(), in.getGpu()};
     task.priority = in.getPriority();
-    task.start_by = now + microseconds{in.getSlackMicros()};
+    const auto slack_ms = told_length_ms(in.getSlackMicros() / micros_a_ms);
+    task.start_by = now + milliseconds{slack_ms} +
+                    microseconds{in.getSlackMicros() % micros_a_ms};
     task.estimate_ms = in.getEstimateMs();
     task.avoid = in.getAvoid();
     task.begun = in.getBegun();
@@ -131,13 +141,18 @@
     }
 }
 
+placement_load load_from(wire::PlacementLoad::Reader in)
+{
+    return {told_amount(in.getReadyCores()), told_amount(in.getFreeCores()),
+            told_amount(in.getWaitingWork())};
+}
+
 std::map<std::string, placement_load>
 from_wire(wire::PlacementSession::WantResults::Reader in)
 {
     std::map<std::string, placement_load> loads;
     for (auto one : in.getLoads())
-        loads[one.getService()] = {one.getReadyCores(), one.getFreeCores(),
-                                   one.getWaitingWork()};
+        loads[one.getService()] = load_from(one);
     return loads;
 }
 
--- a/src/glenhollow/durable/placement_wire.hpp
+++ b/src/glenhollow/durable/placement_wire.hpp
@@ -42,6 +42,10 @@
 void fill(wire::PlacementSession::WantResults::Builder out,
           const std::map<std::string, placement_load>& loads);
 
+/// @param in One service's load on the wire.
+/// @return It; amounts that are none are 0.
+placement_load load_from(wire::PlacementLoad::Reader in);
+
 /// @param in Loads on the wire.
 /// @return The loads, by service.
 std::map<std::string, placement_load>
--- a/src/glenhollow/hosting/host_link.cpp
+++ b/src/glenhollow/hosting/host_link.cpp
@@ -1,6 +1,7 @@
 #include "glenhollow/hosting/host_link.hpp"
 
 #include "glenhollow/durable/job_wire.hpp"
+#include "glenhollow/durable/placement_wire.hpp"
 #include "glenhollow/telemetry/log.hpp"
 
 #include <utility>
@@ -118,8 +119,7 @@
 {
     load_.by_service.clear();
     for (auto one : load.getLoads())
-        load_.by_service[one.getService()] = {
-            one.getReadyCores(), one.getFreeCores(), one.getWaitingWork()};
+        load_.by_service[one.getService()] = load_from(one);
     load_.agents = load.getAgents();
     if (load.getStopping() && !load_.stopping)
         log_change(log_level::info, "job_host_stopping", {{"agent", host_}});
--- a/src/glenhollow/hosting/job_host_server.cpp
+++ b/src/glenhollow/hosting/job_host_server.cpp
@@ -1,6 +1,7 @@
 #include "glenhollow/hosting/job_host_server.hpp"
 
 #include "glenhollow/durable/job_wire.hpp"
+#include "glenhollow/durable/queue_catalog.hpp"
 #include "glenhollow/telemetry/log.hpp"
 
 #include <kj/debug.h>
@@ -58,6 +59,15 @@
         const auto job =
             from_wire(context.getParams().getJob(), wall_milliseconds());
         auto* from = heard();
+        if (const auto good = check_form(job); !good)
+        {
+            log_change(
+                log_level::error, "handed_job_unusable",
+                {{"job", to_text(job.id)}, {"cause", good.error().text}});
+            fill(context.getResults().initAnswer(),
+                 job_reply{job_outcome::not_owner, job_state::queued, {}});
+            return kj::READY_NOW;
+        }
         if (from == nullptr || server_.host_.paused())
         {
             // The same job may have come over another session.
--- a/src/glenhollow/runs/run_wire.cpp
+++ b/src/glenhollow/runs/run_wire.cpp
@@ -1,5 +1,7 @@
 #include "glenhollow/runs/run_wire.hpp"
 
+#include "glenhollow/core/wire_bounds.hpp"
+
 namespace glenhollow
 {
 
@@ -126,10 +128,12 @@
     out.setClaimed(end.claimed);
 }
 
+/// An end in a manner that a newer version names is an end, and takes no
+/// attempt away.
 run_end from_wire(wire::RunEnd::Reader in)
 {
     return {{from_wire(in.getTask()), in.getRun()},
-            from_index(in.getHow(), run_outcome::failed),
+            from_index(in.getHow(), run_outcome::lapsed),
             in.getNumber(),
             in.getMicros(),
             in.getClaimed()};
@@ -240,10 +244,10 @@
 
 order_batch from_wire(wire::OrderBatch::Reader in)
 {
-    return {all_from<run_order>(in.getStarts()),
-            all_from<run_ref>(in.getStops()),
-            all_from<run_order>(in.getSizes()),
-            all_from<run_end>(in.getConfirmed()), instant{in.getLeasedAt()}};
+    return {
+        all_from<run_order>(in.getStarts()), all_from<run_ref>(in.getStops()),
+        all_from<run_order>(in.getSizes()),
+        all_from<run_end>(in.getConfirmed()), told_instant(in.getLeasedAt())};
 }
 
 } // namespace glenhollow
