--- a/programs/agent.cpp
+++ b/programs/agent.cpp
@@ -19,7 +19,7 @@
     command_line line("glenhollow-agent", "runs tasks on the runner beside it");
     line.identifier("name", settings.name, "name of the runner VM");
     line.identifier("hall", settings.hall, "hall of the VM");
-    line.text("address", settings.address, "IP number to listen on", true);
+    line.ip_number("address", settings.address, "IP number to listen on");
     line.number<std::uint16_t>("port", settings.port, 0, 65535, "",
                                "port for entries, 0 lets the kernel pick");
     line.number<std::uint16_t>("admin-port", settings.admin_port, 0, 65535, "",
--- a/programs/durable_agent_main.cpp
+++ b/programs/durable_agent_main.cpp
@@ -31,19 +31,19 @@
     line.node_file();
     line.identifier("name", settings.name, "name of the runner's machine");
     line.identifier("zone", settings.zone, "zone of the machine");
-    line.text("address", settings.address, "IP number for links", true);
+    line.ip_number("address", settings.address, "IP number for links");
     line.number<std::uint16_t>("rpc-port", settings.rpc_port, 0, 65535, "",
                                "port for links, alike on all machines");
     line.number<std::uint16_t>("metrics-port", settings.metrics_port, 0, 65535,
                                "", "port for metrics");
-    line.text("registration", given.registration,
-              "IP:PORT where the runner registers", true);
-    line.text("runner", given.runner, "IP:PORT of the runner", true);
+    line.endpoint("registration", given.registration,
+                  "IP:PORT where the runner registers");
+    line.endpoint("runner", given.runner, "IP:PORT of the runner");
     line.text(
         "service", settings.server_service,
         "service of the runner; heartbeats of another are refused, empty: "
         "any");
-    line.text("store", given.store, "IP:PORT of the platform's store", true);
+    line.endpoint("store", given.store, "IP:PORT of the platform's store");
     line.number<std::size_t>("parts", settings.manager.parts, 1, 4096, "parts",
                              "of the journal; alike in all processes");
     line.number<unsigned>("hold", given.hold_ms, 200, 60'000, "ms",
--- a/programs/durable_entry_main.cpp
+++ b/programs/durable_entry_main.cpp
@@ -30,17 +30,18 @@
     line.node_file();
     line.identifier("name", settings.name, "name of the entry's machine");
     line.identifier("zone", settings.zone, "zone of the machine");
-    line.text("address", settings.address, "IP number for links", true);
+    line.ip_number("address", settings.address, "IP number for links");
     line.number<std::uint16_t>("rpc-port", settings.rpc_port, 0, 65535, "",
                                "port for links, alike on all machines");
     line.number<std::uint16_t>("metrics-port", settings.metrics_port, 0, 65535,
                                "", "port for metrics");
-    line.text("callers", given.callers, "IP:PORT where clients call", true);
-    line.text("readiness", given.readiness, "IP:PORT for GET /ready", true);
-    line.text("store", given.store, "IP:PORT of the platform's store", true);
-    line.text("seeds", given.seeds,
-              "IP:PORT list of entries that may be live; their link port is "
-              "this entry's");
+    line.endpoint("callers", given.callers, "IP:PORT where clients call");
+    line.endpoint("readiness", given.readiness, "IP:PORT for GET /ready");
+    line.endpoint("store", given.store, "IP:PORT of the platform's store");
+    line.endpoints(
+        "seeds", given.seeds,
+        "IP:PORT list of entries that may be live; their link port is "
+        "this entry's");
     line.number<std::size_t>("parts", settings.parts, 1, 4096, "parts",
                              "of the journal; alike in all processes");
     line.number<unsigned>("grace", given.grace_s, 1, 600, "s",
--- a/programs/entry.cpp
+++ b/programs/entry.cpp
@@ -22,7 +22,7 @@
                       "takes callers' jobs and operators' statements");
     line.identifier("name", settings.name, "name of the entry VM");
     line.identifier("hall", settings.hall, "hall of the VM");
-    line.text("address", settings.address, "IP number to listen on", true);
+    line.ip_number("address", settings.address, "IP number to listen on");
     line.number<std::uint16_t>("http-port", settings.http_port, 0, 65535, "",
                                "port for callers, 0 lets the kernel pick");
     line.number<std::uint16_t>("rpc-port", settings.rpc_port, 0, 65535, "",
--- a/src/glenhollow/command_line/command_line.cpp
+++ b/src/glenhollow/command_line/command_line.cpp
@@ -2,7 +2,9 @@
 
 #include "glenhollow/command_line/version.hpp"
 #include "glenhollow/core/submission_id.hpp"
+#include "glenhollow/http/client.hpp"
 
+#include <boost/asio/ip/address.hpp>
 #include <boost/program_options/options_description.hpp>
 #include <boost/program_options/parsers.hpp>
 #include <boost/program_options/variables_map.hpp>
@@ -86,6 +88,49 @@
                 });
 }
 
+void command_line::ip_number(std::string_view name, std::string& target,
+                             std::string_view about)
+{
+    add_checked(name, target, std::string(about),
+                [&target](const std::string& given) -> std::string
+                {
+                    boost::system::error_code wrong;
+                    boost::asio::ip::make_address(given, wrong);
+                    if (wrong)
+                        return "must be an IP number";
+                    target = given;
+                    return {};
+                });
+}
+
+void command_line::endpoint(std::string_view name, std::string& target,
+                            std::string_view about)
+{
+    add_checked(name, target, std::string(about),
+                [&target](const std::string& given) -> std::string
+                {
+                    if (!host_port::parse(given))
+                        return "must be IP:PORT with a port in 1..65535";
+                    target = given;
+                    return {};
+                });
+}
+
+void command_line::endpoints(std::string_view name, std::string& target,
+                             std::string_view about)
+{
+    add_checked(name, target, std::string(about),
+                [&target](const std::string& given) -> std::string
+                {
+                    if (const auto list = host_port::parse_list(given); !list)
+                        return "must be IP:PORT[,IP:PORT...] with ports in "
+                               "1..65535: " +
+                               list.error().text;
+                    target = given;
+                    return {};
+                });
+}
+
 void command_line::add_number(std::string_view name, double fallback,
                               double least, double most, std::string_view unit,
                               std::string_view about, bool whole,
--- a/src/glenhollow/command_line/command_line.hpp
+++ b/src/glenhollow/command_line/command_line.hpp
@@ -48,6 +48,27 @@
     void identifier(std::string_view name, std::string& target,
                     std::string_view about);
 
+    /// Adds a flag whose value is an IP number.
+    /// @param name Without the dashes.
+    /// @param target Holds the default; gets the value.
+    /// @param about One line for --help.
+    void ip_number(std::string_view name, std::string& target,
+                   std::string_view about);
+
+    /// Adds a flag whose value is IP:PORT.
+    /// @param name Without the dashes.
+    /// @param target Holds the default; gets the value.
+    /// @param about One line for --help.
+    void endpoint(std::string_view name, std::string& target,
+                  std::string_view about);
+
+    /// Adds a flag whose value is a list IP:PORT[,IP:PORT...], maybe empty.
+    /// @param name Without the dashes.
+    /// @param target Holds the default; gets the value.
+    /// @param about One line for --help.
+    void endpoints(std::string_view name, std::string& target,
+                   std::string_view about);
+
     /// Adds a flag for a whole number.
     /// @param name Without the dashes.
     /// @param target Holds the default; gets the value.
