--- a/src/glenhollow/language/parser.cpp
+++ b/src/glenhollow/language/parser.cpp
@@ -3,6 +3,8 @@
 #include <boost/json/parse.hpp>
 #include <boost/spirit/home/x3.hpp>
 
+#include <cmath>
+
 namespace glenhollow
 {
 
@@ -16,6 +18,9 @@
 /// Tags the rules, whose names are what errors say was expected.
 struct rule_tag;
 
+/// Ten years: longer ones could not be counted in nanoseconds.
+constexpr double longest_seconds = 315'360'000;
+
 const auto word_letter = x3::char_("a-zA-Z0-9_.-");
 
 template <class Attribute>
@@ -74,14 +79,26 @@
             x3::lexeme[+x3::char_("a-zA-Z0-9_.:/+-")];
         const auto count = named<std::size_t>("a whole number") =
             x3::lexeme[x3::ulong_ >> !word_letter];
-        const auto number = named<double>("a number") = x3::double_;
+        // The library reads "nan" and "inf" as numbers, too.
+        const auto finite = [](auto& ctx)
+        {
+            x3::_val(ctx) = x3::_attr(ctx);
+            x3::_pass(ctx) = std::isfinite(x3::_attr(ctx));
+        };
+        const auto number = named<double>("a number") = x3::double_[finite];
         const auto json_text =
             named<std::string>("a JSON value up to the end of the line") =
                 x3::lexeme[+x3::char_];
         const auto units = unit_symbols();
+        const auto set_unit = [this](auto& ctx)
+        {
+            unit_ = x3::_attr(ctx);
+            const double length = amount_ * unit_;
+            x3::_pass(ctx) = length >= 0 && length <= longest_seconds;
+        };
         const auto duration_text =
             named<x3::unused_type>("a duration such as 500ms, 5s, 10m or 2h") =
-                x3::lexeme[x3::double_[set(amount_)] >> units[set(unit_)] >>
+                x3::lexeme[x3::double_[set(amount_)] >> units[set_unit] >>
                            !word_letter];
         const auto task_of_id =
             named<x3::unused_type>("a task: <submission id>/<n>") =
--- a/tests/unit/language/parser_tests.cpp
+++ b/tests/unit/language/parser_tests.cpp
@@ -117,3 +117,18 @@
                                     dialect::scenarios)
                 .json == "{\"outage\":true}");
 }
+
+TEST_CASE("no number or length that can't be counted with is taken")
+{
+    for (const auto* text :
+         {"why waste since 1e300h", "why waste since -5s",
+          "why waste since nans", "why waste since infh",
+          "set team desk quota nan tasks/s",
+          "set team desk quota 1e999 tasks/s", "set team desk weight inf"})
+    {
+        INFO(text);
+        CHECK_FALSE(parse_statement(text, dialect::operators));
+    }
+    CHECK(parsed<why_waste_statement>("why waste since 87600h").since ==
+          std::chrono::hours{87'600});
+}
