--- a/tests/unit/platform/foreign_input_tests.cpp
+++ b/tests/unit/platform/foreign_input_tests.cpp
@@ -342,6 +342,8 @@
         {"key", R"("owner")", "5"},
         {"value", R"("bm9kZS0x")", R"("not base64!")"},
         {"ver", "412", "-1"},
+        {"gone", R"("ver":412)", R"("ver":412,"gone":1)"},
+        {"more", R"("more":false)", R"("more":"no")"},
     };
     for (const auto& bad : bad_answers)
     {
@@ -353,6 +355,23 @@
     }
 }
 
+TEST_CASE("a commit without a version that can be one is not taken for made")
+{
+    CHECK(decode_commit(R"({"ver":531,"now_ms":5})").value() == 531);
+    for (const auto* body : {"", "{}", "[]", R"({"ver":0})", R"({"ver":"531"})",
+                             R"({"ver":-1})", R"({"ver":1e300})"})
+    {
+        INFO(body);
+        CHECK_FALSE(decode_commit(body));
+    }
+}
+
+TEST_CASE("an error names the whole as the body")
+{
+    CHECK(decode_rows("{").error().place() == "body");
+    CHECK(decode_rows("{}").error().place() == "rows");
+}
+
 TEST_CASE("the store's bytes come back as they went in")
 {
     random_engine random(5);
@@ -369,6 +388,34 @@
     }
 }
 
+// An entry ended as it read a row of another writer. The value held nothing but
+// padding; all of it was taken off a length of three bytes, which wrapped, and
+// the text could not be made so long. A row with the value "====" proved it.
+TEST_CASE("padding that is more than a block's, or stands within, is no base64")
+{
+    const auto body_with = [](const std::string& value) {
+        return R"({"rows":[{"table":"t","key":"k","value":")" + value +
+               R"("}]})";
+    };
+    for (const auto* value :
+         {"====", "========", "=", "==", "Z===", "Zm9v====", "Zg==Zg==", "Z=9v",
+          "=m9v", "Zg=v", "    Zm9v", "Zm9v\\n", "Zm9", "Zg"})
+    {
+        INFO(value);
+        const auto told = decode_rows(body_with(value));
+        REQUIRE_FALSE(told);
+        CHECK(told.error().field == "value");
+    }
+    const std::vector<std::pair<std::string, std::string>> good{
+        {"", ""}, {"Zg==", "f"}, {"Zm8=", "fo"}, {"Zm9v", "foo"}};
+    for (const auto& [value, bytes] : good)
+    {
+        const auto told = decode_rows(body_with(value));
+        REQUIRE(told);
+        CHECK(told.value().rows[0].value == bytes);
+    }
+}
+
 TEST_CASE("changed bytes of another sender leave the known server as it is")
 {
     random_engine random(7);
