Agent: sight of marks of noted ends that come to another life, and of runs that vanish

mark_misread and marks_misread_total tell a look whose last_seen was that of another life than the one that answered; run_vanished tells what the agent had confirmed by then. No change of what is decided.

--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -516,6 +516,9 @@
     count("listed_ends_repeated_total",
           "Listed ends with a number that was done with before",
           stats.ends_repeated, {});
+    count("marks_misread_total",
+          "Looks whose mark of noted ends came to another life",
+          stats.marks_misread, {});
     count("server_notices_total", "Lives that told when they would leave",
           stats.notices, {});
     count("runs_moved_total", "Runs stopped to be run at another server",
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -233,10 +233,12 @@
     std::uint64_t stale_sign_offs = 0; ///< Words of an end that had not come.
     std::uint64_t ends_repeated = 0;   ///< Listed with a number that was done
                                        ///< with before.
-    std::uint64_t notices = 0;  ///< Lives that told when they would leave.
-    std::uint64_t moved = 0;    ///< Runs stopped to be run elsewhere.
-    std::uint64_t moved_ms = 0; ///< Time that these had run: thrown away.
-    std::uint64_t lost = 0;     ///< Runs that could not end, nor elsewhere.
+    std::uint64_t marks_misread = 0; ///< Looks whose mark of noted ends came to
+                                     ///< another life than that it is of.
+    std::uint64_t notices = 0;       ///< Lives that told when they would leave.
+    std::uint64_t moved = 0;         ///< Runs stopped to be run elsewhere.
+    std::uint64_t moved_ms = 0;      ///< Time that these had run: thrown away.
+    std::uint64_t lost = 0; ///< Runs that could not end, nor elsewhere.
     std::uint64_t refused_leaving = 0; ///< Orders that came after a notice.
     std::uint64_t remembered = 0;      ///< Lives known from an earlier process.
     std::uint64_t forgotten = 0;       ///< Of these, those that had ended.
@@ -427,6 +429,9 @@
         std::uint64_t number = 0; ///< Of the look.
         instant sent{};           ///< When it left.
         std::string life;         ///< That it expects; empty: any.
+        std::uint64_t mark = 0;   ///< Ends up to this one may be forgotten.
+        std::int64_t mark_born_ms = 0; ///< Start of the life whose ends these
+                                       ///< are; 0: not told.
     };
 
     using runs = std::unordered_map<run_ref, run_record, run_ref_hash>;
@@ -461,6 +466,7 @@
     void look();
     void look_now();
     void look_answered(const sent_look& asked, const hold_result& got);
+    void check_mark(const sent_look& asked, std::int64_t born_ms);
     void expect_look(std::uint64_t number, duration wait);
     void expect_start(const run_ref& ref);
     void expect(duration wait, std::function<bool()> awaited,
--- a/src/glenhollow/runs/run_manager_looks.cpp
+++ b/src/glenhollow/runs/run_manager_looks.cpp
@@ -111,8 +111,9 @@
         request.wait = settings_.look_wait;
     runner_.hold(request,
                  [this, alive = alive_,
-                  sent = sent_look{number, clock_.now(), account_.instance}](
-                     const hold_result& got)
+                  sent = sent_look{number, clock_.now(), account_.instance,
+                                   request.confirmed,
+                                   listed_born_ms_}](const hold_result& got)
                  {
                      if (*alive)
                          look_answered(sent, got);
@@ -147,6 +148,7 @@
         unreached();
     if (done)
     {
+        check_mark(asked, got.born_ms);
         note_born(got.born_ms);
         if (!asked.life.empty() && asked.life == account_.instance)
             verify_life(asked.sent);
@@ -165,6 +167,18 @@
     look_again(done);
 }
 
+/// A mark that comes to another life makes it forget ends that nobody has seen.
+void run_manager::check_mark(const sent_look& asked, std::int64_t born_ms)
+{
+    if (asked.mark == 0 || !starts_differ(asked.mark_born_ms, born_ms))
+        return;
+    ++stats_.marks_misread;
+    log_change(log_level::error, "mark_misread",
+               {{"mark", asked.mark},
+                {"of_born_ms", asked.mark_born_ms},
+                {"read_by_born_ms", born_ms}});
+}
+
 void run_manager::look_again(bool answered)
 {
     const bool at_once = !ledger_.waits() && informed_ && !lapsing_;
@@ -285,7 +299,14 @@
         const auto& run = known->second;
         const bool doubtful = run.phase == run_phase::doubtful;
         if (!doubtful && !run.may_have_run)
+        {
             ++stats_.vanished;
+            log_change(log_level::info, "run_vanished",
+                       {{"job", to_text(ref.task.job)},
+                        {"run", ref.run},
+                        {"confirmed", ledger_.confirmed()},
+                        {"born_ms", listed_born_ms_}});
+        }
         const bool never = doubtful && !run.may_have_run;
         end_run(ref, never ? run_outcome::not_begun : run_outcome::lapsed, 0);
     }
