--- /dev/null
+++ b/tests/unit/runs/returned_server_tests.cpp
@@ -0,0 +1,274 @@
+// Kept tasks ran a second time after they were done, all of one backend server,
+// for up to 15 s. Order of events: the server says that it leaves; its agent
+// stands still; the server signs off, ends, and lives again under its id; the
+// agent wakes and reads, in one moment, the last list of the ended life, the
+// sign-off and the registration of the new one. Cause: the next look left for
+// the new life with the mark of the ended one (`last_seen`), so that the new
+// life forgot as many ends as the ended one had listed, unseen: its runs
+// vanished, and their tasks ran again. The id is no guard, it is the same. The
+// evidence: `mark_misread` 137 at the agent's waking, then `run_vanished` only
+// while the new life's numbers were below 137.
+#include "glenhollow/runs/run_manager.hpp"
+#include "unit/support/fake_runner_port.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace glenhollow;
+
+namespace
+{
+
+constexpr lease_id entry_lease = memory_lease(0);
+constexpr std::int64_t first_born = 1'750'000'000'000;
+constexpr std::int64_t second_born = first_born + 60'000;
+
+/// What an agent calls: answers wait unread while it stands still.
+class unread_answers final : public runner_port
+{
+public:
+    explicit unread_answers(runner_port& server) : server_(server) {}
+
+    void start(const run_start& start, const order_context& context,
+               order_handler done) override
+    {
+        server_.start(start, context, kept<order_result>(std::move(done)));
+    }
+    void stop(const run_ref& run, const order_context& context,
+              order_handler done) override
+    {
+        server_.stop(run, context, kept<order_result>(std::move(done)));
+    }
+    void hold(const hold_request& request, hold_handler done) override
+    {
+        server_.hold(request, kept<hold_result>(std::move(done)));
+    }
+
+    void read()
+    {
+        for (auto& one : std::exchange(unread_, {}))
+            one();
+    }
+
+    bool still = false; ///< Nobody reads.
+
+private:
+    template <class Answer>
+    std::function<void(Answer)> kept(std::function<void(Answer)> done)
+    {
+        return [this, done = std::move(done)](Answer answer)
+        {
+            if (!still)
+                return done(std::move(answer));
+            unread_.push_back([done, answer = std::move(answer)]
+                              { done(answer); });
+        };
+    }
+
+    runner_port& server_;                       ///< Answers.
+    std::vector<std::function<void()>> unread_; ///< In the order they came.
+};
+
+/// An agent that stands still at times, and its backend server, whose time
+/// goes on.
+struct returning_world
+{
+    returning_world()
+    {
+        server.life = "server-1";
+        server.born_ms = first_born;
+        server.clock_ahead = seconds{500};
+        manager.begin();
+    }
+
+    void registers(std::int64_t born, std::uint64_t sequence,
+                   runner_phase phase)
+    {
+        runner_account account;
+        account.service = "service-1";
+        account.instance = "server-1";
+        account.born_ms = born;
+        account.sequence = sequence;
+        account.zone = "hall-1";
+        account.capacity = {4000, 1000, 0};
+        account.phase = phase;
+        manager.registered(account);
+    }
+
+    void run(duration length)
+    {
+        constexpr duration step = milliseconds{1};
+        for (duration passed{}; passed < length; passed += step)
+        {
+            manager.renew(entry_lease, 0, agent_loop.clock.now());
+            manager.tick();
+            server_loop.advance(step);
+            agent_loop.advance(step);
+            for (const auto& end : manager.take_ends(entry_lease))
+            {
+                told.push_back(end);
+                manager.confirm(end);
+            }
+        }
+    }
+
+    /// The agent's process gets no processor; none of its timers runs.
+    void stand_still(duration length)
+    {
+        port.still = true;
+        server_loop.advance(length);
+        agent_loop.clock.advance(length);
+        port.still = false;
+    }
+
+    static run_ref ref(std::uint32_t index)
+    {
+        return {{42, 0, 0, index}, first_memory_run + 1};
+    }
+
+    void order(std::uint32_t index)
+    {
+        run_order order;
+        order.run = ref(index);
+        order.needs = {1000, 10, 0};
+        manager.order(order, entry_lease);
+    }
+
+    /// The first life has done three tasks, and all of that is confirmed.
+    void live_once()
+    {
+        registers(first_born, 40, runner_phase::ready);
+        run(milliseconds{50});
+        for (std::uint32_t index = 0; index < 3; ++index)
+            order(index);
+        run(milliseconds{50});
+        REQUIRE(server.running.size() == 3);
+        for (std::uint32_t index = 0; index < 3; ++index)
+            server.finish(ref(index), run_outcome::done);
+        run(milliseconds{150});
+        REQUIRE(told.size() == 3);
+        REQUIRE(server.confirmed == 3);
+        told.clear();
+    }
+
+    /// The server answers the look that is out, ends, and lives again.
+    void return_unseen()
+    {
+        stand_still(milliseconds{150});
+        server.restart(second_born);
+        stand_still(milliseconds{500});
+    }
+
+    /// The next look leaves before anything else is read.
+    void reads_answers()
+    {
+        port.read();
+        agent_loop.advance(duration{0});
+    }
+    void reads_sign_off() { manager.signed_off({"server-1", 0}); }
+    void reads_registration()
+    {
+        registers(second_born, 1, runner_phase::ready);
+    }
+
+    /// The new life takes work, and the ends of its runs are told.
+    void check_new_life()
+    {
+        run(milliseconds{300});
+        CHECK(server.confirmed == 0);
+        CHECK(manager.account().born_ms == second_born);
+        CHECK(manager.account().phase == runner_phase::ready);
+        told.clear();
+        order(3);
+        run(milliseconds{50});
+        REQUIRE(server.running.size() == 1);
+        server.finish(ref(3), run_outcome::done);
+        run(milliseconds{300});
+        REQUIRE(told.size() == 1);
+        CHECK(told[0].how == run_outcome::done);
+        CHECK(manager.stats().vanished == 0);
+        CHECK(manager.stats().marks_misread == 0);
+        CHECK(server.confirmed == 1);
+    }
+
+    manual_loop agent_loop;
+    manual_loop server_loop;
+    fake_runner_port server{server_loop};
+    unread_answers port{server};
+    run_manager manager{agent_loop.clock, port, agent_loop.delay(), 1000, {}};
+    std::vector<run_end> told; ///< To the entry, which confirmed them.
+};
+
+} // namespace
+
+TEST_CASE("a server that left and returned unseen forgets no end unseen",
+          "[returned_server]")
+{
+    returning_world world;
+    world.live_once();
+    world.registers(first_born, 41, runner_phase::draining);
+    world.run(milliseconds{20});
+    world.return_unseen();
+    SECTION("its last list is read first")
+    {
+        world.reads_answers();
+        world.reads_sign_off();
+        world.reads_registration();
+    }
+    SECTION("its sign-off is read first")
+    {
+        world.reads_sign_off();
+        world.reads_answers();
+        world.reads_registration();
+    }
+    SECTION("its last list is read after the new life's registration")
+    {
+        world.reads_sign_off();
+        world.reads_registration();
+        world.reads_answers();
+    }
+    world.check_new_life();
+}
+
+TEST_CASE("a server that ended and returned unseen forgets no end unseen",
+          "[returned_server]")
+{
+    returning_world world;
+    world.live_once();
+    world.run(milliseconds{20});
+    world.return_unseen();
+    SECTION("its last list is read first")
+    {
+        world.reads_answers();
+        world.reads_registration();
+    }
+    SECTION("its last list is read after the new life's registration")
+    {
+        world.reads_registration();
+        world.reads_answers();
+    }
+    world.check_new_life();
+}
+
+TEST_CASE("an end that is listed while its agent stands still is told once",
+          "[returned_server]")
+{
+    returning_world world;
+    world.live_once();
+    world.order(3);
+    world.run(milliseconds{50});
+    REQUIRE(world.server.running.size() == 1);
+    world.server.finish(world.ref(3), run_outcome::done);
+    world.stand_still(milliseconds{150});
+    world.server.restart(second_born);
+    world.stand_still(milliseconds{500});
+    world.reads_answers();
+    world.reads_registration();
+    world.run(milliseconds{300});
+    REQUIRE(world.told.size() == 1);
+    CHECK(world.told[0].how == run_outcome::done);
+    CHECK(world.server.confirmed == 0);
+}
