A mark of noted ends goes out on the connection that gave the list alone

Ends are numbered anew in each life of a backend server, and an expected id keeps no other life of that id from reading a mark. A connection ends with its process: a look names the connection by which the list came that its mark is of, and on any other one says 0. A look expects a life by id and start, so that a list of the ended life no longer counts for one that has registered since (which lost its account).

The fake server keeps the same rule of connections.

--- a/src/glenhollow/http/client.cpp
+++ b/src/glenhollow/http/client.cpp
@@ -37,8 +37,11 @@
 /// One keep-alive connection.
 struct connection
 {
-    explicit connection(asio::io_context& io) : stream(io) {}
+    connection(asio::io_context& io, std::uint64_t of) : number(of), stream(io)
+    {
+    }
 
+    std::uint64_t number;      ///< From 1, of this client alone.
     beast::tcp_stream stream;  ///< The socket with its timer.
     beast::flat_buffer buffer; ///< Bytes read ahead.
 
@@ -136,6 +139,7 @@
     std::vector<std::unique_ptr<connection>> idle; ///< Ready for a call.
     std::deque<waiting_call> waiting;              ///< No connection yet.
     std::size_t open = 0;                          ///< Busy connections.
+    std::uint64_t connections = 0;                 ///< Begun so far.
 
     void start_next()
     {
@@ -168,7 +172,7 @@
         auto link = self->take_idle();
         if (!link)
         {
-            link = std::make_unique<connection>(self->io);
+            link = std::make_unique<connection>(self->io, ++self->connections);
             end.error = co_await connect(*self, *link);
         }
         bool keep = false;
@@ -209,6 +213,9 @@
                                           waiting_call& call, http_result& end)
     {
         error_code ec;
+        end.link = link.number;
+        if (call.request.body_on)
+            call.request.body = call.request.body_on(link.number);
         auto message = to_message(call.request, self.settings.server);
         link.stream.expires_after(call.timeout);
         const std::size_t sent = co_await http::async_write(
--- a/src/glenhollow/http/message.hpp
+++ b/src/glenhollow/http/message.hpp
@@ -3,6 +3,7 @@
 
 #include "glenhollow/core/verdict.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -34,6 +35,9 @@
     std::string target = "/";   ///< Path and query.
     http_headers headers;       ///< Those that matter to the receiver.
     std::string body;           ///< Whole.
+    /// To be sent only: makes the body for the connection that is taken, where
+    /// what is said holds for one alone; empty: `body` is sent.
+    std::function<std::string(std::uint64_t)> body_on;
     /// Received only: takes a function to be called once, at the latest
     /// before the answer, when the caller has closed its connection.
     std::function<void(std::function<void()>)> on_close;
@@ -55,7 +59,9 @@
     bool answered = false;                                ///< Whole answer.
     bool timed_out = false;                               ///< Gave up waiting.
     std::string error;                                    ///< Why no answer.
-    http_response response;                               ///< If answered.
+    std::uint64_t link = 0; ///< Connection taken, as a number that the client
+                            ///< gives to no other; 0: none.
+    http_response response; ///< If answered.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -428,10 +428,10 @@
     {
         std::uint64_t number = 0; ///< Of the look.
         instant sent{};           ///< When it left.
-        std::string life;         ///< That it expects; empty: any.
-        std::uint64_t mark = 0;   ///< Ends up to this one may be forgotten.
-        std::int64_t mark_born_ms = 0; ///< Start of the life whose ends these
-                                       ///< are; 0: not told.
+        server_life life;         ///< That it expects; empty: any.
+        std::uint64_t mark = 0;   ///< Ends up to this one may be forgotten,
+        std::uint64_t link = 0;   ///< by the life that this one leads to,
+        std::int64_t mark_born_ms = 0; ///< which started then; 0: not told.
     };
 
     using runs = std::unordered_map<run_ref, run_record, run_ref_hash>;
@@ -466,7 +466,7 @@
     void look();
     void look_now();
     void look_answered(const sent_look& asked, const hold_result& got);
-    void check_mark(const sent_look& asked, std::int64_t born_ms);
+    void check_mark(const sent_look& asked, const hold_result& got);
     void expect_look(std::uint64_t number, duration wait);
     void expect_start(const run_ref& ref);
     void expect(duration wait, std::function<bool()> awaited,
@@ -519,6 +519,8 @@
                                       ///< showed; 0: not told.
     std::optional<instant> sign_off_; ///< When a word of its end came that a
                                       ///< look has to bear out.
+    std::uint64_t listed_link_ = 0; ///< Connection by which the last list came
+                                    ///< that was taken; 0: none.
     bool unsure_ = false; ///< The last look got no answer: another life may be
                           ///< there.
     bool evacuated_ = false;    ///< The hall gets no new work.
--- a/src/glenhollow/runs/run_manager_lives.cpp
+++ b/src/glenhollow/runs/run_manager_lives.cpp
@@ -178,6 +178,7 @@
     breaker_.reset();
     informed_ = false;
     listed_born_ms_ = 0;
+    listed_link_ = 0;
 }
 
 /// Until a life has registered nothing starts: it may be of another kind.
--- a/src/glenhollow/runs/run_manager_looks.cpp
+++ b/src/glenhollow/runs/run_manager_looks.cpp
@@ -93,8 +93,8 @@
     const auto number = ++look_number_;
     hold_request request;
     request.context = context();
-    // Another life's ends must not be forgotten by the last one's numbers.
-    request.confirmed = unsure_ ? 0 : ledger_.confirmed();
+    request.confirmed = ledger_.confirmed();
+    request.link = listed_link_;
     hold_out_ = {};
     // A look that is not answered may renew the hold all the same; a runner
     // that stays silent must be let go of before its runs count as ended.
@@ -111,8 +111,8 @@
         request.wait = settings_.look_wait;
     runner_.hold(request,
                  [this, alive = alive_,
-                  sent = sent_look{number, clock_.now(), account_.instance,
-                                   request.confirmed,
+                  sent = sent_look{number, clock_.now(), account_.life(),
+                                   request.confirmed, request.link,
                                    listed_born_ms_}](const hold_result& got)
                  {
                      if (*alive)
@@ -126,8 +126,10 @@
     --looks_out_;
     if (asked.number != look_number_)
         return; // Given up: a later one tells more.
+    // What the last life answered must not count for one that has registered
+    // under its id since.
     const bool expected =
-        !asked.life.empty() && asked.life == account_.instance;
+        !asked.life.empty() && may_be_same(asked.life, account_.life());
     looking_ = false;
     if (got.outcome != order_outcome::unhealthy)
         held_until_ = std::max(held_until_, hold_out_);
@@ -148,9 +150,10 @@
         unreached();
     if (done)
     {
-        check_mark(asked, got.born_ms);
+        check_mark(asked, got);
+        listed_link_ = got.link;
         note_born(got.born_ms);
-        if (!asked.life.empty() && asked.life == account_.instance)
+        if (expected && !account_.instance.empty())
             verify_life(asked.sent);
         look_gap_ = clock_.now() - answered_;
         answered_ = clock_.now();
@@ -168,15 +171,16 @@
 }
 
 /// A mark that comes to another life makes it forget ends that nobody has seen.
-void run_manager::check_mark(const sent_look& asked, std::int64_t born_ms)
+void run_manager::check_mark(const sent_look& asked, const hold_result& got)
 {
-    if (asked.mark == 0 || !starts_differ(asked.mark_born_ms, born_ms))
+    if (asked.mark == 0 || asked.link != got.link ||
+        !starts_differ(asked.mark_born_ms, got.born_ms))
         return;
     ++stats_.marks_misread;
     log_change(log_level::error, "mark_misread",
                {{"mark", asked.mark},
                 {"of_born_ms", asked.mark_born_ms},
-                {"read_by_born_ms", born_ms}});
+                {"read_by_born_ms", got.born_ms}});
 }
 
 void run_manager::look_again(bool answered)
--- a/src/glenhollow/runs/runner_port.hpp
+++ b/src/glenhollow/runs/runner_port.hpp
@@ -62,7 +62,11 @@
 {
     order_context context;       ///< Its deadline renews all runs.
     std::uint64_t confirmed = 0; ///< Ends up to this one may be forgotten.
-    duration wait{};             ///< For an end, at most.
+    std::uint64_t link = 0; ///< Connection by which the list came that these
+                            ///< are numbered in. On another one none is named:
+                            ///< it may lead to another life under the same id,
+                            ///< while a connection ends with its life. 0: none.
+    duration wait{};        ///< For an end, at most.
 };
 
 /// What the runner shows.
@@ -70,6 +74,7 @@
 {
     order_outcome outcome = order_outcome::unanswered; ///< What happened.
     std::int64_t clock_ms = 0;                         ///< The runner's clock.
+    std::uint64_t link = 0; ///< Connection by which it came; 0: none.
     bool reached = true; ///< False: there was no connection, nothing was sent.
     std::int64_t born_ms = 0;       ///< When this life started; 0: not told.
     std::vector<shown_run> running; ///< All that runs.
--- a/tests/unit/support/fake_runner_port.hpp
+++ b/tests/unit/support/fake_runner_port.hpp
@@ -67,6 +67,7 @@
         ++looks;
         if (silent || std::exchange(drop_look, false))
         {
+            ++link; // A connection without its answer is closed.
             loop_.delay()(milliseconds{350},
                           [done = std::move(done)] { done({}); });
             return;
@@ -96,12 +97,13 @@
         }
         if (request.context.deadline_ms > 0)
             held_until = std::max(held_until, request.context.deadline_ms);
-        confirmed = std::max(confirmed, request.confirmed);
+        if (request.link == link)
+            confirmed = std::max(confirmed, request.confirmed);
         std::erase_if(ends, [this](const run_end& end)
                       { return end.number <= confirmed; });
         const auto wait = ends.empty() ? request.wait : duration{0};
         loop_.delay()(wait + milliseconds{1},
-                      [this, asked = lives, done = std::move(done)]
+                      [this, asked = lives, by = link, done = std::move(done)]
                       {
                           if (asked != lives || ended)
                               return done({}); // Its connection is gone.
@@ -110,6 +112,7 @@
                           end.outcome = order_outcome::done;
                           end.clock_ms = now_ms();
                           end.born_ms = born_ms;
+                          end.link = by;
                           for (const auto& run : running)
                               end.running.push_back(
                                   {run, percent += stands_still ? 0 : 1});
@@ -157,6 +160,7 @@
     void restart(std::int64_t born)
     {
         ++lives;
+        ++link;
         born_ms = born;
         clock_origin = loop_.clock.now();
         running.clear();
@@ -194,6 +198,7 @@
     bool stands_still = false;   ///< Its runs make no progress.
     bool ended = false;          ///< Nobody listens there.
     int lives = 1;               ///< So far.
+    std::uint64_t link = 1;      ///< Connection that looks come by.
     std::int64_t born_ms = 0;    ///< Of this life, told with looks; 0: not.
     instant clock_origin{};      ///< When its clock showed clock_ahead.
     duration clock_ahead{};      ///< See there.
