--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -236,10 +236,12 @@
     std::uint64_t stale_sign_offs = 0; ///< Words of an end that had not come.
     std::uint64_t ends_repeated = 0;   ///< Listed with a number that was done
                                        ///< with before.
-    std::uint64_t notices = 0;  ///< Lives that told when they would leave.
-    std::uint64_t moved = 0;    ///< Runs stopped to be run elsewhere.
-    std::uint64_t moved_ms = 0; ///< Time that these had run: thrown away.
-    std::uint64_t lost = 0;     ///< Runs that could not end, nor elsewhere.
+    std::uint64_t marks_misread = 0; ///< Looks whose mark of noted ends came to
+                                     ///< another life than that it is of.
+    std::uint64_t notices = 0;       ///< Lives that told when they would leave.
+    std::uint64_t moved = 0;         ///< Runs stopped to be run elsewhere.
+    std::uint64_t moved_ms = 0;      ///< Time that these had run: thrown away.
+    std::uint64_t lost = 0; ///< Runs that could not end, nor elsewhere.
     std::uint64_t refused_leaving = 0; ///< Orders that came after a notice.
     std::uint64_t remembered = 0;      ///< Lives known from an earlier process.
     std::uint64_t forgotten = 0;       ///< Of these, those that had ended.
@@ -434,7 +436,10 @@
     {
         std::uint64_t number = 0; ///< Of the look.
         instant sent{};           ///< When it left.
-        std::string life;         ///< That it expects; empty: any.
+        server_life life;         ///< That it expects; empty: any.
+        std::uint64_t mark = 0;   ///< Ends up to this one may be forgotten,
+        std::uint64_t link = 0;   ///< by the life that this one leads to,
+        std::int64_t mark_born_ms = 0; ///< which started then; 0: not told.
     };
 
     using runs = std::unordered_map<run_ref, run_record, run_ref_hash>;
@@ -469,6 +474,7 @@
     void look();
     void look_now();
     void look_answered(const sent_look& asked, const hold_result& got);
+    void check_mark(const sent_look& asked, const hold_result& got);
     void expect_look(std::uint64_t number, duration wait);
     void expect_start(const run_ref& ref);
     void expect(duration wait, std::function<bool()> awaited,
@@ -523,6 +529,8 @@
                                       ///< showed; 0: not told.
     std::optional<instant> sign_off_; ///< When a word of its end came that a
                                       ///< look has to bear out.
+    std::uint64_t listed_link_ = 0; ///< Connection by which the last list came
+                                    ///< that was taken; 0: none.
     bool unsure_ = false; ///< The last look got no answer: another life may be
                           ///< there.
     bool evacuated_ = false;    ///< The hall gets no new work.
