--- a/standins/backend.cpp
+++ b/standins/backend.cpp
@@ -58,6 +58,7 @@
     instant end{};                   ///< 0 while it runs.
     std::string how;                 ///< Its end; `crashed` is told to nobody.
     bool left = false;               ///< Begun after the server had left.
+    bool late = false;               ///< Its start was held up on its way.
     bool fails = false;              ///< Ends `failed`.
     std::uint64_t number = 0;        ///< Of the end.
     instant noted{};                 ///< When last_seen reached it; 0: not yet.
@@ -352,6 +353,7 @@
             return refusal("old");
         add_run(task, run, text_of(body, "spec"), now);
         runs_.back().left = !late && has_left(now);
+        runs_.back().late = late;
         return answer(200);
     }
 
@@ -629,6 +631,7 @@
                              {"end", run.end.count()},
                              {"how", run.how},
                              {"left", run.left},
+                             {"late", run.late},
                              {"noted", run.noted.count()},
                              {"lapsed_before_note", run.lapsed_before_note}});
         }
--- a/tests/soak/soak_checker.hpp
+++ b/tests/soak/soak_checker.hpp
@@ -43,6 +43,8 @@
     bool lapsed_before_note = false; ///< Its lease ended in between.
     bool left = false; ///< Begun after its backend server had left, by an agent
                        ///< that knew it and ran undisturbed.
+    bool late = false; ///< Its start was held up on its way to the server.
+    bool in_touch = false; ///< Its agent was undisturbed when it began.
 };
 
 /// A promise that was broken.
@@ -60,6 +62,11 @@
     duration visible = seconds{3};    ///< From an acceptance to the first
                                       ///< moment at which 410 is wrong, by
                                       ///< the users' bounds.
+    duration cancel = seconds{3}; ///< From the answer to a cancel to the last
+                                  ///< start of one of its job's tasks.
+    duration stop = seconds{1};   ///< After that a run may go on so long; far
+                                  ///< above the users' 50 ms, for what a busy
+                                  ///< machine adds.
 };
 
 /// Compares what callers and backend servers saw with the promises. A verdict
@@ -95,6 +102,21 @@
     void shown(const std::string& id, unsigned status, const std::string& state,
                instant asked, instant at);
 
+    /// A client sends a cancel of a job; from now on it may be shown as
+    /// cancelled.
+    /// @param id The job.
+    void cancelling(const std::string& id);
+
+    /// A cancel was answered with 2xx or 410.
+    /// @param id The job.
+    /// @param at When the answer was there.
+    void cancelled(const std::string& id, instant at);
+
+    /// Well entries left calls unanswered though nothing was wrong any more.
+    /// @param calls So many were made.
+    /// @param held So many had no answer within their callers' patience.
+    void calm_answers(std::uint64_t calls, std::uint64_t held);
+
     /// A promise that the driver itself saw broken.
     /// @param rule Its short name.
     /// @param text What was seen.
@@ -113,6 +135,8 @@
         std::uint32_t refused = 0;      ///< Attempts that got 429 or 503.
         std::uint32_t other = 0;        ///< Attempts that ended otherwise.
         instant accepted{};             ///< First 2xx; 0: none.
+        bool cancelling = false;        ///< A cancel was sent.
+        instant cancelled{};            ///< First answer to it; 0: none.
         std::vector<instant> succeeded; ///< Shown as `succeeded` then.
         std::vector<instant> failed;    ///< Shown as `failed` then.
     };
@@ -123,6 +147,9 @@
 
     void check_task(const std::string& task, const task_runs& runs,
                     const runs_by_task& all, std::vector<finding>& out) const;
+    void check_cancelled(const seen_job& seen, const std::string& task,
+                         const task_runs& runs,
+                         std::vector<finding>& out) const;
     void check_kept(const std::string& task, const task_runs& runs,
                     std::vector<finding>& out) const;
     void check_job(const seen_job& seen, const runs_by_task& all,
--- a/tests/soak/soak_clients.hpp
+++ b/tests/soak/soak_clients.hpp
@@ -3,6 +3,7 @@
 
 #include "glenhollow/core/random.hpp"
 #include "glenhollow/http/client.hpp"
+#include "soak/recovery_meter.hpp"
 #include "soak/soak_checker.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -10,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,17 +40,25 @@
     unsigned most_work_ms = 300;      ///< Of a task.
     double again = 0.1;               ///< Share of accepted kept jobs
                                       ///< that arrive once more.
+    bool mixed = false;               ///< Jobs of three kinds; see mixed_job.
+    double leave = 0;  ///< Share of calls whose callers leave before their
+                       ///< answer; half of them come again.
+    double cancel = 0; ///< Share of jobs that are cancelled.
 };
 
 /// What became of the jobs.
 struct client_counts
 {
-    std::uint64_t sent = 0;      ///< Jobs.
-    std::uint64_t attempts = 0;  ///< To submit one.
-    std::uint64_t no_answer = 0; ///< Of the attempts; 502 and 504, too.
-    std::uint64_t refused = 0;   ///< Jobs.
-    std::uint64_t succeeded = 0; ///< Jobs.
-    std::uint64_t failed = 0;    ///< Jobs.
+    std::uint64_t sent = 0;       ///< Jobs.
+    std::uint64_t attempts = 0;   ///< To submit one.
+    std::uint64_t no_answer = 0;  ///< Of the attempts; 502 and 504, too.
+    std::uint64_t refused = 0;    ///< Jobs.
+    std::uint64_t succeeded = 0;  ///< Jobs.
+    std::uint64_t failed = 0;     ///< Jobs.
+    std::uint64_t left = 0;       ///< Calls whose callers left.
+    std::uint64_t cancels = 0;    ///< Jobs that were cancelled.
+    std::uint64_t calm_calls = 0; ///< Attempts since all was well.
+    std::uint64_t calm_held = 0;  ///< Of these, without any answer in time.
 };
 
 /// Clients and the balancer before the entries: submit jobs, send again what
@@ -90,6 +100,17 @@
     /// @return Whether a job sent later has succeeded.
     bool served_since(instant since) const { return last_served_ > since; }
 
+    /// @param since From then on nothing is wrong, so that no answer may be
+    /// held any more.
+    void all_well(instant since) { well_ = since; }
+
+    /// @param calm When the last fault ended.
+    /// @return See recovery_meter.
+    std::optional<duration> recovered(instant calm) const
+    {
+        return meter_.recovered(calm, process_clock().now());
+    }
+
     /// @return Counters.
     const client_counts& counts() const { return counts_; }
 
@@ -105,10 +126,11 @@
     /// A job on its way.
     struct open_job
     {
-        soak_job job;          ///< As sent.
-        std::string body;      ///< As sent.
-        instant sent{};        ///< First.
-        bool accepted = false; ///< A kept job's 2xx was there.
+        soak_job job;           ///< As sent.
+        std::string body;       ///< As sent.
+        instant sent{};         ///< First.
+        bool accepted = false;  ///< A kept job's 2xx was there.
+        bool cancelled = false; ///< A cancel was sent.
     };
 
     void check_ready(std::size_t at);
@@ -119,6 +141,9 @@
                             std::string body) const;
     void submit(const std::string& id);
     void take_submitted(const std::string& id, const http_result& got);
+    void not_answered(const std::string& id, bool leaves);
+    void cancel_later(const std::string& id);
+    void cancel(const std::string& id);
     void accepted(open_job& open);
     void send_again(const std::string& id);
     void ask(const std::string& id);
@@ -134,6 +159,8 @@
     std::vector<node> nodes_;              ///< The entries.
     std::map<std::string, open_job> open_; ///< By id.
     client_counts counts_;                 ///< Counters.
+    recovery_meter meter_;                 ///< Of the jobs.
+    instant well_ = instant::max();        ///< Since then nothing is wrong.
     instant last_served_{}; ///< First send of the youngest job served.
     bool more_ = true;      ///< New jobs.
 };
--- a/tests/unit/soak/soak_checker_tests.cpp
+++ b/tests/unit/soak/soak_checker_tests.cpp
@@ -305,3 +305,113 @@
     REQUIRE(found.size() == 1);
     CHECK(found[0].rule == "DRAIN");
 }
+
+namespace
+{
+
+/// Its cancel is answered at 100 ms.
+soak_checker cancelled_job()
+{
+    soak_checker checker{checker_settings{}};
+    checker.submitted(job(true));
+    checker.answered(id, 200, "", at(0));
+    checker.cancelling(id);
+    checker.cancelled(id, at(100));
+    return checker;
+}
+
+seen_run touched(const std::string& task, int begin, int end)
+{
+    auto out = run(task, 1, begin, end);
+    out.in_touch = true;
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("soak checker: a start long after the cancel was answered")
+{
+    CHECK(rules(cancelled_job(), {touched(first, 3050, 3060)}) == names{});
+    CHECK(rules(cancelled_job(), {touched(first, 3150, 3160)}) ==
+          names{"UNASKED"});
+}
+
+TEST_CASE("soak checker: a run that goes on long after the cancel")
+{
+    CHECK(rules(cancelled_job(), {touched(first, 150, 4050)}) == names{});
+    CHECK(rules(cancelled_job(), {touched(first, 150, 4150)}) ==
+          names{"UNASKED"});
+}
+
+TEST_CASE("soak checker: what an agent could not know is no start too late")
+{
+    auto late = touched(first, 9000, 9010);
+    SECTION("its order was held up")
+    {
+        late.late = true;
+    }
+    SECTION("it was out of touch")
+    {
+        late.in_touch = false;
+    }
+    CHECK(rules(cancelled_job(), {late}) == names{});
+}
+
+TEST_CASE("soak checker: only who cancels may find a job cancelled or gone")
+{
+    auto checker = cancelled_job();
+    checker.shown(id, 200, "cancelled", at(5000), at(5010));
+    checker.shown(id, 410, "", at(5000), at(5010));
+    CHECK(rules(checker, {}) == names{});
+    soak_checker other{checker_settings{}};
+    other.submitted(job(true));
+    other.answered(id, 200, "", at(0));
+    other.shown(id, 200, "cancelled", at(5000), at(5010));
+    other.shown(id, 410, "", at(5000), at(5010));
+    CHECK(rules(other, {}) == names{"LOST", "LOST"});
+}
+
+TEST_CASE("soak checker: a cancelled job in memory ends so at its caller")
+{
+    soak_checker checker{checker_settings{}};
+    checker.submitted(job(false));
+    SECTION("where a cancel was sent")
+    {
+        checker.cancelling(id);
+        checker.answered(id, 200, "cancelled", at(100));
+        CHECK(rules(checker, {}) == names{});
+    }
+    SECTION("and else it is odd")
+    {
+        checker.answered(id, 200, "cancelled", at(100));
+        CHECK(rules(checker, {}) == names{"ANSWER"});
+    }
+}
+
+TEST_CASE("soak checker: a job in memory may run anew, but not at once")
+{
+    soak_checker checker{checker_settings{}};
+    checker.submitted(job(false));
+    checker.answered(id, 200, "succeeded", at(100));
+    auto runs = good_runs();
+    runs.push_back(run(first, 2, 50, 60));
+    CHECK(rules(checker, runs) == names{});
+    runs.push_back(run(first, 3, 55, 65));
+    CHECK(rules(checker, runs) == names{"TWICE"});
+}
+
+TEST_CASE("soak checker: answers that are held though all is well")
+{
+    soak_checker checker{checker_settings{}};
+    SECTION("one in ten, or a few")
+    {
+        checker.calm_answers(30, 3);
+        checker.calm_answers(4, 2);
+        CHECK(rules(checker, {}) == names{});
+    }
+    SECTION("more")
+    {
+        checker.calm_answers(29, 3);
+        CHECK(rules(checker, {}) == names{"HELD"});
+    }
+}
