--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -197,6 +197,8 @@
     void begin()
     {
         teller()("ready");
+        unrest_ = process_clock().now();
+        note_unrest();
         clients_.begin();
         std::ofstream(settings_.folder + "/plan") << to_text(settings_.plan);
         for (const auto& fault : settings_.plan)
@@ -205,6 +207,14 @@
         run_after(io_, seconds{settings_.length_s}, [this] { await_calm(); });
     }
 
+    /// Remembers when the last fault ended.
+    void note_unrest()
+    {
+        if (!deployment_.calm())
+            unrest_ = process_clock().now();
+        run_after(io_, look_interval, [this] { note_unrest(); });
+    }
+
     void await_calm()
     {
         const auto now = process_clock().now();
@@ -236,7 +246,7 @@
     void await_recovery()
     {
         const auto now = process_clock().now();
-        recovered_ = clients_.recovered(calm_);
+        recovered_ = clients_.recovered(unrest_);
         const bool over = (recovered_ && now > calm_ + least_tail) ||
                           now > calm_ + recover_bound;
         if (is_wide() && !over)
@@ -332,6 +342,7 @@
     soak_clients clients_;              ///< The traffic.
     instant begun_;                     ///< Of the soak.
     instant calm_{};                    ///< After the last fault.
+    instant unrest_{};                  ///< Last time of a fault.
     std::optional<duration> recovered_; ///< After that.
     instant last_job_{};                ///< When no new job came any more.
     int status_ = 2;                    ///< Of this process.
