--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -103,6 +103,7 @@
         std::string name;                     ///< For people.
         std::unique_ptr<child_process> child; ///< The process.
         phase now = phase::down;              ///< Where it stands.
+        instant started{};                    ///< When it was, last.
         instant stop_by{};                    ///< Of a planned stop.
         duration away{};                      ///< After it, until a start.
         bool for_good = false;                ///< Never started again.
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -19,6 +19,9 @@
 /// A planned stop that takes so much longer than its grace does not end; far
 /// beyond what a busy machine adds.
 constexpr duration stop_slack = seconds{10};
+/// From a start until a process surely takes SIGTERM as a planned stop; a line
+/// of its log says so earlier.
+constexpr duration begin_time = seconds{1};
 /// Of a series of stops: between two of them.
 constexpr duration longest_run = milliseconds{700};
 constexpr duration shortest_stop = milliseconds{50};
@@ -157,6 +160,9 @@
              fault.kind == fault_kind::agent_pause ||
              fault.kind == fault_kind::backend_pause)
         pause(one, fault.lasts);
+    else if (fault.line.empty() &&
+             process_clock().now() < one.started + begin_time)
+        tell_("left out, " + one.name + " has just been started");
     else
         stop_one(one, fault.lasts);
 }
