--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,9 +1,11 @@
 // glenhollow-soak: the real programs on one machine under faults of a seed.
 #include "glenhollow/command_line/command_line.hpp"
+#include "glenhollow/core/clock.hpp"
 #include "glenhollow/core/run_after.hpp"
 #include "soak/fault_plan.hpp"
 #include "soak/soak_clients.hpp"
 #include "soak/soak_deployment.hpp"
+#include "soak/soak_explain.hpp"
 
 #include <boost/log/core.hpp>
 
@@ -12,6 +14,7 @@
 #include <iostream>
 #include <map>
 #include <optional>
+#include <set>
 #include <sstream>
 
 using namespace glenhollow;
@@ -34,6 +37,8 @@
 /// From the end of all jobs to the verdict, for what starts too late.
 constexpr duration after_all = seconds{1};
 constexpr duration look_interval = milliseconds{50};
+/// Tasks of findings whose stories are written down.
+constexpr std::size_t most_explained = 10;
 
 /// From the end of the last fault until no answer may be held any more: longer
 /// than any lease and than the wait of a call that was lost.
@@ -62,6 +67,7 @@
     unsigned most_work_ms = 300;   ///< Of a task.
     double kept = 0.5;             ///< Share of kept jobs.
     double twice = 0;              ///< A planted fault.
+    std::string explain;           ///< A task; nothing is played.
     std::string shape = "first";   ///< Name, for the verdict.
     plan_settings sizes;           ///< Entries, agents, halls.
     std::uint32_t cpu = 4000;      ///< Of a backend server.
@@ -120,6 +126,9 @@
     /// @return The exit status.
     int run()
     {
+        constexpr std::int64_t nanoseconds_a_ms = 1'000'000;
+        teller()(std::string(wall_words) +
+                 std::to_string(wall_nanoseconds() / nanoseconds_a_ms));
         deployment_.begin();
         clients_.begin_balancer();
         await_ready();
@@ -301,6 +310,31 @@
         return out;
     }
 
+    /// For each task that a finding names, its story beside the logs.
+    void explain(const std::vector<seen_run>& runs,
+                 const std::vector<finding>& found) const
+    {
+        std::ofstream all(settings_.folder + "/" + std::string(runs_file));
+        for (const auto& run : runs)
+            all << run_line(run) << "\n";
+        all.close();
+        std::set<std::string> told;
+        for (const auto& one : found)
+        {
+            const auto task = one.text.substr(0, one.text.find(' '));
+            if (told.size() >= most_explained || !told.insert(task).second)
+                continue;
+            const auto lines = explain_task(settings_.folder, task);
+            if (lines.empty())
+                continue;
+            const auto place = settings_.folder + "/explained-" + task;
+            std::ofstream file(place);
+            for (const auto& line : lines)
+                file << line << "\n";
+            std::cout << "explained: " << place << "\n";
+        }
+    }
+
     void tell_verdict(const std::vector<seen_run>& runs)
     {
         if (is_wide())
@@ -312,6 +346,7 @@
             std::cout << one.rule << ": " << one.text << "\n";
             teller()("FOUND " + one.rule + ": " + one.text);
         }
+        explain(runs, found);
         const auto& counts = clients_.counts();
         const auto recovered =
             recovered_
@@ -374,6 +409,8 @@
     line.number<double>("twice", settings.twice, 0, 1, "",
                         "planted fault: share of runs that a backend server "
                         "begins once more after their end");
+    line.text("explain", settings.explain,
+              "task of a soak that is over: tells its story, plays nothing");
     line.node_file();
     line.text("shape", settings.shape, "name of the shape, for the verdict");
     line.number<std::uint32_t>("entries", settings.sizes.entries, 1, 50, "",
@@ -398,6 +435,12 @@
                 "which kinds seeds draw; with all of them, jobs are of three "
                 "kinds");
     parse_or_exit(line, argc, argv);
+    if (!settings.explain.empty())
+    {
+        for (const auto& one : explain_task(settings.folder, settings.explain))
+            std::cout << one << "\n";
+        return 0;
+    }
     if (settings.most_work_ms <= settings.least_work_ms)
     {
         std::cerr << "most-work must be above least-work\n";
@@ -416,7 +459,8 @@
     for (const auto& old :
          std::filesystem::directory_iterator(settings.folder, ec))
     {
-        if (old.path().extension() == ".log")
+        if (old.path().extension() == ".log" ||
+            old.path().filename().string().starts_with("explained-"))
             std::filesystem::remove(old.path(), ec);
     }
     soak_session session(settings);
