An owner awaits all agents that have a row, also those that its entry has not heard of

The members are read with the part, after the claim. The test fails with the ownership of before (3 tasks begin).

--- a/src/glenhollow/durable/part_loader.cpp
+++ b/src/glenhollow/durable/part_loader.cpp
@@ -1,5 +1,6 @@
 #include "glenhollow/durable/part_loader.hpp"
 
+#include "glenhollow/durable/member_directory.hpp"
 #include "glenhollow/journal/journal_chain.hpp"
 #include "glenhollow/telemetry/log.hpp"
 
@@ -13,7 +14,8 @@
 namespace
 {
 
-constexpr std::array tables{jobs_table, progress_table, ended_table};
+constexpr std::array tables{jobs_table, progress_table, ended_table,
+                            members_table};
 
 /// @return Whether the progress is of tasks that the job has, each once.
 bool fits(const job_progress& progress, const job_definition& job)
@@ -47,7 +49,10 @@
 
     void read(std::string_view table, const std::string& from)
     {
-        row_range range{std::string(table), part_name(part), from, {}, 0};
+        // Members are the same for all parts.
+        const auto of =
+            table == members_table ? std::string() : part_name(part);
+        row_range range{std::string(table), of, from, {}, 0};
         store.read(range, [self = shared_from_this(), table](read_result got)
                    { self->page(table, got); });
     }
@@ -72,6 +77,8 @@
 
     void take(std::string_view table, const stored_row& row)
     {
+        if (table == members_table)
+            return take_member(row);
         const auto id = job_id_from(row.key.key);
         if (!id)
             return; // Nobody can ask for it.
@@ -93,6 +100,14 @@
                  { found.ended.emplace_back(*id, end); });
     }
 
+    /// A member whose row can't be read may be an agent.
+    void take_member(const stored_row& row)
+    {
+        const auto member = decode_member(row);
+        if (!member || member.value().role == member_role::agent)
+            found.agents.insert(row.key.key);
+    }
+
     template <class Value, class Keep>
     void keep(std::string_view table, job_id id, result<Value> value, Keep how)
     {
--- a/src/glenhollow/durable/part_loader.hpp
+++ b/src/glenhollow/durable/part_loader.hpp
@@ -29,9 +29,13 @@
     std::set<job_id> unreadable; ///< With a row that can't be read, and in none
                                  ///< of the others: not known to be undone,
                                  ///< so that nobody may run or end them.
+    std::set<std::string> agents; ///< With a row since before the claim: any of
+                                  ///< them may run something of it, also those
+                                  ///< that this entry has not heard of yet.
 };
 
-/// Reads a part after it was claimed, page by page.
+/// Reads a part after it was claimed, page by page, and who may run something
+/// of it.
 /// @param store Outlives the reads.
 /// @param part Which part.
 /// @param done Told what it holds, or nothing where the store did not answer.
--- a/src/glenhollow/durable/part_ownership.cpp
+++ b/src/glenhollow/durable/part_ownership.cpp
@@ -305,6 +305,7 @@
                 {"open_jobs", rows->jobs.size()},
                 {"ended_jobs", rows->ended.size()}});
     auto awaited = listener_.possible_agents();
+    awaited.merge(rows->agents);
     if (rows->jobs.empty())
         awaited.clear();
     auto limits = settings_.jobs;
--- /dev/null
+++ b/tests/unit/durable/part_ownership_tests.cpp
@@ -0,0 +1,124 @@
+// Kept tasks ran a second time after they were done. An entry had begun anew
+// while the store was away; as soon as the store answered, it took a part that
+// nobody owned any more, before it had read who the members are. It knew of no
+// agent that might run something of the part, waited for none, and had all that
+// was not journalled begin at once. One agent stood still then, and told the
+// ends of two of these tasks a moment later.
+//
+// Proof: real programs, soak of the small shape, seed 9: `entry_started`, the
+// store answers, `part_owned`, and the tasks' second runs begin before the line
+// `account_told` of the agent that had their ends.
+//
+// Cause: an owner took the agents that it knew for all that there are.
+#include "glenhollow/durable/member_directory.hpp"
+#include "glenhollow/durable/part_ownership.hpp"
+#include "unit/durable/coordinator_world.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace glenhollow;
+
+namespace
+{
+
+/// An entry that has not heard of any member.
+struct begun_entry : entry_peer_handler, part_ownership_listener
+{
+    entry_view own_view() override { return {}; }
+    void peer_seen(const entry_view&) override {}
+    void serve(const job_call&, job_reply_handler done) override { done({}); }
+    std::string catalog_document() override { return {}; }
+    wire::PlacementSession::Client
+    open_placement(const std::string&, wire::PlacementGrants::Client) override
+    {
+        return nullptr;
+    }
+    void part_gained(part_epoch part) override { gained = part; }
+    void part_given_up(part_number) override {}
+    std::set<std::string> possible_agents() const override { return {}; }
+
+    part_epoch gained;
+};
+
+/// Its part, and the agents that work for whoever owns it.
+struct taken_part_world : coordinator_world
+{
+    taken_part_world()
+    {
+        owner(1);
+        submit(job(7));
+        started.clear();
+        placing.release(0);
+        coordinator.reset();
+        part_ownership_settings limits;
+        limits.entry = "entry-2";
+        limits.parts = 1;
+        limits.jobs = settings();
+        ownership = std::make_unique<part_ownership>(around(), peers, entry,
+                                                     limits);
+    }
+
+    std::optional<run_order> assign(const ready_task& task,
+                                    const std::string& agent) override
+    {
+        if (!ownership)
+            return coordinator_world::assign(task, agent);
+        auto* jobs = ownership->find(0);
+        return jobs == nullptr ? std::nullopt : jobs->assign(task, agent);
+    }
+
+    void run(duration length)
+    {
+        constexpr duration step = milliseconds{10};
+        for (duration passed{}; passed < length; passed += step)
+        {
+            ownership->tick(true);
+            if (ownership->find(0) != nullptr)
+                adopt(0);
+            placing.dispatch();
+            loop.advance(step);
+        }
+    }
+
+    boost::asio::io_context io;
+    begun_entry entry;
+    entry_peers peers{io, loop.clock, entry, {}};
+    std::unique_ptr<part_ownership> ownership;
+};
+
+} // namespace
+
+TEST_CASE("an entry that has read no members waits for all agents of a part",
+          "[unread_members]")
+{
+    taken_part_world world;
+    for (const auto* name : {"agent-1", "agent-2"})
+        world.store.put({std::string(members_table), {}, name},
+                        R"(["agent","127.0.0.1:7600"])");
+    world.run(seconds{2});
+    REQUIRE(world.ownership->find(0) != nullptr);
+    CHECK(world.started.empty());
+    // One has an end that nobody has journalled.
+    lease_account account;
+    account.ends.push_back(
+        {{{7, 0, 0, 0}, 1}, run_outcome::done, 1, 1000, true});
+    world.ownership->find(0)->account_of("agent-1", account);
+    world.ownership->find(0)->account_of("agent-2", {});
+    world.run(milliseconds{100});
+    REQUIRE(world.started.size() == 1);
+    CHECK(world.started.front().second.task == task_ref{7, 0, 0, 1});
+}
+
+TEST_CASE("a part of which nothing is open waits for nobody",
+          "[unread_members]")
+{
+    taken_part_world world;
+    world.store.put({std::string(members_table), {}, "agent-1"},
+                    R"(["agent","127.0.0.1:7600"])");
+    world.run(seconds{2});
+    auto* jobs = world.ownership->find(0);
+    REQUIRE(jobs != nullptr);
+    world.ownership->find(0)->account_of("agent-1", {});
+    world.run(milliseconds{100});
+    CHECK(world.started.size() == 2);
+}
