An agent's new process counts on the hold of the one before

It took a hold that it had not renewed itself for over, and passed over ends under it; a kept task began again after an end that was taken note of.

--- a/src/glenhollow/runs/run_manager.cpp
+++ b/src/glenhollow/runs/run_manager.cpp
@@ -26,8 +26,10 @@
     *alive_ = false;
 }
 
+/// The process before may have renewed the hold until a moment ago.
 void run_manager::begin()
 {
+    held_until_ = clock_.now() + with_drift(settings_.hold);
     look();
 }
 
--- a/tests/schedule/simulated_agent.cpp
+++ b/tests/schedule/simulated_agent.cpp
@@ -126,9 +126,8 @@
             {manager_->account(), manager_->room(), 0, true, {}}};
 }
 
-void simulated_agent::adopt(
-    std::uint64_t session, part_epoch part,
-    std::function<void(const lease_account&)> told)
+void simulated_agent::adopt(std::uint64_t session, part_epoch part,
+                            std::function<void(const lease_account&)> told)
 {
     if (manager_->knows_runs())
         return tell_account(session, part, told);
--- a/tests/schedule/simulated_agent.hpp
+++ b/tests/schedule/simulated_agent.hpp
@@ -150,7 +150,7 @@
     std::unique_ptr<run_manager> manager_;           ///< Of the process.
     std::map<std::size_t, session> sessions_;        ///< By entry.
     std::map<lease_id, std::uint64_t> owners_;       ///< Session by lease.
-    std::vector<std::function<void()>> waiting_; ///< For what runs.
+    std::vector<std::function<void()>> waiting_;     ///< For what runs.
     std::uint32_t processes_ = 0;                    ///< Of entries, so far.
     std::uint64_t numbers_ = 0;                      ///< Of sessions.
     std::uint64_t sequence_ = 0;                     ///< Of heartbeats.
--- a/tests/schedule/simulated_entry.cpp
+++ b/tests/schedule/simulated_entry.cpp
@@ -225,19 +225,18 @@
         [this, agent, part, number = at.number, session = at.at_agent,
          connection = at.connection, with = agents_[agent].agent]
         {
-            with->adopt(
-                session, part,
-                [this, agent, part, number,
-                 connection](const lease_account& account)
-                {
-                    connection->send(
-                        direction::to_entry,
-                        [this, agent, part, number, account]
+            with->adopt(session, part,
+                        [this, agent, part, number,
+                         connection](const lease_account& account)
                         {
-                            if (sessions_[agent].number == number)
-                                adopted(agent, part, account);
+                            connection->send(
+                                direction::to_entry,
+                                [this, agent, part, number, account]
+                                {
+                                    if (sessions_[agent].number == number)
+                                        adopted(agent, part, account);
+                                });
                         });
-                });
         });
 }
 
