A refused connection ends the clock of a server's life

The next look met a new life under the same id with a hold by the last life's clock, cut only to the platform's longest.

--- a/src/glenhollow/runs/run_manager_looks.cpp
+++ b/src/glenhollow/runs/run_manager_looks.cpp
@@ -299,9 +299,11 @@
 }
 
 /// Nobody listens there: it has ended, and what comes next may be of another
-/// kind. No start is tried before it has answered.
+/// kind. No start is tried before it has answered, and no hold is asked for by
+/// the clock of the one that has ended.
 void run_manager::unreached()
 {
+    runner_clock_.reset();
     set_phase(runner_phase::absent);
     if (sign_off_)
         departed(account_.instance);
