--- a/src/glenhollow/runs/run_manager_timing.hpp
+++ b/src/glenhollow/runs/run_manager_timing.hpp
@@ -23,7 +23,7 @@
 
 /// @param length On the runner's clock.
 /// @return The longest that may take on this machine's.
-inline duration with_drift(duration length)
+constexpr duration with_drift(duration length)
 {
     return length + std::chrono::duration_cast<duration>(length * clock_drift);
 }
