--- a/tests/schedule/simulated_agent.cpp
+++ b/tests/schedule/simulated_agent.cpp
@@ -26,6 +26,7 @@
     node_.begin();
     sessions_.clear();
     owners_.clear();
+    waiting_.clear();
     scheduled_ = room_scheduled_ = false;
     time_.note([&] { return node_.name() + " begins"; });
     port_ = std::make_unique<simulated_server_port>(time_, server_, node_);
@@ -78,6 +79,7 @@
 void simulated_agent::tick()
 {
     manager_->tick();
+    tell_waiting();
     flush();
     node_.later(tick_interval, [this] { tick(); });
 }
@@ -124,13 +126,24 @@
             {manager_->account(), manager_->room(), 0, true, {}}};
 }
 
-lease_account simulated_agent::adopt(std::uint64_t number, part_epoch part)
+void simulated_agent::adopt(std::uint64_t session, part_epoch part,
+                            std::function<void(const lease_account&)> told)
+{
+    if (manager_->knows_runs())
+        return tell_account(session, part, told);
+    waiting_.push_back([this, session, part, told = std::move(told)]
+                       { tell_account(session, part, told); });
+}
+
+void simulated_agent::tell_account(
+    std::uint64_t number, part_epoch part,
+    const std::function<void(const lease_account&)>& told)
 {
     auto* by = find(number);
     if (by == nullptr)
-        return {}; // Another session has replaced it.
+        return told({}); // Another session has replaced it.
     const lease_id lease = part.part == memory_part ? by->memory : part.part;
-    auto known = manager_->adopt(lease, part.epoch);
+    const auto known = manager_->adopt(lease, part.epoch);
     time_.note(
         [&]
         {
@@ -141,7 +154,15 @@
         });
     if (!known.declined)
         adopted(*by, lease);
-    return known;
+    told(known);
+}
+
+void simulated_agent::tell_waiting()
+{
+    if (waiting_.empty() || !manager_->knows_runs())
+        return;
+    for (auto& one : std::exchange(waiting_, {}))
+        node_.later(duration{0}, std::move(one));
 }
 
 void simulated_agent::adopted(session& owner, lease_id lease)
@@ -204,6 +225,7 @@
 
 void simulated_agent::room_changed()
 {
+    tell_waiting();
     for (auto& [entry, one] : sessions_)
         one.marks.room = true;
     schedule_room();
--- a/tests/schedule/simulated_agent.hpp
+++ b/tests/schedule/simulated_agent.hpp
@@ -55,7 +55,9 @@
 /// | here          | in the product                                        |
 /// | ------------- | ----------------------------------------------------- |
 /// | attach        | run_agent_service::agent_server::attach, ::open       |
-/// | adopt         | run_agent_service::session_server::adopt, ::adopted   |
+/// | adopt         | run_agent_service::session_server::adopt, ::once_known  |
+/// | tell_account  | the same, and ::adopted                               |
+/// | tell_waiting  | the same                                              |
 /// | order         | run_agent_service::session_server::order, ::ordered   |
 /// | report        | run_agent_service::flush, ::is_due, ::report          |
 /// | answered      | run_agent_service::report_answered                    |
@@ -87,7 +89,9 @@
     attach_answer attach(std::size_t entry, std::uint64_t incarnation,
                          std::uint64_t number, report_ear& ear,
                          std::shared_ptr<simulated_connection> connection);
-    lease_account adopt(std::uint64_t session, part_epoch part);
+    /// @param told The account, once the manager knows what runs.
+    void adopt(std::uint64_t session, part_epoch part,
+               std::function<void(const lease_account&)> told);
     void order(std::uint64_t session, order_batch batch);
 
     /// The connection of a session is gone.
@@ -121,6 +125,9 @@
     void room_changed() override;
     void phase_changed() override;
     void tick();
+    void tell_account(std::uint64_t session, part_epoch part,
+                      const std::function<void(const lease_account&)>& told);
+    void tell_waiting();
     void schedule_now();
     void schedule_room();
     void flush();
@@ -143,6 +150,7 @@
     std::unique_ptr<run_manager> manager_;           ///< Of the process.
     std::map<std::size_t, session> sessions_;        ///< By entry.
     std::map<lease_id, std::uint64_t> owners_;       ///< Session by lease.
+    std::vector<std::function<void()>> waiting_;     ///< For what runs.
     std::uint32_t processes_ = 0;                    ///< Of entries, so far.
     std::uint64_t numbers_ = 0;                      ///< Of sessions.
     std::uint64_t sequence_ = 0;                     ///< Of heartbeats.
