--- a/tests/unit/durable/foreign_peers_tests.cpp
+++ b/tests/unit/durable/foreign_peers_tests.cpp
@@ -130,6 +130,22 @@
     }
 }
 
+TEST_CASE("a grant for a task that its job has not is not used")
+{
+    coordinator_world world;
+    world.drain_all(); // Its tasks wait.
+    world.owner(1);
+    world.submit(coordinator_world::job(1, 2));
+    for (const task_ref& none :
+         {task_ref{1, 0, 0, 2}, task_ref{1, 0, 9, 0},
+          task_ref{1, 0, 0, 0xFFFF'FFFF}, task_ref{2, 0, 0, 0}})
+    {
+        ready_task granted;
+        granted.task = none;
+        CHECK_FALSE(world.coordinator->assign(granted, "agent-1"));
+    }
+}
+
 TEST_CASE("a row of a job that nobody could have admitted is not read")
 {
     const auto good = chain_of_two();
--- a/tests/unit/hosting/job_handover_tests.cpp
+++ b/tests/unit/hosting/job_handover_tests.cpp
@@ -241,6 +241,21 @@
     CHECK(world.here == 0);
 }
 
+TEST_CASE("a job that nobody could have admitted comes back and runs nowhere")
+{
+    hosting_play world;
+    auto bad = hosting_play::job(7);
+    bad.steps[0].after = {0};
+    bool taken = false;
+    world.play(
+        [&]
+        {
+            taken = taken || world.submit(world.entry, bad);
+            return world.here == 1 && world.host->open_jobs() == 0;
+        });
+    CHECK(world.runner.started[7] == 0);
+}
+
 TEST_CASE("the same job over two entries runs once at their host")
 {
     hosting_play world;
