--- a/tests/unit/durable/part_ownership_tests.cpp
+++ b/tests/unit/durable/part_ownership_tests.cpp
@@ -54,8 +54,8 @@
         limits.entry = "entry-2";
         limits.parts = 1;
         limits.jobs = settings();
-        ownership = std::make_unique<part_ownership>(around(), peers, entry,
-                                                     limits);
+        ownership =
+            std::make_unique<part_ownership>(around(), peers, entry, limits);
     }
 
     std::optional<run_order> assign(const ready_task& task,
