--- a/tests/unit/runs/lease_bounds_hold_tests.cpp
+++ b/tests/unit/runs/lease_bounds_hold_tests.cpp
@@ -122,6 +122,32 @@
     }
 }
 
+TEST_CASE("an order that waited for room does not begin under a hold that "
+          "outlasts its lease",
+          "[lease_bounds_hold]")
+{
+    two_entries_world world;
+    std::vector<run_ref> others;
+    for (job_id job = 2; job < 10; ++job)
+        others.push_back(world.order(job, live_entry));
+    world.run(milliseconds{50}, true);
+    const auto run = world.order(1, ended_entry); // No room.
+    world.run(milliseconds{50}, true);
+    REQUIRE_FALSE(world.runs(run));
+    const auto ended_at = world.loop.clock.now();
+    // Room is free at some time within the lease.
+    world.run(milliseconds{500}, false);
+    world.server.finish(others.front(), run_outcome::done);
+    while (world.loop.clock.now() - ended_at < callers_wait)
+    {
+        world.run(milliseconds{10}, false);
+        const auto passed = world.loop.clock.now() - ended_at;
+        INFO(std::chrono::duration_cast<milliseconds>(passed).count()
+             << " ms after the end of the entry");
+        REQUIRE((!world.runs(run) || passed + world.held_for() < callers_wait));
+    }
+}
+
 TEST_CASE("the runs of other entries go on when one has ended",
           "[lease_bounds_hold]")
 {
