Schedules: logs and holds in the order of events, situations counted, scenarios

Sight before any change of logic. The order of events of a failed schedule did not hold what an agent or an entry decided, nor for how long a server was held, so that the listed faults could not be told apart. Now each line that a part of the product logs is in it, with the process that it is of, and each renewal of a server's hold with its length. A run counts the schedules in which the faults' own situations came about (a server back while its agent stands still, an agent that stands still after a return within 20 ms, an owner cut off with an agent), so that a run without them can't pass for a proof. Jobs and faults can be given instead of drawn.

--- a/tests/schedule/durable_schedule_tests.cpp
+++ b/tests/schedule/durable_schedule_tests.cpp
@@ -69,6 +69,8 @@
         sum.lapses += got.lapses;
         for (const auto& [kind, count] : got.faults)
             sum.faults[kind] += count;
+        for (const auto& [situation, count] : got.situations)
+            sum.situations[situation] += count > 0 ? 1 : 0;
         if (got.broken.empty())
             continue;
         ++failed;
@@ -82,11 +84,15 @@
     std::string faults;
     for (const auto& [kind, count] : sum.faults)
         faults += " " + kind + " " + std::to_string(count);
+    std::string situations;
+    for (const auto& [situation, count] : sum.situations)
+        situations += " " + situation + " " + std::to_string(count);
     WARN((last - first + 1)
          << " schedules, starts " << sum.starts << ", answered "
          << sum.succeeded << ", only refused " << sum.refused << ", sent again "
          << sum.resent << ", holds let go " << sum.lapses
-         << "; faults:" << faults);
+         << "; faults:" << faults
+         << "; schedules in which came about:" << situations);
     if (only != 0)
         std::cout << story_of(only, kept, without);
     CHECK(failed == 0);
--- a/tests/schedule/durable_world.cpp
+++ b/tests/schedule/durable_world.cpp
@@ -34,6 +34,11 @@
     "link_shut",     "answers_shut",  "orders_shut",  "link_slow",
     "link_reset",    "server_silent", "server_ends",  "caller_reset",
     "caller_leaves", "store_shut",    "entries_cut",  "hall_cut"};
+/// A server that is back under its id so soon may be missed by its agent.
+constexpr duration quick_return = milliseconds{20};
+/// An agent that stands still so soon after a server's return has hardly seen
+/// the next life.
+constexpr duration just_returned = milliseconds{400};
 const std::vector<std::string> kept_alone{"store_shut", "entries_cut",
                                           "hall_cut"};
 const std::vector<std::string> memory_alone{"caller_leaves"};
@@ -51,6 +56,8 @@
     : settings_(settings), time_(settings.seed, settings.tracing),
       checks_(time_), rows_(time_.loop)
 {
+    if (settings.tracing)
+        logged_ = std::make_unique<story_log>(time_);
     build();
 }
 
@@ -254,28 +261,38 @@
                 });
 }
 
+durable_world::caller durable_world::caller_of(std::size_t number,
+                                               std::uint32_t tasks,
+                                               milliseconds work,
+                                               duration patience) const
+{
+    caller one;
+    auto& job = one.job;
+    job.id = 10 * (number + 1) + (settings_.kept ? 1 : 0);
+    job.queue = "queue-1";
+    job.service = "service-1";
+    job.lasts = settings_.kept ? durability::journalled : durability::in_memory;
+    job.max_attempts = 3;
+    job.steps.resize(1);
+    job.steps[0].count = tasks;
+    job.steps[0].needs = {1000, 10, 0};
+    job.steps[0].estimate_ms = static_cast<std::uint32_t>(work.count());
+    job.spec = std::to_string(work.count());
+    one.patience = patience;
+    return one;
+}
+
 void durable_world::plan_jobs(instant around)
 {
     const auto jobs = 1 + time_.random() % 3;
     callers_.reserve(8);
     for (std::size_t i = 0; i < jobs; ++i)
     {
-        caller one;
-        auto& job = one.job;
-        job.id = 10 * (i + 1) + (settings_.kept ? 1 : 0);
-        job.queue = "queue-1";
-        job.service = "service-1";
-        job.lasts =
-            settings_.kept ? durability::journalled : durability::in_memory;
-        job.max_attempts = 3;
-        job.steps.resize(1);
-        job.steps[0].count = 1 + time_.random() % 3;
-        job.steps[0].needs = {1000, 10, 0};
-        const auto work = 200 + time_.random() % 3800;
-        job.steps[0].estimate_ms = static_cast<std::uint32_t>(work);
-        job.spec = std::to_string(work);
-        one.patience = milliseconds{1500} + time_.some(milliseconds{3500});
-        callers_.push_back(std::move(one));
+        const auto tasks = static_cast<std::uint32_t>(1 + time_.random() % 3);
+        const milliseconds work{200 + time_.random() % 3800};
+        const auto patience =
+            milliseconds{1500} + time_.some(milliseconds{3500});
+        callers_.push_back(caller_of(i, tasks, work, patience));
         const auto at = i == 0 ? around - time_.some(milliseconds{400})
                                : milliseconds{300} + time_.some(seconds{2});
         time_.after(at, [this, i, entry = i == 0 ? 0 : any_entry()]
@@ -318,6 +335,43 @@
                            duration length)
 {
     const auto entry = time_.chance(0.8) ? std::size_t{0} : any_entry();
+    strike(planned_fault{{}, kind, entry, agent, length});
+}
+
+/// The server of an agent ends and begins again.
+void durable_world::return_server(std::size_t agent, duration away,
+                                  bool same_id)
+{
+    auto& site = agents_[agent];
+    if (site.server->node().up())
+        return;
+    site.server->begin(same_id);
+    site.agent->heartbeat();
+    if (!same_id)
+        return;
+    const auto now = time_.loop.clock.now();
+    site.server_returned = now;
+    site.server_away = away;
+    if (site.agent->node().still())
+        ++outcome_.situations["returned_while_agent_still"];
+}
+
+void durable_world::stand_still(std::size_t agent, duration length)
+{
+    auto& site = agents_[agent];
+    const auto since = time_.loop.clock.now() - site.server_returned;
+    if (site.server_returned.count() != 0 && since < just_returned &&
+        site.server_away <= quick_return && !site.agent->node().still())
+        ++outcome_.situations["still_after_quick_return"];
+    site.agent->node().stand_still(length);
+}
+
+void durable_world::strike(const planned_fault& one)
+{
+    const auto& kind = one.kind;
+    const auto entry = one.entry;
+    const auto agent = one.agent;
+    const auto length = one.length;
     auto& site = agents_[agent];
     auto& link = site.links[entry];
     const auto until = time_.loop.clock.now() + length;
@@ -340,7 +394,7 @@
     else if (kind == "entry_still")
         entries_[entry].entry->node().stand_still(length);
     else if (kind == "agent_still")
-        site.agent->node().stand_still(length);
+        stand_still(agent, length);
     else if (kind == "agent_stills")
     {
         // Again and again, with some ms between.
@@ -348,8 +402,7 @@
         for (int i = 0; i < 4; ++i)
         {
             const auto next = length / 3 + time_.some(length / 3);
-            time_.after(at, [&node = site.agent->node(), next]
-                        { node.stand_still(next); });
+            time_.after(at, [this, agent, next] { stand_still(agent, next); });
             at += next + milliseconds{2} + time_.some(milliseconds{40});
         }
     }
@@ -386,13 +439,14 @@
     {
         site.server->end();
         time_.after(length / 4,
-                    [&site, same = time_.chance(0.5)]
-                    {
-                        if (site.server->node().up())
-                            return;
-                        site.server->begin(same);
-                        site.agent->heartbeat();
-                    });
+                    [this, agent, length, same = time_.chance(0.5)]
+                    { return_server(agent, length / 4, same); });
+    }
+    else if (kind == "server_again" && site.server->node().up())
+    {
+        site.server->end();
+        time_.after(length, [this, agent, length]
+                    { return_server(agent, length, true); });
     }
     else if (kind == "store_shut")
         entries_[entry].store->shut_until = until;
@@ -401,6 +455,9 @@
     else if (kind == "hall_cut")
     {
         // An entry and an agent see each other and nothing else.
+        if (entries_[entry].entry->node().up() &&
+            entries_[entry].entry->seat().jobs() != nullptr)
+            ++outcome_.situations["owner_cut_off"];
         views_shut_ = entries_[entry].store->shut_until = until;
         for (std::size_t a = 0; a < agents_.size(); ++a)
         {
@@ -434,12 +491,43 @@
     }
 }
 
+/// Nothing of it is drawn but delays of some hundred microseconds, rates of
+/// clocks and the choice among equal places.
+void durable_world::plan_scenario()
+{
+    callers_.reserve(settings_.jobs.size());
+    for (const auto& planned : settings_.jobs)
+    {
+        const auto who = callers_.size();
+        callers_.push_back(
+            caller_of(who, planned.tasks, planned.work, planned.patience));
+        time_.after(planned.at, [this, who, entry = planned.entry]
+                    { submit(who, entry); });
+    }
+    for (const auto& one : settings_.faults)
+    {
+        ++outcome_.faults[one.kind];
+        time_.after(one.at, [this, one] { strike(one); });
+    }
+}
+
 durable_outcome durable_world::play()
 {
+    if (!settings_.jobs.empty())
+    {
+        plan_scenario();
+        time_.loop.advance(settings_.length);
+        return judge();
+    }
     const auto first = milliseconds{500} + time_.some(seconds{1});
     plan_jobs(first);
     plan_faults(first);
     time_.loop.advance(first + (settings_.kept ? seconds{8} : seconds{6}));
+    return judge();
+}
+
+durable_outcome durable_world::judge()
+{
     for (const auto& one : callers_)
     {
         outcome_.succeeded += one.served ? 1 : 0;
--- a/tests/schedule/durable_world.hpp
+++ b/tests/schedule/durable_world.hpp
@@ -3,6 +3,7 @@
 
 #include "run_checks.hpp"
 #include "simulated_entry.hpp"
+#include "story_log.hpp"
 
 #include <memory>
 #include <set>
@@ -12,6 +13,26 @@
 namespace glenhollow
 {
 
+/// A job of a scenario, which nothing draws.
+struct planned_job
+{
+    duration at{};           ///< When its caller first asks.
+    std::size_t entry = 0;   ///< Whom.
+    std::uint32_t tasks = 1; ///< Of its only step.
+    milliseconds work{};     ///< Of each task.
+    duration patience = seconds{30}; ///< Of its caller.
+};
+
+/// A fault of a scenario.
+struct planned_fault
+{
+    duration at{};         ///< When it strikes.
+    std::string kind;      ///< As in the list of kinds.
+    std::size_t entry = 0; ///< Whom, where it strikes an entry or a link.
+    std::size_t agent = 0; ///< The same for agents, links and servers.
+    duration length{};     ///< Of the fault.
+};
+
 /// What a schedule is drawn from.
 struct durable_schedule_settings
 {
@@ -21,6 +42,10 @@
     std::size_t entries = 2; ///< How many.
     std::size_t agents = 3;  ///< How many, each with its server.
     std::set<std::string> without; ///< Kinds of faults that are left out.
+    std::vector<planned_job> jobs; ///< A scenario's: in place of drawn jobs
+                                   ///< and faults.
+    std::vector<planned_fault> faults; ///< Of the scenario.
+    duration length{};                 ///< Of the scenario.
 };
 
 /// What a schedule came to.
@@ -34,6 +59,9 @@
     std::uint64_t resent = 0;        ///< Submissions after the first.
     std::uint64_t lapses = 0;        ///< Holds that agents let go.
     std::map<std::string, std::uint64_t> faults; ///< By kind.
+    std::map<std::string, std::uint64_t> situations; ///< That came about, of
+                                                     ///< those that faults
+                                                     ///< were found in.
 };
 
 /// Real coordinators, dispatchers and run managers with backend servers that
@@ -56,6 +84,9 @@
         std::unique_ptr<simulated_server> server; ///< The backend server.
         std::unique_ptr<simulated_agent> agent;   ///< Beside it.
         std::vector<simulated_link> links;        ///< By entry.
+        instant server_ended{};    ///< Its last end under faults.
+        instant server_returned{}; ///< Its last begin under the same id.
+        duration server_away{};    ///< Between the two.
     };
 
     struct entry_site
@@ -91,10 +122,17 @@
     };
 
     void build();
+    caller caller_of(std::size_t number, std::uint32_t tasks, milliseconds work,
+                     duration patience) const;
+    durable_outcome judge();
     void plan_jobs(instant around);
     void plan_faults(instant first);
     void fault(const std::string& kind, duration at, std::size_t victim);
     void strike(const std::string& kind, std::size_t victim, duration length);
+    void strike(const planned_fault& one);
+    void plan_scenario();
+    void return_server(std::size_t agent, duration away, bool same_id);
+    void stand_still(std::size_t agent, duration length);
     void kill_entry(std::size_t entry, bool told, duration away);
     void kill_agent(std::size_t agent, bool told, duration away);
     void exchange_views();
@@ -109,6 +147,7 @@
 
     durable_schedule_settings settings_; ///< What it is drawn from.
     simulated_time time_;                ///< Time and chance.
+    std::unique_ptr<story_log> logged_;  ///< While the order is written down.
     run_checks checks_;                  ///< What must hold.
     fake_row_store rows_;                ///< The store of the journal.
     std::vector<agent_site> agents_;     ///< By number.
--- a/tests/schedule/simulated_node.hpp
+++ b/tests/schedule/simulated_node.hpp
@@ -70,6 +70,8 @@
     manual_loop loop;               ///< Runs all events.
     random_engine random;           ///< Draws.
     std::vector<std::string> lines; ///< Events so far, one a line.
+    const std::string* acting = nullptr; ///< Name of the process whose work is
+                                         ///< being done; null: of none.
 
 private:
     bool tracing_; ///< Lines are kept.
@@ -206,10 +208,17 @@
                         if (still())
                             held_.push_back({message, work});
                         else
-                            work();
+                            act(work);
                     });
     }
 
+    void act(const std::function<void()>& work)
+    {
+        const auto* before = std::exchange(time_.acting, &name_);
+        work();
+        time_.acting = before;
+    }
+
     void go_on()
     {
         time_.note([&] { return name_ + " goes on"; });
@@ -221,7 +230,7 @@
             for (const auto& one : held)
             {
                 if (one.message == messages && process_ == mine)
-                    one.work();
+                    act(one.work);
             }
         }
     }
--- a/tests/schedule/simulated_server.cpp
+++ b/tests/schedule/simulated_server.cpp
@@ -107,6 +107,12 @@
     if (cut <= until_ms_ || cut <= now_ms())
         return;
     until_ms_ = cut;
+    time_.note(
+        [&]
+        {
+            return node_.name() + " is held for " +
+                   std::to_string(cut - now_ms()) + " ms";
+        });
     await_lapse();
 }
 
--- /dev/null
+++ b/tests/schedule/story_log.cpp
@@ -0,0 +1,67 @@
+#include "story_log.hpp"
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/smart_ptr/make_shared_object.hpp>
+
+#include <string>
+
+namespace glenhollow
+{
+
+namespace logging = boost::log;
+
+namespace
+{
+
+class story_backend final
+    : public logging::sinks::basic_formatted_sink_backend<char>
+{
+public:
+    explicit story_backend(simulated_time& time) : time_(time) {}
+
+    void consume(const logging::record_view&, const std::string& line)
+    {
+        // The time of day, the level and the program say nothing here.
+        const auto event = line.find("event=");
+        time_.note(
+            [&]
+            {
+                const auto* by = time_.acting;
+                return (by ? *by : std::string("world")) + " logs " +
+                       line.substr(event == std::string::npos ? 0 : event);
+            });
+    }
+
+private:
+    simulated_time& time_; ///< Of the simulation.
+};
+
+using story_front = logging::sinks::synchronous_sink<story_backend>;
+
+} // namespace
+
+struct story_log::sink
+{
+    boost::shared_ptr<story_front> front; ///< As the library knows it.
+};
+
+story_log::story_log(simulated_time& time) : sink_(std::make_unique<sink>())
+{
+    sink_->front = boost::make_shared<story_front>(
+        boost::make_shared<story_backend>(time));
+    sink_->front->set_formatter(logging::expressions::stream
+                                << logging::expressions::smessage);
+    logging::core::get()->add_sink(sink_->front);
+    logging::core::get()->set_logging_enabled(true);
+}
+
+story_log::~story_log()
+{
+    logging::core::get()->set_logging_enabled(false);
+    logging::core::get()->remove_sink(sink_->front);
+}
+
+} // namespace glenhollow
