--- a/tests/schedule/durable_schedule_tests.cpp
+++ b/tests/schedule/durable_schedule_tests.cpp
@@ -90,9 +90,8 @@
     WARN((last - first + 1)
          << " schedules, starts " << sum.starts << ", answered "
          << sum.succeeded << ", only refused " << sum.refused << ", sent again "
-         << sum.resent << ", holds let go " << sum.lapses
-         << "; faults:" << faults
-         << "; schedules in which came about:" << situations);
+         << sum.resent << ", holds let go " << sum.lapses << "; faults:"
+         << faults << "; schedules in which came about:" << situations);
     if (only != 0)
         std::cout << story_of(only, kept, without);
     CHECK(failed == 0);
@@ -161,6 +160,18 @@
     CHECK(play(15544, false, {}).broken.empty());
 }
 
+// The test above keeps its seed; what is drawn has changed since, and its
+// server comes back under another id now. These failed after that: a server
+// that runs again under its id was held by a look (34904, 39946) or by a start
+// (18006, 33195) that named a moment of the last life's clock.
+TEST_CASE("no server is held by its last life's clock", "[last_clock]")
+{
+    for (const std::uint64_t seed : {34904, 39946})
+        CHECK(play(seed, false, {}).broken.empty());
+    for (const std::uint64_t seed : {18006, 33195})
+        CHECK(play(seed, true, {"hall_cut"}).broken.empty());
+}
+
 TEST_CASE("a schedule of jobs is the same for the same seed")
 {
     REQUIRE(play(42, false, {}, true).lines == play(42, false, {}, true).lines);
--- a/tests/schedule/durable_world.cpp
+++ b/tests/schedule/durable_world.cpp
@@ -73,6 +73,7 @@
         const auto slow = time_.chance(0.5) ? 0.98 : 1.0;
         site.server = std::make_unique<simulated_server>(
             time_, checks_, i, rate * slow, time_.chance(0.5));
+        site.server->clock_falls_back = !settings_.jobs.empty();
         site.agent =
             std::make_unique<simulated_agent>(time_, *site.server, i, rate);
         site.links.resize(settings_.entries);
@@ -438,8 +439,7 @@
     else if (kind == "server_ends" && site.server->node().up())
     {
         site.server->end();
-        time_.after(length / 4,
-                    [this, agent, length, same = time_.chance(0.5)]
+        time_.after(length / 4, [this, agent, length, same = time_.chance(0.5)]
                     { return_server(agent, length / 4, same); });
     }
     else if (kind == "server_again" && site.server->node().up())
@@ -501,8 +501,8 @@
         const auto who = callers_.size();
         callers_.push_back(
             caller_of(who, planned.tasks, planned.work, planned.patience));
-        time_.after(planned.at, [this, who, entry = planned.entry]
-                    { submit(who, entry); });
+        time_.after(planned.at,
+                    [this, who, entry = planned.entry] { submit(who, entry); });
     }
     for (const auto& one : settings_.faults)
     {
--- a/tests/schedule/durable_world.hpp
+++ b/tests/schedule/durable_world.hpp
@@ -16,10 +16,10 @@
 /// A job of a scenario, which nothing draws.
 struct planned_job
 {
-    duration at{};           ///< When its caller first asks.
-    std::size_t entry = 0;   ///< Whom.
-    std::uint32_t tasks = 1; ///< Of its only step.
-    milliseconds work{};     ///< Of each task.
+    duration at{};                   ///< When its caller first asks.
+    std::size_t entry = 0;           ///< Whom.
+    std::uint32_t tasks = 1;         ///< Of its only step.
+    milliseconds work{};             ///< Of each task.
     duration patience = seconds{30}; ///< Of its caller.
 };
 
@@ -41,9 +41,9 @@
     bool tracing = false;    ///< The order of events is written down.
     std::size_t entries = 2; ///< How many.
     std::size_t agents = 3;  ///< How many, each with its server.
-    std::set<std::string> without; ///< Kinds of faults that are left out.
-    std::vector<planned_job> jobs; ///< A scenario's: in place of drawn jobs
-                                   ///< and faults.
+    std::set<std::string> without;     ///< Kinds of faults that are left out.
+    std::vector<planned_job> jobs;     ///< A scenario's: in place of drawn jobs
+                                       ///< and faults.
     std::vector<planned_fault> faults; ///< Of the scenario.
     duration length{};                 ///< Of the scenario.
 };
@@ -58,7 +58,7 @@
     std::uint64_t refused = 0;       ///< Jobs, each time.
     std::uint64_t resent = 0;        ///< Submissions after the first.
     std::uint64_t lapses = 0;        ///< Holds that agents let go.
-    std::map<std::string, std::uint64_t> faults; ///< By kind.
+    std::map<std::string, std::uint64_t> faults;     ///< By kind.
     std::map<std::string, std::uint64_t> situations; ///< That came about, of
                                                      ///< those that faults
                                                      ///< were found in.
--- a/tests/schedule/simulated_node.hpp
+++ b/tests/schedule/simulated_node.hpp
@@ -67,9 +67,9 @@
         return *(std::begin(from) + random() % std::size(from));
     }
 
-    manual_loop loop;               ///< Runs all events.
-    random_engine random;           ///< Draws.
-    std::vector<std::string> lines; ///< Events so far, one a line.
+    manual_loop loop;                    ///< Runs all events.
+    random_engine random;                ///< Draws.
+    std::vector<std::string> lines;      ///< Events so far, one a line.
     const std::string* acting = nullptr; ///< Name of the process whose work is
                                          ///< being done; null: of none.
 
--- a/tests/schedule/simulated_server.cpp
+++ b/tests/schedule/simulated_server.cpp
@@ -18,6 +18,8 @@
 constexpr duration latest_call = milliseconds{3500};
 
 constexpr std::int64_t day_ms = 1'000'000;
+/// What the clock of a first life shows at its begin, where that is fixed.
+constexpr duration first_clock = seconds{8};
 
 } // namespace
 
@@ -36,6 +38,8 @@
         id_ = "s" + std::to_string(number_) + "-" + std::to_string(lives_);
     born_ms_ = day_ms + static_cast<std::int64_t>(lives_);
     origin_ = node_.clock().now() - milliseconds{1000 + time_.random() % 5000};
+    if (clock_falls_back)
+        origin_ = node_.clock().now() - first_clock / lives_;
     token_ = ends_ = noted_ = 0;
     until_ms_ = 0;
     running_.clear();
--- a/tests/schedule/simulated_server.hpp
+++ b/tests/schedule/simulated_server.hpp
@@ -57,7 +57,9 @@
     /// @param broken Ends it without an answer.
     void await(const std::shared_ptr<bool>& told, std::function<void()> broken);
 
-    server_link link; ///< To its agent.
+    server_link link;              ///< To its agent.
+    bool clock_falls_back = false; ///< Each life's clock begins far behind the
+                                   ///< last one's, else anywhere.
 
     /// What all servers have: cores in thousandths, MiB.
     static constexpr resources capacity{2000, 1000, 0};
