Holds are reckoned by the time that a machine has run

A machine may be suspended for seconds, the agent and its backend server on it. The server's steady clock doesn't count that time, the agent's clock does.

- It took a hold for over while the server went on with it, and told the runs as lapsed.
- Besides, a run that was suspended with its server counted as standing still and was stopped.

Now what the agent reckons of the server (readings of its clock, ends of holds, silence, progress) is measured by clock_source::running, CLOCK_MONOTONIC; leases go on counting suspended time. A start is compared with its lease by what is left of both.

Not covered: a server that wakes with a lease that ended while it was suspended goes on until its agent's stop or the end of its hold, whichever is first.

--- a/src/glenhollow/runs/run_manager.cpp
+++ b/src/glenhollow/runs/run_manager.cpp
@@ -18,7 +18,7 @@
       settings_(settings), token_(fencing_token), pace_(settings.pace),
       breaker_(settings.breaker)
 {
-    answered_ = clock_.now();
+    answered_ = clock_.running();
 }
 
 run_manager::~run_manager()
@@ -29,7 +29,7 @@
 /// The process before may have renewed the hold until a moment ago.
 void run_manager::begin()
 {
-    held_until_ = clock_.now() + with_drift(settings_.hold);
+    held_until_ = clock_.running() + with_drift(settings_.hold);
     look();
 }
 
@@ -83,7 +83,8 @@
            !(probing() && occupied) && unsized_ == 0 && runner_clock_.known() &&
            hold_end() > clock_.now() && owner.lease_epoch == owner.epoch &&
            clock_.now() < owner.until &&
-           latest_hold() <= owner.until + held_past_lease &&
+           latest_hold() - clock_.running() <=
+               owner.until - clock_.now() + held_past_lease &&
            used_.leaves_room(run.order.needs, account_.capacity);
 }
 
@@ -110,7 +111,7 @@
 {
     const auto now = clock_.now();
     return {account_.instance, listed_born_ms_, token_,
-            runner_clock_.at(now, hold_end() - now)};
+            runner_clock_.at(clock_.running(), hold_end() - now)};
 }
 
 void run_manager::send_start(run_record& run)
@@ -119,7 +120,7 @@
     run.changed = clock_.now();
     used_.add(run.order.needs);
     held_until_ = std::max(
-        held_until_, clock_.now() + with_drift(hold_end() - clock_.now()));
+        held_until_, clock_.running() + with_drift(hold_end() - clock_.now()));
     runner_.start({run.order.run, run.order.spec}, context(),
                   [this, alive = alive_, ref = run.order.run,
                    born_ms = listed_born_ms_](const order_result& got)
@@ -138,7 +139,7 @@
 void run_manager::heard_clock(std::int64_t born_ms, std::int64_t clock_ms)
 {
     if (born_ms == listed_born_ms_)
-        runner_clock_.heard(clock_.now(), clock_ms);
+        runner_clock_.heard(clock_.running(), clock_ms);
 }
 
 void run_manager::start_answered(const run_ref& ref, const order_result& got)
@@ -161,10 +162,7 @@
     case order_outcome::unanswered:
         ++stats_.doubtful;
         if (run.phase == run_phase::starting)
-        {
-            run.phase = run_phase::doubtful;
-            run.changed = clock_.now();
-        }
+            leave_in_doubt(run);
         return;
     case order_outcome::fenced:
         raise_token();
@@ -183,6 +181,15 @@
     end_run(ref, run_outcome::not_begun, 0);
 }
 
+/// No answer came: it may run, or begin while its deadline lasts.
+void run_manager::leave_in_doubt(run_record& run)
+{
+    run.phase = run_phase::doubtful;
+    run.changed = clock_.now();
+    run.latest_begin =
+        clock_.running() + with_drift(settings_.hold) + lapse_slack;
+}
+
 /// A runner that refuses starts looks empty and would draw all of them.
 void run_manager::leave_alone()
 {
@@ -239,7 +246,7 @@
         return;
     run.phase = run_phase::running;
     run.changed = clock_.now();
-    run.progressed = run.changed;
+    run.begun = run.progressed = clock_.running();
     lease_of(run).begun.push_back(run.order.run);
     if (listener_ != nullptr)
         listener_->run_began(run.lease);
@@ -408,7 +415,7 @@
             to_stop.push_back(ref);
         if (run.phase == run_phase::doubtful && run.settled.count() == 0)
         {
-            if (now - run.changed > with_drift(settings_.hold) + lapse_slack)
+            if (clock_.running() > run.latest_begin)
                 run.settled = now; // Too late for it to begin.
             else if (retry && now - run.changed >= settings_.patience)
                 to_stop.push_back(ref);
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -416,7 +416,10 @@
         instant settled{};  ///< Doubtful: when it could not begin any more.
         instant orphaned{}; ///< Its lease was found expired; zero: it has one.
         std::uint32_t percent = 0; ///< Of its work, as last shown.
-        instant progressed{};      ///< When the percent last rose.
+        instant begun{};           ///< When it began, time run.
+        instant progressed{};      ///< When the percent last rose, time run.
+        instant latest_begin{};    ///< Doubtful: it can't begin later, time
+                                   ///< run.
         instant ordered{};         ///< When its order came.
         bool lost = false;         ///< It can't end before its server leaves.
         bool may_have_run = false; ///< In a life that ended before its answer.
@@ -470,6 +473,7 @@
     void send_stop(run_record& run);
     void stop_answered(const run_ref& ref, const order_result& got);
     void begun(run_record& run);
+    void leave_in_doubt(run_record& run);
     void end_run(const run_ref& ref, run_outcome how, std::uint64_t number);
     void free_run(const run_ref& ref);
     void look();
@@ -550,14 +554,17 @@
     std::uint32_t looks_out_ = 0;             ///< Unanswered ones.
     bool draining_ = false;                   ///< No more orders.
     bool lapsing_ = false;                    ///< The hold is left to lapse.
-    instant lapse_over_{};                    ///< When it surely has.
-    instant held_until_{};                    ///< Latest end of the hold.
-    instant hold_out_{};                      ///< Of the look that is out.
-    instant refused_until_{};                 ///< The runner is left alone.
-    duration refusal_wait_{};                 ///< The last such time.
-    instant answered_{};                      ///< Last answer to a look.
-    instant stray_stopped_{};                 ///< Last stop of an ended run.
-    run_manager_stats stats_;                 ///< Counters.
+    // The backend server counts the time that its machine has run, and so do
+    // these; leases count suspended time as well.
+    instant lapse_over_{};    ///< When it surely has.
+    instant held_until_{};    ///< Latest end of the hold.
+    instant hold_out_{};      ///< Of the look that is out.
+    instant refused_until_{}; ///< The runner is left alone.
+    duration refusal_wait_{}; ///< The last such time.
+    instant answered_{};      ///< Last answer to a look, time
+                              ///< run.
+    instant stray_stopped_{}; ///< Last stop of an ended run.
+    run_manager_stats stats_; ///< Counters.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); ///< Guard.
 };
 
--- a/src/glenhollow/runs/run_manager_leases.cpp
+++ b/src/glenhollow/runs/run_manager_leases.cpp
@@ -156,7 +156,7 @@
 {
     if (lapsing_)
     {
-        if (clock_.now() < lapse_over_)
+        if (clock_.running() < lapse_over_)
             return;
         lapsing_ = false;
         ledger_.excuse_all();
@@ -234,7 +234,7 @@
     if (std::exchange(lapsing_, true))
         return;
     ++stats_.lapses;
-    lapse_over_ = std::max(latest_hold(), clock_.now()) + lapse_slack;
+    lapse_over_ = std::max(latest_hold(), clock_.running()) + lapse_slack;
     log_change(log_level::warning, "hold_left_to_lapse",
                {{"cause", cause}, {"lease", lease}});
 }
--- a/src/glenhollow/runs/run_manager_leaving.cpp
+++ b/src/glenhollow/runs/run_manager_leaving.cpp
@@ -29,9 +29,9 @@
     duration age{};
     if (times.clock_ms > 0 && runner_clock_.known() &&
         may_be_same(account.life(), account_.life()))
-        age = std::max(
-            duration{0},
-            duration{milliseconds{runner_clock_.at(now, {}) - times.clock_ms}});
+        age = std::max(duration{0}, duration{milliseconds{
+                                        runner_clock_.at(clock_.running(), {}) -
+                                        times.clock_ms}});
     account.leaves.reset();
     if (times.remaining)
         account.leaves = now + *times.remaining - age;
@@ -66,8 +66,8 @@
             continue;
         leaving_run one;
         one.run = ref;
-        one.ran = now - run.changed;
-        one.progressed_at = run.progressed - run.changed;
+        one.ran = clock_.running() - run.begun;
+        one.progressed_at = run.progressed - run.begun;
         one.percent = run.percent;
         one.expected_ms = run.order.expected_ms;
         if (run.order.useful_ms > 0)
@@ -92,7 +92,7 @@
     for (const auto& ref : plan.moved)
     {
         const auto& run = runs_.at(ref);
-        const auto ran_ms = to_ms(now - run.changed);
+        const auto ran_ms = to_ms(clock_.running() - run.begun);
         ++stats_.moved;
         stats_.moved_ms += static_cast<std::uint64_t>(ran_ms);
         log_change(log_level::info, "run_moved",
@@ -113,7 +113,7 @@
     if (run.order.expected_ms == 0 || cold || look_gap_ > settings_.blind)
         return;
     const std::chrono::duration<double, std::micro> ran =
-        clock_.now() - run.changed;
+        clock_.running() - run.begun;
     pace_.note(ran.count() / (micros_a_ms * run.order.expected_ms));
 }
 
--- a/src/glenhollow/runs/run_manager_lives.cpp
+++ b/src/glenhollow/runs/run_manager_lives.cpp
@@ -264,7 +264,7 @@
 /// an evacuated hall it counts as draining.
 void run_manager::take_told_phase()
 {
-    const bool answers = clock_.now() - answered_ < silence_limit();
+    const bool answers = clock_.running() - answered_ < silence_limit();
     if (!informed_ || !verified_ || !answers || left_alone())
         return;
     const bool held = evacuated_ && told_phase_ == runner_phase::ready;
--- a/src/glenhollow/runs/run_manager_looks.cpp
+++ b/src/glenhollow/runs/run_manager_looks.cpp
@@ -49,9 +49,7 @@
         },
         [this, ref]
         {
-            auto& run = runs_.at(ref);
-            run.phase = run_phase::doubtful;
-            run.changed = clock_.now();
+            leave_in_doubt(runs_.at(ref));
             look_now(); // It may run, and only its answer be lost.
         });
 }
@@ -100,12 +98,13 @@
     // that stays silent must be let go of before its runs count as ended.
     const auto renewed_for = hold_end() - clock_.now();
     // Nor is anything renewed that was not seen: it may be nobody's.
-    const bool let_go = lapsing_ || clock_.now() - answered_ > renew_blind ||
+    const bool let_go = lapsing_ ||
+                        clock_.running() - answered_ > renew_blind ||
                         !informed_ || renewed_for <= duration{0};
     if (let_go)
         request.context.deadline_ms = 0;
     else if (runner_clock_.known())
-        hold_out_ = clock_.now() + with_drift(renewed_for);
+        hold_out_ = clock_.running() + with_drift(renewed_for);
     // A life that has just registered is met without delay.
     const bool known_life = verified_ || account_.instance.empty();
     const bool hurried = std::exchange(hurried_, false);
@@ -156,11 +155,11 @@
         // Start, connection and clock are of one life: that of the list.
         listed_link_ = got.link;
         note_born(got.born_ms);
-        runner_clock_.heard(clock_.now(), got.clock_ms);
+        runner_clock_.heard(clock_.running(), got.clock_ms);
         if (expected && !account_.instance.empty())
             verify_life(asked.sent);
-        look_gap_ = clock_.now() - answered_;
-        answered_ = clock_.now();
+        look_gap_ = clock_.running() - answered_;
+        answered_ = clock_.running();
         const bool first = !informed_;
         informed_ = true;
         take_finished(got.finished);
@@ -256,7 +255,8 @@
             found.lease = found_lease(shown.run);
             found.phase = run_phase::running;
             found.sized = false;
-            found.changed = found.progressed = now;
+            found.changed = now;
+            found.begun = found.progressed = clock_.running();
             ++unsized_;
             ++stats_.found;
             runs_.emplace(shown.run, std::move(found));
@@ -271,7 +271,7 @@
         if (shown.percent > run.percent)
         {
             run.percent = shown.percent;
-            run.progressed = now;
+            run.progressed = clock_.running();
         }
     }
     if (stats_.found != found_before)
@@ -346,7 +346,7 @@
 /// what its server does.
 bool run_manager::knows_runs() const
 {
-    const auto now = clock_.now();
+    const auto now = clock_.running();
     return informed_ || (now - answered_ >= silence_limit() &&
                          now >= latest_hold() + lapse_slack);
 }
@@ -356,10 +356,11 @@
     return std::max(held_until_, hold_out_);
 }
 
-/// A runner that answers nothing has let go of everything by now.
+/// A runner that answers nothing has let go of everything by now. It counts the
+/// time that its machine has run.
 void run_manager::check_silence()
 {
-    const auto now = clock_.now();
+    const auto now = clock_.running();
     if (now - answered_ < silence_limit())
         return;
     set_phase(runner_phase::absent);
--- a/src/glenhollow/runs/runner_clock.hpp
+++ b/src/glenhollow/runs/runner_clock.hpp
@@ -9,11 +9,12 @@
 {
 
 /// The runner's steady clock as seen from beside it. Never ahead of it: an
-/// answer's reading is as old as the answer's way.
+/// answer's reading is as old as the answer's way, and time is counted as the
+/// runner counts it, on the same machine: without suspended time.
 class runner_clock final
 {
 public:
-    /// @param now When an answer arrived.
+    /// @param now When an answer arrived, by clock_source::running.
     /// @param clock_ms What it said; 0: nothing.
     void heard(instant now, std::int64_t clock_ms)
     {
@@ -29,7 +30,7 @@
     /// @return Whether the clock has been told.
     bool known() const { return clock_ms_ > 0; }
 
-    /// @param now This machine's time.
+    /// @param now By clock_source::running.
     /// @param ahead A while from now.
     /// @return That moment on the runner's clock, ms; 0 while unknown.
     std::int64_t at(instant now, duration ahead) const
--- /dev/null
+++ b/tests/unit/runs/suspended_machine_tests.cpp
@@ -0,0 +1,162 @@
+// A machine may be suspended for seconds, with the agent and the backend server
+// on it. The server measures its hold by its steady clock, which doesn't count
+// that time, while the agent's clock does. So an agent that adds the time since
+// its last reading of the server's clock names moments that lie later by the
+// whole suspension, and one that waits for a hold's end by its own clock takes
+// it for over while the server goes on: tasks would run at two servers at once.
+#include "glenhollow/runs/run_manager.hpp"
+#include "unit/support/fake_runner_port.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace glenhollow;
+
+namespace
+{
+
+constexpr lease_id entry_lease = memory_lease(0);
+
+struct suspended_world
+{
+    suspended_world()
+    {
+        runner_account account;
+        account.service = "service-1";
+        account.instance = "life-1";
+        account.capacity = {8000, 1000, 0};
+        account.phase = runner_phase::ready;
+        manager.registered(account);
+        manager.begin();
+        pass(milliseconds{20});
+    }
+
+    /// @param renewed Whether the entry answers.
+    void pass(duration length, bool renewed = true)
+    {
+        constexpr duration step = milliseconds{5};
+        for (duration passed{}; passed < length; passed += step)
+        {
+            if (renewed)
+                manager.renew(entry_lease, 0, loop.clock.now());
+            manager.tick();
+            loop.advance(step);
+        }
+    }
+
+    run_ref order()
+    {
+        run_order order;
+        order.run = {{1, 0, 0, 0}, first_memory_run + 1};
+        order.needs = {1000, 10, 0};
+        order.estimate_ms = 60'000; // Progress is not judged here.
+        manager.order(order, entry_lease);
+        pass(milliseconds{100});
+        return order.run;
+    }
+
+    bool runs(const run_ref& run) const
+    {
+        return std::find(server.running.begin(), server.running.end(), run) !=
+               server.running.end();
+    }
+
+    /// @return For how long the server goes on if nobody calls it any more.
+    duration held_for() const
+    {
+        return milliseconds{
+            std::max<std::int64_t>(0, server.held_until - server.now_ms())};
+    }
+
+    manual_loop loop;
+    fake_runner_port server{loop};
+    run_manager manager{loop.clock, server, loop.delay(), 1000, {}};
+};
+
+} // namespace
+
+TEST_CASE("a suspension does not lengthen a server's hold", "[suspended]")
+{
+    suspended_world world;
+    const auto run = world.order();
+    REQUIRE(world.runs(run));
+    for (int i = 0; i < 5; ++i)
+    {
+        // Shorter than the lease: what runs goes on.
+        world.loop.clock.suspend(milliseconds{600});
+        for (int step = 0; step < 20; ++step)
+        {
+            world.pass(milliseconds{5});
+            REQUIRE(world.held_for() <= longest_hold);
+        }
+        REQUIRE(world.runs(run));
+    }
+}
+
+TEST_CASE("what a suspended server goes on with is not told as lapsed",
+          "[suspended]")
+{
+    suspended_world world;
+    const auto run = world.order();
+    // Neither looks nor stops get through from now on.
+    world.server.silent = true;
+    world.server.drop_orders = 1000;
+    world.pass(milliseconds{200});
+    REQUIRE(world.runs(run));
+    world.loop.clock.suspend(seconds{3});
+    while (world.held_for() > duration{0})
+    {
+        REQUIRE(world.manager.take_ends(entry_lease).empty());
+        world.pass(milliseconds{5}, false);
+    }
+    world.server.lapse();
+    REQUIRE_FALSE(world.runs(run));
+    world.pass(seconds{1}, false);
+    const auto ends = world.manager.take_ends(entry_lease);
+    REQUIRE(ends.size() == 1);
+    CHECK(ends.front().how == run_outcome::lapsed);
+}
+
+TEST_CASE("no start after a suspension goes on past its lease", "[suspended]")
+{
+    // At most, for the hold that runs of others have: see run_manager.
+    constexpr duration held_past_lease = milliseconds{450};
+    const run_manager_settings limits;
+    for (const auto length : {100, 200, 300, 500, 700})
+    {
+        INFO("suspended for " << length << " ms");
+        suspended_world world;
+        // The entry's last word is of before the suspension.
+        const auto told = world.loop.clock.now();
+        world.manager.renew(entry_lease, 0, told);
+        world.loop.clock.suspend(milliseconds{length});
+        run_order order;
+        order.run = {{1, 0, 0, 0}, first_memory_run + 1};
+        order.needs = {1000, 10, 0};
+        world.manager.order(order, entry_lease);
+        world.loop.advance(milliseconds{10});
+        const auto ends = world.loop.clock.now() + world.held_for();
+        CHECK((!world.runs(order.run) ||
+               ends <= told + limits.memory_lease + held_past_lease));
+    }
+}
+
+TEST_CASE("a run that was suspended with its server has not stood still",
+          "[suspended]")
+{
+    suspended_world world;
+    run_order order;
+    order.run = {{1, 0, 0, 0}, first_memory_run + 1};
+    order.needs = {1000, 10, 0};
+    order.estimate_ms = 600;
+    world.manager.order(order, entry_lease);
+    world.pass(milliseconds{100});
+    REQUIRE(world.runs(order.run));
+    // No look shows progress of a time in which nothing ran.
+    world.server.stands_still = true;
+    world.loop.clock.suspend(milliseconds{700});
+    world.pass(milliseconds{50});
+    world.server.stands_still = false;
+    world.pass(milliseconds{200});
+    CHECK(world.runs(order.run));
+    CHECK(world.manager.stats().stalled == 0);
+}
--- a/tests/unit/support/fake_runner_port.hpp
+++ b/tests/unit/support/fake_runner_port.hpp
@@ -162,7 +162,7 @@
         ++lives;
         ++link;
         born_ms = born;
-        clock_origin = loop_.clock.now();
+        clock_origin = loop_.clock.running();
         running.clear();
         ends.clear();
         barred.clear();
@@ -171,10 +171,11 @@
         held_until = 0;
     }
 
-    /// @return The runner's clock.
+    /// @return The runner's clock: a steady one, which stands still while the
+    /// machine is suspended.
     std::int64_t now_ms() const
     {
-        const auto shown = loop_.clock.now() - clock_origin + clock_ahead;
+        const auto shown = loop_.clock.running() - clock_origin + clock_ahead;
         return std::chrono::duration_cast<milliseconds>(shown).count();
     }
 
