Soak: servers that hold longer than agents ask for, plans of both faults

A hold by a wrong clock was cut by the stand-in to the length that agents ask for anyway, so that no play could show it. Its longest hold is twice that now, as on the users' largest deployment it is more than agents ask for.

--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -32,6 +32,10 @@
 constexpr duration contact = seconds{4};
 /// Longest lease at a backend server, by the platform's rules.
 constexpr std::string_view hold_ms = "1000";
+/// What a backend server cuts a hold to, as on the users' largest deployment
+/// more than agents ask for: with the same one, a hold by a wrong clock is cut
+/// to a harmless length.
+constexpr std::string_view server_hold_ms = "2000";
 
 /// @return A port that nobody uses at that address.
 std::uint16_t free_port(const std::string& host)
@@ -223,7 +227,7 @@
          "--service", std::string(service),
          "--zone",    hall(i),
          "--cpu",     std::to_string(settings_.cpu),
-         "--hold",    std::string(hold_ms),
+         "--hold",    std::string(server_hold_ms),
          "--slow",    i % 2 == 0 ? "0" : "0.02",
          "--seed",    std::to_string(settings_.seed * 100 + i)});
     backends_.push_back({control(io_, runner), {}});
