Scenarios on suspended machines; one server for the tests of the client

Suspension in the simulation: a process stands still, its steady clock and its timers with it, a backend server's hold as well. Scenarios: a suspended owner while another entry takes its part; an agent with its server, the agent standing still past it; a server that came back just before.

--- a/tests/schedule/durable_scenario_tests.cpp
+++ b/tests/schedule/durable_scenario_tests.cpp
@@ -149,3 +149,74 @@
         REQUIRE(got.starts > 4 * seeds);
     }
 }
+
+// The two mends above on machines that are suspended for seconds: whose steady
+// clocks, timers and holds stand still, while all others go on.
+TEST_CASE("a suspended owner renews nothing that others have taken",
+          "[suspended]")
+{
+    durable_schedule_settings scenario;
+    scenario.kept = true;
+    scenario.entries = 2;
+    scenario.agents = 3;
+    scenario.length = seconds{14};
+    scenario.jobs = {{seconds{1}, 0, 4, seconds{9}}};
+    for (const auto length : {1200, 3000, 5000, 7000})
+    {
+        INFO("suspended for " << length << " ms");
+        scenario.faults = {{milliseconds{1500}, "entry_suspended", 0, 0,
+                            milliseconds{length}}};
+        const auto got = play(scenario);
+        CHECK(got.broken == 0);
+        REQUIRE(got.situations.at("suspended") == seeds);
+    }
+}
+
+// The agent stood still past the suspension. It took the hold for over, for it
+// counted the suspended time, and told the runs as lapsed while the server went
+// on with them for as long.
+TEST_CASE("a server that was suspended is held by its own clock", "[suspended]")
+{
+    durable_schedule_settings scenario;
+    scenario.entries = 2;
+    scenario.agents = 3;
+    scenario.length = seconds{8};
+    scenario.jobs = {{seconds{1}, 0, 4, seconds{4}}};
+    for (const auto length : {100, 300, 600, 900})
+    {
+        for (const bool kept : {false, true})
+        {
+            INFO("suspended for " << length << " ms, kept " << kept);
+            scenario.kept = kept;
+            scenario.faults = {{milliseconds{1200}, "machine_suspended", 0, 1,
+                                milliseconds{length}},
+                               {milliseconds{1201}, "agent_still", 0, 1,
+                                milliseconds{length + 700}}};
+            const auto got = play(scenario);
+            CHECK(got.broken == 0);
+            REQUIRE(got.situations.at("suspended") == seeds);
+        }
+    }
+}
+
+TEST_CASE("a server that returns while its machine is suspended is held by no "
+          "clock of before",
+          "[suspended]")
+{
+    for (const auto length : {300, 900, 1500})
+    {
+        INFO("suspended for " << length << " ms");
+        auto scenario = at_agent_1();
+        scenario.kept = true;
+        scenario.jobs = {{seconds{1}, 0, 1, seconds{4}}};
+        scenario.faults.insert(
+            scenario.faults.end(),
+            {{milliseconds{950}, "agent_still", 0, 1, milliseconds{450}},
+             {milliseconds{1200}, "server_again", 0, 1, milliseconds{50}},
+             {milliseconds{1420}, "machine_suspended", 0, 1,
+              milliseconds{length}}});
+        const auto got = play(scenario);
+        CHECK(got.broken == 0);
+        REQUIRE(got.situations.at("suspended") == seeds);
+    }
+}
--- a/tests/schedule/durable_world.cpp
+++ b/tests/schedule/durable_world.cpp
@@ -424,6 +424,17 @@
             at += next + milliseconds{2} + time_.some(milliseconds{40});
         }
     }
+    else if (kind == "machine_suspended")
+    {
+        ++outcome_.situations["suspended"];
+        site.agent->node().suspend(length);
+        site.server->node().suspend(length);
+    }
+    else if (kind == "entry_suspended")
+    {
+        ++outcome_.situations["suspended"];
+        entries_[entry].entry->node().suspend(length);
+    }
     else if (kind == "server_still")
         site.server->node().stand_still(length);
     else if (kind == "answers_shut" || kind == "orders_shut")
--- a/tests/schedule/simulated_node.hpp
+++ b/tests/schedule/simulated_node.hpp
@@ -142,6 +142,17 @@
                     });
     }
 
+    /// The machine under it is suspended: as if it stood still, and its steady
+    /// clock does so as well, so that its timers come later.
+    /// @param length By the simulation's clock.
+    void suspend(duration length)
+    {
+        if (!up_)
+            return;
+        clock_.suspend(length);
+        stand_still(length);
+    }
+
     /// @param wait By its own clock.
     /// @param work Of its process.
     void later(duration wait, std::function<void()> work)
@@ -150,7 +161,14 @@
         const auto length = static_cast<double>(wait.count()) / clock_.rate();
         const auto rounded = static_cast<duration::rep>(length);
         schedule(wait.count() == 0 ? duration{0} : duration{rounded + 2000},
-                 false, std::move(work));
+                 false,
+                 [this, due = clock_.running() + wait, work = std::move(work)]
+                 {
+                     const auto left = due - clock_.running();
+                     if (left > duration{0})
+                         return later(left, work);
+                     act(work);
+                 });
     }
 
     /// @param way Of a message to it.
@@ -185,11 +203,20 @@
                    duration{static_cast<duration::rep>(passed * rate_)};
         }
 
+        instant running() const override { return now() - suspended_; }
+
         double rate() const { return rate_; }
 
+        void suspend(duration length)
+        {
+            suspended_ += duration{static_cast<duration::rep>(
+                static_cast<double>(length.count()) * rate_)};
+        }
+
     private:
         const clock_source& from_; ///< That of the simulation.
         double rate_;              ///< Against it.
+        duration suspended_{};     ///< So far, by this clock.
     };
 
     struct held_work
--- a/tests/schedule/simulated_server.cpp
+++ b/tests/schedule/simulated_server.cpp
@@ -37,9 +37,10 @@
     if (!same_id || id_.empty())
         id_ = "s" + std::to_string(number_) + "-" + std::to_string(lives_);
     born_ms_ = day_ms + static_cast<std::int64_t>(lives_);
-    origin_ = node_.clock().now() - milliseconds{1000 + time_.random() % 5000};
+    const auto now = node_.clock().running();
+    origin_ = now - milliseconds{1000 + time_.random() % 5000};
     if (clock_falls_back)
-        origin_ = node_.clock().now() - first_clock / lives_;
+        origin_ = now - first_clock / lives_;
     token_ = ends_ = noted_ = 0;
     until_ms_ = 0;
     running_.clear();
@@ -86,7 +87,7 @@
 
 std::int64_t simulated_server::now_ms() const
 {
-    return std::chrono::duration_cast<milliseconds>(node_.clock().now() -
+    return std::chrono::duration_cast<milliseconds>(node_.clock().running() -
                                                     origin_)
         .count();
 }
@@ -130,8 +131,11 @@
                     microseconds{1500},
                 [this, asked = until_ms_, life = lives_]
                 {
-                    if (life == lives_ && asked == until_ms_ && node_.up())
-                        lapse();
+                    if (life != lives_ || asked != until_ms_ || !node_.up())
+                        return;
+                    if (now_ms() < until_ms_)
+                        return await_lapse(); // It was suspended meanwhile.
+                    lapse();
                 });
 }
 
--- a/tests/unit/http/client_links_tests.cpp
+++ b/tests/unit/http/client_links_tests.cpp
@@ -1,77 +1,23 @@
 // What is said to one process over its connection must not reach the next one
 // at the same address: a connection ends with its process.
-#include "glenhollow/http/client.hpp"
-#include "glenhollow/http/server.hpp"
-
-#include <catch2/catch.hpp>
-
-#include <memory>
-#include <string>
-#include <vector>
+#include "unit/http/returning_server.hpp"
 
 using namespace glenhollow;
-namespace asio = boost::asio;
 
 namespace
 {
 
-/// A server that can end and run again at its port.
-struct returning_server
+/// @return The connection that a call took.
+std::uint64_t call(returning_server& world, http_client& client)
 {
-    void begin()
-    {
-        http_server_settings settings;
-        settings.port = port;
-        server = std::move(
-            http_server::create(
-                io, settings,
-                [this](const http_request& request, const http_responder& done)
-                {
-                    bodies.push_back(request.body);
-                    done({200, "text/plain", {}, "done"});
-                })
-                .value());
-        port = server->port();
-    }
-
-    void end()
-    {
-        server->stop_accepting();
-        server->close_idle();
-        io.poll();
-        server.reset();
-        io.poll();
-        io.restart(); // It stops where nothing is left to do.
-    }
-
-    /// @return The connection that the call took.
-    std::uint64_t call(http_client& client)
-    {
-        std::uint64_t link = 0;
-        bool over = false;
-        http_request request;
-        request.method = "POST";
-        request.body_on = [](std::uint64_t taken)
-        { return "on " + std::to_string(taken); };
-        client.send(std::move(request),
-                    [&](const http_result& got)
-                    {
-                        CHECK(got.answered);
-                        link = got.link;
-                        over = true;
-                    });
-        constexpr int most_steps = 200;
-        for (int step = 0; step < most_steps && !over; ++step)
-            io.run_one_for(milliseconds{20});
-        REQUIRE(over);
-        return link;
-    }
-
-    asio::io_context io;
-    std::uint16_t port = 0;
-    std::vector<std::string> bodies;
-    std::unique_ptr<http_server> server;
-};
+    http_request request;
+    request.method = "POST";
+    request.body_on = [](std::uint64_t taken)
+    { return "on " + std::to_string(taken); };
+    const auto got = world.send(client, std::move(request));
+    CHECK(got.answered);
+    return got.link;
+}
 
 } // namespace
 
@@ -81,15 +27,13 @@
 {
     returning_server world;
     world.begin();
-    http_client_settings settings;
-    settings.server = {"127.0.0.1", world.port};
-    auto client = http_client::create(world.io, settings);
-    const auto first = world.call(*client);
+    auto client = world.client();
+    const auto first = call(world, *client);
     CHECK(first != 0);
-    CHECK(world.call(*client) == first);
+    CHECK(call(world, *client) == first);
     world.end();
     world.begin();
-    const auto next = world.call(*client);
+    const auto next = call(world, *client);
     CHECK(next != first);
     CHECK(world.bodies ==
           std::vector<std::string>{"on " + std::to_string(first),
