A replaced session is told of no runs by no answer

What callers saw: a kept task that was done ran again.

Cause: an entry's process ended twice within some hundred ms; the first one's call to attach came last and replaced the live one's session at an agent. When the live process asked for the part's runs, the agent answered with an empty message, and that says that nothing runs or has ended there. Evidence: the order of events has no account of that agent, and the owner begins the task 1.1 s after its claim; over real links the first account after the replacement had 0 runs where one runs.

Why it holds: the question fails now, so that there is no account; the owner waits as for an agent that it can't reach, and attaches again after the silence.

--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -23,15 +23,16 @@
     kj::Promise<void> adopt(AdoptContext context) override
     {
         return service_.once_known().then([this, context]() mutable
-                                          { tell_account(context); });
+                                          { return tell_account(context); });
     }
 
-    void tell_account(AdoptContext& context)
+    kj::Promise<void> tell_account(AdoptContext& context)
     {
         const auto part = from_wire(context.getParams().getPart());
         auto* session = service_.find(number_);
+        // An empty answer would say that nothing runs here.
         if (session == nullptr)
-            return; // Another session has replaced this one.
+            return KJ_EXCEPTION(FAILED, "another session has replaced this");
         const lease_id lease =
             part.part == memory_part ? session->memory : part.part;
         const auto known = service_.manager_.adopt(lease, part.epoch);
@@ -52,6 +53,7 @@
                     {"server_seen", service_.manager_.informed()}});
         if (!known.declined)
             service_.adopted(number_, lease);
+        return kj::READY_NOW;
     }
 
     kj::Promise<void> order(OrderContext context) override
--- a/tests/schedule/durable_schedule_tests.cpp
+++ b/tests/schedule/durable_schedule_tests.cpp
@@ -184,6 +184,17 @@
         CHECK(play(seed, true, {"hall_cut"}).broken.empty());
 }
 
+// An entry's process ended and began again within 40 ms, and again; the first
+// one's call to attach, slow on its way, reached an agent after that of the
+// next. The session of the live process was replaced, and its question for the
+// part's runs was answered by an empty account: a task that was done there ran
+// again. Evidence: the order of events has no line of that agent telling that
+// entry of the part; its owner begins the task 1.1 s after its claim, not 3.4.
+TEST_CASE("who has no session is told of no runs", "[replaced_session]")
+{
+    CHECK(play(103337, true, {}).broken.empty());
+}
+
 TEST_CASE("a schedule of jobs is the same for the same seed")
 {
     REQUIRE(play(42, false, {}, true).lines == play(42, false, {}, true).lines);
--- a/tests/schedule/simulated_agent.cpp
+++ b/tests/schedule/simulated_agent.cpp
@@ -141,7 +141,7 @@
 {
     auto* by = find(number);
     if (by == nullptr)
-        return told({}); // Another session has replaced it.
+        return; // Another session has replaced it: it is told nothing.
     const lease_id lease = part.part == memory_part ? by->memory : part.part;
     const auto known = manager_->adopt(lease, part.epoch);
     time_.note(
--- a/tests/unit/durable/unseen_runs_tests.cpp
+++ b/tests/unit/durable/unseen_runs_tests.cpp
@@ -191,3 +191,41 @@
     CHECK(told_at - begun_at > longest_hold);
     CHECK(world.entry.accounts.at(0).runs.empty());
 }
+
+// The process of an entry before the present one may be heard last: its call to
+// attach was on its way for longer. It takes the session's place, and the live
+// one, which then asked for the part's runs, was answered by an account without
+// any, and had them all begin elsewhere (see the schedule of seed 103337).
+TEST_CASE("an entry whose session another one has replaced is told nothing",
+          "[unseen_runs]")
+{
+    begun_agent_world world;
+    asking_entry ended;
+    auto of_ended = of_entry();
+    of_ended.incarnation = 2;
+    agent_sessions late(world.loop.io(), process_clock(), ended, of_ended);
+    bool replaced = false;
+    int steps = 0;
+    constexpr int most_steps = 2500; // Some 5 s; its silence ends after 1.2.
+    world.play(
+        [&]
+        {
+            world.time.advance(milliseconds{1});
+            if (world.told() && !replaced && !ended.attached)
+                late.add("agent", {"127.0.0.1", world.links().port()});
+            if (ended.attached && !std::exchange(replaced, true))
+            {
+                world.entry.accounts.clear();
+                world.sessions.adopt({0, 2});
+            }
+            const bool over = replaced && world.entry.accounts.contains(0);
+            if (over || ++steps == most_steps)
+                late.close();
+            return !over && steps < most_steps;
+        });
+    REQUIRE(replaced);
+    REQUIRE(world.entry.accounts.contains(0));
+    const auto& runs = world.entry.accounts.at(0).runs;
+    REQUIRE(runs.size() == 1);
+    CHECK(runs.front().run == world.kept);
+}
