An owner goes through the other entries only where their word counts

Read again: each report of each agent asked for the word of all entries, for each part, also while the store's own word was fresh and decided alone. The store's word is looked at first; the answer is the same. An accessor without a caller is gone. The simulated client turns away orders for another life in one place, where start and stop had a copy each.

--- a/src/glenhollow/durable/claim_evidence.hpp
+++ b/src/glenhollow/durable/claim_evidence.hpp
@@ -42,9 +42,6 @@
     /// write it; it does.
     void store_confirmed(instant asked) { store_ = std::max(store_, asked); }
 
-    /// @return When the store was asked that confirmed it last.
-    instant store_word() const { return store_; }
-
     /// @param now The time.
     /// @return Whether the store is to be asked; if so, it counts as asked.
     bool ask_store(instant now)
@@ -80,7 +77,8 @@
 
 private:
     claim_evidence_settings settings_; ///< Limits.
-    instant store_{};                  ///< See store_word.
+    instant store_{};                  ///< When the store was asked that
+                                       ///< confirmed it last.
     instant asked_{};                  ///< Last question to the store.
 };
 
--- a/src/glenhollow/durable/part_ownership.cpp
+++ b/src/glenhollow/durable/part_ownership.cpp
@@ -79,9 +79,13 @@
 
 bool part_ownership::stands(part_epoch own, const seat& at) const
 {
+    const auto now = around_.clock.now();
+    // Each report of each agent asks: the entries are gone through only where
+    // their word counts.
+    if (!at.evidence.store_silent(now))
+        return true;
     return at.evidence.stands(
-        around_.clock.now(),
-        peers_.oldest_word(own, at.evidence.heard_since()));
+        now, peers_.oldest_word(own, at.evidence.heard_since()));
 }
 
 void part_ownership::for_each(
--- a/tests/schedule/simulated_server.cpp
+++ b/tests/schedule/simulated_server.cpp
@@ -361,21 +361,23 @@
 
 /// A connection leads to the life that was there when it was made, and ends
 /// with it; its first call has told which that is.
-bool simulated_server_port::is_other(const order_context& context) const
+/// @return Whether an order is for another life and comes back unsent.
+bool simulated_server_port::turns_away(const order_context& context,
+                                       const order_handler& done)
 {
-    return server_.node().up() && context.born_ms != 0 &&
-           context.born_ms != server_.born_ms();
+    const bool other = server_.node().up() && context.born_ms != 0 &&
+                       context.born_ms != server_.born_ms();
+    if (other)
+        caller_.deliver(way, [done] { done({order_outcome::wrong_life, 0}); });
+    return other;
 }
 
 void simulated_server_port::start(const run_start& start,
                                   const order_context& context,
                                   order_handler done)
 {
-    if (is_other(context))
-        return caller_.deliver(way,
-                               [done] {
-                                   done({order_outcome::wrong_life, 0});
-                               });
+    if (turns_away(context, done))
+        return;
     call<order_result>(
         order_timeout, std::move(done),
         [&server = server_, start, context](const auto& answer)
@@ -387,11 +389,8 @@
                                  const order_context& context,
                                  order_handler done)
 {
-    if (is_other(context))
-        return caller_.deliver(way,
-                               [done] {
-                                   done({order_outcome::wrong_life, 0});
-                               });
+    if (turns_away(context, done))
+        return;
     call<order_result>(
         order_timeout, std::move(done),
         [&server = server_, run, context](const auto& answer)
--- a/tests/schedule/simulated_server.hpp
+++ b/tests/schedule/simulated_server.hpp
@@ -159,7 +159,7 @@
     void hold(const hold_request& request, hold_handler done) override;
 
 private:
-    bool is_other(const order_context& context) const;
+    bool turns_away(const order_context& context, const order_handler& done);
     template <class Result, class Call>
     void call(duration timeout, std::function<void(Result)> done, Call serve,
               Result unreached);
