Views of live entries are passed by pointer, not copied

Cause: an entry copied the views of all live entries, with their lists and names, six to eight times in each tick of 50 ms; at 183 peers some 8,000 allocations a tick. Change: entry_peers::live() gives pointers. No change of behaviour; the tests of ownership and routing stand as they are.

--- a/src/glenhollow/durable/durable_placement.cpp
+++ b/src/glenhollow/durable/durable_placement.cpp
@@ -64,8 +64,8 @@
     if (!handover_.active())
     {
         add(own_view());
-        for (const auto& view : peers_.live())
-            add(view);
+        for (const auto* view : peers_.live())
+            add(*view);
     }
     groups_.choose(candidates);
     groups_.flush();
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -589,8 +589,8 @@
                 total += count.pending;
         }
     };
-    for (const auto& view : peers_.live())
-        add(view);
+    for (const auto* view : peers_.live())
+        add(*view);
     add(const_cast<durable_service*>(this)->own_view());
     return total;
 }
--- a/src/glenhollow/durable/entry_peers.cpp
+++ b/src/glenhollow/durable/entry_peers.cpp
@@ -385,13 +385,14 @@
         exchange(*one);
 }
 
-std::vector<entry_view> entry_peers::live() const
+std::vector<const entry_view*> entry_peers::live() const
 {
-    std::vector<entry_view> views;
+    std::vector<const entry_view*> views;
+    views.reserve(peers_.size());
     for (const auto& [name, one] : peers_)
     {
         if (is_live(*one))
-            views.push_back(one->view);
+            views.push_back(&one->view);
     }
     return views;
 }
--- a/src/glenhollow/durable/entry_peers.hpp
+++ b/src/glenhollow/durable/entry_peers.hpp
@@ -149,8 +149,9 @@
     /// Tells all others at once.
     void push();
 
-    /// @return Views of the entries that are live.
-    std::vector<entry_view> live() const;
+    /// @return Views of the entries that are live, good until the next call
+    /// that is not const. Not copied: each tick goes through all of them.
+    std::vector<const entry_view*> live() const;
 
     /// @param name An entry.
     /// @return Its view, or null where it is not live.
--- a/src/glenhollow/durable/job_router.cpp
+++ b/src/glenhollow/durable/job_router.cpp
@@ -31,13 +31,13 @@
 {
     std::optional<std::string> owner;
     std::uint32_t epoch = 0;
-    for (const auto& view : peers_.live())
+    for (const auto* view : peers_.live())
     {
-        for (const auto& one : view.parts)
+        for (const auto& one : view->parts)
         {
             if (one.part != part || one.epoch < epoch)
                 continue;
-            owner = view.name;
+            owner = view->name;
             epoch = one.epoch;
         }
     }
--- a/src/glenhollow/durable/part_ownership.cpp
+++ b/src/glenhollow/durable/part_ownership.cpp
@@ -102,8 +102,8 @@
 {
     const auto views = peers_.live();
     return std::any_of(views.begin(), views.end(),
-                       [part](const entry_view& view)
-                       { return view.owns(part); });
+                       [part](const entry_view* view)
+                       { return view->owns(part); });
 }
 
 /// The journal turns the older claim's writes down; but while the store is
@@ -113,8 +113,8 @@
 {
     const auto views = peers_.live();
     return std::any_of(views.begin(), views.end(),
-                       [own](const entry_view& view)
-                       { return view.tells_later(own); });
+                       [own](const entry_view* view)
+                       { return view->tells_later(own); });
 }
 
 bool part_ownership::may_be_superseded(part_number part) const
@@ -130,10 +130,10 @@
 std::vector<std::string> part_ownership::candidates() const
 {
     std::vector<std::string> names{settings_.entry};
-    for (const auto& view : peers_.live())
+    for (const auto* view : peers_.live())
     {
-        if (view.store_reachable && !view.stopping)
-            names.push_back(view.name);
+        if (view->store_reachable && !view->stopping)
+            names.push_back(view->name);
     }
     return names;
 }
@@ -146,10 +146,10 @@
     };
     const auto mine = key(owned().size(), settings_.entry);
     std::size_t before = 0;
-    for (const auto& view : peers_.live())
+    for (const auto* view : peers_.live())
     {
-        if (view.store_reachable && !view.stopping &&
-            key(view.parts.size(), view.name) < mine)
+        if (view->store_reachable && !view->stopping &&
+            key(view->parts.size(), view->name) < mine)
             ++before;
     }
     return before;
@@ -171,8 +171,9 @@
     if (now - std::exchange(ticked_, now) > stood_still)
         woke_ = now;
     bool others_reach = false;
-    for (const auto& view : peers_.live())
-        others_reach = others_reach || (view.store_reachable && !view.stopping);
+    for (const auto* view : peers_.live())
+        others_reach =
+            others_reach || (view->store_reachable && !view->stopping);
     for (auto& [part, at] : seats_)
     {
         if (at.jobs && is_superseded(at.jobs->epoch()))
@@ -456,10 +457,10 @@
         now - changed_ < settings_.balance_after)
         return;
     std::size_t least = settings_.parts;
-    for (const auto& view : peers_.live())
+    for (const auto* view : peers_.live())
     {
-        if (view.store_reachable && !view.stopping)
-            least = std::min(least, view.parts.size());
+        if (view->store_reachable && !view->stopping)
+            least = std::min(least, view->parts.size());
     }
     if (owned().size() < least + 2)
         return;
