Configurations and evacuations spread by gossip, not from each to all

Cause: each entry that took a configuration exchanged views with every other one at once. Change: it tells four others, drawn anew each time; each of them does the same when the fact is new to it, and the regular exchanges reach the few that no draw met (overlay/gossip_fanout).

The change of a part's owner still goes to all.

--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -48,6 +48,13 @@
     return settings;
 }
 
+entry_peers_settings peers_of(const durable_service_settings& of)
+{
+    auto settings = of.peers;
+    settings.gossip.random = of.incarnation;
+    return settings;
+}
+
 placement_groups_settings groups_of(const durable_service_settings& of)
 {
     auto settings = of.placement;
@@ -93,7 +100,7 @@
       queues_(around_configuration(std::move(parse)),
               configuration_of(settings)),
       agents_(io, clock, *this, named(settings.agents, settings)),
-      peers_(io, clock, *this, settings.peers),
+      peers_(io, clock, *this, peers_of(settings)),
       dispatcher_(clock, agents_, *this, dispatch_of(settings)),
       reports_(settings.reports), placer_reports_(settings.placer_reports),
       placements_(clock, dispatcher_, [this] { schedule_dispatch(); }),
@@ -375,7 +382,7 @@
                {{"halls", halls},
                 {"version", evacuated_.version()},
                 {"source", source}});
-    peers_.push();
+    peers_.gossip();
 }
 
 hall_evacuation durable_service::evacuation_of(const std::string& agent) const
@@ -403,7 +410,7 @@
                                          done(std::move(copy));
                                  });
         },
-        [this] { peers_.push(); }};
+        [this] { peers_.gossip(); }};
 }
 
 // Agents.
--- a/src/glenhollow/durable/entry_peers.cpp
+++ b/src/glenhollow/durable/entry_peers.cpp
@@ -219,7 +219,7 @@
                          entry_peer_handler& handler,
                          const entry_peers_settings& settings)
     : io_(io), clock_(clock), handler_(handler), settings_(settings),
-      pacing_(settings.exchange)
+      pacing_(settings.exchange), fanout_(settings.gossip)
 {
 }
 
@@ -385,6 +385,18 @@
         exchange(*one);
 }
 
+void entry_peers::gossip()
+{
+    std::vector<peer*> connected;
+    for (auto& [name, one] : peers_)
+    {
+        if (one->remote != nullptr)
+            connected.push_back(one.get());
+    }
+    for (auto* one : fanout_.draw(connected))
+        exchange(*one);
+}
+
 std::vector<const entry_view*> entry_peers::live() const
 {
     std::vector<const entry_view*> views;
--- a/src/glenhollow/durable/entry_peers.hpp
+++ b/src/glenhollow/durable/entry_peers.hpp
@@ -6,6 +6,7 @@
 #include "glenhollow/durable/exchange_pacing.hpp"
 #include "glenhollow/durable/job_coordinator.hpp"
 #include "glenhollow/durable/memory_cancellation.hpp"
+#include "glenhollow/overlay/gossip_fanout.hpp"
 #include "glenhollow/rpc/rpc_link.hpp"
 #include "glenhollow/wire/glenhollow.capnp.h"
 
@@ -112,6 +113,7 @@
 struct entry_peers_settings
 {
     exchange_pacing_settings exchange;       ///< How often views go round.
+    gossip_fanout_settings gossip;           ///< Of facts that all must learn.
     duration down_grace = milliseconds{150}; ///< A lost link may come back.
     rpc_link_settings link;                  ///< Limits of the connections.
 };
@@ -149,6 +151,10 @@
     /// Tells all others at once.
     void push();
 
+    /// Tells a few others at once a fact that each of them passes on when it
+    /// is new there.
+    void gossip();
+
     /// @return Views of the entries that are live, good until the next call
     /// that is not const. Not copied: each tick goes through all of them.
     std::vector<const entry_view*> live() const;
@@ -233,6 +239,7 @@
     entry_peer_handler& handler_;                        ///< Answers.
     entry_peers_settings settings_;                      ///< Limits.
     exchange_pacing pacing_;                             ///< Of exchanges.
+    gossip_fanout fanout_;                               ///< Of gossip.
     std::map<std::string, std::unique_ptr<peer>> peers_; ///< By name.
     std::string own_name_;                               ///< Of this entry.
 };
