An entry has sessions with a sample of the agents while hosts run its jobs

Cause: sessions, idle reports and checks grew with entries times agents: at 184 and 823, 151,000 sessions, 295 checks a second from an entry and 460 at a host (worked out from the code). Change: an entry draws 32 groups of agents by its own name, more where entries are few, hands jobs to their hosts and keeps sessions with their agents alone. overlay/session_scope decides when every agent is needed: for journalled jobs, for tasks that find no place in the sample, and where entries place by themselves. Deployments of up to 32 groups are sampled whole.

Tests: session_scope_tests (when sessions begin and end; at 125, 500, 2,000 and 4,000 VMs at most 300 sessions of an entry and 100 of an agent; an agent more changes at most a tenth of the sessions on average).

--- a/programs/durable_entry_main.cpp
+++ b/programs/durable_entry_main.cpp
@@ -53,6 +53,14 @@
                 "automatic where no entry has the power to place for all");
     line.number<std::size_t>("host-agents", settings.handover.group_agents, 1,
                              10000, "agents", "of one host, about");
+    line.number<std::size_t>("sampled-groups", settings.handover.sampled_groups,
+                             1, 10000, "groups",
+                             "to whose hosts this entry hands jobs");
+    line.number<std::size_t>("group-entries",
+                             settings.handover.entries_per_group, 1, 10000,
+                             "entries",
+                             "that hand jobs to a group, at least and on "
+                             "average");
     line.number<std::uint32_t>("strong-entry", settings.handover.strong, 1,
                                1'000'000, "millicores",
                                "an entry that may use as much for each agent "
--- a/src/glenhollow/durable/agent_sessions.cpp
+++ b/src/glenhollow/durable/agent_sessions.cpp
@@ -86,7 +86,7 @@
 void agent_sessions::add(const std::string& agent, const host_port& where)
 {
     auto& one = sessions_[agent];
-    if (one && one->link->where().to_string() == where.to_string())
+    if (one && one->link->where() == where)
         return;
     if (one && one->attached)
         listener_.agent_detached(agent);
@@ -293,14 +293,6 @@
         link->drop();
 }
 
-std::vector<agent_address> agent_sessions::addresses() const
-{
-    std::vector<agent_address> all;
-    for (const auto& [agent, one] : sessions_)
-        all.push_back({agent, one->link->where()});
-    return all;
-}
-
 bool agent_sessions::is_attached(const std::string& agent) const
 {
     const auto known = sessions_.find(agent);
@@ -325,12 +317,4 @@
     return false;
 }
 
-std::vector<std::string> agent_sessions::names() const
-{
-    std::vector<std::string> all;
-    for (const auto& [agent, one] : sessions_)
-        all.push_back(agent);
-    return all;
-}
-
 } // namespace glenhollow
--- a/src/glenhollow/durable/agent_sessions.hpp
+++ b/src/glenhollow/durable/agent_sessions.hpp
@@ -23,11 +23,7 @@
     std::string name; ///< Of the agent.
     host_port where;  ///< For links.
 
-    bool operator==(const agent_address& other) const
-    {
-        return name == other.name &&
-               where.to_string() == other.where.to_string();
-    }
+    bool operator==(const agent_address&) const = default;
 };
 
 /// Told what agents say.
@@ -155,12 +151,6 @@
     /// outlast it.
     void close();
 
-    /// @return Names of all agents.
-    std::vector<std::string> names() const;
-
-    /// @return All agents with their addresses.
-    std::vector<agent_address> addresses() const;
-
     /// @param agent Its name.
     /// @return Whether its session is open.
     bool is_attached(const std::string& agent) const;
--- /dev/null
+++ b/src/glenhollow/durable/durable_members.cpp
@@ -0,0 +1,80 @@
+// The processes of the deployment as an entry knows them, and with which agents
+// it has sessions.
+#include "glenhollow/durable/durable_service.hpp"
+#include "glenhollow/telemetry/log.hpp"
+
+#include <utility>
+
+namespace glenhollow
+{
+
+void durable_service::take_member(const stored_row& row)
+{
+    if (row.key.key == settings_.entry)
+        return;
+    if (row.gone)
+    {
+        members_known_.erase(row.key.key);
+        directory_.erase(row.key.key);
+        entries_.erase(row.key.key);
+        return;
+    }
+    const auto member = decode_member(row);
+    if (!member)
+    {
+        log_change(log_level::error, "member_unreadable",
+                   {{"cause", member.error().text}});
+        return;
+    }
+    const auto& known = member.value();
+    const auto where = known.where.to_string();
+    // A row that is told again may hold another memo for its next process.
+    if (std::exchange(members_known_[known.name], where) != where)
+        log_change(log_level::info, "member_known",
+                   {{"name", known.name},
+                    {"role", to_name(known.role)},
+                    {"where", where},
+                    {"version", row.version}});
+    if (known.role == member_role::agent)
+        return directory_.set(known.name, known.where);
+    entries_.insert(known.name);
+    strongest_ = std::max(strongest_, known.power);
+    peers_.add(known.name, known.where);
+}
+
+/// Any agent may run a task of a journalled job, or be the only one with the
+/// label that it needs.
+session_demand durable_service::session_needs() const
+{
+    session_demand needs;
+    needs.sample = handover_.sampled_agents();
+    needs.sample_revision = handover_.sample_revision();
+    needs.every_agent = ownership_.open_jobs() > 0;
+    needs.tasks_wait = dispatcher_.waiting() > 0;
+    needs.in_use = [this](const std::string& agent)
+    { return memory_.open_jobs() > 0 || handover_.follows(agent); };
+    return needs;
+}
+
+void durable_service::choose_sessions()
+{
+    const auto changes =
+        scope_.update(directory_, session_needs(), clock_.now());
+    for (const auto& agent : changes.open)
+        agents_.add(agent, directory_.agents().at(agent));
+    for (const auto& agent : changes.end)
+    {
+        agents_.remove(agent);
+        dispatcher_.forget(agent);
+    }
+}
+
+std::set<std::string> durable_service::possible_agents() const
+{
+    std::set<std::string> names;
+    for (const auto& [name, where] : directory_.agents())
+        names.insert(name);
+    return names;
+}
+
+} // namespace glenhollow
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -156,7 +156,11 @@
 
 job_handover::surroundings durable_service::handover_surroundings()
 {
-    return {clock_, wall_milliseconds, agents_,
+    return {settings_.entry,
+            clock_,
+            wall_milliseconds,
+            directory_,
+            agents_,
             [later = delay()](std::function<void()> work)
             { later(duration{0}, std::move(work)); },
             [this](const std::string& agent, const std::string& label)
@@ -201,7 +205,9 @@
     memory_.tick();
     cancellation_.tick();
     dispatcher_.set_owners(peers_.live().size() + 1);
-    handover_.tick(std::max(strongest_, power_of(settings_)));
+    handover_.tick(
+        {entries_.size() + 1, std::max(strongest_, power_of(settings_))});
+    choose_sessions();
     choose_placer();
     schedule_dispatch();
     delay()(tick_interval, [this] { tick(); });
@@ -321,39 +327,7 @@
     return !stopping_ && queues_.catalog().version != 0;
 }
 
-// Members and configuration.
-
-void durable_service::take_member(const stored_row& row)
-{
-    if (row.key.key == settings_.entry)
-        return;
-    if (row.gone)
-    {
-        members_known_.erase(row.key.key);
-        agents_.remove(row.key.key);
-        return;
-    }
-    const auto member = decode_member(row);
-    if (!member)
-    {
-        log_change(log_level::error, "member_unreadable",
-                   {{"cause", member.error().text}});
-        return;
-    }
-    const auto& known = member.value();
-    const auto where = known.where.to_string();
-    // A row that is told again may hold another memo for its next process.
-    if (std::exchange(members_known_[known.name], where) != where)
-        log_change(log_level::info, "member_known",
-                   {{"name", known.name},
-                    {"role", to_name(known.role)},
-                    {"where", where},
-                    {"version", row.version}});
-    if (known.role == member_role::agent)
-        return agents_.add(known.name, known.where);
-    strongest_ = std::max(strongest_, known.power);
-    peers_.add(known.name, known.where);
-}
+// Configuration.
 
 void durable_service::take_operator_row(const stored_row& row)
 {
@@ -552,12 +526,6 @@
     peers_.push();
 }
 
-std::set<std::string> durable_service::possible_agents() const
-{
-    const auto names = agents_.names();
-    return {names.begin(), names.end()};
-}
-
 std::optional<run_order> durable_service::assign(const ready_task& task,
                                                  const std::string& agent)
 {
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -14,6 +14,8 @@
 #include "glenhollow/durable/report_budget.hpp"
 #include "glenhollow/hosting/job_handover.hpp"
 #include "glenhollow/journal/watched_store.hpp"
+#include "glenhollow/overlay/agent_directory.hpp"
+#include "glenhollow/overlay/session_scope.hpp"
 #include "glenhollow/telemetry/metrics.hpp"
 #include "glenhollow/telemetry/stall_watch.hpp"
 
@@ -21,6 +23,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace glenhollow
@@ -188,6 +191,8 @@
     job_handover::surroundings handover_surroundings();
     void submit_here(const job_definition& job, job_reply_handler done);
     bool hands_all_over() const;
+    session_demand session_needs() const;
+    void choose_sessions();
     void take_member(const stored_row& row);
     void take_operator_row(const stored_row& row);
     void operator_rows_current(std::uint64_t version);
@@ -215,7 +220,9 @@
     watched_store store_;               ///< Where rows lie.
     configuration_keeper queues_;       ///< The newest configuration.
     evacuated_halls evacuated_;         ///< Halls that get no new work.
-    agent_sessions agents_;             ///< Links to agents.
+    agent_directory directory_;         ///< All agents.
+    session_scope scope_;               ///< Those that need a session.
+    agent_sessions agents_;             ///< Links to these.
     entry_peers peers_;                 ///< Links to entries.
     dispatcher dispatcher_;             ///< Places tasks.
     report_budget reports_;             ///< That this machine can bear.
@@ -253,6 +260,7 @@
     bool refusing_ = false;       ///< Takes no more jobs in memory.
     std::uint32_t strongest_ = 0; ///< Thousandths of a core that the most
                                   ///< powerful entry known by its row may use.
+    std::set<std::string> entries_; ///< Other entries, by their rows.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/part_ownership.cpp
+++ b/src/glenhollow/durable/part_ownership.cpp
@@ -77,6 +77,14 @@
     return all;
 }
 
+std::size_t part_ownership::open_jobs() const
+{
+    std::size_t count = 0;
+    for (const auto& [part, at] : seats_)
+        count += at.jobs ? at.jobs->open_jobs() : 0;
+    return count;
+}
+
 bool part_ownership::stands(part_epoch own, const seat& at) const
 {
     const auto now = around_.clock.now();
--- a/src/glenhollow/durable/part_ownership.hpp
+++ b/src/glenhollow/durable/part_ownership.hpp
@@ -100,6 +100,9 @@
     /// @return Parts that were given away lately.
     const std::vector<part_epoch>& released() const { return released_; }
 
+    /// @return Jobs of this entry's parts that have not ended.
+    std::size_t open_jobs() const;
+
     /// @return Counters.
     const part_ownership_stats& stats() const { return stats_; }
 
--- a/src/glenhollow/hosting/host_groups.cpp
+++ b/src/glenhollow/hosting/host_groups.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace glenhollow
@@ -15,18 +16,26 @@
 /// Seeds that keep the orders of agents, hosts and jobs apart.
 constexpr std::uint64_t agent_order = 1;
 constexpr std::uint64_t host_order = 2;
+constexpr std::uint64_t sample_order = 3;
 
 std::uint64_t score(const std::string& name, std::uint64_t seed)
 {
     return XXH3_64bits_withSeed(name.data(), name.size(), seed);
 }
 
+constexpr double exact_steps = 9007199254740992.0; // 2^53: exact in a double.
+
+/// @return A whole number below exact_steps.
+double exact(std::uint64_t bits)
+{
+    constexpr unsigned unused_bits = 11;
+    return static_cast<double>(bits >> unused_bits);
+}
+
 /// @return A number in (0, 1] that belongs to a job and a host.
 double draw(job_id job, const std::string& host)
 {
-    constexpr double steps = 9007199254740992.0; // 2^53: exact in a double.
-    constexpr unsigned unused_bits = 11;
-    return (static_cast<double>(score(host, job) >> unused_bits) + 1) / steps;
+    return (exact(score(host, job)) + 1) / exact_steps;
 }
 
 } // namespace
@@ -50,6 +59,27 @@
     return groups;
 }
 
+std::vector<std::size_t> sample_groups(const std::string& entry,
+                                       std::size_t groups, std::size_t wanted)
+{
+    std::set<std::size_t> drawn;
+    if (wanted >= groups)
+    {
+        for (std::size_t i = 0; i < groups; ++i)
+            drawn.insert(i);
+        return {drawn.begin(), drawn.end()};
+    }
+    for (std::uint64_t i = 0; drawn.size() < wanted; ++i)
+    {
+        const auto bits =
+            XXH3_64bits_withSeed(&i, sizeof i, score(entry, sample_order));
+        const double place = exact(bits) / exact_steps;
+        drawn.insert(
+            static_cast<std::size_t>(place * static_cast<double>(groups)));
+    }
+    return {drawn.begin(), drawn.end()};
+}
+
 std::string choose_host(const host_group& group,
                         const std::function<bool(const std::string&)>& able)
 {
--- a/src/glenhollow/hosting/host_groups.hpp
+++ b/src/glenhollow/hosting/host_groups.hpp
@@ -28,6 +28,17 @@
 std::vector<host_group> divide_agents(std::vector<std::string> agents,
                                       std::size_t size);
 
+/// Draws the groups that one entry hands jobs to. Each entry draws by its own
+/// name, so that all groups get about as many entries, and a draw names a
+/// place in the order of the agents, so that one agent more or less changes
+/// few of the drawn agents.
+/// @param entry Name of the entry.
+/// @param groups How many there are.
+/// @param wanted How many to draw.
+/// @return Their indices, rising; all groups where no more are there.
+std::vector<std::size_t> sample_groups(const std::string& entry,
+                                       std::size_t groups, std::size_t wanted);
+
 /// Chooses the agent whose process hosts the jobs of its group: the first in an
 /// order of the group's own, so that all entries choose alike from like views.
 /// Where views differ two hosts may place at the same agents for a while, which
--- a/src/glenhollow/hosting/job_handover.cpp
+++ b/src/glenhollow/hosting/job_handover.cpp
@@ -25,6 +25,14 @@
 
 } // namespace
 
+std::size_t groups_per_entry(const job_handover_settings& settings,
+                             std::size_t groups, std::size_t entries)
+{
+    const auto covering =
+        (settings.entries_per_group * groups + entries - 1) / entries;
+    return std::max(settings.sampled_groups, covering);
+}
+
 job_handover::job_handover(surroundings around,
                            const job_handover_settings& settings)
     : around_(std::move(around)), settings_(settings), ended_(settings.ends)
@@ -33,7 +41,7 @@
 
 job_handover::~job_handover() = default;
 
-bool job_handover::wanted(std::uint32_t strongest) const
+bool job_handover::wanted(const entry_census& entries) const
 {
     switch (settings_.mode)
     {
@@ -44,22 +52,17 @@
     case hosting_mode::automatic:
         break;
     }
-    return strongest < settings_.strong * known_.size();
+    return entries.strongest <
+           settings_.strong * around_.directory.agents().size();
 }
 
-void job_handover::tick(std::uint32_t strongest)
+void job_handover::tick(const entry_census& entries)
 {
-    const auto known = around_.agents.addresses();
-    if (known != known_)
-    {
-        known_ = known;
-        groups_.clear();
-    }
-    const bool wanted = this->wanted(strongest);
+    const bool wanted = this->wanted(entries);
     if (wanted)
-        divide();
+        divide(entries);
     else
-        groups_.clear();
+        forget_groups();
     follow();
     ended_.forget_old(around_.clock.now());
     const bool now_active = wanted && hosts() > 0;
@@ -67,32 +70,52 @@
         log_change(log_level::info, "jobs_handed_over",
                    {{"active", now_active},
                     {"groups", groups_.size()},
-                    {"strongest_entry", strongest}});
+                    {"strongest_entry", entries.strongest}});
     active_ = now_active;
 }
 
 /// Agents that are away count as well: all entries know the same names, and
 /// a group's cuts do not move when one of them restarts.
-void job_handover::divide()
+void job_handover::divide(const entry_census& entries)
 {
-    if (!groups_.empty())
+    const auto& directory = around_.directory;
+    if (sample_ && divided_ == directory.revision() &&
+        divided_for_ == entries.count)
         return;
-    std::map<std::string, agent_address> by_name;
+    divided_ = directory.revision();
+    divided_for_ = entries.count;
     std::vector<std::string> names;
-    for (const auto& agent : known_)
-    {
-        names.push_back(agent.name);
-        by_name[agent.name] = agent;
-    }
+    for (const auto& [name, where] : directory.agents())
+        names.push_back(name);
+    auto all = divide_agents(std::move(names), settings_.group_agents);
+    std::set<std::string> sample;
     groups_.clear();
-    for (auto& group : divide_agents(std::move(names), settings_.group_agents))
+    for (const auto index :
+         sample_groups(around_.entry, all.size(),
+                       groups_per_entry(settings_, all.size(), entries.count)))
     {
         hosted_group one;
-        for (const auto& agent : group.agents)
-            one.agents.push_back(by_name.at(agent));
-        one.names = std::move(group);
+        for (const auto& agent : all[index].agents)
+        {
+            one.agents.push_back({agent, directory.agents().at(agent)});
+            sample.insert(agent);
+        }
+        one.names = std::move(all[index]);
         groups_.push_back(std::move(one));
     }
+    if (sample_ == sample)
+        return;
+    sample_ = std::move(sample);
+    ++sample_revision_;
+}
+
+void job_handover::forget_groups()
+{
+    groups_.clear();
+    if (!sample_)
+        return;
+    sample_.reset();
+    ++sample_revision_;
 }
 
 /// A host that is not chosen any more is followed until its jobs have ended.
--- a/src/glenhollow/hosting/job_handover.hpp
+++ b/src/glenhollow/hosting/job_handover.hpp
@@ -5,12 +5,15 @@
 #include "glenhollow/hosting/host_groups.hpp"
 #include "glenhollow/hosting/host_link.hpp"
 #include "glenhollow/hosting/recent_ends.hpp"
+#include "glenhollow/overlay/agent_directory.hpp"
 #include "glenhollow/telemetry/metrics.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,9 +46,15 @@
                                   ///< (65 agents) hosts served 0.04 to 0.11
                                   ///< more of all worth, at 2.3 (53) 0.4 more.
     std::size_t group_agents = 7; ///< Agents of one host, about.
-    int tries = 2;                ///< Hosts that are asked for one job.
-    host_link_settings link;      ///< Of the session with each host.
-    recent_ends_settings ends;    ///< Of what is remembered of ended jobs.
+    std::size_t sampled_groups = 32;   ///< To whose hosts an entry hands jobs:
+                                       ///< enough that one of them mostly has a
+                                       ///< preferred label and room.
+    std::size_t entries_per_group = 6; ///< That hand jobs to a group, on
+                                       ///< average and at least: where entries
+                                       ///< are few, each takes more groups.
+    int tries = 2;                     ///< Hosts that are asked for one job.
+    host_link_settings link;           ///< Of the session with each host.
+    recent_ends_settings ends;         ///< Of what is remembered of ended jobs.
 };
 
 /// Counters of the handing over.
@@ -60,6 +69,21 @@
                                 ///< had until lately.
 };
 
+/// The entries of the deployment, as far as one of them knows.
+struct entry_census
+{
+    std::size_t count = 1;       ///< With the one that counts.
+    std::uint32_t strongest = 0; ///< Thousandths of a core that the most
+                                 ///< powerful one may use.
+};
+
+/// @param settings Limits.
+/// @param groups Of all agents.
+/// @param entries That hand jobs over.
+/// @return To how many groups each of them does.
+std::size_t groups_per_entry(const job_handover_settings& settings,
+                             std::size_t groups, std::size_t entries);
+
 /// Hands whole jobs in memory over to hosts: the agents are divided into
 /// groups, and one agent's process of each places for it. What a job costs its
 /// entry is then two messages, however many tasks it has. Runs inside an
@@ -70,9 +94,11 @@
     /// What it needs of its entry; all outlive it.
     struct surroundings
     {
+        std::string entry;                     ///< Name of this entry.
         const clock_source& clock;             ///< This entry's.
         std::function<std::int64_t()> wall_ms; ///< Ms since 1970.
-        agent_sessions& agents;                ///< Links to the agents.
+        const agent_directory& directory;      ///< All agents.
+        agent_sessions& agents;                ///< Links to some of them.
         std::function<void(std::function<void()>)>
             later; ///< Runs work after what runs now.
         std::function<bool(const std::string& agent, const std::string& label)>
@@ -89,13 +115,29 @@
     ~job_handover();
 
     /// Chooses the hosts anew, follows them, and notices silence.
-    /// @param strongest Thousandths of a core that the most powerful entry may
-    /// use, for all agents.
-    void tick(std::uint32_t strongest);
+    /// @param entries Known ones.
+    void tick(const entry_census& entries);
 
     /// @return Whether jobs are handed over now.
     bool active() const { return active_; }
 
+    /// @return The agents of the sampled groups, with which sessions are
+    /// needed; null where jobs are not handed over.
+    const std::set<std::string>* sampled_agents() const
+    {
+        return sample_ ? &*sample_ : nullptr;
+    }
+
+    /// @return A number that rises when those agents change.
+    std::uint64_t sample_revision() const { return sample_revision_; }
+
+    /// @param agent An agent.
+    /// @return Whether it is followed as a host, which needs its session.
+    bool follows(const std::string& agent) const
+    {
+        return links_.contains(agent);
+    }
+
     /// @param job One in memory.
     /// @param done Told its end, once, if it was taken.
     /// @param here Runs the job at this entry where every host that was asked
@@ -154,9 +196,10 @@
         local_submit here;                   ///< Runs it at this entry.
     };
 
-    bool wanted(std::uint32_t strongest) const;
+    bool wanted(const entry_census& entries) const;
     duration check_interval() const;
-    void divide();
+    void divide(const entry_census& entries);
+    void forget_groups();
     void follow();
     /// How well a group's labels suit a job.
     enum class label_fit : std::uint8_t
@@ -178,8 +221,11 @@
 
     surroundings around_;              ///< Of the entry.
     job_handover_settings settings_;   ///< Limits.
-    std::vector<agent_address> known_; ///< Divided agents.
-    std::vector<hosted_group> groups_; ///< Of them.
+    std::uint64_t divided_ = 0;        ///< Revision of the divided directory.
+    std::size_t divided_for_ = 0;      ///< Entries that were known then.
+    std::vector<hosted_group> groups_; ///< Sampled.
+    std::optional<std::set<std::string>> sample_; ///< Agents of these.
+    std::uint64_t sample_revision_ = 0;           ///< Of these.
     std::map<std::string, std::unique_ptr<host_link>> links_; ///< By host.
     std::map<job_id, handed_job> jobs_;                       ///< At hosts.
     recent_ends ended_;        ///< Of jobs that hosts had.
--- a/src/glenhollow/http/client.hpp
+++ b/src/glenhollow/http/client.hpp
@@ -35,6 +35,8 @@
 
     /// @return HOST:PORT.
     std::string to_string() const { return host + ":" + std::to_string(port); }
+
+    bool operator==(const host_port&) const = default;
 };
 
 /// Limits of a client.
--- /dev/null
+++ b/src/glenhollow/overlay/session_scope.cpp
@@ -0,0 +1,90 @@
+#include "glenhollow/overlay/session_scope.hpp"
+
+namespace glenhollow
+{
+
+namespace
+{
+
+bool is_needed(const std::string& agent, const session_demand& demand,
+               bool every_agent)
+{
+    return every_agent || demand.sample->contains(agent);
+}
+
+} // namespace
+
+bool session_scope::needs_every_agent(const session_demand& demand, instant now)
+{
+    if (!demand.tasks_wait)
+        waiting_since_.reset();
+    else if (!waiting_since_)
+        waiting_since_ = now;
+    const bool stuck =
+        waiting_since_ && now - *waiting_since_ >= settings_.stuck;
+    return demand.sample == nullptr || demand.every_agent || stuck;
+}
+
+session_scope::changes session_scope::update(const agent_directory& directory,
+                                             const session_demand& demand,
+                                             instant now)
+{
+    const bool every_agent = needs_every_agent(demand, now);
+    const basis rests_on{directory.revision(), demand.sample_revision,
+                         every_agent};
+    changes out;
+    if (basis_ == rests_on && !lingering_)
+        return out;
+    basis_ = rests_on;
+    open_needed(directory, demand, every_agent, out);
+    end_unneeded(directory, demand, every_agent, now, out);
+    return out;
+}
+
+void session_scope::open_needed(const agent_directory& directory,
+                                const session_demand& demand, bool every_agent,
+                                changes& out)
+{
+    for (const auto& [agent, where] : directory.agents())
+    {
+        const auto known = sessions_.find(agent);
+        const bool moved =
+            known != sessions_.end() && known->second.where != where;
+        const bool is_new =
+            known == sessions_.end() && is_needed(agent, demand, every_agent);
+        if (!moved && !is_new)
+            continue;
+        sessions_[agent].where = where;
+        out.open.push_back(agent);
+    }
+}
+
+void session_scope::end_unneeded(const agent_directory& directory,
+                                 const session_demand& demand, bool every_agent,
+                                 instant now, changes& out)
+{
+    lingering_ = false;
+    for (auto at = sessions_.begin(); at != sessions_.end();)
+    {
+        const auto here = at++;
+        auto& [agent, session] = *here;
+        const bool gone = !directory.agents().contains(agent);
+        if (!gone && is_needed(agent, demand, every_agent))
+        {
+            session.unneeded_since.reset();
+            continue;
+        }
+        if (!session.unneeded_since)
+            session.unneeded_since = now;
+        const bool lingered = now - *session.unneeded_since >= settings_.linger;
+        if (!gone && (!lingered || demand.in_use(agent)))
+        {
+            lingering_ = true;
+            continue;
+        }
+        out.end.push_back(agent);
+        sessions_.erase(here);
+    }
+}
+
+} // namespace glenhollow
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -185,18 +185,20 @@
     const auto grace =
         std::chrono::duration_cast<seconds>(settings_.grace).count();
     add(entries_, "entry" + std::to_string(i), "glenhollow-durable-entry",
-        {"--name",         "entry" + std::to_string(i),
-         "--zone",         hall(i),
-         "--address",      where.callers.host,
-         "--rpc-port",     std::to_string(rpc_ports_[i]),
-         "--cpu-share",    std::to_string(settings_.cpu_share),
-         "--host-agents",  std::to_string(settings_.host_agents),
-         "--metrics-port", std::to_string(new_port(where.callers.host)),
-         "--callers",      where.callers.to_string(),
-         "--readiness",    where.readiness.to_string(),
-         "--store",        store,
-         "--seeds",        seeds,
-         "--grace",        std::to_string(grace)});
+        {"--name",           "entry" + std::to_string(i),
+         "--zone",           hall(i),
+         "--address",        where.callers.host,
+         "--rpc-port",       std::to_string(rpc_ports_[i]),
+         "--cpu-share",      std::to_string(settings_.cpu_share),
+         "--host-agents",    std::to_string(settings_.host_agents),
+         "--sampled-groups", std::to_string(settings_.sampled_groups),
+         "--group-entries",  std::to_string(settings_.group_entries),
+         "--metrics-port",   std::to_string(new_port(where.callers.host)),
+         "--callers",        where.callers.to_string(),
+         "--readiness",      where.readiness.to_string(),
+         "--store",          store,
+         "--seeds",          seeds,
+         "--grace",          std::to_string(grace)});
 }
 
 void soak_deployment::add_agent(std::uint32_t i)
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -38,8 +38,10 @@
     double cpu_share = 1.0;        ///< Of a core, which an entry may use: weak
                                    ///< entries hand whole jobs to hosts.
     std::uint32_t host_agents = 7; ///< Of one host, about.
-    duration grace = seconds{6};   ///< Of planned stops.
-    double twice = 0;              ///< See standin-backend; a planted fault.
+    std::uint32_t sampled_groups = 32; ///< To which an entry hands jobs.
+    std::uint32_t group_entries = 6;   ///< That use a group, at least.
+    duration grace = seconds{6};       ///< Of planned stops.
+    double twice = 0; ///< See standin-backend; a planted fault.
 };
 
 /// The store, entries, agents and backend servers as processes, each machine
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -58,24 +58,26 @@
 /// What the flags say.
 struct soak_settings
 {
-    std::uint64_t seed = 1;        ///< Decides jobs and faults.
-    unsigned length_s = 30;        ///< Of the traffic.
-    unsigned apart_ms = 1000;      ///< Between two faults, on average.
-    std::string programs = ".";    ///< Folder of the programs.
-    std::string folder = "soak";   ///< For logs.
-    unsigned least_work_ms = 20;   ///< Of a task.
-    unsigned most_work_ms = 300;   ///< Of a task.
-    double kept = 0.5;             ///< Share of kept jobs.
-    double twice = 0;              ///< A planted fault.
-    std::string explain;           ///< A task; nothing is played.
-    std::string shape = "first";   ///< Name, for the verdict.
-    plan_settings sizes;           ///< Entries, agents, halls.
-    std::uint32_t cpu = 4000;      ///< Of a backend server.
-    double cpu_share = 1.0;        ///< Of an entry.
-    std::uint32_t host_agents = 7; ///< Of one host.
-    unsigned between_ms = 40;      ///< Jobs.
-    double leave = 0;              ///< See client_settings.
-    double cancel = 0;             ///< See client_settings.
+    std::uint64_t seed = 1;            ///< Decides jobs and faults.
+    unsigned length_s = 30;            ///< Of the traffic.
+    unsigned apart_ms = 1000;          ///< Between two faults, on average.
+    std::string programs = ".";        ///< Folder of the programs.
+    std::string folder = "soak";       ///< For logs.
+    unsigned least_work_ms = 20;       ///< Of a task.
+    unsigned most_work_ms = 300;       ///< Of a task.
+    double kept = 0.5;                 ///< Share of kept jobs.
+    double twice = 0;                  ///< A planted fault.
+    std::string explain;               ///< A task; nothing is played.
+    std::string shape = "first";       ///< Name, for the verdict.
+    plan_settings sizes;               ///< Entries, agents, halls.
+    std::uint32_t cpu = 4000;          ///< Of a backend server.
+    double cpu_share = 1.0;            ///< Of an entry.
+    std::uint32_t host_agents = 7;     ///< Of one host.
+    std::uint32_t sampled_groups = 32; ///< Of hosts, at an entry.
+    std::uint32_t group_entries = 6;   ///< That use a group, at least.
+    unsigned between_ms = 40;          ///< Jobs.
+    double leave = 0;                  ///< See client_settings.
+    double cancel = 0;                 ///< See client_settings.
     soak_faults faults = soak_faults::first; ///< Which kinds are drawn.
     std::string plan_file;           ///< Empty: the seed makes the plan.
     std::vector<planned_fault> plan; ///< The faults.
@@ -150,6 +152,8 @@
         out.cpu = settings_.cpu;
         out.cpu_share = settings_.cpu_share;
         out.host_agents = settings_.host_agents;
+        out.sampled_groups = settings_.sampled_groups;
+        out.group_entries = settings_.group_entries;
         return out;
     }
 
@@ -427,6 +431,12 @@
                         "that an entry may use; weak ones hand jobs to hosts");
     line.number<std::uint32_t>("host-agents", settings.host_agents, 1, 10'000,
                                "", "agents of one host, about");
+    line.number<std::uint32_t>("sampled-groups", settings.sampled_groups, 1,
+                               10'000, "",
+                               "groups that an entry hands jobs to");
+    line.number<std::uint32_t>("group-entries", settings.group_entries, 1,
+                               10'000, "",
+                               "entries that hand jobs to a group, at least");
     line.number<double>("leave", settings.leave, 0, 1, "",
                         "share of calls whose callers leave unanswered");
     line.number<double>("cancel", settings.cancel, 0, 1, "",
--- a/tests/unit/hosting/job_handover_tests.cpp
+++ b/tests/unit/hosting/job_handover_tests.cpp
@@ -62,7 +62,8 @@
                                                   listener, limits);
         handover = std::make_unique<job_handover>(
             job_handover::surroundings{
-                process_clock(), [] { return wall_nanoseconds() / 1'000'000; },
+                name, process_clock(),
+                [] { return wall_nanoseconds() / 1'000'000; }, directory,
                 *agents,
                 [&loop](std::function<void()> work)
                 { run_after(loop.io(), duration{0}, std::move(work)); },
@@ -76,7 +77,7 @@
         if (frozen)
             return;
         agents->tick();
-        handover->tick(small_entry);
+        handover->tick({1, small_entry});
     }
 
     void close()
@@ -85,7 +86,14 @@
         agents->close();
     }
 
+    void add(const std::string& agent, const host_port& where)
+    {
+        directory.set(agent, where);
+        agents->add(agent, where);
+    }
+
     idle_listener listener;
+    agent_directory directory;
     std::unique_ptr<agent_sessions> agents;
     std::unique_ptr<job_handover> handover;
     bool frozen = false;
@@ -182,7 +190,7 @@
                 links->serve(agent->bootstrap());
                 manager.begin();
                 for (auto* one : {&entry, &other})
-                    one->agents->add("agent", {"127.0.0.1", links->port()});
+                    one->add("agent", {"127.0.0.1", links->port()});
                 stepped = process_clock().now();
                 step();
             },
@@ -592,8 +600,8 @@
         });
     CHECK(!keeping.handover->active());
     // One agent: 12 thousandths of a core are enough.
-    world.entry.handover->tick(12);
+    world.entry.handover->tick({1, 12});
     CHECK(!world.entry.handover->active());
-    world.entry.handover->tick(11);
+    world.entry.handover->tick({1, 11});
     CHECK(world.entry.handover->hosts() <= 1);
 }
--- /dev/null
+++ b/tests/unit/overlay/session_scope_tests.cpp
@@ -0,0 +1,209 @@
+// How many sessions entries and agents have, and when sessions begin and end.
+#include "glenhollow/hosting/host_groups.hpp"
+#include "glenhollow/hosting/job_handover.hpp"
+#include "glenhollow/overlay/session_scope.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace glenhollow;
+
+namespace
+{
+
+const host_port first_address{"10.0.0.1", 7720};
+const host_port other_address{"10.0.0.2", 7720};
+
+agent_directory directory_of(std::size_t agents)
+{
+    agent_directory out;
+    for (std::size_t i = 0; i < agents; ++i)
+        out.set("agent-" + std::to_string(i), first_address);
+    return out;
+}
+
+/// Demand of an entry that hands its jobs over.
+struct sampling_entry
+{
+    std::set<std::string> sample{"agent-1", "agent-2"};
+    session_demand demand{&sample, 1, false, false,
+                          [](const std::string&) { return false; }};
+    session_scope scope;
+};
+
+using names = std::vector<std::string>;
+
+/// Sessions of one fleet whose entries all hand their jobs over.
+struct sampled_fleet
+{
+    sampled_fleet(std::size_t entries, std::size_t agents)
+    {
+        names all;
+        for (std::size_t i = 0; i < agents; ++i)
+            all.push_back("agent-" + std::to_string(i));
+        const job_handover_settings settings;
+        const auto groups = divide_agents(all, settings.group_agents);
+        for (std::size_t i = 0; i < entries; ++i)
+        {
+            const auto drawn = sample_groups(
+                "entry-" + std::to_string(i), groups.size(),
+                groups_per_entry(settings, groups.size(), entries));
+            std::size_t sessions = 0;
+            for (const auto group : drawn)
+            {
+                sessions += groups[group].agents.size();
+                ++entries_of_group[group];
+            }
+            most_sessions = std::max(most_sessions, sessions);
+        }
+        group_count = groups.size();
+    }
+
+    std::map<std::size_t, std::size_t> entries_of_group;
+    std::size_t group_count = 0;
+    std::size_t most_sessions = 0; ///< Of one entry, with agents.
+};
+
+} // namespace
+
+TEST_CASE("sessions are kept with the sampled agents alone")
+{
+    sampling_entry entry;
+    auto directory = directory_of(5);
+    auto changes = entry.scope.update(directory, entry.demand, seconds{1});
+    CHECK(changes.open == names{"agent-1", "agent-2"});
+    CHECK(changes.end.empty());
+    changes = entry.scope.update(directory, entry.demand, seconds{2});
+    CHECK(changes.open.empty());
+
+    directory.set("agent-2", other_address);
+    directory.set("agent-3", other_address);
+    changes = entry.scope.update(directory, entry.demand, seconds{3});
+    CHECK(changes.open == names{"agent-2"});
+
+    directory.erase("agent-1");
+    changes = entry.scope.update(directory, entry.demand, seconds{4});
+    CHECK(changes.end == names{"agent-1"});
+    CHECK(entry.scope.size() == 1);
+}
+
+TEST_CASE("a session that is not needed any more ends after a while, unless it "
+          "is in use")
+{
+    sampling_entry entry;
+    const auto directory = directory_of(5);
+    entry.scope.update(directory, entry.demand, seconds{1});
+    entry.sample = {"agent-2", "agent-4"};
+    entry.demand.sample_revision = 2;
+    auto changes = entry.scope.update(directory, entry.demand, seconds{2});
+    CHECK(changes.open == names{"agent-4"});
+    CHECK(changes.end.empty());
+    bool in_use = true;
+    entry.demand.in_use = [&in_use](const std::string&) { return in_use; };
+    const instant lingered = seconds{2} + session_scope_settings{}.linger;
+    CHECK(entry.scope.update(directory, entry.demand, lingered).end.empty());
+    in_use = false;
+    changes = entry.scope.update(directory, entry.demand, lingered);
+    CHECK(changes.end == names{"agent-1"});
+}
+
+TEST_CASE("an owner of journalled jobs has a session with every agent")
+{
+    sampling_entry entry;
+    const auto directory = directory_of(5);
+    entry.scope.update(directory, entry.demand, seconds{1});
+    entry.demand.every_agent = true;
+    const auto changes =
+        entry.scope.update(directory, entry.demand, seconds{1});
+    CHECK(changes.open == names{"agent-0", "agent-3", "agent-4"});
+}
+
+TEST_CASE("tasks that find no place in the sample get every agent")
+{
+    sampling_entry entry;
+    const auto directory = directory_of(5);
+    const auto stuck = session_scope_settings{}.stuck;
+    entry.demand.tasks_wait = true;
+    CHECK(entry.scope.update(directory, entry.demand, seconds{1}).open.size() ==
+          2);
+    entry.demand.tasks_wait = false;
+    entry.scope.update(directory, entry.demand, seconds{1} + stuck);
+    entry.demand.tasks_wait = true;
+    entry.scope.update(directory, entry.demand, seconds{3});
+    CHECK(entry.scope.update(directory, entry.demand, seconds{3} + stuck)
+              .open.size() == 3);
+}
+
+// Each entry had a session with each agent: 151,000 at 184 entries and 823
+// agents, all made anew at once after a loss of power.
+TEST_CASE("sessions of a process do not grow with the fleet")
+{
+    // VMs: 125, 500, 2,000 and 4,000, a fifth to a quarter of them entries.
+    const std::map<std::size_t, std::size_t> agents_by_entries{
+        {23, 102}, {92, 408}, {367, 1633}, {734, 3266}};
+    constexpr std::size_t most_at_entry = 300;
+    constexpr std::size_t most_at_agent = 100;
+    for (const auto& [entries, agents] : agents_by_entries)
+    {
+        const sampled_fleet fleet(entries, agents);
+        CHECK(fleet.most_sessions <= most_at_entry);
+        CHECK(fleet.entries_of_group.size() == fleet.group_count);
+        for (const auto& [group, count] : fleet.entries_of_group)
+            CHECK(count <= most_at_agent);
+    }
+}
+
+TEST_CASE("where entries are few, each takes more groups, so that all are used")
+{
+    const job_handover_settings settings;
+    CHECK(groups_per_entry(settings, 118, 184) == settings.sampled_groups);
+    CHECK(groups_per_entry(settings, 943, 3) >= 943);
+    CHECK(groups_per_entry(settings, 943, 50) * 50 >=
+          943 * settings.entries_per_group);
+}
+
+TEST_CASE("one agent more changes few sessions")
+{
+    const auto sampled = [](std::size_t count)
+    {
+        names all;
+        for (std::size_t i = 0; i < count; ++i)
+            all.push_back("agent-" + std::to_string(i));
+        const auto groups = divide_agents(all, 7);
+        std::set<std::string> out;
+        for (const auto group : sample_groups("entry", groups.size(), 32))
+            out.insert(groups[group].agents.begin(),
+                       groups[group].agents.end());
+        return out;
+    };
+    constexpr std::size_t first = 700;
+    constexpr std::size_t last = 770; // Ten of these add a group.
+    std::size_t sessions = 0;
+    std::size_t changed = 0;
+    auto before = sampled(first);
+    for (auto count = first + 1; count <= last; ++count)
+    {
+        auto after = sampled(count);
+        names kept;
+        std::set_intersection(before.begin(), before.end(), after.begin(),
+                              after.end(), std::back_inserter(kept));
+        sessions += before.size();
+        changed += before.size() - kept.size();
+        before = std::move(after);
+    }
+    CHECK(changed * 10 <= sessions);
+}
+
+TEST_CASE("a sample holds each group at most once, all where they are few")
+{
+    CHECK(sample_groups("entry", 3, 32) == std::vector<std::size_t>{0, 1, 2});
+    CHECK(sample_groups("entry", 0, 32).empty());
+    const auto drawn = sample_groups("entry", 40, 32);
+    CHECK(std::set<std::size_t>(drawn.begin(), drawn.end()).size() == 32);
+    CHECK(drawn.back() < 40);
+    CHECK(drawn == sample_groups("entry", 40, 32));
+    CHECK(drawn != sample_groups("other", 40, 32));
+}
