Entries share a budget of reads of the members' rows

Cause: each change of a row answered each entry that waits for one, at most 20 ms apart: at the start of 1,007 processes 184 entries read each row by itself. Change: the least time between two reads grows with the readers, so that all together make 200 a second (overlay/feed_pacing). Few entries hear of a change after 20 ms as before. The configuration's rows are read as before.

--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -208,6 +208,7 @@
     handover_.tick(
         {entries_.size() + 1, std::max(strongest_, power_of(settings_))});
     choose_sessions();
+    members_.pace(feed_gap(settings_.member_feed, entries_.size() + 1));
     choose_placer();
     schedule_dispatch();
     delay()(tick_interval, [this] { tick(); });
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -15,6 +15,7 @@
 #include "glenhollow/hosting/job_handover.hpp"
 #include "glenhollow/journal/watched_store.hpp"
 #include "glenhollow/overlay/agent_directory.hpp"
+#include "glenhollow/overlay/feed_pacing.hpp"
 #include "glenhollow/overlay/session_scope.hpp"
 #include "glenhollow/telemetry/metrics.hpp"
 #include "glenhollow/telemetry/stall_watch.hpp"
@@ -65,6 +66,7 @@
     placement_groups_settings placement;         ///< Limits of the groups.
     job_handover_settings handover;              ///< Of jobs to agents.
     table_follower_settings follower;            ///< Limits.
+    feed_pacing_settings member_feed;            ///< Of the rows of processes.
     configuration_keeper_settings configuration; ///< Limits.
 };
 
--- a/src/glenhollow/durable/table_follower.cpp
+++ b/src/glenhollow/durable/table_follower.cpp
@@ -147,6 +147,11 @@
     state_->closed = true;
 }
 
+void table_follower::pace(duration gap)
+{
+    state_->settings.least_gap = gap;
+}
+
 void table_follower::begin()
 {
     state_->read_anew();
--- a/src/glenhollow/durable/table_follower.hpp
+++ b/src/glenhollow/durable/table_follower.hpp
@@ -42,6 +42,9 @@
     /// Begins to read.
     void begin();
 
+    /// @param gap The least time between two waits from now on.
+    void pace(duration gap);
+
 private:
     struct state;
     std::shared_ptr<state> state_; ///< Shared with calls that are out.
