Attempts to connect to other entries have a budget

Cause: each link to an entry that is away tried again each 0.4 s: with 100 of 184 entries killed, 250 attempts a second at each of the others (reckoned); at a start all 183 links were made in one tick. Change: 100 attempts a second and 32 at once, in turns, for all links of an entry together. Deployments of up to 33 entries connect as before.

Test: peer_connect_tests, with 23 to 734 entries away: within the budget over 10 s, and each of 367 is tried within 5 s.

--- a/src/glenhollow/durable/durable_metrics.cpp
+++ b/src/glenhollow/durable/durable_metrics.cpp
@@ -123,6 +123,10 @@
           placed.granted);
     count("grants_declined_total", "Of these, not used", placed.declined);
     handover_.collect(page);
+    count("peer_connects_total", "Attempts to connect to other entries",
+          peers_.attempts());
+    page.gauge("agent_sessions", "Agents with which sessions are kept",
+               static_cast<double>(scope_.size()));
     const auto placer = groups_.stats();
     count("placer_messages_total", "Messages to placers", placer.messages);
     count("placer_grants_total", "Places found by placers", placer.grants);
--- a/src/glenhollow/durable/entry_peers.cpp
+++ b/src/glenhollow/durable/entry_peers.cpp
@@ -221,6 +221,8 @@
     : io_(io), clock_(clock), handler_(handler), settings_(settings),
       pacing_(settings.exchange), fanout_(settings.gossip)
 {
+    connects_.configure(settings.connects.per_s, settings.connects.burst,
+                        clock.now());
 }
 
 entry_peers::~entry_peers() = default;
@@ -248,7 +250,6 @@
         [this, name](capnp::Capability::Client server)
         { connected(*peers_.at(name), server.castAs<wire::EntryPeer>()); },
         [this, name] { down(name); });
-    one->link->tick();
 }
 
 void entry_peers::connected(peer& to, wire::EntryPeer::Client interface)
@@ -355,14 +356,34 @@
            now - one.down_since < settings_.down_grace;
 }
 
+/// Takes turns, so that peers that are away don't use up the attempts of the
+/// others.
+void entry_peers::connect_due()
+{
+    auto at = peers_.upper_bound(connected_last_);
+    for (std::size_t i = 0; i < peers_.size(); ++i, ++at)
+    {
+        if (at == peers_.end())
+            at = peers_.begin();
+        auto& link = *at->second->link;
+        if (!link.due())
+            continue;
+        if (!connects_.take(1, clock_.now()))
+            return;
+        ++attempts_;
+        connected_last_ = at->first;
+        link.tick();
+    }
+}
+
 void entry_peers::tick()
 {
     std::vector<peer*> silent;
     if (own_name_.empty())
         own_name_ = handler_.own_view().name;
+    connect_due();
     for (auto& [name, one] : peers_)
     {
-        one->link->tick();
         const auto now = clock_.now();
         if (one->link->up() && one->exchanging &&
             now - one->sent > pacing_.silence(peers_.size()))
--- a/src/glenhollow/durable/entry_peers.hpp
+++ b/src/glenhollow/durable/entry_peers.hpp
@@ -1,6 +1,7 @@
 #ifndef GLENHOLLOW_DURABLE_ENTRY_PEERS_HPP
 #define GLENHOLLOW_DURABLE_ENTRY_PEERS_HPP
 
+#include "glenhollow/decision/token_bucket.hpp"
 #include "glenhollow/durable/configuration_keeper.hpp"
 #include "glenhollow/durable/evacuated_halls.hpp"
 #include "glenhollow/durable/exchange_pacing.hpp"
@@ -109,9 +110,17 @@
                    wire::PlacementGrants::Client grants) = 0;
 };
 
+/// How often an entry tries to connect to others, however many are away.
+struct connect_budget
+{
+    double per_s = 100; ///< Attempts.
+    double burst = 32;  ///< At once: a small deployment needs no more.
+};
+
 /// Limits of the links between entries.
 struct entry_peers_settings
 {
+    connect_budget connects;                 ///< For all links together.
     exchange_pacing_settings exchange;       ///< How often views go round.
     gossip_fanout_settings gossip;           ///< Of facts that all must learn.
     duration down_grace = milliseconds{150}; ///< A lost link may come back.
@@ -155,6 +164,9 @@
     /// is new there.
     void gossip();
 
+    /// @return Attempts to connect so far.
+    std::uint64_t attempts() const { return attempts_; }
+
     /// @return Views of the entries that are live, good until the next call
     /// that is not const. Not copied: each tick goes through all of them.
     std::vector<const entry_view*> live() const;
@@ -226,6 +238,7 @@
     class peer_server;
     struct peer;
 
+    void connect_due();
     void connected(peer& to, wire::EntryPeer::Client interface);
     void down(const std::string& name);
     void exchange(peer& to);
@@ -242,6 +255,9 @@
     gossip_fanout fanout_;                               ///< Of gossip.
     std::map<std::string, std::unique_ptr<peer>> peers_; ///< By name.
     std::string own_name_;                               ///< Of this entry.
+    token_bucket connects_;                              ///< Attempts left.
+    std::string connected_last_; ///< Name that the last attempt went to.
+    std::uint64_t attempts_ = 0; ///< To connect, so far.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/rpc/rpc_link.cpp
+++ b/src/glenhollow/rpc/rpc_link.cpp
@@ -119,10 +119,15 @@
     state_->forget_connection();
 }
 
+bool rpc_link::due() const
+{
+    return !state_->current && !state_->connecting &&
+           state_->clock.now() >= state_->retry_at;
+}
+
 void rpc_link::tick()
 {
-    if (!state_->current && !state_->connecting &&
-        state_->clock.now() >= state_->retry_at)
+    if (due())
         state_->connect();
 }
 
--- a/src/glenhollow/rpc/rpc_link.hpp
+++ b/src/glenhollow/rpc/rpc_link.hpp
@@ -38,6 +38,9 @@
     /// Connects when that is due.
     void tick();
 
+    /// @return Whether tick() would begin an attempt to connect now.
+    bool due() const;
+
     /// Drops the connection, to be made again later.
     void drop();
 
--- /dev/null
+++ b/tests/unit/overlay/peer_connect_tests.cpp
@@ -0,0 +1,87 @@
+// What entries that are away cost another entry.
+#include "glenhollow/durable/entry_peers.hpp"
+#include "unit/support/manual_loop.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+using namespace glenhollow;
+
+namespace
+{
+
+constexpr duration tick_interval = milliseconds{50};
+
+/// An entry that tells nothing and serves nothing.
+struct idle_entry : entry_peer_handler
+{
+    entry_view own_view() override
+    {
+        entry_view view;
+        view.name = "entry";
+        return view;
+    }
+    void peer_seen(const entry_view&) override {}
+    void serve(const job_call&, job_reply_handler done) override { done({}); }
+    std::string catalog_document() override { return {}; }
+    wire::PlacementSession::Client
+    open_placement(const std::string&, wire::PlacementGrants::Client) override
+    {
+        return nullptr;
+    }
+};
+
+/// An entry all of whose peers are away: their machines refuse connections.
+struct lonely_entry
+{
+    explicit lonely_entry(std::size_t count)
+    {
+        constexpr std::uint16_t nothing_listens = 1;
+        for (std::size_t i = 0; i < count; ++i)
+            peers.add("peer-" + std::to_string(i),
+                      {"127.0.0.1", nothing_listens});
+    }
+
+    void play(duration length)
+    {
+        const auto end = clock.now() + length;
+        while (clock.now() < end)
+        {
+            peers.tick();
+            io.restart();
+            io.run(); // Each attempt is refused at once.
+            clock.advance(tick_interval);
+        }
+    }
+
+    boost::asio::io_context io;
+    manual_clock clock;
+    idle_entry entry;
+    entry_peers peers{io, clock, entry, {}};
+};
+
+} // namespace
+
+// With 100 of 184 entries killed, each of the others tried 250 times a second.
+TEST_CASE("attempts to connect do not grow with the entries that are away")
+{
+    constexpr auto length = seconds{10};
+    const connect_budget budget;
+    for (const std::size_t away : {23, 92, 367, 734})
+    {
+        lonely_entry entry(away);
+        entry.play(length);
+        CHECK(static_cast<double>(entry.peers.attempts()) <=
+              budget.burst + budget.per_s * 10);
+    }
+}
+
+TEST_CASE("each entry that is away is tried in its turn")
+{
+    constexpr std::size_t away = 367;
+    lonely_entry entry(away);
+    entry.play(seconds{5});
+    for (std::size_t i = 0; i < away; ++i)
+        CHECK(entry.peers.refuses("peer-" + std::to_string(i)));
+}
