Waiting tasks open no sessions outside the sample; a label that it lacks does

Cause: an entry whose own tasks had waited for a second opened sessions with every agent. That the waiting tasks did it follows from the code, no log was read. Change: the need is a label that no sampled group has, while most sampled hosts are followed and so their labels known (job_handover::lacks_label).

--- a/src/glenhollow/durable/durable_members.cpp
+++ b/src/glenhollow/durable/durable_members.cpp
@@ -42,15 +42,14 @@
     peers_.add(known.name, known.where);
 }
 
-/// Any agent may run a task of a journalled job, or be the only one with the
-/// label that it needs.
+/// Any agent may run a task of a journalled job, or be the only one with a
+/// label that a job needs.
 session_demand durable_service::session_needs() const
 {
     session_demand needs;
     needs.sample = handover_.sampled_agents();
     needs.sample_revision = handover_.sample_revision();
-    needs.every_agent = ownership_.open_jobs() > 0;
-    needs.tasks_wait = dispatcher_.waiting() > 0;
+    needs.every_agent = ownership_.open_jobs() > 0 || handover_.lacks_label();
     needs.in_use = [this](const std::string& agent)
     { return memory_.open_jobs() > 0 || handover_.follows(agent); };
     return needs;
--- a/src/glenhollow/hosting/job_handover.cpp
+++ b/src/glenhollow/hosting/job_handover.cpp
@@ -23,6 +23,10 @@
 /// unless all are late.
 constexpr double late_share = 1e-6;
 
+/// A label that no sampled group has is believed to be needed again for so
+/// long.
+constexpr duration label_need = seconds{10};
+
 } // namespace
 
 std::size_t groups_per_entry(const job_handover_settings& settings,
@@ -220,6 +224,21 @@
     return best;
 }
 
+bool job_handover::lacks_label() const
+{
+    return label_missed_ && around_.clock.now() - *label_missed_ < label_need;
+}
+
+/// While most hosts are not followed yet, their labels are not known either.
+void job_handover::note_missing_label(const job_definition& job)
+{
+    const bool known = 2 * hosts() >= groups_.size();
+    const auto misses = [this, &job](const hosted_group& group)
+    { return fit(group, job) == label_fit::none; };
+    if (known && std::all_of(groups_.begin(), groups_.end(), misses))
+        label_missed_ = around_.clock.now();
+}
+
 host_link* job_handover::choose(const job_definition& job,
                                 const std::string& not_at)
 {
@@ -239,6 +258,8 @@
         best = suits;
         choices.push_back(one);
     }
+    if (choices.empty())
+        note_missing_label(job);
     const auto drawn = draw_host(job.id, choices);
     return drawn == choices.size() ? nullptr
                                    : links_.at(choices[drawn].host).get();
--- a/src/glenhollow/hosting/job_handover.hpp
+++ b/src/glenhollow/hosting/job_handover.hpp
@@ -131,6 +131,9 @@
     /// @return A number that rises when those agents change.
     std::uint64_t sample_revision() const { return sample_revision_; }
 
+    /// @return Whether a job lately needed a label that no sampled group has.
+    bool lacks_label() const;
+
     /// @param agent An agent.
     /// @return Whether it is followed as a host, which needs its session.
     bool follows(const std::string& agent) const
@@ -209,6 +212,7 @@
         suitable ///< Each label is there.
     };
 
+    void note_missing_label(const job_definition& job);
     label_fit fit(const hosted_group& group, const job_definition& job) const;
     bool has_label(const hosted_group& group, const std::string& label) const;
     host_link* choose(const job_definition& job, const std::string& not_at);
@@ -228,9 +232,10 @@
     std::uint64_t sample_revision_ = 0;           ///< Of these.
     std::map<std::string, std::unique_ptr<host_link>> links_; ///< By host.
     std::map<job_id, handed_job> jobs_;                       ///< At hosts.
-    recent_ends ended_;        ///< Of jobs that hosts had.
-    bool active_ = false;      ///< Jobs are handed over.
-    job_handover_stats stats_; ///< Counters.
+    recent_ends ended_;                   ///< Of jobs that hosts had.
+    std::optional<instant> label_missed_; ///< See lacks_label().
+    bool active_ = false;                 ///< Jobs are handed over.
+    job_handover_stats stats_;            ///< Counters.
 };
 
 } // namespace glenhollow
--- a/src/glenhollow/overlay/session_scope.cpp
+++ b/src/glenhollow/overlay/session_scope.cpp
@@ -14,22 +14,11 @@
 
 } // namespace
 
-bool session_scope::needs_every_agent(const session_demand& demand, instant now)
-{
-    if (!demand.tasks_wait)
-        waiting_since_.reset();
-    else if (!waiting_since_)
-        waiting_since_ = now;
-    const bool stuck =
-        waiting_since_ && now - *waiting_since_ >= settings_.stuck;
-    return demand.sample == nullptr || demand.every_agent || stuck;
-}
-
 session_scope::changes session_scope::update(const agent_directory& directory,
                                              const session_demand& demand,
                                              instant now)
 {
-    const bool every_agent = needs_every_agent(demand, now);
+    const bool every_agent = demand.sample == nullptr || demand.every_agent;
     const basis rests_on{directory.revision(), demand.sample_revision,
                          every_agent};
     changes out;
--- a/src/glenhollow/overlay/session_scope.hpp
+++ b/src/glenhollow/overlay/session_scope.hpp
@@ -19,8 +19,6 @@
 {
     duration linger = seconds{2}; ///< A session that is not needed any more
                                   ///< stays open for so long.
-    duration stuck = seconds{1};  ///< Tasks that have waited at this entry for
-                                  ///< so long need every agent.
 };
 
 /// What an entry needs sessions for.
@@ -33,15 +31,15 @@
                                        ///< sample.
     bool every_agent = false;          ///< Each one may run something of this
                                        ///< entry, or must be asked.
-    bool tasks_wait = false;           ///< Tasks wait for a place here.
     std::function<bool(const std::string&)> in_use; ///< Whether a session must
                                                     ///< not end now.
 };
 
 /// Decides with which agents an entry keeps sessions, so that their number
 /// grows neither with the agents nor with the entries: a sample while its jobs
-/// are handed over to hosts, all while it owns jobs of the journal, which any
-/// agent may run, or while its own tasks find no place in the sample.
+/// are handed over to hosts, all while any agent may be the one that it needs.
+/// Waiting tasks are no such need: after a loss of power or under overload they
+/// wait at every entry, and more sessions would only add to the load.
 class session_scope final
 {
 public:
@@ -86,7 +84,6 @@
         bool operator==(const basis&) const = default;
     };
 
-    bool needs_every_agent(const session_demand& demand, instant now);
     void open_needed(const agent_directory& directory,
                      const session_demand& demand, bool every_agent,
                      changes& out);
@@ -96,7 +93,6 @@
 
     session_scope_settings settings_;              ///< Limits.
     std::map<std::string, kept_session> sessions_; ///< By agent.
-    std::optional<instant> waiting_since_;         ///< Tasks wait here.
     std::optional<basis> basis_;                   ///< Of the last update.
     bool lingering_ = false; ///< Some session is kept without need.
 };
--- a/tests/unit/hosting/job_handover_tests.cpp
+++ b/tests/unit/hosting/job_handover_tests.cpp
@@ -605,3 +605,29 @@
     world.entry.handover->tick({1, 11});
     CHECK(world.entry.handover->hosts() <= 1);
 }
+
+TEST_CASE("only a job whose label no sampled group has needs other agents")
+{
+    hosting_play world;
+    auto unlabelled = hosting_play::job(7);
+    auto labelled = hosting_play::job(8);
+    labelled.steps[0].label = "missing";
+    // Nobody is attached yet: it is not known who has the label.
+    CHECK(!world.submit(world.entry, labelled));
+    CHECK(!world.entry.handover->lacks_label());
+    bool unneeded = false;
+    world.play(
+        [&]
+        {
+            if (!world.entry.handover->active())
+                return false;
+            if (!std::exchange(unneeded, true))
+            {
+                world.submit(world.entry, unlabelled);
+                CHECK(!world.entry.handover->lacks_label());
+            }
+            CHECK(!world.submit(world.entry, labelled));
+            return world.entry.handover->lacks_label();
+        });
+    CHECK(world.entry.handover->lacks_label());
+}
