--- a/tests/unit/durable/claim_evidence_tests.cpp
+++ b/tests/unit/durable/claim_evidence_tests.cpp
@@ -5,6 +5,7 @@
 #include "glenhollow/durable/job_router.hpp"
 #include "glenhollow/durable/part_ownership.hpp"
 #include "unit/durable/coordinator_world.hpp"
+#include "unit/support/idle_entry.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -14,22 +15,10 @@
 {
 
 /// An entry whose own view is its name alone.
-struct named_entry : entry_peer_handler, part_ownership_listener
+struct named_entry : idle_entry, part_ownership_listener
 {
-    entry_view own_view() override
-    {
-        entry_view view;
-        view.name = "entry-1";
-        return view;
-    }
-    void peer_seen(const entry_view&) override {}
-    void serve(const job_call&, job_reply_handler done) override { done({}); }
-    std::string catalog_document() override { return {}; }
-    wire::PlacementSession::Client
-    open_placement(const std::string&, wire::PlacementGrants::Client) override
-    {
-        return nullptr;
-    }
+    named_entry() : idle_entry("entry-1") {}
+
     void part_gained(part_epoch) override {}
     void part_given_up(part_number part) override { lost = part; }
     std::set<std::string> possible_agents() const override { return {}; }
--- a/tests/unit/durable/part_ownership_tests.cpp
+++ b/tests/unit/durable/part_ownership_tests.cpp
@@ -13,6 +13,7 @@
 #include "glenhollow/durable/member_directory.hpp"
 #include "glenhollow/durable/part_ownership.hpp"
 #include "unit/durable/coordinator_world.hpp"
+#include "unit/support/idle_entry.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -22,17 +23,10 @@
 {
 
 /// An entry that has not heard of any member.
-struct begun_entry : entry_peer_handler, part_ownership_listener
+struct begun_entry : idle_entry, part_ownership_listener
 {
-    entry_view own_view() override { return {}; }
-    void peer_seen(const entry_view&) override {}
-    void serve(const job_call&, job_reply_handler done) override { done({}); }
-    std::string catalog_document() override { return {}; }
-    wire::PlacementSession::Client
-    open_placement(const std::string&, wire::PlacementGrants::Client) override
-    {
-        return nullptr;
-    }
+    begun_entry() : idle_entry("") {}
+
     void part_gained(part_epoch part) override { gained = part; }
     void part_given_up(part_number) override {}
     std::set<std::string> possible_agents() const override { return {}; }
--- a/tests/unit/durable/shared_placement_tests.cpp
+++ b/tests/unit/durable/shared_placement_tests.cpp
@@ -3,6 +3,7 @@
 #include "glenhollow/durable/placement_groups.hpp"
 #include "glenhollow/durable/placement_server.hpp"
 #include "glenhollow/rpc/rpc_listener.hpp"
+#include "unit/support/idle_entry.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -106,18 +107,11 @@
     std::string name_;             ///< As it tells it.
 };
 
-/// Answers nothing that the tests ask for.
-struct idle_handler : entry_peer_handler
+/// Gives a place with a session that does nothing.
+struct idle_handler : idle_entry
 {
-    entry_view own_view() override
-    {
-        entry_view view;
-        view.name = "entry";
-        return view;
-    }
-    void peer_seen(const entry_view&) override {}
-    void serve(const job_call&, job_reply_handler done) override { done({}); }
-    std::string catalog_document() override { return {}; }
+    idle_handler() : idle_entry("entry") {}
+
     wire::PlacementSession::Client
     open_placement(const std::string&, wire::PlacementGrants::Client) override
     {
--- a/tests/unit/overlay/peer_connect_tests.cpp
+++ b/tests/unit/overlay/peer_connect_tests.cpp
@@ -1,5 +1,6 @@
 // What entries that are away cost another entry.
 #include "glenhollow/durable/entry_peers.hpp"
+#include "unit/support/idle_entry.hpp"
 #include "unit/support/manual_loop.hpp"
 
 #include <catch2/catch.hpp>
@@ -13,25 +14,6 @@
 
 constexpr duration tick_interval = milliseconds{50};
 
-/// An entry that tells nothing and serves nothing.
-struct idle_entry : entry_peer_handler
-{
-    entry_view own_view() override
-    {
-        entry_view view;
-        view.name = "entry";
-        return view;
-    }
-    void peer_seen(const entry_view&) override {}
-    void serve(const job_call&, job_reply_handler done) override { done({}); }
-    std::string catalog_document() override { return {}; }
-    wire::PlacementSession::Client
-    open_placement(const std::string&, wire::PlacementGrants::Client) override
-    {
-        return nullptr;
-    }
-};
-
 /// An entry all of whose peers are away: their machines refuse connections.
 struct lonely_entry
 {
@@ -57,7 +39,7 @@
 
     boost::asio::io_context io;
     manual_clock clock;
-    idle_entry entry;
+    idle_entry entry{"entry"};
     entry_peers peers{io, clock, entry, {}};
 };
 
