--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -89,17 +89,34 @@
     return broken;
 }
 
-asio::awaitable<bool> play(deployment& system, record& log)
+/// @return The agent that hosts the most jobs, by its metrics.
+asio::awaitable<std::size_t> busiest_host(const deployment& system, record& log)
 {
-    co_await system.await_ready(traffic_after_ms);
-    process* host = nullptr;
+    const std::string gauge = "\nglenhollow_host_jobs_open ";
+    std::size_t host = 0;
+    double most = 0;
     for (std::size_t i = 0; i < system.agents(); ++i)
     {
-        if (system.agent(i).has_logged("job_host_started") && host == nullptr)
-            host = &system.agent(i);
+        const auto page = co_await call(system.agent_metrics(i), "GET",
+                                        "/metrics", "metrics", "", 500);
+        const auto at = page.body.find(gauge);
+        if (at == std::string::npos)
+            continue;
+        const double jobs = std::stod(page.body.substr(at + gauge.size()));
+        log.line("agent", i, "hosts", jobs, "jobs");
+        if (jobs <= most)
+            continue;
+        most = jobs;
+        host = i;
     }
-    if (host == nullptr)
+    if (most == 0)
         throw cannot_run("no agent hosts jobs");
+    co_return host;
+}
+
+asio::awaitable<bool> play(deployment& system, record& log)
+{
+    co_await system.await_ready(traffic_after_ms);
     const auto executor = co_await asio::this_coro::executor;
     proxy way(static_cast<asio::io_context&>(executor.context()),
               {system.front(0).address(), 0}, system.front(0));
@@ -114,6 +131,7 @@
     }
     co_await sleep_ms(started_ms);
     log.line("runs so far", system.runs().size());
+    const auto host = co_await busiest_host(system, log);
     if (has_trouble())
     {
         log.line("node_freeze begins", system.entry(0).name());
@@ -121,11 +139,11 @@
         log.line("reset_conns");
         way.reset_all();
         co_await sleep_ms(host_freezes_after_ms);
-        log.line("node_freeze begins", host->name());
-        host->signal(SIGSTOP);
+        log.line("node_freeze begins", system.agent(host).name());
+        system.agent(host).signal(SIGSTOP);
         co_await sleep_ms(host_freeze_ms);
-        log.line("node_freeze ends", host->name());
-        host->signal(SIGCONT);
+        log.line("node_freeze ends", system.agent(host).name());
+        system.agent(host).signal(SIGCONT);
         co_await sleep_ms(entry_freeze_ms - host_freezes_after_ms -
                           host_freeze_ms);
         log.line("node_freeze ends", system.entry(0).name());
--- a/review/standins/deployment.hpp
+++ b/review/standins/deployment.hpp
@@ -106,15 +106,6 @@
         pid_ = 0;
     }
 
-    /// @return Whether its log has the text.
-    bool has_logged(const std::string& text) const
-    {
-        std::ifstream in(log_);
-        std::ostringstream all;
-        all << in.rdbuf();
-        return all.str().find(text) != std::string::npos;
-    }
-
     /// @return Whether it ended by itself.
     bool has_ended()
     {
@@ -280,6 +271,11 @@
         return at(10 + static_cast<int>(i), front_port);
     }
 
+    tcp::endpoint agent_metrics(std::size_t i) const
+    {
+        return at(20 + static_cast<int>(i), metrics_port);
+    }
+
     std::string new_job_id()
     {
         char text[17];
