Runs: a stop that its server does not confirm ends with the hold

What callers may see: their connection is reset, their entry withdraws the job at once, and the server carries out the stop seconds later, as the platform's page on running tasks allows. The agent went on renewing the hold for the run that it was stopping, because its entry lived and renewed the lease. 1.3 s later the caller's next attempt could start the task at another server.

Of the bounds on the time after a withdrawal (stop, hold, a caller's wait) the hold was taken to end within its length, 1.0 s, but nothing kept the agent from renewing it.

Once its owner has stopped a run in memory, the hold that the agent asks for ends no later than the run's lease and than 1.0 s after the stop, until the run is listed as ended. A stop that is answered costs nothing; one that is not answered for 1 s costs the server's other runs too, as they share its hold.

Tests (unit_lease_bounds_hold): a run whose stop gets no answer, and a start without an answer that begins 0.5 s after its withdrawal. A third test shows that two lost stops before a confirmed one cost other runs nothing.

--- a/src/glenhollow/runs/run_manager.cpp
+++ b/src/glenhollow/runs/run_manager.cpp
@@ -265,7 +265,19 @@
         listener_->run_started(run.lease);
 }
 
+/// The caller of a withdrawn job may resend it to another entry, and the server
+/// may carry out the stop late. The run must then end with its hold.
 void run_manager::stop(const run_ref& ref)
+{
+    const auto known = runs_.find(ref);
+    if (known != runs_.end() && ref.in_memory() &&
+        known->second.hold_limit.count() == 0)
+        known->second.hold_limit =
+            std::min(lease_end(known->second), clock_.now() + settings_.hold);
+    begin_stop(ref);
+}
+
+void run_manager::begin_stop(const run_ref& ref)
 {
     const auto known = runs_.find(ref);
     if (known == runs_.end())
@@ -451,7 +463,7 @@
         }
     }
     for (const auto& ref : to_stop)
-        stop(ref);
+        begin_stop(ref);
     for (const auto& ref : stalled)
         record_health(ref, true);
 }
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -401,7 +401,7 @@
     /// @param memory Lease of the ordering entry, for an in-memory job.
     void order(run_order order, lease_id memory);
 
-    /// Stops a run, or ends a waiting order.
+    /// Stops a run for its owner, or ends a waiting order.
     void stop(const run_ref& run);
 
     /// Sets the resources of a run that was found running.
@@ -467,6 +467,8 @@
         std::uint32_t stop_attempts = 0; ///< Stops sent since the last refusal.
         instant phase_changed_at{};
         instant stop_sent{}; ///< Time of the last stop.
+        /// End of its hold once its owner has stopped it; zero: not stopped.
+        instant hold_limit{};
         /// Time when a stop was confirmed or a late start became impossible;
         /// zero: neither.
         instant settled_at{};
@@ -540,6 +542,7 @@
     void send_start(run_record& run);
     void update_server_clock(std::int64_t born_ms, std::int64_t clock_ms);
     void start_answered(const run_ref& ref, const order_result& answer);
+    void begin_stop(const run_ref& ref);
     void send_stop(run_record& run);
     void stop_answered(const run_ref& ref, const order_result& answer);
     void mark_started(run_record& run);
--- a/src/glenhollow/runs/run_manager_leases.cpp
+++ b/src/glenhollow/runs/run_manager_leases.cpp
@@ -184,8 +184,11 @@
     auto end = clock_.now() + settings_.hold;
     for (const auto& [ref, run] : runs_)
     {
-        if (occupies(run.phase))
-            end = std::min(end, lease_end(run));
+        if (!occupies(run.phase))
+            continue;
+        end = std::min(end, lease_end(run));
+        if (run.hold_limit.count() != 0)
+            end = std::min(end, run.hold_limit);
     }
     return end;
 }
@@ -258,7 +261,7 @@
     }
     log_orphans(orphans);
     for (const auto& ref : orphans)
-        stop(ref);
+        begin_stop(ref);
 }
 
 void run_manager::release_expired_ends()
--- a/src/glenhollow/runs/run_manager_leaving.cpp
+++ b/src/glenhollow/runs/run_manager_leaving.cpp
@@ -103,7 +103,7 @@
                     {"percent", run.percent},
                     {"ran_ms", ran_ms},
                     {"time_left_ms", to_ms(time_left)}});
-        stop(ref);
+        begin_stop(ref);
     }
 }
 
--- a/tests/unit/runs/lease_bounds_hold_tests.cpp
+++ b/tests/unit/runs/lease_bounds_hold_tests.cpp
@@ -138,6 +138,68 @@
     }
 }
 
+// The entry lives and renews its leases, so only the stop ends these runs.
+TEST_CASE("runs of a withdrawn job end before its caller resends, even if the "
+          "server receives no stop",
+          "[lease_bounds_hold]")
+{
+    two_entries_fixture fixture;
+    const auto run = fixture.order(1, live_entry);
+    fixture.run(milliseconds{100}, true);
+    const auto withdrawn_at = fixture.loop.clock.now();
+    fixture.server.drop_orders = 1000;
+    fixture.manager.stop(run);
+    while (fixture.runs(run))
+    {
+        const auto passed = fixture.loop.clock.now() - withdrawn_at;
+        INFO(std::chrono::duration_cast<milliseconds>(passed).count()
+             << " ms after the withdrawal");
+        REQUIRE(passed + fixture.held_for() < caller_resend_delay);
+        fixture.run(milliseconds{10}, true);
+    }
+}
+
+TEST_CASE("an unanswered start of a withdrawn job that begins late ends before "
+          "its caller resends",
+          "[lease_bounds_hold]")
+{
+    two_entries_fixture fixture;
+    fixture.order(2, live_entry); // Its hold is renewed throughout.
+    fixture.run(milliseconds{100}, true);
+    fixture.server.drop_orders = 1000;
+    const auto run = fixture.order(1, live_entry);
+    fixture.run(milliseconds{20}, true);
+    const auto withdrawn_at = fixture.loop.clock.now();
+    fixture.manager.stop(run);
+    fixture.run(milliseconds{500}, true);
+    for (const auto& [late, context] : fixture.server.late_starts)
+        fixture.server.begin(late, context);
+    while (fixture.runs(run))
+    {
+        const auto passed = fixture.loop.clock.now() - withdrawn_at;
+        INFO(std::chrono::duration_cast<milliseconds>(passed).count()
+             << " ms after the withdrawal");
+        REQUIRE(passed + fixture.held_for() < caller_resend_delay);
+        fixture.run(milliseconds{10}, true);
+    }
+}
+
+TEST_CASE("a confirmed stop costs other runs nothing", "[lease_bounds_hold]")
+{
+    two_entries_fixture fixture;
+    const auto run = fixture.order(1, live_entry);
+    const auto other = fixture.order(2, live_entry);
+    fixture.run(milliseconds{100}, true);
+    fixture.server.drop_orders = 2; // Later stops are carried out.
+    fixture.manager.stop(run);
+    for (int i = 0; i < 300; ++i)
+    {
+        fixture.run(milliseconds{10}, true);
+        REQUIRE(fixture.runs(other));
+    }
+    CHECK_FALSE(fixture.runs(run));
+}
+
 TEST_CASE("runs of other entries continue when an entry ends",
           "[lease_bounds_hold]")
 {
