Hosting: a submitter's lease is sent where it is needed and has advanced

Each answer of a host to a report carried the leases of all entries with a session there: at 100 entries some 1.6 KB for each of seven agents' reports, also for entries without a job (reckoned).

--- a/src/glenhollow/durable/agent_sessions.cpp
+++ b/src/glenhollow/durable/agent_sessions.cpp
@@ -26,6 +26,8 @@
     std::uint64_t accounted_process = 0; ///< Process that last listed its runs
                                          ///< of this entry's jobs in memory.
     instant down_since{}; ///< Time at which the last session ended.
+    /// Leases of submitters that the agent was sent, by this process's clock.
+    std::map<submitter_id, instant> sent_leases;
 };
 
 namespace
@@ -36,6 +38,10 @@
 /// run_manager_settings).
 constexpr duration max_session_gap = seconds{5};
 
+/// Minimum time by which a submitter's lease advances before it is sent again;
+/// small against its length.
+constexpr duration min_lease_advance = milliseconds{100};
+
 } // namespace
 
 /// Receives the reports of an agent.
@@ -61,15 +67,23 @@
         auto renewed = results.initRenewed(static_cast<unsigned>(owned.size()));
         for (unsigned i = 0; i < renewed.size(); ++i)
             fill(renewed[i], owned[i]);
-        const auto submitters = sessions_.submitter_leases(agent_);
-        fill(results.initSubmitters(static_cast<unsigned>(submitters.size())),
-             submitters);
+        fill_submitters(results);
         const auto ends = sessions_.listener_.take_confirmed(agent_);
         fill(results.initConfirmed(static_cast<unsigned>(ends.size())), ends);
         return kj::READY_NOW;
     }
 
 private:
+    void fill_submitters(wire::RunReports::ReportResults::Builder results)
+    {
+        const auto known = sessions_.sessions_.find(agent_);
+        if (known == sessions_.sessions_.end() ||
+            known->second->number != number_)
+            return;
+        const auto due = sessions_.due_submitter_leases(*known->second);
+        fill(results.initSubmitters(static_cast<unsigned>(due.size())), due);
+    }
+
     agent_sessions& sessions_; ///< Must outlive the connection.
     std::string agent_;        ///< Name of the agent.
     std::uint64_t number_;     ///< Number of the session.
@@ -123,6 +137,7 @@
     auto& to = *sessions_.at(agent);
     to.number = ++last_number_;
     to.clock.reset();
+    to.sent_leases.clear();
     to.silent_since =
         clock_.now() + settings_.attach_timeout - settings_.silence;
     auto request = interface.attachRequest();
@@ -258,7 +273,7 @@
             batch.leased_at =
                 known->second->clock.at(since).value_or(instant{});
         if (!batch.starts.empty() || !batch.sizes.empty())
-            batch.submitters = submitter_leases(agent);
+            batch.submitters = due_submitter_leases(*known->second);
         auto request = orders->orderRequest();
         fill(request.initBatch(), batch);
         known->second->link->add(
@@ -274,18 +289,25 @@
         std::chrono::duration_cast<milliseconds>(gap).count());
 }
 
-/// @return The leases of the submitters by the clock of the agent.
-std::vector<submitter_lease>
-agent_sessions::submitter_leases(const std::string& agent) const
+/// @return The leases of submitters, by the agent's clock, that have advanced
+/// since they were sent.
+std::vector<submitter_lease> agent_sessions::due_submitter_leases(session& to)
 {
-    auto leases = listener_.submitters();
-    const auto known = sessions_.find(agent);
-    for (auto& one : leases)
-        one.leased_at =
-            known == sessions_.end()
-                ? instant{}
-                : known->second->clock.at(one.leased_at).value_or(instant{});
-    return leases;
+    const auto leases = listener_.submitters();
+    // Drops those of ended submitters from time to time.
+    if (to.sent_leases.size() > 2 * leases.size())
+        to.sent_leases.clear();
+    std::vector<submitter_lease> due;
+    for (const auto& one : leases)
+    {
+        auto& sent = to.sent_leases[one.submitter];
+        const auto at_agent = to.clock.at(one.leased_at);
+        if (!at_agent || one.leased_at - sent < min_lease_advance)
+            continue;
+        sent = one.leased_at;
+        due.push_back({one.submitter, *at_agent});
+    }
+    return due;
 }
 
 void agent_sessions::send_report_pacing()
--- a/src/glenhollow/durable/agent_sessions.hpp
+++ b/src/glenhollow/durable/agent_sessions.hpp
@@ -178,8 +178,7 @@
     void adopt_at(session& at, part_epoch part);
     bool is_account_complete(session& by);
     std::uint32_t room_report_interval_ms(const std::string& agent) const;
-    std::vector<submitter_lease>
-    submitter_leases(const std::string& agent) const;
+    std::vector<submitter_lease> due_submitter_leases(session& to);
     void on_report(const std::string& agent, std::uint64_t number,
                    wire::RunReport::Reader report);
 
--- a/src/glenhollow/hosting/job_host_server.cpp
+++ b/src/glenhollow/hosting/job_host_server.cpp
@@ -94,7 +94,7 @@
             fill(out.initLoad(), server_.host_);
             return kj::READY_NOW;
         }
-        caller->jobs.insert(job.id);
+        server_.record_job(number_, job.id);
         auto paf = kj::newPromiseAndFulfiller<job_reply>();
         auto fulfiller =
             std::make_shared<kj::Own<kj::PromiseFulfiller<job_reply>>>(
@@ -177,7 +177,7 @@
     {
         auto* caller = refresh_session();
         if (caller != nullptr)
-            server_.record_alive(number_, proof_from(proof));
+            server_.record_message(number_, proof_from(proof));
         return caller;
     }
 
@@ -226,8 +226,8 @@
     }
     const auto number = ++session_count_;
     const auto now = clock_.now();
-    sessions_.insert({number, {entry, now, liveness_evidence(now), {}, {}}});
-    host_.record_alive(number, now);
+    sessions_.insert(
+        {number, {entry, now, liveness_evidence(now), {}, {}, {}}});
     log_change(log_level::info, "host_session_opened", {{"entry", entry}});
     return kj::heap<session_server>(*this, number);
 }
@@ -238,12 +238,32 @@
     return found == sessions_.end() ? nullptr : &found->second;
 }
 
-void job_host_server::record_alive(session_number number,
-                                   const liveness_proof& proof)
+void job_host_server::record_message(session_number number,
+                                     const liveness_proof& proof)
 {
-    auto* caller = find(number);
-    caller->liveness.record_message(proof, clock_.now());
-    host_.record_alive(number, caller->liveness.alive_at());
+    auto& caller = sessions_.at(number);
+    caller.liveness.record_message(proof, clock_.now());
+    update_submitter(number, caller);
+}
+
+void job_host_server::record_job(session_number number, job_id job)
+{
+    auto& caller = sessions_.at(number);
+    caller.jobs.insert(job);
+    caller.last_job = clock_.now();
+    update_submitter(number, caller);
+}
+
+/// Only entries with runs need leases. The runs of a job may keep the lease of
+/// an entry that no longer awaits it, while another entry does.
+void job_host_server::update_submitter(session_number number,
+                                       const session& caller)
+{
+    constexpr duration retention = seconds{10};
+    if (!caller.jobs.empty() || clock_.now() - caller.last_job < retention)
+        host_.record_alive(number, caller.liveness.alive_at());
+    else
+        host_.forget_submitter(number);
 }
 
 /// Withdraws a job unless another session awaits it as well.
@@ -277,8 +297,11 @@
 
 void job_host_server::release(session_number number, job_id job)
 {
-    if (auto* open_session = find(number))
-        open_session->jobs.erase(job);
+    auto* open_session = find(number);
+    if (open_session == nullptr)
+        return;
+    open_session->jobs.erase(job);
+    open_session->last_job = clock_.now();
 }
 
 /// Sets the host's group to the union of the groups that entries sent, as
--- a/src/glenhollow/hosting/job_host_server.hpp
+++ b/src/glenhollow/hosting/job_host_server.hpp
@@ -59,12 +59,15 @@
         instant last_call{};        ///< Time of the entry's last call.
         liveness_evidence liveness; ///< Shows when the entry was alive.
         std::set<job_id> jobs;      ///< Jobs whose replies the entry awaits.
+        instant last_job{};         ///< Time of the last call with a job.
         /// Members of the group as the entry knows them.
         std::vector<agent_address> agents;
     };
 
     session* find(session_number number);
-    void record_alive(session_number number, const liveness_proof& proof);
+    void record_message(session_number number, const liveness_proof& proof);
+    void record_job(session_number number, job_id job);
+    void update_submitter(session_number number, const session& caller);
     void end(session_number number, std::string_view cause);
     void release(session_number number, job_id job);
     void withdraw_if_unclaimed(job_id job);
