--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -5,7 +5,9 @@
 #include "glenhollow/durable/durable_job.hpp"
 #include "glenhollow/runs/backend_server_client.hpp"
 #include "glenhollow/runs/heartbeat_order.hpp"
+#include "glenhollow/runs/lease_id.hpp"
 #include "glenhollow/runs/leaving_server.hpp"
+#include "glenhollow/runs/server_account.hpp"
 #include "glenhollow/runs/server_breaker.hpp"
 #include "glenhollow/runs/server_clock.hpp"
 #include "glenhollow/runs/server_incarnation.hpp"
@@ -26,33 +28,6 @@
 namespace glenhollow
 {
 
-/// Identifies a lease on runs: the lease of a part of the journal, or the lease
-/// of an entry process for its in-memory jobs.
-using lease_id = std::uint32_t;
-
-/// Lease of in-memory runs that no entry has claimed yet.
-inline constexpr lease_id unclaimed_lease = 0xFFFF'FFFF;
-
-/// @param number Index of the entry process at this agent, from 0.
-/// @return The lease of its in-memory jobs.
-constexpr lease_id memory_lease(std::uint32_t number)
-{
-    return 0x1'0000U + number;
-}
-
-/// @return Whether the lease belongs to a part of the journal.
-constexpr bool is_part_lease(lease_id lease)
-{
-    return lease < 0x1'0000U;
-}
-
-/// Identifies the entry that submitted a job to a job host: the number of the
-/// host's session with it.
-using submitter_id = std::uint64_t;
-
-/// Submitter of the jobs that a sender of orders runs for itself.
-inline constexpr submitter_id no_submitter = 0;
-
 /// State of a run at its agent.
 enum class run_phase : std::uint8_t
 {
@@ -70,64 +45,6 @@
         "waiting", "starting", "doubtful", "running", "stopping"};
 };
 
-/// Whether a backend server accepts work.
-enum class server_phase : std::uint8_t
-{
-    absent,  ///< Not registered, or not answering.
-    ready,   ///< Accepts starts.
-    draining ///< Lets runs finish, accepts no starts.
-};
-
-template <>
-struct name_table<server_phase>
-{
-    static constexpr std::array<std::string_view, 3> names{"absent", "ready",
-                                                           "draining"};
-};
-
-/// What a backend server reports about itself in its heartbeats.
-struct server_account
-{
-    std::string service; ///< Name of the service that it provides.
-    /// Identifier; several incarnations may use the same one.
-    std::string instance;
-    /// Start time, Unix ms by its own clock; 0: unknown.
-    std::int64_t born_ms = 0;
-    std::uint64_t sequence = 0; ///< Heartbeat number within the incarnation.
-    std::string zone;           ///< Hall of the backend server.
-    std::vector<std::string> labels; ///< Labels such as its kind and rack.
-    resources capacity;              ///< Total resources, used and free.
-    server_phase phase = server_phase::absent; ///< Whether it accepts work.
-    /// Earliest shutdown time by the agent's clock; all runs end with it.
-    std::optional<instant> leaves_at;
-    instant cold_until{}; ///< End of the slow warm-up after its start.
-
-    /// @return The incarnation that sent this account.
-    server_incarnation incarnation() const { return {instance, born_ms}; }
-};
-
-/// Times that a backend server reports with its account.
-struct server_timing
-{
-    /// Server clock at the time of the report; 0: unknown.
-    std::int64_t clock_ms = 0;
-    std::optional<duration> remaining; ///< Minimum time until it shuts down.
-    duration cold{};                   ///< Remaining warm-up time.
-};
-
-/// Load of a backend server as its agent reports it.
-struct server_load
-{
-    /// Resources of starting, running, stopping and waiting runs.
-    resources used;
-    /// Number of orders that wait for free capacity.
-    std::uint32_t waiting = 0;
-    /// Minimum time until the announced shutdown.
-    std::optional<duration> leaves_in;
-    duration cold{}; ///< Remaining warm-up time.
-    double pace = 0; ///< Measured over expected run time; 0: unknown.
-};
-
 /// An order of an owner to start a run.
 struct run_order
 {
