--- a/src/glenhollow/runs/run_manager_leases.cpp
+++ b/src/glenhollow/runs/run_manager_leases.cpp
@@ -81,8 +81,8 @@
 void run_manager::renew_submitter(lease_id lease, submitter_id submitter,
                                   instant alive_at)
 {
-    static constexpr duration retention =
-        seconds{10}; // Longer than any of its runs.
+    // Runs whose lease has expired end long before this.
+    static constexpr duration retention = seconds{10};
     const auto now = clock_.now();
     auto& submitters = leases_[lease].submitters;
     std::erase_if(submitters, [now](const auto& one)
