--- a/tests/unit/runs/lease_bounds_hold_tests.cpp
+++ b/tests/unit/runs/lease_bounds_hold_tests.cpp
@@ -68,6 +68,21 @@
             std::max<std::int64_t>(0, server.held_until - server.now_ms())};
     }
 
+    /// Requires that a run ends before its caller resends, wherever the agent
+    /// is suspended.
+    /// @param since Time at which the caller lost its entry.
+    /// @param both Whether both entries renew their leases.
+    void require_end_in_time(const run_ref& run, instant since, bool both)
+    {
+        while (runs(run))
+        {
+            const auto passed = loop.clock.now() - since;
+            INFO(passed / milliseconds{1} << " ms after the caller's loss");
+            REQUIRE(passed + held_for() < caller_resend_delay);
+            this->run(milliseconds{10}, both);
+        }
+    }
+
     manual_loop loop;
     fake_backend_server server{loop};
     run_manager manager{loop.clock, server, loop.delay(), 1000, {}};
@@ -84,15 +99,7 @@
     fixture.run(milliseconds{100}, true);
     REQUIRE(fixture.runs(run));
     const auto ended_at = fixture.loop.clock.now();
-    // The hold ends in time, wherever the agent is suspended.
-    while (fixture.runs(run))
-    {
-        const auto passed = fixture.loop.clock.now() - ended_at;
-        INFO(std::chrono::duration_cast<milliseconds>(passed).count()
-             << " ms after the end of the entry");
-        REQUIRE(passed + fixture.held_for() < caller_resend_delay);
-        fixture.run(milliseconds{10}, false);
-    }
+    fixture.require_end_in_time(run, ended_at, false);
 }
 
 TEST_CASE("a start for one entry does not extend the runs of an ended one",
@@ -149,14 +156,7 @@
     const auto withdrawn_at = fixture.loop.clock.now();
     fixture.server.drop_orders = 1000;
     fixture.manager.stop(run);
-    while (fixture.runs(run))
-    {
-        const auto passed = fixture.loop.clock.now() - withdrawn_at;
-        INFO(std::chrono::duration_cast<milliseconds>(passed).count()
-             << " ms after the withdrawal");
-        REQUIRE(passed + fixture.held_for() < caller_resend_delay);
-        fixture.run(milliseconds{10}, true);
-    }
+    fixture.require_end_in_time(run, withdrawn_at, true);
 }
 
 TEST_CASE("an unanswered start of a withdrawn job that begins late ends before "
@@ -174,14 +174,7 @@
     fixture.run(milliseconds{500}, true);
     for (const auto& [late, context] : fixture.server.late_starts)
         fixture.server.begin(late, context);
-    while (fixture.runs(run))
-    {
-        const auto passed = fixture.loop.clock.now() - withdrawn_at;
-        INFO(std::chrono::duration_cast<milliseconds>(passed).count()
-             << " ms after the withdrawal");
-        REQUIRE(passed + fixture.held_for() < caller_resend_delay);
-        fixture.run(milliseconds{10}, true);
-    }
+    fixture.require_end_in_time(run, withdrawn_at, true);
 }
 
 TEST_CASE("a confirmed stop costs other runs nothing", "[lease_bounds_hold]")
