--- a/tests/unit/hosting/host_lease_tests.cpp
+++ b/tests/unit/hosting/host_lease_tests.cpp
@@ -11,13 +11,6 @@
 
 constexpr duration caller_resend_delay = milliseconds{1300};
 
-/// @return Remaining time of the runs if their hold is not renewed.
-duration held_for(const hosting_fixture& fixture)
-{
-    return milliseconds{std::max<std::int64_t>(0, fixture.runner.held_until -
-                                                      fixture.runner.now_ms())};
-}
-
 /// Plays the end of an entry while its job runs.
 /// @param freeze_host_after Time from then on after which the host is
 /// suspended.
@@ -48,7 +41,7 @@
             if (fixture.runner.running.empty())
                 return true;
             INFO(passed / milliseconds{1} << " ms after the end of the entry");
-            REQUIRE(passed + held_for(fixture) < caller_resend_delay);
+            CHECK(passed + fixture.runner.held_for() < caller_resend_delay);
             return false;
         });
     CHECK(fixture.runner.started[7] == 1);
@@ -134,7 +127,7 @@
                 ended = now;
                 fixture.entry.frozen = true;
             }
-            REQUIRE(fixture.runner.running.size() <= 1);
+            CHECK(fixture.runner.running.size() <= 1);
             return ended && now - *ended >= seconds{3};
         });
     CHECK(fixture.runner.running.size() == 1);
--- a/tests/unit/runs/lease_bounds_hold_tests.cpp
+++ b/tests/unit/runs/lease_bounds_hold_tests.cpp
@@ -61,13 +61,6 @@
                server.running.end();
     }
 
-    /// @return Remaining time of the hold if it is not renewed.
-    duration held_for() const
-    {
-        return milliseconds{
-            std::max<std::int64_t>(0, server.held_until - server.now_ms())};
-    }
-
     /// Requires that a run ends before its caller resends, wherever the agent
     /// is suspended.
     /// @param since Time at which the caller lost its entry.
@@ -78,7 +71,7 @@
         {
             const auto passed = loop.clock.now() - since;
             INFO(passed / milliseconds{1} << " ms after the caller's loss");
-            REQUIRE(passed + held_for() < caller_resend_delay);
+            REQUIRE(passed + server.held_for() < caller_resend_delay);
             this->run(milliseconds{10}, both);
         }
     }
@@ -113,7 +106,7 @@
     {
         fixture.order(job, live_entry);
         const auto passed = fixture.loop.clock.now() - ended_at;
-        REQUIRE(passed + fixture.held_for() < caller_resend_delay);
+        REQUIRE(passed + fixture.server.held_for() < caller_resend_delay);
         fixture.run(milliseconds{10}, false);
     }
 }
@@ -141,7 +134,7 @@
         INFO(std::chrono::duration_cast<milliseconds>(passed).count()
              << " ms after the end of the entry");
         REQUIRE((!fixture.runs(run) ||
-                 passed + fixture.held_for() < caller_resend_delay));
+                 passed + fixture.server.held_for() < caller_resend_delay));
     }
 }
 
--- a/tests/unit/runs/suspended_machine_tests.cpp
+++ b/tests/unit/runs/suspended_machine_tests.cpp
@@ -59,13 +59,6 @@
                server.running.end();
     }
 
-    /// @return Remaining time of the hold if it is not renewed.
-    duration held_for() const
-    {
-        return milliseconds{
-            std::max<std::int64_t>(0, server.held_until - server.now_ms())};
-    }
-
     manual_loop loop;
     fake_backend_server server{loop};
     run_manager manager{loop.clock, server, loop.delay(), 1000, {}};
@@ -85,7 +78,7 @@
         for (int step = 0; step < 20; ++step)
         {
             fixture.run(milliseconds{5});
-            REQUIRE(fixture.held_for() <= max_hold);
+            REQUIRE(fixture.server.held_for() <= max_hold);
         }
         REQUIRE(fixture.runs(run));
     }
@@ -103,7 +96,7 @@
     fixture.run(milliseconds{200});
     REQUIRE(fixture.runs(run));
     fixture.loop.clock.suspend(seconds{3});
-    while (fixture.held_for() > duration{0})
+    while (fixture.server.held_for() > duration{0})
     {
         REQUIRE(fixture.manager.take_ends(entry_lease).empty());
         fixture.run(milliseconds{5}, false);
@@ -133,7 +126,7 @@
         order.needs = {1000, 10, 0};
         fixture.manager.order(order, entry_lease);
         fixture.loop.advance(milliseconds{10});
-        const auto ends = fixture.loop.clock.now() + fixture.held_for();
+        const auto ends = fixture.loop.clock.now() + fixture.server.held_for();
         CHECK(
             (!fixture.runs(order.run) ||
              ends <= received + limits.memory_lease + limits.held_past_lease));
--- a/tests/unit/support/fake_runner_port.hpp
+++ b/tests/unit/support/fake_runner_port.hpp
@@ -182,6 +182,12 @@
         return std::chrono::duration_cast<milliseconds>(shown).count();
     }
 
+    /// @return Remaining time of the runs if their hold is not renewed.
+    duration held_for() const
+    {
+        return milliseconds{std::max<std::int64_t>(0, held_until - now_ms())};
+    }
+
     std::vector<run_ref> running;  ///< Current runs.
     std::vector<run_end> ends;     ///< Unconfirmed ends.
     std::vector<run_ref> barred;   ///< Runs that can no longer start.
