Runs: agents log and count lists of ends that were cut

The decoder now says whether a list may have been cut; the agent logs when that begins and ends (end_list_cut, end_list_complete) and counts such answers (runner_looks_cut_total).

No change of behaviour.

--- a/src/glenhollow/runs/backend_server_client.hpp
+++ b/src/glenhollow/runs/backend_server_client.hpp
@@ -84,6 +84,9 @@
     std::int64_t born_ms = 0;  ///< Start of the incarnation; 0: not reported.
     std::vector<server_run> running; ///< All current runs.
     std::vector<run_end> finished;   ///< Ends that are not confirmed.
+    /// Whether `finished` holds all such ends: an answer has room for a bounded
+    /// number of them, and the others follow once these are confirmed.
+    bool lists_all_ends = true;
 };
 
 /// Order to start a run.
--- a/src/glenhollow/runs/run_agent_metrics.cpp
+++ b/src/glenhollow/runs/run_agent_metrics.cpp
@@ -26,6 +26,8 @@
     count("runner_looks_total", "Polls of the backend server", stats.polls, {});
     count("runner_looks_lost_total", "Polls without an answer in time",
           stats.polls_lost, {});
+    count("runner_looks_cut_total",
+          "Polls whose answer had no room for all ends", stats.polls_cut, {});
     count("runner_registrations_stale_total",
           "Registrations of incarnations that had ended",
           stats.stale_registrations, {});
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -169,6 +169,8 @@
     std::uint64_t doubtful = 0;   ///< Starts without an answer.
     std::uint64_t polls = 0;      ///< Polls sent.
     std::uint64_t polls_lost = 0; ///< Polls without an answer in time.
+    /// Polls whose answer had no room for all ends.
+    std::uint64_t polls_cut = 0;
     /// Times that renewing the hold was suspended until it lapsed.
     std::uint64_t lapses = 0;
     std::uint64_t stalled = 0; ///< Runs stopped for lack of progress.
@@ -476,6 +478,7 @@
     void handle_poll_answer(const sent_poll& poll_sent,
                             const hold_result& answer);
     void check_ack(const sent_poll& poll_sent, const hold_result& answer);
+    void record_list(const hold_result& answer);
     void await_poll(std::uint64_t number, duration wait);
     void await_start(const run_ref& ref);
     void await_answer(duration wait, std::function<bool()> is_pending,
@@ -537,6 +540,8 @@
     std::int64_t listed_born_ms_ = 0;
     /// Time of a sign-off that a poll must confirm.
     std::optional<instant> signed_off_at_;
+    /// The last list had no room for all ends.
+    bool is_list_cut_ = false;
     /// Connection of the last list that was used; 0: none.
     std::uint64_t listed_link_ = 0;
     /// Another incarnation may have replaced the known one.
--- a/src/glenhollow/runs/run_manager_polling.cpp
+++ b/src/glenhollow/runs/run_manager_polling.cpp
@@ -169,6 +169,7 @@
         last_answer_ = clock_.running();
         const bool first = !polled_;
         polled_ = true;
+        record_list(answer);
         apply_finished(answer.finished);
         apply_running(poll_sent.sent, answer.running);
         resolve_missing(poll_sent.sent, answer.running);
@@ -195,6 +196,20 @@
                 {"answered_born_ms", answer.born_ms}});
 }
 
+/// Logs when the server begins or ceases to have more ends than it lists.
+void run_manager::record_list(const hold_result& answer)
+{
+    const bool is_cut = !answer.lists_all_ends;
+    stats_.polls_cut += is_cut ? 1 : 0;
+    if (std::exchange(is_list_cut_, is_cut) == is_cut)
+        return;
+    log_change(log_level::info, is_cut ? "end_list_cut" : "end_list_complete",
+               {{"instance", account_.instance},
+                {"listed", answer.finished.size()},
+                {"confirmed", unconfirmed_.confirmed()},
+                {"runs", runs_.size()}});
+}
+
 void run_manager::schedule_poll(bool answered)
 {
     const bool at_once =
