Runs: a list of ends that was cut settles no run

A server lists 500 of them at once. run_manager::resolve_missing took each run that the list did not name for lapsed, the owner started its task elsewhere, and the end itself was listed and confirmed once the store was back.

Evidence: run_missing began 1.9 s into the outage with confirmed 0, so no end had been forgotten; no hold lapsed (no hold_renewal_stopped at any agent). Ruled out: leases that ran out; an acknowledgement that reached too far.

Mend: only a complete list settles runs. The others wait: each confirmation lets the server list further ends, and the first complete list settles what is left. A list with exactly 500 ends counts as cut.

Test: tests/unit/runs/cut_end_list_tests.cpp, before: 4 ends where 2 were listed, 2 of them lapsed.

--- a/src/glenhollow/runs/run_manager_polling.cpp
+++ b/src/glenhollow/runs/run_manager_polling.cpp
@@ -172,7 +172,8 @@
         record_list(answer);
         apply_finished(answer.finished);
         apply_running(poll_sent.sent, answer.running);
-        resolve_missing(poll_sent.sent, answer.running);
+        if (answer.lists_all_ends)
+            resolve_missing(poll_sent.sent, answer.running);
         if (first || account_.phase == server_phase::absent)
             update_phase();
     }
@@ -306,7 +307,8 @@
                    {{"runs", stats_.found - runs_found_before}});
 }
 
-/// Settles runs that the server should list and does not.
+/// Settles runs that are neither running nor among the ends. Applies to
+/// complete lists only: one that was cut may lack the end of a run.
 void run_manager::resolve_missing(instant sent,
                                   const std::vector<server_run>& running)
 {
--- /dev/null
+++ b/tests/unit/runs/cut_end_list_tests.cpp
@@ -0,0 +1,131 @@
+// Guards against a task that runs again although it has ended: a backend server
+// lists a bounded number of ends at once, so an end that is missing from a full
+// list may follow later.
+#include "glenhollow/runs/run_manager.hpp"
+#include "unit/support/fake_runner_port.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace glenhollow;
+
+namespace
+{
+
+constexpr lease_id part_lease = 0;
+constexpr std::uint32_t part_epoch_number = 1;
+constexpr std::uint32_t journalled_run = 1;
+
+run_manager_settings one_part()
+{
+    run_manager_settings settings;
+    settings.parts = 1;
+    return settings;
+}
+
+/// A run manager beside a backend server of 8 cores that lists 2 ends at once.
+/// The owner of its runs renews the lease but confirms no end by itself.
+struct cut_list_fixture
+{
+    cut_list_fixture()
+    {
+        server.max_listed_ends = 2;
+        account.service = "service-1";
+        account.instance = "life-1";
+        account.capacity = {8000, 1000, 0};
+        account.phase = server_phase::ready;
+        manager.registered(account);
+        manager.begin();
+        manager.adopt(part_lease, part_epoch_number);
+        run(milliseconds{20});
+    }
+
+    void run(duration length)
+    {
+        constexpr duration step = milliseconds{10};
+        for (duration passed{}; passed < length; passed += step)
+        {
+            manager.renew(part_lease, part_epoch_number, loop.clock.now());
+            manager.tick();
+            loop.advance(step);
+        }
+    }
+
+    static run_ref ref(std::uint32_t index)
+    {
+        return {{42, 0, 0, index}, journalled_run};
+    }
+
+    void start(std::uint32_t count)
+    {
+        for (std::uint32_t i = 0; i < count; ++i)
+        {
+            run_order order;
+            order.run = ref(i);
+            order.epoch = part_epoch_number;
+            order.needs = {1000, 10, 0};
+            manager.order(order, 0);
+        }
+        run(milliseconds{20});
+    }
+
+    void finish(std::uint32_t count)
+    {
+        for (std::uint32_t i = 0; i < count; ++i)
+            server.finish(ref(i), run_outcome::done);
+    }
+
+    /// @return Ends reported since the last call.
+    std::vector<run_end> ends() { return manager.take_ends(part_lease); }
+
+    void confirm(const std::vector<run_end>& confirmed)
+    {
+        for (const auto& end : confirmed)
+            manager.confirm(end);
+    }
+
+    manual_loop loop;
+    fake_backend_server server{loop};
+    server_account account;
+    run_manager manager{loop.clock, server, loop.delay(), 1000, one_part()};
+};
+
+bool all_done(const std::vector<run_end>& ends)
+{
+    return std::all_of(ends.begin(), ends.end(),
+                       [](const run_end& end)
+                       { return end.outcome == run_outcome::done; });
+}
+
+} // namespace
+
+TEST_CASE("a run that a full list of ends does not name has not lapsed",
+          "[cut_end_list]")
+{
+    cut_list_fixture fixture;
+    fixture.start(4);
+    fixture.finish(4);
+    fixture.run(milliseconds{300});
+    const auto listed = fixture.ends();
+    CHECK(listed.size() == 2);
+    CHECK(all_done(listed));
+    CHECK(fixture.manager.stats().runs_missing == 0);
+    fixture.confirm(listed);
+    fixture.run(milliseconds{300});
+    const auto later = fixture.ends();
+    CHECK(later.size() == 2);
+    CHECK(all_done(later));
+}
+
+TEST_CASE("a run that is missing from complete lists has lapsed",
+          "[cut_end_list]")
+{
+    cut_list_fixture fixture;
+    fixture.start(1);
+    fixture.server.running.clear();
+    fixture.run(milliseconds{300});
+    const auto listed = fixture.ends();
+    REQUIRE(listed.size() == 1);
+    CHECK(listed[0].outcome == run_outcome::lapsed);
+}
--- a/tests/unit/support/fake_runner_port.hpp
+++ b/tests/unit/support/fake_runner_port.hpp
@@ -118,7 +118,9 @@
                 for (const auto& run : running)
                     result.running.push_back(
                         {run, percent += makes_no_progress ? 0 : 1});
-                result.finished = ends;
+                const auto listed = std::min(ends.size(), max_listed_ends);
+                result.finished = {ends.begin(), ends.begin() + listed};
+                result.lists_all_ends = listed < max_listed_ends;
                 done(std::move(result));
             });
     }
@@ -190,6 +192,8 @@
 
     std::vector<run_ref> running;  ///< Current runs.
     std::vector<run_end> ends;     ///< Unconfirmed ends.
+    /// Maximum number of ends in one answer.
+    std::size_t max_listed_ends = 500;
     std::vector<run_ref> barred;   ///< Runs that can no longer start.
     std::map<job_id, int> started; ///< Number of starts by job.
     std::vector<std::pair<run_ref, order_context>>
