Runs: a run whose end is not listed yet neither stalls nor bounds the hold

A run that has ended, but whose end a full list does not name yet, counted as running: after its stall limit it was stopped and counted as a failure, so that the breaker of a sound server opened; its run time, by which entries rate servers, grew until its end was listed; and if it was a run in memory that its entry had stopped or left, the hold of all other runs of the server lapsed for it.

Such a run is recognised: it was running before a poll was sent, and the answer no longer names it. Its capacity stays taken until its end is listed.

--- a/src/glenhollow/runs/run_manager.cpp
+++ b/src/glenhollow/runs/run_manager.cpp
@@ -373,11 +373,14 @@
     const auto known = runs_.find(ref);
     if (known != runs_.end() && occupies(known->second.phase))
     {
-        const auto ran = clock_.now() - known->second.phase_changed_at;
+        const auto& run = known->second;
+        const auto ended_at =
+            run.awaits_end() ? run.unlisted_since : clock_.now();
+        const auto ran = ended_at - run.phase_changed_at;
         end.duration_us = static_cast<std::uint32_t>(
             std::chrono::duration_cast<microseconds>(ran).count());
         if (outcome == run_outcome::done)
-            record_pace(known->second);
+            record_pace(run);
     }
     const bool occupied = known != runs_.end() && occupies(known->second.phase);
     const bool is_orphaned =
@@ -447,7 +450,7 @@
                 to_stop.push_back(ref);
         }
         // The time without answered polls does not count as a stall.
-        if (run.phase == run_phase::running &&
+        if (run.phase == run_phase::running && !run.awaits_end() &&
             last_answer_ - run.progressed_at > stall_limit(run))
         {
             ++stats_.stalled;
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -344,6 +344,9 @@
         instant ordered_at{}; ///< Time when its order arrived.
         /// Whether it cannot finish before its server shuts down.
         bool unfinishable = false;
+        /// Time when it was found to have ended, while its end is not listed
+        /// yet; zero: it has not.
+        instant unlisted_since{};
         /// Whether it may have run in an earlier incarnation.
         bool may_have_run = false;
     };
@@ -356,6 +359,9 @@
         instant expires_at{};
         /// Ends of the leases of a host's submitters.
         std::map<submitter_id, instant> submitters;
+
+        /// @return Whether it has ended, but its end is not listed yet.
+        bool awaits_end() const { return unlisted_since.count() != 0; }
         /// Started runs that have not been reported.
         std::vector<run_ref> started;
     };
@@ -439,6 +445,7 @@
     instant lease_end(const run_record& run) const;
     instant hold_end() const;
     void raise_token();
+    void mark_unlisted(instant sent, const std::vector<server_run>& running);
     void set_phase(server_phase phase);
     void notify_load_changed();
     void back_off();
--- a/src/glenhollow/runs/run_manager_leases.cpp
+++ b/src/glenhollow/runs/run_manager_leases.cpp
@@ -184,7 +184,8 @@
     auto end = clock_.now() + settings_.hold;
     for (const auto& [ref, run] : runs_)
     {
-        if (!occupies(run.phase))
+        // No stop or lease ends a run in memory that has already ended.
+        if (!occupies(run.phase) || (run.awaits_end() && ref.in_memory()))
             continue;
         end = std::min(end, lease_end(run));
         if (run.hold_limit.count() != 0)
@@ -250,6 +251,8 @@
             // The entry had no runs here; its lease is about to be renewed.
             continue;
         if (run.orphaned_at.count() == 0)
+        if (run.awaits_end())
+            continue;
         {
             run.orphaned_at = now;
             orphans.push_back(ref);
--- a/src/glenhollow/runs/run_manager_leaving.cpp
+++ b/src/glenhollow/runs/run_manager_leaving.cpp
@@ -63,7 +63,8 @@
     std::vector<run_on_leaving_server> runs_here;
     for (const auto& [ref, run] : runs_)
     {
-        if (run.phase != run_phase::running || !run.are_needs_known)
+        if (run.phase != run_phase::running || !run.are_needs_known ||
+            run.awaits_end())
             continue;
         run_on_leaving_server one;
         one.run = ref;
@@ -107,11 +108,11 @@
     }
 }
 
-/// Ignores ends that were seen late and ends during the warm-up of the server.
+/// Ignores ends that were seen late or listed late and ends during the warm-up of the server.
 void run_manager::record_pace(const run_record& run)
 {
     const bool cold = run.phase_changed_at < account_.cold_until;
-    if (run.order.expected_ms == 0 || cold ||
+    if (run.order.expected_ms == 0 || cold || run.awaits_end() ||
         poll_gap_ > settings_.max_poll_gap)
         return;
     const std::chrono::duration<double, std::micro> elapsed =
--- a/src/glenhollow/runs/run_manager_polling.cpp
+++ b/src/glenhollow/runs/run_manager_polling.cpp
@@ -13,6 +13,20 @@
 
 using namespace manager_timing;
 
+namespace
+{
+
+std::unordered_set<run_ref, run_ref_hash>
+runs_of(const std::vector<server_run>& running)
+{
+    std::unordered_set<run_ref, run_ref_hash> runs;
+    for (const auto& one : running)
+        runs.insert(one.run);
+    return runs;
+}
+
+} // namespace
+
 /// Calls a handler if an answer is missing after a timeout. A timer that fires
 /// late shows that this process was delayed and may not have read the answer
 /// yet; the wait is then extended.
@@ -174,6 +188,8 @@
         apply_running(poll_sent.sent, answer.running);
         if (answer.lists_all_ends)
             resolve_missing(poll_sent.sent, answer.running);
+        else
+            mark_unlisted(poll_sent.sent, answer.running);
         if (first || account_.phase == server_phase::absent)
             update_phase();
     }
@@ -308,13 +324,27 @@
 }
 
 /// Settles runs that are neither running nor among the ends. Applies to
+/// A run that was running and is not running any more has ended, although a
+/// full list of ends does not name it yet. It neither stalls nor needs a stop.
+void run_manager::mark_unlisted(instant sent,
+                                const std::vector<server_run>& running)
+{
+    const auto listed = runs_of(running);
+    for (auto& [ref, run] : runs_)
+    {
+        const bool was_running = run.phase == run_phase::running ||
+                                 run.phase == run_phase::stopping;
+        if (was_running && run.phase_changed_at < sent && !run.awaits_end() &&
+            !listed.contains(ref))
+            run.unlisted_since = clock_.now();
+    }
+}
+
 /// complete lists only: one that was cut may lack the end of a run.
 void run_manager::resolve_missing(instant sent,
                                   const std::vector<server_run>& running)
 {
-    std::unordered_set<run_ref, run_ref_hash> listed;
-    for (const auto& one : running)
-        listed.insert(one.run);
+    const auto listed = runs_of(running);
     std::vector<run_ref> missing;
     for (auto& [ref, run] : runs_)
     {
--- a/tests/unit/runs/cut_end_list_tests.cpp
+++ b/tests/unit/runs/cut_end_list_tests.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr lease_id part_lease = 0;
+constexpr lease_id entry_lease = memory_lease(0);
 constexpr std::uint32_t part_epoch_number = 1;
 constexpr std::uint32_t journalled_run = 1;
 
@@ -47,6 +48,8 @@
         for (duration passed{}; passed < length; passed += step)
         {
             manager.renew(part_lease, part_epoch_number, loop.clock.now());
+            if (entry_lives)
+                manager.renew(entry_lease, 0, loop.clock.now());
             manager.tick();
             loop.advance(step);
         }
@@ -76,6 +79,16 @@
             server.finish(ref(i), run_outcome::done);
     }
 
+    run_ref start_in_memory()
+    {
+        run_order order;
+        order.run = {{43, 0, 0, 0}, first_memory_run + 1};
+        order.needs = {1000, 10, 0};
+        manager.order(order, entry_lease);
+        run(milliseconds{20});
+        return order.run;
+    }
+
     /// @return Ends reported since the last call.
     std::vector<run_end> ends() { return manager.take_ends(part_lease); }
 
@@ -88,6 +101,7 @@
     manual_loop loop;
     fake_backend_server server{loop};
     server_account account;
+    bool entry_lives = true; ///< Whether the entry of jobs in memory reports.
     run_manager manager{loop.clock, server, loop.delay(), 1000, one_part()};
 };
 
@@ -129,3 +143,55 @@
     REQUIRE(listed.size() == 1);
     CHECK(listed[0].outcome == run_outcome::lapsed);
 }
+
+// Guards against a server that counts as unhealthy, and gets stops for runs
+// that have ended, because these make no progress until their ends are listed.
+TEST_CASE("a run whose end is not listed yet has not stalled", "[cut_end_list]")
+{
+    cut_list_fixture fixture;
+    fixture.start(4);
+    fixture.finish(4);
+    fixture.run(seconds{3});
+    CHECK(fixture.server.stops == 0);
+    CHECK(fixture.manager.stats().stalled == 0);
+    CHECK(fixture.manager.account().phase == server_phase::ready);
+}
+
+// Guards against a pace that counts the time until an end was listed.
+TEST_CASE("the run time of an end that is listed late ends with the run",
+          "[cut_end_list]")
+{
+    cut_list_fixture fixture;
+    fixture.start(3);
+    fixture.finish(3);
+    fixture.run(seconds{2});
+    fixture.confirm(fixture.ends());
+    fixture.run(milliseconds{100});
+    const auto later = fixture.ends();
+    REQUIRE(later.size() == 1);
+    CHECK(later[0].duration_us < 300'000);
+}
+
+// Guards against a hold that lapses, and ends all runs of the server, for the
+// sake of a run that has already ended.
+TEST_CASE("a run in memory whose end is not listed yet does not bound the hold",
+          "[cut_end_list]")
+{
+    cut_list_fixture fixture;
+    const auto in_memory = fixture.start_in_memory();
+    fixture.start(4);
+    fixture.finish(3);
+    fixture.server.finish(in_memory, run_outcome::done);
+    fixture.run(milliseconds{200});
+    SECTION("its entry has stopped it")
+    {
+        fixture.manager.stop(in_memory);
+    }
+    SECTION("the lease of its entry has expired")
+    {
+        fixture.entry_lives = false;
+    }
+    fixture.run(seconds{3});
+    CHECK(fixture.server.running.size() == 1);
+    CHECK(fixture.manager.stats().lapses == 0);
+}
