Runs: an agent accounts for runs once its server has listed all ends

What callers would see: a task that has ended starts again after a restart of an agent beside a server with more ends than it lists at once, or after a new owner has taken the part over meanwhile. Found while looking for places where an account that does not name a run concludes that it is over; by tests, no play of real programs has shown it.

Cause: are_runs_known() was satisfied by the first answer of a process, whole or not, and the owner starts again what the account does not name (requeue_unlisted).

Mend: the account waits for a complete list. So that the list can go on, the holder of a lease is set before (run_manager::claim), and gets ends by reports, whose confirmations let the server list further ones. A new owner goes on waiting for an agent that reports: its leases are renewed meanwhile.

The simulated agents and entries of tests/schedule follow. New there: servers that list one end at once (cut_lists, 700 schedules).

--- a/src/glenhollow/durable/durable_members.cpp
+++ b/src/glenhollow/durable/durable_members.cpp
@@ -68,6 +68,16 @@
     }
 }
 
+/// @return Whether the agent has been silent for less than the time after which
+/// its runs have ended.
+bool durable_service::is_live(const std::string& agent) const
+{
+    const auto known = agent_silence_.find(agent);
+    return known != agent_silence_.end() &&
+           clock_.now() - known->second.since <=
+               settings_.ownership.jobs.agent_timeout;
+}
+
 std::set<std::string> durable_service::possible_agents() const
 {
     std::set<std::string> names;
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -158,7 +158,11 @@
 
 job_coordinator::dependencies durable_service::dependencies()
 {
-    return {clock_, wall_milliseconds, store_, dispatcher_, delay()};
+    return {
+        clock_,  wall_milliseconds,
+        store_,  dispatcher_,
+        delay(), [this](const std::string& agent) { return is_live(agent); },
+    };
 }
 
 job_handover::dependencies durable_service::handover_dependencies()
--- a/src/glenhollow/durable/job_coordinator.cpp
+++ b/src/glenhollow/durable/job_coordinator.cpp
@@ -555,14 +555,7 @@
 
 void job_coordinator::tick()
 {
-    if (!unreported_agents_.empty() &&
-        dependencies_.clock.now() - claimed_ > settings_.agent_timeout)
-    {
-        log_change(log_level::info, "agent_reports_timed_out",
-                   {{"part", part_}, {"agents", unreported_agents_.size()}});
-        unreported_agents_.clear();
-        on_all_agents_reported();
-    }
+    drop_silent_agents();
     process_due_reviews();
     expire_ended_jobs();
 }
--- a/src/glenhollow/durable/job_coordinator.hpp
+++ b/src/glenhollow/durable/job_coordinator.hpp
@@ -126,6 +126,9 @@
         row_store& store;            ///< Stores the journal.
         dispatcher& task_dispatcher; ///< Places tasks at agents.
         journal_chain::delay later;  ///< Runs a function after a delay.
+        /// Returns whether an agent reports, so that its account will arrive.
+        std::function<bool(const std::string&)> is_agent_live =
+            [](const std::string&) { return false; };
     };
 
     /// Creates the coordinator of a part of the journal.
@@ -192,8 +195,8 @@
     std::optional<run_order> assign(const ready_task& task,
                                     const std::string& agent);
 
-    /// Runs periodic work: removes old ended jobs, stops waiting for silent
-    /// agents and abandons expired in-memory jobs.
+    /// Runs periodic work: removes old ended jobs, stops waiting for the
+    /// accounts of silent agents and abandons expired in-memory jobs.
     void tick();
 
     /// Abandons an in-memory job whose caller has disconnected.
@@ -352,6 +355,7 @@
     void restore(loaded_part loaded);
     job_outcome absent_outcome(job_id id) const;
     void on_all_agents_reported();
+    void drop_silent_agents();
     void expire_ended_jobs();
     row_key key(std::string_view table, job_id id) const;
 
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -20,8 +20,18 @@
     {
     }
 
+    /// Reports carry ends to the holder before its account is sent. A server
+    /// that lists only some of its ends lists further ones once the holder has
+    /// confirmed these.
     kj::Promise<void> adopt(AdoptContext context) override
     {
+        const auto part = from_wire(context.getParams().getPart());
+        auto* session = service_.find(session_number_);
+        if (session == nullptr)
+            return replaced();
+        const auto lease = lease_of(*session, part);
+        if (service_.manager_.claim(lease, part.epoch))
+            service_.handle_adoption(session_number_, lease);
         return service_.when_runs_known().then(
             [this, context]() mutable { return send_account(context); });
     }
@@ -30,12 +40,9 @@
     {
         const auto part = from_wire(context.getParams().getPart());
         auto* session = service_.find(session_number_);
-        // An empty answer would mean that no runs exist.
         if (session == nullptr)
-            return KJ_EXCEPTION(
-                FAILED, "a newer session of the entry has replaced this one");
-        const lease_id lease =
-            part.part == memory_part ? session->memory : part.part;
+            return replaced();
+        const auto lease = lease_of(*session, part);
         const auto known = service_.manager_.adopt(lease, part.epoch);
         auto out = context.getResults();
         out.setDeclined(known.declined);
@@ -52,8 +59,6 @@
                     {"runs", known.runs.size()},
                     {"ends", known.ends.size()},
                     {"server_polled", service_.manager_.is_polled()}});
-        if (!known.declined)
-            service_.handle_adoption(session_number_, lease);
         return kj::READY_NOW;
     }
 
@@ -98,6 +103,18 @@
     }
 
 private:
+    /// An empty answer would mean that no runs exist.
+    static kj::Exception replaced()
+    {
+        return KJ_EXCEPTION(
+            FAILED, "a newer session of the entry has replaced this one");
+    }
+
+    static lease_id lease_of(const session& holder, const part_epoch& part)
+    {
+        return part.part == memory_part ? holder.memory : part.part;
+    }
+
     run_agent_service& service_;
     std::uint64_t session_number_;
 };
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -195,8 +195,8 @@
     bool is_polled() const { return polled_; }
 
     /// @return Whether accounts may be given to owners: the backend server has
-    /// listed its runs, or was silent for so long that all runs have lapsed. An
-    /// owner restarts the runs that an account does not list.
+    /// listed its runs and all ends, or was silent for so long that all runs
+    /// have lapsed. An owner restarts the runs that an account does not list.
     bool are_runs_known() const;
 
     /// Handles a registration or heartbeat.
@@ -228,6 +228,12 @@
     /// adopted it. For an entry's lease this includes unclaimed runs.
     lease_account adopt(lease_id lease, std::uint32_t epoch);
 
+    /// @return False if a later owner has adopted the lease.
+    bool claim(lease_id lease, std::uint32_t epoch);
+
+    /// Sets the holder of a lease and lists its runs.
+    /// @param lease Lease of a part or of an entry.
+    /// @param epoch Epoch of the owner; 0 for the lease of an entry.
     /// Renews a lease, counted from the time of the confirmed report.
     /// @param lease Lease of a part or of an entry.
     /// @param epoch Epoch of the holder; 0 for the lease of an entry.
@@ -508,6 +514,8 @@
     bool draining_ = false;           ///< No orders are accepted.
     /// The hold is not renewed until it has lapsed.
     bool hold_lapsing_ = false;
+    /// The current incarnation has listed all its ends to this process.
+    bool all_ends_seen_ = false;
     // The times below do not count suspended time, like the backend server's
     // clock; leases do count it.
     instant lapse_end_{};  ///< Time when the hold has certainly lapsed.
--- a/src/glenhollow/runs/run_manager_incarnations.cpp
+++ b/src/glenhollow/runs/run_manager_incarnations.cpp
@@ -184,7 +184,7 @@
     unconfirmed_.reset_numbers();
     server_clock_.reset();
     breaker_.reset();
-    polled_ = false;
+    polled_ = all_ends_seen_ = false;
     listed_born_ms_ = 0;
     listed_link_ = 0;
 }
@@ -267,6 +267,7 @@
     unconfirmed_.reset_numbers();
     breaker_.reset();
     server_clock_.reset();
+    all_ends_seen_ = false;
     for (auto& [ref, run] : runs_)
         run.may_have_run = occupies(run.phase);
 }
--- a/src/glenhollow/runs/run_manager_leases.cpp
+++ b/src/glenhollow/runs/run_manager_leases.cpp
@@ -24,15 +24,11 @@
                            : part_of(run.task.job, settings_.parts);
 }
 
-lease_account run_manager::adopt(lease_id lease, std::uint32_t epoch)
+bool run_manager::claim(lease_id lease, std::uint32_t epoch)
 {
-    lease_account out;
     auto& record = leases_[lease];
     if (epoch < record.epoch)
-    {
-        out.declined = true;
-        return out;
-    }
+        return false;
     const bool newer = epoch > record.epoch;
     if (newer)
         log_change(log_level::info, "part_adopted",
@@ -45,6 +41,15 @@
     // this one while the agent was unreachable.
     if (is_part_lease(lease))
         refuse_waiting(lease);
+    return true;
+}
+
+lease_account run_manager::adopt(lease_id lease, std::uint32_t epoch)
+{
+    lease_account out;
+    out.declined = !claim(lease, epoch);
+    if (out.declined)
+        return out;
     const auto is_covered = [lease](lease_id of)
     { return of == lease || (!is_part_lease(lease) && of == unclaimed_lease); };
     for (const auto& [ref, run] : runs_)
@@ -246,13 +251,13 @@
                 stop_renewing_hold("part_lease", run.lease);
             continue;
         }
+        if (run.awaits_end())
+            continue;
         if (run.phase == run_phase::waiting &&
             now - run.phase_changed_at < settings_.claim_timeout)
             // The entry had no runs here; its lease is about to be renewed.
             continue;
         if (run.orphaned_at.count() == 0)
-        if (run.awaits_end())
-            continue;
         {
             run.orphaned_at = now;
             orphans.push_back(ref);
--- a/src/glenhollow/runs/run_manager_polling.cpp
+++ b/src/glenhollow/runs/run_manager_polling.cpp
@@ -218,6 +218,7 @@
 {
     const bool is_cut = !answer.lists_all_ends;
     stats_.polls_cut += is_cut ? 1 : 0;
+    all_ends_seen_ = all_ends_seen_ || !is_cut;
     if (std::exchange(is_list_cut_, is_cut) == is_cut)
         return;
     log_change(log_level::info, is_cut ? "end_list_cut" : "end_list_complete",
@@ -323,7 +324,6 @@
                    {{"runs", stats_.found - runs_found_before}});
 }
 
-/// Settles runs that are neither running nor among the ends. Applies to
 /// A run that was running and is not running any more has ended, although a
 /// full list of ends does not name it yet. It neither stalls nor needs a stop.
 void run_manager::mark_unlisted(instant sent,
@@ -340,6 +340,7 @@
     }
 }
 
+/// Settles runs that are neither running nor among the ends. Applies to
 /// complete lists only: one that was cut may lack the end of a run.
 void run_manager::resolve_missing(instant sent,
                                   const std::vector<server_run>& running)
@@ -406,11 +407,12 @@
 }
 
 /// A process that has just started or has just sent its first poll does not
-/// know the runs yet.
+/// know the runs yet. Ends that a full list does not name may belong to runs of
+/// an earlier process, until a list has named all.
 bool run_manager::are_runs_known() const
 {
     const auto now = clock_.running();
-    return polled_ || (now - last_answer_ >= silence_limit() &&
+    return all_ends_seen_ || (now - last_answer_ >= silence_limit() &&
                        now >= latest_hold() + lapse_margin);
 }
 
--- a/tests/schedule/durable_schedule_tests.cpp
+++ b/tests/schedule/durable_schedule_tests.cpp
@@ -27,8 +27,12 @@
 /// Kinds of faults that are not injected.
 using fault_set = std::set<std::string>;
 
+/// As many ends as a list of the platform's backend servers.
+constexpr std::size_t usual_list = 500;
+
 durable_outcome play(std::uint64_t seed, bool journalled,
-                     const fault_set& excluded_faults, bool tracing = false)
+                     const fault_set& excluded_faults, bool tracing = false,
+                     std::size_t max_listed_ends = usual_list)
 {
     durable_schedule_settings settings;
     settings.seed = seed;
@@ -37,14 +41,17 @@
     settings.agents = 3 - seed % 3 / 2;
     settings.tracing = tracing;
     settings.excluded_faults = excluded_faults;
+    settings.max_listed_ends = max_listed_ends;
     durable_world world(settings);
     return world.play();
 }
 
 std::string trace_of(std::uint64_t seed, bool journalled,
-                     const fault_set& excluded_faults)
+                     const fault_set& excluded_faults,
+                     std::size_t max_listed_ends)
 {
-    const auto again = play(seed, journalled, excluded_faults, true);
+    const auto again =
+        play(seed, journalled, excluded_faults, true, max_listed_ends);
     std::string out = "seed " + std::to_string(seed) + "\n";
     for (const auto& line : again.lines)
         out += line + "\n";
@@ -53,7 +60,8 @@
 
 /// Plays all seeds of a range and checks each.
 void explore(bool journalled, std::uint64_t schedules,
-             const fault_set& excluded_faults)
+             const fault_set& excluded_faults,
+             std::size_t max_listed_ends = usual_list)
 {
     const auto only = from_environment("GLENHOLLOW_SEED", 0);
     const auto first = only != 0 ? only : 1;
@@ -63,7 +71,8 @@
     std::size_t failed = 0;
     for (auto seed = first; seed <= last; ++seed)
     {
-        const auto got = play(seed, journalled, excluded_faults);
+        const auto got =
+            play(seed, journalled, excluded_faults, false, max_listed_ends);
         sum.starts += got.starts;
         sum.succeeded += got.succeeded;
         sum.refused += got.refused;
@@ -77,10 +86,11 @@
             continue;
         ++failed;
         if (failed == 1)
-            UNSCOPED_INFO(trace_of(seed, journalled, excluded_faults));
+            UNSCOPED_INFO(
+                trace_of(seed, journalled, excluded_faults, max_listed_ends));
         if (const char* folder = std::getenv("GLENHOLLOW_STORIES"))
             std::ofstream(std::string(folder) + "/" + std::to_string(seed))
-                << trace_of(seed, journalled, excluded_faults);
+                << trace_of(seed, journalled, excluded_faults, max_listed_ends);
         UNSCOPED_INFO("seed " << seed << ": " << got.violations.front());
     }
     std::string faults;
@@ -95,7 +105,8 @@
          << ", resubmitted " << sum.resent << ", holds lapsed " << sum.lapses
          << "; faults:" << faults << "; schedules by situation:" << situations);
     if (only != 0)
-        std::cout << trace_of(only, journalled, excluded_faults);
+        std::cout << trace_of(only, journalled, excluded_faults,
+                              max_listed_ends);
     CHECK(failed == 0);
     // Ensures that the faults had an effect.
     if (only == 0)
@@ -125,6 +136,15 @@
     explore(true, 700, {});
 }
 
+// Guards against tasks that run again after their ends: the ends of a backend
+// server take several answers, also to an agent that has just begun and to a
+// new owner of the part.
+TEST_CASE("journalled jobs run once where servers list one end at once",
+          "[cut_lists]")
+{
+    explore(true, 700, {}, 1);
+}
+
 // Seeds that found a task running twice after an agent, an entry or a backend
 // server restarted.
 TEST_CASE("seeds that once ran a task twice run it once", "[mended]")
--- a/tests/schedule/durable_world.cpp
+++ b/tests/schedule/durable_world.cpp
@@ -73,6 +73,7 @@
         site.server = std::make_unique<simulated_server>(
             time_, checks_, i, rate * slow, time_.chance(0.5));
         site.server->clock_falls_back = !settings_.jobs.empty();
+        site.server->max_listed_ends = settings_.max_listed_ends;
         site.agent =
             std::make_unique<simulated_agent>(time_, *site.server, i, rate);
         site.links.resize(settings_.entries);
--- a/tests/schedule/durable_world.hpp
+++ b/tests/schedule/durable_world.hpp
@@ -47,6 +47,8 @@
     std::vector<planned_job> jobs;
     std::vector<planned_fault> faults; ///< Faults of the scenario.
     duration length{};                 ///< Duration of the scenario.
+    /// Maximum number of ends that a server names in one answer.
+    std::size_t max_listed_ends = 500;
 };
 
 /// Result of one schedule.
--- a/tests/schedule/simulated_agent.cpp
+++ b/tests/schedule/simulated_agent.cpp
@@ -129,6 +129,12 @@
 void simulated_agent::adopt(std::uint64_t session, part_epoch part,
                             std::function<void(const lease_account&)> done)
 {
+    auto* by = find(session);
+    if (by == nullptr)
+        return; // Another session has replaced it.
+    const lease_id lease = part.part == memory_part ? by->memory : part.part;
+    if (manager_->claim(lease, part.epoch))
+        handle_adoption(*by, lease);
     if (manager_->are_runs_known())
         return send_account(session, part, done);
     waiting_adoptions_.push_back([this, session, part, done = std::move(done)]
@@ -152,8 +158,6 @@
                    std::to_string(known.ends.size()) + " ends" +
                    (manager_->is_polled() ? "" : ", before the first poll");
         });
-    if (!known.declined)
-        handle_adoption(*by, lease);
     done(known);
 }
 
--- a/tests/schedule/simulated_entry.cpp
+++ b/tests/schedule/simulated_entry.cpp
@@ -39,8 +39,20 @@
 
 job_coordinator::dependencies simulated_entry::dependencies()
 {
-    return {node_.clock(), [this] { return simulated_wall_ms(time_); },
-            *watched_, *dispatcher_, node_.delay()};
+    return {node_.clock(),
+            [this] { return simulated_wall_ms(time_); },
+            *watched_,
+            *dispatcher_,
+            node_.delay(),
+            [this](const std::string& agent) { return is_live(agent); }};
+}
+
+bool simulated_entry::is_live(const std::string& agent) const
+{
+    const auto known = silences_.find(agent);
+    return known != silences_.end() &&
+           node_.clock().now() - known->second.since <=
+               job_coordinator_settings{}.agent_timeout;
 }
 
 void simulated_entry::begin()
--- a/tests/schedule/simulated_entry.hpp
+++ b/tests/schedule/simulated_entry.hpp
@@ -35,6 +35,7 @@
 /// |                       | durable_service::agent_detached        |
 /// | close_silent_sessions | agent_sessions::tick                   |
 /// | check_agents          | durable_service::check_agents          |
+/// | is_live               | durable_service::is_live               |
 /// | tick                  | durable_service::tick                  |
 /// | submit, withdraw      | durable_service::submit and its result |
 class simulated_entry final : private order_sender,
@@ -149,6 +150,7 @@
     std::vector<part_epoch> renewed_parts() const;
     job_coordinator* coordinator_of(part_number part);
     job_coordinator::dependencies dependencies();
+    bool is_live(const std::string& agent) const;
 
     simulated_time& time_;
     std::size_t number_;              ///< Number of the entry.
--- a/tests/schedule/simulated_server.cpp
+++ b/tests/schedule/simulated_server.cpp
@@ -300,7 +300,9 @@
         const auto percent = 1 + 98 * ran.count() / one.work.count();
         out.running.push_back({one.run, static_cast<std::uint32_t>(percent)});
     }
-    out.finished = finished_;
+    const auto listed = std::min(finished_.size(), max_listed_ends);
+    out.finished = {finished_.begin(), finished_.begin() + listed};
+    out.lists_all_ends = listed < max_listed_ends;
     return out;
 }
 
--- a/tests/schedule/simulated_server.hpp
+++ b/tests/schedule/simulated_server.hpp
@@ -66,6 +66,8 @@
                     std::function<void()> on_broken);
 
     server_link link; ///< Faults of calls from its agent.
+    /// Maximum number of ends in one answer.
+    std::size_t max_listed_ends = 500;
     /// Whether the clock of each incarnation starts behind that of the last
     /// one.
     bool clock_falls_back = false;
--- a/tests/unit/durable/coordinator_fixture.hpp
+++ b/tests/unit/durable/coordinator_fixture.hpp
@@ -50,7 +50,9 @@
                                          loop.clock.now() - seconds{1000})
                                          .count();
                 },
-                store, placing, loop.delay()};
+                store, placing, loop.delay(),
+                [this](const std::string& agent)
+                { return live_agents.contains(agent); }};
     }
 
     /// Creates a coordinator of in-memory jobs.
@@ -184,6 +186,7 @@
     std::vector<std::pair<std::string, run_ref>> started;
     std::vector<std::pair<std::string, run_ref>> stopped;
     std::vector<run_end> confirmed;
+    std::set<std::string> live_agents; ///< Agents that report.
     std::uint64_t numbers = 0;
     int lost = 0;
 };
--- a/tests/unit/durable/job_coordinator_tests.cpp
+++ b/tests/unit/durable/job_coordinator_tests.cpp
@@ -109,6 +109,38 @@
         CHECK(run.run > first.front().second.run);
 }
 
+// Guards against a task that runs again although it has ended: an agent that
+// reports had not told all ends yet when a new owner stopped waiting for it.
+TEST_CASE("a new owner waits for the account of an agent that reports")
+{
+    coordinator_fixture world;
+    world.owner(1);
+    world.submit(coordinator_fixture::job(1, 1));
+    const auto run = world.started.front().second;
+    auto loaded = world.load();
+    world.started.clear();
+    world.live_agents = {"agent-1"};
+    world.owner(2, {"agent-1", "agent-2"}, std::move(loaded));
+    world.loop.advance(2 * job_coordinator_settings{}.agent_timeout);
+    world.settle();
+    CHECK(world.started.empty());
+    SECTION("its account names the end")
+    {
+        lease_account account;
+        account.ends.push_back({run, run_outcome::done, 501, 1000, true});
+        world.coordinator->reconcile_agent("agent-1", account);
+        world.settle();
+        CHECK(world.started.empty());
+        CHECK(world.coordinator->open_jobs() == 0);
+    }
+    SECTION("it falls silent")
+    {
+        world.live_agents.clear();
+        world.settle();
+        CHECK(world.started.size() == 1);
+    }
+}
+
 // Guards against one task at two backend servers: an agent that the successor
 // can't reach may still hold leases that the previous owner renewed.
 TEST_CASE("a new owner waits for a silent agent from its claim on")
--- a/tests/unit/durable/unseen_runs_tests.cpp
+++ b/tests/unit/durable/unseen_runs_tests.cpp
@@ -10,12 +10,16 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <utility>
+
 using namespace glenhollow;
 
 namespace
 {
 
-/// Entry that keeps the first lease account of each part.
+/// Entry that keeps the first lease account of each part, and confirms the ends
+/// that it is reported.
 struct recording_entry : agent_session_listener
 {
     void agent_attached(const std::string&, const server_report&) override
@@ -30,13 +34,15 @@
         accounts.emplace(part.part, account);
     }
     void agent_reported(const std::string&, const server_report&,
-                        const std::vector<run_end>&,
+                        const std::vector<run_end>& ends,
                         const std::vector<run_ref>&) override
     {
+        reported.insert(reported.end(), ends.begin(), ends.end());
+        unconfirmed.insert(unconfirmed.end(), ends.begin(), ends.end());
     }
     std::vector<run_end> take_confirmed(const std::string&) override
     {
-        return {};
+        return std::exchange(unconfirmed, {});
     }
     std::vector<part_epoch> owned_parts() const override
     {
@@ -54,8 +60,22 @@
         return {};
     }
 
+    /// @return Whether a report or the account of part 0 names the end.
+    bool knows_end(const run_ref& run) const
+    {
+        const auto is_end = [&run](const run_end& end)
+        { return end.run == run; };
+        const auto account = accounts.find(0);
+        return std::any_of(reported.begin(), reported.end(), is_end) ||
+               (account != accounts.end() &&
+                std::any_of(account->second.ends.begin(),
+                            account->second.ends.end(), is_end));
+    }
+
     bool attached = false;
     std::map<part_number, lease_account> accounts;
+    std::vector<run_end> reported;    ///< Ends in reports.
+    std::vector<run_end> unconfirmed; ///< Those not confirmed yet.
 };
 
 run_manager_settings one_part()
@@ -183,6 +203,33 @@
     CHECK(fixture.entry.accounts.at(0).runs.empty());
 }
 
+// Guards against a task that runs again although it has ended: a restarted agent
+// accounted for a part's runs from a list of ends that was cut.
+TEST_CASE("a restarted agent accounts for runs once all ends were listed",
+          "[unseen_runs]")
+{
+    restarted_agent_fixture fixture;
+    fixture.server.running.clear();
+    fixture.server.max_listed_ends = 2;
+    std::vector<run_ref> ended;
+    for (std::uint32_t index = 0; index < 5; ++index)
+    {
+        ended.push_back({{42, 0, 0, index}, 4097});
+        fixture.server.running.push_back(ended.back());
+        fixture.server.finish(ended.back(), run_outcome::done);
+    }
+    int steps = 0;
+    fixture.play(
+        [&]
+        {
+            fixture.time.advance(milliseconds{10});
+            return !fixture.told() && ++steps < 20 * enough_steps;
+        });
+    REQUIRE(fixture.told());
+    for (const auto& run : ended)
+        CHECK(fixture.entry.knows_end(run));
+}
+
 // Guards against an entry that starts a part's tasks again because it got an
 // empty account: a delayed attach call of the entry's previous process has
 // replaced its session.
