Cancels: only an entry that knows all others reports a job as missing

What callers would see: 410 for a cancel while the job goes on running. An entry asks the other entries that it knows; one that has just started, while the store is silent, knows only its seeds, and took the job of an entry that it had never heard of for missing.

Mend: until the member rows were read once, such a cancel waits, and is asked anew once they were; it ends as unknown at its time limit, as before where an entry does not answer.

Test (memory_cancellation), before: answered as missing within 3 s.

--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -118,9 +118,10 @@
               make_router_settings(settings)),
       cancellation_(clock, *this, *this, cancel_journalled(),
                     settings.cancellation),
-      member_rows_(store_, delay(), std::string(members_table),
-                   settings.follower,
-                   [this](const stored_row& row) { apply_member_row(row); }),
+      member_rows_(
+          store_, delay(), std::string(members_table), settings.follower,
+          [this](const stored_row& row) { apply_member_row(row); },
+          [this](std::uint64_t) { members_read_ = true; }),
       operator_rows_(
           store_, delay(), settings.catalog.table, settings.follower,
           [this](const stored_row& row) { apply_operator_row(row); },
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -185,6 +185,7 @@
     {
         return peers_.connection_states();
     }
+    bool knows_all() const override { return members_read_; }
     void cancel(const std::string& name, job_id id,
                 answer_handler done) override;
     void relay_cancel(const std::string& by, const std::string& name, job_id id,
@@ -254,6 +255,7 @@
     job_handover handover_;            ///< Handover of jobs to agent processes.
     job_router router_;                ///< Routes calls to the owners of jobs.
     memory_cancellation cancellation_; ///< Cancellation of jobs in memory.
+    bool members_read_ = false;        ///< Whether all member rows were read.
     table_follower member_rows_;       ///< Follows the member rows.
     table_follower operator_rows_;     ///< Follows the operator's rows.
     member_announcer announcer_;       ///< Writes this entry's member row.
--- a/src/glenhollow/durable/memory_cancellation.cpp
+++ b/src/glenhollow/durable/memory_cancellation.cpp
@@ -106,7 +106,7 @@
         return ask_local(id); // Its host has returned the job.
     // The job's host is lost; its runs end when their leases expire.
     auto& pending = known->second;
-    pending.broadcast = true;
+    pending.broadcast = pending.asked_all = true;
     pending.journal = job_reply{job_outcome::missing, job_state::queued, {}};
     pending.silent_since[{}] = clock_.now();
 }
@@ -128,13 +128,15 @@
 /// A silent entry is waited for until the leases at its agents have expired.
 /// For an unreachable entry that time starts with its last message; it may
 /// still reach its agents, unless it has been silent for the whole retention
-/// time.
+/// time. An entry that is not known yet may have the job, so all are asked
+/// again once they are.
 void memory_cancellation::broadcast(job_id id)
 {
     const auto now = clock_.now();
     const auto peers = peers_.all();
     auto& pending = pending_.at(id);
     pending.broadcast = true;
+    pending.asked_all = peers_.knows_all();
     pending.broadcast_at = now;
     for (const auto& peer : peers)
     {
@@ -398,6 +400,8 @@
         return broadcast(id);
     if (!pending.broadcast)
         return;
+    if (!pending.asked_all && peers_.knows_all())
+        return broadcast(id);
     expire_waits(pending, peers);
     relay_cancel(id, peers);
     finish_if_complete(id);
@@ -433,7 +437,8 @@
     if (known == pending_.end())
         return;
     const auto& pending = known->second;
-    if (!pending.broadcast || !pending.silent_since.empty() || !pending.journal)
+    if (!pending.broadcast || !pending.asked_all ||
+        !pending.silent_since.empty() || !pending.journal)
         return;
     const auto reply = *pending.journal;
     finish(id,
--- a/src/glenhollow/durable/memory_cancellation.hpp
+++ b/src/glenhollow/durable/memory_cancellation.hpp
@@ -61,6 +61,10 @@
     /// @return All known entries, connected or not.
     virtual std::vector<peer_status> all() const = 0;
 
+    /// @return Whether all() lists every entry: one that has just started may
+    /// know few of them.
+    virtual bool knows_all() const = 0;
+
     /// Cancels a job at another entry.
     /// @param done Called with the reply, or nothing if there is none.
     virtual void cancel(const std::string& name, job_id id,
@@ -198,6 +202,7 @@
         instant started_at{};                ///< Time of the caller's request.
         std::vector<job_reply_handler> done; ///< Callers to answer.
         bool broadcast = false; ///< Whether it was sent to other entries.
+        bool asked_all = false; ///< Whether these were all entries.
         /// Whether this entry's own reply is pending.
         bool awaiting_local = false;
         std::optional<job_reply> journal; ///< Reply of the journal's owner.
--- a/tests/unit/durable/memory_cancellation_tests.cpp
+++ b/tests/unit/durable/memory_cancellation_tests.cpp
@@ -45,6 +45,7 @@
     struct links final : cancel_peers
     {
         std::vector<peer_status> all() const override;
+        bool knows_all() const override { return members_read; }
         void cancel(const std::string& name, job_id id,
                     answer_handler done) override;
         void relay_cancel(const std::string& by, const std::string& name,
@@ -54,6 +55,8 @@
 
         cancel_fixture* world = nullptr;
         std::string own_name;
+        bool members_read = true;      ///< Whether all other entries are known.
+        std::set<std::string> unknown; ///< Entries that are not known yet.
     };
 
     /// State of one entry.
@@ -163,7 +166,7 @@
     std::vector<peer_status> out;
     for (const auto& [name, one] : world->entries)
     {
-        if (name == own_name)
+        if (name == own_name || unknown.contains(name))
             continue;
         const bool is_unreachable =
             world->unreachable_pairs.contains({own_name, name});
@@ -318,6 +321,34 @@
     CHECK(world.replies[0].outcome == job_outcome::missing);
 }
 
+// Guards against a caller that is told that a job does not exist while it runs
+// at an entry that its own entry, just started, had not heard of.
+TEST_CASE("a job is reported missing only by an entry that knows all others")
+{
+    cancel_fixture world;
+    world.at(2).local_jobs.jobs[7] = job_state::running;
+    world.at(0).peers.members_read = false;
+    world.at(0).peers.unknown = {"entry-2"};
+    world.cancel(0, 7);
+    world.run(seconds{3});
+    CHECK(world.replies.empty());
+    SECTION("the other entry becomes known")
+    {
+        world.at(0).peers.members_read = true;
+        world.at(0).peers.unknown.clear();
+        world.run(milliseconds{100});
+        REQUIRE(world.replies.size() == 1);
+        CHECK(world.replies[0].state == job_state::cancelled);
+        CHECK(world.at(2).local_jobs.jobs[7] == job_state::cancelled);
+    }
+    SECTION("it does not in time")
+    {
+        world.run(seconds{1});
+        REQUIRE(world.replies.size() == 1);
+        CHECK(world.replies[0].outcome == job_outcome::unknown);
+    }
+}
+
 TEST_CASE("a cancel waits for the leases of a disconnected entry to expire")
 {
     cancel_fixture world;
