--- a/src/glenhollow/durable/part_loader.cpp
+++ b/src/glenhollow/durable/part_loader.cpp
@@ -2,6 +2,7 @@
 
 #include "glenhollow/durable/member_directory.hpp"
 #include "glenhollow/journal/journal_chain.hpp"
+#include "glenhollow/journal/table_reader.hpp"
 #include "glenhollow/telemetry/log.hpp"
 
 #include <algorithm>
@@ -47,26 +48,22 @@
     std::size_t pending_tables = tables.size();
     bool failed = false; ///< Whether a read has failed.
 
-    void read(std::string_view table, const std::string& from)
+    void read(std::string_view table)
     {
         // Member rows belong to no part.
         const auto of =
             table == members_table ? std::string() : part_name(part);
-        row_range range{std::string(table), of, from, {}, 0};
-        store.read(range, [self = shared_from_this(), table](read_result got)
-                   { self->page(table, got); });
+        read_table(
+            store, std::string(table), of,
+            [self = shared_from_this(), table](const stored_row& row)
+            { self->add_row(table, row); },
+            [self = shared_from_this()](std::optional<std::uint64_t> version)
+            { self->table_read(version.has_value()); });
     }
 
-    void page(std::string_view table, const read_result& got)
+    void table_read(bool complete)
     {
-        failed = failed || !got.answered;
-        for (const auto& row : got.rows)
-            add_row(table, row);
-        if (!failed && got.more && !got.rows.empty())
-        {
-            // The smallest key after the last one.
-            return read(table, got.rows.back().key.key + '0');
-        }
+        failed = failed || !complete;
         if (--pending_tables > 0)
             return;
         if (failed)
@@ -159,7 +156,7 @@
 {
     auto work = std::make_shared<load>(store, part, std::move(done));
     for (const auto table : tables)
-        work->read(table, {});
+        work->read(table);
 }
 
 } // namespace glenhollow
--- a/src/glenhollow/durable/table_follower.cpp
+++ b/src/glenhollow/durable/table_follower.cpp
@@ -1,9 +1,11 @@
 #include "glenhollow/durable/table_follower.hpp"
 
+#include "glenhollow/journal/table_reader.hpp"
 #include "glenhollow/telemetry/log.hpp"
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 #include <set>
 
 namespace glenhollow
@@ -34,35 +36,33 @@
     void reload()
     {
         seen_keys.clear();
-        read({}, 0);
+        read_table(
+            store, table, {},
+            [self = shared_from_this()](const stored_row& row)
+            { self->row_read(row); },
+            [self = shared_from_this()](std::optional<std::uint64_t> version)
+            { self->table_read(version); });
     }
 
-    void read(const std::string& from, std::uint64_t since)
+    void row_read(const stored_row& row)
     {
-        store.read({table, {}, from, {}, 0},
-                   [self = shared_from_this(), since](const read_result& got)
-                   { self->page(got, since); });
+        if (closed)
+            return;
+        seen_keys.insert(row.key.key);
+        notify(row);
     }
 
-    void page(const read_result& got, std::uint64_t since)
+    /// Follows from the version of the first page, so that changes made while
+    /// later pages were read are not missed.
+    void table_read(std::optional<std::uint64_t> version)
     {
         if (closed)
             return;
-        if (!got.answered)
+        if (!version)
             return after(settings.retry, [](state& self) { self.reload(); });
-        for (const auto& row : got.rows)
-        {
-            seen_keys.insert(row.key.key);
-            notify(row);
-        }
-        // Follow from the version of the first page, so that changes made
-        // while later pages were read are not missed.
-        const auto version = since == 0 ? got.version : since;
-        if (got.more && !got.rows.empty())
-            return read(got.rows.back().key.key + '0', version);
-        notify_removed(version);
-        notify_current(version);
-        follow(version);
+        notify_removed(*version);
+        notify_current(*version);
+        follow(*version);
     }
 
     void notify(const stored_row& row)
