Runs: no run starts whose end its server could not list

A server names 500 unconfirmed ends at once. While the store is silent, ends of kept jobs fill that list, and all later ends, those of jobs in memory too, stay unknown until it is back: their callers wait for answers that nobody can give, although the runs are done.

An agent starts a run only if its end has room in the list beside the ends that the server keeps and those of all other runs, and shows itself as full to entries meanwhile: jobs in memory go elsewhere or are refused, which is true. No job in memory comes near it where its entry lives: its ends are confirmed with the next report.

Metric: run_ends_full_total.

--- a/programs/durable_agent_main.cpp
+++ b/programs/durable_agent_main.cpp
@@ -3,6 +3,7 @@
 #include "glenhollow/command_line/command_line.hpp"
 #include "glenhollow/durable/lease_timing.hpp"
 #include "glenhollow/telemetry/log.hpp"
+#include "platform/run_lists_format.hpp"
 
 #include <algorithm>
 #include <iostream>
@@ -67,6 +68,7 @@
     // are made for this hold.
     settings.manager.hold =
         std::min<duration>(milliseconds{given.hold_ms}, max_hold);
+    settings.manager.max_listed_ends = platform::max_listed_ends;
     auto margins = default_lease_timing();
     margins.hold = settings.manager.hold;
     margins.memory_lease = settings.manager.memory_lease;
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -224,8 +224,8 @@
     void collect_parts(metric_page& page);
     void collect_router(metric_page& page) const;
     void collect_cancels(metric_page& page) const;
-    job_coordinator::dependencies dependencies();
     bool is_live(const std::string& agent) const;
+    job_coordinator::dependencies dependencies();
     journal_chain::delay delay();
 
     /// Cleared by close() and the destructor; delayed work checks it. Declared
--- a/src/glenhollow/runs/run_agent_metrics.cpp
+++ b/src/glenhollow/runs/run_agent_metrics.cpp
@@ -28,6 +28,9 @@
           stats.polls_lost, {});
     count("runner_looks_cut_total",
           "Polls whose answer had no room for all ends", stats.polls_cut, {});
+    count("run_ends_full_total",
+          "Times that starts had to wait for confirmations of ends",
+          stats.ends_full, {});
     count("runner_registrations_stale_total",
           "Registrations of incarnations that had ended",
           stats.stale_registrations, {});
--- a/src/glenhollow/runs/run_manager.cpp
+++ b/src/glenhollow/runs/run_manager.cpp
@@ -81,14 +81,35 @@
     const auto expires_at = lease_expiry(run);
     const bool occupied = used_.cpu > 0 || used_.gpu > 0 || used_.memory > 0;
     return account_.phase == server_phase::ready && !hold_lapsing_ &&
-           !(probing() && occupied) && runs_without_needs_ == 0 &&
-           server_clock_.known() && hold_end() > clock_.now() &&
-           owner.lease_epoch == owner.epoch && clock_.now() < expires_at &&
+           has_room_for_ends() && !(probing() && occupied) &&
+           runs_without_needs_ == 0 && server_clock_.known() &&
+           hold_end() > clock_.now() && owner.lease_epoch == owner.epoch &&
+           clock_.now() < expires_at &&
            latest_hold() - clock_.running() <=
                expires_at - clock_.now() + settings_.held_past_lease &&
            used_.can_fit(run.order.needs, account_.capacity);
 }
 
+/// @return Whether the server can list the ends of all its runs and orders
+/// along with the ends that it has to keep.
+bool run_manager::has_room_for_ends() const
+{
+    return unconfirmed_.kept_by_server() + runs_.size() <
+           settings_.max_listed_ends;
+}
+
+/// Entries must not send work while it cannot start.
+void run_manager::check_room_for_ends()
+{
+    const bool has_room = has_room_for_ends();
+    if (std::exchange(had_room_for_ends_, has_room) == has_room)
+        return;
+    stats_.ends_full += has_room ? 0 : 1;
+    notify_load_changed();
+    if (has_room)
+        start_waiting();
+}
+
 void run_manager::start_waiting()
 {
     std::vector<run_record*> waiting;
@@ -350,6 +371,7 @@
 {
     const bool waited = unconfirmed_.has_unsettled();
     unconfirmed_.confirm(end);
+    check_room_for_ends();
     if (waited && !unconfirmed_.has_unsettled() && polled_ && !hold_lapsing_)
         poll();
 }
@@ -427,6 +449,7 @@
     check_silence();
     check_runs();
     check_leaving();
+    check_room_for_ends();
     start_waiting();
 }
 
@@ -522,7 +545,8 @@
         out.used.add(run.order.needs);
         ++out.waiting;
     }
-    if (runs_without_needs_ > 0 || !polled_ || hold_lapsing_)
+    if (runs_without_needs_ > 0 || !polled_ || hold_lapsing_ ||
+        !has_room_for_ends())
         out.used = account_.capacity;
     else if (probing())
         out.used.cpu = std::max(out.used.cpu, probing_cpu_used());
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -141,6 +141,10 @@
     duration max_refusal_backoff = milliseconds{1600};
     /// Maximum number of orders that wait for capacity.
     std::size_t max_waiting = 16;
+    /// Number of ends that the server names in one answer. No run starts unless
+    /// its end fits in with all others, since an end behind them stays unknown
+    /// until they are confirmed.
+    std::size_t max_listed_ends = 500;
 };
 
 /// Receives the changes of a run manager.
@@ -224,16 +228,16 @@
     /// Sets the holder of a lease.
     /// @param lease Lease of a part or of an entry.
     /// @param epoch Epoch of the owner; 0 for the lease of an entry.
-    /// @return The runs and ends of the lease, or that a later owner has
-    /// adopted it. For an entry's lease this includes unclaimed runs.
-    lease_account adopt(lease_id lease, std::uint32_t epoch);
-
     /// @return False if a later owner has adopted the lease.
     bool claim(lease_id lease, std::uint32_t epoch);
 
     /// Sets the holder of a lease and lists its runs.
     /// @param lease Lease of a part or of an entry.
     /// @param epoch Epoch of the owner; 0 for the lease of an entry.
+    /// @return The runs and ends of the lease, or that a later owner has
+    /// adopted it. For an entry's lease this includes unclaimed runs.
+    lease_account adopt(lease_id lease, std::uint32_t epoch);
+
     /// Renews a lease, counted from the time of the confirmed report.
     /// @param lease Lease of a part or of an entry.
     /// @param epoch Epoch of the holder; 0 for the lease of an entry.
@@ -340,6 +344,9 @@
         instant settled_at{};
         /// Time when its lease was found expired; zero: the lease is valid.
         instant orphaned_at{};
+        /// Time when it was found to have ended, while its end is not listed
+        /// yet; zero: it has not.
+        instant unlisted_since{};
         std::uint32_t percent = 0; ///< Progress at the last poll.
         instant started{};         ///< Start time, not counting suspended time.
         /// Time of the last progress, not counting suspended time.
@@ -350,11 +357,11 @@
         instant ordered_at{}; ///< Time when its order arrived.
         /// Whether it cannot finish before its server shuts down.
         bool unfinishable = false;
-        /// Time when it was found to have ended, while its end is not listed
-        /// yet; zero: it has not.
-        instant unlisted_since{};
         /// Whether it may have run in an earlier incarnation.
         bool may_have_run = false;
+
+        /// @return Whether it has ended, but its end is not listed yet.
+        bool awaits_end() const { return unlisted_since.count() != 0; }
     };
 
     /// State of one lease.
@@ -365,9 +372,6 @@
         instant expires_at{};
         /// Ends of the leases of a host's submitters.
         std::map<submitter_id, instant> submitters;
-
-        /// @return Whether it has ended, but its end is not listed yet.
-        bool awaits_end() const { return unlisted_since.count() != 0; }
         /// Started runs that have not been reported.
         std::vector<run_ref> started;
     };
@@ -410,6 +414,8 @@
     void stop_renewing_hold(std::string_view cause, lease_id lease);
     bool is_ended(const run_ref& ref, lease_id memory);
     bool may_start(const run_record& run);
+    bool has_room_for_ends() const;
+    void check_room_for_ends();
     void start_waiting();
     void send_start(run_record& run);
     void update_server_clock(std::int64_t born_ms, std::int64_t clock_ms);
@@ -439,6 +445,7 @@
     void stop_ended_run(instant sent, const run_ref& ref);
     void apply_running(instant sent, const std::vector<server_run>& running);
     void apply_finished(const std::vector<run_end>& finished);
+    void mark_unlisted(instant sent, const std::vector<server_run>& running);
     void resolve_missing(instant sent, const std::vector<server_run>& running);
     void end_all(run_outcome outcome);
     void check_leases();
@@ -451,7 +458,6 @@
     instant lease_end(const run_record& run) const;
     instant hold_end() const;
     void raise_token();
-    void mark_unlisted(instant sent, const std::vector<server_run>& running);
     void set_phase(server_phase phase);
     void notify_load_changed();
     void back_off();
@@ -489,6 +495,8 @@
     std::int64_t listed_born_ms_ = 0;
     /// Time of a sign-off that a poll must confirm.
     std::optional<instant> signed_off_at_;
+    /// Whether the ends of all runs fit into one list, as last checked.
+    bool had_room_for_ends_ = true;
     /// The last list had no room for all ends.
     bool is_list_cut_ = false;
     /// Connection of the last list that was used; 0: none.
@@ -506,6 +514,8 @@
     std::size_t runs_without_needs_ = 0;
     std::uint32_t max_order_cpu_ = 0; ///< Largest CPU demand of any order.
     bool polled_ = false; ///< The current incarnation has answered a poll.
+    /// The current incarnation has listed all its ends to this process.
+    bool all_ends_seen_ = false;
     bool poll_pending_ = false; ///< The latest poll is unanswered.
     /// The next poll must be answered without waiting.
     bool poll_at_once_ = false;
@@ -514,8 +524,6 @@
     bool draining_ = false;           ///< No orders are accepted.
     /// The hold is not renewed until it has lapsed.
     bool hold_lapsing_ = false;
-    /// The current incarnation has listed all its ends to this process.
-    bool all_ends_seen_ = false;
     // The times below do not count suspended time, like the backend server's
     // clock; leases do count it.
     instant lapse_end_{};  ///< Time when the hold has certainly lapsed.
--- a/src/glenhollow/runs/run_manager_stats.hpp
+++ b/src/glenhollow/runs/run_manager_stats.hpp
@@ -40,6 +40,8 @@
     std::uint64_t polls_lost = 0; ///< Polls without an answer in time.
     /// Polls whose answer had no room for all ends.
     std::uint64_t polls_cut = 0;
+    /// Times that starts had to wait for confirmations of ends.
+    std::uint64_t ends_full = 0;
     /// Times that renewing the hold was suspended until it lapsed.
     std::uint64_t lapses = 0;
     std::uint64_t stalled = 0; ///< Runs stopped for lack of progress.
--- a/src/glenhollow/runs/unconfirmed_ends.hpp
+++ b/src/glenhollow/runs/unconfirmed_ends.hpp
@@ -54,6 +54,9 @@
     /// @return Whether a listed end is neither confirmed nor released.
     bool has_unsettled() const { return unsettled_ > 0; }
 
+    /// @return Number of listed ends that the backend server still keeps.
+    std::size_t kept_by_server() const { return listed_.size(); }
+
     /// @return Whether no end is unconfirmed.
     bool empty() const { return ends_.empty(); }
 
--- a/tests/unit/runs/cut_end_list_tests.cpp
+++ b/tests/unit/runs/cut_end_list_tests.cpp
@@ -18,10 +18,12 @@
 constexpr std::uint32_t part_epoch_number = 1;
 constexpr std::uint32_t journalled_run = 1;
 
-run_manager_settings one_part()
+/// @param max_listed_ends Number of ends for which the manager takes care.
+run_manager_settings one_part(std::size_t max_listed_ends)
 {
     run_manager_settings settings;
     settings.parts = 1;
+    settings.max_listed_ends = max_listed_ends;
     return settings;
 }
 
@@ -29,7 +31,11 @@
 /// The owner of its runs renews the lease but confirms no end by itself.
 struct cut_list_fixture
 {
-    cut_list_fixture()
+    /// @param max_listed_ends See run_manager_settings; by default far above
+    /// what the server lists.
+    explicit cut_list_fixture(std::size_t max_listed_ends = 500)
+        : manager(loop.clock, server, loop.delay(), 1000,
+                  one_part(max_listed_ends))
     {
         server.max_listed_ends = 2;
         account.service = "service-1";
@@ -102,7 +108,7 @@
     fake_backend_server server{loop};
     server_account account;
     bool entry_lives = true; ///< Whether the entry of jobs in memory reports.
-    run_manager manager{loop.clock, server, loop.delay(), 1000, one_part()};
+    run_manager manager;
 };
 
 bool all_done(const std::vector<run_end>& ends)
@@ -195,3 +201,28 @@
     CHECK(fixture.server.running.size() == 1);
     CHECK(fixture.manager.stats().lapses == 0);
 }
+
+// Guards against runs whose ends stay unknown, so that their callers get no
+// answer, behind the ends that the server lists.
+TEST_CASE("no run starts whose end the server could not list", "[cut_end_list]")
+{
+    cut_list_fixture fixture(4);
+    fixture.server.max_listed_ends = 4;
+    fixture.start(2);
+    fixture.finish(2);
+    fixture.run(milliseconds{300});
+    const auto first = fixture.ends();
+    REQUIRE(first.size() == 2);
+    const auto in_memory = fixture.start_in_memory();
+    REQUIRE(fixture.server.running.size() == 1);
+    fixture.start(4);
+    CHECK(fixture.server.running.size() == 1);
+    CHECK(fixture.manager.load().used.cpu == 8000);
+    fixture.server.finish(in_memory, run_outcome::done);
+    fixture.run(milliseconds{300});
+    CHECK(fixture.manager.take_ends(entry_lease).size() == 1);
+    CHECK(fixture.manager.stats().polls_cut == 0);
+    fixture.confirm(first);
+    fixture.run(milliseconds{300});
+    CHECK(fixture.server.running.size() > 0);
+}
