Ownership: without the member rows only the store confirms a claim

What callers would see: tasks at two servers at once, and 410 for jobs that another entry has accepted. An owner that restarted while the store was about to fall silent knows only its seeds. Their word, or nobody's, was enough to go on renewing the leases of its parts, though an entry that it had not heard of may have taken them.

Mend: part_ownership::is_valid takes the word of the other entries only once the member rows were read.

Test (claim_evidence): an owner that does not know all entries renews nothing and denies no job 1.7 s into an outage.

--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -185,7 +185,7 @@
     {
         return peers_.connection_states();
     }
-    bool knows_all() const override { return members_read_; }
+    bool knows_all_entries() const override { return members_read_; }
     void cancel(const std::string& name, job_id id,
                 answer_handler done) override;
     void relay_cancel(const std::string& by, const std::string& name, job_id id,
--- a/src/glenhollow/durable/memory_cancellation.cpp
+++ b/src/glenhollow/durable/memory_cancellation.cpp
@@ -136,7 +136,7 @@
     const auto peers = peers_.all();
     auto& pending = pending_.at(id);
     pending.broadcast = true;
-    pending.asked_all = peers_.knows_all();
+    pending.asked_all = peers_.knows_all_entries();
     pending.broadcast_at = now;
     for (const auto& peer : peers)
     {
@@ -400,7 +400,7 @@
         return broadcast(id);
     if (!pending.broadcast)
         return;
-    if (!pending.asked_all && peers_.knows_all())
+    if (!pending.asked_all && peers_.knows_all_entries())
         return broadcast(id);
     expire_waits(pending, peers);
     relay_cancel(id, peers);
--- a/src/glenhollow/durable/memory_cancellation.hpp
+++ b/src/glenhollow/durable/memory_cancellation.hpp
@@ -63,7 +63,7 @@
 
     /// @return Whether all() lists every entry: one that has just started may
     /// know few of them.
-    virtual bool knows_all() const = 0;
+    virtual bool knows_all_entries() const = 0;
 
     /// Cancels a job at another entry.
     /// @param done Called with the reply, or nothing if there is none.
--- a/src/glenhollow/durable/part_ownership.cpp
+++ b/src/glenhollow/durable/part_ownership.cpp
@@ -94,8 +94,10 @@
     // Called for each agent report, so the peers are only searched if needed.
     if (!at.validity.store_confirmation_expired(now))
         return true;
-    return at.validity.is_valid(
-        now, peers_.oldest_confirmation(own, at.validity.active_since()));
+    // An entry that is not known may have claimed the part.
+    return listener_.knows_all_entries() &&
+           at.validity.is_valid(now, peers_.oldest_confirmation(
+                                         own, at.validity.active_since()));
 }
 
 void part_ownership::for_each(
--- a/src/glenhollow/durable/part_ownership.hpp
+++ b/src/glenhollow/durable/part_ownership.hpp
@@ -61,6 +61,9 @@
 
     /// @return All known agents that may run tasks.
     virtual std::set<std::string> possible_agents() const = 0;
+
+    /// @return Whether all other entries are known.
+    virtual bool knows_all_entries() const = 0;
 };
 
 /// Decides which parts of the journal this entry owns. It claims parts without
--- a/tests/unit/durable/claim_validity_tests.cpp
+++ b/tests/unit/durable/claim_validity_tests.cpp
@@ -21,8 +21,10 @@
     void ownership_acquired(part_epoch) override {}
     void ownership_ended(part_number part) override { lost = part; }
     std::set<std::string> possible_agents() const override { return {}; }
+    bool knows_all_entries() const override { return members_read; }
 
     std::optional<part_number> lost;
+    bool members_read = true; ///< Whether all other entries are known.
 };
 
 struct owner_fixture : coordinator_fixture
@@ -121,6 +123,23 @@
     CHECK(fixture.renews());
 }
 
+// Guards against a restarted owner that renews leases, and denies jobs, while
+// an entry that it has not heard of yet may have taken the part.
+TEST_CASE("an owner that does not know all entries needs the store",
+          "[claim_evidence]")
+{
+    owner_fixture fixture;
+    fixture.entry.members_read = false;
+    fixture.run(milliseconds{200});
+    CHECK(fixture.renews());
+    fixture.store.down = true;
+    fixture.run(milliseconds{1700});
+    CHECK_FALSE(fixture.renews());
+    CHECK(fixture.ownership->may_be_superseded(0));
+    fixture.entry.members_read = true;
+    CHECK(fixture.renews());
+}
+
 // Guards against callers who are told that their job does not exist, because a
 // cut-off owner answers while another entry has taken the part and has the job.
 TEST_CASE("an owner with an unconfirmed claim does not deny a job",
--- a/tests/unit/durable/memory_cancellation_tests.cpp
+++ b/tests/unit/durable/memory_cancellation_tests.cpp
@@ -45,7 +45,7 @@
     struct links final : cancel_peers
     {
         std::vector<peer_status> all() const override;
-        bool knows_all() const override { return members_read; }
+        bool knows_all_entries() const override { return members_read; }
         void cancel(const std::string& name, job_id id,
                     answer_handler done) override;
         void relay_cancel(const std::string& by, const std::string& name,
--- a/tests/unit/durable/part_ownership_tests.cpp
+++ b/tests/unit/durable/part_ownership_tests.cpp
@@ -21,6 +21,7 @@
     void ownership_acquired(part_epoch part) override { gained = part; }
     void ownership_ended(part_number) override {}
     std::set<std::string> possible_agents() const override { return {}; }
+    bool knows_all_entries() const override { return false; }
 
     part_epoch gained;
 };
