--- a/src/glenhollow/runs/run_manager_leaving.cpp
+++ b/src/glenhollow/runs/run_manager_leaving.cpp
@@ -108,7 +108,8 @@
     }
 }
 
-/// Ignores ends that were seen late or listed late and ends during the warm-up of the server.
+/// Ignores ends that were seen or listed late, and ends during the warm-up of
+/// the server.
 void run_manager::record_pace(const run_record& run)
 {
     const bool cold = run.phase_changed_at < account_.cold_until;
--- a/src/glenhollow/runs/run_manager_polling.cpp
+++ b/src/glenhollow/runs/run_manager_polling.cpp
@@ -332,8 +332,8 @@
     const auto listed = runs_of(running);
     for (auto& [ref, run] : runs_)
     {
-        const bool was_running = run.phase == run_phase::running ||
-                                 run.phase == run_phase::stopping;
+        const bool was_running =
+            run.phase == run_phase::running || run.phase == run_phase::stopping;
         if (was_running && run.phase_changed_at < sent && !run.awaits_end() &&
             !listed.contains(ref))
             run.unlisted_since = clock_.now();
@@ -413,7 +413,7 @@
 {
     const auto now = clock_.running();
     return all_ends_seen_ || (now - last_answer_ >= silence_limit() &&
-                       now >= latest_hold() + lapse_margin);
+                              now >= latest_hold() + lapse_margin);
 }
 
 instant run_manager::latest_hold() const
--- a/tests/unit/durable/coordinator_fixture.hpp
+++ b/tests/unit/durable/coordinator_fixture.hpp
@@ -50,7 +50,9 @@
                                          loop.clock.now() - seconds{1000})
                                          .count();
                 },
-                store, placing, loop.delay(),
+                store,
+                placing,
+                loop.delay(),
                 [this](const std::string& agent)
                 { return live_agents.contains(agent); }};
     }
--- a/tests/unit/durable/unseen_runs_tests.cpp
+++ b/tests/unit/durable/unseen_runs_tests.cpp
@@ -203,8 +203,8 @@
     CHECK(fixture.entry.accounts.at(0).runs.empty());
 }
 
-// Guards against a task that runs again although it has ended: a restarted agent
-// accounted for a part's runs from a list of ends that was cut.
+// Guards against a task that runs again although it has ended: a restarted
+// agent accounted for a part's runs from a list of ends that was cut.
 TEST_CASE("a restarted agent accounts for runs once all ends were listed",
           "[unseen_runs]")
 {
--- a/tests/unit/support/fake_runner_port.hpp
+++ b/tests/unit/support/fake_runner_port.hpp
@@ -190,8 +190,8 @@
         return milliseconds{std::max<std::int64_t>(0, held_until - now_ms())};
     }
 
-    std::vector<run_ref> running;  ///< Current runs.
-    std::vector<run_end> ends;     ///< Unconfirmed ends.
+    std::vector<run_ref> running; ///< Current runs.
+    std::vector<run_end> ends;    ///< Unconfirmed ends.
     /// Maximum number of ends in one answer.
     std::size_t max_listed_ends = 500;
     std::vector<run_ref> barred;   ///< Runs that can no longer start.
