Tests: one account of a ready backend server for four fixtures

The same four lines stood in cut_end_list, inherited_hold, lease_bounds_hold and suspended_machine tests.

--- a/tests/unit/runs/cut_end_list_tests.cpp
+++ b/tests/unit/runs/cut_end_list_tests.cpp
@@ -3,6 +3,7 @@
 // list may follow later.
 #include "glenhollow/runs/run_manager.hpp"
 #include "unit/support/fake_runner_port.hpp"
+#include "unit/support/ready_account.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -38,11 +39,7 @@
                   one_part(max_listed_ends))
     {
         server.max_listed_ends = 2;
-        account.service = "service-1";
-        account.instance = "life-1";
-        account.capacity = {8000, 1000, 0};
-        account.phase = server_phase::ready;
-        manager.registered(account);
+        manager.registered(ready_account(8000));
         manager.begin();
         manager.adopt(part_lease, part_epoch_number);
         run(milliseconds{20});
@@ -106,7 +103,6 @@
 
     manual_loop loop;
     fake_backend_server server{loop};
-    server_account account;
     bool entry_lives = true; ///< Whether the entry of jobs in memory reports.
     run_manager manager;
 };
--- a/tests/unit/runs/inherited_hold_tests.cpp
+++ b/tests/unit/runs/inherited_hold_tests.cpp
@@ -3,6 +3,7 @@
 // runs again.
 #include "glenhollow/runs/run_manager.hpp"
 #include "unit/support/fake_runner_port.hpp"
+#include "unit/support/ready_account.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -18,12 +19,7 @@
     server.running.push_back(durable_run);
     server.held_until = server.now_ms() + 1000;
     run_manager manager{loop.clock, server, loop.delay(), 1000, {}};
-    server_account account;
-    account.service = "service-1";
-    account.instance = "life-1";
-    account.capacity = {8000, 1000, 0};
-    account.phase = server_phase::ready;
-    manager.registered(account);
+    manager.registered(ready_account(8000));
     manager.begin();
     const auto run = [&](duration length)
     {
--- a/tests/unit/runs/lease_bounds_hold_tests.cpp
+++ b/tests/unit/runs/lease_bounds_hold_tests.cpp
@@ -3,6 +3,7 @@
 // at the same time.
 #include "glenhollow/runs/run_manager.hpp"
 #include "unit/support/fake_runner_port.hpp"
+#include "unit/support/ready_account.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -20,12 +21,7 @@
 {
     two_entries_fixture()
     {
-        server_account account;
-        account.service = "service-1";
-        account.instance = "life-1";
-        account.capacity = {8000, 1000, 0};
-        account.phase = server_phase::ready;
-        manager.registered(account);
+        manager.registered(ready_account(8000));
         manager.begin();
         run(milliseconds{20}, true);
     }
--- a/tests/unit/runs/suspended_machine_tests.cpp
+++ b/tests/unit/runs/suspended_machine_tests.cpp
@@ -4,6 +4,7 @@
 // run at two servers at the same time.
 #include "glenhollow/runs/run_manager.hpp"
 #include "unit/support/fake_runner_port.hpp"
+#include "unit/support/ready_account.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -18,12 +19,7 @@
 {
     suspension_fixture()
     {
-        server_account account;
-        account.service = "service-1";
-        account.instance = "life-1";
-        account.capacity = {8000, 1000, 0};
-        account.phase = server_phase::ready;
-        manager.registered(account);
+        manager.registered(ready_account(8000));
         manager.begin();
         run(milliseconds{20});
     }
