Logs: what the owner of a part knows of a cancel

Two events tell why a cancelled job runs: cancel_found_no_job, from the owner that answers a cancel of a job that it does not have, and cancelled_job_accepted, where the owner accepts a job whose cancel its entry remembers. Until now the logs could not distinguish an owner that never heard of the cancel, one that had accepted the job before the cancel came, and one that forgot a cancel that found nothing.

--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -160,9 +160,13 @@
 job_coordinator::dependencies durable_service::dependencies()
 {
     return {
-        clock_,  wall_milliseconds,
-        store_,  dispatcher_,
-        delay(), [this](const std::string& agent) { return is_live(agent); },
+        clock_,
+        wall_milliseconds,
+        store_,
+        dispatcher_,
+        delay(),
+        [this](const std::string& agent) { return is_live(agent); },
+        [this](job_id id) { return cancellation_.cache().find(id) != nullptr; },
     };
 }
 
--- a/src/glenhollow/durable/job_coordinator.cpp
+++ b/src/glenhollow/durable/job_coordinator.cpp
@@ -154,6 +154,10 @@
     }
     if (!chain_)
         return accept_in_memory(job, std::move(done));
+    if (dependencies_.is_cancelled(job.id))
+        log_change(
+            log_level::warning, "cancelled_job_accepted",
+            {{"job", to_text(job.id)}, {"part", part_}, {"epoch", epoch_}});
     job_record record;
     record.job = job;
     record.tasks.resize(job.task_count());
@@ -488,7 +492,11 @@
         return done({job_outcome::done, ended->second.state, {}});
     const auto known = jobs_.find(id);
     if (known == jobs_.end())
+    {
+        log_change(log_level::info, "cancel_found_no_job",
+                   {{"job", to_text(id)}, {"part", part_}, {"epoch", epoch_}});
         return done({absent_outcome(id), job_state::queued, {}});
+    }
     auto& record = known->second;
     record.end_waiters.push_back(std::move(done));
     if (record.pending_end_state)
--- a/src/glenhollow/durable/job_coordinator.hpp
+++ b/src/glenhollow/durable/job_coordinator.hpp
@@ -129,6 +129,8 @@
         /// Returns whether an agent reports, so that its account will arrive.
         std::function<bool(const std::string&)> is_agent_live =
             [](const std::string&) { return false; };
+        /// Returns whether this entry remembers a cancel of the job.
+        std::function<bool(job_id)> is_cancelled = [](job_id) { return false; };
     };
 
     /// Creates the coordinator of a part of the journal.
