Cancels: the owner remembers a cancel of a journalled job that it does not know

Its submission lay unread at a suspended entry, its caller had left.

Cause: job_coordinator::cancel kept nothing of a cancel that found no job, and a journalled submission did not ask for remembered cancels, which all entries hold.

Why it works: one entry, the owner, sees both the cancel and the submission, on one thread. A cancel that finds no job is remembered there in the same turn; a submission that finds its cancel is journalled as cancelled and not run, so that later queries, repeated submissions and later owners agree. A submission that is repeated while an end is written now waits for that end.

--- a/src/glenhollow/durable/cancel_cache.hpp
+++ b/src/glenhollow/durable/cancel_cache.hpp
@@ -26,7 +26,7 @@
     std::size_t max_jobs = 20'000;
 };
 
-/// A cancelled in-memory job.
+/// A cancelled job.
 struct cached_cancel
 {
     job_state state = job_state::cancelled; ///< Last known end state.
@@ -34,8 +34,9 @@
     instant cancelled_at{}; ///< Time at which its cancel was received.
 };
 
-/// Recently cancelled in-memory jobs. A submission that arrives after its
-/// cancel is rejected by a look-up here.
+/// Recently cancelled jobs that are kept in memory or that their owner did not
+/// know. A submission that arrives after its cancel is rejected by a look-up
+/// here.
 class cancel_cache final
 {
 public:
--- a/src/glenhollow/durable/durable_cancels.cpp
+++ b/src/glenhollow/durable/durable_cancels.cpp
@@ -139,7 +139,7 @@
     count("cancels_crowded_out_total",
           "Cached cancels evicted before their retention expired",
           cancellation_.cache().evictions());
-    page.gauge("cancels_remembered", "Cancelled in-memory jobs in the cache",
+    page.gauge("cancels_remembered", "Cancelled jobs in the cache",
                static_cast<double>(cancellation_.cache().size()));
 }
 
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -166,7 +166,9 @@
         dispatcher_,
         delay(),
         [this](const std::string& agent) { return is_live(agent); },
-        [this](job_id id) { return cancellation_.cache().find(id) != nullptr; },
+        [this](job_id id)
+        { return cancellation_.reject_if_cancelled(id).has_value(); },
+        [this](job_id id) { cancellation_.remember(id); },
     };
 }
 
--- a/src/glenhollow/durable/job_coordinator.cpp
+++ b/src/glenhollow/durable/job_coordinator.cpp
@@ -132,7 +132,7 @@
     if (known != jobs_.end())
     {
         ++stats_.repeated;
-        if (!chain_)
+        if (!chain_ || known->second.pending_end_state)
             known->second.end_waiters.push_back(std::move(done));
         else if (known->second.accepted)
             done({job_outcome::done, job_state::queued, {}});
@@ -142,6 +142,8 @@
     }
     if (unreadable_.contains(job.id))
         return done({job_outcome::unknown, job_state::queued, {}});
+    if (chain_ && dependencies_.reject_if_cancelled(job.id))
+        return journal_cancelled(job, std::move(done));
     if (const auto refused = check_admission(job))
     {
         ++stats_.refused;
@@ -154,10 +156,6 @@
     }
     if (!chain_)
         return accept_in_memory(job, std::move(done));
-    if (dependencies_.is_cancelled(job.id))
-        log_change(
-            log_level::warning, "cancelled_job_accepted",
-            {{"job", to_text(job.id)}, {"part", part_}, {"epoch", epoch_}});
     job_record record;
     record.job = job;
     record.tasks.resize(job.task_count());
@@ -493,6 +491,8 @@
     const auto known = jobs_.find(id);
     if (known == jobs_.end())
     {
+        // The submission may still be on its way.
+        dependencies_.remember_cancel(id);
         log_change(log_level::info, "cancel_found_no_job",
                    {{"job", to_text(id)}, {"part", part_}, {"epoch", epoch_}});
         return done({absent_outcome(id), job_state::queued, {}});
--- a/src/glenhollow/durable/job_coordinator.hpp
+++ b/src/glenhollow/durable/job_coordinator.hpp
@@ -129,8 +129,12 @@
         /// Returns whether an agent reports, so that its account will arrive.
         std::function<bool(const std::string&)> is_agent_live =
             [](const std::string&) { return false; };
-        /// Returns whether this entry remembers a cancel of the job.
-        std::function<bool(job_id)> is_cancelled = [](job_id) { return false; };
+        /// Returns whether this entry remembers a cancel of the job, and counts
+        /// the submission as rejected if so.
+        std::function<bool(job_id)> reject_if_cancelled = [](job_id)
+        { return false; };
+        /// Remembers a cancel of a job that is not known.
+        std::function<void(job_id)> remember_cancel = [](job_id) {};
     };
 
     /// Creates the coordinator of a part of the journal.
@@ -155,7 +159,8 @@
     part_epoch epoch() const { return {part_, epoch_}; }
 
     /// Submits a job. A journalled job is accepted once its row is durable, an
-    /// in-memory job immediately.
+    /// in-memory job immediately. A journalled job whose cancel has arrived
+    /// before it is journalled as cancelled and not run.
     /// @param job A validated job.
     /// @param done Called when a journalled job is accepted or an in-memory
     /// job has ended, or if the job is refused.
@@ -351,6 +356,7 @@
                           const run_end& end);
     void journal_end(job_record& record, job_state state,
                      std::function<void(journal_outcome)> on_written);
+    void journal_cancelled(const job_definition& job, job_reply_handler done);
     void finish(job_id id, job_state state, journal_outcome verdict);
     void stop_runs(job_record& record);
     void remember_ended(job_id id, const ended_job& end);
--- a/src/glenhollow/durable/job_coordinator_ends.cpp
+++ b/src/glenhollow/durable/job_coordinator_ends.cpp
@@ -329,6 +329,19 @@
     write(std::move(entry));
 }
 
+/// Replies like the cancel of an accepted job, so that later queries and
+/// repeated submissions agree with the reply, at a later owner as well.
+void job_coordinator::journal_cancelled(const job_definition& job,
+                                        job_reply_handler done)
+{
+    job_record record;
+    record.job = job;
+    record.tasks.resize(job.task_count());
+    record.end_waiters.push_back(std::move(done));
+    auto& added = jobs_.emplace(job.id, std::move(record)).first->second;
+    journal_end(added, job_state::cancelled, nullptr);
+}
+
 void job_coordinator::finish(job_id id, job_state state,
                              journal_outcome verdict)
 {
--- a/src/glenhollow/durable/memory_cancellation.hpp
+++ b/src/glenhollow/durable/memory_cancellation.hpp
@@ -179,7 +179,11 @@
     void on_peer_cancel(job_id id, const std::string& onward,
                         job_reply_handler done);
 
-    /// Checks a submitted in-memory job that is not known to this entry.
+    /// Remembers the cancel of a journalled job that its owner, this entry,
+    /// does not know.
+    void remember(job_id id) { cache_.record(id, clock_.now()); }
+
+    /// Checks a submitted job that is not known to this entry.
     /// @return Its end state if it was cancelled and must not be run.
     std::optional<job_state> reject_if_cancelled(job_id id);
 
--- a/tests/unit/durable/cancel_over_links_tests.cpp
+++ b/tests/unit/durable/cancel_over_links_tests.cpp
@@ -67,13 +67,14 @@
         { run_after(loop.io(), wait, std::move(work)); };
     }
 
-    void submit(linked_entry& at)
+    void submit(linked_entry& at,
+                durability durability_class = durability::in_memory)
     {
         job_definition job;
         job.id = 7;
         job.queue = "queue-1";
         job.service = "service-1";
-        job.durability_class = durability::in_memory;
+        job.durability_class = durability_class;
         job.steps.resize(1);
         job.steps[0].needs = {1000, 10, 0};
         job.steps[0].estimate_ms = 60'000;
@@ -190,3 +191,42 @@
     CHECK(world.reply->state == job_state::cancelled);
     CHECK(world.runner.started[7] == 1);
 }
+
+// Guards against a job that runs although its cancel was answered: a suspended
+// entry reads the submission only after another entry has handled the cancel.
+TEST_CASE("a journalled job that arrives after its cancel is not run")
+{
+    linked_entries_fixture world;
+    job_reply cancelled;
+    std::optional<job_reply> state;
+    bool cancelling = false;
+    bool queried = false;
+    world.run_until(
+        [&]
+        {
+            if (cancelled.outcome != job_outcome::missing)
+            {
+                if (!std::exchange(cancelling, true))
+                    world.other.service->cancel(7,
+                                                [&](const job_reply& got)
+                                                {
+                                                    cancelled = got;
+                                                    cancelling = false;
+                                                });
+                return false;
+            }
+            if (!world.submitted)
+                world.submit(world.holder, durability::journalled);
+            if (!world.reply)
+                return false;
+            if (!std::exchange(queried, true))
+                world.holder.service->state(7, [&](const job_reply& got)
+                                            { state = got; });
+            return state.has_value();
+        });
+    CHECK(world.reply->outcome == job_outcome::done);
+    CHECK(world.reply->state == job_state::cancelled);
+    CHECK(state->outcome == job_outcome::done);
+    CHECK(state->state == job_state::cancelled);
+    CHECK(world.runner.started[7] == 0);
+}
--- a/tests/unit/durable/coordinator_fixture.hpp
+++ b/tests/unit/durable/coordinator_fixture.hpp
@@ -54,7 +54,9 @@
                 placing,
                 loop.delay(),
                 [this](const std::string& agent)
-                { return live_agents.contains(agent); }};
+                { return live_agents.contains(agent); },
+                [this](job_id id) { return cancels.contains(id); },
+                [this](job_id id) { cancels.insert(id); }};
     }
 
     /// Creates a coordinator of in-memory jobs.
@@ -189,6 +191,7 @@
     std::vector<std::pair<std::string, run_ref>> stopped;
     std::vector<run_end> confirmed;
     std::set<std::string> live_agents; ///< Agents that report.
+    std::set<job_id> cancels;          ///< Remembered cancels.
     std::uint64_t numbers = 0;
     int lost = 0;
 };
--- a/tests/unit/durable/job_coordinator_tests.cpp
+++ b/tests/unit/durable/job_coordinator_tests.cpp
@@ -264,3 +264,39 @@
         }
     }
 }
+
+// Guards against a caller that is told that its job does not exist, and whose
+// submission, read later, is run all the same.
+TEST_CASE("a job that arrives after its cancel is journalled as cancelled")
+{
+    coordinator_fixture world;
+    world.owner(1);
+    std::optional<job_reply> cancelled;
+    world.coordinator->cancel(7, [&](const job_reply& reply)
+                              { cancelled = reply; });
+    REQUIRE(cancelled);
+    CHECK(cancelled->outcome == job_outcome::missing);
+    std::vector<job_reply> submitted;
+    const auto submit = [&]
+    {
+        world.coordinator->submit(world.job(7), [&](const job_reply& reply)
+                                  { submitted.push_back(reply); });
+    };
+    submit();
+    submit(); // While the end is written.
+    CHECK(submitted.empty());
+    world.settle();
+    submit();
+    REQUIRE(submitted.size() == 3);
+    for (const auto& reply : submitted)
+    {
+        CHECK(reply.outcome == job_outcome::done);
+        CHECK(reply.state == job_state::cancelled);
+    }
+    CHECK(world.started.empty());
+    const auto loaded = world.load();
+    CHECK(loaded.jobs.empty());
+    REQUIRE(loaded.ended.size() == 1);
+    CHECK(loaded.ended[0].first == 7);
+    CHECK(loaded.ended[0].second.state == job_state::cancelled);
+}
