Cancels: a cancel from another entry also ends a journalled job of an owned part

What callers could see: a cancel answered 410, and a job that runs on.

Cause: an entry that was told of a cancel applied it to its jobs in memory alone. An entry that resumes may claim the job's part and accept the job before its links are up and the cancel arrives.

Why it works: ids are not used twice, so a cancel that arrives late still means this job. If the part is lost meanwhile, the reply says that the outcome is unknown.

Test: "a resumed entry cancels a journalled job that it has accepted"; running instead of cancelled with the call taken out.

--- a/src/glenhollow/durable/durable_cancels.cpp
+++ b/src/glenhollow/durable/durable_cancels.cpp
@@ -57,6 +57,16 @@
     return true;
 }
 
+bool durable_service::cancel_owned(job_id id, job_reply_handler done)
+{
+    auto* jobs = ownership_.find(part_of(id, settings_.parts));
+    if (jobs == nullptr || !jobs->knows(id))
+        return false;
+    jobs->cancel(id, std::move(done));
+    schedule_dispatch();
+    return true;
+}
+
 void durable_service::cancel(const std::string& name, job_id id,
                              answer_handler done)
 {
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -77,7 +77,7 @@
 class durable_service final : public durable_jobs,
                               private agent_session_listener,
                               private entry_peer_handler,
-                              private local_memory_jobs,
+                              private local_jobs,
                               private cancel_peers,
                               private part_ownership_listener,
                               private task_source
@@ -181,6 +181,7 @@
     std::vector<cancel_record> cancelled_jobs() override;
 
     bool cancel_local(job_id id, job_reply_handler done) override;
+    bool cancel_owned(job_id id, job_reply_handler done) override;
     std::vector<peer_status> all() const override
     {
         return peers_.connection_states();
--- a/src/glenhollow/durable/memory_cancellation.cpp
+++ b/src/glenhollow/durable/memory_cancellation.cpp
@@ -51,10 +51,9 @@
 } // namespace
 
 memory_cancellation::memory_cancellation(
-    const clock_source& clock, local_memory_jobs& local_jobs,
-    cancel_peers& peers, journal_cancel journal,
-    const memory_cancellation_settings& settings)
-    : clock_(clock), local_jobs_(local_jobs), peers_(peers),
+    const clock_source& clock, local_jobs& jobs, cancel_peers& peers,
+    journal_cancel journal, const memory_cancellation_settings& settings)
+    : clock_(clock), local_jobs_(jobs), peers_(peers),
       journal_(std::move(journal)), settings_(settings), cache_(settings.cache)
 {
 }
@@ -327,7 +326,7 @@
                 cache_.set_end_state(id, reply.state);
             (*shared)(reply);
         });
-    if (here)
+    if (here || cancel_owned_for_peer(id, *shared))
         return;
     const auto* known = cache_.find(id);
     if (known != nullptr && known->found)
@@ -335,6 +334,21 @@
     (*shared)({job_outcome::missing, job_state::queued, {}});
 }
 
+/// The owner may have accepted the job after an earlier owner reported it as
+/// missing. If it loses the part, its successor cancels the job.
+bool memory_cancellation::cancel_owned_for_peer(job_id id,
+                                                const job_reply_handler& done)
+{
+    return local_jobs_.cancel_owned(id,
+                                    [this, id, done](const job_reply& reply)
+                                    {
+                                        if (!has_ended(reply))
+                                            return done({});
+                                        cache_.set_end_state(id, reply.state);
+                                        done(reply);
+                                    });
+}
+
 std::optional<job_state> memory_cancellation::reject_if_cancelled(job_id id)
 {
     const auto* known = cache_.find(id);
--- a/src/glenhollow/durable/memory_cancellation.hpp
+++ b/src/glenhollow/durable/memory_cancellation.hpp
@@ -19,16 +19,24 @@
 namespace glenhollow
 {
 
-/// The in-memory jobs that were submitted to this entry, wherever they run.
-class local_memory_jobs
+/// The jobs of this entry that a cancel may name: those in memory that were
+/// submitted to it, wherever they run, and those of its parts of the journal.
+class local_jobs
 {
 public:
-    virtual ~local_memory_jobs() = default;
+    virtual ~local_jobs() = default;
 
-    /// Cancels a job, or reports how it has ended.
+    /// Cancels an in-memory job, or reports how it has ended.
     /// @param done Called immediately or later if the job is known.
     /// @return Whether the job is known.
     virtual bool cancel_local(job_id id, job_reply_handler done) = 0;
+
+    /// Cancels a job of an owned part of the journal, or reports how it has
+    /// ended.
+    /// @param done Called once the end is durable, if the job is known; with
+    /// `not_owner` if the part is lost before.
+    /// @return Whether the job is known.
+    virtual bool cancel_owned(job_id id, job_reply_handler done) = 0;
 };
 
 /// State of another entry.
@@ -162,9 +170,8 @@
     /// @param local_jobs Jobs of this entry; must outlive this object.
     /// @param peers Other entries; must outlive this object.
     /// @param journal Cancels journalled jobs.
-    memory_cancellation(const clock_source& clock,
-                        local_memory_jobs& local_jobs, cancel_peers& peers,
-                        journal_cancel journal,
+    memory_cancellation(const clock_source& clock, local_jobs& jobs,
+                        cancel_peers& peers, journal_cancel journal,
                         const memory_cancellation_settings& settings);
 
     /// Cancels a job for its caller.
@@ -244,6 +251,7 @@
     void on_relay_reply(const std::string& name, job_id id,
                         const std::optional<job_reply>& reply);
     void on_cancel_for_this_entry(job_id id, job_reply_handler done);
+    bool cancel_owned_for_peer(job_id id, const job_reply_handler& done);
     void
     cancel_local_for_peer(job_id id,
                           const std::shared_ptr<job_reply_handler>& shared);
@@ -264,9 +272,9 @@
     void merge_fetched(const std::vector<cancel_record>& records);
 
     const clock_source& clock_;
-    local_memory_jobs& local_jobs_; ///< Jobs of this entry.
-    cancel_peers& peers_;           ///< Other entries.
-    journal_cancel journal_;        ///< Cancels journalled jobs.
+    local_jobs& local_jobs_; ///< Jobs of this entry.
+    cancel_peers& peers_;    ///< Other entries.
+    journal_cancel journal_; ///< Cancels journalled jobs.
     memory_cancellation_settings settings_;
     cancel_cache cache_;                       ///< Recently cancelled jobs.
     std::map<job_id, pending_cancel> pending_; ///< Cancels without an answer.
--- a/tests/unit/durable/memory_cancellation_tests.cpp
+++ b/tests/unit/durable/memory_cancellation_tests.cpp
@@ -11,7 +11,7 @@
 {
 
 /// In-memory jobs with configurable replies.
-struct fake_local_jobs final : local_memory_jobs
+struct fake_local_jobs final : local_jobs
 {
     bool cancel_local(job_id id, job_reply_handler done) override
     {
@@ -31,8 +31,19 @@
         return true;
     }
 
-    std::map<job_id, job_state> jobs; ///< Job states by id.
-    bool host_lost = false;           ///< Whether the host of the jobs is lost.
+    bool cancel_owned(job_id id, job_reply_handler done) override
+    {
+        const auto known = owned.find(id);
+        if (known == owned.end())
+            return false;
+        known->second = job_state::cancelled;
+        done({job_outcome::done, known->second, {}});
+        return true;
+    }
+
+    std::map<job_id, job_state> jobs;  ///< States of jobs in memory by id.
+    std::map<job_id, job_state> owned; ///< States of journalled jobs by id.
+    bool host_lost = false;        ///< Whether the host of the jobs is lost.
     bool returned_by_host = false; ///< Whether the host returned the next job.
 };
 
@@ -386,6 +397,22 @@
     CHECK(world.at(2).local_jobs.jobs[7] == job_state::cancelled);
 }
 
+// Guards against a cancelled job that runs on at an entry that resumes, claims
+// its part and accepts it before the cancel arrives.
+TEST_CASE("a resumed entry cancels a journalled job that it has accepted")
+{
+    cancel_fixture world;
+    world.at(2).suspended = true;
+    world.run(milliseconds{100});
+    world.cancel(0, 7);
+    world.run(milliseconds{2100});
+    REQUIRE(world.replies.size() == 1);
+    CHECK(world.replies[0].outcome == job_outcome::missing);
+    world.at(2).local_jobs.owned[7] = job_state::running;
+    world.resume(2);
+    CHECK(world.at(2).local_jobs.owned[7] == job_state::cancelled);
+}
+
 TEST_CASE("an entry that has been down for long is not waited for")
 {
     cancel_fixture world;
