Cancels: a new owner cancels the loaded jobs whose cancel it remembers

None seen; found by reading.

Cause: cancels that an entry remembers were compared with later submissions alone. A job that was accepted by a former owner without the cancel, and loaded with its part, was run.

Test: "a new owner cancels the loaded jobs whose cancel it remembers"; queued instead of cancelled with the call taken out.

--- a/src/glenhollow/durable/durable_cancels.cpp
+++ b/src/glenhollow/durable/durable_cancels.cpp
@@ -67,6 +67,17 @@
     return true;
 }
 
+/// Cancels the jobs of a part whose cancel reached this entry before the part
+/// did: the former owner accepted them without knowing of it.
+void durable_service::cancel_remembered(part_number part)
+{
+    for (const auto& record : cancellation_.cancel_records())
+    {
+        if (part_of(record.id, settings_.parts) == part)
+            cancel_owned(record.id, [](const job_reply&) {});
+    }
+}
+
 void durable_service::cancel(const std::string& name, job_id id,
                              answer_handler done)
 {
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -540,6 +540,7 @@
 void durable_service::ownership_acquired(part_epoch part)
 {
     agents_.adopt(part);
+    cancel_remembered(part.part);
     peers_.exchange_all();
 }
 
--- a/src/glenhollow/durable/durable_service.hpp
+++ b/src/glenhollow/durable/durable_service.hpp
@@ -182,6 +182,7 @@
 
     bool cancel_local(job_id id, job_reply_handler done) override;
     bool cancel_owned(job_id id, job_reply_handler done) override;
+    void cancel_remembered(part_number part);
     std::vector<peer_status> all() const override
     {
         return peers_.connection_states();
--- a/tests/unit/durable/durable_service_tests.cpp
+++ b/tests/unit/durable/durable_service_tests.cpp
@@ -317,3 +317,72 @@
     CHECK(again->outcome == job_outcome::done);
     CHECK(again->state == job_state::cancelled);
 }
+
+// Guards against a cancelled job that runs on at a new owner, which was told of
+// the cancel while the former owner accepted the job without knowing of it.
+TEST_CASE("a new owner cancels the loaded jobs whose cancel it remembers")
+{
+    rpc_loop loop;
+    manual_loop store_loop;
+    fake_row_store store(store_loop);
+    job_definition job;
+    job.id = 9; // Its cancel is fetched from the peer.
+    job.queue = "queue-1";
+    job.service = "service-1";
+    job.steps.resize(1);
+    store.put({std::string(jobs_table), part_name(0), to_text(job.id)},
+              encode_definition(job));
+    durable_service_settings settings;
+    settings.entry = "entry";
+    settings.where = {"127.0.0.1", 1};
+    settings.parts = 1;
+    durable_service service(
+        loop.io(), process_clock(), store,
+        [](std::string_view) -> std::unique_ptr<catalog_reader>
+        { return nullptr; },
+        settings);
+    auto listener = rpc_listener::create(loop.io(), "127.0.0.1", 0);
+    REQUIRE(listener);
+    auto& links = *listener.value();
+    std::optional<job_reply> state;
+    std::function<void()> serve_store = [&]
+    {
+        store_loop.advance(milliseconds{10});
+        run_after(loop.io(), milliseconds{10}, serve_store);
+    };
+    const auto query = [&]
+    {
+        service.state(job.id,
+                      [&](const job_reply& reply)
+                      {
+                          state = reply;
+                          loop.stop();
+                      });
+    };
+    loop.run(
+        [&]
+        {
+            // The store answers only once the cancels were fetched, so that the
+            // part is loaded after them.
+            links.serve(kj::heap<peer_with_jobs>(
+                [&]
+                {
+                    run_after(loop.io(), milliseconds{100},
+                              [&]
+                              {
+                                  serve_store();
+                                  query();
+                              });
+                }));
+            service.add_seeds({{"127.0.0.1", links.port()}});
+            service.begin();
+        },
+        [&]
+        {
+            service.close();
+            links.close();
+        });
+    REQUIRE(state);
+    CHECK(state->outcome == job_outcome::done);
+    CHECK(state->state == job_state::cancelled);
+}
