--- a/tests/soak/child_process.hpp
+++ b/tests/soak/child_process.hpp
@@ -36,6 +36,9 @@
     /// @return Whether it was started and has not ended.
     bool runs() const { return pid_ > 0; }
 
+    /// @return Its id; -1 where it is not up.
+    pid_t pid() const { return pid_; }
+
     /// @return File with its output.
     const std::string& log() const { return log_; }
 
