HTTP: trailers and extensions of chunks are bounded

What callers saw: a process that ran out of memory. A client sent trailers without end behind a chunked body.

Cause: limits of header and body count neither the trailers nor the line that begins a chunk. The parser asks for more until it has the whole of either, and the connection's buffer had no limit.

Why it works: the buffer's limit is that of the header. What is parsed leaves it, so that bodies of any length still pass; what can't be parsed yet is bounded. The answer is 431. A refused request gives up its place among those in hand before the rest of it is read and dropped, and that takes 4 KB, not 64.

--- a/src/glenhollow/http/server.cpp
+++ b/src/glenhollow/http/server.cpp
@@ -172,7 +172,7 @@
         error_code ec;
         socket.set_option(tcp::no_delay(true), ec);
         beast::tcp_stream stream(std::move(socket));
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(self->settings.max_header_bytes);
         ++self->connections;
         bool keep = true;
         while (keep)
@@ -343,6 +343,8 @@
                                   asio::redirect_error(token, ec));
         if (!ec)
             co_return parser.release();
+        place = {};
+        on_link.reset();
         keep = co_await refuse_unread(stream, ec);
         co_return std::nullopt;
     }
@@ -413,7 +415,7 @@
     static asio::awaitable<void> discard_rest(beast::tcp_stream& stream)
     {
         constexpr std::size_t most = 16UL << 20;
-        std::string scrap(64UL << 10, '\0');
+        std::array<char, 4096> scrap{};
         std::size_t dropped = 0;
         error_code ec;
         stream.expires_after(seconds{2});
--- a/src/glenhollow/http/server.hpp
+++ b/src/glenhollow/http/server.hpp
@@ -24,10 +24,12 @@
     std::uint16_t port = 0;                 ///< 0: the kernel picks one.
     bool share_port = false;                ///< Several listeners, one port.
     std::size_t max_body_bytes = 8UL << 20; ///< Larger bodies get 413.
-    std::uint32_t max_header_bytes = 16U << 10; ///< Larger headers get 431.
-    duration read_timeout = seconds{30};        ///< For one whole request.
-    duration idle_timeout = seconds{120};       ///< Between requests.
-    std::size_t max_connections = 4096;         ///< More are closed at once.
+    /// Limit of a request's header, and of the header and the trailers of a
+    /// chunk; larger ones get 431.
+    std::uint32_t max_header_bytes = 16U << 10;
+    duration read_timeout = seconds{30};   ///< For one whole request.
+    duration idle_timeout = seconds{120};  ///< Between requests.
+    std::size_t max_connections = 4096;    ///< More are closed at once.
     std::shared_ptr<intake_limits> intake; ///< Asked before the body of a POST
                                            ///< is read; null: no such bounds.
 };
--- a/tests/unit/http/server_intake_tests.cpp
+++ b/tests/unit/http/server_intake_tests.cpp
@@ -255,3 +255,20 @@
     one.send("GET /x HTTP/1.1\r\nHost: a\r\nContent-Length: 70000\r\n\r\n");
     CHECK(starts_with(one.answer(), "HTTP/1.1 413"));
 }
+
+// Guards against a process that runs out of memory: trailers and extensions of
+// chunks belong neither to the header nor to the body, whose limits they pass.
+TEST_CASE("a chunked body with endless trailers or extensions is refused")
+{
+    intake_server world(intake_settings{});
+    caller one(world);
+    one.send(
+        "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+    one.send(GENERATE(as<std::string>(), "0\r\n", "1;a="));
+    const std::string piece(1024, 'a');
+    for (int i = 0; i < 40; ++i)
+        one.send(piece);
+    CHECK(starts_with(one.answer(), "HTTP/1.1 431"));
+    CHECK(world.sizes.empty());
+    CHECK(world.limits->requests() == 0);
+}
