HTTP: a header is parsed once it is there as a whole, and its fields are counted

What callers could see: a process that runs out of memory; found by a test.

Cause: fields were parsed as they came. A parsed field takes some ten times the bytes of a short one, so that each unfinished header of 9 KB held 170 KB, on as many connections as the descriptors allow, for the 30 s of a request.

Why it works: an unfinished header costs its bytes, 16 KB at most. The number of fields of a whole one is checked before it is parsed: 100, the size of the requests that the interface describes being four or five.

--- a/src/glenhollow/http/server.cpp
+++ b/src/glenhollow/http/server.cpp
@@ -1,5 +1,6 @@
 #include "glenhollow/http/server.hpp"
 
+#include "glenhollow/http/request_head.hpp"
 #include "glenhollow/http/server_messages.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -34,7 +35,6 @@
 
 constexpr auto token = asio::use_awaitable;
 
-using head_parser = http::request_parser<http::empty_body>;
 using whole_request = http::request<http::string_body>;
 
 /// Where a listener cannot accept, for want of descriptors say.
@@ -266,7 +266,7 @@
     static asio::awaitable<bool> refuse_unread(beast::tcp_stream& stream,
                                                error_code why)
     {
-        if (why == http::error::end_of_stream ||
+        if (why == http::error::end_of_stream || why == asio::error::eof ||
             why == http::error::partial_message ||
             why == beast::error::timeout ||
             why == asio::error::connection_reset)
@@ -305,13 +305,12 @@
     read_request(state& self, beast::tcp_stream& stream,
                  beast::flat_buffer& buffer, intake_place& place, bool& keep)
     {
-        error_code ec;
         head_parser head;
         head.body_limit(self.settings.max_body_bytes);
         head.header_limit(self.settings.max_header_bytes);
         stream.expires_after(self.settings.read_timeout);
-        co_await http::async_read_header(stream, buffer, head,
-                                         asio::redirect_error(token, ec));
+        auto ec = co_await read_head(stream, buffer, head,
+                                     self.settings.max_header_fields);
         if (ec)
         {
             keep = co_await refuse_unread(stream, ec);
--- a/src/glenhollow/http/server.hpp
+++ b/src/glenhollow/http/server.hpp
@@ -29,6 +29,7 @@
     std::uint32_t max_header_bytes = 16U << 10;
     duration read_timeout = seconds{30};   ///< For one whole request.
     duration idle_timeout = seconds{120};  ///< Between requests.
+    std::size_t max_header_fields = 100;   ///< More fields get 431.
     std::size_t max_connections = 4096;    ///< More are closed at once.
     std::shared_ptr<intake_limits> intake; ///< Asked before the body of a POST
                                            ///< is read; null: no such bounds.
--- a/tests/unit/http/server_intake_tests.cpp
+++ b/tests/unit/http/server_intake_tests.cpp
@@ -272,3 +272,62 @@
     CHECK(world.sizes.empty());
     CHECK(world.limits->requests() == 0);
 }
+
+// Guards against a process that runs out of memory: a parsed field takes ten
+// times the bytes of a short one.
+TEST_CASE("a header with too many fields is refused")
+{
+    intake_server world(intake_settings{});
+    caller one(world);
+    std::string fields;
+    for (int i = 0; i < 99; ++i)
+        fields += "A:\r\n";
+    one.send("GET /x HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n");
+    CHECK(starts_with(one.answer(), "HTTP/1.1 200"));
+    one.send("GET /x HTTP/1.1\r\nHost: a\r\nA:\r\n" + fields + "\r\n");
+    CHECK(starts_with(one.answer(), "HTTP/1.1 431"));
+}
+
+TEST_CASE("a header that arrives byte by byte is read whole")
+{
+    intake_server world(intake_settings{});
+    caller one(world);
+    for (const char byte :
+         std::string("GET /x HTTP/1.1\r\nHost: a\r\nA: b\r\n\r\n"))
+    {
+        one.send(std::string(1, byte));
+        world.io.poll();
+    }
+    CHECK(starts_with(one.answer(), "HTTP/1.1 200"));
+}
+
+TEST_CASE("all requests that are sent ahead are answered")
+{
+    intake_server world(intake_settings{});
+    caller one(world);
+    constexpr std::size_t count = 3000; // More than the buffer holds.
+    std::string ahead;
+    for (std::size_t i = 0; i < count; ++i)
+        ahead += "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::size_t sent = 0;
+    std::string got;
+    const auto answers = [&got]
+    {
+        std::size_t found = 0;
+        for (auto at = got.find("HTTP/1.1 200"); at != std::string::npos;
+             at = got.find("HTTP/1.1 200", at + 1))
+            ++found;
+        return found;
+    };
+    world.until(
+        [&]
+        {
+            boost::system::error_code ec;
+            sent += one.socket.write_some(
+                asio::buffer(ahead.data() + sent, ahead.size() - sent), ec);
+            char part[65536];
+            got.append(part, one.socket.read_some(asio::buffer(part), ec));
+            return ec == asio::error::eof || answers() == count;
+        });
+    CHECK(answers() == count);
+}
