HTTP: ports that take no work take no large bodies and few connections

What callers could see: a process that runs out of memory; found by a test.

Cause: readiness, metrics and the agent's registration had the limits of the callers' port: bodies of 8 MB on 4,096 connections, outside all bounds of intake.

Why it works: such ports take 64 KB and 64 connections, some 5 MB together. A page needs no body; a backend server's heartbeat is below 1 KB and comes each second and a half.

--- a/programs/durable_agent.cpp
+++ b/programs/durable_agent.cpp
@@ -59,7 +59,7 @@
                           rpc_listener::create(loop_.io(), settings_.address,
                                                settings_.rpc_port));
         links_ = std::move(links);
-        http_server_settings limits;
+        auto limits = small_server_settings();
         limits.address = settings_.registration.host;
         limits.port = settings_.registration.port;
         BOOST_OUTCOME_TRY(
--- a/programs/durable_entry.cpp
+++ b/programs/durable_entry.cpp
@@ -132,7 +132,7 @@
 
     result<std::unique_ptr<http_server>> pages(const host_port& where)
     {
-        http_server_settings limits;
+        auto limits = small_server_settings();
         limits.address = where.host;
         limits.port = where.port;
         return http_server::create(
--- a/src/glenhollow/http/server.cpp
+++ b/src/glenhollow/http/server.cpp
@@ -424,6 +424,14 @@
     }
 };
 
+http_server_settings small_server_settings()
+{
+    http_server_settings out;
+    out.max_body_bytes = 64UL << 10;
+    out.max_connections = 64;
+    return out;
+}
+
 http_server::http_server(std::shared_ptr<state> state)
     : state_(std::move(state))
 {
--- a/src/glenhollow/http/server.hpp
+++ b/src/glenhollow/http/server.hpp
@@ -35,6 +35,10 @@
                                            ///< is read; null: no such bounds.
 };
 
+/// @return Limits of a server for pages and small messages, which a few other
+/// processes call.
+http_server_settings small_server_settings();
+
 /// Called once with the answer, on any thread.
 using http_responder = std::function<void(http_response)>;
 
--- a/tests/unit/http/server_intake_tests.cpp
+++ b/tests/unit/http/server_intake_tests.cpp
@@ -17,10 +17,13 @@
 /// A server that answers a POST when the test says so, all else at once.
 struct intake_server
 {
-    explicit intake_server(const intake_settings& bounds)
+    explicit intake_server(
+        const intake_settings& bounds,
+        duration reclaim_after = http_server_settings{}.reclaim_after)
         : limits(std::make_shared<intake_limits>(clock, bounds))
     {
         http_server_settings settings;
+        settings.reclaim_after = reclaim_after;
         settings.intake = limits;
         settings.max_connections = bounds.max_connections;
         settings.max_body_bytes = bounds.max_body_bytes;
@@ -331,3 +334,21 @@
         });
     CHECK(answers() == count);
 }
+
+// Guards against callers without answers while others hold all connections and
+// send nothing.
+TEST_CASE("a connection that waits for long gives way to a new one")
+{
+    intake_settings bounds;
+    bounds.max_connections = 2;
+    intake_server world(bounds, duration{0});
+    caller silent(world);
+    caller busy(world);
+    busy.post(100);
+    world.until([&] { return world.held.size() == 1; });
+    caller next(world);
+    next.send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(starts_with(next.answer(), "HTTP/1.1 200"));
+    world.answer_one();
+    CHECK(starts_with(busy.answer(), "HTTP/1.1 200"));
+}
