HTTP: without room, a connection that has long waited for a request gives way

What callers could see: no answer while others hold all connections and send nothing. Found by a test.

Cause: beyond the bound a new connection was closed at once, and silent ones kept their places for 120 s. At ports that had the bound of the descriptors or none, accepting failed for all ports of the process.

Why it works: beyond the bound a new connection replaces the one whose request has been awaited for longest, once that is a second. Requests that are being served, and those that arrive in time, never give way.

--- a/src/glenhollow/http/server.cpp
+++ b/src/glenhollow/http/server.cpp
@@ -17,6 +17,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <map>
 #include <optional>
 #include <set>
 #include <utility>
@@ -95,6 +96,13 @@
 
 } // namespace
 
+/// A connection whose next request is not read whole.
+struct waiting_connection
+{
+    beast::tcp_stream* stream;
+    instant since; ///< Start of the wait.
+};
+
 /// What the listener and its connections share.
 struct http_server::state : std::enable_shared_from_this<state>
 {
@@ -110,9 +118,12 @@
     tcp::acceptor acceptor;            ///< Listens.
     std::size_t connections = 0;       ///< Open now.
     std::set<beast::tcp_stream*> idle; ///< Waiting for a request.
-    std::size_t in_flight = 0;         ///< Requests taken, not answered.
-    bool stopping = false;             ///< No new connections.
-    bool closing = false;              ///< Connections close when answered.
+    /// Connections whose next request is not read whole, by start of the wait.
+    std::map<std::uint64_t, waiting_connection> waiting;
+    std::uint64_t waits = 0;   ///< Waits so far.
+    std::size_t in_flight = 0; ///< Requests taken, not answered.
+    bool stopping = false;     ///< No new connections.
+    bool closing = false;      ///< Connections close when answered.
 
     result<void> listen()
     {
@@ -139,6 +150,24 @@
         return outcome::success();
     }
 
+    /// Without room, closes the connection that has waited for a request for
+    /// longest, if that is long: those that keep a connection busy stay.
+    /// @return Whether a new connection may be taken.
+    bool has_room()
+    {
+        if (connections < settings.max_connections)
+            return true;
+        if (waiting.empty())
+            return false;
+        const auto longest = waiting.begin();
+        const auto length = process_clock().now() - longest->second.since;
+        if (length < settings.reclaim_after)
+            return false;
+        longest->second.stream->close();
+        waiting.erase(longest);
+        return true;
+    }
+
     static asio::awaitable<void> accept_all(std::shared_ptr<state> self)
     {
         while (!self->stopping)
@@ -155,7 +184,7 @@
                 co_await pause.async_wait(asio::redirect_error(token, ec));
                 continue;
             }
-            if (self->connections >= self->settings.max_connections)
+            if (!self->has_room())
             {
                 if (self->settings.intake)
                     self->settings.intake->refuse(intake_bound::connections);
@@ -269,6 +298,7 @@
         if (why == http::error::end_of_stream || why == asio::error::eof ||
             why == http::error::partial_message ||
             why == beast::error::timeout ||
+            why == asio::error::operation_aborted ||
             why == asio::error::connection_reset)
             co_return false;
         error_code ec;
@@ -355,11 +385,15 @@
                                            beast::flat_buffer& buffer)
     {
         error_code ec;
-        if (buffer.size() == 0 && !co_await first_byte(self, stream, buffer))
-            co_return false;
         bool keep = false;
         intake_place place;
-        auto whole = co_await read_request(self, stream, buffer, place, keep);
+        const auto wait = ++self.waits;
+        self.waiting.emplace(
+            wait, waiting_connection{&stream, process_clock().now()});
+        std::optional<whole_request> whole;
+        if (buffer.size() != 0 || co_await first_byte(self, stream, buffer))
+            whole = co_await read_request(self, stream, buffer, place, keep);
+        self.waiting.erase(wait);
         if (!whole)
             co_return keep;
         stream.expires_never();
--- a/src/glenhollow/http/server.hpp
+++ b/src/glenhollow/http/server.hpp
@@ -27,10 +27,14 @@
     /// Limit of a request's header, and of the header and the trailers of a
     /// chunk; larger ones get 431.
     std::uint32_t max_header_bytes = 16U << 10;
-    duration read_timeout = seconds{30};   ///< For one whole request.
-    duration idle_timeout = seconds{120};  ///< Between requests.
-    std::size_t max_header_fields = 100;   ///< More fields get 431.
-    std::size_t max_connections = 4096;    ///< More are closed at once.
+    duration read_timeout = seconds{30};  ///< For one whole request.
+    duration idle_timeout = seconds{120}; ///< Between requests.
+    std::size_t max_header_fields = 100;  ///< More fields get 431.
+    /// Limit of open connections. A new one beyond it replaces the one that has
+    /// waited longest for a request, or is closed at once.
+    std::size_t max_connections = 4096;
+    /// Wait for a request after which a connection may be replaced.
+    duration reclaim_after = seconds{1};
     std::shared_ptr<intake_limits> intake; ///< Asked before the body of a POST
                                            ///< is read; null: no such bounds.
 };
