Router: a call that has finished leaves nothing behind until its timeout

What callers could see: a process that runs out of memory. Found by a test: requests that are sent ahead, their answers never read.

Why it works: the timeout of all queries is the same, and that of all submissions, so that one timer and a queue of deadlines serve each; a finished call is forgotten at once, and its deadline with the next call. The table of unfinished calls now owns them, so that each is still answered at its timeout whatever becomes of its attempts.

--- a/src/glenhollow/durable/job_router.cpp
+++ b/src/glenhollow/durable/job_router.cpp
@@ -2,6 +2,7 @@
 
 #include "glenhollow/telemetry/log.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace glenhollow
@@ -10,6 +11,7 @@
 /// A call that has not finished.
 struct job_router::pending_call
 {
+    std::uint64_t number = 0; ///< Key in the table of unfinished calls.
     job_call call;
     job_reply_handler done;        ///< Receives the result.
     instant started_at{};          ///< Arrival time.
@@ -25,7 +27,8 @@
                        part_ownership& ownership, entry_peers& peers,
                        const job_router_settings& settings)
     : clock_(clock), schedule_after_(std::move(schedule_after)),
-      ownership_(ownership), peers_(peers), settings_(settings)
+      ownership_(ownership), peers_(peers), settings_(settings),
+      submissions_{settings.submit_timeout}, queries_{settings.query_timeout}
 {
 }
 
@@ -49,16 +52,48 @@
 void job_router::route(job_call call, job_reply_handler done)
 {
     auto pending = std::make_shared<pending_call>();
+    pending->number = ++last_call_;
     pending->call = std::move(call);
     pending->done = std::move(done);
     pending->started_at = clock_.now();
+    calls_.emplace(pending->number, pending);
     const bool submits = pending->call.verb == job_verb::submit;
-    schedule_after_(submits ? settings_.submit_timeout
-                            : settings_.query_timeout,
-                    [this, pending] { give_up(pending); });
+    add_deadline(submits ? submissions_ : queries_, pending->number);
     attempt(pending);
 }
 
+void job_router::add_deadline(deadline_queue& queue, std::uint64_t call)
+{
+    while (!queue.pending.empty() &&
+           !calls_.contains(queue.pending.front().call))
+        queue.pending.pop_front();
+    queue.pending.push_back({clock_.now() + queue.timeout, call});
+    arm(queue);
+}
+
+void job_router::arm(deadline_queue& queue)
+{
+    if (queue.pending.empty() || std::exchange(queue.armed, true))
+        return;
+    const auto wait = queue.pending.front().due - clock_.now();
+    schedule_after_(std::max(wait, duration{1}),
+                    [this, &queue] { expire(queue); });
+}
+
+void job_router::expire(deadline_queue& queue)
+{
+    queue.armed = false;
+    const auto now = clock_.now();
+    while (!queue.pending.empty() && queue.pending.front().due <= now)
+    {
+        const auto known = calls_.find(queue.pending.front().call);
+        queue.pending.pop_front();
+        if (known != calls_.end())
+            give_up(std::shared_ptr<pending_call>(known->second));
+    }
+    arm(queue);
+}
+
 void job_router::serve_locally(const job_call& call, job_reply_handler done)
 {
     const auto part = part_of(call.id, settings_.parts);
@@ -111,8 +146,12 @@
     }
     ++stats_.forwarded;
     call->in_flight = true;
-    schedule_after_(settings_.attempt_timeout, [this, call, attempt_number]
-                    { on_reply(call, attempt_number, std::nullopt); });
+    schedule_after_(settings_.attempt_timeout,
+                    [this, weak = std::weak_ptr(call), attempt_number]
+                    {
+                        if (const auto unfinished = weak.lock())
+                            on_reply(unfinished, attempt_number, std::nullopt);
+                    });
     peers_.call(
         *owner, call->call,
         [this, call, attempt_number](const std::optional<job_reply>& reply)
@@ -168,6 +207,7 @@
 {
     if (std::exchange(call->ended, true))
         return;
+    calls_.erase(call->number);
     ++stats_.outcomes[static_cast<std::size_t>(reply.outcome)];
     const auto done = std::exchange(call->done, nullptr);
     done(reply);
--- a/src/glenhollow/durable/job_router.hpp
+++ b/src/glenhollow/durable/job_router.hpp
@@ -6,8 +6,11 @@
 #include "glenhollow/telemetry/metrics.hpp"
 
 #include <array>
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
+#include <unordered_map>
 
 namespace glenhollow
 {
@@ -64,6 +67,26 @@
 private:
     struct pending_call;
 
+    /// Limit of a call that may have finished.
+    struct deadline
+    {
+        instant due{};
+        std::uint64_t call = 0; ///< Number of the call.
+    };
+
+    /// Deadlines of calls with the same timeout, the earliest first. One timer
+    /// serves all: a timer per call would outlive the call, and callers that
+    /// send many requests ahead would fill the memory with them.
+    struct deadline_queue
+    {
+        duration timeout{};
+        std::deque<deadline> pending{};
+        bool armed = false; ///< Whether the timer is set.
+    };
+
+    void add_deadline(deadline_queue& queue, std::uint64_t call);
+    void arm(deadline_queue& queue);
+    void expire(deadline_queue& queue);
     void attempt(const std::shared_ptr<pending_call>& call);
     void on_reply(const std::shared_ptr<pending_call>& call,
                   std::uint64_t attempt, const std::optional<job_reply>& reply);
@@ -79,6 +102,11 @@
     entry_peers& peers_;                  ///< Other entries.
     job_router_settings settings_;
     job_router_stats stats_;
+    /// Unfinished calls by number.
+    std::unordered_map<std::uint64_t, std::shared_ptr<pending_call>> calls_;
+    std::uint64_t last_call_ = 0; ///< Number of the latest call.
+    deadline_queue submissions_;  ///< Deadlines of submissions.
+    deadline_queue queries_;      ///< Deadlines of other calls.
 };
 
 } // namespace glenhollow
