RPC loop: handlers that are always ready do not hold up calls to other processes

What callers saw in a test: no answer for 9 s while 24 connections sent requests ahead; for that time the entry handled no message of another process.

Cause: one turn of the loop ran all Asio handlers that were ready, and then the KJ events. With requests sent ahead some handler is always ready, so that the turn does not end.

--- a/src/glenhollow/rpc/asio_event_port.hpp
+++ b/src/glenhollow/rpc/asio_event_port.hpp
@@ -22,7 +22,7 @@
     /// @return Whether wake() was called since the last call.
     bool wait() override;
 
-    /// Runs the Asio handlers that are ready, without blocking.
+    /// Runs some of the Asio handlers that are ready, without blocking.
     /// @return Whether wake() was called since the last call.
     bool poll() override;
 
