Jobs: the tasks of open jobs are bounded

What callers could see: a process that runs out of memory; found by a test.

Cause: intake counts a request as 16 KB and twice its body. A body of 80 bytes may ask for 10,000 tasks, each of which takes some 550 bytes until its job ends, at the entry that keeps it in memory or owns its part.

Why it works: an entry refuses a job (503, not run) whose tasks would exceed a quarter of what the program leaves of the memory, at 600 bytes a task: 41,943 tasks with 160 MB. A job that is the only one is always accepted.

Test: "a job beyond the limit of open tasks is refused".

--- a/programs/durable_entry.cpp
+++ b/programs/durable_entry.cpp
@@ -110,6 +110,10 @@
         out.where = {settings_.address, settings_.rpc_port};
         out.parts = settings_.parts;
         out.share_placement = !settings_.own_placement;
+        const auto tasks =
+            intake_settings::within(settings_.resources).max_open_tasks;
+        out.memory.max_open_tasks = tasks;
+        out.ownership.jobs.max_open_tasks = tasks;
         out.memory.begin_by = settings_.begin_by;
         out.memory.warm_up = milliseconds{settings_.warm_up_ms};
         out.dispatch.review_interval = milliseconds{settings_.review_ms};
--- a/src/glenhollow/durable/durable_service.cpp
+++ b/src/glenhollow/durable/durable_service.cpp
@@ -169,6 +169,7 @@
         [this](job_id id)
         { return cancellation_.reject_if_cancelled(id).has_value(); },
         [this](job_id id) { cancellation_.remember(id); },
+        [this] { return memory_.open_tasks() + ownership_.open_tasks(); },
     };
 }
 
--- a/src/glenhollow/durable/job_coordinator.cpp
+++ b/src/glenhollow/durable/job_coordinator.cpp
@@ -17,9 +17,6 @@
 /// Size of the range of run numbers that each epoch uses.
 constexpr std::uint32_t runs_per_epoch = 4096;
 
-/// Retry-after time without a better estimate.
-constexpr duration default_retry_after = seconds{1};
-
 constexpr std::int64_t millisecond = 1'000'000;
 
 std::int64_t to_ms(duration length)
@@ -90,36 +87,6 @@
     return job.steps[ref_of(job, task_index).step];
 }
 
-std::optional<job_coordinator::refusal>
-job_coordinator::check_admission(const job_definition& job) const
-{
-    if (refusing_)
-        return refusal{reason::stopping, default_retry_after};
-    const double cores = dependencies_.task_dispatcher.ready_cores(job.service);
-    if (cores <= 0 && warming_up())
-        return std::nullopt;
-    if (cores <= 0)
-        return refusal{reason::no_runner, default_retry_after};
-    const double objective =
-        static_cast<double>(job.objective_ms - dependencies_.wall_ms());
-    if (dependencies_.task_dispatcher.free_cores(job.service) >=
-        job.peak_cores())
-        return std::nullopt;
-    const double wait =
-        dependencies_.task_dispatcher.waiting_work(job.service) / cores;
-    if (wait <= settings_.max_wait_share * std::max(1.0, objective))
-        return std::nullopt;
-    return refusal{reason::deadline_unreachable,
-                   milliseconds{static_cast<std::int64_t>(wait)}};
-}
-
-/// Agents attach shortly after the start of the entry. Until then jobs wait
-/// instead of being refused.
-bool job_coordinator::warming_up() const
-{
-    return !chain_ && dependencies_.clock.now() - claimed_ < settings_.warm_up;
-}
-
 void job_coordinator::submit(const job_definition& job, job_reply_handler done)
 {
     const auto ended = ended_.find(job.id);
@@ -160,7 +127,7 @@
     record.job = job;
     record.tasks.resize(job.task_count());
     record.acceptance_waiters.push_back(std::move(done));
-    jobs_.emplace(job.id, std::move(record));
+    insert(std::move(record));
     journal_entry entry;
     entry.puts.push_back({key(jobs_table, job.id), encode_definition(job)});
     entry.droppable = true;
@@ -189,28 +156,7 @@
     record.start_deadline = record.next_review_at = latest_start(record);
     reviews_.emplace(record.next_review_at, job.id);
     arm_review_timer();
-    enqueue_ready_tasks(jobs_.emplace(job.id, std::move(record)).first->second);
-}
-
-/// A job that starts after this time can't end before its expiry. A job that
-/// will miss its objective anyway is abandoned earlier, after `begin_by` of its
-/// time, so that its caller can retry elsewhere. One that was accepted during
-/// warm-up is abandoned as soon as it is late, to leave room for jobs that can
-/// still be on time.
-instant job_coordinator::latest_start(const job_record& record) const
-{
-    const auto& job = record.job;
-    const auto critical_path = milliseconds{job.critical_path_ms()};
-    const auto time_to_expiry = milliseconds{job.expiry_ms - job.accepted_ms};
-    const auto time_to_objective =
-        milliseconds{job.objective_ms - job.accepted_ms};
-    const auto share = record.early ? duration{0}
-                                    : std::chrono::duration_cast<duration>(
-                                          time_to_expiry * settings_.begin_by);
-    const auto latest = std::min<duration>(
-        time_to_expiry - critical_path,
-        std::max<duration>(share, time_to_objective - critical_path));
-    return dependencies_.clock.now() + latest;
+    enqueue_ready_tasks(insert(std::move(record)));
 }
 
 void job_coordinator::set_submitter(job_id id, submitter_id submitter)
@@ -328,9 +274,17 @@
         waiter({outcome, job_state::queued, seconds{1}});
 }
 
+job_coordinator::job_record& job_coordinator::insert(job_record record)
+{
+    open_tasks_ += record.tasks.size();
+    const auto id = record.job.id;
+    return jobs_.emplace(id, std::move(record)).first->second;
+}
+
 /// Also removes the review of the job, since its id may be submitted again.
 void job_coordinator::erase(job_map::iterator job)
 {
+    open_tasks_ -= job->second.tasks.size();
     reviews_.erase({job->second.next_review_at, job->first});
     jobs_.erase(job);
 }
@@ -366,7 +320,7 @@
     else
     {
         const auto end_handlers = std::exchange(known->second.end_waiters, {});
-        jobs_.erase(known);
+        erase(known);
         for (const auto& end_handler : end_handlers)
             end_handler({job_outcome::not_owner, job_state::queued, {}});
         reply.outcome = verdict == journal_outcome::not_written
--- a/src/glenhollow/durable/job_coordinator.hpp
+++ b/src/glenhollow/durable/job_coordinator.hpp
@@ -70,6 +70,9 @@
     duration warm_up{}; ///< Time after the start of the process in which
                         ///< in-memory jobs wait for backend servers to become
                         ///< known instead of being refused.
+    /// Limit of the tasks of all open jobs of the entry. A job beyond it is
+    /// refused, unless no other is open.
+    std::size_t max_open_tasks = 50'000;
     journal_chain_settings chain; ///< Settings of the journal.
 };
 
@@ -135,6 +138,9 @@
         { return false; };
         /// Remembers a cancel of a job that is not known.
         std::function<void(job_id)> remember_cancel = [](job_id) {};
+        /// Returns the tasks of all open jobs of the entry; empty: only those
+        /// of this coordinator count.
+        std::function<std::size_t()> open_tasks{};
     };
 
     /// Creates the coordinator of a part of the journal.
@@ -239,6 +245,9 @@
     /// @return Number of jobs that have not ended.
     std::size_t open_jobs() const { return jobs_.size(); }
 
+    /// @return Number of tasks of the jobs that have not ended.
+    std::size_t open_tasks() const { return open_tasks_; }
+
     /// @return Counters since construction.
     const job_coordinator_stats& stats() const { return stats_; }
 
@@ -323,6 +332,7 @@
     void reply_state(job_record& record, job_reply_handler done);
     void reply_state_after_delay(job_id id, const job_reply_handler& done);
     std::optional<refusal> check_admission(const job_definition& job) const;
+    bool has_room_for(const job_definition& job) const;
     bool warming_up() const;
     void accept_in_memory(const job_definition& job, job_reply_handler done);
     instant latest_start(const job_record& record) const;
@@ -332,6 +342,7 @@
     void arm_review_timer();
     static bool may_have_run(const job_record& record);
     void drop(job_record& record);
+    job_record& insert(job_record record);
     void erase(job_map::iterator job);
     void write(journal_entry entry);
     std::uint32_t first_run() const;
@@ -374,6 +385,7 @@
     /// Journal; null for in-memory jobs.
     std::unique_ptr<journal_chain> chain_;
     job_map jobs_;                                ///< Jobs that have not ended.
+    std::size_t open_tasks_ = 0;                  ///< Their tasks.
     std::unordered_map<job_id, ended_job> ended_; ///< Ended jobs.
     /// Sorted by end time.
     std::deque<std::pair<std::int64_t, job_id>> ended_order_;
--- a/src/glenhollow/durable/job_coordinator_ends.cpp
+++ b/src/glenhollow/durable/job_coordinator_ends.cpp
@@ -338,8 +338,7 @@
     record.job = job;
     record.tasks.resize(job.task_count());
     record.end_waiters.push_back(std::move(done));
-    auto& added = jobs_.emplace(job.id, std::move(record)).first->second;
-    journal_end(added, job_state::cancelled, nullptr);
+    journal_end(insert(std::move(record)), job_state::cancelled, nullptr);
 }
 
 void job_coordinator::finish(job_id id, job_state state,
--- a/src/glenhollow/durable/job_coordinator_load.cpp
+++ b/src/glenhollow/durable/job_coordinator_load.cpp
@@ -34,8 +34,7 @@
         record.done = record.progress.done.size();
         record.started = known != loaded.progress.end();
         record.job = std::move(job);
-        const auto id = record.job.id;
-        jobs_.emplace(id, std::move(record));
+        insert(std::move(record));
     }
     for (const auto& [id, end] : loaded.ended)
         remember_ended(id, end);
--- a/src/glenhollow/durable/part_ownership.cpp
+++ b/src/glenhollow/durable/part_ownership.cpp
@@ -88,6 +88,14 @@
     return count;
 }
 
+std::size_t part_ownership::open_tasks() const
+{
+    std::size_t count = 0;
+    for (const auto& [part, at] : parts_)
+        count += at.jobs ? at.jobs->open_tasks() : 0;
+    return count;
+}
+
 bool part_ownership::is_valid(part_epoch own, const part_state& at) const
 {
     const auto now = dependencies_.clock.now();
--- a/src/glenhollow/durable/part_ownership.hpp
+++ b/src/glenhollow/durable/part_ownership.hpp
@@ -110,6 +110,9 @@
     /// @return Number of open jobs in this entry's parts.
     std::size_t open_jobs() const;
 
+    /// @return Number of tasks of these jobs.
+    std::size_t open_tasks() const;
+
     /// @return Counters since the start.
     const part_ownership_stats& stats() const { return stats_; }
 
--- a/src/glenhollow/http/intake_limits.cpp
+++ b/src/glenhollow/http/intake_limits.cpp
@@ -23,6 +23,12 @@
 /// As text, and as the job that is made of it.
 constexpr std::size_t copies_of_a_body = 2;
 
+/// A task of a job that has not ended, with its place in the queue.
+constexpr std::size_t bytes_a_task = 600;
+
+/// Of what the program leaves, for the tasks of open jobs.
+constexpr std::size_t share_of_tasks = 4;
+
 /// Kept for files, and for links to agents, entries and the store.
 constexpr std::size_t kept_for_files = 200;
 constexpr std::size_t kept_for_links = 300;
@@ -52,6 +58,8 @@
         const auto left =
             given.memory_mb > program_mb ? given.memory_mb - program_mb : 0;
         out.max_bytes = std::max<std::size_t>(4, left / 2) * megabyte;
+        out.max_open_tasks = std::max<std::size_t>(4, left / share_of_tasks) *
+                             megabyte / bytes_a_task;
         out.max_body_bytes =
             std::min(out.max_body_bytes,
                      out.max_bytes / largest_share / copies_of_a_body);
--- a/src/glenhollow/http/intake_limits.hpp
+++ b/src/glenhollow/http/intake_limits.hpp
@@ -51,6 +51,7 @@
     /// Of bodies that are on their way at once.
     std::size_t max_reading = std::numeric_limits<std::size_t>::max();
     std::size_t max_body_bytes = 8UL << 20; ///< Larger bodies get 413.
+    std::size_t max_open_tasks = 50'000; ///< Of all jobs that have not ended.
     /// Longest wait for a place on the link, then the request is refused.
     duration link_patience = milliseconds{500};
     /// A body that takes longer is held up by its sender, not by the link.
--- a/tests/unit/durable/coordinator_fixture.hpp
+++ b/tests/unit/durable/coordinator_fixture.hpp
@@ -94,10 +94,11 @@
         placing.adopted("agent-2", part);
     }
 
-    static job_coordinator_settings settings()
+    job_coordinator_settings settings() const
     {
         job_coordinator_settings out;
         out.parts = 1;
+        out.max_open_tasks = max_open_tasks;
         return out;
     }
 
@@ -192,6 +193,8 @@
     std::vector<run_end> confirmed;
     std::set<std::string> live_agents; ///< Agents that report.
     std::set<job_id> cancels;          ///< Remembered cancels.
+    /// See job_coordinator_settings.
+    std::size_t max_open_tasks = job_coordinator_settings{}.max_open_tasks;
     std::uint64_t numbers = 0;
     int lost = 0;
 };
--- a/tests/unit/durable/job_coordinator_tests.cpp
+++ b/tests/unit/durable/job_coordinator_tests.cpp
@@ -300,3 +300,32 @@
     CHECK(loaded.ended[0].first == 7);
     CHECK(loaded.ended[0].second.state == job_state::cancelled);
 }
+
+// Guards against a process that runs out of memory: a job of few bytes may have
+// thousands of tasks.
+TEST_CASE("a job beyond the limit of open tasks is refused")
+{
+    coordinator_fixture world;
+    world.max_open_tasks = 5;
+    const bool journalled = GENERATE(true, false);
+    if (journalled)
+        world.owner(1);
+    else
+        world.in_memory();
+    const auto submit = [&](job_id id, std::uint32_t tasks)
+    {
+        world.submit(journalled ? world.job(id, tasks)
+                                : world.memory_job(id, tasks));
+        const auto reply = world.replies.find(id);
+        return reply == world.replies.end() ||
+               reply->second.outcome != job_outcome::refused;
+    };
+    CHECK(submit(1, 8)); // The only one.
+    CHECK_FALSE(submit(2, 1));
+    world.end_all(run_outcome::done);
+    CHECK(world.coordinator->open_tasks() == 0);
+    CHECK(submit(3, 3));
+    CHECK(submit(4, 2));
+    CHECK_FALSE(submit(5, 1));
+    CHECK(world.coordinator->open_tasks() == 5);
+}
