RPC listener: messages that are arriving are bounded

What callers could see: a process that runs out of memory; found by a test, at the port for links to other processes.

Cause: the memory of a message is taken when its length is known, up to 64 MB on each connection, and the rest may never come.

Why it works: a message has at most 8 MB, and those of 64 KB and more that are arriving 16 MB together. Beyond that the oldest one that has been arriving for a second gives way and its connection ends; without such a one the new connection ends. The longest messages of our own processes are jobs (their bodies have 3 MB at most with 160 MB) and copies of the configuration (264 KB for 1,445 routes).

--- a/src/glenhollow/rpc/asio_stream.cpp
+++ b/src/glenhollow/rpc/asio_stream.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cstring>
 #include <string>
+#include <utility>
 
 namespace glenhollow
 {
@@ -42,8 +43,10 @@
         std::size_t copied = 0;          ///< Bytes copied so far.
     };
 
-    state(asio::ip::tcp::socket connected_socket, stream_stats& counters)
-        : socket(std::move(connected_socket)), totals(&counters)
+    state(asio::ip::tcp::socket connected_socket, stream_stats& counters,
+          large_reads* large_read_bound)
+        : socket(std::move(connected_socket)), totals(&counters),
+          large(large_read_bound)
     {
         auto paf = kj::newPromiseAndFulfiller<void>();
         disconnect_promise = paf.promise.fork();
@@ -51,7 +54,9 @@
     }
 
     asio::ip::tcp::socket socket;
-    stream_stats* totals; ///< Traffic counters.
+    stream_stats* totals;         ///< Traffic counters.
+    large_reads* large;           ///< Bounds large reads; may be null.
+    std::uint64_t large_read = 0; ///< Number of the large read, or 0.
     std::array<kj::byte, read_buffer_bytes> read_buffer{}; ///< Bytes received.
     std::size_t read_begin = 0;     ///< Offset of the first unconsumed byte.
     std::size_t read_end = 0;       ///< Offset past the last received byte.
@@ -88,6 +93,7 @@
             if (!read->fulfiller->isWaiting())
             {
                 reader = nullptr;
+                end_large_read();
                 return;
             }
             read->copied += copy_buffered(read->destination + read->copied,
@@ -97,12 +103,14 @@
                 auto fulfiller = kj::mv(read->fulfiller);
                 const std::size_t copied = read->copied;
                 reader = nullptr;
+                end_large_read();
                 fulfiller->fulfill(kj::cp(copied));
             }
             else if (!error.empty())
             {
                 auto fulfiller = kj::mv(read->fulfiller);
                 reader = nullptr;
+                end_large_read();
                 fulfiller->reject(disconnected_error(error));
             }
             else
@@ -112,6 +120,23 @@
         }
     }
 
+    /// @return Whether there is room for a read of that length.
+    bool begin_large_read(std::size_t bytes)
+    {
+        if (large == nullptr || bytes < large_reads::threshold_bytes)
+            return true;
+        large_read = large->begin(
+            bytes, [self = shared_from_this()]
+            { self->fail("a large message took too long to arrive"); });
+        return large_read != 0;
+    }
+
+    void end_large_read()
+    {
+        if (large_read != 0)
+            large->end(std::exchange(large_read, 0));
+    }
+
     void start_read()
     {
         if (reading)
@@ -206,8 +231,9 @@
     }
 };
 
-asio_stream::asio_stream(asio::ip::tcp::socket socket, stream_stats& totals)
-    : state_(std::make_shared<state>(std::move(socket), totals))
+asio_stream::asio_stream(asio::ip::tcp::socket socket, stream_stats& totals,
+                         large_reads* large)
+    : state_(std::make_shared<state>(std::move(socket), totals, large))
 {
     error_code ignored;
     state_->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -216,6 +242,7 @@
 asio_stream::~asio_stream() noexcept(false)
 {
     state_->closed = true;
+    state_->end_large_read();
     // Pending operations may keep the state alive after the KJ event loop has
     // ended, so the KJ objects in it are released here.
     state_->reader = nullptr;
@@ -244,6 +271,11 @@
         return state_->copy_buffered(destination, max_bytes);
     if (!state_->error.empty())
         return disconnected_error(state_->error);
+    if (!state_->begin_large_read(min_bytes))
+    {
+        state_->fail("too many large messages arrive at once");
+        return disconnected_error(state_->error);
+    }
     auto paf = kj::newPromiseAndFulfiller<std::size_t>();
     const std::size_t copied = state_->copy_buffered(destination, max_bytes);
     state_->reader = state::pending_read{kj::mv(paf.fulfiller), destination,
--- a/src/glenhollow/rpc/asio_stream.hpp
+++ b/src/glenhollow/rpc/asio_stream.hpp
@@ -1,6 +1,8 @@
 #ifndef GLENHOLLOW_RPC_ASIO_STREAM_HPP
 #define GLENHOLLOW_RPC_ASIO_STREAM_HPP
 
+#include "glenhollow/rpc/large_reads.hpp"
+
 #include <boost/asio/ip/tcp.hpp>
 
 #include <kj/async-io.h>
@@ -30,7 +32,10 @@
     /// @param socket A connected socket.
     /// @param totals Counters to add to; may be shared between streams and must
     /// outlive them.
-    asio_stream(boost::asio::ip::tcp::socket socket, stream_stats& totals);
+    /// @param large Bounds large reads; null: no bound. Must outlive the
+    /// stream.
+    asio_stream(boost::asio::ip::tcp::socket socket, stream_stats& totals,
+                large_reads* large = nullptr);
     ~asio_stream() noexcept(false);
 
     kj::Promise<std::size_t> tryRead(void* buffer, std::size_t min_bytes,
--- a/src/glenhollow/rpc/rpc_listener.cpp
+++ b/src/glenhollow/rpc/rpc_listener.cpp
@@ -1,16 +1,66 @@
 #include "glenhollow/rpc/rpc_listener.hpp"
 
+#include <boost/asio/post.hpp>
+#include <capnp/message.h>
+#include <capnp/rpc-twoparty.h>
+
+#include <utility>
+
 namespace glenhollow
 {
 
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+namespace
+{
+
+capnp::ReaderOptions reader_options(const rpc_listener_settings& settings)
+{
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords =
+        settings.max_message_bytes / sizeof(capnp::word);
+    return options;
+}
+
+} // namespace
+
+/// One accepted connection.
+struct rpc_listener::connection
+{
+    connection(kj::Own<asio_stream> accepted,
+               capnp::Capability::Client bootstrap,
+               const rpc_listener_settings& settings)
+        : stream(kj::mv(accepted)),
+          network(*stream, capnp::rpc::twoparty::Side::SERVER,
+                  reader_options(settings)),
+          system(capnp::makeRpcServer(network, kj::mv(bootstrap)))
+    {
+    }
+
+    kj::Own<asio_stream> stream;
+    capnp::TwoPartyVatNetwork network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> system;
+};
+
+rpc_listener::rpc_listener(boost::asio::io_context& io,
+                           const rpc_listener_settings& settings)
+    : io_(io), settings_(settings), acceptor_(io),
+      large_reads_(process_clock(), settings.large_messages),
+      bootstrap_(nullptr)
+{
+}
+
+rpc_listener::~rpc_listener()
+{
+    *alive_ = false;
+}
+
 result<std::unique_ptr<rpc_listener>>
 rpc_listener::create(boost::asio::io_context& io, const std::string& address,
-                     std::uint16_t port)
+                     std::uint16_t port, const rpc_listener_settings& settings)
 {
-    std::unique_ptr<rpc_listener> listener(new rpc_listener(io));
+    std::unique_ptr<rpc_listener> listener(new rpc_listener(io, settings));
     error_code ec;
     const auto ip = boost::asio::ip::make_address(address, ec);
     if (ec)
@@ -30,7 +80,8 @@
 
 void rpc_listener::serve(capnp::Capability::Client bootstrap)
 {
-    server_ = std::make_unique<capnp::TwoPartyServer>(kj::mv(bootstrap));
+    bootstrap_ = kj::mv(bootstrap);
+    ends_ = std::make_unique<background_tasks>();
     accept();
 }
 
@@ -42,17 +93,34 @@
             if (ec == boost::asio::error::operation_aborted)
                 return;
             if (!ec)
-                server_->accept(
-                    kj::heap<asio_stream>(std::move(socket), stats_));
+                add(std::move(socket));
             accept();
         });
 }
 
+void rpc_listener::add(tcp::socket socket)
+{
+    const auto number = ++last_;
+    auto added = std::make_unique<connection>(
+        kj::heap<asio_stream>(std::move(socket), stats_, &large_reads_),
+        bootstrap_, settings_);
+    // Deferred, since the end is told from inside the connection.
+    ends_->add(added->network.onDisconnect().then(
+        [this, number] {
+            boost::asio::post(io_,
+                              [this, number] { connections_.erase(number); });
+        }));
+    connections_.emplace(number, std::move(added));
+}
+
 void rpc_listener::close()
 {
+    *alive_ = false;
     error_code ignored;
     acceptor_.close(ignored);
-    server_.reset();
+    ends_.reset();
+    connections_.clear();
+    bootstrap_ = nullptr;
 }
 
 void rpc_listener::collect(metric_page& page) const
@@ -62,6 +130,8 @@
                  static_cast<double>(stats_.bytes_in), R"(direction="in")");
     page.counter("link_server_bytes_total", help,
                  static_cast<double>(stats_.bytes_out), R"(direction="out")");
+    page.gauge("link_server_connections", "Accepted RPC connections",
+               static_cast<double>(connections_.size()));
 }
 
 } // namespace glenhollow
--- a/src/glenhollow/rpc/rpc_listener.hpp
+++ b/src/glenhollow/rpc/rpc_listener.hpp
@@ -1,8 +1,10 @@
 #ifndef GLENHOLLOW_RPC_RPC_LISTENER_HPP
 #define GLENHOLLOW_RPC_RPC_LISTENER_HPP
 
+#include "glenhollow/core/clock.hpp"
 #include "glenhollow/core/result.hpp"
 #include "glenhollow/rpc/asio_stream.hpp"
+#include "glenhollow/rpc/rpc_loop.hpp"
 #include "glenhollow/telemetry/metrics.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -17,6 +19,13 @@
 namespace glenhollow
 {
 
+/// Limits of an RPC listener.
+struct rpc_listener_settings
+{
+    std::size_t max_message_bytes = 8UL << 20; ///< Longer ones end their link.
+    large_reads_settings large_messages;       ///< Messages that are arriving.
+};
+
 /// Listens for Cap'n Proto RPC connections on one io_context.
 class rpc_listener final
 {
@@ -28,7 +37,8 @@
     /// @return The listener, or the reason why it cannot listen.
     static result<std::unique_ptr<rpc_listener>>
     create(boost::asio::io_context& io, const std::string& address,
-           std::uint16_t port);
+           std::uint16_t port, const rpc_listener_settings& settings = {});
+    ~rpc_listener();
 
     /// Starts to accept connections. Must be called inside the rpc_loop.
     /// @param bootstrap The interface offered to each connection.
@@ -45,14 +55,27 @@
     void collect(metric_page& page) const;
 
 private:
-    explicit rpc_listener(boost::asio::io_context& io) : acceptor_(io) {}
+    struct connection;
+
+    rpc_listener(boost::asio::io_context& io,
+                 const rpc_listener_settings& settings);
     void accept();
+    void add(boost::asio::ip::tcp::socket socket);
 
+    boost::asio::io_context& io_;
+    rpc_listener_settings settings_;
     boost::asio::ip::tcp::acceptor acceptor_;
-    std::uint16_t port_ = 0; ///< The bound port.
-    stream_stats stats_;     ///< Traffic of all connections.
-    std::unique_ptr<capnp::TwoPartyServer>
-        server_; ///< Owns the connections; null unless serving.
+    std::uint16_t port_ = 0;              ///< The bound port.
+    stream_stats stats_;                  ///< Traffic of all connections.
+    large_reads large_reads_;             ///< Messages that are arriving.
+    capnp::Capability::Client bootstrap_; ///< Offered to each connection.
+    std::uint64_t last_ = 0;              ///< Number of the latest connection.
+    /// Open connections, the oldest first.
+    std::map<std::uint64_t, std::unique_ptr<connection>> connections_;
+    /// Cleared by close() and the destructor; deferred work checks it.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    /// Watches their ends; null unless serving.
+    std::unique_ptr<background_tasks> ends_;
 };
 
 } // namespace glenhollow
