RPC listener: connections are bounded, and a failure to accept is no busy loop

What callers saw in a test: none was served while a crowd held connections at the port for links and said nothing.

Cause: connections had no bound but the descriptors. Without any left, accepting failed and was tried again at once, with all of the processor, and no other port could accept.

Why it works: a listener has at most a quarter of the descriptors that the process may open. Beyond that the oldest connection that has sent nothing for a second gives way, or the new one is closed; our own processes send their first call at once. After a failure the listener waits for 50 ms, as the HTTP server does.

Falls short: connections that have sent a call are not replaced.

--- a/src/glenhollow/rpc/asio_stream.cpp
+++ b/src/glenhollow/rpc/asio_stream.cpp
@@ -57,6 +57,7 @@
     stream_stats* totals;         ///< Traffic counters.
     large_reads* large;           ///< Bounds large reads; may be null.
     std::uint64_t large_read = 0; ///< Number of the large read, or 0.
+    bool received = false;        ///< Whether any byte has arrived.
     std::array<kj::byte, read_buffer_bytes> read_buffer{}; ///< Bytes received.
     std::size_t read_begin = 0;     ///< Offset of the first unconsumed byte.
     std::size_t read_end = 0;       ///< Offset past the last received byte.
@@ -156,6 +157,7 @@
             return;
         totals->bytes_in += n;
         ++totals->reads;
+        received = received || n != 0;
         read_end = n;
         if (ec == asio::error::eof)
             end_of_stream = true;
@@ -319,6 +321,11 @@
         state_->shut_down();
 }
 
+bool asio_stream::has_received() const
+{
+    return state_->received;
+}
+
 void asio_stream::abortRead()
 {
     error_code ignored;
--- a/src/glenhollow/rpc/asio_stream.hpp
+++ b/src/glenhollow/rpc/asio_stream.hpp
@@ -47,6 +47,9 @@
     void shutdownWrite() override;
     void abortRead() override;
 
+    /// @return Whether any byte has arrived.
+    bool has_received() const;
+
 private:
     struct state;
     std::shared_ptr<state> state_; ///< Shared with pending operations.
--- a/src/glenhollow/rpc/rpc_listener.hpp
+++ b/src/glenhollow/rpc/rpc_listener.hpp
@@ -22,6 +22,12 @@
 /// Limits of an RPC listener.
 struct rpc_listener_settings
 {
+    /// Limit of open connections; 0: a quarter of the descriptors that the
+    /// process may open. A new connection beyond it replaces the oldest one
+    /// that has sent nothing, or is closed at once.
+    std::size_t max_connections = 0;
+    /// Age from which a connection that has sent nothing may be replaced.
+    duration reclaim_after = seconds{1};
     std::size_t max_message_bytes = 8UL << 20; ///< Longer ones end their link.
     large_reads_settings large_messages;       ///< Messages that are arriving.
 };
@@ -60,14 +66,18 @@
     rpc_listener(boost::asio::io_context& io,
                  const rpc_listener_settings& settings);
     void accept();
+    void accept_later();
+    bool has_room();
     void add(boost::asio::ip::tcp::socket socket);
 
     boost::asio::io_context& io_;
     rpc_listener_settings settings_;
     boost::asio::ip::tcp::acceptor acceptor_;
-    std::uint16_t port_ = 0;              ///< The bound port.
-    stream_stats stats_;                  ///< Traffic of all connections.
-    large_reads large_reads_;             ///< Messages that are arriving.
+    boost::asio::steady_timer pause_; ///< After a failure to accept.
+    std::uint16_t port_ = 0;          ///< The bound port.
+    stream_stats stats_;              ///< Traffic of all connections.
+    std::uint64_t refused_ = 0;       ///< Connections closed for want of room.
+    large_reads large_reads_;         ///< Messages that are arriving.
     capnp::Capability::Client bootstrap_; ///< Offered to each connection.
     std::uint64_t last_ = 0;              ///< Number of the latest connection.
     /// Open connections, the oldest first.
