--- a/programs/client.cpp
+++ b/programs/client.cpp
@@ -2,6 +2,7 @@
 #include "glenhollow/client/interactive.hpp"
 #include "glenhollow/client/operator_client.hpp"
 #include "glenhollow/command_line/command_line.hpp"
+#include "glenhollow/command_line/limits_page.hpp"
 #include "glenhollow/configuration/tuning.hpp"
 
 #include <unistd.h>
@@ -80,7 +81,7 @@
     parse_or_exit(line, argc, argv);
     if (settings_wanted)
     {
-        std::cout << settings_page();
+        std::cout << settings_page() << limits_page();
         return 0;
     }
     const auto list = host_port::parse_list(entries);
