--- a/tests/hostile/attacks.cpp
+++ b/tests/hostile/attacks.cpp
@@ -168,6 +168,25 @@
     };
 }
 
+/// Many journalled jobs with as long a text as a job may have.
+attack many_jobs()
+{
+    constexpr unsigned jobs_per_connection = 1200;
+    const std::string body = R"({"spec":"work_ms=2000 )" +
+                             std::string(3900, 'x') +
+                             R"(","steps":[{"count":1,"cpu":3000}]})";
+    attack out{"entry_callers_jobs_journalled",
+               target_process::entry,
+               target_port::callers,
+               {}};
+    out.limits.memory_mb = 128;
+    out.crowd.connections = crowd_size;
+    out.crowd.requests = jobs_per_connection;
+    out.crowd.request_of = [body](unsigned connection, unsigned number)
+    { return job_request(connection * jobs_per_connection + number, body); };
+    return out;
+}
+
 /// Whole requests with a list that takes far more memory once it is parsed.
 attack long_lists()
 {
@@ -256,6 +275,7 @@
         out.push_back(silent_connections(at.name, at.process, at.port));
     }
     append(large_jobs());
+    out.push_back(many_jobs());
     out.push_back(long_lists());
     append(link_attacks("entry", target_process::entry));
     append(link_attacks("agent", target_process::agent));
--- a/tests/hostile/crowd.hpp
+++ b/tests/hostile/crowd.hpp
@@ -24,6 +24,10 @@
     std::string opening; ///< Sent once.
     /// Replaces the opening if set: that of the connection with this number.
     std::function<std::string(unsigned)> opening_of{};
+    /// Replaces opening and fillers if set: the request of the connection with
+    /// the first number; each is sent once the one before is answered.
+    std::function<std::string(unsigned, unsigned)> request_of{};
+    unsigned requests = 0; ///< Requests of each connection.
     std::string filler{};  ///< Sent again and again after it; may be empty.
     std::size_t bytes = 0; ///< Bytes of fillers sent at most.
     /// Pause after each filler; with it, each one arrives alone.
@@ -49,6 +53,7 @@
     void connect(const std::shared_ptr<member>& one);
     void send_next(const std::shared_ptr<member>& one);
     void on_sent(const std::shared_ptr<member>& one, std::size_t bytes);
+    void await_answer(const std::shared_ptr<member>& one);
 
     boost::asio::io_context io_;
     boost::asio::ip::tcp::endpoint server_;
