Tests: one limit of a blocked operation in the crowds

The timer that ends a blocked connection was armed by the same lines for connecting and for sending.

--- a/tests/hostile/crowd.cpp
+++ b/tests/hostile/crowd.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/buffer.hpp>
 
-#include <algorithm>
 #include <array>
 
 namespace glenhollow::hostile
@@ -63,7 +62,8 @@
     io_.run();
 }
 
-void crowd::connect(const std::shared_ptr<member>& one)
+/// Ends the pending operation of a connection that is blocked for too long.
+void crowd::limit_wait(const std::shared_ptr<member>& one)
 {
     one->timer.expires_after(longest_block);
     one->timer.async_wait(
@@ -72,6 +72,11 @@
             if (!ec)
                 one->socket.cancel(ec);
         });
+}
+
+void crowd::connect(const std::shared_ptr<member>& one)
+{
+    limit_wait(one);
     one->socket.async_connect(server_,
                               [this, one](error_code ec)
                               {
@@ -93,13 +98,7 @@
         (behaviour_.filler.empty() || one->filled >= behaviour_.bytes))
         return;
     const auto& text = one->opened ? behaviour_.filler : one->opening;
-    one->timer.expires_after(longest_block);
-    one->timer.async_wait(
-        [one](error_code ec)
-        {
-            if (!ec)
-                one->socket.cancel(ec);
-        });
+    limit_wait(one);
     one->socket.async_write_some(
         asio::buffer(text.data() + one->written, text.size() - one->written),
         [this, one, size = text.size()](error_code ec, std::size_t n)
--- a/tests/hostile/crowd.hpp
+++ b/tests/hostile/crowd.hpp
@@ -50,6 +50,7 @@
 private:
     struct member;
 
+    static void limit_wait(const std::shared_ptr<member>& one);
     void connect(const std::shared_ptr<member>& one);
     void send_next(const std::shared_ptr<member>& one);
     void on_sent(const std::shared_ptr<member>& one, std::size_t bytes);
