--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -24,10 +24,10 @@
     for (int i = 0; i < 200; ++i)
     {
         sleep_until_s(begin + 0.1 * i);
-        callers.submit("plain", {{2, 1000, 0, 200, {}, {}}},
+        callers.submit("plain", {{2, 1000, 0, 200, {}, {}, {}}},
                        "work_ms=200;plain");
         if (i % 10 == 0 && i < 80)
-            callers.submit("gpu", {{4, 200, 1, 250, {}, {}}},
+            callers.submit("gpu", {{4, 200, 1, 250, {}, {}, {}}},
                            "work_ms=250;gpu");
         if (i == 73 && trouble())
             all.runner_at(last).crash();
--- a/review/common-3/world.hpp
+++ b/review/common-3/world.hpp
@@ -1141,7 +1141,7 @@
     double stretch = 1.6;
     /// Kind of the runner of a number.
     std::function<runner_kind(int)> kind = [](int) { return runner_kind{}; };
-    int linked_agent = -1; ///< Reached through links that can be cut.
+    std::vector<int> linked_agents; ///< Reached through links that can be cut.
 };
 
 class deployment
@@ -1162,8 +1162,7 @@
             add_entry(i);
         for (int i = 0; i < options_.agents; ++i)
             add_agent(i);
-        if (options_.linked_agent >= 0)
-            add_links();
+        add_links();
     }
 
     ~deployment() { end(); }
@@ -1224,11 +1223,12 @@
 
     place front(int i) const { return {entry_host(i), front_port}; }
 
-    void cut_linked_agent(bool on)
+    /// Cuts a linked agent off from all entries, or heals the cut.
+    void cut(int agent, bool on)
     {
-        record.line(on ? "link: agent cut off" : "link: agent reached again");
-        for (auto& one : links_)
-            one->cut(on);
+        record.line("side-" + std::to_string(agent + 1) +
+                    (on ? ": cut off" : ": reached again"));
+        links_.at(agent)->cut(on);
     }
 
     /// @return All runs of all runners, by the name of their task.
@@ -1335,25 +1335,30 @@
             place{host, control_port}, options_.kind(i)));
     }
 
-    /// The network between the entries and one agent: the store shows the
+    /// The network between the entries and some agents: the store shows the
     /// address of a link where the agent's row has the agent's own, so that the
     /// entries reach it through the link alone.
     void add_links()
     {
-        const auto member = "side-" + std::to_string(options_.linked_agent + 1);
-        const auto own = agent_host(options_.linked_agent);
-        const place at{net_ + "200", link_port};
-        links_.push_back(std::make_unique<link>());
-        links_.back()->start(at, {own, link_port}, {});
-        store_.shown = [member, own, at](const std::string& key,
-                                         const std::string& value)
+        std::map<std::string, std::pair<std::string, std::string>> addresses;
+        for (const int i : options_.linked_agents)
         {
-            if (key != member)
+            const auto at = net_ + std::to_string(200 + i);
+            links_[i] = std::make_unique<link>();
+            links_[i]->start({at, link_port}, {agent_host(i), link_port}, {});
+            addresses["side-" + std::to_string(i + 1)] = {agent_host(i), at};
+        }
+        store_.shown = [addresses](const std::string& member,
+                                   const std::string& value)
+        {
+            const auto known = addresses.find(member);
+            if (known == addresses.end())
                 return value;
+            const auto& [own, shown] = known->second;
             auto text = store::from_base64(value);
             const auto there = text.find(own + ":");
             if (there != std::string::npos)
-                text.replace(there, own.size(), at.host);
+                text.replace(there, own.size(), shown);
             return store::base64(text);
         };
     }
@@ -1366,7 +1371,7 @@
     std::vector<std::unique_ptr<process>> entries_;
     std::vector<std::unique_ptr<process>> agents_;
     std::vector<std::unique_ptr<runner>> runners_;
-    std::vector<std::unique_ptr<link>> links_;
+    std::map<int, std::unique_ptr<link>> links_; ///< By agent.
 };
 
 [[noreturn]] inline void finish(int status)
@@ -1394,6 +1399,7 @@
     int estimate_ms = 200;
     std::vector<int> after;
     std::string constraints;
+    std::string affinity;
 };
 
 struct job
@@ -1480,6 +1486,8 @@
                     json::array(step.after.begin(), step.after.end());
             if (!step.constraints.empty())
                 out["constraints"] = step.constraints;
+            if (!step.affinity.empty())
+                out["affinity"] = step.affinity;
             steps.emplace_back(std::move(out));
         }
         const auto body = json::serialize(
