--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,5 +1,7 @@
-// Case 9: the only runner with a GPU is lost for good while a job that needs it
-// is under way. Jobs that need no GPU are accepted and never run.
+// Case 9: a zone is partitioned from the others and from the store for 5 s;
+// connections across the border are refused. Its entry takes the refusals for
+// the end of the other entries, goes on as the owner of its part, and its
+// agents go on with its tasks, while another entry starts the same tasks.
 #include "../common-3/world.hpp"
 
 using namespace world;
@@ -8,32 +10,27 @@
 {
     begin_case(argc, argv);
     options wanted;
-    const int last = wanted.agents - 1;
-    wanted.kind = [last](int i)
-    {
-        runner_kind kind;
-        kind.gpu = i == last ? 1 : 0;
-        return kind;
-    };
+    wanted.zone_agents = 4;
     deployment all(wanted);
     all.start();
     clients callers(all);
 
-    // A plain job each 100 ms, and one with GPU tasks each second.
+    // 10 jobs a second of two tasks of half a core for 1.5 s.
     const auto begin = seconds_now();
-    for (int i = 0; i < 200; ++i)
+    for (int i = 0; i < 80; ++i)
     {
-        sleep_until_s(begin + 0.1 * i);
-        callers.submit("plain", {{2, 1000, 0, 200, {}, {}, {}}},
-                       "work_ms=200;plain");
-        if (i % 10 == 0 && i < 80)
-            callers.submit("gpu", {{4, 200, 1, 250, {}, {}, {}}},
-                           "work_ms=250;gpu");
-        if (i == 73 && trouble())
-            all.runner_at(last).crash();
+        sleep_until_s(begin + i / 10.0);
+        callers.submit("plain", {{2, 500, 0, 1500, {}, {}, {}}},
+                       "work_ms=1500");
+        if (i == 30 && trouble())
+            all.refuse_zone(true);
     }
+    sleep_until_s(begin + 8);
+    if (trouble())
+        all.refuse_zone(false);
     callers.wait();
-    const int lost = check_lost(all, callers, "plain");
+    sleep_until_s(begin + 8 + finish_s);
+    const int broken = check_twice(all);
     record_runs(all);
-    finish(lost > 0 ? 1 : 0);
+    finish(broken > 0 ? 1 : 0);
 }
--- a/review/common-3/world.hpp
+++ b/review/common-3/world.hpp
@@ -169,9 +169,9 @@
     while (at != std::string::npos)
     {
         const auto next = head.find("\r\n", at + 2);
-        auto field = head.substr(at + 2, next == std::string::npos
-                                             ? std::string::npos
-                                             : next - at - 2);
+        auto field =
+            head.substr(at + 2, next == std::string::npos ? std::string::npos
+                                                          : next - at - 2);
         const auto colon = field.find(':');
         if (colon != std::string::npos)
         {
@@ -291,8 +291,8 @@
 
 /// @return A connection handler that answers requests one after the other. A
 /// request without a reply leaves its connection silent.
-inline tcp_server::connection_handler
-http_handler(std::function<std::optional<http_reply>(const http_message&)> serve)
+inline tcp_server::connection_handler http_handler(
+    std::function<std::optional<http_reply>(const http_message&)> serve)
 {
     return [serve = std::move(serve)](int fd)
     {
@@ -322,8 +322,7 @@
 /// @return The answer; status 0: none within the time.
 inline http_reply call(const place& where, const std::string& method,
                        const std::string& target, const std::string& body,
-                       double timeout_s,
-                       const std::string& more_headers = {},
+                       double timeout_s, const std::string& more_headers = {},
                        const std::string& host = {})
 {
     const int fd = connect_to(where);
@@ -385,7 +384,7 @@
     void start(const place& where)
     {
         server_.start(where, http_handler([this](const http_message& request)
-                                          { return serve(request); }));
+                                          { return serve(request, false); }));
     }
 
     /// The operator writes the configuration.
@@ -395,12 +394,19 @@
         change({"op", "", "config"}, base64(json::serialize(configuration)));
     }
 
-    /// For a reader that calls from `reader`, the members' row shows another
-    /// address: that of the link of this reader to the member.
-    std::function<std::string(const std::string& member,
+    /// Readers inside and outside a zone reach the members by different
+    /// addresses: that of the link, where there is one between the two.
+    std::function<std::string(bool inside, const std::string& member,
                               const std::string& value)>
         shown; ///< Empty: the row as it was written.
 
+    /// Where the members inside the zone call.
+    void start_inside(const place& where)
+    {
+        inside_.start(where, http_handler([this](const http_message& request)
+                                          { return serve(request, true); }));
+    }
+
     /// @return Rows refused because they were too large.
     std::size_t too_large() const { return too_large_; }
 
@@ -466,7 +472,8 @@
         return {text_at(in, "table"), text_at(in, "part"), text_at(in, "key")};
     }
 
-    json::object row_json(const name& of, const row& one) const
+    json::object row_json(const name& of, const row& one,
+                          bool inside = false) const
     {
         json::object out{{"table", of[0]},
                          {"part", of[1]},
@@ -476,7 +483,7 @@
             out["gone"] = true;
         else
             out["value"] = shown && of[0] == "members"
-                               ? shown(of[2], one.value)
+                               ? shown(inside, of[2], one.value)
                                : one.value;
         return out;
     }
@@ -499,7 +506,7 @@
         changed_.notify_all();
     }
 
-    std::optional<http_reply> serve(const http_message& request)
+    std::optional<http_reply> serve(const http_message& request, bool inside)
     {
         sleep_s(0.004);
         const auto mark = request.second.find('?');
@@ -509,9 +516,9 @@
         if (path == "/rows-tx")
             return transact(object_of(request.body));
         if (path == "/rows-get")
-            return read(given);
+            return read(given, inside);
         if (path == "/rows-feed")
-            return feed(given);
+            return feed(given, inside);
         return http_reply{404, "{}"};
     }
 
@@ -609,7 +616,8 @@
         return reply({});
     }
 
-    http_reply read(const std::map<std::string, std::string>& given)
+    http_reply read(const std::map<std::string, std::string>& given,
+                    bool inside)
     {
         const guard lock(mutex_);
         const auto at = [&given](const char* key)
@@ -623,7 +631,8 @@
         json::array rows;
         bool more = false;
         std::size_t bytes = 0;
-        for (auto one = rows_.lower_bound({at("table"), at("part"), at("from")});
+        for (auto one =
+                 rows_.lower_bound({at("table"), at("part"), at("from")});
              one != rows_.end() && one->first[0] == at("table") &&
              one->first[1] == at("part");
              ++one)
@@ -635,26 +644,26 @@
             if (more)
                 break;
             bytes += one->second.value.size();
-            rows.emplace_back(row_json(one->first, one->second));
+            rows.emplace_back(row_json(one->first, one->second, inside));
         }
         return reply({{"rows", std::move(rows)}, {"more", more}});
     }
 
-    http_reply feed(const std::map<std::string, std::string>& given)
+    http_reply feed(const std::map<std::string, std::string>& given,
+                    bool inside)
     {
         std::unique_lock lock(mutex_);
         const auto& table = given.at("table");
         const auto after = std::stoll(given.at("after"));
-        const auto until =
-            steady::now() + std::chrono::milliseconds(
-                                std::stoll(given.at("wait_ms")));
+        const auto until = steady::now() + std::chrono::milliseconds(
+                                               std::stoll(given.at("wait_ms")));
         json::array rows;
         const auto collect = [&]
         {
             for (const auto& [of, one] : history_)
             {
                 if (one.version > after && of[0] == table)
-                    rows.emplace_back(row_json(of, one));
+                    rows.emplace_back(row_json(of, one, inside));
             }
             return !rows.empty();
         };
@@ -673,6 +682,7 @@
     std::int64_t version_ = 0;
     std::atomic<std::size_t> too_large_ = 0;
     tcp_server server_;
+    tcp_server inside_;
 };
 
 // Runners.
@@ -687,6 +697,8 @@
     double end = 0; ///< 0: it runs.
     std::string how;
     std::vector<std::string> labels; ///< Of the runner in this life.
+    double noted = 0;                ///< `last_seen` reached its end; 0: never.
+    bool lapsed_before_note = false; ///< The lease lapsed between the two.
 };
 
 /// What a runner can hold, and how it is labelled.
@@ -826,8 +838,11 @@
                 left.push_back(at);
         }
         running_ = std::move(left);
-        if (lapsed)
-            deadline_ms_ = 0;
+        if (!lapsed)
+            return;
+        deadline_ms_ = 0;
+        for (const auto& [number, at] : finished_)
+            runs_[at].lapsed_before_note = true;
     }
 
     void watch(int life)
@@ -853,23 +868,23 @@
                 if (life != life_)
                     return;
                 target = "/instances/" + instance_;
-                body = json::serialize(json::object{
-                    {"service", "quote-desk"},
-                    {"address", where_.text()},
-                    {"machine", machine_},
-                    {"zone", "marmara-a"},
-                    {"version", "v1"},
-                    {"slots", 8},
-                    {"state", "ready"},
-                    {"cold_remaining_ms", 0},
-                    {"capacity",
-                     {{"cpu", kind_.cpu},
-                      {"mem_mb", kind_.mem_mb},
-                      {"gpu", kind_.gpu}}},
-                    {"labels",
-                     json::array(kind_.labels.begin(), kind_.labels.end())},
-                    {"clock_ms", clock_ms()},
-                    {"sequence", ++sequence_}});
+                body = json::serialize(
+                    json::object{{"service", "quote-desk"},
+                                 {"address", where_.text()},
+                                 {"machine", machine_},
+                                 {"zone", "marmara-a"},
+                                 {"version", "v1"},
+                                 {"slots", 8},
+                                 {"state", "ready"},
+                                 {"cold_remaining_ms", 0},
+                                 {"capacity",
+                                  {{"cpu", kind_.cpu},
+                                   {"mem_mb", kind_.mem_mb},
+                                   {"gpu", kind_.gpu}}},
+                                 {"labels", json::array(kind_.labels.begin(),
+                                                        kind_.labels.end())},
+                                 {"clock_ms", clock_ms()},
+                                 {"sequence", ++sequence_}});
             }
             const auto got = call(agent_, "PUT", target, body, 1);
             {
@@ -906,8 +921,8 @@
             std::min(number_at(body, "deadline_ms"), clock_ms() + 1000);
         if (request.second == "/run-start")
             return begin(body, wanted);
-        deadline_ms_ = std::max(
-            deadline_ms_, wanted > clock_ms() ? wanted : deadline_ms_);
+        deadline_ms_ =
+            std::max(deadline_ms_, wanted > clock_ms() ? wanted : deadline_ms_);
         if (request.second == "/run-stop")
             return stop(body);
         if (request.second == "/hold")
@@ -931,8 +946,16 @@
         if (highest != highest_.end() && run <= highest->second)
             return reply(409, {{"reason", "old"}});
         running_.push_back(runs_.size());
-        runs_.push_back({task, run, text_at(body, "spec"), instance_,
-                         seconds_now(), 0, {}, kind_.labels});
+        runs_.push_back({task,
+                         run,
+                         text_at(body, "spec"),
+                         instance_,
+                         seconds_now(),
+                         0,
+                         {},
+                         kind_.labels,
+                         0,
+                         false});
         return reply(200);
     }
 
@@ -955,10 +978,12 @@
     {
         confirmed_ = std::max(confirmed_, number_at(body, "last_seen"));
         while (!finished_.empty() && finished_.front().first <= confirmed_)
+        {
+            runs_[finished_.front().second].noted = seconds_now();
             finished_.pop_front();
-        const auto until =
-            steady::now() +
-            std::chrono::milliseconds(number_at(body, "wait_ms"));
+        }
+        const auto until = steady::now() + std::chrono::milliseconds(
+                                               number_at(body, "wait_ms"));
         const auto life = life_;
         while (finished_.empty() && life == life_ &&
                changed_.wait_until(lock, until) != std::cv_status::timeout)
@@ -981,9 +1006,8 @@
         {
             if (finished.size() == 500)
                 break;
-            finished.emplace_back(json::array{number, runs_[at].task,
-                                              runs_[at].run, runs_[at].how,
-                                              ""});
+            finished.emplace_back(json::array{
+                number, runs_[at].task, runs_[at].run, runs_[at].how, ""});
         }
         return reply(200, {{"running", std::move(running)},
                            {"finished", std::move(finished)}});
@@ -1022,18 +1046,19 @@
 public:
     void start(const place& at, const place& to, const std::string& from)
     {
-        server_.start(at,
-                      [this, to, from](int fd)
-                      {
-                          wait_while_cut();
-                          const int far = connect_to(to, from);
-                          if (far < 0)
-                              return;
-                          std::thread back([this, far, fd] { pass(far, fd); });
-                          pass(fd, far);
-                          back.join();
-                          ::close(far);
-                      });
+        at_ = at;
+        to_ = to;
+        from_ = from;
+        listen();
+    }
+
+    /// While it refuses, its connections are reset and new ones are refused.
+    void refuse(bool on)
+    {
+        if (on)
+            server_->stop();
+        else
+            listen();
     }
 
     void cut(bool on)
@@ -1044,6 +1069,23 @@
     }
 
 private:
+    void listen()
+    {
+        server_ = std::make_unique<tcp_server>();
+        server_->start(at_,
+                       [this, to = to_, from = from_](int fd)
+                       {
+                           wait_while_cut();
+                           const int far = connect_to(to, from);
+                           if (far < 0)
+                               return;
+                           std::thread back([this, far, fd] { pass(far, fd); });
+                           pass(fd, far);
+                           back.join();
+                           ::close(far);
+                       });
+    }
+
     void wait_while_cut()
     {
         std::unique_lock lock(mutex_);
@@ -1057,8 +1099,7 @@
         {
             const auto n = ::recv(from, bytes, sizeof bytes, 0);
             wait_while_cut();
-            if (n <= 0 ||
-                !write_all(to, {bytes, static_cast<std::size_t>(n)}))
+            if (n <= 0 || !write_all(to, {bytes, static_cast<std::size_t>(n)}))
                 break;
         }
         ::shutdown(to, SHUT_WR);
@@ -1068,7 +1109,10 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     bool cut_ = false;
-    tcp_server server_;
+    place at_;
+    place to_;
+    std::string from_;
+    std::unique_ptr<tcp_server> server_;
 };
 
 // The project's programs.
@@ -1090,8 +1134,8 @@
         pid_ = ::fork();
         if (pid_ == 0)
         {
-            const int out = ::open(log_.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+            const int out =
+                ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
             if (::getppid() != parent)
@@ -1142,6 +1186,9 @@
     /// Kind of the runner of a number.
     std::function<runner_kind(int)> kind = [](int) { return runner_kind{}; };
     std::vector<int> linked_agents; ///< Reached through links that can be cut.
+    /// Number of agents in the zone of the first entry; there are links between
+    /// that zone and everything else, the store too. 0: no such links.
+    int zone_agents = 0;
 };
 
 class deployment
@@ -1163,6 +1210,8 @@
         for (int i = 0; i < options_.agents; ++i)
             add_agent(i);
         add_links();
+        if (options_.zone_agents > 0)
+            add_zone_links();
     }
 
     ~deployment() { end(); }
@@ -1231,6 +1280,15 @@
         links_.at(agent)->cut(on);
     }
 
+    /// Partitions the zone of the first entry from everything else, with
+    /// connections refused, or heals the cut.
+    void refuse_zone(bool on)
+    {
+        record.line(on ? "zone: cut off" : "zone: reached again");
+        for (auto& one : zone_links_)
+            one->refuse(on);
+    }
+
     /// @return All runs of all runners, by the name of their task.
     std::multimap<std::string, run_fact> all_runs()
     {
@@ -1252,7 +1310,12 @@
     static constexpr int app_port = 8165;
     static constexpr int link_port = 7720;
 
-    place store_place() const { return {net_ + "1", 8169}; }
+    place store_place(bool by_link = false) const
+    {
+        return {net_ + (by_link ? "2" : "1"), 8169};
+    }
+    /// Where those on the other side of the zone's border reach an entry.
+    std::string far_host(int i) const { return net_ + std::to_string(100 + i); }
     std::string entry_host(int i) const
     {
         return net_ + std::to_string(11 + i);
@@ -1300,19 +1363,22 @@
         const auto host = entry_host(i);
         std::string seeds;
         for (int j = 0; j < options_.entries; ++j)
-            seeds += (j == 0 ? "" : ",") + entry_host(j) + ":8166";
+        {
+            const bool far = options_.zone_agents > 0 && (i == 0) != (j == 0);
+            seeds += (j == 0 ? "" : ",") + (far ? far_host(j) : entry_host(j)) +
+                     ":8166";
+        }
         const auto file = write_file(
             name + ".conf",
             "name = " + name + "\nzone = marmara-a\naddress = " + host +
                 "\nrpc-port = 7720\nmetrics-port = 9464\ncallers = " + host +
-                ":8161\nreadiness = " + host +
-                ":8167\nstore = " + store_place().text() +
+                ":8161\nreadiness = " + host + ":8167\nstore = " +
+                store_place(options_.zone_agents > 0 && i == 0).text() +
                 "\nseeds = " + seeds +
                 "\nfar-factor = 1.5\ncpu-share = 0.25\ncores = 1\n"
                 "memory-mb = 260\nmax-fds = 4100\nlink-mbps = 1000.0\n");
         entries_.push_back(std::make_unique<process>(
-            name, "target/bin/glenhollow-durable-entry", file,
-            log_file(name)));
+            name, "target/bin/glenhollow-durable-entry", file, log_file(name)));
     }
 
     /// deploy/agent.conf, filled for a side machine.
@@ -1326,10 +1392,10 @@
                 "\nrpc-port = 7720\nmetrics-port = 9464\nregistration = " +
                 host + ":8166\nrunner = " + host +
                 ":8165\nservice = quote-desk\nstore = " +
-                store_place().text() + "\nhold = 1000\n");
+                store_place(i < options_.zone_agents).text() +
+                "\nhold = 1000\n");
         agents_.push_back(std::make_unique<process>(
-            name, "target/bin/glenhollow-durable-agent", file,
-            log_file(name)));
+            name, "target/bin/glenhollow-durable-agent", file, log_file(name)));
         runners_.push_back(std::make_unique<runner>(
             "m" + std::to_string(i + 1), place{host, app_port},
             place{host, control_port}, options_.kind(i)));
@@ -1348,19 +1414,53 @@
             links_[i]->start({at, link_port}, {agent_host(i), link_port}, {});
             addresses["side-" + std::to_string(i + 1)] = {agent_host(i), at};
         }
-        store_.shown = [addresses](const std::string& member,
-                                   const std::string& value)
+        if (!addresses.empty())
+            store_.shown = [addresses](bool, const std::string& member,
+                                       const std::string& value)
+            { return rewritten(addresses, member, value); };
+    }
+
+    /// The network between a zone and everything else: a link to the store, and
+    /// one to each member, by which those on the other side reach it.
+    void add_zone_links()
+    {
+        std::map<std::string, std::pair<std::string, std::string>> of_inside;
+        std::map<std::string, std::pair<std::string, std::string>> of_outside;
+        const auto add = [&](const std::string& name, const std::string& host,
+                             const std::string& at, bool inside)
         {
-            const auto known = addresses.find(member);
-            if (known == addresses.end())
-                return value;
-            const auto& [own, shown] = known->second;
-            auto text = store::from_base64(value);
-            const auto there = text.find(own + ":");
-            if (there != std::string::npos)
-                text.replace(there, own.size(), shown);
-            return store::base64(text);
+            zone_links_.push_back(std::make_unique<link>());
+            zone_links_.back()->start({at, link_port}, {host, link_port}, {});
+            (inside ? of_inside : of_outside)[name] = {host, at};
         };
+        for (int i = 0; i < options_.entries; ++i)
+            add("front-" + std::to_string(i + 1), entry_host(i), far_host(i),
+                i == 0);
+        for (int i = 0; i < options_.agents; ++i)
+            add("side-" + std::to_string(i + 1), agent_host(i),
+                net_ + std::to_string(200 + i), i < options_.zone_agents);
+        store_.start_inside({net_ + "1", 8170});
+        zone_links_.push_back(std::make_unique<link>());
+        zone_links_.back()->start(store_place(true), {net_ + "1", 8170}, {});
+        store_.shown = [of_inside, of_outside](bool inside,
+                                               const std::string& member,
+                                               const std::string& value)
+        { return rewritten(inside ? of_outside : of_inside, member, value); };
+    }
+
+    static std::string rewritten(
+        const std::map<std::string, std::pair<std::string, std::string>>& by,
+        const std::string& member, const std::string& value)
+    {
+        const auto known = by.find(member);
+        if (known == by.end())
+            return value;
+        const auto& [own, shown] = known->second;
+        auto text = store::from_base64(value);
+        const auto there = text.find(own + ":");
+        if (there != std::string::npos)
+            text.replace(there, own.size(), shown);
+        return store::base64(text);
     }
 
     options options_;
@@ -1372,6 +1472,7 @@
     std::vector<std::unique_ptr<process>> agents_;
     std::vector<std::unique_ptr<runner>> runners_;
     std::map<int, std::unique_ptr<link>> links_; ///< By agent.
+    std::vector<std::unique_ptr<link>> zone_links_;
 };
 
 [[noreturn]] inline void finish(int status)
@@ -1456,10 +1557,10 @@
         const auto until = seconds_now() + patience_s;
         for (int node = 0; seconds_now() < until; ++node)
         {
-            const auto got = call(
-                to_.front(node % to_.entries()), "GET", "/quotes/" + id, {},
-                until - seconds_now(), "Glenhollow-Timeout-Ms: 4000\r\n",
-                "quotes.example");
+            const auto got =
+                call(to_.front(node % to_.entries()), "GET", "/quotes/" + id,
+                     {}, until - seconds_now(),
+                     "Glenhollow-Timeout-Ms: 4000\r\n", "quotes.example");
             if (got.status == 200)
                 return text_at(object_of(got.body), "state");
             if (got.status == 410)
@@ -1600,10 +1701,9 @@
         }
         const bool idle = asked_at - std::max(last_run, one->sent) >= 3;
         const bool open = state == "queued" || state == "running";
-        const bool broken =
-            open ? idle && was_room : state != "succeeded";
-        record.line("job " + one->id + " (" + one->kind + "): state '" +
-                    state + "', runs " + std::to_string(began) +
+        const bool broken = open ? idle && was_room : state != "succeeded";
+        record.line("job " + one->id + " (" + one->kind + "): state '" + state +
+                    "', runs " + std::to_string(began) +
                     (broken ? ", LOST" : ""));
         lost += broken ? 1 : 0;
         none_run += broken && began == 0 ? 1 : 0;
@@ -1613,6 +1713,51 @@
     return lost;
 }
 
+// The check of TWICE, without the clause that has a time bound.
+
+/// Breaks of TWICE: a start after a run of the task ended `done`, if that end
+/// was taken note of at any time and the lease did not lapse between the two;
+/// or two runs of one task at once.
+/// @return The number of starts that break the rule.
+inline int check_twice(deployment& of)
+{
+    std::map<std::string, std::vector<run_fact>> tasks;
+    for (const auto& [task, run] : of.all_runs())
+        tasks[task].push_back(run);
+    int at_once = 0;
+    int after_end = 0;
+    for (const auto& [task, runs] : tasks)
+    {
+        for (const auto& second : runs)
+        {
+            for (const auto& first : runs)
+            {
+                if (first.begin >= second.begin)
+                    continue;
+                const bool both =
+                    first.end == 0 || first.end > second.begin + 0.01;
+                const bool again = first.how == "done" && first.end != 0 &&
+                                   first.end <= second.begin &&
+                                   first.noted != 0 &&
+                                   !first.lapsed_before_note;
+                if (!both && !again)
+                    continue;
+                ++(both ? at_once : after_end);
+                record.line(
+                    "TWICE: " + task + " run " + std::to_string(second.run) +
+                    " on " + second.instance + " began at " +
+                    std::to_string(second.begin) + "; run " +
+                    std::to_string(first.run) + " on " + first.instance +
+                    " from " + std::to_string(first.begin) + " to " +
+                    std::to_string(first.end) + " " + first.how);
+            }
+        }
+    }
+    std::cout << "tasks " << tasks.size() << ", two runs at once " << at_once
+              << ", started after a noted end " << after_end << "\n";
+    return at_once + after_end;
+}
+
 /// Writes all runs to the record.
 inline void record_runs(deployment& of)
 {
