--- a/review/common-3/world.hpp
+++ b/review/common-3/world.hpp
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -1138,6 +1139,7 @@
                 ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // It ends with this process.
             if (::getppid() != parent)
                 ::_exit(1);
             std::vector<char*> words{program_.data(), nullptr};
