--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,5 +1,7 @@
-// Case 10: the only runner with a GPU is lost for good while a job that needs
-// it is under way. Jobs that need no GPU are accepted and never run.
+// Case 10: three runners, one after the other, are cut off from the entries for
+// 0.8 s, crash behind the cut and start again as smaller ones. An order on its
+// way through the cut reaches the agent afterwards, does not fit, and is never
+// given back.
 #include "../common-3/world.hpp"
 
 using namespace world;
@@ -7,30 +9,43 @@
 int main(int argc, char** argv)
 {
     begin_case(argc, argv);
+    const auto rack = [](int i) { return "r1-" + std::to_string(i / 3); };
     options wanted;
-    const int last = wanted.agents - 1;
-    wanted.kind = [last](int i)
+    wanted.kind = [rack](int i)
     {
         runner_kind kind;
-        kind.gpu = i == last ? 1 : 0;
+        kind.labels = {"a", rack(i)};
         return kind;
     };
+    wanted.linked_agents = {1, 4, 7};
     deployment all(wanted);
     all.start();
     clients callers(all);
 
-    // A plain job each 100 ms, and one with GPU tasks each second.
+    // 50 jobs a second of one task, which takes 1.5 of the 4 cores of a runner
+    // for 0.2 s, with data in one of the racks.
     const auto begin = seconds_now();
-    for (int i = 0; i < 200; ++i)
+    for (int i = 0; i < 500; ++i)
     {
-        sleep_until_s(begin + 0.1 * i);
-        callers.submit("plain", {{2, 1000, 0, 200, {}, {}, {}}},
-                       "work_ms=200;plain");
-        if (i % 10 == 0 && i < 80)
-            callers.submit("gpu", {{4, 200, 1, 250, {}, {}, {}}},
-                           "work_ms=250;gpu");
-        if (i == 73 && trouble())
-            all.runner_at(last).crash();
+        sleep_until_s(begin + i / 50.0);
+        callers.submit("plain", {{1, 1500, 0, 200, {}, {}, rack(i % 11)}},
+                       "work_ms=200");
+        if (!trouble())
+            continue;
+        for (std::size_t k = 0; k < wanted.linked_agents.size(); ++k)
+        {
+            const int agent = wanted.linked_agents[k];
+            const int since = i - 100 - 100 * static_cast<int>(k);
+            if (since == 0)
+                all.cut(agent, true);
+            if (since == 5)
+                all.runner_at(agent).crash();
+            if (since == 15)
+                all.runner_at(agent).start(
+                    runner_kind{1000, 16384, 0, {"b", rack(agent)}});
+            if (since == 40)
+                all.cut(agent, false);
+        }
     }
     callers.wait();
     const int lost = check_lost(all, callers, "plain");
