--- a/review/common-3/world.hpp
+++ b/review/common-3/world.hpp
@@ -1183,6 +1183,7 @@
     int entries = 3;
     int agents = 11;
     int max_attempts = 3;
+    int more_queues = 0; ///< Beside the first.
     double target_ms = 500;
     double stretch = 1.6;
     /// Kind of the runner of a number.
@@ -1327,18 +1328,25 @@
         return net_ + std::to_string(31 + i);
     }
 
+    /// A queue at `/quotes/`, and further ones at `/more-1/` and so on.
     json::object configuration(int version) const
     {
+        json::array routes;
+        for (int i = 0; i <= options_.more_queues; ++i)
+        {
+            const auto name = i == 0 ? "quotes" : "more-" + std::to_string(i);
+            routes.emplace_back(
+                json::object{{"name", name},
+                             {"host", "quotes.example"},
+                             {"path_prefix", "/" + name + "/"},
+                             {"service", "quote-desk"},
+                             {"priority", 0},
+                             {"max_attempts", options_.max_attempts},
+                             {"stretch", options_.stretch},
+                             {"target_latency_ms", options_.target_ms}});
+        }
         return {{"version", version},
-                {"routes",
-                 json::array{{{"name", "quotes"},
-                              {"host", "quotes.example"},
-                              {"path_prefix", "/quotes/"},
-                              {"service", "quote-desk"},
-                              {"priority", 0},
-                              {"max_attempts", options_.max_attempts},
-                              {"stretch", options_.stretch},
-                              {"target_latency_ms", options_.target_ms}}}},
+                {"routes", std::move(routes)},
                 {"services", json::array{{{"name", "quote-desk"},
                                           {"admission_check", false}}}},
                 {"limits", {{"max_body_bytes", 262144}}}};
@@ -1509,6 +1517,7 @@
 {
     std::string id;
     std::string kind; ///< For the record and the check.
+    std::string queue = "quotes";
     std::vector<job_step> steps;
     bool accepted = false;
     bool rejected = false;
@@ -1527,9 +1536,11 @@
     /// node, with the same ID, after no response, 502 or 504.
     std::shared_ptr<job> submit(const std::string& kind,
                                 std::vector<job_step> steps,
-                                const std::string& spec)
+                                const std::string& spec,
+                                const std::string& queue = "quotes")
     {
         auto added = std::make_shared<job>();
+        added->queue = queue;
         char id[20];
         std::snprintf(id, sizeof id, "%016llx",
                       static_cast<unsigned long long>(random_()));
@@ -1599,7 +1610,7 @@
         {
             const auto got =
                 call(to_.front((node + attempt) % to_.entries()), "POST",
-                     "/quotes/" + one.id, body, 1.5,
+                     "/" + one.queue + "/" + one.id, body, 1.5,
                      "Glenhollow-Timeout-Ms: 1500\r\n", "quotes.example");
             record.line("job " + one.id + " (" + one.kind + "): POST " +
                         std::to_string(got.status));
