Ownership: a refused connection does not confirm a claim

Cause: entry_peers::oldest_confirmation took a refused connection for the end of the other entry's process, and so for its word that it holds no later claim. The cut-off owner of a part confirmed its own claim for as long as the refusals came. It went on renewing its leases, gave up the agents outside after agent_timeout and started their tasks inside, while the entry outside that had claimed the part ran them too. A partition can refuse what an ended process refuses; nothing at the sender tells the two apart.

Fix: only an answer confirms a claim; rpc_link::refused_at has no use any more. A claim's last renewal is then no later than max_age after the moment at which another claim can count, which agent_timeout covers.

What it costs: while the store is silent, an entry whose process has ended confirms nothing, as one whose machine is gone never did, and the kept runs of the other owners lose their leases until it is back.

--- a/src/glenhollow/durable/entry_peers.cpp
+++ b/src/glenhollow/durable/entry_peers.cpp
@@ -456,13 +456,11 @@
     auto oldest = clock_.now();
     for (const auto& [name, one] : peers_)
     {
-        const auto refused_at = one->link->refused_at();
         if (std::max(one->view_received_at, one->added) < active_since)
             continue;
-        if (!refused_at && one->view.has_later_claim(claim))
+        if (one->view.has_later_claim(claim))
             return {};
-        oldest = std::min(oldest, std::max(one->answered_exchange_sent,
-                                           refused_at.value_or(instant{})));
+        oldest = std::min(oldest, one->answered_exchange_sent);
     }
     return oldest;
 }
--- a/src/glenhollow/durable/entry_peers.hpp
+++ b/src/glenhollow/durable/entry_peers.hpp
@@ -180,16 +180,17 @@
     void refresh(duration max_age);
 
     /// Determines how recently all other entries have confirmed a claim. An
-    /// entry confirms it with a view that has no later claim of the part, or by
-    /// the end of its process, seen when its VM refuses a connection.
+    /// entry confirms it with a view that has no later claim of the part. A
+    /// refused connection confirms nothing: a partition may refuse connections
+    /// to an entry that runs on and has claimed the part.
     /// @param claim Claim of this entry.
     /// @param active_since Entries that were silent since then are ignored.
     /// @return The time at which the oldest confirmation was requested; zero if
     /// an entry has not answered or has a later claim.
     instant oldest_confirmation(part_epoch claim, instant active_since) const;
 
-    /// @return Whether the VM of an entry refuses connections, so that the
-    /// entry's process must have ended.
+    /// @return Whether connections to an entry are refused: its process has
+    /// probably ended, but a partition may refuse them as well.
     bool refuses_connections(const std::string& name) const;
 
     /// Sends a call to another entry.
--- a/src/glenhollow/rpc/rpc_connection.hpp
+++ b/src/glenhollow/rpc/rpc_connection.hpp
@@ -44,7 +44,8 @@
 {
     std::optional<boost::asio::ip::tcp::socket>
         socket;           ///< The connected socket, absent on failure.
-    bool refused = false; ///< The VM is reachable but refused the connection.
+    bool refused = false; ///< The connection was refused, by the VM or on the
+                          ///< way to it.
 };
 
 /// Opens a TCP connection asynchronously; the attempt fails after a timeout.
--- a/src/glenhollow/rpc/rpc_link.cpp
+++ b/src/glenhollow/rpc/rpc_link.cpp
@@ -3,7 +3,6 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <optional>
 #include <utility>
 
 namespace glenhollow
@@ -44,7 +43,6 @@
     bool connecting = false;             ///< A connection attempt is pending.
     bool closed = false;                 ///< The link has been destroyed.
     bool refused = false;         ///< The last completed attempt was refused.
-    instant attempted_at{};       ///< Start time of the last completed attempt.
     std::uint64_t generation = 0; ///< Incremented when a connection or attempt
                                   ///< ends, to ignore late callbacks.
     instant retry_at{};           ///< Earliest time of the next attempt.
@@ -55,14 +53,13 @@
     {
         connecting = true;
         connect_rpc(io, where,
-                    [self = shared_from_this(), own_generation = generation,
-                     started_at = clock.now()](connect_result outcome)
+                    [self = shared_from_this(),
+                     own_generation = generation](connect_result outcome)
                     {
                         if (self->closed || self->generation != own_generation)
                             return;
                         self->connecting = false;
                         self->refused = outcome.refused;
-                        self->attempted_at = started_at;
                         if (!outcome.socket)
                             return self->fail();
                         self->connected(std::move(*outcome.socket));
@@ -149,13 +146,6 @@
     return !up() && state_->refused;
 }
 
-std::optional<instant> rpc_link::refused_at() const
-{
-    if (!refused())
-        return std::nullopt;
-    return state_->attempted_at;
-}
-
 void rpc_link::add(kj::Promise<void> call)
 {
     if (state_->current)
--- a/src/glenhollow/rpc/rpc_link.hpp
+++ b/src/glenhollow/rpc/rpc_link.hpp
@@ -13,7 +13,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 
 namespace glenhollow
 {
@@ -52,10 +51,6 @@
     /// refused.
     bool refused() const;
 
-    /// @return The start time of the last completed attempt if refused(), else
-    /// nothing.
-    std::optional<instant> refused_at() const;
-
     /// Runs a call in the background until the connection ends; the call is
     /// cancelled then, or at once when the link is down.
     void add(kj::Promise<void> call);
--- a/tests/schedule/durable_scenario_tests.cpp
+++ b/tests/schedule/durable_scenario_tests.cpp
@@ -59,6 +59,27 @@
     return out;
 }
 
+/// Isolates the owner of a part with each agent in turn.
+/// @param fault Kind of the isolation.
+void play_isolated_owner(const std::string& fault)
+{
+    durable_schedule_settings scenario;
+    scenario.journalled = true;
+    scenario.entries = 2;
+    scenario.agents = 3;
+    scenario.length = seconds{12};
+    scenario.jobs = {{seconds{1}, 0, 4, seconds{9}}};
+    for (std::size_t agent = 0; agent < scenario.agents; ++agent)
+    {
+        INFO("cut off with agent " << agent);
+        scenario.faults = {{milliseconds{1500}, fault, 0, agent, seconds{8}}};
+        const auto got = play(scenario);
+        CHECK(got.violations == 0);
+        REQUIRE(got.situations.at("owner_cut_off") == seeds);
+        REQUIRE(got.starts > 4 * seeds);
+    }
+}
+
 } // namespace
 
 // Guards against a poll that reaches a restarted server with a deadline of the
@@ -105,22 +126,15 @@
 TEST_CASE("an owner without confirmation of its claim lets its leases expire",
           "[hall_cut]")
 {
-    durable_schedule_settings scenario;
-    scenario.journalled = true;
-    scenario.entries = 2;
-    scenario.agents = 3;
-    scenario.length = seconds{12};
-    scenario.jobs = {{seconds{1}, 0, 4, seconds{9}}};
-    for (std::size_t agent = 0; agent < scenario.agents; ++agent)
-    {
-        INFO("cut off with agent " << agent);
-        scenario.faults = {
-            {milliseconds{1500}, "hall_cut", 0, agent, seconds{8}}};
-        const auto got = play(scenario);
-        CHECK(got.violations == 0);
-        REQUIRE(got.situations.at("owner_cut_off") == seeds);
-        REQUIRE(got.starts > 4 * seeds);
-    }
+    play_isolated_owner("hall_cut");
+}
+
+// Guards against a part owner that takes refused connections for the end of the
+// other entries and renews its leases while one of them owns the part.
+TEST_CASE("an owner whose connections are refused lets its leases expire",
+          "[hall_cut]")
+{
+    play_isolated_owner("hall_refused");
 }
 
 // Guards against lease renewal by an owner whose machine was suspended, so that
--- a/tests/schedule/durable_world.cpp
+++ b/tests/schedule/durable_world.cpp
@@ -100,12 +100,8 @@
                 others.push_back(other);
         }
         entries_[i].entry->set_other_entries(
-            std::move(others),
-            [this](std::size_t other)
-            {
-                return !entries_[other].entry->node().is_up() &&
-                       time_.loop.clock.now() >= entries_cut_until_;
-            });
+            std::move(others), [this](std::size_t)
+            { return time_.loop.clock.now() < entries_refuse_until_; });
     }
     for (std::size_t i = 0; i < agents_.size(); ++i)
     {
@@ -500,9 +496,11 @@
         entries_[entry].store->blocked_until = until;
     else if (kind == "entries_cut")
         entries_cut_until_ = until;
-    else if (kind == "hall_cut")
+    else if (kind == "hall_cut" || kind == "hall_refused")
     {
         // Isolates one entry with one agent.
+        if (kind == "hall_refused")
+            entries_refuse_until_ = until;
         if (entries_[entry].entry->node().is_up() &&
             entries_[entry].entry->ownership().jobs() != nullptr)
             ++outcome_.situations["owner_cut_off"];
--- a/tests/schedule/durable_world.hpp
+++ b/tests/schedule/durable_world.hpp
@@ -161,7 +161,9 @@
     std::vector<entry_site> entries_; ///< Entries by number.
     std::vector<caller> callers_;     ///< Callers by number.
     instant entries_cut_until_{}; ///< Entries exchange no views before then.
-    durable_outcome outcome_;     ///< Result so far.
+    /// Entries refuse each other's connections before then.
+    instant entries_refuse_until_{};
+    durable_outcome outcome_; ///< Result so far.
 };
 
 } // namespace glenhollow
--- a/tests/schedule/simulated_entry.hpp
+++ b/tests/schedule/simulated_entry.hpp
@@ -64,8 +64,8 @@
     }
 
     /// @param others The other entries.
-    /// @param refuses_connections Whether the VM of one refuses connections
-    /// now.
+    /// @param refuses_connections Whether a partition refuses connections to
+    /// one of them now.
     void set_other_entries(std::vector<std::size_t> others,
                            std::function<bool(std::size_t)> refuses_connections)
     {
@@ -158,7 +158,7 @@
     simulated_store& store_;          ///< Store of the journal.
     std::vector<agent_route> agents_; ///< Routes to agents, by number.
     std::vector<std::size_t> others_; ///< Numbers of the other entries.
-    /// Whether the VM of an entry refuses connections.
+    /// Whether a partition refuses connections to an entry.
     std::function<bool(std::size_t)> refuses_connections_;
     std::vector<session> sessions_;                 ///< Sessions by agent.
     std::map<std::string, agent_silence> silences_; ///< Silence by agent.
--- a/tests/schedule/simulated_ownership.cpp
+++ b/tests/schedule/simulated_ownership.cpp
@@ -170,8 +170,6 @@
     auto oldest = now;
     for (const auto other : context_.others)
     {
-        if (context_.refuses_connections(other))
-            continue;
         const auto known = views_.find(other);
         if (known == views_.end() ||
             std::max(known->second.epoch, known->second.released) >
@@ -227,7 +225,8 @@
     {
         if (entry_name(entry) == head.owner)
             return view.incarnation != head.incarnation ||
-                   view.released == head.epoch;
+                   view.released == head.epoch ||
+                   (!is_live(view) && context_.refuses_connections(entry));
     }
     return false;
 }
--- a/tests/schedule/simulated_ownership.hpp
+++ b/tests/schedule/simulated_ownership.hpp
@@ -80,7 +80,8 @@
         /// Called with the new claim.
         std::function<void(part_epoch)> ownership_acquired;
         std::function<void()> ownership_ended; ///< Called when it ends.
-        /// Whether the VM of another entry refuses connections.
+        /// Whether a partition refuses connections to another entry. Those to
+        /// an ended entry, which are refused as well, are left out.
         std::function<bool(std::size_t)> refuses_connections;
         std::vector<std::size_t> others; ///< The other entries.
     };
--- a/tests/unit/durable/claim_validity_tests.cpp
+++ b/tests/unit/durable/claim_validity_tests.cpp
@@ -52,6 +52,14 @@
         }
     }
 
+    /// Lets the due connection attempts be refused.
+    void refuse_connections()
+    {
+        peers.tick();
+        io.restart();
+        io.run();
+    }
+
     bool renews() const { return !ownership->renewable().empty(); }
 
     boost::asio::io_context io;
@@ -123,6 +131,27 @@
     CHECK(fixture.renews());
 }
 
+// Guards against an owner that renews leases after another entry has claimed
+// the part, because a partition refuses its connections to that entry.
+TEST_CASE("a refused connection does not confirm a claim", "[claim_evidence]")
+{
+    owner_fixture fixture;
+    fixture.peers.add("entry-2", {"127.0.0.1", 1});
+    fixture.refuse_connections();
+    REQUIRE(fixture.peers.refuses_connections("entry-2"));
+    fixture.store.down = true;
+    for (int i = 0; i < 17; ++i)
+    {
+        fixture.run(milliseconds{100});
+        fixture.refuse_connections();
+    }
+    CHECK_FALSE(fixture.renews());
+    CHECK(fixture.ownership->may_be_superseded(0));
+    fixture.store.down = false;
+    fixture.run(milliseconds{400});
+    CHECK(fixture.renews());
+}
+
 // Guards against a restarted owner that renews leases, and denies jobs, while
 // an entry that it has not heard of yet may have taken the part.
 TEST_CASE("an owner that does not know all entries needs the store",
