Ownership: an owner that claims its part again has not ended

Fix: an incarnation whose claim this entry has replaced, and which has claimed the part since, was alive in spite of its refusals. The first refusal is believed as before, so the end of an entry is seen as fast as it was.

Test: "an owner that claims its part again has not ended" failed before.

--- a/src/glenhollow/durable/part_ownership.cpp
+++ b/src/glenhollow/durable/part_ownership.cpp
@@ -126,6 +126,15 @@
                        { return view->owns(part); });
 }
 
+/// A live entry may end later, and its refusals count again.
+void part_ownership::forget_live(part_state& at) const
+{
+    if (at.replaced.empty())
+        return;
+    for (const auto* view : peers_.live())
+        at.replaced.erase(view->incarnation);
+}
+
 /// The journal rejects writes under a superseded claim. While the store is
 /// down, however, an owner that was suspended would keep answering from memory.
 /// It makes no difference whether the newer owner still has the part.
@@ -198,6 +207,7 @@
             others_reach || (view->store_reachable && !view->stopping);
     for (auto& [part, at] : parts_)
     {
+        forget_live(at);
         if (at.jobs && is_superseded(at.jobs->epoch()))
         {
             at.jobs->abandon();
@@ -329,6 +339,16 @@
     at.retry_at = now + settings_.settle_time;
 }
 
+/// A refused connection shows the end of a process, unless a partition refuses
+/// it. An incarnation that has claimed the part again since this entry replaced
+/// its claim was alive all the same, and its journal must settle first.
+/// @return Whether the process of an owner that is not live has ended.
+bool part_ownership::has_ended(part_number part, const chain_head& head) const
+{
+    return peers_.refuses_connections(head.owner) &&
+           !parts_.at(part).replaced.contains(head.incarnation);
+}
+
 /// @return Whether the part was never claimed or last claimed by this entry,
 /// its owner's process has ended, or its owner has released it.
 bool part_ownership::is_free(part_number part, const chain_head& head) const
@@ -337,7 +357,7 @@
         return true;
     const auto* owner = peers_.find(head.owner);
     if (owner == nullptr)
-        return peers_.refuses_connections(head.owner);
+        return has_ended(part, head);
     const part_epoch given{part, head.epoch};
     return owner->incarnation != head.incarnation ||
            std::find(owner->released.begin(), owner->released.end(), given) !=
@@ -346,7 +366,12 @@
 
 void part_ownership::claim(part_number part, const chain_head& head)
 {
-    parts_[part].claim_sent = dependencies_.clock.now();
+    auto& at = parts_[part];
+    at.claim_sent = dependencies_.clock.now();
+    at.replaces = peers_.find(head.owner) == nullptr &&
+                          head.incarnation != settings_.incarnation
+                      ? head.incarnation
+                      : 0;
     chain_head wanted;
     wanted.owner = settings_.entry;
     wanted.incarnation = settings_.incarnation;
@@ -375,6 +400,9 @@
         return schedule_retry(part);
     }
     ++stats_.claims;
+    auto& at = parts_[part];
+    if (at.replaces != 0)
+        at.replaced.insert(at.replaces);
     auto head = wanted;
     head.version = got.version;
     load(part, head);
--- a/src/glenhollow/durable/part_ownership.hpp
+++ b/src/glenhollow/durable/part_ownership.hpp
@@ -132,9 +132,15 @@
         instant retry_at{};      ///< Earliest time of the next claim.
         chain_head last_head;    ///< Head as of the last read.
         bool head_read = false;  ///< Whether last_head is set.
+        /// Incarnation whose claim the pending claim replaces while its entry
+        /// is not live; 0: none.
+        std::uint64_t replaces = 0;
+        /// Incarnations whose claims were replaced so, until they are live.
+        std::set<std::uint64_t> replaced;
     };
 
     bool has_live_owner(part_number part) const;
+    void forget_live(part_state& at) const;
     bool is_superseded(part_epoch own) const;
     bool is_valid(part_epoch own, const part_state& at) const;
     void check_claim(part_number part, part_state& at);
@@ -144,6 +150,7 @@
     void read_head(part_number part);
     void head_read(part_number part, const read_result& got);
     bool is_free(part_number part, const chain_head& head) const;
+    bool has_ended(part_number part, const chain_head& head) const;
     void claim(part_number part, const chain_head& head);
     void claimed(part_number part, const chain_head& wanted,
                  const commit_result& got);
--- a/tests/unit/durable/part_ownership_tests.cpp
+++ b/tests/unit/durable/part_ownership_tests.cpp
@@ -38,6 +38,7 @@
         coordinator.reset();
         part_ownership_settings limits;
         limits.entry = "entry-2";
+        limits.incarnation = own_incarnation;
         limits.parts = 1;
         limits.jobs = settings();
         ownership = std::make_unique<part_ownership>(dependencies(), peers,
@@ -66,6 +67,30 @@
         }
     }
 
+    /// Runs while entry-1 refuses connections.
+    void run_refused(duration length)
+    {
+        constexpr duration step = milliseconds{50};
+        for (duration passed{}; passed < length; passed += step)
+        {
+            peers.tick();
+            io.restart();
+            io.run();
+            run(step);
+        }
+    }
+
+    /// Writes a claim of entry-1.
+    void claim_as_entry_1(std::uint32_t epoch)
+    {
+        chain_head head;
+        head.owner = "entry-1";
+        head.incarnation = 1; // As in owner().
+        head.epoch = epoch;
+        store.put(head_key(0), encode_head(head));
+    }
+
+    static constexpr std::uint64_t own_incarnation = 7;
     boost::asio::io_context io;
     restarted_entry entry;
     entry_peers peers{io, loop.clock, entry, {}};
@@ -107,3 +132,29 @@
     fixture.run(milliseconds{100});
     CHECK(fixture.started.size() == 2);
 }
+
+// Guards against entries that take a part from each other again and again while
+// a partition refuses their connections to each other.
+TEST_CASE("an owner that claims its part again has not ended",
+          "[refused_owner]")
+{
+    takeover_fixture fixture;
+    auto& ownership = *fixture.ownership;
+    fixture.peers.add("entry-1", {"127.0.0.1", 1});
+    fixture.run_refused(milliseconds{200});
+    REQUIRE(ownership.find(0) != nullptr);
+    const auto epoch = ownership.find(0)->epoch().epoch;
+    fixture.claim_as_entry_1(epoch + 1);
+    fixture.run_refused(seconds{1});
+    REQUIRE(ownership.stats().lost == 1);
+    for (int i = 0; i < 20; ++i)
+    {
+        fixture.claim_as_entry_1(epoch + 1); // A write of its journal.
+        fixture.run_refused(milliseconds{100});
+    }
+    CHECK(ownership.stats().claims == 1);
+    CHECK(ownership.find(0) == nullptr);
+    // It has ended now.
+    fixture.run_refused(seconds{1});
+    CHECK(ownership.find(0) != nullptr);
+}
