Orders name the incarnation of the server that they are for

Cause: an order did not say which incarnation of the server its entry knew. One that the cut had held up arrived at the agent after the next incarnation had registered. run_manager took it, and may_start waited for room that this server can never have. The agent reported the order as load, so the server looked full for good, and the entry never takes back a placed task of an agent that reports.

The unit test that plays this order of events kept the order waiting.

Fix: the agent numbers the incarnations that register with it and tells the number in its reports; an order carries the number that its entry knew, and the agent gives back an order for another one as not begun. The entry places the task again. A new incarnation also gives back what still waits.

--- a/schema/glenhollow.capnp
+++ b/schema/glenhollow.capnp
@@ -162,6 +162,8 @@
   usefulMs @12 :UInt32;      # an end later than this helps nobody; 0: any does
   submitter @13 :UInt64;     # the host's session with the entry that submitted
                              # the job; 0: the sender's own job
+  serverLife @14 :UInt32;    # RunnerState.life of the runner that it is for;
+                             # 0: any
 }
 
 struct SubmitterLease {
@@ -214,6 +216,8 @@
                              # 0: not known yet
   born @17 :Int64;           # when this life of the id started, Unix ms by its
                              # own word; 0: not told
+  life @18 :UInt32;          # number of this life at the agent's process; rises
+                             # from 1; 0: not told
 }
 
 struct PartEpoch {
--- a/src/glenhollow/durable/agent_view.hpp
+++ b/src/glenhollow/durable/agent_view.hpp
@@ -97,6 +97,13 @@
     /// @return The description of the backend server.
     const server_account& account() const { return report_.account; }
 
+    /// @return The number of the backend server's incarnation at its agent; 0:
+    /// unknown.
+    std::uint32_t incarnation_number() const
+    {
+        return report_.incarnation_number;
+    }
+
     /// @return The resources in use: those that the agent reported and those of
     /// orders and grants that it has not yet seen.
     resources used() const;
--- a/src/glenhollow/durable/dispatcher.cpp
+++ b/src/glenhollow/durable/dispatcher.cpp
@@ -507,6 +507,7 @@
         task.estimate_ms * (near ? 1.0 : settings_.far_factor));
     order->placer = placer;
     order->grant = grant;
+    order->incarnation_number = agent.incarnation_number();
     agent.reserve(order->needs);
     outbox_of(agent).starts.push_back(std::move(*order));
     ++stats_.placed;
--- a/src/glenhollow/runs/run_agent_metrics.cpp
+++ b/src/glenhollow/runs/run_agent_metrics.cpp
@@ -65,6 +65,10 @@
     count("orders_refused_leaving_total",
           "Orders refused because of an announced shutdown",
           stats.refused_by_leaving, {});
+    count("orders_refused_incarnation_total",
+          "Orders refused because they were for another incarnation of the "
+          "backend server",
+          stats.refused_by_incarnation, {});
     count("runner_lives_remembered_total",
           "Accounts restored from an earlier process of the agent",
           stats.restored, {});
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -134,11 +134,7 @@
         out.setSession(
             kj::heap<session_server>(service_, service_.session_count_));
         out.setIncarnation(service_.incarnation_);
-        fill(out.initState(), {service_.manager_.account(),
-                               service_.manager_.load(),
-                               0,
-                               true,
-                               {}});
+        fill(out.initState(), service_.current_state(0, true));
         log_change(
             log_level::info, "entry_attached",
             {{"entry", entry}, {"lease", service_.sessions_.at(entry).memory}});
@@ -460,6 +456,18 @@
         fill(list[i], started[i]);
 }
 
+server_report run_agent_service::current_state(std::uint64_t received,
+                                               bool has_account) const
+{
+    server_report state;
+    state.account = manager_.account();
+    state.load = manager_.load();
+    state.received = received;
+    state.has_account = has_account;
+    state.incarnation_number = manager_.incarnation_number();
+    return state;
+}
+
 void run_agent_service::report(session& receiver, std::size_t open)
 {
     KJ_IF_MAYBE (reports, receiver.reports)
@@ -467,10 +475,11 @@
         auto request = reports->reportRequest();
         auto out = request.initReport();
         const auto& account = manager_.account();
+        const auto number = manager_.incarnation_number();
         const bool has_account =
-            receiver.reported_incarnation != account.incarnation();
-        fill(out.initState(),
-             {account, manager_.load(), receiver.received, has_account, {}});
+            receiver.reported_incarnation != account.incarnation() ||
+            receiver.reported_number != number;
+        fill(out.initState(), current_state(receiver.received, has_account));
         const auto leases = leases_of(receiver);
         fill_ends(leases, out);
         fill_started(leases, out);
@@ -487,6 +496,7 @@
         const auto session_number = receiver.session_number;
         receiver.reporting = true;
         receiver.reported_incarnation = account.incarnation();
+        receiver.reported_number = number;
         receiver.status.urgent = receiver.status.load = false;
         receiver.status.reported = sent;
         ++report_count_;
--- a/src/glenhollow/runs/run_agent_service.hpp
+++ b/src/glenhollow/runs/run_agent_service.hpp
@@ -74,6 +74,7 @@
         std::vector<std::uint32_t> granted;
         /// Incarnation whose full account was reported last.
         server_incarnation reported_incarnation;
+        std::uint32_t reported_number = 0; ///< Its number.
     };
 
     void lease_changed(lease_id lease) override;
@@ -88,6 +89,7 @@
     void send_due_reports();
     void update_busy_sessions();
     bool is_due(const session& receiver, std::size_t open) const;
+    server_report current_state(std::uint64_t received, bool has_account) const;
     void report(session& receiver, std::size_t open);
     void fill_ends(const std::vector<lease_id>& leases,
                    wire::RunReport::Builder out);
--- a/src/glenhollow/runs/run_manager.cpp
+++ b/src/glenhollow/runs/run_manager.cpp
@@ -49,6 +49,15 @@
     return false;
 }
 
+/// An order that was delayed on its way may arrive after the incarnation for
+/// which it was chosen has ended. The next one may lack the label, the room or
+/// the service that the run needs.
+bool run_manager::is_for_other_incarnation(const run_order& order) const
+{
+    return order.incarnation_number != 0 &&
+           order.incarnation_number != incarnation_number_;
+}
+
 void run_manager::order(run_order order, lease_id memory)
 {
     const auto ref = order.run;
@@ -56,7 +65,8 @@
         return;
     run_record record;
     record.lease = ref.in_memory() ? memory : implied_lease(ref);
-    const bool refused = draining_ ||
+    const bool other_incarnation = is_for_other_incarnation(order);
+    const bool refused = draining_ || other_incarnation ||
                          order.epoch < leases_[record.lease].epoch ||
                          account_.phase != server_phase::ready ||
                          (probing() && !runs_.empty()) ||
@@ -67,6 +77,7 @@
     record.phase_changed_at = record.ordered_at = clock_.now();
     runs_.emplace(ref, std::move(record));
     stats_.refused_by_leaving += refused && account_.leaves_at ? 1 : 0;
+    stats_.refused_by_incarnation += other_incarnation ? 1 : 0;
     if (refused)
         return end_run(ref, run_outcome::not_begun, 0);
     start_waiting();
@@ -510,16 +521,7 @@
     if (listener_ != nullptr)
         listener_->phase_changed();
     if (phase != server_phase::ready)
-    {
-        std::vector<run_ref> waiting;
-        for (const auto& [ref, run] : runs_)
-        {
-            if (run.phase == run_phase::waiting)
-                waiting.push_back(ref);
-        }
-        for (const auto& ref : waiting)
-            end_run(ref, run_outcome::not_begun, 0);
-    }
+        refuse_all_waiting();
     notify_load_changed();
 }
 
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -65,6 +65,9 @@
     /// unlimited.
     std::uint32_t useful_ms = 0;
     submitter_id submitter = no_submitter; ///< Whose job a host runs.
+    /// Incarnation of the backend server for which the agent was chosen, as
+    /// numbered in the agent's reports; 0: any.
+    std::uint32_t incarnation_number = 0;
 };
 
 /// A run as an agent lists it for a new owner.
@@ -302,6 +305,10 @@
     /// @return The last account, with the effective phase.
     const server_account& account() const { return account_; }
 
+    /// @return The number of the registered incarnation: it rises from 1 with
+    /// each one that registers with this process; 0: none has registered.
+    std::uint32_t incarnation_number() const { return incarnation_number_; }
+
     /// @return The phase that the backend server itself reported.
     server_phase reported_phase() const { return reported_phase_; }
 
@@ -399,6 +406,7 @@
     void check_leaving();
     void record_pace(const run_record& run);
     void apply_account(const server_account& account);
+    void begin_incarnation();
     void replace_incarnation(const server_account& next);
     void set_candidate(const server_account& other);
     void clear_account();
@@ -413,6 +421,7 @@
     void release_expired_ends();
     void stop_renewing_hold(std::string_view cause, lease_id lease);
     bool is_ended(const run_ref& ref, lease_id memory);
+    bool is_for_other_incarnation(const run_order& order) const;
     bool may_start(const run_record& run);
     bool has_room_for_ends() const;
     void check_room_for_ends();
@@ -448,6 +457,9 @@
     void mark_unlisted(instant sent, const std::vector<server_run>& running);
     void resolve_missing(instant sent, const std::vector<server_run>& running);
     void end_all(run_outcome outcome);
+    template <class Condition>
+    void refuse_waiting_if(Condition condition);
+    void refuse_all_waiting();
     void check_leases();
     void check_silence();
     void check_runs();
@@ -475,6 +487,7 @@
     run_listener* listener_ = nullptr;
     std::uint64_t fencing_token_;
     server_account account_;
+    std::uint32_t incarnation_number_ = 0; ///< See incarnation_number().
     /// Phase reported by the backend server.
     server_phase reported_phase_ = server_phase::absent;
     /// Detects heartbeats that arrive out of order.
--- a/src/glenhollow/runs/run_manager_incarnations.cpp
+++ b/src/glenhollow/runs/run_manager_incarnations.cpp
@@ -107,7 +107,7 @@
     account_.phase = phase;
     reported_phase_ = account.phase;
     if (is_new)
-        pace_.reset(); // The new one may differ in speed.
+        begin_incarnation();
     handle_leaving_notice(previous_leaves_at);
     if (is_new)
         log_change(log_level::info, "runner_registered",
@@ -124,6 +124,15 @@
     start_waiting();
 }
 
+/// What an entry knew of the last incarnation does not apply to the next one:
+/// orders for the last one must not start there, nor wait for its room.
+void run_manager::begin_incarnation()
+{
+    ++incarnation_number_;
+    pace_.reset(); // The new one may differ in speed.
+    refuse_all_waiting();
+}
+
 void run_manager::replace_incarnation(const server_account& next)
 {
     const auto account = next; // A copy: next may refer to candidate_.
@@ -268,6 +277,7 @@
     breaker_.reset();
     server_clock_.reset();
     all_ends_seen_ = false;
+    begin_incarnation();
     for (auto& [ref, run] : runs_)
         run.may_have_run = occupies(run.phase);
 }
--- a/src/glenhollow/runs/run_manager_leases.cpp
+++ b/src/glenhollow/runs/run_manager_leases.cpp
@@ -115,11 +115,24 @@
 }
 
 void run_manager::refuse_waiting(lease_id lease)
+{
+    refuse_waiting_if([lease](const run_record& run)
+                      { return run.lease == lease; });
+}
+
+void run_manager::refuse_all_waiting()
+{
+    refuse_waiting_if([](const run_record&) { return true; });
+}
+
+/// Ends the waiting orders that fulfil a condition as `not_begun`.
+template <class Condition>
+void run_manager::refuse_waiting_if(Condition condition)
 {
     std::vector<run_ref> refused;
     for (const auto& [ref, run] : runs_)
     {
-        if (run.lease == lease && run.phase == run_phase::waiting)
+        if (run.phase == run_phase::waiting && condition(run))
             refused.push_back(ref);
     }
     for (const auto& ref : refused)
--- a/src/glenhollow/runs/run_manager_stats.hpp
+++ b/src/glenhollow/runs/run_manager_stats.hpp
@@ -71,6 +71,8 @@
     std::uint64_t unfinishable = 0;
     /// Orders refused because of an announced shutdown.
     std::uint64_t refused_by_leaving = 0;
+    /// Orders refused because they were for another incarnation.
+    std::uint64_t refused_by_incarnation = 0;
     /// Accounts restored from an earlier agent process.
     std::uint64_t restored = 0;
     std::uint64_t restored_ended = 0; ///< Restored incarnations that had ended.
--- a/src/glenhollow/runs/run_wire.cpp
+++ b/src/glenhollow/runs/run_wire.cpp
@@ -153,6 +153,7 @@
     out.setExpectedMs(order.expected_ms);
     out.setUsefulMs(order.useful_ms);
     out.setSubmitter(order.submitter);
+    out.setServerLife(order.incarnation_number);
 }
 
 run_order from_wire(wire::RunOrder::Reader in)
@@ -169,6 +170,7 @@
     order.expected_ms = in.getExpectedMs();
     order.useful_ms = in.getUsefulMs();
     order.submitter = in.getSubmitter();
+    order.incarnation_number = in.getServerLife();
     return order;
 }
 
@@ -195,6 +197,7 @@
     out.setPhase(static_cast<std::uint8_t>(report.account.phase));
     fill_room(out, report.load);
     out.setReceived(report.received);
+    out.setLife(report.incarnation_number);
 }
 
 server_report from_wire(wire::RunnerState::Reader in)
@@ -206,6 +209,7 @@
     report.account.phase = from_index(in.getPhase(), server_phase::absent);
     report.load = room_from(in);
     report.received = in.getReceived();
+    report.incarnation_number = in.getLife();
     return report;
 }
 
--- a/src/glenhollow/runs/run_wire.hpp
+++ b/src/glenhollow/runs/run_wire.hpp
@@ -49,6 +49,9 @@
     std::vector<std::uint32_t> granted;
     duration next_within{}; ///< Maximum time until the next report.
     instant sent_at{};      ///< Time of sending by the agent's clock.
+    /// Number of the backend server's incarnation; see
+    /// run_manager::incarnation_number(). 0: unknown.
+    std::uint32_t incarnation_number = 0;
 };
 
 /// Writes the report to a message.
--- a/src/glenhollow/wire/glenhollow.capnp.h
+++ b/src/glenhollow/wire/glenhollow.capnp.h
@@ -6060,6 +6060,8 @@
 
   inline  ::uint64_t getSubmitter() const;
 
+  inline  ::uint32_t getServerLife() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6138,6 +6140,9 @@
   inline  ::uint64_t getSubmitter();
   inline void setSubmitter( ::uint64_t value);
 
+  inline  ::uint32_t getServerLife();
+  inline void setServerLife( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6594,6 +6599,8 @@
 
   inline  ::int64_t getBorn() const;
 
+  inline  ::uint32_t getLife() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6693,6 +6700,9 @@
   inline  ::int64_t getBorn();
   inline void setBorn( ::int64_t value);
 
+  inline  ::uint32_t getLife();
+  inline void setLife( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -14920,6 +14930,20 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t RunOrder::Reader::getServerLife() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunOrder::Builder::getServerLife() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void RunOrder::Builder::setServerLife( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t SubmitterLease::Reader::getSubmitter() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -15527,6 +15551,20 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t RunnerState::Reader::getLife() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunnerState::Builder::getLife() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void RunnerState::Builder::setLife( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint16_t PartEpoch::Reader::getPart() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/schedule/simulated_agent.cpp
+++ b/tests/schedule/simulated_agent.cpp
@@ -121,9 +121,7 @@
     opened.receiver = &receiver;
     opened.open = true;
     opened.connection = std::move(connection);
-    return {opened.number,
-            node_.process(),
-            {manager_->account(), manager_->load(), 0, true, {}}};
+    return {opened.number, node_.process(), current_state(0, true)};
 }
 
 void simulated_agent::adopt(std::uint64_t session, part_epoch part,
@@ -312,16 +310,27 @@
     return leases;
 }
 
+server_report simulated_agent::current_state(std::uint64_t received,
+                                             bool has_account) const
+{
+    server_report state;
+    state.account = manager_->account();
+    state.load = manager_->load();
+    state.received = received;
+    state.has_account = has_account;
+    state.incarnation_number = manager_->incarnation_number();
+    return state;
+}
+
 void simulated_agent::report(session& to)
 {
     if (!to.connection->open(direction::to_agent))
         return session_closed(to.number);
     const auto& account = manager_->account();
-    server_report out{account,
-                      manager_->load(),
-                      to.received,
-                      to.reported_incarnation != account.incarnation(),
-                      {}};
+    const auto number = manager_->incarnation_number();
+    auto out = current_state(to.received,
+                             to.reported_incarnation != account.incarnation() ||
+                                 to.reported_number != number);
     std::vector<run_end> ends;
     std::vector<run_ref> begun;
     for (const auto lease : leases_of(to))
@@ -335,6 +344,7 @@
     out.sent_at = node_.clock().now();
     to.reporting = true;
     to.reported_incarnation = account.incarnation();
+    to.reported_number = number;
     to.status.urgent = to.status.load = false;
     to.status.reported = out.sent_at;
     to.connection->send(
--- a/tests/schedule/simulated_agent.hpp
+++ b/tests/schedule/simulated_agent.hpp
@@ -118,6 +118,7 @@
         report_status status;          ///< What is to be reported.
         /// Incarnation of the last reported account.
         server_incarnation reported_incarnation;
+        std::uint32_t reported_number = 0; ///< Its number.
         /// Receiver of reports at the entry.
         report_receiver* receiver = nullptr;
         std::shared_ptr<simulated_connection> connection;
@@ -136,6 +137,7 @@
     void send_due_reports();
     void update_busy_sessions();
     std::size_t open_sessions() const;
+    server_report current_state(std::uint64_t received, bool has_account) const;
     void report(session& to);
     void handle_report_answer(std::uint64_t number, instant sent,
                               const report_answer& answer);
--- a/tests/unit/durable/dispatcher_tests.cpp
+++ b/tests/unit/durable/dispatcher_tests.cpp
@@ -342,3 +342,21 @@
     CHECK(world.place(late).empty());
     CHECK(world.place(world.task("", slack)) == "a");
 }
+
+// Guards against orders that can't be told from those for the next incarnation
+// of a server, which may be smaller or of another kind.
+TEST_CASE("an order names the incarnation that the entry knows",
+          "[order_incarnation]")
+{
+    placement_world world;
+    auto report = placement_world::report("rack-1", 0);
+    report.incarnation_number = 4;
+    world.placing.attached("a", report);
+    world.placing.adopted("a", memory_part);
+    REQUIRE(world.place(world.task("rack-1", slack)) == "a");
+    CHECK(world.orders.back().incarnation_number == 4);
+    report.incarnation_number = 5;
+    world.placing.reported("a", report);
+    REQUIRE(world.place(world.task("rack-1", slack)) == "a");
+    CHECK(world.orders.back().incarnation_number == 5);
+}
--- a/tests/unit/runs/run_manager_incarnations_tests.cpp
+++ b/tests/unit/runs/run_manager_incarnations_tests.cpp
@@ -62,14 +62,29 @@
         }
     }
 
-    void order(std::uint32_t index)
+    /// @param number Incarnation that the order is for; 0: any.
+    void order(std::uint32_t index, std::uint32_t number = 0,
+               std::uint32_t cpu = 1000)
     {
         run_order order;
         order.run = {{42, 0, 0, index}, first_memory_run + 1};
-        order.needs = {1000, 10, 0};
+        order.needs = {cpu, 10, 0};
+        order.incarnation_number = number;
         manager->order(order, entry_lease);
     }
 
+    /// Replaces the server by another one.
+    void replace_server(const std::string& incarnation, std::uint32_t cpu)
+    {
+        server.running.clear();
+        server.incarnation = incarnation;
+        auto account = account_of(incarnation);
+        account.capacity.cpu = cpu;
+        manager->registered(account);
+        run(milliseconds{20});
+        REQUIRE(manager->account().phase == server_phase::ready);
+    }
+
     /// Registers the first incarnation and starts one run.
     void run_one()
     {
@@ -260,3 +275,60 @@
     fixture.register_server("life-2"); // No poll has confirmed the other.
     CHECK(fixture.manager->account().instance == "life-2");
 }
+
+// Guards against jobs that never start: their delayed order waits for room that
+// the server's next incarnation doesn't have.
+TEST_CASE("an order for the last incarnation is given back by a smaller one",
+          "[order_incarnation]")
+{
+    incarnation_fixture fixture;
+    fixture.run_one();
+    const auto last = fixture.manager->incarnation_number();
+    fixture.replace_server("life-2", 500);
+    fixture.ends();
+    fixture.order(1, last);
+    fixture.run(milliseconds{20});
+    const auto received = fixture.ends();
+    REQUIRE(received.size() == 1);
+    CHECK(received[0].outcome == run_outcome::not_begun);
+    CHECK(fixture.manager->load().waiting == 0);
+    CHECK(fixture.manager->stats().refused_by_incarnation == 1);
+}
+
+// Guards against tasks that start at a server of another kind.
+TEST_CASE("an order for the last incarnation does not start at the next one",
+          "[order_incarnation]")
+{
+    incarnation_fixture fixture;
+    fixture.run_one();
+    const auto last = fixture.manager->incarnation_number();
+    fixture.replace_server("life-2", 4000);
+    fixture.order(1, last);
+    fixture.run(milliseconds{20});
+    CHECK(fixture.server.running.empty());
+    fixture.order(2, fixture.manager->incarnation_number());
+    fixture.run(milliseconds{20});
+    CHECK(fixture.server.running.size() == 1);
+}
+
+TEST_CASE("a heartbeat of the same incarnation keeps its number",
+          "[order_incarnation]")
+{
+    incarnation_fixture fixture;
+    fixture.run_one();
+    const auto number = fixture.manager->incarnation_number();
+    fixture.register_server("life-1");
+    fixture.run(milliseconds{20});
+    CHECK(fixture.manager->incarnation_number() == number);
+}
+
+TEST_CASE("an order without an incarnation starts at any",
+          "[order_incarnation]")
+{
+    incarnation_fixture fixture;
+    fixture.run_one();
+    fixture.replace_server("life-2", 4000);
+    fixture.order(1);
+    fixture.run(milliseconds{20});
+    CHECK(fixture.server.running.size() == 1);
+}
--- a/tests/unit/runs/run_wire_tests.cpp
+++ b/tests/unit/runs/run_wire_tests.cpp
@@ -55,6 +55,20 @@
     CHECK(got.useful_ms == 2900);
 }
 
+TEST_CASE("reports and orders contain the number of the incarnation",
+          "[order_incarnation]")
+{
+    server_report report;
+    report.incarnation_number = 3;
+    CHECK(over_wire(report).incarnation_number == 3);
+    run_order order;
+    order.incarnation_number = 3;
+    capnp::MallocMessageBuilder message;
+    auto out = message.initRoot<wire::RunOrder>();
+    fill(out, order);
+    CHECK(from_wire(out.asReader()).incarnation_number == 3);
+}
+
 TEST_CASE("an account contains the start time of the incarnation")
 {
     server_report report;
