Agents give back orders that exceed the server's whole capacity

An order that is larger than the whole server waited for room all the same, and the agent told the entries the capacity only of a new incarnation. So entries went on sending such orders after a server had shrunk, and none came back. An order by a grant is open to it as well: the placer may know a larger server than the entry that sends the order.

Fix: an agent gives back at once what exceeds the capacity, when the order arrives and when the capacity changes, and tells its entries the changed capacity with the next report of the load.

Tests "[order_capacity]": "an order beyond the whole capacity is given back" and "entries learn the capacity of a server that shrinks while it runs" failed before.

--- a/src/glenhollow/durable/durable_job.hpp
+++ b/src/glenhollow/durable/durable_job.hpp
@@ -73,6 +73,8 @@
     /// @param capacity Total capacity.
     /// @return Whether the sum stays within the capacity.
     bool can_fit(const resources& more, const resources& capacity) const;
+
+    bool operator==(const resources&) const = default;
 };
 
 /// Identifies one task of a durable job.
--- a/src/glenhollow/runs/run_agent_service.cpp
+++ b/src/glenhollow/runs/run_agent_service.cpp
@@ -478,7 +478,8 @@
         const auto number = manager_.incarnation_number();
         const bool has_account =
             receiver.reported_incarnation != account.incarnation() ||
-            receiver.reported_number != number;
+            receiver.reported_number != number ||
+            receiver.reported_capacity != account.capacity;
         fill(out.initState(), current_state(receiver.received, has_account));
         const auto leases = leases_of(receiver);
         fill_ends(leases, out);
@@ -497,6 +498,7 @@
         receiver.reporting = true;
         receiver.reported_incarnation = account.incarnation();
         receiver.reported_number = number;
+        receiver.reported_capacity = account.capacity;
         receiver.status.urgent = receiver.status.load = false;
         receiver.status.reported = sent;
         ++report_count_;
--- a/src/glenhollow/runs/run_agent_service.hpp
+++ b/src/glenhollow/runs/run_agent_service.hpp
@@ -75,6 +75,7 @@
         /// Incarnation whose full account was reported last.
         server_incarnation reported_incarnation;
         std::uint32_t reported_number = 0; ///< Its number.
+        resources reported_capacity;       ///< Its capacity.
     };
 
     void lease_changed(lease_id lease) override;
--- a/src/glenhollow/runs/run_manager.cpp
+++ b/src/glenhollow/runs/run_manager.cpp
@@ -58,6 +58,12 @@
            order.incarnation_number != incarnation_number_;
 }
 
+/// An order that exceeds the whole capacity would wait for good.
+bool run_manager::exceeds_capacity(const run_order& order) const
+{
+    return !resources{}.can_fit(order.needs, account_.capacity);
+}
+
 void run_manager::order(run_order order, lease_id memory)
 {
     const auto ref = order.run;
@@ -67,6 +73,7 @@
     record.lease = ref.in_memory() ? memory : implied_lease(ref);
     const bool other_incarnation = is_for_other_incarnation(order);
     const bool refused = draining_ || other_incarnation ||
+                         exceeds_capacity(order) ||
                          order.epoch < leases_[record.lease].epoch ||
                          account_.phase != server_phase::ready ||
                          (probing() && !runs_.empty()) ||
--- a/src/glenhollow/runs/run_manager.hpp
+++ b/src/glenhollow/runs/run_manager.hpp
@@ -407,6 +407,7 @@
     void record_pace(const run_record& run);
     void apply_account(const server_account& account);
     void begin_incarnation();
+    void handle_capacity_change();
     void replace_incarnation(const server_account& next);
     void set_candidate(const server_account& other);
     void clear_account();
@@ -422,6 +423,7 @@
     void stop_renewing_hold(std::string_view cause, lease_id lease);
     bool is_ended(const run_ref& ref, lease_id memory);
     bool is_for_other_incarnation(const run_order& order) const;
+    bool exceeds_capacity(const run_order& order) const;
     bool may_start(const run_record& run);
     bool has_room_for_ends() const;
     void check_room_for_ends();
@@ -457,8 +459,8 @@
     void mark_unlisted(instant sent, const std::vector<server_run>& running);
     void resolve_missing(instant sent, const std::vector<server_run>& running);
     void end_all(run_outcome outcome);
-    template <class Condition>
-    void refuse_waiting_if(Condition condition);
+    void
+    refuse_waiting_if(const std::function<bool(const run_record&)>& condition);
     void refuse_all_waiting();
     void check_leases();
     void check_silence();
--- a/src/glenhollow/runs/run_manager_incarnations.cpp
+++ b/src/glenhollow/runs/run_manager_incarnations.cpp
@@ -102,12 +102,15 @@
     const bool is_new =
         !may_be_same_incarnation(account_.incarnation(), account.incarnation());
     const auto phase = account_.phase;
+    const auto previous_capacity = account_.capacity;
     const auto previous_leaves_at = account_.leaves_at;
     account_ = account;
     account_.phase = phase;
     reported_phase_ = account.phase;
     if (is_new)
         begin_incarnation();
+    else if (account_.capacity != previous_capacity)
+        handle_capacity_change();
     handle_leaving_notice(previous_leaves_at);
     if (is_new)
         log_change(log_level::info, "runner_registered",
@@ -133,6 +136,20 @@
     refuse_all_waiting();
 }
 
+/// Entries choose this server by its capacity, and orders that it can't hold
+/// any more have to start elsewhere.
+void run_manager::handle_capacity_change()
+{
+    log_change(log_level::info, "server_capacity_changed",
+               {{"instance", account_.instance},
+                {"cpu", account_.capacity.cpu},
+                {"memory", account_.capacity.memory},
+                {"gpu", account_.capacity.gpu}});
+    refuse_waiting_if([this](const run_record& run)
+                      { return exceeds_capacity(run.order); });
+    notify_load_changed();
+}
+
 void run_manager::replace_incarnation(const server_account& next)
 {
     const auto account = next; // A copy: next may refer to candidate_.
--- a/src/glenhollow/runs/run_manager_leases.cpp
+++ b/src/glenhollow/runs/run_manager_leases.cpp
@@ -126,8 +126,8 @@
 }
 
 /// Ends the waiting orders that fulfil a condition as `not_begun`.
-template <class Condition>
-void run_manager::refuse_waiting_if(Condition condition)
+void run_manager::refuse_waiting_if(
+    const std::function<bool(const run_record&)>& condition)
 {
     std::vector<run_ref> refused;
     for (const auto& [ref, run] : runs_)
--- a/tests/schedule/simulated_agent.cpp
+++ b/tests/schedule/simulated_agent.cpp
@@ -328,9 +328,10 @@
         return session_closed(to.number);
     const auto& account = manager_->account();
     const auto number = manager_->incarnation_number();
-    auto out = current_state(to.received,
-                             to.reported_incarnation != account.incarnation() ||
-                                 to.reported_number != number);
+    const bool has_account = to.reported_incarnation != account.incarnation() ||
+                             to.reported_number != number ||
+                             to.reported_capacity != account.capacity;
+    auto out = current_state(to.received, has_account);
     std::vector<run_end> ends;
     std::vector<run_ref> begun;
     for (const auto lease : leases_of(to))
@@ -345,6 +346,7 @@
     to.reporting = true;
     to.reported_incarnation = account.incarnation();
     to.reported_number = number;
+    to.reported_capacity = account.capacity;
     to.status.urgent = to.status.load = false;
     to.status.reported = out.sent_at;
     to.connection->send(
--- a/tests/schedule/simulated_agent.hpp
+++ b/tests/schedule/simulated_agent.hpp
@@ -119,6 +119,7 @@
         /// Incarnation of the last reported account.
         server_incarnation reported_incarnation;
         std::uint32_t reported_number = 0; ///< Its number.
+        resources reported_capacity;       ///< Its capacity.
         /// Receiver of reports at the entry.
         report_receiver* receiver = nullptr;
         std::shared_ptr<simulated_connection> connection;
--- a/tests/unit/durable/restarted_server_links_tests.cpp
+++ b/tests/unit/durable/restarted_server_links_tests.cpp
@@ -30,6 +30,7 @@
                         const std::vector<run_end>&,
                         const std::vector<run_ref>&) override
     {
+        ++reports;
         view.reported(told);
     }
     std::vector<run_end> take_confirmed(const std::string&) override
@@ -50,6 +51,7 @@
     }
 
     agent_view view{"agent"};
+    std::size_t reports = 0; ///< Reports received.
 };
 
 } // namespace
@@ -124,3 +126,63 @@
     CHECK(entry.view.has_label("kind-a"));
     CHECK_FALSE(entry.view.has_label("kind-b"));
 }
+
+// Guards against entries that keep sending work to a server that has become too
+// small for it.
+TEST_CASE("entries learn the capacity of a server that shrinks while it runs",
+          "[order_capacity]")
+{
+    rpc_loop loop;
+    manual_loop time;
+    fake_backend_server server(time);
+    server.incarnation = "server-1";
+    run_manager manager(time.clock, server, time.delay(), 1000, {});
+    server_account account;
+    account.service = "service-1";
+    account.instance = "server-1";
+    account.capacity = {4000, 1000, 0};
+    account.phase = server_phase::ready;
+    manager.registered(account);
+    manager.begin();
+    time.advance(milliseconds{20});
+    auto agent = std::make_unique<run_agent_service>(
+        loop.io(), process_clock(), manager, 1, report_pacing_settings{});
+    viewing_entry entry;
+    agent_sessions_settings limits;
+    limits.entry = "entry";
+    agent_sessions sessions(loop.io(), process_clock(), entry, limits);
+    auto listener = rpc_listener::create(loop.io(), "127.0.0.1", 0);
+    REQUIRE(listener);
+    auto& links = *listener.value();
+    std::size_t last_report = 0; // The first one that must tell the change.
+    std::function<void()> step = [&]
+    {
+        sessions.tick();
+        agent->tick();
+        if (last_report == 0 && entry.reports > 0)
+        {
+            account.capacity.cpu = 2000;
+            account.sequence = 1;
+            manager.registered(account);
+            // One more may be on its way.
+            last_report = entry.reports + 2;
+        }
+        if (last_report != 0 && entry.reports >= last_report)
+            return loop.stop();
+        run_after(loop.io(), milliseconds{2}, step);
+    };
+    loop.run(
+        [&]
+        {
+            links.serve(agent->bootstrap());
+            sessions.add("agent", {"127.0.0.1", links.port()});
+            step();
+        },
+        [&]
+        {
+            sessions.close();
+            agent.reset();
+            links.close();
+        });
+    CHECK(entry.view.account().capacity.cpu == 2000);
+}
--- a/tests/unit/runs/run_manager_incarnations_tests.cpp
+++ b/tests/unit/runs/run_manager_incarnations_tests.cpp
@@ -332,3 +332,30 @@
     fixture.run(milliseconds{20});
     CHECK(fixture.server.running.size() == 1);
 }
+
+// Guards against jobs that never start: an order that the server can't hold
+// waits for good.
+TEST_CASE("an order beyond the whole capacity is given back",
+          "[order_capacity]")
+{
+    incarnation_fixture fixture;
+    fixture.run_one();
+    fixture.order(1, 0, 4000); // Waits for the end of the first run.
+    fixture.run(milliseconds{20});
+    REQUIRE(fixture.manager->load().waiting == 1);
+    auto account = incarnation_fixture::account_of("life-1");
+    account.capacity.cpu = 2000;
+    account.sequence = 1;
+    fixture.manager->registered(account);
+    fixture.order(2, 0, 4000);
+    fixture.run(milliseconds{20});
+    CHECK(fixture.manager->load().waiting == 0);
+    const auto received = fixture.ends();
+    REQUIRE(received.size() == 2);
+    for (const auto& end : received)
+        CHECK(end.outcome == run_outcome::not_begun);
+    CHECK(fixture.server.running.size() == 1);
+    fixture.order(3, 0, 1000);
+    fixture.run(milliseconds{20});
+    CHECK(fixture.server.running.size() == 2);
+}
