--- a/tests/unit/durable/restarted_server_links_tests.cpp
+++ b/tests/unit/durable/restarted_server_links_tests.cpp
@@ -54,77 +54,121 @@
     std::size_t reports = 0; ///< Reports received.
 };
 
-} // namespace
-
-TEST_CASE("entries learn the capacity of a server that restarts under its id",
-          "[restarted_server]")
+/// An entry that sees a server through an agent over an RPC link.
+struct linked_view_fixture
 {
-    // The new server may be of another kind. An entry that keeps the old
-    // capacity would overload it.
+    explicit linked_view_fixture(const server_account& registered)
+        : account(registered)
+    {
+        server.incarnation = account.instance;
+        server.born_ms = account.born_ms;
+        manager.registered(account);
+        manager.begin();
+        time.advance(milliseconds{20});
+    }
+
+    /// Registers the account after a change.
+    void register_changed()
+    {
+        ++account.sequence;
+        manager.registered(account);
+    }
+
+    /// Runs until a condition holds, which is checked at each step.
+    void run_until(std::function<bool()> until)
+    {
+        done_condition = std::move(until);
+        loop.run(
+            [this]
+            {
+                links->serve(agent->bootstrap());
+                sessions.add("agent", {"127.0.0.1", links->port()});
+                step();
+            },
+            [this]
+            {
+                sessions.close();
+                agent.reset();
+                links->close();
+            });
+    }
+
+    void step()
+    {
+        sessions.tick();
+        agent->tick();
+        if (done_condition())
+            return loop.stop();
+        run_after(loop.io(), milliseconds{2}, [this] { step(); });
+    }
+
+    static agent_sessions_settings session_settings()
+    {
+        agent_sessions_settings settings;
+        settings.entry = "entry";
+        return settings;
+    }
+
     rpc_loop loop;
     manual_loop time;
-    fake_backend_server server(time);
-    server.incarnation = "server-1";
-    server.born_ms = 1000;
-    run_manager manager(time.clock, server, time.delay(), 1000, {});
+    server_account account;
+    fake_backend_server server{time};
+    run_manager manager{time.clock, server, time.delay(), 1000, {}};
+    std::unique_ptr<run_agent_service> agent =
+        std::make_unique<run_agent_service>(loop.io(), process_clock(), manager,
+                                            1, report_pacing_settings{});
+    viewing_entry entry;
+    agent_sessions sessions{loop.io(), process_clock(), entry,
+                            session_settings()};
+    std::unique_ptr<rpc_listener> links =
+        std::move(rpc_listener::create(loop.io(), "127.0.0.1", 0).value());
+    std::function<bool()> done_condition;
+};
+
+server_account account_of_server_1(std::uint32_t cpu)
+{
     server_account account;
     account.service = "service-1";
     account.instance = "server-1";
     account.born_ms = 1000;
-    account.capacity = {96000, 1000, 0};
+    account.capacity = {cpu, 1000, 0};
     account.labels = {"kind-b"};
     account.phase = server_phase::ready;
-    manager.registered(account);
-    manager.begin();
-    time.advance(milliseconds{20});
-    auto agent = std::make_unique<run_agent_service>(
-        loop.io(), process_clock(), manager, 1, report_pacing_settings{});
-    viewing_entry entry;
-    agent_sessions_settings limits;
-    limits.entry = "entry";
-    agent_sessions sessions(loop.io(), process_clock(), entry, limits);
-    auto listener = rpc_listener::create(loop.io(), "127.0.0.1", 0);
-    REQUIRE(listener);
-    auto& links = *listener.value();
+    return account;
+}
+
+} // namespace
+
+TEST_CASE("entries learn the capacity of a server that restarts under its id",
+          "[restarted_server]")
+{
+    // The new server may be of another kind. An entry that keeps the old
+    // capacity would overload it.
+    linked_view_fixture fixture(account_of_server_1(96000));
     bool restarted = false;
-    std::function<void()> step = [&]
-    {
-        sessions.tick();
-        agent->tick();
-        const auto& seen = entry.view.account();
-        if (seen.phase == server_phase::ready && !restarted)
-        {
-            CHECK(seen.capacity.cpu == 96000);
-            restarted = true;
-            server.restart(2000);
-            time.advance(milliseconds{200});
-            account.born_ms = 2000;
-            account.capacity = {64000, 1000, 0};
-            account.labels = {"kind-a"};
-            manager.registered(account);
-            time.advance(milliseconds{50});
-        }
-        if (restarted && seen.born_ms == 2000 &&
-            seen.phase == server_phase::ready)
-            return loop.stop();
-        run_after(loop.io(), milliseconds{2}, step);
-    };
-    loop.run(
-        [&]
-        {
-            links.serve(agent->bootstrap());
-            sessions.add("agent", {"127.0.0.1", links.port()});
-            step();
-        },
+    fixture.run_until(
         [&]
         {
-            sessions.close();
-            agent.reset();
-            links.close();
+            const auto& seen = fixture.entry.view.account();
+            if (seen.phase == server_phase::ready && !restarted)
+            {
+                CHECK(seen.capacity.cpu == 96000);
+                restarted = true;
+                fixture.server.restart(2000);
+                fixture.time.advance(milliseconds{200});
+                fixture.account.born_ms = 2000;
+                fixture.account.capacity.cpu = 64000;
+                fixture.account.labels = {"kind-a"};
+                fixture.register_changed();
+                fixture.time.advance(milliseconds{50});
+            }
+            return restarted && seen.born_ms == 2000 &&
+                   seen.phase == server_phase::ready;
         });
-    CHECK(entry.view.account().capacity.cpu == 64000);
-    CHECK(entry.view.has_label("kind-a"));
-    CHECK_FALSE(entry.view.has_label("kind-b"));
+    const auto& view = fixture.entry.view;
+    CHECK(view.account().capacity.cpu == 64000);
+    CHECK(view.has_label("kind-a"));
+    CHECK_FALSE(view.has_label("kind-b"));
 }
 
 // Guards against entries that keep sending work to a server that has become too
@@ -132,57 +176,20 @@
 TEST_CASE("entries learn the capacity of a server that shrinks while it runs",
           "[order_capacity]")
 {
-    rpc_loop loop;
-    manual_loop time;
-    fake_backend_server server(time);
-    server.incarnation = "server-1";
-    run_manager manager(time.clock, server, time.delay(), 1000, {});
-    server_account account;
-    account.service = "service-1";
-    account.instance = "server-1";
-    account.capacity = {4000, 1000, 0};
-    account.phase = server_phase::ready;
-    manager.registered(account);
-    manager.begin();
-    time.advance(milliseconds{20});
-    auto agent = std::make_unique<run_agent_service>(
-        loop.io(), process_clock(), manager, 1, report_pacing_settings{});
-    viewing_entry entry;
-    agent_sessions_settings limits;
-    limits.entry = "entry";
-    agent_sessions sessions(loop.io(), process_clock(), entry, limits);
-    auto listener = rpc_listener::create(loop.io(), "127.0.0.1", 0);
-    REQUIRE(listener);
-    auto& links = *listener.value();
-    std::size_t last_report = 0; // The first one that must tell the change.
-    std::function<void()> step = [&]
-    {
-        sessions.tick();
-        agent->tick();
-        if (last_report == 0 && entry.reports > 0)
-        {
-            account.capacity.cpu = 2000;
-            account.sequence = 1;
-            manager.registered(account);
-            // One more may be on its way.
-            last_report = entry.reports + 2;
-        }
-        if (last_report != 0 && entry.reports >= last_report)
-            return loop.stop();
-        run_after(loop.io(), milliseconds{2}, step);
-    };
-    loop.run(
-        [&]
-        {
-            links.serve(agent->bootstrap());
-            sessions.add("agent", {"127.0.0.1", links.port()});
-            step();
-        },
+    linked_view_fixture fixture(account_of_server_1(4000));
+    std::size_t last_report = 0; // Must contain the change.
+    fixture.run_until(
         [&]
         {
-            sessions.close();
-            agent.reset();
-            links.close();
+            const auto received = fixture.entry.reports;
+            if (last_report == 0 && received > 0)
+            {
+                fixture.account.capacity.cpu = 2000;
+                fixture.register_changed();
+                // One report may be on its way.
+                last_report = received + 2;
+            }
+            return last_report != 0 && received >= last_report;
         });
-    CHECK(entry.view.account().capacity.cpu == 2000);
+    CHECK(fixture.entry.view.account().capacity.cpu == 2000);
 }
